--- /dev/null
+++ b/api/generate.go
@@ -0,0 +1,4 @@
+// Package api holds the protobuf definitions of the messages between instances.
+package api
+
+//go:generate buf generate
--- /dev/null
+++ b/internal/deps.go
@@ -0,0 +1,33 @@
+// Package internal keeps the declared modules in go.mod until their first use.
+package internal
+
+import (
+	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/Shopify/toxiproxy/v2"
+	_ "github.com/alecthomas/kong"
+	_ "github.com/cenkalti/backoff/v5"
+	_ "github.com/cespare/xxhash/v2"
+	_ "github.com/cockroachdb/errors"
+	_ "github.com/google/uuid"
+	_ "github.com/gorilla/mux"
+	_ "github.com/hashicorp/golang-lru/v2"
+	_ "github.com/hashicorp/yamux"
+	_ "github.com/openai/openai-go/v3"
+	_ "github.com/prometheus/client_golang/prometheus/promhttp"
+	_ "github.com/rogpeppe/go-internal/testscript"
+	_ "github.com/uber-go/tally/v4"
+	_ "github.com/uber-go/tally/v4/prometheus"
+	_ "go.opentelemetry.io/otel"
+	_ "go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	_ "go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	_ "go.opentelemetry.io/otel/sdk/trace"
+	_ "go.uber.org/fx"
+	_ "go.uber.org/goleak"
+	_ "go.uber.org/zap"
+	_ "go.yaml.in/yaml/v3"
+	_ "golang.org/x/sync/errgroup"
+	_ "golang.org/x/sys/unix"
+	_ "golang.org/x/time/rate"
+	_ "google.golang.org/protobuf/proto"
+	_ "pgregory.net/rapid"
+)
