--- /dev/null
+++ b/internal/load/client.go
@@ -0,0 +1,191 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// Execution header and values of the system's answers.
+const (
+	executionHeader    = "Dogwoodknot-Execution"
+	servedRegionHeader = "Dogwoodknot-Served-Region"
+)
+
+// Result is what the caller of one request saw.
+type Result struct {
+	Stream       *Stream
+	At           time.Duration // arrival
+	Status       int           // 0: no answer
+	Execution    string
+	ServedRegion string
+	FirstToken   time.Duration // since the scheduled arrival; 0: none
+	Total        time.Duration // since the scheduled arrival
+	Gaps         []time.Duration
+	Tokens       int  // output tokens
+	Whole        bool // the answer was complete
+	Code         string
+	Err          error
+}
+
+// maxLineBytes bounds a line of an event stream.
+const maxLineBytes = 1 << 20
+
+// send performs one request at an entry and waits for its whole answer.
+func send(ctx context.Context, client *http.Client, base string, a Arrival, start time.Time) Result {
+	r := Result{Stream: a.Stream, At: a.At}
+	req, err := newRequest(ctx, base, a)
+	if err != nil {
+		r.Err = err
+		return r
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		r.Err = err
+		r.Total = time.Since(start)
+		return r
+	}
+	defer resp.Body.Close()
+	r.Status = resp.StatusCode
+	r.Execution = resp.Header.Get(executionHeader)
+	r.ServedRegion = resp.Header.Get(servedRegionHeader)
+	if resp.StatusCode == http.StatusOK && a.Stream.Kind == Chat {
+		readEvents(resp.Body, start, &r)
+	} else {
+		readBody(resp.Body, &r)
+	}
+	r.Total = time.Since(start)
+	return r
+}
+
+type chatBody struct {
+	Model         string            `json:"model"`
+	Messages      []message         `json:"messages"`
+	MaxTokens     int               `json:"max_tokens"`
+	Stream        bool              `json:"stream"`
+	StreamOptions map[string]bool   `json:"stream_options"`
+	Metadata      map[string]string `json:"metadata,omitempty"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func newRequest(ctx context.Context, base string, a Arrival) (*http.Request, error) {
+	s := a.Stream
+	method, path, body := http.MethodGet, s.Path, []byte(nil)
+	switch s.Kind {
+	case Chat:
+		var err error
+		method, path = http.MethodPost, "/v1/chat/completions"
+		body, err = json.Marshal(chatBody{
+			Model:         s.Model,
+			Messages:      []message{{Role: "user", Content: prompt(a)}},
+			MaxTokens:     s.OutputTokens,
+			Stream:        true,
+			StreamOptions: map[string]bool{"include_usage": true},
+		})
+		if err != nil {
+			return nil, err
+		}
+	case Booking:
+		method, body = http.MethodPost, fmt.Appendf(nil, `{"number":%d,"reference":"%016x"}`, a.Number, a.Seed)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+s.Key)
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if s.Kind == Booking {
+		key, err := uuid.NewV7()
+		if err != nil {
+			return nil, err
+		}
+		req.Header.Set("Idempotency-Key", key.String())
+	}
+	return req, nil
+}
+
+// readEvents reads a server-sent event stream up to its end mark.
+func readEvents(body io.Reader, start time.Time, r *Result) {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
+	var last time.Time
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			r.Whole = true
+			return
+		}
+		var event chunk
+		if err := json.Unmarshal([]byte(data), &event); err != nil {
+			r.Err = err
+			return
+		}
+		if event.Error != nil {
+			r.Code = event.Error.Code
+			return
+		}
+		if event.Usage != nil {
+			r.Tokens = event.Usage.CompletionTokens
+		}
+		if len(event.Choices) == 0 || event.Choices[0].Delta.Content == "" {
+			continue
+		}
+		now := time.Now()
+		if last.IsZero() {
+			r.FirstToken = now.Sub(start)
+		} else {
+			r.Gaps = append(r.Gaps, now.Sub(last))
+		}
+		last = now
+	}
+	r.Err = lines.Err()
+}
+
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Usage *struct {
+		CompletionTokens int `json:"completion_tokens"`
+	} `json:"usage"`
+	Error *errorBody `json:"error"`
+}
+
+type errorBody struct {
+	Code string `json:"code"`
+}
+
+func readBody(body io.Reader, r *Result) {
+	data, err := io.ReadAll(io.LimitReader(body, maxLineBytes))
+	if err != nil {
+		r.Err = err
+		return
+	}
+	r.Whole = r.Status/100 == 2
+	var failure struct {
+		Error errorBody `json:"error"`
+	}
+	// A body that isn't JSON simply has no code.
+	if json.Unmarshal(data, &failure) == nil {
+		r.Code = failure.Error.Code
+	}
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,106 @@
+package load
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Limits of a run.
+const (
+	requestTimeout  = 2 * time.Minute
+	maxConnsPerHost = 4096
+)
+
+// Entries returns the base URLs of the entries that a stream's callers should use now, best first.
+type Entries func(s *Stream) []string
+
+// Options are the settings of a run.
+type Options struct {
+	Entries Entries
+	// Dial replaces the dialler of the callers' connections, for injected latency. Nil: the default.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// OnStart is called with the time at which the schedule starts.
+	OnStart func(time.Time)
+}
+
+// Run plays the workload's arrivals at their times, whatever the answers do (open loop), and waits for all answers.
+// Latencies count from the scheduled arrival, so a late start of a request is part of them.
+func Run(ctx context.Context, w Workload, o Options) ([]Result, error) {
+	for _, err := range w.Validate() {
+		return nil, err
+	}
+	transport := &http.Transport{
+		DialContext:         o.Dial,
+		MaxIdleConnsPerHost: maxConnsPerHost,
+		MaxConnsPerHost:     maxConnsPerHost,
+		DisableCompression:  true,
+	}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	schedule := w.Schedule()
+	results := make([]Result, len(schedule))
+	start := time.Now()
+	if o.OnStart != nil {
+		o.OnStart(start)
+	}
+	var inFlight sync.WaitGroup
+	defer inFlight.Wait()
+	for i, a := range schedule {
+		due := start.Add(a.At)
+		if err := sleepUntil(ctx, due); err != nil {
+			inFlight.Wait()
+			return results[:i], err
+		}
+		inFlight.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+			defer cancel()
+			results[i] = sendToFirst(ctx, client, o.Entries(a.Stream), a, due)
+		})
+	}
+	inFlight.Wait()
+	return results, nil
+}
+
+// sendToFirst tries the next entry only if a connection could not be made, which proves that the request was not sent.
+func sendToFirst(ctx context.Context, client *http.Client, entries []string, a Arrival, due time.Time) Result {
+	var r Result
+	for _, base := range entries {
+		r = send(ctx, client, base, a, due)
+		if r.Status != 0 || !isDialError(r.Err) {
+			return r
+		}
+	}
+	return r
+}
+
+func isDialError(err error) bool {
+	for err != nil {
+		if op, ok := err.(*net.OpError); ok {
+			return op.Op == "dial"
+		}
+		u, ok := err.(interface{ Unwrap() error })
+		if !ok {
+			return false
+		}
+		err = u.Unwrap()
+	}
+	return false
+}
+
+func sleepUntil(ctx context.Context, t time.Time) error {
+	d := time.Until(t)
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
