Connect instances with yamux over mutual TLS

The peer package held interfaces only. Transport implements Network: TLS 1.3 with certificates that can be reloaded, a Hello checked against the certificate's URI or DNS name, one yamux stream per call, frames with a size limit, deadline and trace context in the call header, sessions opened at the first call with backoff, and a drain message that lets a session close without cutting a call. certs issues certificates; peertest makes them for tests.

yamux writes a frame's header and body separately; a wrapper joins them, so that a message is one TLS record. yamux cannot be interrupted while it opens or writes on a stalled connection, so a call starts on its own goroutine, and the caller learns from a phase counter whether anything was given to the session.

Ruled out: refusing the second of two simultaneous dials in the handshake. It needs a verdict from an instance that may not know yet that its own session is dead. Both sessions are accepted, and both sides retire the same one.

Faults in the network (cuts, half-open) and rotation are not tested yet.

--- /dev/null
+++ b/internal/peer/export_test.go
@@ -0,0 +1,33 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+)
+
+// SessionCount returns the number of sessions, draining ones included.
+func (t *Transport) SessionCount() int { return len(t.allSessions()) }
+
+// DialHello takes a connection through TLS with the given credentials and exchanges Hello messages for the identity,
+// without the checks that an instance makes of its own certificate.
+func DialHello(addr string, p PEM, self Identity, expected string) (net.Conn, error) {
+	credentials, err := NewCredentials(p)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	raw, err := net.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	conn := tls.Client(raw, credentials.clientConfig())
+	t := &Transport{self: self}
+	if _, err := t.handshake(ctx, conn, expected); err != nil {
+		raw.Close()
+		return nil, err
+	}
+	return conn, nil
+}
--- /dev/null
+++ b/internal/peer/serve.go
@@ -0,0 +1,354 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/emptypb"
+
+	"dogwoodknot.example/dogwoodknot/internal/wire"
+)
+
+const (
+	// drainService asks the peer to start no more calls on this session.
+	drainService = "peer.drain"
+	// headerTimeout bounds the wait for the first frame of a stream.
+	headerTimeout = 10 * time.Second
+	// readAhead is the number of frames that are read before the handler asks for them. Reading ahead shows that the
+	// caller has gone while the handler is busy; the bound keeps the backpressure.
+	readAhead = 4
+	// maxRefusals bounds the refusals being written at once; streams beyond are closed without a reason.
+	maxRefusals = 64
+	// maxErrorText bounds the message of a handler's error in bytes.
+	maxErrorText = 1 << 10
+)
+
+// acceptStreams serves the streams that the peer opens until the session ends.
+func (t *Transport) acceptStreams(s *session) {
+	defer t.forget(s)
+	refusals := make(chan struct{}, maxRefusals)
+	for {
+		mux, err := s.mux.AcceptStream()
+		if err != nil {
+			if !s.mux.IsClosed() {
+				t.log.Info("session failed", zap.String("peer", s.peer.Instance), zap.Error(err))
+			}
+			s.close()
+			return
+		}
+		s.active.Add(1)
+		s.touch()
+		select {
+		case t.inbound <- struct{}{}:
+			t.spawnStream(s, mux, t.inbound, t.serve)
+			continue
+		default:
+		}
+		select {
+		case refusals <- struct{}{}:
+			t.spawnStream(s, mux, refusals, t.refuse)
+		default:
+			closeQuietly(mux)
+			s.release()
+		}
+	}
+}
+
+// spawnStream runs f for a stream and gives its slot back at the end.
+func (t *Transport) spawnStream(s *session, mux *yamux.Stream, slots chan struct{}, f func(*session, *yamux.Stream)) {
+	spawned := t.spawn(func() {
+		f(s, mux)
+		<-slots
+		s.release()
+	})
+	if !spawned {
+		closeQuietly(mux)
+		<-slots
+		s.release()
+	}
+}
+
+func closeQuietly(mux *yamux.Stream) {
+	// An error means that the session has ended, which the peer notices by itself.
+	_ = mux.Close()
+}
+
+func (t *Transport) refuse(_ *session, mux *yamux.Stream) {
+	defer closeQuietly(mux)
+	_ = mux.SetDeadline(time.Now().Add(headerTimeout))
+	t.writeError(mux, NewError(CodeOverloaded, "too many calls at once; the call was not run"))
+}
+
+// writeError ends the stream with an error. It is best effort: without it, the caller sees a broken stream.
+func (t *Transport) writeError(mux *yamux.Stream, err error) {
+	out := &wire.CallError{Message: err.Error()}
+	var remote *RemoteError
+	if errors.As(err, &remote) {
+		out.Code, out.Message = remote.Code, remote.Message
+	}
+	if len(out.Message) > maxErrorText {
+		out.Message = fmt.Sprintf("%.*s", maxErrorText/4, out.Message)
+	}
+	frame, err := appendFrame(nil, frameError, out, t.options.MaxMessageBytes)
+	if err != nil {
+		return
+	}
+	if _, err := writeAll(mux, frame); err != nil {
+		t.log.Debug("error was not delivered", zap.Error(err))
+	}
+}
+
+// serve runs the handler of one stream.
+func (t *Transport) serve(s *session, mux *yamux.Stream) {
+	defer closeQuietly(mux)
+	header, size, err := t.readHeader(mux)
+	if err != nil {
+		t.writeError(mux, NewError(CodeBadHeader, err.Error()))
+		return
+	}
+	if header.GetService() == drainService {
+		t.serveDrain(s, mux)
+		return
+	}
+	handler := t.handlers[header.GetService()]
+	if handler == nil {
+		t.writeError(mux, NewError(CodeUnknownService, "service "+header.GetService()+" is not registered"))
+		return
+	}
+	counters := t.metrics.service(header.GetService())
+	counters.received(size)
+
+	ctx, cancel := context.WithCancel(t.ctx)
+	if timeout := header.GetTimeoutNanos(); timeout > 0 {
+		ctx, cancel = withTimeout(ctx, cancel, time.Duration(timeout))
+	}
+	defer cancel()
+	ctx, span := t.startSpan(withTraceparent(ctx, header.GetTraceparent()), header.GetService(), s.peer.Instance, trace.SpanKindServer)
+	stream := &serverStream{
+		ctx:     ctx,
+		mux:     mux,
+		limit:   t.options.MaxMessageBytes,
+		metrics: counters,
+		frames:  make(chan inFrame, readAhead),
+	}
+	stop := context.AfterFunc(ctx, stream.unblock)
+	var reading sync.WaitGroup
+	reading.Go(func() { stream.read(cancel) })
+
+	err = t.run(ctx, handler, s, stream, header.GetService())
+	endSpan(span, err)
+	stop()
+	stream.conclude(t, err)
+	cancel()
+	stream.unblock()
+	reading.Wait()
+}
+
+// withTimeout adds a timeout to ctx and returns a cancel function for both.
+func withTimeout(ctx context.Context, cancel context.CancelFunc, d time.Duration) (context.Context, context.CancelFunc) {
+	timed, stop := context.WithTimeout(ctx, d)
+	return timed, func() {
+		stop()
+		cancel()
+	}
+}
+
+func (t *Transport) readHeader(mux *yamux.Stream) (*wire.CallHeader, int, error) {
+	_ = mux.SetReadDeadline(time.Now().Add(headerTimeout))
+	kind, payload, err := readFrame(mux, t.options.MaxMessageBytes)
+	if err != nil {
+		return nil, 0, err
+	}
+	_ = mux.SetReadDeadline(time.Time{})
+	header := &wire.CallHeader{}
+	if err := proto.Unmarshal(payload, header); err != nil || kind != frameHeader {
+		return nil, 0, errors.New("first frame of the stream is not a call header")
+	}
+	return header, len(payload) + frameOverhead, nil
+}
+
+// run calls the handler. A panic ends this call only.
+func (t *Transport) run(ctx context.Context, handler Handler, s *session, stream Stream, service string) (err error) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			t.log.Error("handler panicked", zap.String("service", service), zap.Any("reason", reason), zap.Stack("stack"))
+			err = NewError(CodeInternal, "handler panicked")
+		}
+	}()
+	return handler(ctx, s.peer, stream)
+}
+
+// inFrame is a frame or the error that ended the receiving side.
+type inFrame struct {
+	kind    frameKind
+	payload []byte
+	err     error
+}
+
+// serverStream is the serving side of a stream.
+type serverStream struct {
+	ctx     context.Context
+	mux     *yamux.Stream
+	limit   int
+	metrics *serviceMetrics
+	frames  chan inFrame
+
+	recvMu sync.Mutex
+	over   error // guarded by recvMu
+
+	sendMu sync.Mutex
+	ended  bool // guarded by sendMu
+}
+
+var _ Stream = (*serverStream)(nil)
+
+// read passes frames on until the caller closes the stream, and then ends the handler's context.
+func (s *serverStream) read(cancel context.CancelFunc) {
+	defer close(s.frames)
+	defer cancel()
+	for {
+		kind, payload, err := readFrame(s.mux, s.limit)
+		if err == nil {
+			s.metrics.received(len(payload) + frameOverhead)
+		}
+		select {
+		case s.frames <- inFrame{kind: kind, payload: payload, err: err}:
+		case <-s.ctx.Done():
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// unblock ends blocked reads and writes.
+func (s *serverStream) unblock() {
+	_ = s.mux.SetDeadline(deadlinePassed)
+}
+
+// Send writes a message.
+func (s *serverStream) Send(m proto.Message) error {
+	return s.send(frameMessage, m)
+}
+
+// CloseSend tells the caller that no message follows.
+func (s *serverStream) CloseSend() error {
+	return s.send(frameEnd, nil)
+}
+
+func (s *serverStream) send(kind frameKind, m proto.Message) error {
+	s.sendMu.Lock()
+	defer s.sendMu.Unlock()
+	if s.ended {
+		if kind == frameEnd {
+			return nil
+		}
+		return errors.New("message after CloseSend")
+	}
+	frame, err := appendFrame(nil, kind, m, s.limit)
+	if err != nil {
+		return err
+	}
+	if _, err := writeAll(s.mux, frame); err != nil {
+		return s.broken(err)
+	}
+	s.ended = kind == frameEnd
+	s.metrics.sent(len(frame))
+	return nil
+}
+
+func (s *serverStream) broken(err error) error {
+	if ctxErr := s.ctx.Err(); ctxErr != nil {
+		err = ctxErr
+	}
+	return errors.Mark(errors.Wrap(err, "stream of the caller"), ErrBroken)
+}
+
+// Recv reads the next message of the caller.
+func (s *serverStream) Recv(m proto.Message) error {
+	s.recvMu.Lock()
+	defer s.recvMu.Unlock()
+	if s.over != nil {
+		return s.over
+	}
+	frame, open := <-s.frames
+	switch {
+	case !open:
+		s.over = s.broken(errors.New("caller has gone"))
+	case frame.err != nil:
+		s.over = s.broken(frame.err)
+	case frame.kind == frameEnd:
+		s.over = io.EOF
+	case frame.kind != frameMessage:
+		s.over = s.broken(errors.Newf("unexpected frame of kind %d", frame.kind))
+	default:
+		return proto.Unmarshal(frame.payload, m)
+	}
+	return s.over
+}
+
+// Close ends the stream in both directions without an answer.
+func (s *serverStream) Close() error {
+	s.sendMu.Lock()
+	s.ended = true
+	s.sendMu.Unlock()
+	s.unblock()
+	return s.mux.Close()
+}
+
+// conclude sends the handler's outcome, unless the handler has closed the stream.
+func (s *serverStream) conclude(t *Transport, err error) {
+	if err == nil {
+		// The handler's last write has told whether the caller is still there.
+		_ = s.CloseSend()
+		return
+	}
+	s.sendMu.Lock()
+	defer s.sendMu.Unlock()
+	if !s.ended {
+		s.ended = true
+		t.writeError(s.mux, err)
+	}
+}
+
+// serveDrain retires the session on this side and confirms that no stream follows.
+func (t *Transport) serveDrain(s *session, mux *yamux.Stream) {
+	t.retire(s, false)
+	frame, err := appendFrame(nil, frameMessage, &emptypb.Empty{}, maxHelloBytes)
+	if err == nil {
+		_, err = writeAll(mux, frame)
+	}
+	if err != nil {
+		t.log.Debug("drain was not confirmed", zap.Error(err))
+	}
+}
+
+// askToDrain tells the peer to open no more streams on the session, and waits for its answer.
+func (s *session) askToDrain(ctx context.Context) {
+	mux, err := s.mux.OpenStream()
+	if err != nil {
+		return
+	}
+	defer closeQuietly(mux)
+	deadline, _ := ctx.Deadline()
+	_ = mux.SetDeadline(deadline)
+	frame, err := appendFrame(nil, frameHeader, &wire.CallHeader{Service: drainService}, maxHelloBytes)
+	if err != nil {
+		return
+	}
+	if _, err := writeAll(mux, frame); err != nil {
+		return
+	}
+	if _, _, err := readFrame(mux, maxHelloBytes); err != nil {
+		s.transport.log.Debug("peer has not confirmed the drain", zap.String("peer", s.peer.Instance), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/peer/transport.go
@@ -0,0 +1,584 @@
+package peer
+
+import (
+	"cmp"
+	"context"
+	"crypto/tls"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+const (
+	// maxHandshakes bounds the inbound connections that have not proved their identity yet.
+	maxHandshakes = 64
+	// housekeepingInterval is the interval of checks for idle sessions, expired certificates and eager dials.
+	housekeepingInterval = 500 * time.Millisecond
+	// eagerYield is how long the instance with the larger name waits for the other one's eager dial.
+	eagerYield = 2 * time.Second
+	// acceptRetry is the wait after a failed accept, for example when file descriptors have run out.
+	acceptRetry = 50 * time.Millisecond
+)
+
+// errClosed reports a call on a transport that is closing.
+var errClosed = errors.New("transport is closing")
+
+// Transport is the Network over TCP. Create it with New, register services with Handle, then call Start.
+type Transport struct {
+	options Options
+	self    Identity
+	log     *zap.Logger
+	metrics *metrics
+
+	handlers map[string]Handler
+	started  atomic.Bool
+
+	ctx     context.Context // ends when calls in flight are cut
+	cancel  context.CancelFunc
+	closing atomic.Bool
+	workMu  sync.RWMutex // guards stopped against the start of work
+	stopped bool
+	work    sync.WaitGroup
+	inbound chan struct{} // slots of calls being served
+
+	peers atomic.Pointer[map[string]*remote] // read by each call, replaced under mu
+
+	mu       sync.Mutex // guards the set of sessions and the replacement of peers
+	sessions map[*session]struct{}
+}
+
+var _ Network = (*Transport)(nil)
+
+// remote is what is known of one peer.
+type remote struct {
+	name    string
+	current atomic.Pointer[session]
+
+	mu        sync.Mutex
+	addr      string // empty if only its sessions are known
+	since     time.Time
+	attempt   *dialAttempt
+	backoff   *backoff.ExponentialBackOff
+	notBefore time.Time
+	lastErr   error
+}
+
+// dialAttempt is a dial that any number of callers wait for.
+type dialAttempt struct {
+	done chan struct{}
+	err  error
+}
+
+// New checks the options and returns a transport that is not started yet.
+func New(options Options) (*Transport, error) {
+	if err := options.Validate(); err != nil {
+		return nil, err
+	}
+	options.fill()
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &Transport{
+		options:  options,
+		self:     options.Self,
+		log:      options.Logger.Named("peer"),
+		metrics:  newMetrics(options.Scope),
+		handlers: map[string]Handler{},
+		ctx:      ctx,
+		cancel:   cancel,
+		inbound:  make(chan struct{}, options.MaxInboundStreams),
+		sessions: map[*session]struct{}{},
+	}
+	t.peers.Store(&map[string]*remote{})
+	return t, nil
+}
+
+// Self returns this instance's identity.
+func (t *Transport) Self() Identity { return t.self }
+
+// Handle registers a service. It panics if the name is taken or the transport has started.
+func (t *Transport) Handle(service string, h Handler) {
+	if t.started.Load() {
+		panic("peer: Handle after Start: " + service)
+	}
+	if _, taken := t.handlers[service]; taken || service == drainService {
+		panic("peer: service is registered twice: " + service)
+	}
+	t.handlers[service] = h
+}
+
+// Start accepts connections until Close.
+func (t *Transport) Start() {
+	if t.started.Swap(true) {
+		panic("peer: Start was called twice")
+	}
+	t.work.Go(t.acceptConnections)
+	t.work.Go(t.housekeep)
+}
+
+// Reload replaces the certificate and the CAs. Sessions whose peer the new CAs do not accept are drained and closed.
+func (t *Transport) Reload(p PEM) error {
+	former := t.options.Credentials.current.Load()
+	if err := t.options.Credentials.Reload(p); err != nil {
+		return err
+	}
+	if err := t.options.Credentials.checkOwnName(t.self); err != nil {
+		t.options.Credentials.current.Store(former)
+		return err
+	}
+	t.retireUntrusted()
+	return nil
+}
+
+// Close stops accepting, lets the calls in flight finish until ctx ends, and closes all sessions.
+func (t *Transport) Close(ctx context.Context) error {
+	t.closing.Store(true)
+	err := t.options.Listener.Close()
+	for _, s := range t.allSessions() {
+		t.retire(s, true)
+	}
+	finished := make(chan struct{})
+	go func() {
+		t.waitForSessions()
+		close(finished)
+	}()
+	select {
+	case <-finished:
+	case <-ctx.Done():
+		err = errors.CombineErrors(ctx.Err(), err)
+	}
+	t.cancel()
+	for _, s := range t.allSessions() {
+		s.close()
+	}
+	t.workMu.Lock()
+	t.stopped = true
+	t.workMu.Unlock()
+	t.work.Wait()
+	<-finished
+	return err
+}
+
+// spawn runs f on a goroutine that Close waits for. It returns false if Close waits already.
+func (t *Transport) spawn(f func()) bool {
+	t.workMu.RLock()
+	defer t.workMu.RUnlock()
+	if t.stopped {
+		return false
+	}
+	t.work.Go(f)
+	return true
+}
+
+// waitForSessions returns when the last session is closed or the transport's context ends.
+func (t *Transport) waitForSessions() {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for len(t.allSessions()) > 0 {
+		select {
+		case <-ticker.C:
+		case <-t.ctx.Done():
+			return
+		}
+	}
+}
+
+// SetPeers replaces the known peers and their addresses. The own name is ignored.
+func (t *Transport) SetPeers(addrs map[string]string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := make(map[string]*remote, len(addrs))
+	for name, r := range *t.peers.Load() {
+		if _, known := addrs[name]; known || r.current.Load() != nil {
+			next[name] = r
+		}
+	}
+	for name := range addrs {
+		if next[name] == nil && name != t.self.Instance {
+			next[name] = t.newRemote(name)
+		}
+	}
+	for name, r := range next {
+		if r.setAddr(addrs[name]) {
+			// The same name at another address is another process.
+			if s := r.current.Load(); s != nil {
+				t.retire(s, true)
+			}
+		}
+	}
+	t.peers.Store(&next)
+}
+
+func (t *Transport) newRemote(name string) *remote {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = t.options.BackoffInitial
+	b.MaxInterval = t.options.BackoffMax
+	b.Multiplier = 2
+	return &remote{name: name, backoff: b, since: time.Now()}
+}
+
+// setAddr stores the address and reports whether it replaces another one.
+func (r *remote) setAddr(addr string) (moved bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.addr == addr {
+		return false
+	}
+	moved = r.addr != "" && addr != ""
+	r.addr = addr
+	r.notBefore = time.Time{}
+	r.backoff.Reset()
+	return moved
+}
+
+// Connected returns the identities of the peers with a live session, in order of their names.
+func (t *Transport) Connected() []Identity {
+	var found []Identity
+	for _, r := range *t.peers.Load() {
+		if s := r.current.Load(); s.usable() {
+			found = append(found, s.peer)
+		}
+	}
+	slices.SortFunc(found, func(a, b Identity) int { return cmp.Compare(a.Instance, b.Instance) })
+	return found
+}
+
+// remoteFor returns the peer's entry, and creates it for a peer that has connected before it was listed.
+func (t *Transport) remoteFor(name string) *remote {
+	if r := (*t.peers.Load())[name]; r != nil {
+		return r
+	}
+	next := make(map[string]*remote, len(*t.peers.Load())+1)
+	for n, r := range *t.peers.Load() {
+		next[n] = r
+	}
+	next[name] = t.newRemote(name)
+	t.peers.Store(&next)
+	return next[name]
+}
+
+// session returns a live session with the peer. It dials if there is none, and fails at once while the
+// peer's backoff runs.
+func (t *Transport) session(ctx context.Context, name string) (*session, error) {
+	r := (*t.peers.Load())[name]
+	if r == nil {
+		return nil, ErrUnknownPeer
+	}
+	if s := r.current.Load(); s.usable() {
+		return s, nil
+	}
+	if t.closing.Load() {
+		return nil, errClosed
+	}
+	attempt, err := t.join(r)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-attempt.done:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if s := r.current.Load(); s.usable() {
+		return s, nil // also if the own dial failed and the peer's succeeded
+	}
+	if attempt.err != nil {
+		return nil, attempt.err
+	}
+	return nil, errors.New("session was closed")
+}
+
+// join returns the dial in flight or starts one.
+func (t *Transport) join(r *remote) (*dialAttempt, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.attempt != nil {
+		return r.attempt, nil
+	}
+	if r.addr == "" {
+		return nil, ErrUnknownPeer
+	}
+	if wait := time.Until(r.notBefore); wait > 0 {
+		return nil, errors.Wrapf(r.lastErr, "next dial in %s", wait.Round(time.Millisecond))
+	}
+	attempt := &dialAttempt{done: make(chan struct{})}
+	r.attempt = attempt
+	addr := r.addr
+	spawned := t.spawn(func() {
+		attempt.err = t.dial(r.name, addr)
+		r.finish(attempt)
+	})
+	if !spawned {
+		r.attempt = nil
+		return nil, errClosed
+	}
+	return attempt, nil
+}
+
+func (r *remote) finish(attempt *dialAttempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attempt = nil
+	if attempt.err != nil {
+		r.lastErr = attempt.err
+		r.notBefore = time.Now().Add(r.backoff.NextBackOff())
+	}
+	close(attempt.done)
+}
+
+// reachable forgets earlier failures once a session is up.
+func (r *remote) reachable() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.notBefore = time.Time{}
+	r.backoff.Reset()
+}
+
+func (t *Transport) dial(name, addr string) error {
+	t.metrics.dials.Inc(1)
+	ctx, cancel := context.WithTimeout(t.ctx, t.options.DialTimeout)
+	defer cancel()
+	raw, err := t.options.Dial(ctx, addr)
+	if err == nil {
+		conn := tls.Client(countedConn{raw, t.metrics}, t.options.Credentials.clientConfig())
+		err = t.establish(ctx, conn, name)
+	}
+	if err != nil {
+		t.metrics.dialErrors.Inc(1)
+		t.log.Info("dial failed", zap.String("peer", name), zap.String("addr", addr), zap.Error(err))
+	}
+	return err
+}
+
+// establish takes a connection through the handshake and adds its session. It closes the connection on failure.
+func (t *Transport) establish(ctx context.Context, conn *tls.Conn, expected string) error {
+	id, err := t.handshake(ctx, conn, expected)
+	if err == nil {
+		var s *session
+		if s, err = t.newSession(conn, id, expected != ""); err == nil {
+			return t.adopt(s)
+		}
+	}
+	// The peer may not read a closing alert, so the wait for it is bounded by the connection's deadline.
+	if closeErr := conn.Close(); closeErr != nil {
+		t.log.Debug("close connection", zap.Error(closeErr))
+	}
+	return err
+}
+
+func (t *Transport) acceptConnections() {
+	handshakes := make(chan struct{}, maxHandshakes)
+	for {
+		raw, err := t.options.Listener.Accept()
+		if errors.Is(err, net.ErrClosed) || t.closing.Load() {
+			if err == nil {
+				raw.Close()
+			}
+			return
+		}
+		if err != nil {
+			t.log.Warn("accept failed", zap.Error(err))
+			time.Sleep(acceptRetry)
+			continue
+		}
+		handshakes <- struct{}{}
+		spawned := t.spawn(func() {
+			defer func() { <-handshakes }()
+			t.accept(raw)
+		})
+		if !spawned {
+			raw.Close()
+			return
+		}
+	}
+}
+
+func (t *Transport) accept(raw net.Conn) {
+	ctx, cancel := context.WithTimeout(t.ctx, t.options.DialTimeout)
+	defer cancel()
+	conn := tls.Server(countedConn{raw, t.metrics}, t.options.Credentials.serverConfig())
+	if err := t.establish(ctx, conn, ""); err != nil {
+		t.metrics.refused.Inc(1)
+		t.log.Info("connection refused", zap.Stringer("addr", raw.RemoteAddr()), zap.Error(err))
+	}
+}
+
+// adopt makes a new session the peer's current one and settles which of several sessions stays.
+func (t *Transport) adopt(s *session) error {
+	t.mu.Lock()
+	if t.closing.Load() || !t.makeRoom() {
+		t.mu.Unlock()
+		s.close()
+		return errors.New("no session is accepted: limit reached or closing")
+	}
+	t.sessions[s] = struct{}{}
+	t.metrics.sessions.Update(float64(len(t.sessions)))
+	r := t.remoteFor(s.peer.Instance)
+	former := r.current.Swap(s)
+	t.mu.Unlock()
+
+	r.reachable()
+	if !t.spawn(func() { t.acceptStreams(s) }) {
+		t.forget(s)
+		s.close()
+		return errClosed
+	}
+	if former.usable() {
+		t.settle(r, former, s)
+	}
+	t.log.Debug("session is up", zap.String("peer", s.peer.Instance), zap.Bool("dialled", s.dialled))
+	return nil
+}
+
+// settle keeps one of two sessions with a peer. Both instances come to the same choice: the newer one, unless
+// the two were dialled from opposite sides by the same processes. Then the preferred one stays if it answers,
+// since the peer may have lost it before this instance noticed.
+func (t *Transport) settle(r *remote, former, newer *session) {
+	crossed := former.dialled != newer.dialled && former.peer.Incarnation == newer.peer.Incarnation
+	if !crossed || newer.preferred() {
+		t.retire(former, true)
+		return
+	}
+	t.spawn(func() {
+		if _, err := former.mux.Ping(); err != nil {
+			former.close()
+			return
+		}
+		if r.current.CompareAndSwap(newer, former) {
+			t.retire(newer, true)
+		}
+	})
+}
+
+// retire starts no more calls on the session and closes it once its calls have ended.
+func (t *Transport) retire(s *session, ask bool) {
+	if s.retired.Swap(true) {
+		return
+	}
+	if r := (*t.peers.Load())[s.peer.Instance]; r != nil {
+		r.current.CompareAndSwap(s, nil)
+	}
+	if !t.spawn(func() { s.drain(ask) }) {
+		s.close()
+	}
+}
+
+// makeRoom reports whether another session fits, if need be after the least recently used idle one is retired.
+// It is called under mu.
+func (t *Transport) makeRoom() bool {
+	if len(t.sessions) < t.options.MaxSessions {
+		return true
+	}
+	var oldest *session
+	for s := range t.sessions {
+		if s.active.Load() > 0 || s.retired.Load() {
+			continue
+		}
+		if oldest == nil || s.lastUsed.Load() < oldest.lastUsed.Load() {
+			oldest = s
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	t.retire(oldest, true)
+	delete(t.sessions, oldest)
+	return true
+}
+
+// forget removes a closed session.
+func (t *Transport) forget(s *session) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.sessions, s)
+	t.metrics.sessions.Update(float64(len(t.sessions)))
+	if r := (*t.peers.Load())[s.peer.Instance]; r != nil {
+		r.current.CompareAndSwap(s, nil)
+	}
+}
+
+func (t *Transport) allSessions() []*session {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]*session, 0, len(t.sessions))
+	for s := range t.sessions {
+		all = append(all, s)
+	}
+	return all
+}
+
+// housekeep closes idle and no longer trusted sessions and keeps the eager ones open.
+func (t *Transport) housekeep() {
+	ticker := time.NewTicker(housekeepingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-t.ctx.Done():
+			return
+		}
+		if t.closing.Load() {
+			return
+		}
+		eager := len(*t.peers.Load()) <= t.options.EagerPeers
+		if eager {
+			t.dialEagerly()
+		}
+		t.retireUntrusted()
+		t.retireIdle(eager)
+	}
+}
+
+func (t *Transport) retireUntrusted() {
+	for _, s := range t.allSessions() {
+		if !s.retired.Load() && !t.options.Credentials.stillValid(s.certificates) {
+			t.log.Info("certificate of a session is no longer valid", zap.String("peer", s.peer.Instance))
+			t.retire(s, true)
+		}
+	}
+}
+
+func (t *Transport) retireIdle(eager bool) {
+	if eager {
+		return
+	}
+	for _, s := range t.allSessions() {
+		if s.active.Load() == 0 && s.idleFor() > t.options.IdleTimeout {
+			t.retire(s, true)
+		}
+	}
+}
+
+// dialEagerly dials the known peers without a session. The instance with the smaller name dials first.
+func (t *Transport) dialEagerly() {
+	for name, r := range *t.peers.Load() {
+		if r.current.Load().usable() {
+			r.lost(time.Time{})
+			continue
+		}
+		without := r.lost(time.Now())
+		if name < t.self.Instance && without < eagerYield {
+			continue
+		}
+		// Failures are logged by dial and repeated at the next tick after the backoff.
+		_, _ = t.join(r)
+	}
+}
+
+// lost records since when the peer has no session and returns for how long. A zero time resets it.
+func (r *remote) lost(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.IsZero() {
+		r.since = time.Time{}
+		return 0
+	}
+	if r.since.IsZero() {
+		r.since = now
+	}
+	return now.Sub(r.since)
+}
