Share organisations' rates between instances by slots and loans

The limiter package had only its interface. The ledger in internal/core/ratelimit keeps one holder's rate share, burst share, level and loans; internal/limits owns slots through records in the store and borrows from other instances.

The slot record carries no store lease, because a lapsed lease would delete the record and with it the name of the predecessor. The owner keeps a second key under its lease instead; a slot whose owner lacks that key has lapsed.

A new owner waits one loan term after the end of its predecessor is certain, since the predecessor's loans may run that long.

--- /dev/null
+++ b/internal/core/ratelimit/handover.go
@@ -0,0 +1,92 @@
+package ratelimit
+
+import (
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+)
+
+// HandedLoan is a loan given by a holder that hands its slots over.
+type HandedLoan struct {
+	ID        uint64
+	Receiver  string
+	Share     Share
+	Remaining time.Duration // of the giver's count
+}
+
+// HandedAccount is an organisation's state at a holder that hands its slots over.
+type HandedAccount struct {
+	Organisation string
+	Level        float64 // tokens; negative: debt
+	Given        []HandedLoan
+}
+
+// HandedSlot is a slot that is handed over. Organisations without a HandedAccount have filled up for Age under the
+// configuration Revision.
+type HandedSlot struct {
+	Slot     Slot
+	Age      time.Duration
+	Revision int64
+}
+
+// HandOver ends the use of all slots and loans. It returns what the next owner of the slots needs, and the returns of taken
+// loans by giver.
+func (l *Ledger) HandOver(now clock.Instant) ([]HandedSlot, []HandedAccount, map[string][]Ask) {
+	returns := map[string][]Ask{}
+	var handed []HandedAccount
+	for name, a := range l.accounts {
+		a.advance(now)
+		for i := len(a.taken) - 1; i >= 0; i-- {
+			x := a.taken[i]
+			if r, ok := l.giveBack(a, i, 0); ok {
+				returns[x.other] = append(returns[x.other], Ask{Organisation: name, Returns: []Return{r}})
+			}
+		}
+		// What remains taken backs loans given on: those end with it, so neither is handed over as own share.
+		out := HandedAccount{Organisation: name, Level: min(a.level, max(0, a.own.Burst-a.givenS.Burst))}
+		for _, x := range a.given {
+			out.Given = append(out.Given, HandedLoan{x.ID, x.other, x.Share, x.until.Sub(now)})
+		}
+		handed = append(handed, out)
+		a.own, a.level = Share{}, min(0, a.level)
+		a.given, a.taken = nil, nil
+		a.sum()
+		a.epoch++
+	}
+	var slots []HandedSlot
+	for slot, state := range l.slots {
+		handedSlot := HandedSlot{Slot: slot}
+		if n := len(l.history); n > 0 {
+			handedSlot.Age = now.Sub(max(state.from, l.history[n-1].from))
+			handedSlot.Revision = l.history[n-1].conf.Revision()
+		}
+		slots = append(slots, handedSlot)
+	}
+	clear(l.slots)
+	return slots, handed, returns
+}
+
+// TakeOver uses slots from now on with the state that their former owner handed over. The former owner has dropped them.
+func (l *Ledger) TakeOver(now clock.Instant, slots []HandedSlot, accounts []HandedAccount) {
+	for _, a := range accounts {
+		l.account(now, a.Organisation)
+	}
+	for _, x := range slots {
+		l.GainSlot(now, x.Slot)
+		if conf := l.current(); conf != nil && conf.Revision() == x.Revision {
+			l.slots[x.Slot] = slotState{usable: true, from: now.Add(-x.Age)}
+		}
+	}
+	for _, h := range accounts {
+		a := l.account(now, h.Organisation)
+		if a == nil {
+			continue
+		}
+		for _, g := range h.Given {
+			a.given = append(a.given, loan{g.ID, g.Receiver, g.Share, now.Add(g.Remaining + l.opts.Margin)})
+		}
+		a.sum()
+		a.level += h.Level
+		a.clip()
+	}
+}
--- /dev/null
+++ b/internal/core/ratelimit/ledger.go
@@ -0,0 +1,513 @@
+package ratelimit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+)
+
+const (
+	// DefaultTerm is the length of a loan.
+	DefaultTerm = 10 * time.Second
+	// DefaultMargin is added to the giver's count of a term. Crystal clocks drift by up to 200 ppm, which is 2 ms in a term.
+	DefaultMargin = 20 * time.Millisecond
+	// demandWindow is the time constant of the moving average of offered tokens.
+	demandWindow = 3 * time.Second
+	// lateExpiry is how late an expired loan may be noticed before charges that it may have paid for become invalid.
+	// The adapter advances every active account each second, so that only a paused process notices later than this.
+	lateExpiry = 3 * time.Second
+	// historyLimit bounds the replaced configurations that are kept to compute the level of an inactive organisation.
+	historyLimit = 6
+)
+
+// Options of a Ledger.
+type Options struct {
+	Self   string        // name of this holder
+	Term   time.Duration // of loans, default DefaultTerm
+	Margin time.Duration // for clock-rate drift, default DefaultMargin
+	// FirstLoan is the first loan id. Ids must not repeat for a receiver that outlives this holder, so an adapter
+	// passes a random number.
+	FirstLoan uint64
+}
+
+// slotState is an owned slot.
+type slotState struct {
+	usable bool
+	from   clock.Instant // since when usable
+}
+
+// pastConfiguration is a configuration with the instant from which it applied here.
+type pastConfiguration struct {
+	from clock.Instant
+	conf Configuration
+}
+
+// Ledger is the state of one holder. It is not safe for concurrent use.
+type Ledger struct {
+	opts     Options
+	rules    rules
+	slots    map[Slot]slotState
+	accounts map[string]*account
+	charges  map[uint64]charge
+	history  []pastConfiguration // oldest first; the last one is in force
+	// complete says that history starts with the holder's first configuration.
+	complete   bool
+	nextLoan   uint64
+	nextCharge uint64
+}
+
+// rules switches single rules off. Only tests set it, to show that their checks notice the fault.
+type rules struct {
+	addTwice        bool // a duplicated answer is accepted again
+	lateReturn      bool // returned tokens are accepted after the end of the term
+	receiverLate    bool // the receiver counts the term from the arrival of the loan
+	sendFirst       bool // the giver does not subtract what it lends
+	fullLevel       bool // a gained slot starts with a full level
+	noWait          bool // a gained slot is used while its predecessor may use it
+	noMinimum       bool // previous entitlements are ignored
+	unboundedSubLet bool // a loan backed by taken loans may outlive them
+}
+
+type charge struct {
+	organisation string
+	tokens       float64
+	epoch        uint64
+}
+
+// account is the state of one organisation.
+type account struct {
+	own     Share // of the usable slots
+	given   []loan
+	taken   []loan
+	givenS  Share // sums of given and taken
+	takenS  Share
+	level   float64 // tokens; negative: debt
+	updated clock.Instant
+	demand  float64 // tokens/s offered, moving average
+	offered clock.Instant
+	open    int    // unsettled charges
+	epoch   uint64 // changes when shares that charges were taken from are gone
+	total   Terms
+	slots   []Slot // that have a share of the organisation, in a fixed order
+	// seen holds the accepted loans until their term ends, since a duplicate may arrive after the loan was given back.
+	seen map[loanKey]clock.Instant
+}
+
+// New returns an empty ledger.
+func New(opts Options) *Ledger {
+	if opts.Term == 0 {
+		opts.Term = DefaultTerm
+	}
+	if opts.Margin == 0 {
+		opts.Margin = DefaultMargin
+	}
+	return &Ledger{
+		opts:     opts,
+		slots:    map[Slot]slotState{},
+		accounts: map[string]*account{},
+		charges:  map[uint64]charge{},
+		complete: true,
+		nextLoan: opts.FirstLoan,
+	}
+}
+
+// Term returns the length of loans.
+func (l *Ledger) Term() time.Duration { return l.opts.Term }
+
+// QuietTime is how long a new owner waits after its predecessor has stopped: until the predecessor's loans have ended.
+func (l *Ledger) QuietTime() time.Duration { return l.opts.Term + 2*l.opts.Margin }
+
+// Accounts returns the number of organisations with state.
+func (l *Ledger) Accounts() int { return len(l.accounts) }
+
+func (l *Ledger) current() Configuration {
+	if len(l.history) == 0 {
+		return nil
+	}
+	return l.history[len(l.history)-1].conf
+}
+
+// Configure puts a configuration in force. Raised shares start without tokens for the raised part.
+func (l *Ledger) Configure(now clock.Instant, conf Configuration) {
+	for _, a := range l.accounts {
+		a.advance(now)
+	}
+	l.history = append(l.history, pastConfiguration{now, conf})
+	if len(l.history) > historyLimit {
+		l.history = append([]pastConfiguration(nil), l.history[1:]...)
+		l.complete = false
+	}
+	for name, a := range l.accounts {
+		l.rescale(name, a)
+	}
+}
+
+// rescale applies the configuration in force to an account.
+func (l *Ledger) rescale(name string, a *account) {
+	before := a.share().Burst
+	org, _ := l.current().Organisation(name)
+	factor := Share{scale(a.total.Rate, org.Current.Rate), scale(a.total.Burst, org.Current.Burst)}
+	if factor.Rate < 1 || factor.Burst < 1 {
+		for i := range a.taken {
+			a.taken[i].Rate *= factor.Rate
+			a.taken[i].Burst *= factor.Burst
+		}
+		a.sum()
+	}
+	a.total = org.Current
+	a.own, a.slots = l.ownShare(name, l.current())
+	if after := a.share().Burst; after < before && a.level > 0 {
+		a.level *= after / before
+	}
+	a.clip()
+}
+
+// scale returns the factor for a total that falls, else 1.
+func scale(before, after float64) float64 {
+	if after >= before || before <= 0 {
+		return 1
+	}
+	return after / before
+}
+
+// entitlements returns the slots' shares of an organisation, nil if it does not exist.
+func (l *Ledger) entitlements(name string, conf Configuration) map[Slot]Share {
+	org, ok := conf.Organisation(name)
+	if !ok {
+		return nil
+	}
+	if l.rules.noMinimum {
+		org.Previous = nil
+	}
+	return Entitlements(org, conf.Regions())
+}
+
+// ownShare returns the sum of the usable slots' entitlements, and all slots that have a share.
+func (l *Ledger) ownShare(name string, conf Configuration) (Share, []Slot) {
+	shares := l.entitlements(name, conf)
+	slots := make([]Slot, 0, len(shares))
+	for slot := range shares {
+		slots = append(slots, slot)
+	}
+	slices.SortFunc(slots, func(a, b Slot) int {
+		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Index, b.Index))
+	})
+	var own Share
+	for _, slot := range slots {
+		if l.slots[slot].usable {
+			own = own.plus(shares[slot])
+		}
+	}
+	return own, slots
+}
+
+// GainSlot starts the use of a slot from now on, without tokens. The caller is certain that the predecessor has ended its
+// use and that its loans have ended (QuietTime).
+func (l *Ledger) GainSlot(now clock.Instant, slot Slot) {
+	if l.slots[slot].usable {
+		return
+	}
+	l.changeSlots(now, func() { l.slots[slot] = slotState{usable: true, from: now} })
+	if l.rules.fullLevel {
+		for _, a := range l.accounts {
+			a.level = a.share().Burst
+		}
+	}
+}
+
+// LoseSlot ends the use of a slot at once. The tokens that it held are dropped.
+func (l *Ledger) LoseSlot(now clock.Instant, slot Slot) {
+	if !l.slots[slot].usable {
+		return
+	}
+	l.changeSlots(now, func() { delete(l.slots, slot) })
+}
+
+// changeSlots recomputes the own shares around a change of the owned slots.
+func (l *Ledger) changeSlots(now clock.Instant, change func()) {
+	for _, a := range l.accounts {
+		a.advance(now)
+	}
+	change()
+	if l.current() == nil {
+		return
+	}
+	for name, a := range l.accounts {
+		own, _ := l.ownShare(name, l.current())
+		if own.Burst < a.own.Burst || own.Rate < a.own.Rate {
+			before := a.share().Burst
+			a.own = own
+			if after := a.share().Burst; before > 0 && a.level > 0 {
+				a.level *= math.Max(0, after) / before
+			}
+			a.epoch++
+		}
+		a.own = own
+		a.clip()
+	}
+}
+
+// Owns reports whether the slot is in use here.
+func (l *Ledger) Owns(slot Slot) bool { return l.slots[slot].usable }
+
+// account returns an organisation's state up to date, creating it if the organisation exists, else nil.
+func (l *Ledger) account(now clock.Instant, name string) *account {
+	if a, ok := l.accounts[name]; ok {
+		a.advance(now)
+		return a
+	}
+	conf := l.current()
+	if conf == nil {
+		return nil
+	}
+	org, ok := conf.Organisation(name)
+	if !ok {
+		return nil
+	}
+	own, slots := l.ownShare(name, conf)
+	a := &account{own: own, slots: slots, updated: now, offered: now, total: org.Current}
+	a.level = math.Min(l.idleLevel(now, name), a.own.Burst)
+	l.accounts[name] = a
+	return a
+}
+
+// idleLevel returns the tokens that an organisation without an account has gathered in the usable slots: each slot filled
+// up since it became usable and since its share was last changed.
+func (l *Ledger) idleLevel(now clock.Instant, name string) float64 {
+	type step struct {
+		from   clock.Instant
+		shares map[Slot]Share
+	}
+	steps := make([]step, len(l.history))
+	for i, past := range l.history {
+		steps[i] = step{past.from, l.entitlements(name, past.conf)}
+	}
+	total := 0.0
+	for slot, state := range l.slots {
+		if !state.usable {
+			continue
+		}
+		level := 0.0
+		if l.rules.fullLevel {
+			level = math.Inf(1)
+		}
+		for i, s := range steps {
+			share := s.shares[slot]
+			from, until := s.from, now
+			if i+1 < len(steps) {
+				until = steps[i+1].from
+			}
+			if state.from > from {
+				from = state.from
+			}
+			level = math.Min(level, share.Burst)
+			if until > from {
+				level = math.Min(share.Burst, level+share.Rate*until.Sub(from).Seconds())
+			}
+		}
+		total += level
+	}
+	return total
+}
+
+// share returns the rate and burst that may be used now. Shares that were lowered below the loans given count as 0.
+func (a *account) share() Share {
+	s := a.own.plus(a.takenS).minus(a.givenS)
+	return Share{math.Max(0, s.Rate), math.Max(0, s.Burst)}
+}
+
+// sum recomputes the sums of the loans.
+func (a *account) sum() {
+	a.givenS, a.takenS = Share{}, Share{}
+	for _, x := range a.given {
+		a.givenS = a.givenS.plus(x.Share)
+	}
+	for _, x := range a.taken {
+		a.takenS = a.takenS.plus(x.Share)
+	}
+}
+
+// clip drops the tokens above the burst share.
+func (a *account) clip() { a.level = math.Min(a.level, a.share().Burst) }
+
+// accrue adds the tokens of the time until t.
+func (a *account) accrue(t clock.Instant) {
+	if t <= a.updated {
+		return
+	}
+	s := a.share()
+	a.level = math.Min(math.Max(s.Burst, a.level), a.level+s.Rate*t.Sub(a.updated).Seconds())
+	a.updated = t
+	a.clip()
+}
+
+// advance accrues tokens and ends loans in the order of their terms.
+func (a *account) advance(now clock.Instant) {
+	for {
+		next := now
+		for _, x := range a.given {
+			next = min(next, max(x.until, a.updated))
+		}
+		for _, x := range a.taken {
+			next = min(next, max(x.until, a.updated))
+		}
+		a.accrue(next)
+		a.expire(next, now)
+		if next >= now {
+			break
+		}
+	}
+	for key, until := range a.seen {
+		if until <= now {
+			delete(a.seen, key)
+		}
+	}
+}
+
+// expire ends the loans whose term has ended at t. now tells how late that was noticed.
+func (a *account) expire(t, now clock.Instant) {
+	given, taken := a.given[:0], a.taken[:0]
+	for _, x := range a.given {
+		if x.until > t {
+			given = append(given, x)
+		}
+	}
+	for _, x := range a.taken {
+		if x.until > t {
+			taken = append(taken, x)
+		} else if now.Sub(x.until) > lateExpiry {
+			a.epoch++
+		}
+	}
+	if len(given) == len(a.given) && len(taken) == len(a.taken) {
+		return
+	}
+	a.given, a.taken = given, taken
+	a.sum()
+	a.clip()
+}
+
+// offer notes the tokens of a request in the demand.
+func (a *account) offer(now clock.Instant, tokens float64) {
+	a.demand = a.demandAt(now) + tokens/demandWindow.Seconds()
+	a.offered = now
+}
+
+func (a *account) demandAt(now clock.Instant) float64 {
+	if a.demand == 0 {
+		return 0
+	}
+	return a.demand * math.Exp(-now.Sub(a.offered).Seconds()/demandWindow.Seconds())
+}
+
+// Offer notes that a request for the tokens has arrived, whether or not it is admitted. It reports whether the organisation
+// exists.
+func (l *Ledger) Offer(now clock.Instant, organisation string, tokens float64) bool {
+	a := l.account(now, organisation)
+	if a == nil {
+		return false
+	}
+	a.offer(now, tokens)
+	return true
+}
+
+// Admit takes the tokens if this holder has them.
+func (l *Ledger) Admit(now clock.Instant, organisation string, tokens float64) (id uint64, ok bool) {
+	a := l.account(now, organisation)
+	if a == nil || a.level < tokens {
+		return 0, false
+	}
+	a.level -= tokens
+	a.open++
+	l.nextCharge++
+	l.charges[l.nextCharge] = charge{organisation, tokens, a.epoch}
+	return l.nextCharge, true
+}
+
+// StillValid reports whether the shares that the charge was taken from may still be used.
+func (l *Ledger) StillValid(now clock.Instant, id uint64) bool {
+	c, ok := l.charges[id]
+	if !ok {
+		return false
+	}
+	a := l.account(now, c.organisation)
+	return a != nil && a.epoch == c.epoch
+}
+
+// Settle replaces a charge by the real use. It reports false for a charge that is not open.
+func (l *Ledger) Settle(now clock.Instant, id uint64, used float64) bool {
+	c, ok := l.charges[id]
+	if !ok {
+		return false
+	}
+	delete(l.charges, id)
+	if a := l.account(now, c.organisation); a != nil {
+		a.open--
+		a.level += c.tokens - used
+		a.clip()
+	}
+	return true
+}
+
+// Usage is an organisation's state at this holder.
+type Usage struct {
+	Rate   float64 // tokens/s share
+	Burst  float64 // tokens
+	Level  float64 // tokens, negative: debt
+	Demand float64 // tokens/s offered
+	Own    Share   // of the usable slots
+	Given  Share
+	Taken  Share
+}
+
+// Usage returns the state of an organisation, false if it does not exist.
+func (l *Ledger) Usage(now clock.Instant, organisation string) (Usage, bool) {
+	a := l.account(now, organisation)
+	if a == nil {
+		return Usage{}, false
+	}
+	s := a.share()
+	return Usage{
+		Rate: s.Rate, Burst: s.Burst, Level: a.level, Demand: a.demandAt(now),
+		Own: a.own, Given: a.givenS, Taken: a.takenS,
+	}, true
+}
+
+// Applied reports whether every share lowered by the configuration in force is lowered here: no loan exceeds the
+// entitlement that it was given from. Only then may the holder report the revision as in force.
+func (l *Ledger) Applied(now clock.Instant) bool {
+	const tolerance = 1e-6
+	for _, a := range l.accounts {
+		a.advance(now)
+		s := a.own.plus(a.takenS).minus(a.givenS)
+		if s.Rate < -tolerance || s.Burst < -tolerance {
+			return false
+		}
+	}
+	return true
+}
+
+// Sweep drops the state of organisations that can be computed anew: full level, no loans, no open charges, no demand.
+func (l *Ledger) Sweep(now clock.Instant) {
+	const idleDemand = 0.01 // tokens/s
+	for name, a := range l.accounts {
+		a.advance(now)
+		_, exists := l.current().Organisation(name)
+		idle := len(a.given) == 0 && len(a.taken) == 0 && a.open == 0 && len(a.seen) == 0 && a.demandAt(now) < idleDemand
+		if idle && (!exists || a.level >= a.share().Burst) {
+			delete(l.accounts, name)
+		}
+	}
+}
+
+// Slots returns the slots that have a share of the organisation.
+func (l *Ledger) Slots(now clock.Instant, organisation string) []Slot {
+	a := l.account(now, organisation)
+	if a == nil {
+		return nil
+	}
+	return a.slots
+}
--- /dev/null
+++ b/internal/limits/fake_test.go
@@ -0,0 +1,426 @@
+package limits
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/config"
+	"dogwoodknot.example/dogwoodknot/internal/configsync"
+	"dogwoodknot.example/dogwoodknot/internal/peer"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
+)
+
+// fakeStore is an in-memory store whose leases follow a clock.
+type fakeStore struct {
+	platform.Store // calls that the package does not use
+	clock          clock.Clock
+
+	mu       sync.Mutex
+	revision int64
+	keys     map[string]platform.Entry
+	leases   map[platform.LeaseID]fakeLease
+	down     bool
+	// loseAnswers makes writes take effect and report an unknown outcome.
+	loseAnswers bool
+}
+
+type fakeLease struct {
+	ttl   time.Duration
+	until clock.Instant
+}
+
+func newFakeStore(c clock.Clock) *fakeStore {
+	return &fakeStore{clock: c, keys: map[string]platform.Entry{}, leases: map[platform.LeaseID]fakeLease{}}
+}
+
+// begin locks the store and ends leases; it fails during an outage.
+func (f *fakeStore) begin() error {
+	f.mu.Lock()
+	for id, l := range f.leases {
+		if l.until <= f.clock.Now() {
+			f.drop(id)
+		}
+	}
+	if f.down {
+		f.mu.Unlock()
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (f *fakeStore) drop(id platform.LeaseID) {
+	delete(f.leases, id)
+	for k, e := range f.keys {
+		if e.Lease == id {
+			delete(f.keys, k)
+		}
+	}
+}
+
+func (f *fakeStore) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func (f *fakeStore) List(_ context.Context, prefix, after string, limit int) ([]platform.Entry, error) {
+	if err := f.begin(); err != nil {
+		return nil, err
+	}
+	defer f.mu.Unlock()
+	var out []platform.Entry
+	for k, e := range f.keys {
+		if strings.HasPrefix(k, prefix) && k > after {
+			out = append(out, e)
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.Entry) int { return cmp.Compare(a.Key, b.Key) })
+	return out[:min(limit, len(out))], nil
+}
+
+func (f *fakeStore) Put(_ context.Context, key string, value []byte, o platform.PutOptions) (int64, error) {
+	if err := f.begin(); err != nil {
+		return 0, err
+	}
+	defer f.mu.Unlock()
+	if o.IfRevision != nil && *o.IfRevision != f.keys[key].Revision {
+		return 0, platform.ErrConflict
+	}
+	if _, ok := f.leases[o.Lease]; o.Lease != 0 && !ok {
+		return 0, platform.ErrLeaseLost
+	}
+	f.revision++
+	f.keys[key] = platform.Entry{Key: key, Value: value, Revision: f.revision, Lease: o.Lease}
+	if f.loseAnswers {
+		return 0, platform.ErrUnknownOutcome
+	}
+	return f.revision, nil
+}
+
+func (f *fakeStore) Grant(_ context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	if err := f.begin(); err != nil {
+		return 0, err
+	}
+	defer f.mu.Unlock()
+	f.revision++
+	id := platform.LeaseID(f.revision)
+	f.leases[id] = fakeLease{ttl, f.clock.Now().Add(ttl)}
+	return id, nil
+}
+
+func (f *fakeStore) Renew(_ context.Context, id platform.LeaseID) error {
+	if err := f.begin(); err != nil {
+		return err
+	}
+	defer f.mu.Unlock()
+	l, ok := f.leases[id]
+	if !ok {
+		return platform.ErrLeaseLost
+	}
+	l.until = f.clock.Now().Add(l.ttl)
+	f.leases[id] = l
+	return nil
+}
+
+func (f *fakeStore) Revoke(_ context.Context, id platform.LeaseID) error {
+	if err := f.begin(); err != nil {
+		return err
+	}
+	defer f.mu.Unlock()
+	f.drop(id)
+	return nil
+}
+
+// fakeNetwork connects the instances of a test by direct calls.
+type fakeNetwork struct {
+	mu       sync.Mutex
+	members  map[string]*fakeMember
+	cut      map[string]bool // instances that nobody reaches and that reach nobody
+	loseNext map[string]int  // by service: calls that run and lose their answer
+	calls    map[string]int  // by service
+}
+
+type fakeMember struct {
+	peer.Network
+	net      *fakeNetwork
+	self     peer.Identity
+	handlers map[string]peer.Handler
+}
+
+func newFakeNetwork() *fakeNetwork {
+	return &fakeNetwork{
+		members: map[string]*fakeMember{}, cut: map[string]bool{}, loseNext: map[string]int{}, calls: map[string]int{},
+	}
+}
+
+func (n *fakeNetwork) join(id peer.Identity) *fakeMember {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m := &fakeMember{net: n, self: id, handlers: map[string]peer.Handler{}}
+	n.members[id.Instance] = m
+	return m
+}
+
+func (n *fakeNetwork) setCut(name string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[name] = cut
+}
+
+func (m *fakeMember) Self() peer.Identity                   { return m.self }
+func (m *fakeMember) Handle(service string, h peer.Handler) { m.handlers[service] = h }
+
+func (m *fakeMember) Call(ctx context.Context, to, service string, req, resp proto.Message) error {
+	m.net.mu.Lock()
+	target := m.net.members[to]
+	cut := m.net.cut[to] || m.net.cut[m.self.Instance]
+	m.net.calls[service]++
+	lose := m.net.loseNext[service] > 0
+	if lose {
+		m.net.loseNext[service]--
+	}
+	m.net.mu.Unlock()
+	if target == nil {
+		return peer.ErrUnknownPeer
+	}
+	if cut {
+		return peer.ErrNotSent
+	}
+	s := &fakeStream{req: req, resp: resp}
+	if lose {
+		s.resp = resp.ProtoReflect().New().Interface()
+	}
+	if err := target.handlers[service](ctx, m.self, s); err != nil {
+		return &peer.RemoteError{Instance: to, Service: service, Message: err.Error()}
+	}
+	if lose {
+		return peer.ErrBroken
+	}
+	return nil
+}
+
+// fakeStream carries one request and one response.
+type fakeStream struct {
+	peer.Stream
+	req, resp proto.Message
+}
+
+func (s *fakeStream) Recv(m proto.Message) error {
+	proto.Merge(m, s.req)
+	return nil
+}
+
+func (s *fakeStream) Send(m proto.Message) error {
+	proto.Merge(s.resp, m)
+	return nil
+}
+
+// fakeView is a configuration in force.
+type fakeView struct {
+	configsync.View
+	revision int64
+	general  *config.Config
+	orgs     map[string]*config.Organisation
+}
+
+func (v *fakeView) Revision() int64         { return v.revision }
+func (v *fakeView) General() *config.Config { return v.general }
+func (v *fakeView) Organisation(name string) *config.Organisation {
+	return v.orgs[name]
+}
+
+type fakeSource struct {
+	mu   sync.Mutex
+	view configsync.View
+}
+
+func (s *fakeSource) View() configsync.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view
+}
+
+func (s *fakeSource) Subscribe(func(configsync.View)) func() { return func() {} }
+
+func (s *fakeSource) set(v configsync.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view = v
+}
+
+func view(revision int64, regions []config.Region, orgs ...config.Organisation) *fakeView {
+	v := &fakeView{revision: revision, general: &config.Config{Regions: regions}, orgs: map[string]*config.Organisation{}}
+	for i := range orgs {
+		v.orgs[orgs[i].Name] = &orgs[i]
+	}
+	return v
+}
+
+// fakeList is the platform's instance list.
+type fakeList struct {
+	platform.InstanceList
+	mu      sync.Mutex
+	rows    []platform.ListedInstance
+	version int64
+}
+
+func (l *fakeList) Instances(context.Context) ([]platform.ListedInstance, int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.rows), l.version, nil
+}
+
+func (l *fakeList) add(id peer.Identity) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.version++
+	l.rows = append(l.rows, platform.ListedInstance{Name: id.Instance, Region: id.Region, Incarnation: id.Incarnation})
+}
+
+func (l *fakeList) remove(incarnation uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.version++
+	l.rows = slices.DeleteFunc(l.rows, func(r platform.ListedInstance) bool { return r.Incarnation == incarnation })
+}
+
+// fleet is a set of services that a test drives step by step.
+type fleet struct {
+	t        *testing.T
+	clock    *clock.Manual
+	store    *fakeStore
+	net      *fakeNetwork
+	source   *fakeSource
+	list     *fakeList
+	services map[string]*Service
+	ids      map[string]peer.Identity
+	next     uint64
+}
+
+func newFleet(t *testing.T, v *fakeView) *fleet {
+	c := &clock.Manual{}
+	c.Advance(time.Hour)
+	return &fleet{
+		t: t, clock: c, store: newFakeStore(c), net: newFakeNetwork(), source: &fakeSource{view: v}, list: &fakeList{},
+		services: map[string]*Service{}, ids: map[string]peer.Identity{}, next: 100,
+	}
+}
+
+// peersOf lists the fleet without one instance.
+type peersOf struct {
+	f    *fleet
+	self string
+}
+
+func (p peersOf) Peers() []Peer {
+	var out []Peer
+	for name, id := range p.f.ids {
+		if name != p.self {
+			out = append(out, Peer{Name: name, Region: id.Region, Incarnation: id.Incarnation})
+		}
+	}
+	slices.SortFunc(out, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// start adds an instance named <region>-<n>; it is driven by refresh and tick.
+func (f *fleet) start(names ...string) {
+	f.t.Helper()
+	for _, name := range names {
+		f.next++
+		region, _, _ := strings.Cut(name, "-")
+		f.ids[name] = peer.Identity{Instance: name, Region: region, Incarnation: f.next}
+	}
+	for _, name := range names {
+		s, err := New(Options{
+			Network: f.net.join(f.ids[name]), Store: f.store, Clock: f.clock, Config: f.source, Peers: peersOf{f, name},
+			Instances: f.list, CrossRegionRoom: 20 * time.Millisecond, CrossRegionTimeout: 200 * time.Millisecond,
+		})
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.services[name] = s
+		f.list.add(f.ids[name])
+		f.t.Cleanup(func() {
+			s.cancel()
+			s.wg.Wait()
+		})
+	}
+}
+
+// crash removes an instance without notice.
+func (f *fleet) crash(name string) *Service {
+	s := f.services[name]
+	delete(f.services, name)
+	f.net.setCut(name, true)
+	return s
+}
+
+// run advances the clock by seconds; each second every instance ticks and refreshes.
+func (f *fleet) run(seconds int) {
+	f.t.Helper()
+	for range seconds {
+		f.clock.Advance(time.Second)
+		for _, name := range slices.Sorted(mapsKeys(f.services)) {
+			f.services[name].tick()
+			_ = f.services[name].refresh(context.Background()) // fails while the store is down
+		}
+		for _, s := range f.services {
+			f.settle(s)
+		}
+	}
+}
+
+func mapsKeys(m map[string]*Service) func(func(string) bool) {
+	return func(yield func(string) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+// settle waits for the messages that a service has sent.
+func (f *fleet) settle(s *Service) {
+	f.t.Helper()
+	done := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		f.t.Fatal("messages between instances did not end")
+	}
+}
+
+// totals adds up an organisation's shares and levels over the instances.
+func (f *fleet) totals(organisation string) (rate, burst, level float64) {
+	for _, s := range f.services {
+		u, _ := s.Usage(organisation)
+		rate += u.Rate
+		burst += u.Burst
+		level += u.Level
+	}
+	return rate, burst, level
+}
+
+func (f *fleet) check(organisation string, rate, burst float64) {
+	f.t.Helper()
+	const tolerance = 1e-6
+	gotRate, gotBurst, gotLevel := f.totals(organisation)
+	if gotRate > rate+tolerance || gotBurst > burst+tolerance || gotLevel > burst+tolerance {
+		f.t.Fatal(fmt.Sprintf("rate %.3f of %.3f, burst %.3f and level %.3f of %.3f", gotRate, rate, gotBurst, gotLevel, burst))
+	}
+}
--- /dev/null
+++ b/internal/limits/messages.go
@@ -0,0 +1,87 @@
+package limits
+
+import (
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/core/ratelimit"
+	"dogwoodknot.example/dogwoodknot/internal/wire"
+)
+
+// Services between instances.
+const (
+	serviceBorrow   = "limits.borrow"
+	serviceDrop     = "limits.drop"
+	serviceHandover = "limits.handover"
+)
+
+func shareToWire(s ratelimit.Share) *wire.RateShare {
+	return &wire.RateShare{Rate: s.Rate, Burst: s.Burst}
+}
+
+func shareFromWire(s *wire.RateShare) ratelimit.Share {
+	return ratelimit.Share{Rate: s.GetRate(), Burst: s.GetBurst()}
+}
+
+func returnsToWire(in []ratelimit.Return) []*wire.LoanReturn {
+	var out []*wire.LoanReturn
+	for _, r := range in {
+		out = append(out, &wire.LoanReturn{Id: r.ID, Tokens: r.Tokens})
+	}
+	return out
+}
+
+func returnsFromWire(in []*wire.LoanReturn) []ratelimit.Return {
+	var out []ratelimit.Return
+	for _, r := range in {
+		out = append(out, ratelimit.Return{ID: r.GetId(), Tokens: r.GetTokens()})
+	}
+	return out
+}
+
+func askToWire(a ratelimit.Ask) *wire.LoanAsk {
+	return &wire.LoanAsk{
+		Organisation: a.Organisation, Need: a.Need, Level: a.Level, Share: shareToWire(a.Share),
+		Demand: a.Demand, Fanout: uint32(a.Fanout), Extend: a.Extend, Returns: returnsToWire(a.Returns),
+	}
+}
+
+func askFromWire(a *wire.LoanAsk) ratelimit.Ask {
+	return ratelimit.Ask{
+		Organisation: a.GetOrganisation(), Need: a.GetNeed(), Level: a.GetLevel(), Share: shareFromWire(a.GetShare()),
+		Demand: a.GetDemand(), Fanout: int(a.GetFanout()), Extend: a.GetExtend(), Returns: returnsFromWire(a.GetReturns()),
+	}
+}
+
+func answerToWire(a ratelimit.Answer) *wire.LoanAnswer {
+	out := &wire.LoanAnswer{Returns: returnsToWire(a.Returns), Holders: a.Holders}
+	if a.Loan != nil {
+		out.Loan = &wire.Loan{
+			Id: a.Loan.ID, Share: shareToWire(a.Loan.Share), Tokens: a.Loan.Tokens, TermNanos: int64(a.Loan.Term),
+		}
+	}
+	for _, e := range a.Extended {
+		out.Extended = append(out.Extended, &wire.LoanExtension{Id: e.ID, TermNanos: int64(e.Term)})
+	}
+	return out
+}
+
+func answerFromWire(a *wire.LoanAnswer) ratelimit.Answer {
+	out := ratelimit.Answer{Returns: returnsFromWire(a.GetReturns()), Holders: a.GetHolders()}
+	if x := a.GetLoan(); x != nil {
+		out.Loan = &ratelimit.Loan{
+			ID: x.GetId(), Share: shareFromWire(x.GetShare()), Tokens: x.GetTokens(), Term: time.Duration(x.GetTermNanos()),
+		}
+	}
+	for _, e := range a.GetExtended() {
+		out.Extended = append(out.Extended, ratelimit.Extension{ID: e.GetId(), Term: time.Duration(e.GetTermNanos())})
+	}
+	return out
+}
+
+func slotToWire(s ratelimit.Slot) *wire.SlotRef {
+	return &wire.SlotRef{Region: s.Region, Index: uint32(s.Index)}
+}
+
+func slotFromWire(s *wire.SlotRef) ratelimit.Slot {
+	return ratelimit.Slot{Region: s.GetRegion(), Index: int(s.GetIndex())}
+}
--- /dev/null
+++ b/internal/limits/options.go
@@ -0,0 +1,105 @@
+package limits
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/config"
+	"dogwoodknot.example/dogwoodknot/internal/configsync"
+	"dogwoodknot.example/dogwoodknot/internal/core/ratelimit"
+	"dogwoodknot.example/dogwoodknot/internal/peer"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
+)
+
+// Peer is another entry instance.
+type Peer struct {
+	Name        string
+	Region      string
+	Incarnation uint64
+	Leaving     bool // takes no slots over
+}
+
+// Peers lists the other entry instances that are not known to be gone.
+type Peers interface {
+	Peers() []Peer
+}
+
+// PreviousTerms are replaced terms of an organisation.
+type PreviousTerms struct {
+	ratelimit.Terms
+	// Revision is the configuration revision that replaced them. They count until every slot owner has it.
+	Revision int64
+}
+
+// Options of a Service.
+type Options struct {
+	Network peer.Network
+	Store   platform.Store
+	Clock   clock.Clock
+	Config  configsync.Source
+	Peers   Peers
+	// Instances is the platform's list. It settles slots of ended instances where removal from it is final. May be nil.
+	Instances platform.InstanceList
+	// Previous returns an organisation's replaced terms. Nil: none.
+	Previous func(*config.Organisation) []PreviousTerms
+	// Reported returns the lowest configuration revision that any slot owner has reported with AppliedRevision.
+	// Nil: previous terms count as long as they are declared.
+	Reported func() int64
+	Log      *zap.Logger // nil: no log
+
+	// InRegionTimeout bounds the wait for a loan from the same region. Default 50 ms.
+	InRegionTimeout time.Duration
+	// CrossRegionTimeout bounds the wait for a loan from another region. Default 400 ms.
+	CrossRegionTimeout time.Duration
+	// CrossRegionRoom is the remaining time that a request needs for other regions to be asked. Default 250 ms: a round
+	// trip of 160 ms and time to run.
+	CrossRegionRoom time.Duration
+	// RenewBase is the renewal interval at four instances. Default 3 s.
+	RenewBase time.Duration
+	// Term of a loan. Default ratelimit.DefaultTerm.
+	Term time.Duration
+}
+
+// Validate returns all findings joined.
+func (o Options) Validate() error {
+	var errs []error
+	require := func(ok bool, name string) {
+		if !ok {
+			errs = append(errs, errors.Newf("limits: option %s is not set", name))
+		}
+	}
+	require(o.Network != nil, "Network")
+	require(o.Store != nil, "Store")
+	require(o.Clock != nil, "Clock")
+	require(o.Config != nil, "Config")
+	require(o.Peers != nil, "Peers")
+	for name, d := range map[string]time.Duration{
+		"InRegionTimeout": o.InRegionTimeout, "CrossRegionTimeout": o.CrossRegionTimeout,
+		"CrossRegionRoom": o.CrossRegionRoom, "RenewBase": o.RenewBase, "Term": o.Term,
+	} {
+		if d < 0 {
+			errs = append(errs, errors.Newf("limits: option %s is negative: %s", name, d))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func (o Options) withDefaults() Options {
+	set := func(d *time.Duration, value time.Duration) {
+		if *d == 0 {
+			*d = value
+		}
+	}
+	set(&o.InRegionTimeout, 50*time.Millisecond)
+	set(&o.CrossRegionTimeout, 400*time.Millisecond)
+	set(&o.CrossRegionRoom, 250*time.Millisecond)
+	set(&o.RenewBase, 3*time.Second)
+	set(&o.Term, ratelimit.DefaultTerm)
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	return o
+}
--- /dev/null
+++ b/internal/limits/service.go
@@ -0,0 +1,328 @@
+package limits
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/configsync"
+	"dogwoodknot.example/dogwoodknot/internal/core/ratelimit"
+	"dogwoodknot.example/dogwoodknot/internal/peer"
+	"dogwoodknot.example/dogwoodknot/internal/wire"
+)
+
+const (
+	// tickPeriod is the period of rebalancing.
+	tickPeriod = time.Second
+	// callTimeout bounds a loan message. It is longer than any request waits, because an answer that comes late still
+	// brings tokens that the giver has already subtracted.
+	callTimeout = 3 * time.Second
+	// maxRetryAfter bounds the advice to a caller whose organisation is deep in debt.
+	maxRetryAfter = 10 * time.Minute
+	minRetryAfter = 100 * time.Millisecond
+)
+
+// Service is the Limiter of one instance.
+type Service struct {
+	opts Options
+	self peer.Identity
+
+	mu       sync.Mutex
+	ledger   *ratelimit.Ledger
+	pulls    map[string]*pull
+	failures map[string]failure // by peer
+	slots    slotTable
+	conf     *configuration
+	applied  int64 // revision that AppliedRevision returns
+	stopping bool
+
+	cancel func() // ends the loops
+	ctx    context.Context
+	wg     sync.WaitGroup
+}
+
+var _ Limiter = (*Service)(nil)
+
+// failure delays the next loan message to a peer that did not answer.
+type failure struct {
+	until clock.Instant
+	delay time.Duration
+}
+
+// New returns a service and registers its handlers with the network. It must be called before the network starts.
+func New(opts Options) (*Service, error) {
+	if err := opts.Validate(); err != nil {
+		return nil, err
+	}
+	opts = opts.withDefaults()
+	self := opts.Network.Self()
+	s := &Service{
+		opts: opts,
+		self: self,
+		ledger: ratelimit.New(ratelimit.Options{
+			Self: self.Instance, Term: opts.Term, FirstLoan: rand.Uint64(),
+		}),
+		pulls:    map[string]*pull{},
+		failures: map[string]failure{},
+		slots:    newSlotTable(),
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.configure(opts.Config.View())
+	opts.Network.Handle(serviceBorrow, peer.Unary(s.handleBorrow))
+	opts.Network.Handle(serviceDrop, peer.Unary(s.handleDrop))
+	opts.Network.Handle(serviceHandover, peer.Unary(s.handleHandover))
+	return s, nil
+}
+
+// Start begins to claim slots and to exchange loans.
+func (s *Service) Start(context.Context) error {
+	unsubscribe := s.opts.Config.Subscribe(s.configure)
+	s.configure(s.opts.Config.View())
+	context.AfterFunc(s.ctx, unsubscribe)
+	s.loop(func() time.Duration {
+		s.tick()
+		return tickPeriod
+	})
+	s.loop(func() time.Duration {
+		ctx, cancel := context.WithTimeout(s.ctx, s.renewInterval())
+		defer cancel()
+		if err := s.refresh(ctx); err != nil && s.ctx.Err() == nil {
+			s.opts.Log.Warn("slots could not be refreshed", zap.Error(err))
+		}
+		return s.refreshDelay()
+	})
+	return nil
+}
+
+// loop runs f again after the duration that it returns, until the service ends.
+func (s *Service) loop(f func() time.Duration) {
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		for {
+			timer := time.NewTimer(f())
+			select {
+			case <-s.ctx.Done():
+				timer.Stop()
+				return
+			case <-timer.C:
+			}
+		}
+	}()
+}
+
+// Stop hands the slots over to another instance of the region and ends the service. Requests have ended before.
+func (s *Service) Stop(ctx context.Context) error {
+	err := s.handOver(ctx)
+	s.cancel()
+	s.wg.Wait()
+	return err
+}
+
+// configure puts a view in force.
+func (s *Service) configure(view configsync.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyView(view)
+}
+
+func (s *Service) applyView(view configsync.View) {
+	reported := int64(0)
+	if s.opts.Reported != nil {
+		reported = s.opts.Reported()
+	}
+	// The reported revision counts only up to the view's own: a later one changes nothing for the terms in this view.
+	reported = min(reported, view.Revision())
+	if s.conf != nil && s.conf.view == view && s.conf.reported == reported {
+		return
+	}
+	s.conf = newConfiguration(view, &s.opts, reported)
+	s.ledger.Configure(s.opts.Clock.Now(), s.conf)
+	s.noteApplied()
+}
+
+// noteApplied moves the applied revision on once no loan exceeds the shares that it was given from.
+func (s *Service) noteApplied() {
+	if s.applied < s.conf.Revision() && s.ledger.Applied(s.opts.Clock.Now()) {
+		s.applied = s.conf.Revision()
+	}
+}
+
+// AppliedRevision is the revision to report to other instances: everything that it lowers is lowered here.
+func (s *Service) AppliedRevision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteApplied()
+	return s.applied
+}
+
+// Usage returns an organisation's live state at this instance, false if it is not declared.
+func (s *Service) Usage(organisation string) (ratelimit.Usage, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Usage(s.opts.Clock.Now(), organisation)
+}
+
+// Admit takes tokens for a request.
+func (s *Service) Admit(ctx context.Context, organisation string, tokens int64) (Charge, error) {
+	w, charge, err := s.admitOrQueue(ctx, organisation, float64(tokens))
+	if w == nil {
+		return charge, err
+	}
+	select {
+	case r := <-w.result:
+		return r.charge, r.err
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	w.abandoned = true
+	s.mu.Unlock()
+	select {
+	case r := <-w.result:
+		if r.err == nil {
+			s.Settle(r.charge, 0)
+		}
+	default:
+	}
+	return Charge{}, ctx.Err()
+}
+
+// admitOrQueue admits from this holder's own tokens, refuses, or queues the request for a pull.
+func (s *Service) admitOrQueue(ctx context.Context, organisation string, tokens float64) (*waiter, Charge, error) {
+	now := s.opts.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if tokens < 0 || !s.ledger.Offer(now, organisation, tokens) {
+		return nil, Charge{}, &RefusedError{organisation, maxRetryAfter, "organisation is not declared"}
+	}
+	if id, ok := s.ledger.Admit(now, organisation, tokens); ok {
+		return nil, Charge{ID: id, Organisation: organisation, Tokens: int64(tokens)}, nil
+	}
+	declared := s.conf.view.Organisation(organisation)
+	if tokens > declared.Burst {
+		return nil, Charge{}, &RefusedError{organisation, maxRetryAfter, "request is larger than the burst"}
+	}
+	if s.stopping {
+		return nil, Charge{}, &RefusedError{organisation, minRetryAfter, "instance is stopping"}
+	}
+	w := &waiter{tokens: tokens, crossRegion: s.roomForCrossRegion(ctx), result: make(chan result, 1)}
+	s.enqueue(organisation, w)
+	return w, Charge{}, nil
+}
+
+// roomForCrossRegion reports whether the deadline lets the request wait for another region.
+func (s *Service) roomForCrossRegion(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return !ok || time.Until(deadline) >= s.opts.CrossRegionRoom
+}
+
+// refusal explains a shortage. The advice is the time in which the whole rate brings the missing tokens.
+func (s *Service) refusal(organisation string, missing float64) *RefusedError {
+	wait := maxRetryAfter
+	if declared := s.conf.view.Organisation(organisation); declared != nil && declared.Rate > 0 {
+		seconds := math.Min(missing/declared.Rate, maxRetryAfter.Seconds())
+		wait = max(minRetryAfter, time.Duration(seconds*float64(time.Second)))
+	}
+	return &RefusedError{organisation, wait, "tokens are used up"}
+}
+
+// StillValid reports whether the shares that a charge was taken from may still be used.
+func (s *Service) StillValid(c Charge) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.StillValid(s.opts.Clock.Now(), c.ID)
+}
+
+// Settle replaces the charged tokens by the real use.
+func (s *Service) Settle(c Charge, used int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Settle(s.opts.Clock.Now(), c.ID, float64(used))
+}
+
+// tick sends the asks of one second and drops the state of inactive organisations.
+func (s *Service) tick() {
+	s.mu.Lock()
+	now := s.opts.Clock.Now()
+	s.applyView(s.opts.Config.View())
+	s.noteApplied()
+	s.useReadySlots(now)
+	batches := s.ledger.Rebalance(now, func(organisation string) []string {
+		return s.slots.owners(s.ledger.Slots(now, organisation), s.self.Instance)
+	})
+	s.ledger.Sweep(now)
+	s.mu.Unlock()
+	for giver, asks := range batches {
+		s.send(giver, asks, nil)
+	}
+}
+
+// send borrows from a peer in the background and books the answers. done is called at the end, if not nil.
+func (s *Service) send(giver string, asks []ratelimit.Ask, done func([]ratelimit.Answer)) {
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		answers := s.borrow(giver, asks)
+		if done != nil {
+			done(answers)
+		}
+	}()
+}
+
+// borrow sends asks to a peer and books the answers. It returns nil if the peer gave none.
+func (s *Service) borrow(giver string, asks []ratelimit.Ask) []ratelimit.Answer {
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	req := &wire.BorrowRequest{}
+	for _, a := range asks {
+		req.Asks = append(req.Asks, askToWire(a))
+	}
+	asked := s.opts.Clock.Now()
+	resp := &wire.BorrowResponse{}
+	err := s.opts.Network.Call(ctx, giver, serviceBorrow, req, resp)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.opts.Clock.Now()
+	s.noteCall(now, giver, err)
+	if err != nil || len(resp.GetAnswers()) != len(asks) {
+		return nil
+	}
+	var out []ratelimit.Answer
+	for i, a := range resp.GetAnswers() {
+		answer := answerFromWire(a)
+		s.ledger.Accept(now, asked, giver, asks[i].Organisation, answer)
+		s.serveWaiters(now, asks[i].Organisation)
+		out = append(out, answer)
+	}
+	return out
+}
+
+// noteCall records whether a peer answers.
+func (s *Service) noteCall(now clock.Instant, name string, err error) {
+	const minDelay, maxDelay = 500 * time.Millisecond, 8 * time.Second
+	if err == nil {
+		delete(s.failures, name)
+		return
+	}
+	delay := min(maxDelay, max(minDelay, 2*s.failures[name].delay))
+	s.failures[name] = failure{now.Add(delay), delay}
+}
+
+// handleBorrow answers asks of another instance.
+func (s *Service) handleBorrow(_ context.Context, from peer.Identity, req *wire.BorrowRequest) (proto.Message, error) {
+	resp := &wire.BorrowResponse{}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.opts.Clock.Now()
+	for _, a := range req.GetAsks() {
+		answer := s.ledger.Grant(now, from.Instance, askFromWire(a))
+		resp.Answers = append(resp.Answers, answerToWire(answer))
+	}
+	return resp, nil
+}
