--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -5,6 +5,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/core/atmostonce"
 )
 
 // Execution says whether a request ran.
@@ -27,6 +29,11 @@
 	Body   []byte
 }
 
+// Digest returns the digest that makes two requests with a key the same. It covers everything that the endpoint acts on.
+func Digest(organisation, method, pathWithQuery, contentType string, body []byte) [32]byte {
+	return atmostonce.Digest(organisation, method, pathWithQuery, contentType, body)
+}
+
 // RunFunc sends the request to an endpoint. It is called at most once. The execution tells whether the endpoint may have seen it.
 type RunFunc func(ctx context.Context) (*Answer, Execution, error)
 
