Tell other packages which slots an instance owns

The records of idempotency keys belong to the owner of a slot, so operations needs the owned slots, the owners of others and a notice of changes.

--- a/internal/limits/service.go
+++ b/internal/limits/service.go
@@ -33,14 +33,15 @@
 	opts Options
 	self peer.Identity
 
-	mu       sync.Mutex
-	ledger   *ratelimit.Ledger
-	pulls    map[string]*pull
-	failures map[string]failure // by peer
-	slots    slotTable
-	conf     *configuration
-	applied  int64 // revision that AppliedRevision returns
-	stopping bool
+	mu        sync.Mutex
+	ledger    *ratelimit.Ledger
+	pulls     map[string]*pull
+	failures  map[string]failure // by peer
+	slots     slotTable
+	conf      *configuration
+	applied   int64 // revision that AppliedRevision returns
+	ownership ownership
+	stopping  bool
 
 	cancel func() // ends the loops
 	ctx    context.Context
--- a/internal/limits/slots.go
+++ b/internal/limits/slots.go
@@ -133,6 +133,7 @@
 
 // refresh renews the lease, reads the slots' records, gives up lost slots, resolves predecessors and claims free slots.
 func (s *Service) refresh(ctx context.Context) error {
+	defer s.notifyOwned()
 	if err := s.keepLease(ctx); err != nil {
 		return errors.Wrap(err, "renew the lease of slots")
 	}
