--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -185,6 +185,8 @@
 	_ Server = (*InstanceList)(nil)
 	_ Server = (*Directory)(nil)
 	_ Server = (*WeightStore)(nil)
+	_ Server = (*Engine)(nil)
+	_ Server = (*Service)(nil)
 )
 
 // adminPrefix is the path prefix of the calls that belong to tests.
