--- /dev/null
+++ b/internal/configstore/store_test.go
@@ -0,0 +1,396 @@
+package configstore
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodknot.example/dogwoodknot/internal/config"
+	"dogwoodknot.example/dogwoodknot/internal/core/configview"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
+)
+
+func testConfig(rates map[string]float64) *config.Config {
+	cfg := &config.Config{Regions: []config.Region{
+		{Name: "lima", DataCentres: []string{"lima-a"}, Slots: 2},
+		{Name: "cusco", DataCentres: []string{"cusco-a"}, Slots: 2},
+	}}
+	for name, rate := range rates {
+		cfg.Organisations = append(cfg.Organisations, config.Organisation{Name: name, Rate: rate, Burst: 10 * rate, Weight: 1})
+	}
+	return cfg
+}
+
+func newTestStore(kv platform.Store) *Store { return New(kv, Options{RetryFor: 2 * time.Second}) }
+
+func mustApply(t *testing.T, s *Store, cfg *config.Config, change Change) *Result {
+	t.Helper()
+	r, err := s.Apply(t.Context(), cfg, change)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// viewOf loads the head in force as an instance does.
+func viewOf(t *testing.T, s *Store) *configview.View {
+	t.Helper()
+	head, _, err := s.Head(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := configview.NewState()
+	missing, err := state.Missing(head)
+	if err != nil {
+		t.Fatal(err)
+	}
+	content, err := s.Content(t.Context(), head, missing)
+	if err != nil {
+		t.Fatal(err)
+	}
+	view, err := state.Accept(head, content)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return view
+}
+
+// Guards against a store layout that an instance cannot read back.
+func TestApplyAndIssueReachAView(t *testing.T) {
+	s := newTestStore(newFakeKV())
+	mustApply(t, s, testConfig(map[string]float64{"acme": 100}), Change{Author: "ana"})
+	key, _, err := s.IssueKey(t.Context(), "acme", Change{Author: "ana"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	view := viewOf(t, s)
+	org, id, status := view.Authenticate(key.Key)
+	if status != configview.KeyValid || org.Name != "acme" || id != key.ID {
+		t.Errorf("Authenticate = %v %q %v", org, id, status)
+	}
+	if configview.KeyRevision(key.ID) != view.Revision() {
+		t.Errorf("key id %s does not start with revision %d", key.ID, view.Revision())
+	}
+	if _, _, status := view.Authenticate(key.Key + "x"); status != configview.KeyUnknown {
+		t.Errorf("wrong secret: %v", status)
+	}
+	if _, err := s.Withdraw(t.Context(), []string{key.ID}, Change{Author: "ana"}); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, status := viewOf(t, s).Authenticate(key.Key); status != configview.KeyWithdrawn {
+		t.Errorf("withdrawn key: %v", status)
+	}
+}
+
+// Guards against an issued key that is lost with the next apply, and a withdrawn key that returns with a rollback.
+func TestRollbackKeepsIssuedAndWithdrawnKeys(t *testing.T) {
+	s := newTestStore(newFakeKV())
+	first := mustApply(t, s, testConfig(map[string]float64{"acme": 100, "gone": 5}), Change{})
+	withdrawn, _, err := s.IssueKey(t.Context(), "acme", Change{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	second := mustApply(t, s, testConfig(map[string]float64{"acme": 200}), Change{})
+	if _, err := s.Withdraw(t.Context(), []string{withdrawn.ID}, Change{}); err != nil {
+		t.Fatal(err)
+	}
+	kept, _, err := s.IssueKey(t.Context(), "acme", Change{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := s.Rollback(t.Context(), first.Head.Revision, Change{Note: "undo"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Head.Revision <= second.Head.Revision || r.Head.Restores != first.Head.Revision {
+		t.Errorf("rollback wrote %+v", r.Head)
+	}
+	view := viewOf(t, s)
+	if o := view.Organisation("acme"); o == nil || o.Rate != 100 || view.Organisation("gone") == nil {
+		t.Errorf("declarations were not restored: %+v", o)
+	}
+	if _, _, status := view.Authenticate(withdrawn.Key); status != configview.KeyWithdrawn {
+		t.Errorf("withdrawn key is %v after the rollback", status)
+	}
+	if _, _, status := view.Authenticate(kept.Key); status != configview.KeyValid {
+		t.Errorf("issued key is %v after the rollback", status)
+	}
+	heads, err := s.History(t.Context(), 100)
+	if err != nil || len(heads) != 6 {
+		t.Errorf("history has %d heads (%v), want 6", len(heads), err)
+	}
+}
+
+// Guards against a key removed by a rollback to a revision where its organisation existed without it.
+func TestRollbackBeforeAnyKey(t *testing.T) {
+	s := newTestStore(newFakeKV())
+	first := mustApply(t, s, testConfig(map[string]float64{"acme": 100}), Change{})
+	key, _, err := s.IssueKey(t.Context(), "acme", Change{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Rollback(t.Context(), first.Head.Revision, Change{}); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, status := viewOf(t, s).Authenticate(key.Key); status != configview.KeyValid {
+		t.Errorf("issued key is %v after the rollback", status)
+	}
+}
+
+// Guards against two operators of whom one overwrites the other's change unseen.
+func TestLostRaceReportsBothChanges(t *testing.T) {
+	kv := newFakeKV()
+	s := newTestStore(kv)
+	mustApply(t, s, testConfig(map[string]float64{"acme": 100}), Change{Author: "ana"})
+	raced := false
+	kv.beforePut = func(key string, _ []byte) error {
+		if key == HeadKey && !raced {
+			raced = true
+			mustApply(t, newTestStore(kv), testConfig(map[string]float64{"acme": 300}), Change{Author: "bea"})
+		}
+		return nil
+	}
+	_, err := s.Apply(t.Context(), testConfig(map[string]float64{"acme": 200}), Change{Author: "ana"})
+	var race *RaceError
+	if !errors.As(err, &race) {
+		t.Fatalf("Apply = %v", err)
+	}
+	for _, want := range []string{"bea wrote revision 2 first", "rate: 100 -> 300", "rate: 100 -> 200"} {
+		if !strings.Contains(race.Error(), want) {
+			t.Errorf("error lacks %q:\n%s", want, race)
+		}
+	}
+	if rate := viewOf(t, s).Organisation("acme").Rate; rate != 300 {
+		t.Errorf("rate = %g, want the winner's 300", rate)
+	}
+}
+
+// Guards against an apply that fails, or drops the key, because a key was issued meanwhile.
+func TestApplyGoesTogetherWithAnIssuedKey(t *testing.T) {
+	kv := newFakeKV()
+	s := newTestStore(kv)
+	mustApply(t, s, testConfig(map[string]float64{"acme": 100}), Change{})
+	var key *IssuedKey
+	kv.beforePut = func(k string, _ []byte) error {
+		if k == HeadKey && key == nil {
+			key = new(IssuedKey)
+			issued, _, err := newTestStore(kv).IssueKey(context.Background(), "acme", Change{})
+			if err != nil {
+				return err
+			}
+			*key = *issued
+		}
+		return nil
+	}
+	mustApply(t, s, testConfig(map[string]float64{"acme": 200}), Change{})
+	view := viewOf(t, s)
+	if _, _, status := view.Authenticate(key.Key); status != configview.KeyValid || view.Organisation("acme").Rate != 200 {
+		t.Errorf("key %v, rate %g", status, view.Organisation("acme").Rate)
+	}
+}
+
+// Guards against a change that is written twice, or reported as lost, after the answer of its write was lost.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	for name, effect := range map[string]bool{"took effect": true, "had no effect": false} {
+		t.Run(name, func(t *testing.T) {
+			kv := newFakeKV()
+			s := newTestStore(kv)
+			mustApply(t, s, testConfig(map[string]float64{"acme": 100}), Change{})
+			failed := false
+			lose := func(key string) error {
+				if key != HeadKey || failed {
+					return nil
+				}
+				failed = true
+				return platform.ErrUnknownOutcome
+			}
+			if effect {
+				kv.afterPut = lose
+			} else {
+				kv.beforePut = func(key string, _ []byte) error { return lose(key) }
+			}
+			r := mustApply(t, s, testConfig(map[string]float64{"acme": 200}), Change{})
+			if r.Head.Revision != 2 || !failed {
+				t.Errorf("revision %d, answer lost: %v", r.Head.Revision, failed)
+			}
+			if heads, _ := s.History(t.Context(), 10); len(heads) != 2 {
+				t.Errorf("%d revisions were written", len(heads))
+			}
+		})
+	}
+}
+
+// Guards against a lost answer that is taken for a lost race when another writer has already built on the own head.
+func TestLostAnswerBelowAnotherHead(t *testing.T) {
+	kv := newFakeKV()
+	s := newTestStore(kv)
+	mustApply(t, s, testConfig(map[string]float64{"acme": 100}), Change{})
+	attempts := 0
+	kv.beforePut = func(key string, _ []byte) error {
+		if key != HeadKey {
+			return nil
+		}
+		attempts++
+		return nil
+	}
+	kv.afterPut = func(key string) error {
+		if key == HeadKey && attempts == 1 {
+			return platform.ErrUnknownOutcome
+		}
+		return nil
+	}
+	// The read back happens after a pause, in which another writer issues a key on top.
+	go func() {
+		for {
+			head, _, err := newTestStore(kv).Head(context.Background())
+			if err != nil || head.Revision >= 2 {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		_, _, _ = newTestStore(kv).IssueKey(context.Background(), "acme", Change{})
+	}()
+	r := mustApply(t, s, testConfig(map[string]float64{"acme": 200}), Change{})
+	if r.Head.Revision != 2 {
+		t.Errorf("revision %d was written, want 2", r.Head.Revision)
+	}
+}
+
+// Guards against a store outage that is reported as success or hangs.
+func TestStoreOutIsReported(t *testing.T) {
+	kv := newFakeKV()
+	s := New(kv, Options{RetryFor: 100 * time.Millisecond})
+	mustApply(t, s, testConfig(map[string]float64{"acme": 100}), Change{})
+	kv.beforePut = func(string, []byte) error { return platform.ErrUnavailable }
+	if _, err := s.Apply(t.Context(), testConfig(map[string]float64{"acme": 200}), Change{}); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("Apply = %v", err)
+	}
+	kv.beforePut = func(key string, _ []byte) error {
+		if key == HeadKey {
+			return platform.ErrUnknownOutcome
+		}
+		return nil
+	}
+	_, err := s.Apply(t.Context(), testConfig(map[string]float64{"acme": 200}), Change{})
+	var unknown *UnknownOutcomeError
+	if !errors.As(err, &unknown) || unknown.Revision != 2 {
+		t.Errorf("Apply = %v", err)
+	}
+}
+
+// Guards against a revision that instances refuse because they hold a higher one from before the store was restored.
+func TestApplyGoesAboveInstances(t *testing.T) {
+	s := newTestStore(newFakeKV())
+	mustApply(t, s, testConfig(map[string]float64{"acme": 100}), Change{})
+	r := mustApply(t, s, testConfig(map[string]float64{"acme": 200}), Change{Above: 57})
+	if r.Head.Revision != 58 || r.Head.Parent != 1 {
+		t.Errorf("head = %d with parent %d", r.Head.Revision, r.Head.Parent)
+	}
+	if _, err := s.At(t.Context(), 1); err != nil {
+		t.Error(err)
+	}
+	if _, err := s.At(t.Context(), 30); err == nil {
+		t.Error("revision 30 never existed")
+	}
+}
+
+// Guards against slots that vanish with the records they own.
+func TestApplyRefusesChangedSlots(t *testing.T) {
+	s := newTestStore(newFakeKV())
+	cfg := testConfig(map[string]float64{"acme": 100})
+	mustApply(t, s, cfg, Change{})
+	for name, change := range map[string]func(*config.Config){
+		"fewer":   func(c *config.Config) { c.Regions[0].Slots = 1 },
+		"more":    func(c *config.Config) { c.Regions[0].Slots = 3 },
+		"removed": func(c *config.Config) { c.Regions = c.Regions[:1] },
+	} {
+		changed := testConfig(map[string]float64{"acme": 100})
+		change(changed)
+		var slots *SlotsError
+		if _, err := s.Apply(t.Context(), changed, Change{}); !errors.As(err, &slots) {
+			t.Errorf("%s: Apply = %v", name, err)
+		}
+	}
+	more := testConfig(map[string]float64{"acme": 100})
+	more.Regions = append(more.Regions, config.Region{Name: "arequipa", DataCentres: []string{"a"}, Slots: 1})
+	r := mustApply(t, s, more, Change{})
+	// The new region takes a third of the rate from the two others, which is a shift.
+	o := viewOf(t, s).Organisation("acme")
+	if len(o.Previous) != 1 || o.Previous[0].Revision != r.Head.Revision || o.Previous[0].Split["lima"] != 0.5 {
+		t.Errorf("previous = %+v", o.Previous)
+	}
+}
+
+// Guards against a change of rates whose raised slots are used before the lowered ones have heard of it.
+func TestPreviousEntitlements(t *testing.T) {
+	s := newTestStore(newFakeKV())
+	split := func(lima float64) *config.Config {
+		cfg := testConfig(map[string]float64{"acme": 100})
+		cfg.Organisations[0].Split = map[string]float64{"lima": lima, "cusco": 1 - lima}
+		return cfg
+	}
+	mustApply(t, s, split(0.5), Change{})
+	mustApply(t, s, split(0.75), Change{InForce: 1})
+	mustApply(t, s, split(0.25), Change{InForce: 1})
+	previous := viewOf(t, s).Organisation("acme").Previous
+	if len(previous) != 2 || previous[0].Split["lima"] != 0.5 || previous[1].Split["lima"] != 0.75 {
+		t.Fatalf("previous = %+v", previous)
+	}
+	// Once all instances have revision 2 in force, only the later replacement is pending.
+	burst := split(0.25)
+	burst.Organisations[0].Burst++
+	mustApply(t, s, burst, Change{InForce: 2})
+	previous = viewOf(t, s).Organisation("acme").Previous
+	if len(previous) != 1 || previous[0].Revision != 3 {
+		t.Fatalf("previous = %+v", previous)
+	}
+	// Removing and returning the organisation does not forget what it was entitled to.
+	mustApply(t, s, testConfig(nil), Change{InForce: 4})
+	mustApply(t, s, split(0.5), Change{InForce: 4})
+	previous = viewOf(t, s).Organisation("acme").Previous
+	if len(previous) != 1 || previous[0].Revision != 5 || previous[0].Split["lima"] != 0.25 {
+		t.Fatalf("previous = %+v", previous)
+	}
+}
+
+// Guards against a key id that two organisations share.
+func TestDeclaredKeyMustNotBeIssued(t *testing.T) {
+	s := newTestStore(newFakeKV())
+	mustApply(t, s, testConfig(map[string]float64{"acme": 100, "other": 1}), Change{})
+	key, _, err := s.IssueKey(t.Context(), "acme", Change{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := testConfig(map[string]float64{"acme": 100, "other": 1})
+	cfg.Organisations[0].Keys = []config.Key{{ID: key.ID, SHA256: configview.HashSecret("x")}}
+	if _, err := s.Apply(t.Context(), cfg, Change{}); err == nil || !strings.Contains(err.Error(), key.ID) {
+		t.Errorf("Apply = %v", err)
+	}
+}
+
+// Guards against a key that is issued by rewriting all shards: at 34,000 organisations only one may change.
+func TestIssueWritesOneShard(t *testing.T) {
+	kv := newFakeKV()
+	s := newTestStore(kv)
+	rates := make(map[string]float64)
+	for i := range 2000 {
+		rates[fmt.Sprintf("org-%d", i)] = 10
+	}
+	mustApply(t, s, testConfig(rates), Change{})
+	var written []string
+	kv.beforePut = func(key string, _ []byte) error {
+		written = append(written, key)
+		return nil
+	}
+	kv.reads = 0
+	if _, _, err := s.IssueKey(t.Context(), "org-7", Change{}); err != nil {
+		t.Fatal(err)
+	}
+	if len(written) != 3 || kv.reads != 2 {
+		t.Errorf("wrote %v with %d reads", written, kv.reads)
+	}
+}
--- /dev/null
+++ b/internal/configsync/fake_test.go
@@ -0,0 +1,254 @@
+package configsync
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"dogwoodknot.example/dogwoodknot/internal/peer"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
+)
+
+// fakeKV is a store in memory that can be taken out.
+type fakeKV struct {
+	mu       sync.Mutex
+	entries  map[string]platform.Entry
+	revision int64
+	changed  chan struct{} // closed and replaced by each write
+	out      map[string]bool
+}
+
+func newFakeKV() *fakeKV {
+	return &fakeKV{entries: make(map[string]platform.Entry), changed: make(chan struct{}), out: make(map[string]bool)}
+}
+
+// client is the store as one instance reaches it.
+type client struct {
+	kv   *fakeKV
+	name string
+}
+
+var _ platform.Store = (*client)(nil)
+
+func (k *fakeKV) setOut(name string, out bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.out[name] = out
+}
+
+func (c *client) Get(_ context.Context, key string) (platform.Entry, error) {
+	c.kv.mu.Lock()
+	defer c.kv.mu.Unlock()
+	if c.kv.out[c.name] {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	e, ok := c.kv.entries[key]
+	if !ok {
+		return e, platform.ErrNotFound
+	}
+	return e, nil
+}
+
+func (c *client) List(context.Context, string, string, int) ([]platform.Entry, error) {
+	return nil, platform.ErrUnavailable
+}
+
+func (c *client) Put(_ context.Context, key string, value []byte, opts platform.PutOptions) (int64, error) {
+	c.kv.mu.Lock()
+	defer c.kv.mu.Unlock()
+	if opts.IfRevision != nil && c.kv.entries[key].Revision != *opts.IfRevision {
+		return 0, platform.ErrConflict
+	}
+	c.kv.revision++
+	c.kv.entries[key] = platform.Entry{Key: key, Value: slices.Clone(value), Revision: c.kv.revision}
+	close(c.kv.changed)
+	c.kv.changed = make(chan struct{})
+	return c.kv.revision, nil
+}
+
+func (c *client) Delete(context.Context, string, *int64) error { return platform.ErrUnavailable }
+
+func (c *client) Watch(ctx context.Context, key string, after int64) (platform.Entry, error) {
+	for {
+		c.kv.mu.Lock()
+		e, changed, out := c.kv.entries[key], c.kv.changed, c.kv.out[c.name]
+		c.kv.mu.Unlock()
+		if out {
+			// A connection that has gone silent looks like a watch without news.
+			<-ctx.Done()
+			return platform.Entry{}, ctx.Err()
+		}
+		if e.Revision > after {
+			return e, nil
+		}
+		select {
+		case <-ctx.Done():
+			return platform.Entry{}, ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+func (c *client) Grant(context.Context, time.Duration) (platform.LeaseID, error) { return 1, nil }
+func (c *client) Renew(context.Context, platform.LeaseID) error                  { return nil }
+func (c *client) Revoke(context.Context, platform.LeaseID) error                 { return nil }
+
+// fabric connects fake networks. Links can be cut in one direction.
+type fabric struct {
+	mu    sync.Mutex
+	nodes map[string]*fakeNetwork
+	cut   map[[2]string]bool
+}
+
+func newFabric() *fabric {
+	return &fabric{nodes: make(map[string]*fakeNetwork), cut: make(map[[2]string]bool)}
+}
+
+// setCut cuts or mends all links to and from an instance. A cut link stays among the connected ones and hangs, as one whose
+// packets are lost.
+func (f *fabric) setCut(name string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for other := range f.nodes {
+		f.cut[[2]string{name, other}] = cut
+		f.cut[[2]string{other, name}] = cut
+	}
+}
+
+func (f *fabric) node(name string) *fakeNetwork {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[name]
+}
+
+func (f *fabric) isCut(from, to string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut[[2]string{from, to}]
+}
+
+// join adds a network to the fabric. It is connected to all others from then on.
+func (f *fabric) join(name, dataCentre string) *fakeNetwork {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := &fakeNetwork{fabric: f, self: peer.Identity{Instance: name, Region: dataCentre, DataCentre: dataCentre}, handlers: make(map[string]peer.Handler)}
+	f.nodes[name] = n
+	return n
+}
+
+// fakeNetwork is a peer.Network in memory.
+type fakeNetwork struct {
+	fabric   *fabric
+	self     peer.Identity
+	handlers map[string]peer.Handler
+	mu       sync.Mutex
+	sent     int // bytes of messages
+}
+
+var _ peer.Network = (*fakeNetwork)(nil)
+
+func (n *fakeNetwork) Self() peer.Identity                { return n.self }
+func (n *fakeNetwork) Handle(name string, h peer.Handler) { n.handlers[name] = h }
+func (n *fakeNetwork) SetPeers(map[string]string)         {}
+
+func (n *fakeNetwork) Connected() []peer.Identity {
+	n.fabric.mu.Lock()
+	defer n.fabric.mu.Unlock()
+	var ids []peer.Identity
+	for _, other := range n.fabric.nodes {
+		if other != n {
+			ids = append(ids, other.self)
+		}
+	}
+	return ids
+}
+
+func (n *fakeNetwork) Call(ctx context.Context, instance, service string, req, resp proto.Message) error {
+	s, err := n.Open(ctx, instance, service)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = s.Close() }()
+	if err := s.Send(req); err != nil {
+		return err
+	}
+	return s.Recv(resp)
+}
+
+func (n *fakeNetwork) Open(ctx context.Context, instance, service string) (peer.Stream, error) {
+	other := n.fabric.node(instance)
+	if other == nil {
+		return nil, peer.ErrUnknownPeer
+	}
+	if n.fabric.isCut(n.self.Instance, instance) {
+		<-ctx.Done()
+		return nil, peer.ErrBroken
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	there, back := make(chan []byte, 512), make(chan []byte, 512)
+	failed := make(chan error, 1)
+	local := &fakeStream{ctx: ctx, cancel: cancel, out: there, in: back, failed: failed, net: n}
+	remote := &fakeStream{ctx: ctx, cancel: func() {}, out: back, in: there, net: other}
+	go func() {
+		if err := other.handlers[service](ctx, n.self, remote); err != nil {
+			failed <- &peer.RemoteError{Instance: instance, Service: service, Message: err.Error()}
+			return
+		}
+		_ = remote.CloseSend()
+	}()
+	return local, nil
+}
+
+type fakeStream struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	out    chan<- []byte
+	in     <-chan []byte
+	failed <-chan error
+	once   sync.Once
+	net    *fakeNetwork
+}
+
+func (s *fakeStream) Send(m proto.Message) error {
+	b, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	s.net.mu.Lock()
+	s.net.sent += len(b)
+	s.net.mu.Unlock()
+	select {
+	case s.out <- b:
+		return nil
+	case <-s.ctx.Done():
+		return peer.ErrBroken
+	}
+}
+
+func (s *fakeStream) Recv(m proto.Message) error {
+	select {
+	case b, ok := <-s.in:
+		if !ok {
+			return io.EOF
+		}
+		return proto.Unmarshal(b, m)
+	case err := <-s.failed:
+		return err
+	case <-s.ctx.Done():
+		return peer.ErrBroken
+	}
+}
+
+func (s *fakeStream) CloseSend() error {
+	s.once.Do(func() { close(s.out) })
+	return nil
+}
+
+func (s *fakeStream) Close() error {
+	s.cancel()
+	return nil
+}
--- /dev/null
+++ b/internal/configsync/holder.go
@@ -0,0 +1,171 @@
+package configsync
+
+import (
+	"bytes"
+	"compress/gzip"
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodknot.example/dogwoodknot/internal/core/configview"
+	"dogwoodknot.example/dogwoodknot/internal/wire"
+)
+
+// maxPartBytes bounds uncompressed content that a peer sends: the largest value that the store holds.
+const maxPartBytes = 1 << 20
+
+// holder owns the accepted state, with the content that peers may ask for.
+type holder struct {
+	view atomic.Pointer[configview.View]
+
+	mu    sync.Mutex
+	state *configview.State
+	parts map[configview.Digest][]byte // gzip, of the head in force
+	// newest are the digests that the head in force names and the one before did not.
+	newest []configview.Digest
+	queue  *publisher
+}
+
+func newHolder(queue *publisher) *holder {
+	h := &holder{state: configview.NewState(), parts: make(map[configview.Digest][]byte), queue: queue}
+	h.view.Store(h.state.View())
+	return h
+}
+
+// missing returns the digests that accept needs beside content that is held already.
+func (h *holder) missing(head *configview.Head) ([]configview.Digest, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	digests, err := h.state.Missing(head)
+	if err != nil {
+		return nil, err
+	}
+	var absent []configview.Digest
+	for _, d := range digests {
+		if _, ok := h.parts[d]; !ok {
+			absent = append(absent, d)
+		}
+	}
+	return absent, nil
+}
+
+// accept puts a higher revision in force. content holds what missing has named, uncompressed.
+func (h *holder) accept(head *configview.Head, content map[configview.Digest][]byte) error {
+	compressed := make(map[configview.Digest][]byte, len(content))
+	for d, c := range content {
+		compressed[d] = compress(c)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err := h.addHeld(head, content); err != nil {
+		return err
+	}
+	view, err := h.state.Accept(head, content)
+	if err != nil {
+		return err
+	}
+	h.keepParts(head, compressed)
+	h.publish(view)
+	return nil
+}
+
+// addHeld completes content with parts that moved from one place of the head to another.
+func (h *holder) addHeld(head *configview.Head, content map[configview.Digest][]byte) error {
+	digests, err := h.state.Missing(head)
+	if err != nil {
+		return err
+	}
+	for _, d := range digests {
+		part, held := h.parts[d]
+		if _, ok := content[d]; ok || !held {
+			continue
+		}
+		if content[d], err = decompress(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *holder) keepParts(head *configview.Head, compressed map[configview.Digest][]byte) {
+	parts := make(map[configview.Digest][]byte, configview.Shards+1)
+	newest := h.newest[:0:0]
+	for _, d := range append([]configview.Digest{head.General}, head.Shards[:]...) {
+		if d == "" {
+			continue
+		}
+		if c, ok := compressed[d]; ok {
+			parts[d] = c
+			newest = append(newest, d)
+		} else {
+			parts[d] = h.parts[d]
+		}
+	}
+	h.parts, h.newest = parts, newest
+}
+
+// withdraw adds ids to the withdrawn set and returns the new ones.
+func (h *holder) withdraw(ids []string) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	fresh, view := h.state.Withdraw(ids)
+	if len(fresh) > 0 {
+		h.publish(view)
+	}
+	return fresh
+}
+
+// publish makes a view visible to readers and then to subscribers. The caller holds h.mu, which keeps the order.
+func (h *holder) publish(view *configview.View) {
+	h.view.Store(view)
+	h.queue.add(view)
+}
+
+// part returns compressed content of the head in force, or nil.
+func (h *holder) part(d configview.Digest) []byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.parts[d]
+}
+
+// maxPushedParts bounds a push. A receiver fetches more parts than these itself.
+const maxPushedParts = 4
+
+// newestParts returns the parts that the last change added, if head is in force and they are few.
+func (h *holder) newestParts(head *configview.Head) []*wire.ConfigPart {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.state.View().Head() != head || len(h.newest) > maxPushedParts {
+		return nil
+	}
+	parts := make([]*wire.ConfigPart, len(h.newest))
+	for i, d := range h.newest {
+		parts[i] = &wire.ConfigPart{Digest: string(d), Content: h.parts[d]}
+	}
+	return parts
+}
+
+func compress(content []byte) []byte {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	_, _ = w.Write(content) // a bytes.Buffer takes every write
+	_ = w.Close()
+	return b.Bytes()
+}
+
+func decompress(part []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(part))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress content")
+	}
+	content, err := io.ReadAll(io.LimitReader(r, maxPartBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress content")
+	}
+	if len(content) > maxPartBytes {
+		return nil, errors.Newf("content has more than %d bytes", maxPartBytes)
+	}
+	return content, nil
+}
--- /dev/null
+++ b/internal/configsync/peers.go
@@ -0,0 +1,370 @@
+package configsync
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/core/configview"
+	"dogwoodknot.example/dogwoodknot/internal/peer"
+	"dogwoodknot.example/dogwoodknot/internal/wire"
+)
+
+// Services between instances.
+const (
+	serviceState    = "config.state"
+	servicePush     = "config.push"
+	serviceFetch    = "config.fetch"
+	serviceWithdraw = "config.withdraw"
+)
+
+// pushParallelism bounds the calls that one push or withdrawal has open.
+const pushParallelism = 16
+
+// withdrawalsPerMessage bounds a message: ids have under 64 bytes.
+const withdrawalsPerMessage = 4096
+
+func (s *Syncer) handle(n peer.Network) {
+	n.Handle(serviceState, peer.Unary(s.serveState))
+	n.Handle(servicePush, peer.Unary(s.servePush))
+	n.Handle(serviceFetch, s.serveFetch)
+	n.Handle(serviceWithdraw, peer.Unary(s.serveWithdraw))
+}
+
+// relayOf returns the instance that is first in rendezvous-hash order of a data centre.
+func relayOf(dataCentre string, instances []string) string {
+	relay, best := "", uint64(0)
+	for _, name := range instances {
+		h := xxhash.Sum64String(dataCentre + "\x00" + name)
+		if relay == "" || h > best || h == best && name < relay {
+			relay, best = name, h
+		}
+	}
+	return relay
+}
+
+// neighbours returns the connected peers of this data centre.
+func (s *Syncer) neighbours() []string {
+	if s.opts.Network == nil {
+		return nil
+	}
+	self := s.opts.Network.Self()
+	var names []string
+	for _, p := range s.opts.Network.Connected() {
+		if p.DataCentre == self.DataCentre && p.Instance != self.Instance {
+			names = append(names, p.Instance)
+		}
+	}
+	return names
+}
+
+// relay returns the relay of this data centre, which may be this instance.
+func (s *Syncer) relay() string {
+	if s.opts.Network == nil {
+		return ""
+	}
+	self := s.opts.Network.Self()
+	return relayOf(self.DataCentre, append(s.neighbours(), self.Instance))
+}
+
+func (s *Syncer) isRelay() bool {
+	return s.opts.Network == nil || s.relay() == s.opts.Network.Self().Instance
+}
+
+// exchangeLoop compares the state with the relay, or as the relay with an instance of another data centre.
+func (s *Syncer) exchangeLoop(ctx context.Context) {
+	for {
+		sleep(ctx, jitter(s.opts.ExchangePeriod))
+		if ctx.Err() != nil {
+			return
+		}
+		s.exchangeOnce(ctx)
+	}
+}
+
+func (s *Syncer) exchangeOnce(ctx context.Context) {
+	if s.opts.Network == nil {
+		return
+	}
+	if s.isRelay() {
+		s.exchangeAbroad(ctx)
+		return
+	}
+	relay := s.relay()
+	err := s.exchange(ctx, relay)
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	s.opts.Log.Debug("relay is silent, polling the store", zap.String("relay", relay), zap.Error(err))
+	if err := s.poll(ctx); err != nil {
+		s.setReason("relay " + relay + ": silent; store: " + err.Error())
+		s.exchangeAbroad(ctx)
+	}
+}
+
+// exchangeAbroad compares the state with a random peer of any data centre. This brings revisions and withdrawals to a data
+// centre that cannot reach the store.
+func (s *Syncer) exchangeAbroad(ctx context.Context) {
+	self := s.opts.Network.Self()
+	var others []string
+	for _, p := range s.opts.Network.Connected() {
+		if p.Instance != self.Instance && p.DataCentre != self.DataCentre {
+			others = append(others, p.Instance)
+		}
+	}
+	if len(others) == 0 {
+		others = s.neighbours()
+	}
+	if len(others) == 0 {
+		return
+	}
+	name := others[rand.IntN(len(others))]
+	if err := s.exchange(ctx, name); err != nil && !errors.Is(err, errStoreSilent) && ctx.Err() == nil {
+		s.opts.Log.Debug("exchange of the configuration state failed", zap.String("peer", name), zap.Error(err))
+	}
+}
+
+// errStoreSilent reports a peer that has not heard from the store for long.
+var errStoreSilent = errors.New("the peer has lost contact with the store")
+
+// exchange compares states with a peer and repairs whichever is behind. It returns errStoreSilent if the peer cannot vouch
+// for what the store holds now.
+func (s *Syncer) exchange(ctx context.Context, name string) error {
+	theirs := new(wire.ConfigState)
+	if err := s.call(ctx, name, serviceState, s.stateMessage(), theirs); err != nil {
+		return err
+	}
+	if err := s.reconcile(ctx, name, theirs); err != nil {
+		return err
+	}
+	if !theirs.StoreFresh {
+		return errStoreSilent
+	}
+	return nil
+}
+
+// reconcile brings this instance and a peer, whose state is known, to the higher revision and the union of withdrawals.
+func (s *Syncer) reconcile(ctx context.Context, name string, theirs *wire.ConfigState) error {
+	mine := s.Snapshot()
+	switch {
+	case theirs.Revision > mine.Revision():
+		if err := s.fetch(ctx, name); err != nil {
+			return err
+		}
+	case theirs.Revision < mine.Revision():
+		if _, err := s.push(ctx, name, mine.Head()); err != nil {
+			return err
+		}
+	case theirs.Revision > 0 && theirs.Token != mine.Head().Token:
+		s.opts.Log.Error("a peer has another configuration in force under the same revision; apply again to go above both",
+			zap.String("peer", name), zap.Int64("revision", theirs.Revision))
+	}
+	if s.Snapshot().WithdrawnDigest() == theirs.WithdrawnDigest {
+		return nil
+	}
+	return s.exchangeWithdrawals(ctx, name)
+}
+
+func (s *Syncer) call(ctx context.Context, name, service string, req, resp protoMessage) error {
+	call, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+	defer cancel()
+	return s.opts.Network.Call(call, name, service, req, resp)
+}
+
+func (s *Syncer) stateMessage() *wire.ConfigState {
+	v := s.Snapshot()
+	m := &wire.ConfigState{Revision: v.Revision(), WithdrawnDigest: v.WithdrawnDigest(), StoreFresh: s.storeFresh()}
+	if v.Head() != nil {
+		m.Token = v.Head().Token
+	}
+	return m
+}
+
+func (s *Syncer) serveState(context.Context, peer.Identity, *wire.ConfigState) (protoMessage, error) {
+	return s.stateMessage(), nil
+}
+
+// fetch reads a peer's head and the content that it needs, and puts it in force.
+func (s *Syncer) fetch(ctx context.Context, name string) error {
+	parts, err := s.fetchParts(ctx, name, &wire.ConfigFetch{Head: true})
+	if err != nil {
+		return err
+	}
+	if len(parts) == 0 {
+		return errors.Newf("peer %s has no configuration", name)
+	}
+	return s.offered(ctx, name, parts[0].Content, nil)
+}
+
+// offered puts a compressed head in force that a peer has sent, fetching parts that did not come with it from the peer.
+func (s *Syncer) offered(ctx context.Context, name string, compressed []byte, parts []*wire.ConfigPart) error {
+	text, err := decompress(compressed)
+	if err != nil {
+		return err
+	}
+	head, err := configview.DecodeHead(text)
+	if err != nil {
+		return err
+	}
+	missing, err := s.hold.missing(head)
+	if errors.Is(err, configview.ErrNotHigher) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	content := make(map[configview.Digest][]byte, len(missing))
+	if err := addParts(content, parts); err != nil {
+		return err
+	}
+	var digests []string
+	for _, d := range missing {
+		if _, ok := content[d]; !ok {
+			digests = append(digests, string(d))
+		}
+	}
+	if len(digests) > 0 {
+		more, err := s.fetchParts(ctx, name, &wire.ConfigFetch{Digests: digests})
+		if err != nil {
+			return err
+		}
+		if err := addParts(content, more); err != nil {
+			return err
+		}
+	}
+	return s.accept(head, content, name)
+}
+
+func addParts(content map[configview.Digest][]byte, parts []*wire.ConfigPart) error {
+	for _, p := range parts {
+		c, err := decompress(p.Content)
+		if err != nil {
+			return err
+		}
+		content[configview.Digest(p.Digest)] = c
+	}
+	return nil
+}
+
+// fetchParts reads the answer of a fetch.
+func (s *Syncer) fetchParts(ctx context.Context, name string, req *wire.ConfigFetch) ([]*wire.ConfigPart, error) {
+	call, cancel := context.WithTimeout(ctx, s.opts.CallTimeout+time.Duration(len(req.Digests))*partTimeout)
+	defer cancel()
+	stream, err := s.opts.Network.Open(call, name, serviceFetch)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = stream.Close() }()
+	if err := stream.Send(req); err != nil {
+		return nil, err
+	}
+	if err := stream.CloseSend(); err != nil {
+		return nil, err
+	}
+	var parts []*wire.ConfigPart
+	for {
+		p := new(wire.ConfigPart)
+		err := stream.Recv(p)
+		if errors.Is(err, io.EOF) {
+			return parts, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(parts) > len(req.Digests) {
+			return nil, errors.Newf("peer %s sends more parts than were asked for", name)
+		}
+		parts = append(parts, p)
+	}
+}
+
+func (s *Syncer) serveFetch(_ context.Context, _ peer.Identity, stream peer.Stream) error {
+	req := new(wire.ConfigFetch)
+	if err := stream.Recv(req); err != nil {
+		return err
+	}
+	if head := s.Snapshot().Head(); req.Head && head != nil {
+		text, err := head.Encode()
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(&wire.ConfigPart{Content: compress(text)}); err != nil {
+			return err
+		}
+	}
+	for _, d := range req.Digests {
+		part := s.hold.part(configview.Digest(d))
+		if part == nil {
+			continue
+		}
+		if err := stream.Send(&wire.ConfigPart{Digest: d, Content: part}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pushOn sends a revision that has come into force to the other instances of the data centre if this instance is the relay.
+func (s *Syncer) pushOn(head *configview.Head) {
+	if s.opts.Network == nil || !s.isRelay() {
+		return
+	}
+	names := s.neighbours()
+	s.background(func(ctx context.Context) {
+		each(names, func(name string) {
+			if _, err := s.push(ctx, name, head); err != nil && ctx.Err() == nil {
+				s.opts.Log.Debug("push of the configuration failed", zap.String("peer", name), zap.Error(err))
+			}
+		})
+	})
+}
+
+// background runs f with a context that ends with the syncer. After Stop it does nothing.
+func (s *Syncer) background(f func(ctx context.Context)) {
+	s.stopping.Lock()
+	defer s.stopping.Unlock()
+	if s.life.Err() == nil {
+		s.wg.Go(func() { f(s.life) })
+	}
+}
+
+// each calls f for each name, a few at a time, and waits.
+func each(names []string, f func(name string)) {
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, pushParallelism)
+	for _, name := range names {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			f(name)
+		})
+	}
+	wg.Wait()
+}
+
+// push offers a head to a peer, with the parts that the last change has added.
+func (s *Syncer) push(ctx context.Context, name string, head *configview.Head) (*wire.ConfigState, error) {
+	text, err := head.Encode()
+	if err != nil {
+		return nil, err
+	}
+	req := &wire.ConfigPush{Head: compress(text), Parts: s.hold.newestParts(head)}
+	resp := new(wire.ConfigPushed)
+	if err := s.call(ctx, name, servicePush, req, resp); err != nil {
+		return nil, err
+	}
+	return resp.State, nil
+}
+
+func (s *Syncer) servePush(ctx context.Context, from peer.Identity, req *wire.ConfigPush) (protoMessage, error) {
+	if err := s.offered(ctx, from.Instance, req.Head, req.Parts); err != nil {
+		return nil, err
+	}
+	return &wire.ConfigPushed{State: s.stateMessage()}, nil
+}
--- /dev/null
+++ b/internal/configsync/sync_test.go
@@ -0,0 +1,285 @@
+package configsync
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"dogwoodknot.example/dogwoodknot/internal/config"
+	"dogwoodknot.example/dogwoodknot/internal/configstore"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// operatorName is the store client of the operators' command, which is never taken out.
+const operatorName = "operator"
+
+type fleet struct {
+	t       *testing.T
+	kv      *fakeKV
+	fabric  *fabric
+	store   *configstore.Store
+	syncers map[string]*Syncer
+}
+
+func newFleet(t *testing.T) *fleet {
+	kv := newFakeKV()
+	return &fleet{
+		t:       t,
+		kv:      kv,
+		fabric:  newFabric(),
+		store:   configstore.New(&client{kv, operatorName}, configstore.Options{}),
+		syncers: make(map[string]*Syncer),
+	}
+}
+
+func (f *fleet) options(name string) Options {
+	return Options{
+		Store:          &client{f.kv, name},
+		ExchangePeriod: 100 * time.Millisecond,
+		CallTimeout:    100 * time.Millisecond,
+		WatchPeriod:    300 * time.Millisecond,
+	}
+}
+
+func (f *fleet) start(name, dataCentre string) *Syncer {
+	f.t.Helper()
+	opts := f.options(name)
+	opts.Network = f.fabric.join(name, dataCentre)
+	s, err := New(opts)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := s.Start(f.t.Context()); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = s.Stop(context.Background()) })
+	f.syncers[name] = s
+	return s
+}
+
+func (f *fleet) startMany(dataCentre string, n int) {
+	for i := range n {
+		f.start(fmt.Sprintf("%s-%d", dataCentre, i), dataCentre)
+	}
+}
+
+func (f *fleet) apply(rate float64) int64 {
+	f.t.Helper()
+	cfg := &config.Config{
+		Regions:       []config.Region{{Name: "lima", DataCentres: []string{"lima"}, Slots: 2}},
+		Organisations: []config.Organisation{{Name: "acme", Rate: rate, Burst: 1000}},
+	}
+	r, err := f.store.Apply(f.t.Context(), cfg, configstore.Change{})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return r.Head.Revision
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(5 * time.Second)
+	for !f() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within 5 s: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (f *fleet) waitFor(revision int64) {
+	f.t.Helper()
+	for name, s := range f.syncers {
+		eventually(f.t, fmt.Sprintf("revision %d in force at %s", revision, name), func() bool { return s.View().Revision() >= revision })
+	}
+}
+
+func (f *fleet) relayOf(dataCentre string) string {
+	for name, s := range f.syncers {
+		if s.opts.Network.Self().DataCentre == dataCentre && s.isRelay() {
+			return name
+		}
+	}
+	f.t.Fatalf("no relay in %s", dataCentre)
+	return ""
+}
+
+// Guards against a change that does not reach every instance, and against more than one watch in a data centre.
+func TestChangeReachesAllInstances(t *testing.T) {
+	f := newFleet(t)
+	f.startMany("lima", 3)
+	f.startMany("cusco", 2)
+	f.waitFor(f.apply(100))
+	f.waitFor(f.apply(200))
+	for name, s := range f.syncers {
+		if rate := s.View().Organisation("acme").Rate; rate != 200 {
+			t.Errorf("%s: rate %g", name, rate)
+		}
+	}
+	relays := 0
+	for _, s := range f.syncers {
+		if s.isRelay() {
+			relays++
+		}
+	}
+	if relays != 2 {
+		t.Errorf("%d relays for 2 data centres", relays)
+	}
+}
+
+// Guards against a relay that dies, or hangs, and leaves the others with an old revision.
+func TestSilentRelay(t *testing.T) {
+	f := newFleet(t)
+	f.startMany("lima", 3)
+	f.waitFor(f.apply(100))
+	relay := f.relayOf("lima")
+	f.fabric.setCut(relay, true)
+	f.kv.setOut(relay, true)
+	revision := f.apply(200)
+	hung := f.syncers[relay]
+	delete(f.syncers, relay)
+	f.waitFor(revision)
+	f.fabric.setCut(relay, false)
+	eventually(t, "the relay catches up from its peers while it has no store", func() bool { return hung.View().Revision() >= revision })
+}
+
+// Guards against a relay whose connection to the store has gone silent while it still answers its peers.
+func TestRelayWithoutStore(t *testing.T) {
+	f := newFleet(t)
+	f.startMany("lima", 3)
+	f.waitFor(f.apply(100))
+	f.kv.setOut(f.relayOf("lima"), true)
+	f.waitFor(f.apply(200))
+}
+
+// Guards against a data centre that is cut off from the store and never hears of a change.
+func TestDataCentreWithoutStore(t *testing.T) {
+	f := newFleet(t)
+	f.startMany("lima", 2)
+	f.startMany("cusco", 2)
+	f.waitFor(f.apply(100))
+	f.kv.setOut("cusco-0", true)
+	f.kv.setOut("cusco-1", true)
+	f.waitFor(f.apply(200))
+}
+
+// Guards against an instance that cannot start during a store outage although its peers have the configuration, and
+// against one that says it is ready without any.
+func TestBoot(t *testing.T) {
+	f := newFleet(t)
+	f.kv.setOut("late-0", true)
+	alone := f.start("late-0", "lima")
+	if err := alone.Ready(); err == nil || !strings.Contains(err.Error(), "unavailable") {
+		t.Errorf("Ready = %v", err)
+	}
+	f.start("lima-0", "lima")
+	revision := f.apply(100)
+	f.waitFor(revision)
+	f.kv.setOut("late-1", true)
+	late := f.start("late-1", "lima")
+	if err := late.Ready(); err != nil {
+		t.Errorf("Ready = %v after boot from a peer", err)
+	}
+}
+
+// Guards against a configuration that reverts when the store comes back with older data.
+func TestStoreWithOlderData(t *testing.T) {
+	f := newFleet(t)
+	f.startMany("lima", 2)
+	f.apply(100)
+	old := f.kv.entries[configstore.HeadKey]
+	revision := f.apply(200)
+	f.waitFor(revision)
+	f.kv.mu.Lock()
+	f.kv.revision = 1
+	old.Revision = 1
+	f.kv.entries[configstore.HeadKey] = old
+	f.kv.mu.Unlock()
+	time.Sleep(time.Second)
+	for name, s := range f.syncers {
+		if got := s.View().Revision(); got != revision {
+			t.Errorf("%s reverted to revision %d", name, got)
+		}
+	}
+	cfg := &config.Config{
+		Regions:       []config.Region{{Name: "lima", DataCentres: []string{"lima"}, Slots: 2}},
+		Organisations: []config.Organisation{{Name: "acme", Rate: 300, Burst: 1000}},
+	}
+	r, err := f.store.Apply(t.Context(), cfg, configstore.Change{Above: revision})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.waitFor(r.Head.Revision)
+}
+
+// Guards against a withdrawn key that goes on working somewhere, with the store out and with an instance that was cut off.
+func TestWithdrawalReachesAllInstances(t *testing.T) {
+	f := newFleet(t)
+	f.startMany("lima", 3)
+	f.startMany("cusco", 3)
+	f.waitFor(f.apply(100))
+	key, r, err := f.store.IssueKey(t.Context(), "acme", configstore.Change{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.waitFor(r.Head.Revision)
+	for name := range f.syncers {
+		f.kv.setOut(name, true)
+	}
+	f.fabric.setCut("cusco-2", true)
+	f.syncers["lima-1"].Withdraw(t.Context(), []string{key.ID})
+	for name, s := range f.syncers {
+		if name == "cusco-2" {
+			continue
+		}
+		eventually(t, "key withdrawn at "+name, func() bool { return s.View().KeyWithdrawn(key.ID) })
+	}
+	if _, _, status := f.syncers["cusco-2"].View().Authenticate(key.Key); status != KeyValid {
+		t.Errorf("the cut instance says %v", status)
+	}
+	f.fabric.setCut("cusco-2", false)
+	eventually(t, "key withdrawn after the cut", func() bool { return f.syncers["cusco-2"].View().KeyWithdrawn(key.ID) })
+	// A later configuration that declares the key does not bring it back.
+	for name := range f.syncers {
+		f.kv.setOut(name, false)
+	}
+	f.waitFor(f.apply(300))
+	for name, s := range f.syncers {
+		if _, _, status := s.View().Authenticate(key.Key); status != KeyWithdrawn {
+			t.Errorf("%s says %v", name, status)
+		}
+	}
+}
+
+// Guards against subscribers that miss a revision or see them out of order.
+func TestSubscribersSeeRevisionsInOrder(t *testing.T) {
+	f := newFleet(t)
+	s := f.start("lima-0", "lima")
+	var mu sync.Mutex
+	var seen []int64
+	cancel := s.Subscribe(func(v View) {
+		mu.Lock()
+		defer mu.Unlock()
+		seen = append(seen, v.Revision())
+	})
+	for i := range 5 {
+		f.waitFor(f.apply(float64(100 + i)))
+	}
+	eventually(t, "5 revisions seen", func() bool { mu.Lock(); defer mu.Unlock(); return len(seen) == 5 })
+	cancel()
+	f.waitFor(f.apply(500))
+	mu.Lock()
+	defer mu.Unlock()
+	for i, r := range seen {
+		if r != int64(i+1) {
+			t.Errorf("seen %v", seen)
+			break
+		}
+	}
+}
--- a/internal/configsync/view.go
+++ b/internal/configsync/view.go
@@ -1,23 +1,28 @@
 // Package configsync brings accepted configurations to every instance and keeps the view in force.
+//
+// In each data centre the instance that is first in rendezvous-hash order, the relay, watches the head in the store and pushes
+// revisions to the others. All instances compare their state with the relay every few seconds, which repairs
+// gaps. An instance whose relay is silent polls the store.
 package configsync
 
 import (
 	"dogwoodknot.example/dogwoodknot/internal/config"
+	"dogwoodknot.example/dogwoodknot/internal/core/configview"
 )
 
 // KeyStatus is the result of checking a caller's key against a view.
-type KeyStatus int
+type KeyStatus = configview.KeyStatus
 
 // Results of View.Authenticate.
 const (
 	// KeyUnknown means that no such key exists at the view's revision.
-	KeyUnknown KeyStatus = iota
+	KeyUnknown = configview.KeyUnknown
 	// KeyValid means that the key belongs to the returned organisation.
-	KeyValid
+	KeyValid = configview.KeyValid
 	// KeyWithdrawn means that the key was withdrawn.
-	KeyWithdrawn
+	KeyWithdrawn = configview.KeyWithdrawn
 	// KeyNewer means that the key was issued at a revision this instance has not seen yet: the caller may retry.
-	KeyNewer
+	KeyNewer = configview.KeyNewer
 )
 
 // View is an immutable snapshot of the configuration in force. Its methods take no lock.
@@ -37,6 +42,8 @@
 	KeyWithdrawn(id string) bool
 }
 
+var _ View = (*configview.View)(nil)
+
 // Source gives the view in force.
 type Source interface {
 	// View returns the current snapshot; it is never nil.
--- /dev/null
+++ b/internal/configsync/withdraw.go
@@ -0,0 +1,105 @@
+package configsync
+
+import (
+	"context"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/peer"
+	"dogwoodknot.example/dogwoodknot/internal/wire"
+)
+
+// relaysPerDataCentre is how many instances of another data centre are sent a withdrawal directly. They pass it on to
+// their neighbours; two, so that one failed instance does not delay it until the next exchange.
+const relaysPerDataCentre = 2
+
+// Withdraw stops key ids at this instance at once and relays them to all others. It writes nothing to the store, which the
+// caller does. It returns when every peer has answered or failed; a peer that failed hears of them by the exchange of
+// states.
+func (s *Syncer) Withdraw(ctx context.Context, ids []string) {
+	fresh := s.hold.withdraw(ids)
+	if len(fresh) == 0 || s.opts.Network == nil {
+		return
+	}
+	s.opts.Log.Info("keys withdrawn", zap.Strings("key_ids", fresh))
+	s.relayWithdrawals(ctx, s.withdrawalTargets(), fresh)
+}
+
+// withdrawalTargets returns all neighbours and a few instances of each other data centre.
+func (s *Syncer) withdrawalTargets() []string {
+	targets := s.neighbours()
+	self := s.opts.Network.Self()
+	others := make(map[string][]string)
+	for _, p := range s.opts.Network.Connected() {
+		if p.DataCentre != self.DataCentre {
+			others[p.DataCentre] = append(others[p.DataCentre], p.Instance)
+		}
+	}
+	for dc, names := range others {
+		for range relaysPerDataCentre {
+			name := relayOf(dc, names)
+			if name == "" {
+				break
+			}
+			targets = append(targets, name)
+			names = slices.DeleteFunc(names, func(n string) bool { return n == name })
+		}
+	}
+	return targets
+}
+
+func (s *Syncer) relayWithdrawals(ctx context.Context, names, ids []string) {
+	each(names, func(name string) {
+		for chunk := range slices.Chunk(ids, withdrawalsPerMessage) {
+			req := &wire.ConfigWithdrawals{KeyIds: chunk}
+			if err := s.call(ctx, name, serviceWithdraw, req, new(wire.ConfigWithdrawals)); err != nil {
+				s.opts.Log.Debug("relay of withdrawn keys failed", zap.String("peer", name), zap.Error(err))
+				return
+			}
+		}
+	})
+}
+
+// exchangeWithdrawals sends the whole set to a peer and adds what the peer has more. A difference is rare: it follows a lost
+// message or a partition.
+func (s *Syncer) exchangeWithdrawals(ctx context.Context, name string) error {
+	req := &wire.ConfigWithdrawals{KeyIds: s.Snapshot().Withdrawn(), All: true}
+	resp := new(wire.ConfigWithdrawals)
+	if err := s.call(ctx, name, serviceWithdraw, req, resp); err != nil {
+		return err
+	}
+	s.learn(resp.KeyIds, peer.Identity{Instance: name})
+	return nil
+}
+
+// learn adds ids that came from a peer. Ids from another data centre are passed on to the neighbours.
+func (s *Syncer) learn(ids []string, from peer.Identity) {
+	fresh := s.hold.withdraw(ids)
+	if len(fresh) == 0 || from.DataCentre == s.opts.Network.Self().DataCentre {
+		return
+	}
+	names := slices.DeleteFunc(s.neighbours(), func(n string) bool { return n == from.Instance })
+	s.background(func(ctx context.Context) { s.relayWithdrawals(ctx, names, fresh) })
+}
+
+func (s *Syncer) serveWithdraw(_ context.Context, from peer.Identity, req *wire.ConfigWithdrawals) (protoMessage, error) {
+	s.learn(req.KeyIds, from)
+	resp := new(wire.ConfigWithdrawals)
+	if req.All {
+		resp.KeyIds = without(s.Snapshot().Withdrawn(), req.KeyIds)
+	}
+	return resp, nil
+}
+
+// without returns the ids that are not in known.
+func without(ids, known []string) []string {
+	set := make(map[string]struct{}, len(known))
+	for _, id := range known {
+		set[id] = struct{}{}
+	}
+	return slices.DeleteFunc(ids, func(id string) bool {
+		_, ok := set[id]
+		return ok
+	})
+}
