--- /dev/null
+++ b/internal/core/admission/admission.go
@@ -0,0 +1,123 @@
+// Package admission decides whether a request may wait, and whether a failed one may be tried again. It is pure.
+package admission
+
+import (
+	"math"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+)
+
+// drainHalfLife is the time after which an old observation of the drain rate counts half. It spans several long requests,
+// since the rate of a shorter time is mostly the chance of when they end.
+const drainHalfLife = 15 * time.Second
+
+// DrainRate measures how fast a queue drains, in tokens per second, over the times in which something waits.
+type DrainRate struct {
+	tokens, seconds float64
+	last            clock.Instant
+	busy            bool
+}
+
+// Busy marks the start of a time in which items wait.
+func (d *DrainRate) Busy(now clock.Instant) {
+	if !d.busy {
+		d.busy, d.last = true, now
+	}
+}
+
+// Drained records that work has left the queue.
+func (d *DrainRate) Drained(now clock.Instant, tokens float64) {
+	if !d.busy {
+		return
+	}
+	d.advance(now)
+	d.tokens += tokens
+}
+
+// Idle marks the end of a time in which items wait.
+func (d *DrainRate) Idle(now clock.Instant) {
+	if d.busy {
+		d.advance(now)
+		d.busy = false
+	}
+}
+
+func (d *DrainRate) advance(now clock.Instant) {
+	elapsed := now.Sub(d.last)
+	if elapsed <= 0 {
+		return
+	}
+	d.last = now
+	keep := math.Exp2(-elapsed.Seconds() / drainHalfLife.Seconds())
+	d.tokens *= keep
+	d.seconds = d.seconds*keep + elapsed.Seconds()
+}
+
+// minObserved is the weighted time below which the rate counts as unknown: a rate from one batch would be far off.
+const minObserved = 500 * time.Millisecond
+
+// Wait estimates how long it takes until so many tokens have left. It returns false while the rate is unknown.
+func (d *DrainRate) Wait(now clock.Instant, tokens float64) (time.Duration, bool) {
+	seconds := d.seconds
+	if d.busy {
+		seconds += now.Sub(d.last).Seconds()
+	}
+	if seconds < minObserved.Seconds() {
+		return 0, false
+	}
+	const longest = time.Hour
+	if d.tokens <= 0 {
+		// Nothing has left yet. The best estimate is that it takes as long again.
+		return time.Duration(seconds * float64(time.Second)), true
+	}
+	return time.Duration(min(tokens*seconds/d.tokens, longest.Seconds()) * float64(time.Second)), true
+}
+
+// Retry-After bounds.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = time.Minute
+)
+
+// Decision tells whether a request may wait.
+type Decision struct {
+	Admit      bool
+	RetryAfter time.Duration // when a refused request may come back
+}
+
+// Decide refuses a request at once if it is expected to wait longer than it may. known is false while the wait cannot be
+// estimated; the request then waits.
+func Decide(wait time.Duration, known bool, allowed time.Duration) Decision {
+	if !known || wait <= allowed {
+		return Decision{Admit: true}
+	}
+	return Decision{RetryAfter: min(max(wait-allowed, minRetryAfter), maxRetryAfter)}
+}
+
+// RetryBudget lets failed requests be tried again only while retries are a small part of the requests, so that a fault does
+// not multiply the load.
+type RetryBudget struct {
+	// Ratio is the number of retries that a request earns.
+	Ratio float64
+	// Burst is the number of retries that can be saved up.
+	Burst  float64
+	tokens float64
+}
+
+// NewRetryBudget returns a full budget.
+func NewRetryBudget(ratio, burst float64) *RetryBudget {
+	return &RetryBudget{Ratio: ratio, Burst: burst, tokens: burst}
+}
+
+// Earn records a first attempt.
+func (b *RetryBudget) Earn() { b.tokens = min(b.tokens+b.Ratio, b.Burst) }
+
+// Spend takes one retry and reports whether there was one.
+func (b *RetryBudget) Spend() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/core/admission/admission_test.go
@@ -0,0 +1,54 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+)
+
+// Guards against an estimate that counts idle time, and against shedding while the rate is still unknown.
+func TestWaitFollowsTheDrainRateWhileBusy(t *testing.T) {
+	var d DrainRate
+	now := clock.Instant(0)
+	if _, known := d.Wait(now, 100); known {
+		t.Fatal("the rate is known before anything was drained")
+	}
+	d.Busy(now)
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		d.Drained(now, 50)
+	}
+	d.Idle(now)
+	now = now.Add(time.Hour)
+	wait, known := d.Wait(now, 1000)
+	if !known || wait < 1800*time.Millisecond || wait > 2200*time.Millisecond {
+		t.Fatalf("wait for 1000 tokens at 500 tokens/s: %v, known %v", wait, known)
+	}
+}
+
+// Guards against a stalled queue that goes on admitting requests.
+func TestStalledQueueSheds(t *testing.T) {
+	var d DrainRate
+	d.Busy(0)
+	d.Drained(clock.Instant(time.Second), 100)
+	wait, known := d.Wait(clock.Instant(11*time.Second), 100)
+	if dec := Decide(wait, known, 2*time.Second); dec.Admit || dec.RetryAfter < time.Second {
+		t.Fatalf("wait %v: %+v", wait, dec)
+	}
+}
+
+// Guards against retries that multiply the load while everything fails.
+func TestRetryBudgetIsBounded(t *testing.T) {
+	b := NewRetryBudget(0.1, 5)
+	retries := 0
+	for range 1000 {
+		b.Earn()
+		if b.Spend() {
+			retries++
+		}
+	}
+	if retries < 100 || retries > 106 {
+		t.Fatalf("%d retries for 1000 requests, want about 105", retries)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,250 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/config"
+	"dogwoodknot.example/dogwoodknot/internal/configsync"
+	"dogwoodknot.example/dogwoodknot/internal/core/admission"
+	"dogwoodknot.example/dogwoodknot/internal/core/fairqueue"
+)
+
+// Dispatcher sends requests to the endpoints of its region.
+type Dispatcher struct {
+	opts Options
+
+	mu        sync.Mutex
+	rng       *rand.Rand
+	endpoints map[string]*endpoint
+	pools     map[string]*pool // by model, or by service with servicePrefix
+	budget    *admission.RetryBudget
+	polling   map[*endpoint]context.CancelFunc
+	started   bool
+
+	ctx         context.Context // of background work, ends with Stop
+	stop        context.CancelFunc
+	background  sync.WaitGroup
+	unsubscribe func()
+}
+
+// pool is the group of endpoints that can serve the same requests, and the requests that wait for them.
+type pool struct {
+	endpoints []*endpoint
+	queue     *fairqueue.Queue[*waiter]
+	drain     admission.DrainRate
+}
+
+// Retry budget: one retry for ten requests, and a reserve so that a quiet instance can retry at all.
+const (
+	retryRatio = 0.1
+	retryBurst = 20
+)
+
+// servicePrefix keeps pools of services apart from those of models; no model name holds a zero byte.
+const servicePrefix = "\x00"
+
+// New returns a dispatcher for the endpoints of the options' region.
+func New(o Options) (*Dispatcher, error) {
+	if err := o.Validate(); err != nil {
+		return nil, err
+	}
+	o = o.withDefaults()
+	if o.Seed == 0 {
+		o.Seed = rand.Uint64()
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	d := &Dispatcher{
+		opts:      o,
+		rng:       rand.New(rand.NewPCG(o.Seed, 0)),
+		endpoints: map[string]*endpoint{},
+		pools:     map[string]*pool{},
+		budget:    admission.NewRetryBudget(retryRatio, retryBurst),
+		polling:   map[*endpoint]context.CancelFunc{},
+		ctx:       ctx,
+		stop:      stop,
+	}
+	d.apply(o.Source.View())
+	d.unsubscribe = o.Source.Subscribe(d.apply)
+	return d, nil
+}
+
+// Start begins to poll load reports.
+func (d *Dispatcher) Start() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.started = true
+	for _, e := range d.endpoints {
+		d.poll(e)
+	}
+	d.background.Add(1)
+	go d.tick()
+}
+
+// Stop ends background work and closes idle connections. Requests must have ended before.
+func (d *Dispatcher) Stop() {
+	d.unsubscribe()
+	d.stop()
+	d.background.Wait()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range d.endpoints {
+		e.closeIdle()
+	}
+}
+
+// apply takes over the endpoints of a view.
+func (d *Dispatcher) apply(v configsync.View) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	general := v.General()
+	current := map[string]*endpoint{}
+	blocks := prefixBlocks(len(general.Endpoints))
+	for _, c := range general.Endpoints {
+		if c.Region != d.opts.Region {
+			continue
+		}
+		current[c.Name] = d.adopt(c, blocks)
+	}
+	for name, old := range d.endpoints {
+		if current[name] != old {
+			d.retire(old)
+		}
+	}
+	d.endpoints = current
+	d.group(general)
+	for _, p := range d.pools {
+		d.pump(p)
+	}
+}
+
+// adopt keeps the connections and the load of an endpoint whose address has not changed.
+func (d *Dispatcher) adopt(c config.Endpoint, blocks int) *endpoint {
+	e := d.endpoints[c.Name]
+	if e == nil || e.config.Addr != c.Addr || e.config.Kind != c.Kind {
+		e = newEndpoint(c, d.opts, blocks)
+		if d.started {
+			d.poll(e)
+		}
+		return e
+	}
+	if c.Drain && !e.config.Drain {
+		e.closeIdle()
+	}
+	e.config = withSlots(c)
+	return e
+}
+
+func (d *Dispatcher) retire(e *endpoint) {
+	e.load.gone = true
+	if cancel := d.polling[e]; cancel != nil {
+		cancel()
+		delete(d.polling, e)
+	}
+	e.closeIdle()
+}
+
+// group builds the pools. A pool without endpoints stays while requests wait in it.
+func (d *Dispatcher) group(general *config.Config) {
+	for _, p := range d.pools {
+		p.endpoints = nil
+	}
+	for _, c := range general.Endpoints {
+		e := d.endpoints[c.Name]
+		if e == nil {
+			continue
+		}
+		if e.config.Kind == config.KindService {
+			p := d.pool(servicePrefix + e.config.Service)
+			p.endpoints = append(p.endpoints, e)
+			continue
+		}
+		for _, m := range e.config.Models {
+			p := d.pool(m)
+			p.endpoints = append(p.endpoints, e)
+		}
+	}
+	for name, p := range d.pools {
+		if len(p.endpoints) == 0 && p.queue.Len() == 0 {
+			delete(d.pools, name)
+		}
+	}
+}
+
+func (d *Dispatcher) pool(name string) *pool {
+	p := d.pools[name]
+	if p == nil {
+		p = &pool{queue: fairqueue.New[*waiter](fairqueue.DefaultShares)}
+		d.pools[name] = p
+	}
+	return p
+}
+
+// tickInterval is how often waiting requests are looked at even if nothing is reported: for leaving endpoints, ended
+// ejections and requests that have waited too long.
+const tickInterval = 200 * time.Millisecond
+
+func (d *Dispatcher) tick() {
+	defer d.background.Done()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-ticker.C:
+			d.maintain()
+		}
+	}
+}
+
+func (d *Dispatcher) maintain() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range d.endpoints {
+		if !d.takesWork(e) {
+			e.closeIdle()
+		}
+	}
+	for _, p := range d.pools {
+		d.pump(p)
+	}
+}
+
+// takesWork reports whether new work may go to an endpoint. The caller holds d.mu.
+func (d *Dispatcher) takesWork(e *endpoint) bool {
+	if e.load.gone || e.config.Drain {
+		return false
+	}
+	return d.opts.States == nil || !d.opts.States.Leaving(e.config.Name)
+}
+
+// Serves reports whether an endpoint of this region takes new work of the model.
+func (d *Dispatcher) Serves(model string) bool { return d.serves(model) }
+
+// ServesService reports whether an endpoint of this region takes new work of the plain service.
+func (d *Dispatcher) ServesService(service string) bool { return d.serves(servicePrefix + service) }
+
+func (d *Dispatcher) serves(name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pools[name]
+	if p == nil {
+		return false
+	}
+	for _, e := range p.endpoints {
+		if d.takesWork(e) {
+			return true
+		}
+	}
+	return false
+}
+
+// spendRetry takes a retry from the budget.
+func (d *Dispatcher) spendRetry() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget.Spend()
+}
--- /dev/null
+++ b/internal/dispatch/endpoint.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/config"
+	"dogwoodknot.example/dogwoodknot/internal/core/routing"
+)
+
+// Prefix blocks remembered for all endpoints together and for one. 256k blocks take about 32 MB.
+const (
+	prefixBudget   = 1 << 18
+	minPrefixBlock = 1 << 10
+	maxPrefixBlock = 1 << 15
+)
+
+// prefixBlocks is the number of prefix blocks remembered for each of n endpoints.
+func prefixBlocks(n int) int {
+	return min(max(prefixBudget/max(n, 1), minPrefixBlock), maxPrefixBlock)
+}
+
+// endpoint is the client of one endpoint. Its connections are plain fields; its load is guarded by Dispatcher.mu.
+type endpoint struct {
+	config config.Endpoint
+	base   string // http://ip:port
+
+	pooled *http.Transport // for requests that may be repeated, resumed or polled
+	single *http.Transport // a new connection for each request, see noRetry
+
+	load load
+}
+
+// load is what is known of an endpoint's work. It is guarded by Dispatcher.mu.
+type load struct {
+	inFlight       int
+	inFlightTokens float64
+	unreported     float64 // tokens sent since the last report
+	foreign        int
+	queuedTokens   float64
+	reportedAt     clock.Instant
+	reported       bool
+	health         routing.Health
+	prefix         *routing.PrefixCache
+	sequence       int64 // of the last cache event
+	gone           bool  // no longer configured
+}
+
+// Default batch depths. A plain service has no batch; its depth only bounds the connections to it.
+const (
+	defaultSlots        = 8
+	defaultServiceSlots = 64
+)
+
+func withSlots(c config.Endpoint) config.Endpoint {
+	switch {
+	case c.Slots > 0:
+	case c.Kind == config.KindService:
+		c.Slots = defaultServiceSlots
+	default:
+		c.Slots = defaultSlots
+	}
+	return c
+}
+
+func newEndpoint(c config.Endpoint, o Options, blocks int) *endpoint {
+	return &endpoint{
+		config: withSlots(c),
+		base:   "http://" + c.Addr,
+		pooled: newTransport(o, false),
+		single: newTransport(o, true),
+		load:   load{prefix: routing.NewPrefixCache(blocks)},
+	}
+}
+
+// maxResponseHeader bounds the header of an endpoint's answer in bytes.
+const maxResponseHeader = 64 << 10
+
+// newTransport returns a transport without proxy, compression and HTTP/2.
+//
+// With noRetry each request has a connection of its own. net/http sends a request again on its own when a reused connection
+// fails before the answer; on a new connection it never does, so a non-idempotent request cannot be sent twice.
+func newTransport(o Options, noRetry bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: o.DialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: conn}, nil
+		},
+		DisableCompression:     true,
+		DisableKeepAlives:      noRetry,
+		MaxIdleConnsPerHost:    64,
+		IdleConnTimeout:        30 * time.Second,
+		MaxResponseHeaderBytes: maxResponseHeader,
+	}
+}
+
+// countedConn knows whether a byte may have left through it.
+type countedConn struct {
+	net.Conn
+	written atomic.Bool
+}
+
+// Write marks the connection before it writes: a failed write may have sent a part.
+func (c *countedConn) Write(p []byte) (int, error) {
+	c.written.Store(true)
+	return c.Conn.Write(p)
+}
+
+// closeIdle ends the connections that no request uses.
+func (e *endpoint) closeIdle() {
+	e.pooled.CloseIdleConnections()
+	e.single.CloseIdleConnections()
+}
--- /dev/null
+++ b/internal/dispatch/options.go
@@ -0,0 +1,109 @@
+// Package dispatch sends requests to endpoints: it chooses the endpoint, queues in front of full engine batches, retries,
+// resumes and cancels.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/configsync"
+	"dogwoodknot.example/dogwoodknot/internal/core/routing"
+)
+
+// EndpointStates tells which endpoints the platform is about to take away.
+type EndpointStates interface {
+	// Leaving reports whether the endpoint of that name is listed as leaving.
+	Leaving(name string) bool
+}
+
+// Options configure a Dispatcher. Zero values of times and sizes stand for the defaults.
+type Options struct {
+	Region     string
+	DataCentre string
+	Source     configsync.Source
+	Clock      clock.Clock
+	Logger     *zap.Logger
+	// States may be nil: no endpoint is then listed as leaving.
+	States EndpointStates
+	Policy routing.Policy
+	// Seed starts the random source of the endpoint choice. 0 takes one from the system.
+	Seed uint64
+
+	// PollInterval is the time between two load reports of an endpoint. With many endpoints it grows, see pollInterval.
+	PollInterval time.Duration
+	// DialTimeout limits a connection to an endpoint.
+	DialTimeout time.Duration
+	// FirstTimeout ends an attempt whose first token does not come, StallTimeout a stream that makes no progress after it.
+	FirstTimeout, StallTimeout time.Duration
+	// ShortWait and LongWait are how long a request of each class may wait for an endpoint.
+	ShortWait, LongWait time.Duration
+	// MaxQueued bounds the number of requests that wait for a model.
+	MaxQueued int
+	// MaxAnswer bounds a plain answer in bytes.
+	MaxAnswer int64
+	// MaxAttempts bounds the number of endpoints that are tried for a request.
+	MaxAttempts int
+}
+
+// Defaults of Options.
+const (
+	defaultPollInterval = 250 * time.Millisecond
+	defaultDialTimeout  = time.Second
+	defaultFirstTimeout = 60 * time.Second
+	defaultStallTimeout = 20 * time.Second
+	defaultShortWait    = 5 * time.Second
+	defaultLongWait     = 60 * time.Second
+	defaultMaxQueued    = 4096
+	defaultMaxAnswer    = 8 << 20
+	defaultMaxAttempts  = 3
+)
+
+// Validate returns all findings, joined.
+func (o Options) Validate() error {
+	var found []error
+	if o.Region == "" {
+		found = append(found, errors.New("dispatch: region is not set"))
+	}
+	if o.Source == nil {
+		found = append(found, errors.New("dispatch: source of the configuration is not set"))
+	}
+	for _, d := range []time.Duration{o.PollInterval, o.DialTimeout, o.FirstTimeout, o.StallTimeout, o.ShortWait, o.LongWait} {
+		if d < 0 {
+			found = append(found, errors.Newf("dispatch: time %v is negative", d))
+		}
+	}
+	return errors.Join(found...)
+}
+
+func (o Options) withDefaults() Options {
+	if o.Clock == nil {
+		o.Clock = clock.Boot{}
+	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Policy == (routing.Policy{}) {
+		o.Policy = routing.DefaultPolicy
+	}
+	o.PollInterval = either(o.PollInterval, defaultPollInterval)
+	o.DialTimeout = either(o.DialTimeout, defaultDialTimeout)
+	o.FirstTimeout = either(o.FirstTimeout, defaultFirstTimeout)
+	o.StallTimeout = either(o.StallTimeout, defaultStallTimeout)
+	o.ShortWait = either(o.ShortWait, defaultShortWait)
+	o.LongWait = either(o.LongWait, defaultLongWait)
+	o.MaxQueued = either(o.MaxQueued, defaultMaxQueued)
+	o.MaxAnswer = either(o.MaxAnswer, defaultMaxAnswer)
+	o.MaxAttempts = either(o.MaxAttempts, defaultMaxAttempts)
+	return o
+}
+
+func either[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/internal/dispatch/poll.go
@@ -0,0 +1,168 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/config"
+)
+
+// pollSpacing bounds the load reports of all endpoints together to about 30 a second: a report takes about 600 bytes with
+// its headers, and control traffic must stay below 21 KB/s.
+const pollSpacing = 33 * time.Millisecond
+
+// pollInterval is the time between two reports of an endpoint.
+func (d *Dispatcher) pollInterval() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(d.opts.PollInterval, time.Duration(len(d.endpoints))*pollSpacing)
+}
+
+// poll begins to read the reports of an engine. The caller holds d.mu.
+func (d *Dispatcher) poll(e *endpoint) {
+	if e.config.Kind == config.KindService || d.polling[e] != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(d.ctx)
+	d.polling[e] = cancel
+	d.background.Add(1)
+	go func() {
+		defer d.background.Done()
+		defer cancel()
+		d.pollLoop(ctx, e)
+	}()
+}
+
+// cachePolls is the number of load reports for each read of the cache events, which arrive late anyway.
+const cachePolls = 4
+
+func (d *Dispatcher) pollLoop(ctx context.Context, e *endpoint) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		d.pollLoad(ctx, e)
+		if n%cachePolls == 0 {
+			d.pollCache(ctx, e)
+		}
+		timer.Reset(d.pollInterval())
+	}
+}
+
+type loadReport struct {
+	Running      int     `json:"running"`
+	Waiting      int     `json:"waiting"`
+	QueuedTokens float64 `json:"queued_tokens"`
+}
+
+func (d *Dispatcher) pollLoad(ctx context.Context, e *endpoint) {
+	d.mu.Lock()
+	before := e.load.inFlight
+	d.mu.Unlock()
+	var r loadReport
+	if err := d.get(ctx, e, "/engine/v1/load", &r); err != nil {
+		return // an endpoint that gives no report is judged by its answers; its old report expires
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	// Own work that began or ended while the report was under way may or may not be in it.
+	own := max(before, e.load.inFlight)
+	e.load.foreign = max(r.Running+r.Waiting-own, 0)
+	e.load.queuedTokens = r.QueuedTokens
+	e.load.unreported = 0
+	e.load.reportedAt = d.opts.Clock.Now()
+	e.load.reported = true
+	for _, p := range d.pools {
+		if p.queue.Len() > 0 {
+			d.pump(p)
+		}
+	}
+}
+
+type cacheReport struct {
+	Sequence int64 `json:"sequence"`
+	Events   []struct {
+		Sequence int64    `json:"sequence"`
+		Kind     string   `json:"kind"`
+		Blocks   []string `json:"blocks"`
+	} `json:"events"`
+}
+
+func (d *Dispatcher) pollCache(ctx context.Context, e *endpoint) {
+	d.mu.Lock()
+	after := e.load.sequence
+	d.mu.Unlock()
+	var r cacheReport
+	if err := d.get(ctx, e, "/engine/v1/cache-events?after="+strconv.FormatInt(after, 10), &r); err != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.applyCache(e, &r)
+}
+
+// applyCache takes over cache events. The caller holds d.mu.
+func (d *Dispatcher) applyCache(e *endpoint, r *cacheReport) {
+	now := d.opts.Clock.Now()
+	if r.Sequence < e.load.sequence {
+		e.load.prefix.Reset() // the endpoint has started again with an empty cache
+		e.load.sequence = 0
+	}
+	for _, ev := range r.Events {
+		if ev.Sequence <= e.load.sequence {
+			continue
+		}
+		if ev.Sequence > e.load.sequence+1 {
+			e.load.prefix.Gap()
+		}
+		e.load.sequence = ev.Sequence
+		blocks := parseBlocks(ev.Blocks)
+		if ev.Kind == "evicted" {
+			e.load.prefix.Evicted(blocks)
+			continue
+		}
+		e.load.prefix.Stored(blocks, now)
+	}
+}
+
+func parseBlocks(hashes []string) []uint64 {
+	out := make([]uint64, 0, len(hashes))
+	for _, h := range hashes {
+		if v, err := strconv.ParseUint(h, 16, 64); err == nil {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// Limits of a report.
+const (
+	reportTimeout = time.Second
+	maxReport     = 1 << 20
+)
+
+func (d *Dispatcher) get(ctx context.Context, e *endpoint, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.base+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := d.send(e.pooled, req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return readStatus(resp)
+	}
+	return json.NewDecoder(io.LimitReader(resp.Body, maxReport)).Decode(into)
+}
--- /dev/null
+++ b/internal/dispatch/queue.go
@@ -0,0 +1,278 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/admission"
+	"dogwoodknot.example/dogwoodknot/internal/core/fairqueue"
+	"dogwoodknot.example/dogwoodknot/internal/core/routing"
+)
+
+// work is what a request is scheduled by.
+type work struct {
+	organisation string
+	weight       float64
+	class        fairqueue.Class
+	prompt       float64 // tokens
+	tokens       float64 // prompt and expected output
+	blocks       []uint64
+	avoid        map[*endpoint]bool // endpoints that failed this request
+}
+
+// waiter is a request in the queue. Exactly one value is sent on ready.
+type waiter struct {
+	work  *work
+	since clock.Instant
+	limit time.Duration
+	ready chan grant
+}
+
+type grant struct {
+	lease *lease
+	err   *Error
+}
+
+// lease is a place in an endpoint's batch.
+type lease struct {
+	endpoint *endpoint
+	pool     *pool
+	tokens   float64
+	since    clock.Instant
+}
+
+// overflowAfter is the wait after which a request goes to an endpoint whose batch is full of other instances' work: their
+// reports lag, and without a limit a busy neighbour could keep this instance out for ever.
+const overflowAfter = time.Second
+
+// allowedWait is how long a request may wait: its class's limit, or less if its deadline is nearer.
+func (d *Dispatcher) allowedWait(ctx context.Context, class fairqueue.Class) time.Duration {
+	allowed := d.opts.ShortWait
+	if class == fairqueue.Long {
+		allowed = d.opts.LongWait
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		allowed = min(allowed, time.Until(deadline))
+	}
+	return allowed
+}
+
+// acquire returns a place at an endpoint, waiting in the fair queue if all batches are full. The error is *Error or comes
+// from the context; no byte has been sent in either case.
+func (d *Dispatcher) acquire(ctx context.Context, poolName string, w *work) (*lease, error) {
+	d.mu.Lock()
+	p := d.pools[poolName]
+	if p == nil || len(p.endpoints) == 0 {
+		d.mu.Unlock()
+		return nil, noEndpoint("no endpoint of this region serves the request")
+	}
+	now := d.opts.Clock.Now()
+	if p.queue.Len() == 0 {
+		if l := d.place(p, w, now, false); l != nil {
+			d.mu.Unlock()
+			return l, nil
+		}
+	}
+	allowed := d.allowedWait(ctx, w.class)
+	if err := d.mayWait(p, w, now, allowed); err != nil {
+		d.mu.Unlock()
+		return nil, err
+	}
+	wt := &waiter{work: w, since: now, limit: allowed, ready: make(chan grant, 1)}
+	item := &fairqueue.Item[*waiter]{
+		Organisation: w.organisation, Weight: w.weight, Class: w.class, Tokens: w.tokens, Value: wt,
+	}
+	p.drain.Busy(now)
+	p.queue.Push(item)
+	d.mu.Unlock()
+	return d.await(ctx, p, item)
+}
+
+// mayWait refuses a request that would wait longer than it may.
+func (d *Dispatcher) mayWait(p *pool, w *work, now clock.Instant, allowed time.Duration) error {
+	usable := false
+	for _, e := range p.endpoints {
+		usable = usable || d.takesWork(e)
+	}
+	if !usable {
+		return noEndpoint("all endpoints for the request are leaving")
+	}
+	if p.queue.Len() >= d.opts.MaxQueued {
+		return overloaded("too many requests wait for the model", time.Second)
+	}
+	wait, known := d.wait(p, w, now)
+	if dec := admission.Decide(wait, known, allowed); !dec.Admit {
+		return overloaded("the request would wait longer than it may", dec.RetryAfter)
+	}
+	return nil
+}
+
+func (d *Dispatcher) wait(p *pool, w *work, now clock.Instant) (time.Duration, bool) {
+	if p.queue.Len() == 0 {
+		return 0, false
+	}
+	return p.drain.Wait(now, p.queue.Ahead(w.organisation, w.weight, w.class, w.tokens))
+}
+
+func (d *Dispatcher) await(ctx context.Context, p *pool, item *fairqueue.Item[*waiter]) (*lease, error) {
+	wt := item.Value
+	timer := time.NewTimer(wt.limit)
+	defer timer.Stop()
+	var err error
+	select {
+	case g := <-wt.ready:
+		return g.result()
+	case <-timer.C:
+		err = overloaded("no endpoint was free in time", time.Second)
+	case <-ctx.Done():
+		err = context.Cause(ctx)
+	}
+	d.mu.Lock()
+	waiting := p.queue.Remove(item)
+	d.settleDrain(p)
+	d.mu.Unlock()
+	if waiting {
+		return nil, err
+	}
+	// The place was given at the same moment.
+	l, granted := (<-wt.ready).result()
+	if granted != nil {
+		return nil, granted
+	}
+	d.release(l)
+	return nil, err
+}
+
+func (g grant) result() (*lease, error) {
+	if g.err != nil {
+		return nil, g.err
+	}
+	return g.lease, nil
+}
+
+// pump gives free places to waiting requests in the queue's order. The caller holds d.mu.
+func (d *Dispatcher) pump(p *pool) {
+	now := d.opts.Clock.Now()
+	for {
+		item := p.queue.Peek()
+		if item == nil {
+			break
+		}
+		wt := item.Value
+		l := d.place(p, wt.work, now, now.Sub(wt.since) > overflowAfter)
+		if l == nil {
+			break
+		}
+		p.queue.Pop()
+		p.drain.Drained(now, item.Tokens)
+		wt.ready <- grant{lease: l}
+	}
+	d.settleDrain(p)
+}
+
+func (d *Dispatcher) settleDrain(p *pool) {
+	if p.queue.Len() == 0 {
+		p.drain.Idle(d.opts.Clock.Now())
+	}
+}
+
+// place takes a place for the work, or returns nil. With overflow, batches that are full of other instances' work count as
+// free. The caller holds d.mu.
+func (d *Dispatcher) place(p *pool, w *work, now clock.Instant, overflow bool) *lease {
+	var open []*endpoint
+	var health []*routing.Health
+	for _, e := range p.endpoints {
+		if d.takesWork(e) {
+			open = append(open, e)
+			health = append(health, &e.load.health)
+		}
+	}
+	ejected := routing.Ejected(health, now)
+	slowness := routing.Slowness(health)
+	cands := make([]routing.Candidate, len(open))
+	for i, e := range open {
+		cands[i] = d.candidate(e, w, now, overflow)
+		cands[i].Ejected = ejected[i]
+		cands[i].Slowness = slowness[i]
+	}
+	i := d.opts.Policy.Choose(cands, w.prompt, false, d.rng)
+	if i < 0 {
+		return nil
+	}
+	e := open[i]
+	e.load.inFlight++
+	e.load.inFlightTokens += w.tokens
+	e.load.unreported += w.prompt
+	e.load.prefix.Stored(w.blocks, now)
+	return &lease{endpoint: e, pool: p, tokens: w.tokens, since: now}
+}
+
+// otherDataCentre is the cost, in tokens, of an endpoint in another data centre of the region: about 1 ms of prefill.
+const otherDataCentre = 16
+
+func (d *Dispatcher) candidate(e *endpoint, w *work, now clock.Instant, overflow bool) routing.Candidate {
+	c := routing.Candidate{
+		Name:         e.config.Name,
+		Slots:        e.config.Slots,
+		InFlight:     e.load.inFlight,
+		Foreign:      e.load.foreignNow(now),
+		QueuedTokens: e.load.queuedTokens + e.load.unreported,
+		CachedTokens: e.load.prefix.Cached(w.blocks, now),
+		Avoid:        w.avoid[e],
+	}
+	if overflow {
+		c.Foreign = min(c.Foreign, max(c.Slots-c.InFlight-1, 0))
+	}
+	if e.config.DataCentre != d.opts.DataCentre {
+		c.Distance = otherDataCentre
+	}
+	return c
+}
+
+// foreignFor is how long a report of other instances' work is believed without a newer one.
+const foreignFor = 5 * time.Second
+
+func (l *load) foreignNow(now clock.Instant) int {
+	if !l.reported || now.Sub(l.reportedAt) > foreignFor {
+		return 0
+	}
+	return l.foreign
+}
+
+// release gives a place back and lets waiting requests have it.
+func (d *Dispatcher) release(l *lease) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l.endpoint.load.inFlight--
+	l.endpoint.load.inFlightTokens -= l.tokens
+	for _, p := range d.pools {
+		if p.queue.Len() > 0 {
+			d.pump(p)
+		}
+	}
+}
+
+// report records how an attempt at an endpoint went. pace is in seconds per unit of work, 0 if unknown.
+func (d *Dispatcher) report(e *endpoint, ok bool, pace float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ok {
+		e.load.health.Succeeded(pace)
+		return
+	}
+	e.load.health.Failed(d.opts.Clock.Now())
+}
+
+// Wait estimates how long a request would wait here for an endpoint of the model.
+func (d *Dispatcher) Wait(model, organisation string, weight float64, class fairqueue.Class, tokens float64) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pools[model]
+	if p == nil {
+		return 0
+	}
+	w := &work{organisation: organisation, weight: weight, class: class, tokens: tokens}
+	wait, _ := d.wait(p, w, d.opts.Clock.Now())
+	return wait
+}
--- /dev/null
+++ b/internal/dispatch/send.go
@@ -0,0 +1,85 @@
+package dispatch
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+
+	"dogwoodknot.example/dogwoodknot/internal/operations"
+)
+
+// unsentError reports a request of which no byte has left this instance.
+type unsentError struct{ cause error }
+
+func (e *unsentError) Error() string { return "the endpoint was not reached: " + e.cause.Error() }
+
+func (e *unsentError) Unwrap() error { return e.cause }
+
+// send makes one round trip. It follows no redirect, since that would send the request again. An *unsentError means that no
+// byte of the request was written.
+func (d *Dispatcher) send(t *http.Transport, req *http.Request) (*http.Response, error) {
+	var got atomic.Pointer[countedConn]
+	var reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*countedConn); ok {
+			got.Store(c)
+		}
+		reused.Store(info.Reused)
+	}}
+	ctx := httptrace.WithClientTrace(req.Context(), trace)
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	resp, err := t.RoundTrip(req.WithContext(ctx))
+	if err == nil {
+		return resp, nil
+	}
+	// A reused connection has carried earlier requests, so its count says nothing about this one.
+	if c := got.Load(); c == nil || (!reused.Load() && !c.written.Load()) {
+		return nil, &unsentError{err}
+	}
+	return nil, err
+}
+
+// answerHeaders are the headers of an endpoint's answer that reach the caller.
+var answerHeaders = []string{
+	"Content-Type", "Content-Language", "Cache-Control", "Etag", "Last-Modified", "Location", "Retry-After",
+}
+
+var errAnswerTooLarge = errors.New("the endpoint's answer is too large")
+
+// readAnswer reads a whole answer. net/http returns an error if the body ends before its declared length or last chunk.
+// A body without either cannot be told from a cut one and is refused.
+func (d *Dispatcher) readAnswer(resp *http.Response) (*operations.Answer, error) {
+	if resp.ContentLength < 0 && !chunked(resp) && mayHaveBody(resp) {
+		return nil, errors.New("the endpoint's answer has no length")
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, d.opts.MaxAnswer+1))
+	if err != nil {
+		return nil, &brokenError{err}
+	}
+	if int64(len(body)) > d.opts.MaxAnswer {
+		return nil, errAnswerTooLarge
+	}
+	a := &operations.Answer{Status: resp.StatusCode, Header: http.Header{}, Body: body}
+	for _, name := range answerHeaders {
+		if v := resp.Header.Get(name); v != "" {
+			a.Header.Set(name, v)
+		}
+	}
+	a.Header.Set("Content-Length", strconv.Itoa(len(body)))
+	return a, nil
+}
+
+func chunked(resp *http.Response) bool {
+	return len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
+}
+
+func mayHaveBody(resp *http.Response) bool {
+	return resp.Request.Method != http.MethodHead && resp.StatusCode != http.StatusNoContent &&
+		resp.StatusCode != http.StatusNotModified
+}
--- /dev/null
+++ b/internal/gateway/auth.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/config"
+	"dogwoodknot.example/dogwoodknot/internal/configsync"
+	"dogwoodknot.example/dogwoodknot/internal/core/residency"
+)
+
+// newerKeyRetry is when a caller may come back whose key was issued at a revision that this instance has not seen: a
+// revision is in force everywhere within 7 s.
+const newerKeyRetry = 2 * time.Second
+
+// presentedKey returns the key in the Authorization header, or an empty string.
+func presentedKey(h http.Header) (string, *apiError) {
+	values := h.Values("Authorization")
+	switch len(values) {
+	case 0:
+		return "", nil
+	case 1:
+	default:
+		return "", refuse(http.StatusBadRequest, "invalid_header", "more than one Authorization header")
+	}
+	scheme, key, ok := strings.Cut(values[0], " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") {
+		return "", refuse(http.StatusUnauthorized, "invalid_api_key", "the Authorization header holds no bearer key")
+	}
+	return strings.TrimSpace(key), nil
+}
+
+// secretOf returns the secret part of a key, or the whole if it has another form.
+func secretOf(key string) string {
+	if parts := strings.SplitN(key, "_", 3); len(parts) == 3 && parts[2] != "" {
+		return parts[2]
+	}
+	return key
+}
+
+// authenticate checks the caller's key against the view in force.
+func authenticate(v configsync.View, h http.Header) (org *config.Organisation, id, secret string, err *apiError) {
+	key, err := presentedKey(h)
+	if err != nil {
+		return nil, "", "", err
+	}
+	if key == "" {
+		return nil, "", "", refuse(http.StatusUnauthorized, "missing_api_key", "the request has no key")
+	}
+	org, id, status := v.Authenticate(key)
+	switch status {
+	case configsync.KeyValid:
+		return org, id, secretOf(key), nil
+	case configsync.KeyWithdrawn:
+		return nil, "", "", refuse(http.StatusUnauthorized, "key_withdrawn", "the key was withdrawn")
+	case configsync.KeyNewer:
+		return nil, "", "", refuse(http.StatusServiceUnavailable, "key_not_yet_known",
+			"the key is newer than this instance's configuration").after(newerKeyRetry)
+	}
+	return nil, "", "", refuse(http.StatusUnauthorized, "invalid_api_key", "the key is not known")
+}
+
+// resident checks that the organisation's request may be handled in this region.
+func (g *Gateway) resident(org *config.Organisation, homeBound bool) (residency.Decision, *apiError) {
+	r := residency.Request{Here: g.opts.Region, HomeBoundService: homeBound}
+	name := ""
+	if org != nil {
+		r.Home, name = org.Home, org.Name
+	}
+	d := residency.Decide(r)
+	if d.Serve {
+		return d, nil
+	}
+	err := refuse(http.StatusMisdirectedRequest, "wrong_region",
+		"the organisation's data stays in region "+d.Region+"; use one of its entries")
+	if g.opts.Entries != nil {
+		err.Entries, _ = g.opts.Entries.Entries(name, d.Region)
+	}
+	return d, err
+}
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodknot.example/dogwoodknot/internal/config"
+	"dogwoodknot.example/dogwoodknot/internal/configsync"
+	"dogwoodknot.example/dogwoodknot/internal/core/residency"
+	"dogwoodknot.example/dogwoodknot/internal/dispatch"
+	"dogwoodknot.example/dogwoodknot/internal/limits"
+)
+
+// call is one request with what was found out about it.
+type call struct {
+	g         *Gateway
+	id        string
+	view      configsync.View
+	org       *config.Organisation // nil on an open route
+	keyID     string
+	secret    string
+	homeBound bool   // the service keeps its requests in the region
+	from      string // region that forwarded the request, empty for a caller's own
+	cross     bool   // may go to another region
+
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+
+	charge  limits.Charge
+	charged bool
+	// mustFinish is set once a non-idempotent request may have reached an endpoint: ending it then would only lose its answer.
+	mustFinish atomic.Bool
+}
+
+// permitted checks a view against what the call rests on: key, organisation and home.
+func (c *call) permitted(v configsync.View) *apiError {
+	if c.org == nil {
+		return nil
+	}
+	if c.keyID != "" && v.KeyWithdrawn(c.keyID) {
+		return errKeyWithdrawn
+	}
+	org := v.Organisation(c.org.Name)
+	if org == nil {
+		return errKeyWithdrawn
+	}
+	r := residency.Request{Home: org.Home, Here: c.g.opts.Region, From: c.from, HomeBoundService: c.homeBound}
+	if !residency.Decide(r).Serve {
+		return errMoved
+	}
+	return nil
+}
+
+// begin gives the call a context that ends with the caller, the deadline, or a withdrawn key.
+func (c *call) begin(parent context.Context, limit time.Duration) (end func(), err *apiError) {
+	ctx, cancel := context.WithCancelCause(parent)
+	ctx, stop := context.WithTimeout(ctx, limit)
+	c.ctx, c.cancel = ctx, cancel
+	unregister, err := c.g.register(c)
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	return func() { unregister(); stop() }, nil
+}
+
+// admit charges the request.
+func (c *call) admit(tokens int64) *apiError {
+	if c.org == nil {
+		return nil
+	}
+	charge, err := c.g.opts.Limiter.Admit(c.ctx, c.org.Name, tokens)
+	if err == nil {
+		c.charge, c.charged = charge, true
+		return nil
+	}
+	var refused *limits.RefusedError
+	if errors.As(err, &refused) {
+		return refuse(http.StatusTooManyRequests, "rate_limit_exceeded", refused.Error()).after(max(refused.RetryAfter, time.Second))
+	}
+	if cause := context.Cause(c.ctx); cause != nil {
+		return c.ended(cause)
+	}
+	return refuse(http.StatusServiceUnavailable, "admission_failed", "the request could not be charged").after(time.Second)
+}
+
+// ended describes a call that ended before anything was sent.
+func (c *call) ended(cause error) *apiError {
+	var e *dispatch.Error
+	if errors.As(cause, &e) {
+		return &apiError{failure: *e}
+	}
+	return refuse(http.StatusServiceUnavailable, dispatch.CodeTimeout, "the request's time has run out").after(time.Second)
+}
+
+// settle replaces the charge by the real use. It must be called once after admit.
+func (c *call) settle(used int64) {
+	if c.charged {
+		c.g.opts.Limiter.Settle(c.charge, used)
+		c.charged = false
+	}
+}
+
+// beforeSend checks, right before the first byte leaves, what may have changed while the request waited or the process was
+// paused. The error ends the request as not sent.
+func (c *call) beforeSend() error {
+	if err := c.permitted(c.g.opts.Source.View()); err != nil {
+		return &err.failure
+	}
+	if !c.charged || c.g.opts.Limiter.StillValid(c.charge) {
+		return nil
+	}
+	// The shares are gone. The request is charged again from those held now.
+	tokens := c.charge.Tokens
+	c.settle(0)
+	if err := c.admit(tokens); err != nil {
+		return &err.failure
+	}
+	if c.g.opts.Limiter.StillValid(c.charge) {
+		return nil
+	}
+	return &refuse(http.StatusServiceUnavailable, "admission_failed", "the request's charge has lapsed").after(time.Second).failure
+}
+
+func (c *call) weight() float64 {
+	if c.org == nil {
+		return 1
+	}
+	return c.org.Weight
+}
+
+func (c *call) organisation() string {
+	if c.org == nil {
+		return ""
+	}
+	return c.org.Name
+}
--- /dev/null
+++ b/internal/gateway/forward.go
@@ -0,0 +1,418 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodknot.example/dogwoodknot/internal/core/fairqueue"
+	"dogwoodknot.example/dogwoodknot/internal/dispatch"
+	"dogwoodknot.example/dogwoodknot/internal/operations"
+	"dogwoodknot.example/dogwoodknot/internal/peer"
+	"dogwoodknot.example/dogwoodknot/internal/wire"
+)
+
+// forwardService is the name under which an instance takes requests of another region's callers.
+const forwardService = "forward"
+
+// bodyPart is the size of the parts that bodies are sent in.
+const bodyPart = 32 << 10
+
+// answerSink takes the parts of a forwarded request's answer.
+type answerSink struct {
+	head  func(*wire.ForwardAnswerHead) error
+	body  func([]byte) error
+	event func([]byte) error
+}
+
+// forward sends a request to an instance of another region and passes its answer to sink. It returns the end mark of a whole
+// answer, or *dispatch.Error. Nothing is sent twice.
+func (g *Gateway) forward(c *call, instance string, head *wire.ForwardHead, body []byte, check func() error, sink answerSink) (*wire.ForwardEnd, error) {
+	head.Organisation, head.KeyId, head.RequestId = c.organisation(), c.keyID, c.id
+	head.BodyBytes, head.Revision = int64(len(body)), c.view.Revision()
+	s, err := g.opts.Network.Open(c.ctx, instance, forwardService)
+	if err != nil {
+		return nil, g.forwardError(c, err, operations.NotRun)
+	}
+	defer s.Close()
+	if check != nil {
+		if err := check(); err != nil {
+			return nil, err
+		}
+	}
+	// Only the peer can say that a request it was sent has not run.
+	if err := sendRequest(s, head, body); err != nil {
+		// A peer that declines ends the stream while the body is still being sent. Its answer tells more than the error.
+		if end, answered := declined(s); answered {
+			return nil, endError(end)
+		}
+		return nil, g.forwardError(c, err, unsentOr(err))
+	}
+	return g.receive(c, s, sink)
+}
+
+func unsentOr(err error) operations.Execution {
+	if errors.Is(err, peer.ErrNotSent) {
+		return operations.NotRun
+	}
+	return operations.Unknown
+}
+
+func sendRequest(s peer.Stream, head *wire.ForwardHead, body []byte) error {
+	if err := s.Send(&wire.ForwardRequest{Part: &wire.ForwardRequest_Head{Head: head}}); err != nil {
+		return err
+	}
+	for len(body) > 0 {
+		n := min(len(body), bodyPart)
+		if err := s.Send(&wire.ForwardRequest{Part: &wire.ForwardRequest_Body{Body: body[:n]}}); err != nil {
+			return err
+		}
+		body = body[n:]
+	}
+	return s.CloseSend()
+}
+
+// declined reads the end that a peer sent instead of taking the whole request.
+func declined(s peer.Stream) (*wire.ForwardEnd, bool) {
+	var m wire.ForwardResponse
+	if s.Recv(&m) != nil || m.GetEnd() == nil || m.GetEnd().Code == "" {
+		return nil, false
+	}
+	return m.GetEnd(), true
+}
+
+// receive reads an answer until its end.
+func (g *Gateway) receive(c *call, s peer.Stream, sink answerSink) (*wire.ForwardEnd, error) {
+	for {
+		var m wire.ForwardResponse
+		if err := s.Recv(&m); err != nil {
+			return nil, g.forwardError(c, err, operations.Unknown)
+		}
+		var err error
+		switch part := m.Part.(type) {
+		case *wire.ForwardResponse_Head:
+			err = call1(sink.head, part.Head)
+		case *wire.ForwardResponse_Body:
+			err = call1(sink.body, part.Body)
+		case *wire.ForwardResponse_Event:
+			err = call1(sink.event, part.Event)
+		case *wire.ForwardResponse_End:
+			if part.End.Code != "" {
+				return nil, endError(part.End)
+			}
+			return part.End, nil
+		}
+		if err != nil {
+			return nil, g.forwardError(c, err, operations.Unknown)
+		}
+	}
+}
+
+var errUnexpectedPart = errors.New("the peer's answer has another form than the request asks for")
+
+func call1[T any](f func(T) error, v T) error {
+	if f == nil {
+		return errUnexpectedPart
+	}
+	return f(v)
+}
+
+// forwardError describes a failed exchange with a peer.
+func (g *Gateway) forwardError(c *call, err error, ex operations.Execution) error {
+	var e *dispatch.Error
+	if cause := context.Cause(c.ctx); errors.As(cause, &e) || errors.As(err, &e) {
+		out := *e
+		out.Execution = ex
+		return &out
+	}
+	status := http.StatusBadGateway
+	if ex == operations.NotRun {
+		status = http.StatusServiceUnavailable
+	}
+	return &dispatch.Error{
+		Status: status, Code: "region_unreachable", Message: "the other region gave no complete answer", RetryAfter: time.Second,
+		Execution: ex,
+	}
+}
+
+// endError turns a peer's refusal into an error. A status that is no HTTP error is replaced.
+func endError(end *wire.ForwardEnd) error {
+	ex := operations.Execution(end.Execution)
+	if ex != operations.NotRun && ex != operations.Ran {
+		ex = operations.Unknown
+	}
+	status := int(end.Status)
+	if status < http.StatusBadRequest || status > 599 {
+		status = http.StatusBadGateway
+	}
+	return &dispatch.Error{
+		Status: status, Code: end.Code, Message: end.Message, RetryAfter: time.Duration(end.RetryAfterNanos), Execution: ex,
+	}
+}
+
+func modelHead(mc *dispatch.ModelCall, stream bool) *wire.ForwardHead {
+	return &wire.ForwardHead{Method: http.MethodPost, Path: mc.Path, Model: &wire.ModelCall{
+		Model: mc.Model, Stream: stream, PromptTokens: mc.PromptTokens, MaxTokens: mc.MaxTokens,
+		Long: mc.Class == fairqueue.Long, Blocks: mc.Blocks, SingleChoice: mc.Progress.SingleChoice,
+	}}
+}
+
+func (g *Gateway) forwardStream(c *call, instance string, mc *dispatch.ModelCall, sink func([]byte) error) error {
+	if err := mc.Progress.Begin(); err != nil {
+		return err
+	}
+	_, err := g.forward(c, instance, modelHead(mc, true), mc.Body, mc.BeforeSend, answerSink{event: func(data []byte) error {
+		out, err := mc.Progress.Accept(data)
+		if err != nil || out == nil {
+			return err
+		}
+		return sink(out)
+	}})
+	return err
+}
+
+func (g *Gateway) forwardPlain(c *call, instance string, mc *dispatch.ModelCall) (*operations.Answer, dispatch.Usage, error) {
+	a, end, err := g.forwardWhole(c, instance, modelHead(mc, false), mc.Body, mc.BeforeSend)
+	if err != nil {
+		return nil, dispatch.Usage{}, err
+	}
+	return a, dispatch.Usage{PromptTokens: end.PromptTokens, OutputTokens: end.OutputTokens, Known: end.UsageKnown}, nil
+}
+
+func (g *Gateway) forwardService(c *call, instance, route string, sc *dispatch.ServiceCall) (*operations.Answer, operations.Execution, error) {
+	head := &wire.ForwardHead{
+		Route: route, Method: sc.Method, Path: sc.Path, ContentType: sc.ContentType, Accept: sc.Accept,
+	}
+	a, _, err := g.forwardWhole(c, instance, head, sc.Body, sc.BeforeSend)
+	if err != nil {
+		return nil, asAPIError(err).Execution, err
+	}
+	return a, operations.Ran, nil
+}
+
+// maxForwardedAnswer bounds a plain answer of another region in bytes.
+const maxForwardedAnswer = 8 << 20
+
+// forwardWhole forwards a request and collects a plain answer.
+func (g *Gateway) forwardWhole(c *call, instance string, head *wire.ForwardHead, body []byte, check func() error) (*operations.Answer, *wire.ForwardEnd, error) {
+	var a *operations.Answer
+	sink := answerSink{
+		head: func(h *wire.ForwardAnswerHead) error {
+			a = &operations.Answer{Status: int(h.Status), Header: http.Header{}}
+			for _, kv := range h.Headers {
+				a.Header.Add(kv.Name, kv.Value)
+			}
+			return nil
+		},
+		body: func(part []byte) error {
+			if a == nil || len(a.Body)+len(part) > maxForwardedAnswer {
+				return errUnexpectedPart
+			}
+			a.Body = append(a.Body, part...)
+			return nil
+		},
+	}
+	end, err := g.forward(c, instance, head, body, check, sink)
+	if err == nil && a == nil {
+		err = g.forwardError(c, errUnexpectedPart, operations.Unknown)
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	return a, end, nil
+}
+
+// serveForward serves a request of another region's caller at endpoints of this region. It never passes it on.
+func (g *Gateway) serveForward(ctx context.Context, from peer.Identity, s peer.Stream) error {
+	g.forwards.add()
+	defer g.forwards.done()
+	end, err := g.takeForward(ctx, from, s)
+	if err != nil {
+		e := asAPIError(err)
+		end = &wire.ForwardEnd{
+			Execution: string(e.Execution), Status: int32(e.Status), Code: either(e.Code, "failed"), Message: e.Message,
+			RetryAfterNanos: int64(e.RetryAfter),
+		}
+	}
+	if err := s.Send(&wire.ForwardResponse{Part: &wire.ForwardResponse_End{End: end}}); err != nil {
+		return err
+	}
+	return s.CloseSend()
+}
+
+func (g *Gateway) takeForward(ctx context.Context, from peer.Identity, s peer.Stream) (*wire.ForwardEnd, error) {
+	var m wire.ForwardRequest
+	if err := s.Recv(&m); err != nil {
+		return nil, refuse(http.StatusBadRequest, "invalid_forward", "the request has no head")
+	}
+	head := m.GetHead()
+	if head == nil {
+		return nil, refuse(http.StatusBadRequest, "invalid_forward", "the request has no head")
+	}
+	c, limit, deadline, err := g.acceptForward(from, head)
+	if err != nil {
+		return nil, err
+	}
+	if head.BodyBytes < 0 || head.BodyBytes > limit {
+		return nil, tooLarge()
+	}
+	if !g.bodies.TryAcquire(head.BodyBytes) {
+		return nil, refuse(http.StatusServiceUnavailable, "overloaded", "too many requests are being read").after(time.Second)
+	}
+	defer g.bodies.Release(head.BodyBytes)
+	body, err := receiveBody(s, head.BodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	end, err := c.begin(ctx, deadline)
+	if err != nil {
+		return nil, err
+	}
+	defer end()
+	if head.Model != nil {
+		return g.runForwardedModel(c, head, body, s)
+	}
+	return g.runForwardedService(c, head, body, s)
+}
+
+// acceptForward checks a head against this instance's own view.
+func (g *Gateway) acceptForward(from peer.Identity, head *wire.ForwardHead) (c *call, limit int64, deadline time.Duration, err *apiError) {
+	if g.draining.Load() {
+		return nil, 0, 0, refuse(http.StatusServiceUnavailable, "declined", "the instance is stopping").after(time.Second)
+	}
+	v := g.opts.Source.View()
+	c = &call{g: g, id: newID(), view: v, keyID: head.KeyId, from: from.Region}
+	limit, deadline = g.opts.MaxModelBody, g.opts.ModelDeadline
+	open := false
+	if head.Model == nil {
+		route := findRoute(v.General(), head.Route)
+		if route == nil || route.Method != head.Method {
+			return nil, 0, 0, refuse(http.StatusServiceUnavailable, "declined", "the route is not known here").after(newerKeyRetry)
+		}
+		service := findService(v.General(), route.Service)
+		c.homeBound, open = service != nil && service.HomeBound, route.Open
+		limit, deadline = either(route.BodyLimit, g.opts.MaxServiceBody), either(route.Deadline, g.opts.ServiceDeadline)
+	}
+	if !open {
+		c.org = v.Organisation(head.Organisation)
+		if c.org == nil || head.KeyId == "" {
+			return nil, 0, 0, refuse(http.StatusServiceUnavailable, "declined", "the organisation is not known here").after(newerKeyRetry)
+		}
+	}
+	if c.homeBound && from.Region != g.opts.Region {
+		return nil, 0, 0, errMoved
+	}
+	if err := c.permitted(v); err != nil {
+		return nil, 0, 0, err
+	}
+	return c, limit, deadline, nil
+}
+
+func receiveBody(s peer.Stream, size int64) ([]byte, *apiError) {
+	incomplete := refuse(http.StatusBadRequest, "body_incomplete", "the forwarded body is not whole")
+	body := make([]byte, 0, size)
+	for {
+		var m wire.ForwardRequest
+		err := s.Recv(&m)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil || int64(len(body)+len(m.GetBody())) > size {
+			return nil, incomplete
+		}
+		body = append(body, m.GetBody()...)
+	}
+	if int64(len(body)) != size {
+		return nil, incomplete
+	}
+	return body, nil
+}
+
+func (g *Gateway) runForwardedModel(c *call, head *wire.ForwardHead, body []byte, s peer.Stream) (*wire.ForwardEnd, error) {
+	m := findModel(c.view.General(), head.Model.Model)
+	if m == nil || !g.opts.Dispatcher.Serves(m.Name) {
+		return nil, refuse(http.StatusServiceUnavailable, "declined", "no endpoint here serves the model").after(time.Second)
+	}
+	if head.Path != modelPaths[chatCompletion] && head.Path != modelPaths[textCompletion] {
+		return nil, refuse(http.StatusBadRequest, "invalid_forward", "the path is no model path")
+	}
+	mc := &dispatch.ModelCall{
+		ID: c.id, Organisation: c.org.Name, Weight: c.org.Weight, Model: m.Name, Path: head.Path, Body: body,
+		PromptTokens: head.Model.PromptTokens, MaxTokens: head.Model.MaxTokens, Blocks: head.Model.Blocks,
+		Class: fairqueue.Short, BeforeSend: c.beforeSend,
+		Progress: &dispatch.Progress{SingleChoice: head.Model.SingleChoice},
+	}
+	if head.Model.Long {
+		mc.Class = fairqueue.Long
+	}
+	if !head.Model.Stream {
+		a, usage, err := g.opts.Dispatcher.Plain(c.ctx, mc)
+		if err != nil {
+			return nil, err
+		}
+		return sendWhole(s, a, usage)
+	}
+	err := g.opts.Dispatcher.Stream(c.ctx, mc, func(data []byte) error {
+		return s.Send(&wire.ForwardResponse{Part: &wire.ForwardResponse_Event{Event: data}})
+	})
+	if err != nil {
+		return nil, err
+	}
+	p := mc.Progress
+	return ran(dispatch.Usage{PromptTokens: p.PromptTokens, OutputTokens: p.OutputTokens, Known: p.UsageKnown}), nil
+}
+
+func (g *Gateway) runForwardedService(c *call, head *wire.ForwardHead, body []byte, s peer.Stream) (*wire.ForwardEnd, error) {
+	route := findRoute(c.view.General(), head.Route)
+	sc := &dispatch.ServiceCall{
+		ID: c.id, Organisation: c.organisation(), Weight: c.weight(), Service: route.Service, Method: head.Method,
+		Path: head.Path, ContentType: head.ContentType, Accept: head.Accept, Body: body, Idempotent: route.Idempotent,
+		BeforeSend: c.beforeSend,
+	}
+	if !sc.Idempotent {
+		sc.BeforeSend = c.beforeOnlySend
+	}
+	a, _, err := g.opts.Dispatcher.Call(c.ctx, sc)
+	if err != nil {
+		return nil, err
+	}
+	return sendWhole(s, a, dispatch.Usage{})
+}
+
+func ran(u dispatch.Usage) *wire.ForwardEnd {
+	return &wire.ForwardEnd{
+		Execution: string(operations.Ran), PromptTokens: u.PromptTokens, OutputTokens: u.OutputTokens, UsageKnown: u.Known,
+	}
+}
+
+// sendWhole sends a plain answer and returns its end mark.
+func sendWhole(s peer.Stream, a *operations.Answer, u dispatch.Usage) (*wire.ForwardEnd, error) {
+	head := &wire.ForwardAnswerHead{Status: int32(a.Status)}
+	for name, values := range a.Header {
+		for _, v := range values {
+			head.Headers = append(head.Headers, &wire.ForwardHeader{Name: name, Value: v})
+		}
+	}
+	if err := s.Send(&wire.ForwardResponse{Part: &wire.ForwardResponse_Head{Head: head}}); err != nil {
+		return nil, sendFailed(err)
+	}
+	for body := a.Body; len(body) > 0; {
+		n := min(len(body), bodyPart)
+		if err := s.Send(&wire.ForwardResponse{Part: &wire.ForwardResponse_Body{Body: body[:n]}}); err != nil {
+			return nil, sendFailed(err)
+		}
+		body = body[n:]
+	}
+	return ran(u), nil
+}
+
+func sendFailed(err error) error {
+	return &dispatch.Error{
+		Status: http.StatusBadGateway, Code: "answer_not_delivered", Message: "the answer could not be sent back: " + strconv.Quote(err.Error()),
+		Execution: operations.Ran,
+	}
+}
--- /dev/null
+++ b/internal/gateway/model.go
@@ -0,0 +1,318 @@
+package gateway
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodknot.example/dogwoodknot/internal/config"
+	"dogwoodknot.example/dogwoodknot/internal/core/fairqueue"
+	"dogwoodknot.example/dogwoodknot/internal/core/routing"
+	"dogwoodknot.example/dogwoodknot/internal/dispatch"
+	"dogwoodknot.example/dogwoodknot/internal/operations"
+)
+
+// maxPromptBlocks bounds the prefix blocks of a prompt that are looked up: 32,768 tokens.
+const maxPromptBlocks = 512
+
+// defaultLongPrompt is the prompt size in tokens from which a request is long work.
+const defaultLongPrompt = 2000
+
+// modelHandler answers the requests of one kind. The order of its steps matters: key and residency come before the body,
+// everything that can refuse comes before the charge.
+func (g *Gateway) modelHandler(kind modelKind) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c, err := g.identify(r, false)
+		if err != nil {
+			refuseUnread(w, r, err)
+			return
+		}
+		body, release, err := g.readBody(w, r, g.opts.MaxModelBody)
+		if err != nil {
+			refuseUnread(w, r, err)
+			return
+		}
+		defer release()
+		if err := c.checkSecret(r, body); err != nil {
+			err.writeTo(w)
+			return
+		}
+		req, err := parseModelRequest(kind, body)
+		if err != nil {
+			err.writeTo(w)
+			return
+		}
+		end, err := c.begin(r.Context(), g.opts.ModelDeadline)
+		if err != nil {
+			err.writeTo(w)
+			return
+		}
+		defer end()
+		if err := g.serveModel(w, c, kind, req); err != nil {
+			err.writeTo(w)
+		}
+	}
+}
+
+// identify checks key and residency of a keyed request.
+func (g *Gateway) identify(r *http.Request, homeBound bool) (*call, *apiError) {
+	v := g.opts.Source.View()
+	org, keyID, secret, err := authenticate(v, r.Header)
+	if err != nil {
+		return nil, err
+	}
+	d, err := g.resident(org, homeBound)
+	if err != nil {
+		return nil, err
+	}
+	return &call{
+		g: g, id: requestID(r.Context()), view: v, org: org, keyID: keyID, secret: secret, homeBound: homeBound, cross: d.Cross,
+	}, nil
+}
+
+// checkSecret refuses a request that would pass the caller's secret on.
+func (c *call) checkSecret(r *http.Request, body []byte) *apiError {
+	parts := [][]byte{
+		body, []byte(r.URL.EscapedPath()), []byte(r.URL.RawQuery), []byte(r.Header.Get("Content-Type")),
+		[]byte(r.Header.Get("Accept")),
+	}
+	for _, p := range parts {
+		if containsSecret(p, c.secret) {
+			return refuse(http.StatusBadRequest, "secret_in_request", "the request contains the secret of its own key")
+		}
+	}
+	return nil
+}
+
+// serveModel answers a parsed request. It returns an error only if no part of an answer was sent.
+func (g *Gateway) serveModel(w http.ResponseWriter, c *call, kind modelKind, req *modelRequest) *apiError {
+	m := findModel(c.view.General(), req.Model)
+	if m == nil || !mayUse(c.org, req.Model) {
+		return refuse(http.StatusNotFound, "model_not_found", "the model "+strconv.Quote(req.Model)+" does not exist").param("model")
+	}
+	if err := req.limit(m); err != nil {
+		return err
+	}
+	body, err := req.encode(rand.Int64N(1 << 31))
+	if err != nil {
+		return err
+	}
+	mc := &dispatch.ModelCall{
+		ID: c.id, Organisation: c.org.Name, Weight: c.org.Weight, Model: req.Model, Path: modelPaths[kind], Body: body,
+		PromptTokens: req.PromptTokens, MaxTokens: req.Choices * req.MaxTokens, Blocks: routing.Blocks(req.Prompt, maxPromptBlocks),
+		Class: classOf(m, req.PromptTokens), BeforeSend: c.beforeSend,
+		Progress: &dispatch.Progress{SingleChoice: req.Choices == 1},
+	}
+	if err := c.admit(req.charge()); err != nil {
+		return err
+	}
+	if req.Stream {
+		return g.streamModel(w, c, mc, req.IncludeUsage)
+	}
+	return g.plainModel(w, c, mc)
+}
+
+func classOf(m *config.Model, promptTokens int64) fairqueue.Class {
+	if promptTokens >= int64(either(m.LongPromptTokens, defaultLongPrompt)) {
+		return fairqueue.Long
+	}
+	return fairqueue.Short
+}
+
+// plainModel answers with one JSON object.
+func (g *Gateway) plainModel(w http.ResponseWriter, c *call, mc *dispatch.ModelCall) *apiError {
+	begun := g.opts.Clock.Now()
+	a, usage, err := g.runPlain(c, mc)
+	if err != nil {
+		e := asAPIError(err)
+		c.settle(usedByFailed(e.Execution, mc, c.ctx.Err() != nil, g.opts.Clock.Now().Sub(begun)))
+		return e
+	}
+	used := mc.PromptTokens + mc.MaxTokens
+	if usage.Known {
+		used = usage.PromptTokens + usage.OutputTokens
+	}
+	c.settle(used)
+	g.writeAnswer(w, a, operations.Ran)
+	return nil
+}
+
+// tokenTime is the assumed time for an output token of a plain answer that its caller did not wait for.
+const tokenTime = 71 * time.Millisecond
+
+// usedByFailed is the use of a plain request without an answer. Work that the caller gave up on is estimated from its time;
+// work that an endpoint failed to finish costs the prompt only.
+func usedByFailed(ex operations.Execution, mc *dispatch.ModelCall, callerLeft bool, took time.Duration) int64 {
+	switch {
+	case ex == operations.NotRun:
+		return 0
+	case callerLeft:
+		return mc.PromptTokens + min(int64(took/tokenTime), mc.MaxTokens)
+	}
+	return mc.PromptTokens
+}
+
+// streamModel answers with server-sent events.
+func (g *Gateway) streamModel(w http.ResponseWriter, c *call, mc *dispatch.ModelCall, includeUsage bool) *apiError {
+	out := newEventWriter(w, g.opts.WriteTimeout)
+	err := g.runStream(c, mc, func(data []byte) error {
+		if !includeUsage && usageOnly(data) {
+			return nil
+		}
+		return out.event(data)
+	})
+	p := mc.Progress
+	switch {
+	case p.UsageKnown:
+		c.settle(p.PromptTokens + p.OutputTokens)
+	case err == nil || p.Started() || asAPIError(err).Execution != operations.NotRun:
+		c.settle(mc.PromptTokens + p.Sent())
+	default:
+		c.settle(0)
+	}
+	if err == nil {
+		out.done()
+		return nil
+	}
+	if !out.started {
+		return asAPIError(err)
+	}
+	out.fail(asAPIError(err))
+	return nil
+}
+
+// usageOnly reports whether an event is the final one with the usage, which only callers get that asked for it.
+func usageOnly(data []byte) bool {
+	var parsed struct {
+		Choices []json.RawMessage `json:"choices"`
+		Usage   json.RawMessage   `json:"usage"`
+	}
+	return json.Unmarshal(data, &parsed) == nil && len(parsed.Choices) == 0 && len(parsed.Usage) > 0 && string(parsed.Usage) != "null"
+}
+
+// writeAnswer sends a whole answer.
+func (g *Gateway) writeAnswer(w http.ResponseWriter, a *operations.Answer, ex operations.Execution) {
+	h := w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	h.Set("X-Content-Type-Options", "nosniff")
+	h.Set(headerExecution, string(ex))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(g.opts.WriteTimeout + time.Duration(len(a.Body)/int(g.opts.BodyRate))*time.Second))
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body) // a caller that is gone needs no answer
+}
+
+// chooseRegion returns the instance of another region that the request should go to, or an empty string.
+func (g *Gateway) chooseRegion(c *call, mc *dispatch.ModelCall) string {
+	if !c.cross || g.opts.Regions == nil || g.opts.Network == nil {
+		return ""
+	}
+	local := g.opts.Dispatcher.Serves(mc.Model)
+	var wait time.Duration
+	if local {
+		wait = g.opts.Dispatcher.Wait(mc.Model, mc.Organisation, mc.Weight, mc.Class, float64(mc.PromptTokens+mc.MaxTokens))
+	}
+	remotes := g.opts.Regions.Model(mc.Model)
+	if i := routing.ChooseRegion(wait, local, remotes, newRand()); i >= 0 {
+		return remotes[i].Instance
+	}
+	return ""
+}
+
+// runStream serves a stream here or in another region. A remote instance that did not finish is replaced by local endpoints.
+func (g *Gateway) runStream(c *call, mc *dispatch.ModelCall, sink func([]byte) error) error {
+	remote := g.chooseRegion(c, mc)
+	if remote == "" {
+		return g.opts.Dispatcher.Stream(c.ctx, mc, sink)
+	}
+	err := g.forwardStream(c, remote, mc, sink)
+	if err == nil || !g.fallBack(c, mc, err) {
+		return err
+	}
+	return withExecution(g.opts.Dispatcher.Stream(c.ctx, mc, sink), err)
+}
+
+func (g *Gateway) runPlain(c *call, mc *dispatch.ModelCall) (*operations.Answer, dispatch.Usage, error) {
+	remote := g.chooseRegion(c, mc)
+	if remote == "" {
+		return g.opts.Dispatcher.Plain(c.ctx, mc)
+	}
+	a, usage, err := g.forwardPlain(c, remote, mc)
+	if err == nil || !g.fallBack(c, mc, err) {
+		return a, usage, err
+	}
+	a, usage, localErr := g.opts.Dispatcher.Plain(c.ctx, mc)
+	return a, usage, withExecution(localErr, err)
+}
+
+// fallBack reports whether a request that failed in another region is to be tried here.
+func (g *Gateway) fallBack(c *call, mc *dispatch.ModelCall, err error) bool {
+	if c.ctx.Err() != nil || !g.opts.Dispatcher.Serves(mc.Model) {
+		return false
+	}
+	e := asAPIError(err)
+	return e.Status >= http.StatusInternalServerError
+}
+
+// withExecution keeps a request that may have run elsewhere from being reported as not run.
+func withExecution(err, earlier error) error {
+	var e *dispatch.Error
+	if !errors.As(err, &e) || e.Execution != operations.NotRun {
+		return err
+	}
+	out := *e
+	out.Execution = asAPIError(earlier).Execution
+	return &out
+}
+
+// listModels answers with the models that the organisation may use.
+func (g *Gateway) listModels(w http.ResponseWriter, r *http.Request) {
+	v := g.opts.Source.View()
+	org, _, _, err := authenticate(v, r.Header)
+	if err != nil {
+		refuseUnread(w, r, err)
+		return
+	}
+	list := struct {
+		Object string      `json:"object"`
+		Data   []modelInfo `json:"data"`
+	}{Object: "list", Data: []modelInfo{}}
+	for _, m := range v.General().Models {
+		if mayUse(org, m.Name) {
+			list.Data = append(list.Data, describe(m.Name))
+		}
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (g *Gateway) getModel(w http.ResponseWriter, r *http.Request) {
+	v := g.opts.Source.View()
+	org, _, _, err := authenticate(v, r.Header)
+	if err != nil {
+		refuseUnread(w, r, err)
+		return
+	}
+	name := pathVariable(r, "model")
+	if findModel(v.General(), name) == nil || !mayUse(org, name) {
+		refuse(http.StatusNotFound, "model_not_found", "the model "+strconv.Quote(name)+" does not exist").param("model").writeTo(w)
+		return
+	}
+	writeJSON(w, http.StatusOK, describe(name))
+}
+
+type modelInfo struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func describe(name string) modelInfo {
+	return modelInfo{ID: name, Object: "model", OwnedBy: "dogwoodknot"}
+}
--- /dev/null
+++ b/internal/gateway/service.go
@@ -0,0 +1,258 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"dogwoodknot.example/dogwoodknot/internal/config"
+	"dogwoodknot.example/dogwoodknot/internal/core/routing"
+	"dogwoodknot.example/dogwoodknot/internal/dispatch"
+	"dogwoodknot.example/dogwoodknot/internal/operations"
+)
+
+// headerIdempotencyKey names a non-idempotent request, so that a repeat of it is recognised.
+const headerIdempotencyKey = "Idempotency-Key"
+
+// serviceHandler answers the requests of a declared route.
+func (g *Gateway) serviceHandler(route *config.Route) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c, err := g.identifyRoute(r, route)
+		if err != nil {
+			refuseUnread(w, r, err)
+			return
+		}
+		body, release, err := g.readBody(w, r, either(route.BodyLimit, g.opts.MaxServiceBody))
+		if err != nil {
+			refuseUnread(w, r, err)
+			return
+		}
+		defer release()
+		if err := c.checkSecret(r, body); err != nil {
+			err.writeTo(w)
+			return
+		}
+		end, err := c.begin(r.Context(), either(route.Deadline, g.opts.ServiceDeadline))
+		if err != nil {
+			err.writeTo(w)
+			return
+		}
+		defer end()
+		if err := g.serveRoute(w, r, c, route, body); err != nil {
+			err.writeTo(w)
+		}
+	}
+}
+
+// identifyRoute checks everything about a request to a route that needs no body.
+func (g *Gateway) identifyRoute(r *http.Request, route *config.Route) (*call, *apiError) {
+	if !cleanPath(r.URL) {
+		return nil, refuse(http.StatusBadRequest, "invalid_path", "the path has segments that services may read differently")
+	}
+	if len(r.Header.Values(headerIdempotencyKey)) > 1 {
+		return nil, refuse(http.StatusBadRequest, "invalid_header", "more than one "+headerIdempotencyKey+" header")
+	}
+	v := g.opts.Source.View()
+	service := findService(v.General(), route.Service)
+	homeBound := service != nil && service.HomeBound
+	if !route.Open {
+		return g.identify(r, homeBound)
+	}
+	if r.Header.Get(headerIdempotencyKey) != "" {
+		return nil, refuse(http.StatusBadRequest, "idempotency_key_not_taken", "an open route takes no "+headerIdempotencyKey)
+	}
+	key, err := presentedKey(r.Header)
+	if err != nil {
+		key = "" // an open route needs no key
+	}
+	return &call{g: g, id: requestID(r.Context()), view: v, secret: secretOf(key), homeBound: homeBound, cross: !homeBound}, nil
+}
+
+func (g *Gateway) serveRoute(w http.ResponseWriter, r *http.Request, c *call, route *config.Route, body []byte) *apiError {
+	sc := &dispatch.ServiceCall{
+		ID: c.id, Organisation: c.organisation(), Weight: c.weight(), Service: route.Service, Method: r.Method,
+		Path: target(r.URL), ContentType: r.Header.Get("Content-Type"), Accept: r.Header.Get("Accept"), Body: body,
+		Idempotent: route.Idempotent, BeforeSend: c.beforeSend,
+	}
+	if !sc.Idempotent {
+		sc.BeforeSend = c.beforeOnlySend
+	}
+	key := r.Header.Get(headerIdempotencyKey)
+	keyed := key != "" && !route.Idempotent && !route.Open
+	if keyed && g.opts.Operations == nil {
+		return refuse(http.StatusServiceUnavailable, "operations_unavailable", "idempotency keys are not served here").after(time.Second)
+	}
+	tokens := either(route.Tokens, 1)
+	if err := c.admit(tokens); err != nil {
+		return err
+	}
+	if keyed {
+		return g.serveOperation(w, c, route, sc, key, tokens)
+	}
+	a, ex, err := g.runService(c, route, sc)
+	if ex == operations.NotRun {
+		tokens = 0
+	}
+	c.settle(tokens)
+	if err != nil {
+		return asAPIError(err)
+	}
+	g.writeAnswer(w, a, ex)
+	return nil
+}
+
+// beforeOnlySend is beforeSend for a request that must not be ended once it was sent.
+func (c *call) beforeOnlySend() error {
+	if err := c.beforeSend(); err != nil {
+		return err
+	}
+	c.mustFinish.Store(true)
+	// A withdrawal before the mark has ended the context; one after it leaves the request alone.
+	if err := c.permitted(c.g.opts.Source.View()); err != nil {
+		c.mustFinish.Store(false)
+		return &err.failure
+	}
+	return nil
+}
+
+// serveOperation runs a request with an idempotency key through its record.
+func (g *Gateway) serveOperation(w http.ResponseWriter, c *call, route *config.Route, sc *dispatch.ServiceCall, key string, tokens int64) *apiError {
+	req := operations.Request{
+		Organisation: c.org.Name, Key: key, BodyDigest: sha256.Sum256(sc.Body), Method: sc.Method, Path: sc.Path,
+		Forwardable: &operations.ForwardedRequest{
+			Route: route.Name, Method: sc.Method, Path: sc.Path, ContentType: sc.ContentType, Body: sc.Body,
+		},
+	}
+	// The record must get its result even if the caller leaves, so the run has the deadline but not the caller's end.
+	out := g.opts.Operations.Do(c.ctx, req, func(context.Context) (*operations.Answer, operations.Execution, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), either(route.Deadline, g.opts.ServiceDeadline))
+		defer cancel()
+		return g.opts.Dispatcher.Call(ctx, sc)
+	})
+	if out.Execution == operations.NotRun || out.Repeat {
+		tokens = 0
+	}
+	c.settle(tokens)
+	if out.Answer != nil {
+		g.writeAnswer(w, out.Answer, out.Execution)
+		return nil
+	}
+	e := refuse(either(out.Status, http.StatusServiceUnavailable), out.Code, out.Message).after(out.RetryAfter)
+	e.Execution = out.Execution
+	return e
+}
+
+// runService sends a request to a plain service of this region, or of another one if this region has none.
+func (g *Gateway) runService(c *call, route *config.Route, sc *dispatch.ServiceCall) (*operations.Answer, operations.Execution, error) {
+	if g.opts.Dispatcher.ServesService(sc.Service) || !c.cross || g.opts.Regions == nil || g.opts.Network == nil {
+		return g.opts.Dispatcher.Call(c.ctx, sc)
+	}
+	remotes := g.opts.Regions.Service(sc.Service)
+	i := routing.ChooseRegion(0, false, remotes, newRand())
+	if i < 0 {
+		return g.opts.Dispatcher.Call(c.ctx, sc)
+	}
+	return g.forwardService(c, remotes[i].Instance, route.Name, sc)
+}
+
+// RunForwarded runs a keyed request for another instance whose caller's request this instance owns the record of. That
+// instance has charged it.
+func (g *Gateway) RunForwarded(ctx context.Context, organisation string, req *operations.ForwardedRequest) (*operations.Answer, operations.Execution, error) {
+	v := g.opts.Source.View()
+	c := &call{g: g, id: newID(), view: v, org: v.Organisation(organisation)}
+	route := findRoute(v.General(), req.Route)
+	if c.org == nil || route == nil || route.Open || route.Method != req.Method {
+		return nil, operations.NotRun, &refuse(http.StatusServiceUnavailable, "not_yet_known",
+			"this instance's configuration does not know the request").after(newerKeyRetry).failure
+	}
+	if err := c.permitted(v); err != nil {
+		return nil, operations.NotRun, &err.failure
+	}
+	end, err := c.begin(ctx, either(route.Deadline, g.opts.ServiceDeadline))
+	if err != nil {
+		return nil, operations.NotRun, &err.failure
+	}
+	defer end()
+	return g.opts.Dispatcher.Call(c.ctx, &dispatch.ServiceCall{
+		ID: c.id, Organisation: c.org.Name, Weight: c.org.Weight, Service: route.Service, Method: req.Method, Path: req.Path,
+		ContentType: req.ContentType, Body: req.Body, Idempotent: route.Idempotent, BeforeSend: c.beforeOnlySend,
+	})
+}
+
+// listEntries answers with the instances that the caller should use.
+func (g *Gateway) listEntries(w http.ResponseWriter, r *http.Request) {
+	org, _, _, err := authenticate(g.opts.Source.View(), r.Header)
+	if err != nil {
+		refuseUnread(w, r, err)
+		return
+	}
+	if g.opts.Entries == nil {
+		refuse(http.StatusServiceUnavailable, "entries_unavailable", "the entries are not known yet").after(time.Second).writeTo(w)
+		return
+	}
+	region := r.URL.Query().Get("region")
+	if org.Home != "" {
+		region = org.Home
+	}
+	entries, valid := g.opts.Entries.Entries(org.Name, region)
+	if entries == nil {
+		entries = []Entry{}
+	}
+	w.Header().Set("Cache-Control", "max-age="+strconv.Itoa(int(valid.Seconds())))
+	writeJSON(w, http.StatusOK, struct {
+		Entries  []Entry `json:"entries"`
+		ValidFor int64   `json:"valid_for_ms"`
+	}{entries, valid.Milliseconds()})
+}
+
+// issueOperation answers with an id for a non-idempotent request.
+func (g *Gateway) issueOperation(w http.ResponseWriter, r *http.Request) {
+	c, err := g.identify(r, false)
+	if err != nil {
+		refuseUnread(w, r, err)
+		return
+	}
+	if g.opts.Operations == nil || g.draining.Load() {
+		refuseUnread(w, r, refuse(http.StatusServiceUnavailable, "operations_unavailable",
+			"this instance issues no ids; use another entry").after(time.Second))
+		return
+	}
+	id, issueErr := g.opts.Operations.Issue(c.org.Name)
+	if issueErr != nil {
+		refuseUnread(w, r, refuse(http.StatusServiceUnavailable, "operations_unavailable", "no id can be issued now").after(time.Second))
+		return
+	}
+	writeJSON(w, http.StatusCreated, struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}{id, "operation"})
+}
+
+// writeJSON answers a request that the gateway serves itself. No endpoint is involved.
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // own types only
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(headerExecution, string(operations.NotRun))
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // a caller that is gone needs no answer
+}
+
+// pathVariable returns a decoded part of the path.
+func pathVariable(r *http.Request, name string) string {
+	raw := mux.Vars(r)[name]
+	if v, err := url.PathUnescape(raw); err == nil {
+		return v
+	}
+	return raw
+}
