Keep the view of the other instances from list, probes and reports

Nothing told which instances exist. core/membership decides it: a target's home scope (3 probers of its data centre, 2 of its region, filled from outside in small regions) probes it each second, one instance of each other region every 3 s. After two failed probes a prober asks the others; a suspicion needs one other instance that does not reach the target and none that does. Counters whose parity is the suspicion make reports mergeable in any order. Only the list ends an instance. members is the adapter: polls by few instances of a data centre, pushes of list steps and reports, exchange when heartbeats show another digest, announcement, directory, entries.

Ruled out: one fleet-wide suspicion per target. Under a partition between two regions, a third one would follow the claims of either side in turn. A region therefore holds its own view of targets elsewhere.

peertest.Fabric is the in-memory Network with cuts, delays and duplicates.

--- /dev/null
+++ b/internal/core/membership/entries.go
@@ -0,0 +1,88 @@
+package membership
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+// EntryParams say how many entries an organisation gets and for how long.
+type EntryParams struct {
+	// MinEntries are given to the smallest organisation, so that it has another entry when one fails.
+	MinEntries int
+	// RatePerEntry is the rate in tokens per second for which an organisation gets one more entry.
+	RatePerEntry float64
+	Validity     time.Duration
+	// Jitter is the part of the validity by which it is shortened at random, so that callers do not return at once.
+	Jitter float64
+}
+
+// DefaultEntryParams gives an organisation an entry for each 1,500 tokens/s: under half of the 3,300 tokens/s that one
+// of 390 instances carries at the peak of 1.3 million.
+func DefaultEntryParams() EntryParams {
+	return EntryParams{MinEntries: 2, RatePerEntry: 1500, Validity: 30 * time.Second, Jitter: 0.3}
+}
+
+// Validate returns all findings joined.
+func (p EntryParams) Validate() error {
+	var findings []error
+	if p.MinEntries < 1 {
+		findings = append(findings, errors.New("MinEntries is not positive"))
+	}
+	if p.RatePerEntry <= 0 {
+		findings = append(findings, errors.New("RatePerEntry is not positive"))
+	}
+	if p.Validity <= 0 {
+		findings = append(findings, errors.New("Validity is not positive"))
+	}
+	if p.Jitter < 0 || p.Jitter >= 1 {
+		findings = append(findings, errors.New("Jitter is not in [0,1)"))
+	}
+	return errors.Join(findings...)
+}
+
+// Entries are the instances that an organisation's callers should use, best first.
+type Entries struct {
+	Members  []Member
+	ValidFor time.Duration
+}
+
+// RankEntries returns the entries of an organisation in a region. rate is its rate in tokens per second. Live
+// instances come in rendezvous order of the organisation. Suspect ones follow only if there are too few live ones, and
+// leaving ones only if there is no other.
+func RankEntries(s *Snapshot, region, organisation string, rate float64, p EntryParams, random *rand.Rand) Entries {
+	byState := map[State][]Member{}
+	for _, m := range s.InRegion(region) {
+		byState[m.Status] = append(byState[m.Status], m)
+	}
+	key := xxhash.Sum64String(organisation)
+	for _, list := range byState {
+		slices.SortFunc(list, func(a, b Member) int {
+			return cmp.Compare(score(key, xxhash.Sum64String(b.Name)), score(key, xxhash.Sum64String(a.Name)))
+		})
+	}
+	want := p.count(rate)
+	chosen := firstN(byState[Live], want)
+	chosen = append(chosen, firstN(byState[Suspect], want-len(chosen))...)
+	if len(chosen) == 0 {
+		chosen = firstN(byState[Leaving], want)
+	}
+	shortened := float64(p.Validity) * (1 - p.Jitter*random.Float64())
+	return Entries{Members: chosen, ValidFor: time.Duration(shortened)}
+}
+
+func (p EntryParams) count(rate float64) int {
+	if rate <= 0 || math.IsNaN(rate) {
+		return p.MinEntries
+	}
+	return p.MinEntries + int(min(math.Floor(rate/p.RatePerEntry), math.MaxInt16))
+}
+
+func firstN(list []Member, n int) []Member {
+	return slices.Clone(list[:max(0, min(n, len(list)))])
+}
--- /dev/null
+++ b/internal/core/membership/probe.go
@@ -0,0 +1,206 @@
+package membership
+
+import (
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
+)
+
+// periodJitter is the part of the period by which probes vary, so that probers do not fall into step.
+const periodJitter = 0.1
+
+func (c *Core) period(m *member) time.Duration {
+	if m.role == roleForeign {
+		return c.params.ForeignPeriod
+	}
+	return c.params.HomePeriod
+}
+
+func (c *Core) spread(d time.Duration) time.Duration {
+	return time.Duration(c.random.Float64() * float64(d))
+}
+
+// Tick returns the probes that are due.
+func (c *Core) Tick(now clock.Instant) []Action {
+	c.expireUnlisted(now)
+	c.refresh(now)
+	var actions []Action
+	for _, name := range c.names() {
+		m := c.members[name]
+		if m.role == roleNone || m.inFlight || now.Before(m.nextProbe) {
+			continue
+		}
+		m.inFlight = true
+		period := c.period(m)
+		jitter := time.Duration(periodJitter * (2*c.random.Float64() - 1) * float64(period))
+		m.nextProbe = now.Add(period + jitter)
+		actions = append(actions, Probe{Target: m.ref(), SentAt: now})
+	}
+	return actions
+}
+
+// refresh assigns the roles again after a change.
+func (c *Core) refresh(now clock.Instant) {
+	if c.changed {
+		c.changed = false
+		c.assignRoles(now)
+	}
+}
+
+// Answer is what a probed instance states of itself.
+type Answer struct {
+	Incarnation uint64
+	Leaving     bool
+}
+
+// ProbeResult takes the outcome of a probe; answer is nil if it failed. It is also called for probes that an asked
+// instance has made for another one.
+func (c *Core) ProbeResult(now clock.Instant, probe Probe, answer *Answer) []Action {
+	m := c.members[probe.Target.Instance]
+	if m == nil {
+		return nil
+	}
+	if answer != nil {
+		return c.answered(now, m, *answer)
+	}
+	m.inFlight = false
+	if m.ref() != probe.Target || m.role == roleNone {
+		return nil
+	}
+	// A probe that took much longer than its timeout shows that this process was paused, not that the target failed.
+	if now.Sub(probe.SentAt) > c.params.ProbeTimeout+c.params.HomePeriod {
+		return nil
+	}
+	m.failures++
+	if m.failures < c.params.FailuresToAsk {
+		m.nextProbe = now // repeated at once: one lost probe must not cost a period
+	}
+	return c.afterFailure(now, m)
+}
+
+func (c *Core) answered(now clock.Instant, m *member, answer Answer) []Action {
+	if answer.Incarnation != m.row.Incarnation {
+		state := platform.StateLive
+		if answer.Leaving {
+			state = platform.StateLeaving
+		}
+		c.Contact(now, Row{Name: m.row.Name, Incarnation: answer.Incarnation, State: state})
+		m = c.members[m.row.Name]
+		if m.row.Incarnation != answer.Incarnation {
+			m.inFlight = false
+			return nil // a process that has ended or was replaced
+		}
+	}
+	m.inFlight = false
+	m.failures = 0
+	m.ask = nil
+	c.setUnreached(m, false)
+	m.answered, m.answer = true, now
+	m.contact, m.hasContact = now, true
+	var reports []Report
+	if answer.Leaving && !m.leaving {
+		m.leaving = true
+		c.touch()
+		reports = append(reports, m.homeReport())
+	}
+	return c.publish(append(reports, c.refute(m)...))
+}
+
+// refute ends a suspicion after a direct answer and returns the reports about it.
+func (c *Core) refute(m *member) []Report {
+	if !m.suspect(c.self.Region) && !(c.inHomeScope(m) && odd(m.home)) {
+		return nil
+	}
+	c.touch()
+	if c.inHomeScope(m) {
+		if odd(m.home) {
+			m.home++
+		}
+		if odd(m.own) {
+			m.own++
+		}
+		return []Report{m.homeReport(), c.ownReport(m)}
+	}
+	if odd(m.own) {
+		m.own++
+	}
+	if odd(m.home) {
+		m.overrule = m.home
+	}
+	return []Report{c.ownReport(m)}
+}
+
+// inHomeScope reports whether this instance's evidence counts for the target's home scope.
+func (c *Core) inHomeScope(m *member) bool {
+	return m.row.Region == c.self.Region || m.role == roleHome
+}
+
+// afterFailure asks other instances once enough probes have failed.
+func (c *Core) afterFailure(now clock.Instant, m *member) []Action {
+	if m.failures < c.params.FailuresToAsk || m.ask != nil || now.Before(m.nextAsk) || m.suspect(c.self.Region) {
+		return nil
+	}
+	m.nextAsk = now.Add(c.params.ReaskAfter)
+	peers := c.helpers(m)
+	if len(peers) == 0 {
+		c.setUnreached(m, true)
+		return nil
+	}
+	m.ask = &openAsk{waiting: map[string]bool{}}
+	for _, name := range peers {
+		m.ask.waiting[name] = true
+	}
+	return []Action{Ask{Target: m.ref(), Peers: peers}}
+}
+
+// AskResult takes the verdict of an asked instance. The suspicion is confirmed once all have answered or failed to,
+// if at least one has not reached the target and none has.
+func (c *Core) AskResult(now clock.Instant, target Ref, from string, verdict Verdict) []Action {
+	m := c.members[target.Instance]
+	if m == nil || m.ref() != target || m.ask == nil || !m.ask.waiting[from] {
+		return nil
+	}
+	delete(m.ask.waiting, from)
+	switch verdict {
+	case Reached:
+		m.ask = nil
+		c.setUnreached(m, true)
+		return nil
+	case Unreached:
+		m.ask.unreached++
+	}
+	if len(m.ask.waiting) > 0 {
+		return nil
+	}
+	confirmed := m.ask.unreached > 0
+	m.ask = nil
+	c.setUnreached(m, true)
+	if !confirmed || m.suspect(c.self.Region) {
+		return nil
+	}
+	c.touch()
+	if c.inHomeScope(m) {
+		m.home++
+		return c.publish([]Report{m.homeReport()})
+	}
+	m.own++
+	return c.publish([]Report{c.ownReport(m)})
+}
+
+// Asked tells what this instance knows of a target. Without a recent answer, the adapter probes it now, passes the
+// outcome to ProbeResult and replies with it.
+func (c *Core) Asked(now clock.Instant, target Ref) (verdict Verdict, probe bool) {
+	m := c.members[target.Instance]
+	if m == nil || m.ref() != target {
+		return Unknown, false
+	}
+	if c.recentlyAnswered(now, m) {
+		return Reached, false
+	}
+	return Unknown, true
+}
+
+func (c *Core) recentlyAnswered(now clock.Instant, m *member) bool {
+	return m.answered && now.Sub(m.answer) < c.params.HomePeriod
+}
--- /dev/null
+++ b/internal/members/convert.go
@@ -0,0 +1,134 @@
+package members
+
+import (
+	"dogwoodknot.example/dogwoodknot/internal/core/membership"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
+	"dogwoodknot.example/dogwoodknot/internal/wire"
+)
+
+// EncodeRow converts a row to its message.
+func EncodeRow(r membership.Row) *wire.InstanceRow {
+	return &wire.InstanceRow{
+		Name:         r.Name,
+		Region:       r.Region,
+		DataCentre:   r.DataCentre,
+		Incarnation:  r.Incarnation,
+		CallerAddr:   r.CallerAddr,
+		PeerAddr:     r.PeerAddr,
+		OperatorAddr: r.OperatorURL,
+		Leaving:      r.State == platform.StateLeaving,
+	}
+}
+
+// DecodeRow converts a message to a row of an entry instance.
+func DecodeRow(r *wire.InstanceRow) membership.Row {
+	return membership.Row{
+		Name:        r.GetName(),
+		Kind:        platform.KindEntry,
+		Region:      r.GetRegion(),
+		DataCentre:  r.GetDataCentre(),
+		Incarnation: r.GetIncarnation(),
+		CallerAddr:  r.GetCallerAddr(),
+		PeerAddr:    r.GetPeerAddr(),
+		OperatorURL: r.GetOperatorAddr(),
+		State:       stateOf(r.GetLeaving()),
+	}
+}
+
+func stateOf(leaving bool) platform.InstanceState {
+	if leaving {
+		return platform.StateLeaving
+	}
+	return platform.StateLive
+}
+
+func encodeRef(r membership.Ref) *wire.InstanceRef {
+	return &wire.InstanceRef{Name: r.Instance, Incarnation: r.Incarnation}
+}
+
+func decodeRef(r *wire.InstanceRef) membership.Ref {
+	return membership.Ref{Instance: r.GetName(), Incarnation: r.GetIncarnation()}
+}
+
+// EncodeReports converts reports to their messages.
+func EncodeReports(reports []membership.Report) []*wire.MemberReport {
+	out := make([]*wire.MemberReport, len(reports))
+	for i, r := range reports {
+		out[i] = &wire.MemberReport{
+			Target:    encodeRef(r.Target),
+			Scope:     r.Scope,
+			Counter:   r.Counter,
+			Overrules: r.Overrules,
+			Leaving:   r.Leaving,
+		}
+	}
+	return out
+}
+
+func decodeReports(reports []*wire.MemberReport) []membership.Report {
+	out := make([]membership.Report, len(reports))
+	for i, r := range reports {
+		out[i] = membership.Report{
+			Scope:     r.GetScope(),
+			Target:    decodeRef(r.GetTarget()),
+			Counter:   r.GetCounter(),
+			Overrules: r.GetOverrules(),
+			Leaving:   r.GetLeaving(),
+		}
+	}
+	return out
+}
+
+// EncodeList converts a full list.
+func EncodeList(version int64, rows []membership.Row) *wire.ListUpdate {
+	update := &wire.ListUpdate{Version: version}
+	for _, row := range rows {
+		update.Rows = append(update.Rows, EncodeRow(row))
+	}
+	return update
+}
+
+// EncodeListChange converts the step from one version of the list to the next.
+func EncodeListChange(base int64, before []membership.Row, version int64, after []membership.Row) *wire.ListUpdate {
+	update := &wire.ListUpdate{Base: base, Version: version}
+	former := make(map[membership.Ref]membership.Row, len(before))
+	for _, row := range before {
+		former[refOf(row)] = row
+	}
+	for _, row := range after {
+		if old, found := former[refOf(row)]; !found || old != row {
+			update.Rows = append(update.Rows, EncodeRow(row))
+		}
+		delete(former, refOf(row))
+	}
+	for _, row := range before {
+		if _, removed := former[refOf(row)]; removed {
+			update.Removed = append(update.Removed, encodeRef(refOf(row)))
+		}
+	}
+	return update
+}
+
+// applyChange returns the rows after a step that applies to them.
+func applyChange(before []membership.Row, update *wire.ListUpdate) []membership.Row {
+	replaced := map[membership.Ref]bool{}
+	for _, ref := range update.GetRemoved() {
+		replaced[decodeRef(ref)] = true
+	}
+	var rows []membership.Row
+	for _, r := range update.GetRows() {
+		row := DecodeRow(r)
+		replaced[refOf(row)] = true
+		rows = append(rows, row)
+	}
+	for _, row := range before {
+		if !replaced[refOf(row)] {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+func refOf(r membership.Row) membership.Ref {
+	return membership.Ref{Instance: r.Name, Incarnation: r.Incarnation}
+}
--- /dev/null
+++ b/internal/members/options.go
@@ -0,0 +1,112 @@
+// Package members keeps the view of the other instances: it polls the platform's list, probes a few instances,
+// exchanges reports, and publishes the live ones to the platform's directory.
+package members
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/membership"
+	"dogwoodknot.example/dogwoodknot/internal/peer"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
+	"dogwoodknot.example/dogwoodknot/internal/wire"
+)
+
+// Defaults of Options.
+const (
+	defaultPollBase          = 2 * time.Second
+	defaultDirectoryInterval = 5 * time.Second
+)
+
+// Payload is what an instance's heartbeats carry for other packages.
+type Payload struct {
+	Revision int64 // configuration in force
+	Load     *wire.LoadSummary
+}
+
+// Options configure a Service. Zero fields take the defaults, except for those marked as required.
+type Options struct {
+	Network   peer.Network          // required
+	List      platform.InstanceList // required
+	Directory platform.Directory    // nil: this instance publishes nothing
+	Clock     clock.Clock           // default: the boot clock
+	Self      membership.Row        // required; Kind and State are set by the service
+
+	Params  membership.Params
+	Entries membership.EntryParams
+
+	// PollBase is the interval of a poller with up to four listed instances. It grows with the square root of their
+	// number.
+	PollBase time.Duration
+	// DirectoryInterval is the shortest time between two publications.
+	DirectoryInterval time.Duration
+
+	// Payload supplies what the own heartbeats carry; nil: nothing.
+	Payload func() Payload
+	// OnPayload consumes the payload of each heartbeat received. It must not block.
+	OnPayload func(from peer.Identity, p Payload)
+
+	Logger *zap.Logger
+	Scope  tally.Scope
+}
+
+// Validate returns all findings joined.
+func (o *Options) Validate() error {
+	var findings []error
+	check := func(ok bool, text string) {
+		if !ok {
+			findings = append(findings, errors.New(text))
+		}
+	}
+	check(o.Network != nil, "Network is missing")
+	check(o.List != nil, "List is missing")
+	check(o.Self.Name != "", "Self.Name is empty")
+	check(o.Self.Region != "", "Self.Region is empty")
+	check(o.Self.DataCentre != "", "Self.DataCentre is empty")
+	check(o.Self.Incarnation != 0, "Self.Incarnation is 0")
+	check(o.Self.PeerAddr != "", "Self.PeerAddr is empty")
+	check(o.PollBase >= 0, "PollBase is negative")
+	check(o.DirectoryInterval >= 0, "DirectoryInterval is negative")
+	if o.Params != (membership.Params{}) {
+		findings = append(findings, o.Params.Validate())
+	}
+	if o.Entries != (membership.EntryParams{}) {
+		findings = append(findings, o.Entries.Validate())
+	}
+	return errors.Join(findings...)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (o *Options) fill() {
+	setDefault(&o.Params, membership.DefaultParams())
+	setDefault(&o.Entries, membership.DefaultEntryParams())
+	setDefault(&o.PollBase, defaultPollBase)
+	setDefault(&o.DirectoryInterval, defaultDirectoryInterval)
+	if o.Clock == nil {
+		o.Clock = clock.Boot{}
+	}
+	if o.Payload == nil {
+		o.Payload = func() Payload { return Payload{} }
+	}
+	if o.OnPayload == nil {
+		o.OnPayload = func(peer.Identity, Payload) {}
+	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	o.Self.Kind = platform.KindEntry
+	o.Self.State = platform.StateLive
+}
--- /dev/null
+++ b/internal/members/probe.go
@@ -0,0 +1,217 @@
+package members
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/membership"
+	"dogwoodknot.example/dogwoodknot/internal/peer"
+	"dogwoodknot.example/dogwoodknot/internal/wire"
+)
+
+// Services of the package.
+const (
+	serviceProbe = "members.probe"
+	serviceAsk   = "members.ask"
+	servicePush  = "members.push"
+	serviceSync  = "members.sync"
+)
+
+const (
+	// askExtra is the time that an asked instance's answer may take beyond its own probe.
+	askExtra = 200 * time.Millisecond
+	// pushTimeout bounds a push to one instance.
+	pushTimeout = 2 * time.Second
+	// maxParallelPushes bounds the pushes of one publication under way at once.
+	maxParallelPushes = 16
+	// mismatchesToSync is the number of heartbeats in a row with another digest after which reports are exchanged:
+	// one may come from a report that is still on its way.
+	mismatchesToSync = 2
+	// syncGap is the shortest time between two exchanges that this instance starts.
+	syncGap = time.Second
+)
+
+// heartbeat builds the own heartbeat.
+func (s *Service) heartbeat() *wire.Heartbeat {
+	payload := s.options.Payload()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	home, own := s.core.Digests()
+	hb := &wire.Heartbeat{
+		Incarnation:   s.self.Incarnation,
+		Leaving:       s.leaving,
+		ListVersion:   s.core.Version(),
+		ListAgeMillis: s.listAgeMillis(now),
+		HomeDigest:    home,
+		RegionDigest:  own,
+		Revision:      payload.Revision,
+		Load:          payload.Load,
+	}
+	if self, _ := s.Snapshot().Member(s.self.Name); !self.Listed {
+		hb.Row = EncodeRow(s.self)
+	}
+	return hb
+}
+
+// receive takes a heartbeat of another instance.
+func (s *Service) receive(from peer.Identity, hb *wire.Heartbeat) {
+	s.options.OnPayload(from, Payload{Revision: hb.GetRevision(), Load: hb.GetLoad()})
+	if s.shouldSync(from, hb) {
+		s.spawn(func() { s.sync(from.Instance) })
+	}
+}
+
+// shouldSync compares a heartbeat with the own view, and reserves the exchange if it returns true.
+func (s *Service) shouldSync(from peer.Identity, hb *wire.Heartbeat) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	version := s.core.Version()
+	if hb.GetListVersion() == version && hb.GetListAgeMillis() > 0 {
+		s.confirmList(now.Add(-time.Duration(hb.GetListAgeMillis()) * time.Millisecond))
+	}
+	home, own := s.core.Digests()
+	differs := home != hb.GetHomeDigest() || (from.Region == s.self.Region && own != hb.GetRegionDigest())
+	if differs && hb.GetListVersion() == version {
+		s.mismatches[from.Instance]++
+	} else {
+		delete(s.mismatches, from.Instance)
+	}
+	newer := hb.GetListVersion() > version
+	if s.syncing || now.Before(s.nextSync) || !(newer || s.mismatches[from.Instance] >= mismatchesToSync) {
+		return false
+	}
+	delete(s.mismatches, from.Instance)
+	s.syncing = true
+	return true
+}
+
+func (s *Service) handleProbe(_ context.Context, from peer.Identity, hb *wire.Heartbeat) (proto.Message, error) {
+	row := membership.Row{Region: from.Region, DataCentre: from.DataCentre}
+	if hb.GetRow() != nil {
+		row = DecodeRow(hb.GetRow())
+	}
+	// The session proves these, whatever the message says.
+	row.Name, row.Region, row.DataCentre, row.Incarnation = from.Instance, from.Region, from.DataCentre, from.Incarnation
+	row.State = stateOf(hb.GetLeaving())
+	s.update(func(now clock.Instant, core *membership.Core) []membership.Action {
+		core.Contact(now, row)
+		return nil
+	})
+	s.receive(from, hb)
+	return s.heartbeat(), nil
+}
+
+// probe sends a heartbeat to the target and passes the outcome to the core.
+func (s *Service) probe(p membership.Probe) (reached bool) {
+	s.metrics.probes.Inc(1)
+	ctx, cancel := context.WithTimeout(s.ctx, s.options.Params.ProbeTimeout)
+	defer cancel()
+	hb := &wire.Heartbeat{}
+	err := s.network.Call(ctx, p.Target.Instance, serviceProbe, s.heartbeat(), hb)
+	if s.ctx.Err() != nil {
+		return false
+	}
+	var answer *membership.Answer
+	if err != nil {
+		s.metrics.probeErrors.Inc(1)
+		s.log.Debug("probe failed", zap.String("target", p.Target.Instance), zap.Error(err))
+	} else {
+		answer = &membership.Answer{Incarnation: hb.GetIncarnation(), Leaving: hb.GetLeaving()}
+	}
+	s.update(func(now clock.Instant, core *membership.Core) []membership.Action {
+		return core.ProbeResult(now, p, answer)
+	})
+	if answer == nil {
+		return false
+	}
+	s.receive(s.identityOf(p.Target.Instance, hb.GetIncarnation()), hb)
+	return answer.Incarnation == p.Target.Incarnation
+}
+
+func (s *Service) identityOf(name string, incarnation uint64) peer.Identity {
+	m, _ := s.Snapshot().Member(name)
+	return peer.Identity{Instance: name, Region: m.Region, DataCentre: m.DataCentre, Incarnation: incarnation}
+}
+
+// ask asks another instance about a target and passes the verdict to the core.
+func (s *Service) ask(target membership.Ref, name string) {
+	s.metrics.asks.Inc(1)
+	ctx, cancel := context.WithTimeout(s.ctx, s.options.Params.ProbeTimeout+askExtra)
+	defer cancel()
+	resp := &wire.MembersVerdict{}
+	verdict := membership.Unknown
+	if err := s.network.Call(ctx, name, serviceAsk, &wire.MembersAsk{Target: encodeRef(target)}, resp); err == nil {
+		verdict = decodeVerdict(resp.GetVerdict())
+	}
+	s.update(func(now clock.Instant, core *membership.Core) []membership.Action {
+		return core.AskResult(now, target, name, verdict)
+	})
+}
+
+func decodeVerdict(v wire.MembersVerdict_Verdict) membership.Verdict {
+	switch v {
+	case wire.MembersVerdict_VERDICT_REACHED:
+		return membership.Reached
+	case wire.MembersVerdict_VERDICT_UNREACHED:
+		return membership.Unreached
+	default:
+		return membership.Unknown
+	}
+}
+
+func (s *Service) handleAsk(_ context.Context, _ peer.Identity, req *wire.MembersAsk) (proto.Message, error) {
+	target := decodeRef(req.GetTarget())
+	var verdict membership.Verdict
+	var needed bool
+	now := s.clock.Now()
+	s.update(func(now clock.Instant, core *membership.Core) []membership.Action {
+		verdict, needed = core.Asked(now, target)
+		return nil
+	})
+	reached := verdict == membership.Reached
+	if needed {
+		reached = s.probe(membership.Probe{Target: target, SentAt: now})
+	}
+	switch {
+	case reached:
+		return &wire.MembersVerdict{Verdict: wire.MembersVerdict_VERDICT_REACHED}, nil
+	case needed:
+		return &wire.MembersVerdict{Verdict: wire.MembersVerdict_VERDICT_UNREACHED}, nil
+	default:
+		return &wire.MembersVerdict{}, nil
+	}
+}
+
+// publish sends reports to their recipients.
+func (s *Service) publish(p membership.Publish) {
+	reports := EncodeReports(p.Reports)
+	s.pushAll(p.Local, &wire.MembersPush{Reports: reports})
+	s.pushAll(p.Relays, &wire.MembersPush{Reports: reports, Relay: true})
+}
+
+// pushAll sends a message to each of the instances. Failures are left to the comparison of heartbeats.
+func (s *Service) pushAll(names []string, message *wire.MembersPush) {
+	var group errgroup.Group
+	group.SetLimit(maxParallelPushes)
+	for _, name := range names {
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(s.ctx, pushTimeout)
+			defer cancel()
+			s.metrics.pushes.Inc(1)
+			if err := s.network.Call(ctx, name, servicePush, message, &wire.MembersPushed{}); err != nil {
+				s.metrics.pushErrors.Inc(1)
+				s.log.Debug("push failed", zap.String("target", name), zap.Error(err))
+			}
+			return nil
+		})
+	}
+	// The functions of the group return no error.
+	_ = group.Wait()
+}
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -60,3 +60,11 @@
 func broken(instance, service string, cause error) error {
 	return &failure{kind: ErrBroken, instance: instance, service: service, cause: cause}
 }
+
+// NotSent returns the error of a call of which no byte has left this instance. It is for other implementations of
+// Network.
+func NotSent(instance, service string, cause error) error { return notSent(instance, service, cause) }
+
+// Broken returns the error of a call that was sent and has no complete answer. It is for other implementations of
+// Network.
+func Broken(instance, service string, cause error) error { return broken(instance, service, cause) }
