Keep a live session when its rival is given up

TestSimultaneousDials failed under load (go test -race ./...): an instance that was told to drain the newer of two sessions before its ping of the older one had returned kept no current session, dialled again, and calls failed. A peer's entry now holds all its sessions and chooses the newest usable one after each change. A failed ping drains the session instead of closing it: calls in flight may still get their answers.

The same runs showed that a stream that broke off matched io.EOF, so that a receiver could take it for complete. Recv now reports io.ErrUnexpectedEOF in that case; TestBrokenStreamIsNotTheEnd guards it.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -18,9 +18,9 @@
 const (
 	// writeChunk is the most that one stream writes before frames of other streams get their turn.
 	writeChunk = 16 << 10
-	// startAttempts is how often a call of which nothing was sent is started. The second one covers a session that
-	// ended while it was being chosen.
-	startAttempts = 2
+	// startAttempts is how often a call of which nothing was sent is started. Repeats cover sessions that ended while
+	// they were being chosen, as after simultaneous dials.
+	startAttempts = 3
 )
 
 // deadlinePassed is a time in the past, which ends blocked reads and writes of a stream.
@@ -289,7 +289,7 @@
 	}
 	kind, payload, err := readFrame(s.mux, s.limit)
 	if err != nil {
-		return s.finish(s.fail(err))
+		return s.finish(s.fail(unexpected(err)))
 	}
 	s.metrics.received(len(payload) + frameOverhead)
 	switch kind {
@@ -334,6 +334,14 @@
 	return broken(s.session.peer.Instance, s.service, err)
 }
 
+// unexpected replaces io.EOF, which Recv returns only for a stream that the other side has ended by a frame.
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // Close ends the stream in both directions. The peer's handler sees its context end if it is still running.
 func (s *clientStream) Close() error {
 	if s.closed.Swap(true) {
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -285,7 +285,7 @@
 	case !open:
 		s.over = s.broken(errors.New("caller has gone"))
 	case frame.err != nil:
-		s.over = s.broken(frame.err)
+		s.over = s.broken(unexpected(frame.err))
 	case frame.kind == frameEnd:
 		s.over = io.EOF
 	case frame.kind != frameMessage:
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -58,9 +58,10 @@
 // remote is what is known of one peer.
 type remote struct {
 	name    string
-	current atomic.Pointer[session]
+	current atomic.Pointer[session] // for new calls: the newest usable one of sessions
 
 	mu        sync.Mutex
+	sessions  []*session // open ones in the order of their adoption
 	addr      string // empty if only its sessions are known
 	since     time.Time
 	attempt   *dialAttempt
@@ -193,7 +194,7 @@
 	defer t.mu.Unlock()
 	next := make(map[string]*remote, len(addrs))
 	for name, r := range *t.peers.Load() {
-		if _, known := addrs[name]; known || r.current.Load() != nil {
+		if _, known := addrs[name]; known || r.open() {
 			next[name] = r
 		}
 	}
@@ -205,7 +206,7 @@
 	for name, r := range next {
 		if r.setAddr(addrs[name]) {
 			// The same name at another address is another process.
-			if s := r.current.Load(); s != nil {
+			for _, s := range r.list() {
 				t.retire(s, true)
 			}
 		}
@@ -261,6 +262,61 @@
 	return next[name]
 }
 
+// add takes a session as the newest one and returns the other usable ones.
+func (r *remote) add(s *session) (others []*session) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, other := range r.sessions {
+		if other.usable() {
+			others = append(others, other)
+		}
+	}
+	r.sessions = append(r.sessions, s)
+	r.choose()
+	r.notBefore = time.Time{} // the peer can be reached
+	r.backoff.Reset()
+	return others
+}
+
+// list returns the open sessions.
+func (r *remote) list() []*session {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.sessions)
+}
+
+// open reports whether a session is open, draining ones included.
+func (r *remote) open() bool { return len(r.list()) > 0 }
+
+// remove takes out a closed session.
+func (r *remote) remove(s *session) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sessions = slices.DeleteFunc(r.sessions, func(other *session) bool { return other == s })
+	r.choose()
+}
+
+// reconsider chooses the session for new calls again after one was retired.
+func (r *remote) reconsider() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.choose()
+}
+
+// choose is called under mu. The newest session has answered last.
+func (r *remote) choose() {
+	for _, s := range slices.Backward(r.sessions) {
+		if s.usable() {
+			r.current.Store(s)
+			return
+		}
+	}
+	r.current.Store(nil)
+}
+
+// sessionAttempts bounds the rounds of session: a new session may be given up at once for the peer's own dial.
+const sessionAttempts = 3
+
 // session returns a live session with the peer. It dials if there is none, and fails at once while the
 // peer's backoff runs.
 func (t *Transport) session(ctx context.Context, name string) (*session, error) {
@@ -268,26 +324,28 @@
 	if r == nil {
 		return nil, ErrUnknownPeer
 	}
-	if s := r.current.Load(); s.usable() {
-		return s, nil
-	}
-	if t.closing.Load() {
-		return nil, errClosed
-	}
-	attempt, err := t.join(r)
-	if err != nil {
-		return nil, err
-	}
-	select {
-	case <-attempt.done:
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-	if s := r.current.Load(); s.usable() {
-		return s, nil // also if the own dial failed and the peer's succeeded
-	}
-	if attempt.err != nil {
-		return nil, attempt.err
+	for range sessionAttempts {
+		if s := r.current.Load(); s.usable() {
+			return s, nil
+		}
+		if t.closing.Load() {
+			return nil, errClosed
+		}
+		attempt, err := t.join(r)
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case <-attempt.done:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		if s := r.current.Load(); s.usable() {
+			return s, nil // also if the own dial failed and the peer's succeeded
+		}
+		if attempt.err != nil {
+			return nil, attempt.err
+		}
 	}
 	return nil, errors.New("session was closed")
 }
@@ -330,14 +388,6 @@
 	close(attempt.done)
 }
 
-// reachable forgets earlier failures once a session is up.
-func (r *remote) reachable() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.notBefore = time.Time{}
-	r.backoff.Reset()
-}
-
 func (t *Transport) dial(name, addr string) error {
 	t.metrics.dials.Inc(1)
 	ctx, cancel := context.WithTimeout(t.ctx, t.options.DialTimeout)
@@ -418,17 +468,16 @@
 	t.sessions[s] = struct{}{}
 	t.metrics.sessions.Update(float64(len(t.sessions)))
 	r := t.remoteFor(s.peer.Instance)
-	former := r.current.Swap(s)
+	others := r.add(s)
 	t.mu.Unlock()
 
-	r.reachable()
 	if !t.spawn(func() { t.acceptStreams(s) }) {
 		t.forget(s)
 		s.close()
 		return errClosed
 	}
-	if former.usable() {
-		t.settle(r, former, s)
+	for _, other := range others {
+		t.settle(other, s)
 	}
 	t.log.Debug("session is up", zap.String("peer", s.peer.Instance), zap.Bool("dialled", s.dialled))
 	return nil
@@ -437,7 +486,7 @@
 // settle keeps one of two sessions with a peer. Both instances come to the same choice: the newer one, unless
 // the two were dialled from opposite sides by the same processes. Then the preferred one stays if it answers,
 // since the peer may have lost it before this instance noticed.
-func (t *Transport) settle(r *remote, former, newer *session) {
+func (t *Transport) settle(former, newer *session) {
 	crossed := former.dialled != newer.dialled && former.peer.Incarnation == newer.peer.Incarnation
 	if !crossed || newer.preferred() {
 		t.retire(former, true)
@@ -445,10 +494,11 @@
 	}
 	t.spawn(func() {
 		if _, err := former.mux.Ping(); err != nil {
-			former.close()
+			// Calls in flight on it may still get their answers; the keepalive ends it if it is dead.
+			t.retire(former, false)
 			return
 		}
-		if r.current.CompareAndSwap(newer, former) {
+		if former.usable() {
 			t.retire(newer, true)
 		}
 	})
@@ -460,7 +510,7 @@
 		return
 	}
 	if r := (*t.peers.Load())[s.peer.Instance]; r != nil {
-		r.current.CompareAndSwap(s, nil)
+		r.reconsider()
 	}
 	if !t.spawn(func() { s.drain(ask) }) {
 		s.close()
@@ -497,7 +547,7 @@
 	delete(t.sessions, s)
 	t.metrics.sessions.Update(float64(len(t.sessions)))
 	if r := (*t.peers.Load())[s.peer.Instance]; r != nil {
-		r.current.CompareAndSwap(s, nil)
+		r.remove(s)
 	}
 }
 
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -55,8 +55,7 @@
 	}
 	options := peer.Options{
 		Self: id, Credentials: credentials, Listener: listener, EagerPeers: -1,
-		KeepAlive: 200 * time.Millisecond, WriteTimeout: 300 * time.Millisecond,
-		DialTimeout: time.Second, BackoffInitial: 10 * time.Millisecond, BackoffMax: 50 * time.Millisecond,
+		DialTimeout: 3 * time.Second, BackoffInitial: 10 * time.Millisecond, BackoffMax: 50 * time.Millisecond,
 		DrainTimeout: 5 * time.Second,
 	}
 	if change != nil {
@@ -261,6 +260,32 @@
 	return &node{Transport: transport, addr: listener.Addr().String()}
 }
 
+// Guards against a stream that breaks off and looks as if the peer had ended it.
+func TestBrokenStreamIsNotTheEnd(t *testing.T) {
+	authority := peertest.NewAuthority(t)
+	a := startNode(t, authority, "a", nil)
+	b := startNodeWith(t, authority, "b", "half", func(_ context.Context, _ peer.Identity, s peer.Stream) error {
+		if err := s.Send(wrapperspb.String("part")); err != nil {
+			return err
+		}
+		return s.Close()
+	})
+	link(a, b)
+	s, err := a.Open(within(t, 5*time.Second), "b", "half")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if err := s.Recv(&wrapperspb.StringValue{}); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if err := s.Recv(&wrapperspb.StringValue{}); errors.Is(err, io.EOF) || !errors.Is(err, peer.ErrBroken) {
+			t.Fatalf("got %v", err)
+		}
+	}
+}
+
 // Guards against a reader that does not read and thereby stops calls on other streams of the session.
 func TestSlowReaderAmongFastOnes(t *testing.T) {
 	authority := peertest.NewAuthority(t)
