Let sent non-idempotent requests finish, and trace each hop

A caller that left, or a key withdrawn meanwhile, cut a booking that had reached its service, so nobody learned its outcome. Once the first byte may be out, only the deadline ends such a request now. The mark and the end of the context are ordered by a mutex.

Each request and attempt has a span. Baggage and trace state of callers are neither read nor sent on, since they are free text that could hold a key.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -78,7 +78,10 @@
 		if err := c.Progress.Begin(); err != nil {
 			return &finalError{err}
 		}
-		return d.streamAt(ctx, l.endpoint, c, id, sink)
+		ctx, end := startAttempt(ctx, "dispatch.stream", l.endpoint, id)
+		err := d.streamAt(ctx, l.endpoint, c, id, sink)
+		end(err)
+		return err
 	})
 }
 
@@ -86,7 +89,9 @@
 func (d *Dispatcher) Plain(ctx context.Context, c *ModelCall) (*operations.Answer, Usage, error) {
 	var answer *operations.Answer
 	err := d.attempts(ctx, c, func(l *lease, id string) error {
+		ctx, end := startAttempt(ctx, "dispatch.plain", l.endpoint, id)
 		a, err := d.plainAt(ctx, l.endpoint, c, id)
+		end(err)
 		answer = a
 		return err
 	})
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
-	"go.opentelemetry.io/otel"
-	"go.opentelemetry.io/otel/propagation"
 
 	"dogwoodknot.example/dogwoodknot/internal/operations"
 )
@@ -33,7 +31,7 @@
 		reused.Store(info.Reused)
 	}}
 	ctx := httptrace.WithClientTrace(req.Context(), trace)
-	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	injectTrace(ctx, req.Header)
 	resp, err := t.RoundTrip(req.WithContext(ctx))
 	if err == nil {
 		return resp, nil
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -52,7 +52,9 @@
 			return nil, ex, d.notPlaced(err, last, ex)
 		}
 		attemptCtx, cancel := attemptTime(ctx, c, d.opts.MaxAttempts-attempt)
+		attemptCtx, end := startAttempt(attemptCtx, "dispatch.call", l.endpoint, c.ID)
 		answer, sent, err := d.callAt(attemptCtx, l, c)
+		end(err)
 		cancel()
 		if sent {
 			ex = operations.Unknown
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,8 +32,10 @@
 
 	charge  limits.Charge
 	charged bool
-	// mustFinish is set once a non-idempotent request may have reached an endpoint: ending it then would only lose its answer.
-	mustFinish atomic.Bool
+	// mustFinish is set once a non-idempotent request may have reached an endpoint: ending it then would only lose its
+	// answer. The mutex orders it with the end of the context.
+	sendMu     sync.Mutex
+	mustFinish bool
 }
 
 // permitted checks a view against what the call rests on: key, organisation and home.
@@ -55,17 +57,34 @@
 	return nil
 }
 
-// begin gives the call a context that ends with the caller, the deadline, or a withdrawn key.
+// begin gives the call a context that ends with the caller, the deadline, or a withdrawn key. Once the call must finish, only
+// the deadline ends it.
 func (c *call) begin(parent context.Context, limit time.Duration) (end func(), err *apiError) {
-	ctx, cancel := context.WithCancelCause(parent)
+	if deadline, ok := parent.Deadline(); ok {
+		limit = min(limit, time.Until(deadline))
+	}
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(parent))
 	ctx, stop := context.WithTimeout(ctx, limit)
 	c.ctx, c.cancel = ctx, cancel
+	detach := context.AfterFunc(parent, func() {
+		c.endUnsent(context.Cause(parent))
+	})
 	unregister, err := c.g.register(c)
 	if err != nil {
+		detach()
 		stop()
 		return nil, err
 	}
-	return func() { unregister(); stop() }, nil
+	return func() { detach(); unregister(); stop() }, nil
+}
+
+// endUnsent ends the call unless it must finish.
+func (c *call) endUnsent(cause error) {
+	c.sendMu.Lock()
+	defer c.sendMu.Unlock()
+	if !c.mustFinish {
+		c.cancel(cause)
+	}
 }
 
 // admit charges the request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,8 +60,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for c := range g.open {
-		if err := c.permitted(v); err != nil && !c.mustFinish.Load() {
-			c.cancel(&err.failure)
+		if err := c.permitted(v); err != nil {
+			c.endUnsent(&err.failure)
 		}
 	}
 }
@@ -111,7 +111,9 @@
 			g.panicked(w, id, p)
 		}
 	}()
-	g.table().router.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), requestIDKey{}, id)))
+	ctx, span := startRequest(r, id)
+	defer span.End()
+	g.table().router.ServeHTTP(w, r.WithContext(context.WithValue(ctx, requestIDKey{}, id)))
 }
 
 type requestIDKey struct{}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -112,12 +112,12 @@
 	if err := c.beforeSend(); err != nil {
 		return err
 	}
-	c.mustFinish.Store(true)
-	// A withdrawal before the mark has ended the context; one after it leaves the request alone.
-	if err := c.permitted(c.g.opts.Source.View()); err != nil {
-		c.mustFinish.Store(false)
-		return &err.failure
+	c.sendMu.Lock()
+	defer c.sendMu.Unlock()
+	if cause := context.Cause(c.ctx); cause != nil {
+		return &c.ended(cause).failure
 	}
+	c.mustFinish = true
 	return nil
 }
 
