Give every refusal one form and test hostile callers and stops

net/http answers requests it cannot read by itself, without the execution header, request id and error body that every answer must have. The connection now replaces these answers until the handler has taken over. Sniffing the request bytes instead was ruled out: it would need a second parser of HTTP that must agree with net/http.

A connection ends after any chunked request, so a length beside chunks cannot hide a second request.

Keyed requests to a home-bound service are not forwarded to a key's owner, which may be in another region. The region that served a request is named in a header.

--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -50,18 +50,18 @@
 	gone           bool  // no longer configured
 }
 
-// Default batch depths. A plain service has no batch; its depth only bounds the connections to it.
+// defaultSlots is the batch depth of an engine that declares none. A plain service has no batch; serviceSlots only bounds the
+// requests that one instance sends to it at once.
 const (
-	defaultSlots        = 8
-	defaultServiceSlots = 64
+	defaultSlots = 8
+	serviceSlots = 64
 )
 
 func withSlots(c config.Endpoint) config.Endpoint {
 	switch {
-	case c.Slots > 0:
 	case c.Kind == config.KindService:
-		c.Slots = defaultServiceSlots
-	default:
+		c.Slots = serviceSlots
+	case c.Slots <= 0:
 		c.Slots = defaultSlots
 	}
 	return c
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -19,6 +19,9 @@
 	headerRequestID = "X-Request-Id"
 )
 
+// headerServedRegion names the region whose endpoints gave the answer.
+const headerServedRegion = "Dogwoodknot-Served-Region"
+
 // failure is what callers are told of an error, without the parts that only the gateway itself adds.
 type failure = dispatch.Error
 
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -607,6 +607,7 @@
 	status int
 	header http.Header
 	body   string
+	close  bool // the connection ends with the answer
 }
 
 // events returns the data of the answer's server-sent events.
@@ -670,7 +671,7 @@
 	if resp.Header.Get(headerExecution) == "" || resp.Header.Get(headerRequestID) == "" {
 		t.Errorf("%s %s: answer %d lacks %s or %s", method, path, resp.StatusCode, headerExecution, headerRequestID)
 	}
-	return answer{resp.StatusCode, resp.Header, string(raw)}
+	return answer{resp.StatusCode, resp.Header, string(raw), resp.Close}
 }
 
 // refused checks the shape of a refusal.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,7 @@
 	id := newID()
 	h := w.Header()
 	h.Set(headerRequestID, id)
+	markServed(r.Context())
 	// A request with both a length and chunks is read by its chunks. Ending the connection after any chunked request
 	// leaves no bytes that could be read as a second request.
 	if g.draining.Load() || len(r.TransferEncoding) > 0 {
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -1,8 +1,15 @@
 package gateway
 
 import (
+	"bytes"
+	"context"
 	"net"
+	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
+
+	"dogwoodknot.example/dogwoodknot/internal/operations"
 )
 
 // listener bounds the number of open connections. Further ones are closed at once, so that waiting connections don't pile up
@@ -32,10 +39,72 @@
 	}
 }
 
-// callerConn is a counted connection.
+// callerConn is a counted connection. It gives the refusals that net/http writes itself, such as those of a broken header,
+// the form of all others.
 type callerConn struct {
 	net.Conn
 	release func()
+	// served says that the handler has taken over the current request, so that what is written is its answer.
+	served atomic.Bool
+}
+
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+func markServed(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*callerConn); ok {
+		c.served.Store(true)
+	}
+}
+
+func connState(c net.Conn, s http.ConnState) {
+	if own, ok := c.(*callerConn); ok && s == http.StateIdle {
+		own.served.Store(false)
+	}
+}
+
+// Write passes answers on. Before the handler has seen a request, only net/http's own refusals are written.
+func (c *callerConn) Write(p []byte) (int, error) {
+	if c.served.Load() {
+		return c.Conn.Write(p)
+	}
+	status, ok := statusOf(p)
+	if !ok || status < http.StatusBadRequest {
+		return c.Conn.Write(p)
+	}
+	if _, err := c.Conn.Write(plainRefusal(status)); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// statusOf reads the status of an answer's first line.
+func statusOf(p []byte) (int, bool) {
+	rest, ok := bytes.CutPrefix(p, []byte("HTTP/1."))
+	if !ok || len(rest) < len("1 400") {
+		return 0, false
+	}
+	status, err := strconv.Atoi(string(rest[2:5]))
+	return status, err == nil
+}
+
+// plainRefusal is a whole answer to a request that could not be read.
+func plainRefusal(status int) []byte {
+	code := "malformed_request"
+	if status == http.StatusRequestHeaderFieldsTooLarge {
+		code = "header_too_large"
+	}
+	text := http.StatusText(status)
+	body := refuse(status, code, "the request could not be read: "+text).body()
+	var out bytes.Buffer
+	out.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + text + "\r\nContent-Type: application/json\r\nConnection: close\r\n")
+	out.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
+	out.WriteString(headerExecution + ": " + string(operations.NotRun) + "\r\n" + headerRequestID + ": " + newID() + "\r\n\r\n")
+	out.Write(body)
+	return out.Bytes()
 }
 
 // Close gives the connection's place back.
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -78,7 +78,7 @@
 func (c *call) checkSecret(r *http.Request, body []byte) *apiError {
 	parts := [][]byte{
 		body, []byte(r.URL.EscapedPath()), []byte(r.URL.RawQuery), []byte(r.Header.Get("Content-Type")),
-		[]byte(r.Header.Get("Accept")),
+		[]byte(r.Header.Get("Accept")), []byte(r.Header.Get(headerIdempotencyKey)),
 	}
 	for _, p := range parts {
 		if containsSecret(p, c.secret) {
@@ -126,7 +126,7 @@
 // plainModel answers with one JSON object.
 func (g *Gateway) plainModel(w http.ResponseWriter, c *call, mc *dispatch.ModelCall) *apiError {
 	begun := g.opts.Clock.Now()
-	a, usage, err := g.runPlain(c, mc)
+	a, usage, err := g.runPlain(w, c, mc)
 	if err != nil {
 		e := asAPIError(err)
 		c.settle(usedByFailed(e.Execution, mc, c.ctx.Err() != nil, g.opts.Clock.Now().Sub(begun)))
@@ -159,7 +159,7 @@
 // streamModel answers with server-sent events.
 func (g *Gateway) streamModel(w http.ResponseWriter, c *call, mc *dispatch.ModelCall, includeUsage bool) *apiError {
 	out := newEventWriter(w, g.opts.WriteTimeout)
-	err := g.runStream(c, mc, func(data []byte) error {
+	err := g.runStream(w, c, mc, func(data []byte) error {
 		if !includeUsage && usageOnly(data) {
 			return nil
 		}
@@ -208,10 +208,10 @@
 	_, _ = w.Write(a.Body) // a caller that is gone needs no answer
 }
 
-// chooseRegion returns the instance of another region that the request should go to, or an empty string.
-func (g *Gateway) chooseRegion(c *call, mc *dispatch.ModelCall) string {
+// chooseRegion returns the other region that the request should go to, and false if it stays here.
+func (g *Gateway) chooseRegion(c *call, mc *dispatch.ModelCall) (routing.RegionLoad, bool) {
 	if !c.cross || g.opts.Regions == nil || g.opts.Network == nil {
-		return ""
+		return routing.RegionLoad{}, false
 	}
 	local := g.opts.Dispatcher.Serves(mc.Model)
 	var wait time.Duration
@@ -220,33 +220,39 @@
 	}
 	remotes := g.opts.Regions.Model(mc.Model)
 	if i := routing.ChooseRegion(wait, local, remotes, newRand()); i >= 0 {
-		return remotes[i].Instance
+		return remotes[i], true
 	}
-	return ""
+	return routing.RegionLoad{}, false
 }
 
 // runStream serves a stream here or in another region. A remote instance that did not finish is replaced by local endpoints.
-func (g *Gateway) runStream(c *call, mc *dispatch.ModelCall, sink func([]byte) error) error {
-	remote := g.chooseRegion(c, mc)
-	if remote == "" {
+func (g *Gateway) runStream(w http.ResponseWriter, c *call, mc *dispatch.ModelCall, sink func([]byte) error) error {
+	w.Header().Set(headerServedRegion, g.opts.Region)
+	remote, found := g.chooseRegion(c, mc)
+	if !found {
 		return g.opts.Dispatcher.Stream(c.ctx, mc, sink)
 	}
-	err := g.forwardStream(c, remote, mc, sink)
+	w.Header().Set(headerServedRegion, remote.Region)
+	err := g.forwardStream(c, remote.Instance, mc, sink)
 	if err == nil || !g.fallBack(c, mc, err) {
 		return err
 	}
+	w.Header().Set(headerServedRegion, g.opts.Region)
 	return withExecution(g.opts.Dispatcher.Stream(c.ctx, mc, sink), err)
 }
 
-func (g *Gateway) runPlain(c *call, mc *dispatch.ModelCall) (*operations.Answer, dispatch.Usage, error) {
-	remote := g.chooseRegion(c, mc)
-	if remote == "" {
+func (g *Gateway) runPlain(w http.ResponseWriter, c *call, mc *dispatch.ModelCall) (*operations.Answer, dispatch.Usage, error) {
+	w.Header().Set(headerServedRegion, g.opts.Region)
+	remote, found := g.chooseRegion(c, mc)
+	if !found {
 		return g.opts.Dispatcher.Plain(c.ctx, mc)
 	}
-	a, usage, err := g.forwardPlain(c, remote, mc)
+	w.Header().Set(headerServedRegion, remote.Region)
+	a, usage, err := g.forwardPlain(c, remote.Instance, mc)
 	if err == nil || !g.fallBack(c, mc, err) {
 		return a, usage, err
 	}
+	w.Header().Set(headerServedRegion, g.opts.Region)
 	a, usage, localErr := g.opts.Dispatcher.Plain(c.ctx, mc)
 	return a, usage, withExecution(localErr, err)
 }
--- /dev/null
+++ b/internal/gateway/robust_test.go
@@ -0,0 +1,366 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/dispatch"
+	"dogwoodknot.example/dogwoodknot/internal/operations"
+)
+
+// raw sends bytes on a connection of their own and returns all that comes back until it is closed.
+func (in *instance) raw(t *testing.T, send string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(in.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, send); err != nil {
+		t.Fatal(err)
+	}
+	out, err := io.ReadAll(conn)
+	if err != nil {
+		t.Fatalf("after %q: %v", out, err)
+	}
+	return string(out)
+}
+
+// Guards against refusals of unreadable requests without the headers that every answer has, against bytes after a request
+// that are taken for a second one, and against connections that stay open for a caller who sends nothing.
+func TestMalformedRequestsEndTheConnection(t *testing.T) {
+	s := newService(t)
+	in := start(t, "lima", testView(serviceAt(s, "s1", "lima")), func(o *Options, _ *dispatch.Options) {
+		o.HeaderTimeout, o.BodyTimeout = 300*time.Millisecond, 300*time.Millisecond
+	})
+	auth := "Host: h\r\nAuthorization: Bearer " + workshopKey + "\r\n"
+	smuggled := "POST /deposits/evil HTTP/1.1\r\n" + auth + "Content-Length: 0\r\n\r\n"
+	for name, c := range map[string]struct {
+		send   string
+		status int
+	}{
+		"two lengths":      {"POST /deposits/1 HTTP/1.1\r\n" + auth + "Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}" + smuggled, 400},
+		"bad encoding":     {"POST /deposits/1 HTTP/1.1\r\n" + auth + "Transfer-Encoding: xchunked\r\n\r\n{}" + smuggled, 501},
+		"bad length":       {"POST /deposits/1 HTTP/1.1\r\n" + auth + "Content-Length: +2\r\n\r\n{}" + smuggled, 400},
+		"bad chunk":        {"POST /deposits/1 HTTP/1.1\r\n" + auth + "Transfer-Encoding: chunked\r\n\r\nzz\r\n{}" + smuggled, 400},
+		"space in header":  {"POST /deposits/1 HTTP/1.1\r\n" + auth + "Content-Length : 2\r\n\r\n{}" + smuggled, 400},
+		"large header":     {"GET /lots/1 HTTP/1.1\r\n" + auth + "X-Large: " + strings.Repeat("x", 64<<10) + "\r\n\r\n", 431},
+		"two keys":         {"POST /deposits/1 HTTP/1.1\r\n" + auth + auth[9:] + "Content-Length: 2\r\n\r\n{}", 400},
+		"no host":          {"POST /deposits/1 HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", 400},
+		"encoded body":     {"POST /deposits/1 HTTP/1.1\r\n" + auth + "Content-Encoding: gzip\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}", 415},
+		"slow body":        {"POST /deposits/1 HTTP/1.1\r\n" + auth + "Content-Length: 20\r\n\r\n{", 408},
+		"refused, no body": {"POST /deposits/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 500000\r\n\r\n", 401},
+		"half a header":    {"POST /deposits/1 HTTP/1.1\r\nHost: h\r\nX-A", 400},
+		"upgrade":          {"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 404},
+	} {
+		got := in.raw(t, c.send)
+		if !strings.HasPrefix(got, fmt.Sprintf("HTTP/1.1 %d ", c.status)) && !strings.HasPrefix(got, fmt.Sprintf("HTTP/1.0 %d ", c.status)) {
+			t.Errorf("%s: got %.200q, want status %d", name, got, c.status)
+			continue
+		}
+		if !strings.Contains(got, headerExecution+": not-run") || !strings.Contains(got, headerRequestID+": ") || !strings.Contains(got, `{"error":{`) {
+			t.Errorf("%s: answer %q lacks a header or the body of an error", name, got)
+		}
+		if strings.Count(got, "HTTP/1.") != 1 {
+			t.Errorf("%s: more than one answer: %q", name, got)
+		}
+	}
+	// A length beside chunks: the chunks count, and nothing after them is read.
+	got := in.raw(t, "POST /deposits/1 HTTP/1.1\r\n"+auth+"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"+smuggled)
+	if strings.Count(got, "HTTP/1.1 ") != 1 {
+		t.Errorf("length and chunks: %q", got)
+	}
+	for _, seen := range s.executions() {
+		if strings.Contains(seen.target, "evil") {
+			t.Fatal("a smuggled request ran")
+		}
+	}
+}
+
+// Guards against bad model requests that run, hang or take the gateway down.
+func TestBadModelRequests(t *testing.T) {
+	e := newEngine(t)
+	in := start(t, "lima", testView(engineAt(e, "r1", "lima")), func(o *Options, _ *dispatch.Options) { o.MaxModelBody = 10000 })
+	for body, code := range map[string]string{
+		"":                                "invalid_request",
+		"{":                               "invalid_request",
+		"[]":                              "invalid_request",
+		"null":                            "invalid_request",
+		"{}":                              "invalid_request",
+		`{"model":7}`:                     "invalid_request",
+		"{\"model\":\"\xff\"}":            "invalid_request",
+		`{"model":"taller-lm"}`:           "invalid_request",
+		chat(true, `,"n":0`):              "invalid_request",
+		chat(true, `,"n":1e9`):            "invalid_request",
+		chat(true, `,"max_tokens":-1`):    "invalid_request",
+		chat(true, `,"max_tokens":99999`): "context_length_exceeded",
+		`{"model":"taller-lm","messages":[{"role":"user","content":7}]}`: "invalid_request",
+	} {
+		in.do(t, "POST", "/v1/chat/completions", workshopKey, body).refused(t, 400, code, operations.NotRun)
+	}
+	in.do(t, "POST", "/v1/chat/completions", workshopKey, strings.Repeat("[", 9999)).refused(t, 400, "invalid_request", operations.NotRun)
+	in.do(t, "POST", "/v1/chat/completions", workshopKey, strings.Repeat("x", 10001)).refused(t, 413, "body_too_large", operations.NotRun)
+	in.do(t, "POST", "/v1/chat/completions", workshopKey, `{"model":"other","messages":[{"role":"user","content":"x"}]}`).
+		refused(t, 404, "model_not_found", operations.NotRun)
+	if n := len(e.requests()); n != 0 {
+		t.Fatalf("%d bad requests reached the engine", n)
+	}
+	if charges, _ := in.limiter.balance(t); charges != 0 {
+		t.Fatalf("%d bad requests were charged", charges)
+	}
+}
+
+// streaming starts a stream and returns its body after the first event.
+func (in *instance) streaming(t *testing.T, ctx context.Context, key string) (*http.Response, *bufio.Reader) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, "POST", in.url+"/v1/chat/completions", strings.NewReader(chat(true, "")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := in.client.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { resp.Body.Close() })
+	r := bufio.NewReader(resp.Body)
+	if line, err := r.ReadString('\n'); err != nil || !strings.HasPrefix(line, "data: ") {
+		t.Fatalf("first line %q: %v", line, err)
+	}
+	return resp, r
+}
+
+// Guards against a withdrawn key that keeps a stream, here or in another region.
+func TestWithdrawnKeyEndsOpenStreams(t *testing.T) {
+	e := newEngine(t)
+	e.tokens, e.pace = 1000, 20*time.Millisecond
+	local := start(t, "lima", testView(engineAt(e, "r1", "lima")), nil)
+	remote, _, _ := twoRegions(t, e, newService(t))
+	for _, in := range []*instance{local, remote} {
+		_, body := in.streaming(t, context.Background(), workshopKey)
+		begun := time.Now()
+		in.source.change(func(v *fakeView) { v.withdrawn["1k"] = true })
+		rest, err := io.ReadAll(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(begun); took > 2*time.Second {
+			t.Fatalf("the stream went on for %v", took)
+		}
+		if !strings.Contains(string(rest), `"code":"key_withdrawn"`) || strings.Contains(string(rest), "[DONE]") {
+			t.Fatalf("the stream ended with %s", rest)
+		}
+		if _, used := in.limiter.balance(t); used < 5 || used > 105 {
+			t.Fatalf("%d tokens settled for the cut stream", used)
+		}
+	}
+	eventually(t, "both engines' work is cancelled", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return len(e.cancelled) == 2
+	})
+}
+
+// Guards against engines that go on for callers who are gone.
+func TestCancelReachesTheEngine(t *testing.T) {
+	e := newEngine(t)
+	e.tokens, e.pace = 1000, 10*time.Millisecond
+	in := start(t, "lima", testView(engineAt(e, "r1", "lima")), nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	resp, _ := in.streaming(t, ctx, workshopKey)
+	cancel()
+	eventually(t, "the engine is told", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return len(e.cancelled) == 1 && e.cancelled[0] == resp.Header.Get(headerRequestID)
+	})
+	if _, used := in.limiter.balance(t); used < 5 || used > 105 {
+		t.Fatalf("%d tokens settled for the stream that was left", used)
+	}
+}
+
+// Guards against a booking that is cut because its caller left or its key was withdrawn after it was sent.
+func TestSentBookingIsFinished(t *testing.T) {
+	s := newService(t)
+	release := make(chan struct{})
+	finished := make(chan bool, 1)
+	s.answer = func(w http.ResponseWriter, r *http.Request, _ int) {
+		<-release
+		finished <- r.Context().Err() == nil
+		io.WriteString(w, "{}")
+	}
+	in := start(t, "lima", testView(serviceAt(s, "s1", "lima")), nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, "POST", in.url+"/deposits/1", strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+workshopKey)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if resp, err := in.client.Do(req); err == nil {
+			resp.Body.Close()
+		}
+	}()
+	eventually(t, "the booking has reached the service", func() bool { return len(s.executions()) == 1 })
+	in.source.change(func(v *fakeView) { v.withdrawn["1k"] = true })
+	cancel()
+	<-done
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	if !<-finished {
+		t.Fatal("the booking was cut")
+	}
+	if _, used := in.limiter.balance(t); used != 1 {
+		t.Fatalf("%d tokens used, want 1", used)
+	}
+}
+
+// Guards against a planned stop that cuts or refuses requests in flight, callers' or forwarded ones.
+func TestShutdownCutsNothing(t *testing.T) {
+	e := newEngine(t)
+	e.tokens, e.pace = 30, 20*time.Millisecond
+	lima, cusco, _ := twoRegions(t, e, newService(t))
+	if !lima.Ready() {
+		t.Fatal("not ready before the stop")
+	}
+	_, forwarded := lima.streaming(t, context.Background(), workshopKey)
+	_, own := cusco.streaming(t, context.Background(), workshopKey)
+	var stopped sync.WaitGroup
+	stopped.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		if err := cusco.Shutdown(ctx); err != nil {
+			t.Errorf("shutdown: %v", err)
+		}
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.active != 0 {
+			t.Errorf("%d requests in flight after the stop", e.active)
+		}
+	})
+	eventually(t, "readiness is off", func() bool { return !cusco.Ready() })
+	if a := cusco.do(t, "GET", "/v1/models", workshopKey, ""); a.status != 200 || !a.close {
+		t.Errorf("while draining: %d, connection ends: %v", a.status, a.close)
+	}
+	for name, r := range map[string]*bufio.Reader{"own": own, "forwarded": forwarded} {
+		rest, err := io.ReadAll(r)
+		if err != nil || !strings.HasSuffix(string(rest), "data: [DONE]\n\n") {
+			t.Errorf("%s stream ended with %.300q, %v", name, rest, err)
+		}
+	}
+	stopped.Wait()
+	if _, err := net.Dial("tcp", strings.TrimPrefix(cusco.url, "http://")); err == nil {
+		t.Error("the stopped instance still listens")
+	}
+	lima.do(t, "POST", "/v1/chat/completions", workshopKey, chat(false, "")).refused(t, 503, "declined", operations.NotRun)
+}
+
+// Guards against a link that breaks in the middle of a stream: the rest must come from here, without repeats or gaps, and a
+// plain call that may have run must not be sent again.
+func TestBrokenLinkBetweenRegions(t *testing.T) {
+	e, s := newEngine(t), newService(t)
+	lima, _, bus := twoRegions(t, e, s)
+	near := newEngine(t)
+	bus.mu.Lock()
+	bus.cut = func(_ []byte, n int) bool { return n == 3 }
+	bus.mu.Unlock()
+	// The far region is chosen because nothing here serves the model at that time; then it is served here too.
+	e.pace = 100 * time.Millisecond
+	go func() {
+		time.Sleep(150 * time.Millisecond)
+		lima.source.change(func(v *fakeView) { v.general.Endpoints = append(v.general.Endpoints, engineAt(near, "near", "lima")) })
+	}()
+	a := lima.do(t, "POST", "/v1/chat/completions", workshopKey, chat(true, ""))
+	if a.text(t) != fiveWords || !strings.HasSuffix(a.body, "data: [DONE]\n\n") {
+		t.Fatalf("stream: %s", a.body)
+	}
+	if len(near.requests()) != 1 {
+		t.Fatalf("%d requests at the near engine", len(near.requests()))
+	}
+	bus.mu.Lock()
+	bus.cut = func(_ []byte, n int) bool { return n == 1 }
+	bus.mu.Unlock()
+	lima.do(t, "POST", "/deposits/1", workshopKey, "{}").refused(t, 502, "region_unreachable", operations.Unknown)
+	if n := len(s.executions()); n != 1 {
+		t.Fatalf("%d executions, want 1", n)
+	}
+	bus.mu.Lock()
+	bus.links["cusco-1"] = false
+	bus.mu.Unlock()
+	lima.do(t, "POST", "/deposits/1", workshopKey, "{}").refused(t, 503, "region_unreachable", operations.NotRun)
+}
+
+// fakeOperations runs each request once by its key.
+type fakeOperations struct {
+	mu    sync.Mutex
+	done  map[string]operations.Outcome
+	asked []operations.Request
+}
+
+func (f *fakeOperations) Issue(string) (string, error) { return "op_1", nil }
+
+func (f *fakeOperations) Do(ctx context.Context, req operations.Request, run operations.RunFunc) operations.Outcome {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked = append(f.asked, req)
+	if out, ok := f.done[req.Key]; ok {
+		out.Repeat = true
+		return out
+	}
+	a, ex, _ := run(ctx)
+	out := operations.Outcome{Execution: ex, Answer: a, Status: 503, Code: "operation_not_run", RetryAfter: time.Second}
+	f.done[req.Key] = out
+	return out
+}
+
+// Guards against keyed requests that bypass their record, and against repeats that are charged or run again.
+func TestOperations(t *testing.T) {
+	s := newService(t)
+	ops := &fakeOperations{done: map[string]operations.Outcome{}}
+	in := start(t, "lima", testView(serviceAt(s, "s1", "lima")), func(o *Options, _ *dispatch.Options) { o.Operations = ops })
+	if a := in.do(t, "POST", "/v1/operations", workshopKey, ""); a.status != 201 || !strings.Contains(a.body, `"id":"op_1"`) {
+		t.Fatalf("issue: %d %s", a.status, a.body)
+	}
+	first := in.do(t, "POST", "/deposits/1", workshopKey, "{}", "Idempotency-Key", "op_1")
+	second := in.do(t, "POST", "/deposits/1", workshopKey, "{}", "Idempotency-Key", "op_1")
+	if first.status != 200 || second.body != first.body || len(s.executions()) != 1 {
+		t.Fatalf("answers %s and %s, %d executions", first.body, second.body, len(s.executions()))
+	}
+	if charges, used := in.limiter.balance(t); charges != 2 || used != 1 {
+		t.Fatalf("%d charges, %d tokens used", charges, used)
+	}
+	if ops.asked[0].Forwardable.Route != "deposit" || ops.asked[0].Organisation != "workshop" {
+		t.Fatalf("asked %+v", ops.asked[0])
+	}
+	if a := in.do(t, "GET", "/lots/1", workshopKey, "", "Idempotency-Key", "k"); a.status != 200 || len(ops.asked) != 2 {
+		t.Fatalf("idempotent route with a key: %d, %d asked", a.status, len(ops.asked))
+	}
+	in.do(t, "GET", "/status", "", "", "Idempotency-Key", "k").refused(t, 400, "idempotency_key_not_taken", operations.NotRun)
+	// A home-bound service's request must not go to an owner in another region.
+	in.do(t, "POST", "/ledger", workshopKey, "{}", "Idempotency-Key", "op_2").refused(t, 503, "operation_not_run", operations.NotRun)
+	if last := ops.asked[len(ops.asked)-1]; last.Forwardable != nil {
+		t.Fatal("a home-bound request may be forwarded")
+	}
+	// The owner runs a forwarded request only for an organisation of its own region.
+	f := &operations.ForwardedRequest{Route: "deposit", Method: "POST", Path: "/deposits/2", Body: []byte("{}")}
+	if a, ex, err := in.RunForwarded(context.Background(), "workshop", f); err != nil || ex != operations.Ran || a.Status != 200 {
+		t.Fatalf("forwarded: %v %s %v", a, ex, err)
+	}
+	in.source.change(func(v *fakeView) { v.orgs["workshop"].Home = "cusco" })
+	if _, ex, err := in.RunForwarded(context.Background(), "workshop", f); err == nil || ex != operations.NotRun {
+		t.Fatalf("forwarded for a foreign home: %s %v", ex, err)
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -14,6 +14,8 @@
 		ReadHeaderTimeout: g.opts.HeaderTimeout,
 		IdleTimeout:       g.opts.IdleTimeout,
 		MaxHeaderBytes:    g.opts.MaxHeader,
+		ConnContext:       withConn,
+		ConnState:         connState,
 		// Requests take their own deadlines for bodies and answers: a stream may last for minutes.
 	}
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"encoding/json"
 	"net/http"
 	"net/url"
@@ -95,7 +94,7 @@
 	if keyed {
 		return g.serveOperation(w, c, route, sc, key, tokens)
 	}
-	a, ex, err := g.runService(c, route, sc)
+	a, ex, err := g.runService(w, c, route, sc)
 	if ex == operations.NotRun {
 		tokens = 0
 	}
@@ -124,10 +123,13 @@
 // serveOperation runs a request with an idempotency key through its record.
 func (g *Gateway) serveOperation(w http.ResponseWriter, c *call, route *config.Route, sc *dispatch.ServiceCall, key string, tokens int64) *apiError {
 	req := operations.Request{
-		Organisation: c.org.Name, Key: key, BodyDigest: sha256.Sum256(sc.Body), Method: sc.Method, Path: sc.Path,
-		Forwardable: &operations.ForwardedRequest{
+		Organisation: c.org.Name, Key: key, Method: sc.Method, Path: sc.Path,
+		BodyDigest: operations.Digest(c.org.Name, sc.Method, sc.Path, sc.ContentType, sc.Body),
+	}
+	if !c.homeBound { // else the owner of the key may be in another region
+		req.Forwardable = &operations.ForwardedRequest{
 			Route: route.Name, Method: sc.Method, Path: sc.Path, ContentType: sc.ContentType, Body: sc.Body,
-		},
+		}
 	}
 	// The record must get its result even if the caller leaves, so the run has the deadline but not the caller's end.
 	out := g.opts.Operations.Do(c.ctx, req, func(context.Context) (*operations.Answer, operations.Execution, error) {
@@ -149,7 +151,8 @@
 }
 
 // runService sends a request to a plain service of this region, or of another one if this region has none.
-func (g *Gateway) runService(c *call, route *config.Route, sc *dispatch.ServiceCall) (*operations.Answer, operations.Execution, error) {
+func (g *Gateway) runService(w http.ResponseWriter, c *call, route *config.Route, sc *dispatch.ServiceCall) (*operations.Answer, operations.Execution, error) {
+	w.Header().Set(headerServedRegion, g.opts.Region)
 	if g.opts.Dispatcher.ServesService(sc.Service) || !c.cross || g.opts.Regions == nil || g.opts.Network == nil {
 		return g.opts.Dispatcher.Call(c.ctx, sc)
 	}
@@ -158,6 +161,7 @@
 	if i < 0 {
 		return g.opts.Dispatcher.Call(c.ctx, sc)
 	}
+	w.Header().Set(headerServedRegion, remotes[i].Region)
 	return g.forwardService(c, remotes[i].Instance, route.Name, sc)
 }
 
