Test dispatch against the stand-ins and correct its load figures

A prompt counted as waiting at its endpoint until the next load report, although it had been worked through, so a repeated prompt left the engine that held its prefix: 2 engines used for 8 equal prompts. Own work is now known exactly, by place and first token, and only the rest of a report counts as other instances' work.

Of two endpoints none could be ejected, since a third of two is none; now one can. Failures in a row also cost tokens, so that a hanging endpoint gets less work before it is ejected. A larger slowness factor was ruled out: it scales with the prompt and does nothing for short ones.

--- a/internal/core/routing/health.go
+++ b/internal/core/routing/health.go
@@ -10,8 +10,8 @@
 
 // Limits of outlier ejection.
 const (
-	// MaxEjected is the largest part of a group that may be ejected at once. A fault that hits more endpoints is more
-	// likely on this side, or leaves nothing better to use.
+	// MaxEjected is the largest part of a group that may be ejected at once; of two endpoints it is one. A fault that
+	// hits more endpoints is more likely on this side, or leaves nothing better to use.
 	MaxEjected = 1.0 / 3
 	// failuresToEject is the number of failures in a row after which an endpoint is left out.
 	failuresToEject = 3
@@ -25,6 +25,7 @@
 // Health is the record of one endpoint's recent answers.
 type Health struct {
 	failures  int // in a row
+	failedAt  clock.Instant
 	ejections int
 	until     clock.Instant
 	pace      float64 // moving mean of seconds per unit of work, 0 before the first
@@ -50,6 +51,7 @@
 // Failed records a failure of the endpoint, not of the request.
 func (h *Health) Failed(now clock.Instant) {
 	h.failures++
+	h.failedAt = now
 	if h.failures < failuresToEject {
 		return
 	}
@@ -59,6 +61,14 @@
 	h.until = now.Add(wait)
 }
 
+// Failures is the number of failures in a row, 0 once the last lies so far back that the endpoint is worth a try again.
+func (h *Health) Failures(now clock.Instant) int {
+	if h.failures > 0 && now.Sub(h.failedAt) > maxEjection {
+		return 0
+	}
+	return h.failures
+}
+
 // Ejected tells for each endpoint of a group whether it is left out, never more than MaxEjected of them. Those whose
 // ejection lasts longest stay out.
 func Ejected(group []*Health, now clock.Instant) []bool {
@@ -71,6 +81,9 @@
 	}
 	sort.SliceStable(failed, func(a, b int) bool { return group[failed[a]].until > group[failed[b]].until })
 	allowed := int(float64(len(group)) * MaxEjected)
+	if len(group) == 2 {
+		allowed = 1
+	}
 	for _, i := range failed[:min(allowed, len(failed))] {
 		out[i] = true
 	}
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -23,6 +23,8 @@
 	Distance float64
 	// Slowness is the endpoint's time for its work relative to the others', at least 1.
 	Slowness float64
+	// Failures is the number of failures in a row.
+	Failures int
 	// Ejected keeps the endpoint out while others are left.
 	Ejected bool
 	// Avoid marks an endpoint that has failed this very request.
@@ -39,6 +41,9 @@
 type Policy struct {
 	// TokensPerRequest is the cost of sharing a batch with one more request.
 	TokensPerRequest float64
+	// TokensPerFailure is the cost of each recent failure, so that an endpoint that hangs gets less work even before it is
+	// ejected.
+	TokensPerFailure float64
 	// AffinityLoad bounds the load up to which cached prefixes attract work, relative to the mean load of the candidates.
 	AffinityLoad float64
 	// Near is the part of the lowest cost by which another endpoint counts as equally cheap.
@@ -48,7 +53,7 @@
 }
 
 // DefaultPolicy is used unless an instance sets its own.
-var DefaultPolicy = Policy{TokensPerRequest: 64, AffinityLoad: 1.5, Near: 0.1, NearTokens: 64}
+var DefaultPolicy = Policy{TokensPerRequest: 64, TokensPerFailure: 256, AffinityLoad: 1.5, Near: 0.1, NearTokens: 64}
 
 // Choose returns the index of the endpoint for a prompt of the given size, or -1 if none may take it. With force, endpoints
 // without room are candidates too.
@@ -115,5 +120,5 @@
 		prefill = max(promptTokens-c.CachedTokens, 0)
 	}
 	work := c.QueuedTokens + prefill + float64(c.Occupied())*p.TokensPerRequest
-	return work*max(c.Slowness, 1) + c.Distance
+	return work*max(c.Slowness, 1) + c.Distance + float64(c.Failures)*p.TokensPerFailure
 }
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,540 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/goleak"
+
+	"dogwoodknot.example/dogwoodknot/internal/config"
+	"dogwoodknot.example/dogwoodknot/internal/configsync"
+	"dogwoodknot.example/dogwoodknot/internal/core/fairqueue"
+	"dogwoodknot.example/dogwoodknot/internal/core/routing"
+	"dogwoodknot.example/dogwoodknot/internal/operations"
+	"dogwoodknot.example/dogwoodknot/internal/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type fakeSource struct {
+	mu   sync.Mutex
+	view fakeView
+	subs []func(configsync.View)
+}
+
+type fakeView struct {
+	configsync.View
+	general *config.Config
+}
+
+func (v fakeView) General() *config.Config { return v.general }
+
+func (s *fakeSource) View() configsync.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view
+}
+
+func (s *fakeSource) Subscribe(f func(configsync.View)) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.subs = append(s.subs, f)
+	return func() {}
+}
+
+func (s *fakeSource) set(endpoints ...config.Endpoint) {
+	s.mu.Lock()
+	s.view = fakeView{general: &config.Config{Endpoints: endpoints}}
+	v, subs := s.view, s.subs
+	s.mu.Unlock()
+	for _, f := range subs {
+		f(v)
+	}
+}
+
+type leaving struct{ names sync.Map }
+
+func (l *leaving) Leaving(name string) bool {
+	_, ok := l.names.Load(name)
+	return ok
+}
+
+const prompt = "user\nwhich metal?\n"
+
+// fleet is a dispatcher with stand-in engines and services.
+type fleet struct {
+	*Dispatcher
+	source    *fakeSource
+	states    *leaving
+	engines   []*standin.Engine
+	services  []*standin.Service
+	endpoints []config.Endpoint
+}
+
+func newFleet(t *testing.T, engines, services int, eo standin.EngineOptions, change func(*Options)) *fleet {
+	t.Helper()
+	f := &fleet{source: &fakeSource{}, states: &leaving{}}
+	eo.Models = []standin.EngineModel{{Name: "m", Version: "1"}}
+	if eo.TokenInterval == 0 {
+		eo.TokenInterval = time.Millisecond
+	}
+	for i := range engines {
+		e, err := standin.NewEngine(eo)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.engines = append(f.engines, e)
+		f.add(t, e.Handler(), e.Close, config.Endpoint{Name: "e" + strconv.Itoa(i), Kind: config.KindEngine, Models: []string{"m"}, Slots: eo.BatchSlots})
+	}
+	for i := range services {
+		s := standin.NewService(standin.ServiceOptions{})
+		f.services = append(f.services, s)
+		f.add(t, s.Handler(), s.Close, config.Endpoint{Name: "s" + strconv.Itoa(i), Kind: config.KindService, Service: "book"})
+	}
+	f.source.set(f.endpoints...)
+	o := Options{Region: "lima", DataCentre: "dc", Source: f.source, States: f.states, PollInterval: 20 * time.Millisecond, Seed: 7,
+		FirstTimeout: time.Second, StallTimeout: 300 * time.Millisecond}
+	if change != nil {
+		change(&o)
+	}
+	d, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Start()
+	f.Dispatcher = d
+	t.Cleanup(d.Stop)
+	return f
+}
+
+func (f *fleet) add(t *testing.T, h http.Handler, stop func(), c config.Endpoint) {
+	server := httptest.NewServer(h)
+	t.Cleanup(func() { stop(); server.Close() })
+	c.Addr, c.Region, c.DataCentre = strings.TrimPrefix(server.URL, "http://"), "lima", "dc"
+	f.endpoints = append(f.endpoints, c)
+}
+
+var ids atomic.Int64
+
+func call(maxTokens int) *ModelCall {
+	body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"which metal?"}]}`, maxTokens)
+	return &ModelCall{
+		ID: fmt.Sprintf("r%d", ids.Add(1)), Organisation: "o", Model: "m", Path: "/v1/chat/completions", Body: []byte(body),
+		PromptTokens: 5, MaxTokens: int64(maxTokens), Progress: &Progress{SingleChoice: true},
+	}
+}
+
+// stream runs a call and returns the text that its caller got.
+func (f *fleet) stream(ctx context.Context, c *ModelCall, seen func(n int)) (string, error) {
+	var text strings.Builder
+	n := 0
+	err := f.Stream(ctx, c, func(data []byte) error {
+		var ch chunk
+		if err := json.Unmarshal(data, &ch); err != nil {
+			return err
+		}
+		part, _, _, err := content(&ch)
+		text.WriteString(part)
+		if n++; seen != nil {
+			seen(n)
+		}
+		return err
+	})
+	return text.String(), err
+}
+
+func execution(t *testing.T, err error) operations.Execution {
+	t.Helper()
+	var e *Error
+	if !errors.As(err, &e) {
+		t.Fatalf("error %v is no *Error", err)
+	}
+	return e.Execution
+}
+
+// Guards against answers with missing or doubled tokens after an engine's stream breaks, ends early or is lost.
+func TestBrokenStreamsAreJoined(t *testing.T) {
+	for _, fault := range []standin.StreamFault{
+		{Kind: standin.StreamBreak, AfterTokens: 3},
+		{Kind: standin.StreamBreak, AfterTokens: 0},
+		{Kind: standin.StreamBreak, AfterTokens: 2, Count: 3},
+		{Kind: standin.StreamTruncate, AfterTokens: 5},
+		{Kind: standin.StreamBreak, AfterTokens: 3, Forget: true},
+		{Kind: standin.StreamDie, AfterTokens: 3},
+		{Kind: standin.StreamTruncate, AfterTokens: 20},
+	} {
+		f := newFleet(t, 2, 0, standin.EngineOptions{}, nil)
+		for _, e := range f.engines {
+			e.SetFaults(standin.EngineFaults{Streams: []standin.StreamFault{fault}})
+		}
+		// The second engine may be asked only after the first has failed, so that one of them answers without a fault.
+		c := call(20)
+		text, err := f.stream(context.Background(), c, func(n int) {
+			if n == 1 {
+				for _, e := range f.engines {
+					if e.Counts().Received == 0 {
+						e.SetFaults(standin.EngineFaults{})
+					}
+				}
+			}
+		})
+		if err != nil || text != standin.OutputText(prompt, 0, 20) {
+			t.Errorf("%+v: %q, %v", fault, text, err)
+		}
+		if !c.Progress.UsageKnown || c.Progress.OutputTokens != 20 {
+			t.Errorf("%+v: usage %+v", fault, c.Progress)
+		}
+	}
+}
+
+// Guards against a stream that is passed on as whole although no endpoint finished it, and against endless retries.
+func TestHopelessStreamFails(t *testing.T) {
+	f := newFleet(t, 2, 0, standin.EngineOptions{}, nil)
+	for _, e := range f.engines {
+		e.SetFaults(standin.EngineFaults{Streams: []standin.StreamFault{{Kind: standin.StreamTruncate, AfterTokens: 3, Count: 1000, Forget: true}}})
+	}
+	text, err := f.stream(context.Background(), call(20), nil)
+	if err == nil || execution(t, err) != operations.Unknown {
+		t.Fatalf("%q, %v", text, err)
+	}
+	if text != standin.OutputText(prompt, 0, 3) {
+		t.Fatalf("text %q", text)
+	}
+	if n := f.engines[0].Counts().Received + f.engines[1].Counts().Received; n != 3 {
+		t.Fatalf("%d attempts, want 3", n)
+	}
+}
+
+// Guards against joining the answers of two endpoints that differ, which would be nobody's answer.
+func TestDivergingReplayFails(t *testing.T) {
+	var n atomic.Int64
+	source := &fakeSource{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost {
+			http.NotFound(w, r)
+			return
+		}
+		k := n.Add(1)
+		for i := range 3 {
+			fmt.Fprintf(w, "data: {\"index_from\":%d,\"choices\":[{\"delta\":{\"content\":\"answer %d \"}}]}\n\n", i, k)
+		}
+	}))
+	t.Cleanup(server.Close)
+	source.set(config.Endpoint{Name: "e", Kind: config.KindEngine, Addr: strings.TrimPrefix(server.URL, "http://"), Region: "lima", Models: []string{"m"}})
+	d, err := New(Options{Region: "lima", Source: source})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Stop)
+	f := &fleet{Dispatcher: d}
+	text, err := f.stream(context.Background(), call(20), nil)
+	var e *Error
+	if !errors.As(err, &e) || e.Code != CodeTruncated || text != "answer 1 answer 1 answer 1 " {
+		t.Fatalf("%q, %v", text, err)
+	}
+}
+
+// Guards against an engine that hangs, before or after the first token, and keeps its callers.
+func TestHangingEngineIsLeft(t *testing.T) {
+	for _, faults := range []standin.EngineFaults{{HangCalls: true}, {Hang: true}} {
+		f := newFleet(t, 2, 0, standin.EngineOptions{}, func(o *Options) { o.FirstTimeout = 300 * time.Millisecond })
+		f.engines[0].SetFaults(faults)
+		for range 4 {
+			if text, err := f.stream(context.Background(), call(5), nil); err != nil || text != standin.OutputText(prompt, 0, 5) {
+				t.Errorf("%+v: %q, %v", faults, text, err)
+			}
+		}
+		f.engines[0].SetFaults(standin.EngineFaults{})
+	}
+}
+
+// Guards against a non-idempotent request that is executed twice, and against a wrong "not run".
+func TestNonIdempotentCallRunsAtMostOnce(t *testing.T) {
+	for _, c := range []struct {
+		fault standin.ServiceFault
+		want  operations.Execution
+	}{
+		{standin.ServiceFault{Action: standin.ActionBreakBefore}, operations.Unknown},
+		{standin.ServiceFault{Action: standin.ActionBreakAfter}, operations.Unknown},
+		{standin.ServiceFault{Action: standin.ActionTruncateAnswer}, operations.Unknown},
+		{standin.ServiceFault{Action: standin.ActionDropAnswer}, operations.Unknown},
+		{standin.ServiceFault{Action: standin.ActionDelay, DelayMillis: 20}, operations.Ran},
+	} {
+		for _, method := range []string{"POST", "GET", "DELETE"} {
+			f := newFleet(t, 0, 2, standin.EngineOptions{}, nil)
+			sc := func(id string) *ServiceCall {
+				return &ServiceCall{ID: id, Organisation: "o", Service: "book", Method: method, Path: "/x", Body: []byte(`{"id":"` + id + `"}`)}
+			}
+			// Earlier calls leave connections behind whose reuse would let net/http send a request twice.
+			for i := range 4 {
+				if _, ex, err := f.Call(context.Background(), sc("warm"+strconv.Itoa(i))); ex != operations.Ran || err != nil {
+					t.Fatal(ex, err)
+				}
+			}
+			for _, s := range f.services {
+				s.Inject(c.fault)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			_, ex, err := f.Call(ctx, sc("booking"))
+			cancel()
+			if ex != c.want || (err == nil) != (c.want == operations.Ran) {
+				t.Errorf("%s %s: execution %s, %v", c.fault.Action, method, ex, err)
+			}
+			if err != nil && execution(t, err) != c.want {
+				t.Errorf("%s %s: the error says %s", c.fault.Action, method, execution(t, err))
+			}
+			received := f.services[0].Executions().Received + f.services[1].Executions().Received
+			if received != 5 {
+				t.Errorf("%s %s: %d requests reached the services, want 5", c.fault.Action, method, received)
+			}
+			for _, s := range f.services {
+				s.ClearFaults()
+			}
+		}
+	}
+}
+
+// Guards against "unknown" for a request that certainly reached nobody, and against giving up on the first dead endpoint.
+func TestUnreachedServiceIsNotRun(t *testing.T) {
+	f := newFleet(t, 0, 1, standin.EngineOptions{}, nil)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := config.Endpoint{Name: "dead", Kind: config.KindService, Service: "book", Addr: l.Addr().String(), Region: "lima", DataCentre: "dc"}
+	l.Close()
+	f.source.set(dead)
+	sc := &ServiceCall{ID: "b", Service: "book", Method: "POST", Path: "/x", Body: []byte("{}")}
+	if _, ex, err := f.Call(context.Background(), sc); ex != operations.NotRun || execution(t, err) != operations.NotRun {
+		t.Fatalf("execution %s, %v", ex, err)
+	}
+	f.source.set(dead, f.endpoints[0])
+	for i := range 20 {
+		sc.ID = "b" + strconv.Itoa(i)
+		if _, ex, err := f.Call(context.Background(), sc); ex != operations.Ran || err != nil {
+			t.Fatalf("call %d: %s %v", i, ex, err)
+		}
+	}
+	if n := f.services[0].Executions().Total; n != 20 {
+		t.Fatalf("%d executions, want 20", n)
+	}
+	_, ex, err := f.Call(context.Background(), &ServiceCall{ID: "c", Service: "book", Method: "POST", Path: "/x",
+		BeforeSend: func() error { return &Error{Status: 503, Code: "lapsed", Execution: operations.NotRun} }})
+	if ex != operations.NotRun || execution(t, err) != operations.NotRun || f.services[0].Executions().Total != 20 {
+		t.Fatalf("refused before sending: %s %v", ex, err)
+	}
+}
+
+// Guards against idempotent calls that fail although another endpoint would answer, or that a paused endpoint holds until
+// their deadline.
+func TestIdempotentCallIsRetried(t *testing.T) {
+	for _, action := range []standin.ServiceAction{standin.ActionBreakBefore, standin.ActionBreakAfter, standin.ActionTruncateAnswer,
+		standin.ActionRefuse, standin.ActionDropAnswer} {
+		f := newFleet(t, 0, 2, standin.EngineOptions{}, nil)
+		f.services[0].Inject(standin.ServiceFault{Action: action, Count: 2})
+		for i := range 4 {
+			ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+			a, ex, err := f.Call(ctx, &ServiceCall{ID: "l" + strconv.Itoa(i), Service: "book", Method: "GET", Path: "/lot", Idempotent: true})
+			cancel()
+			if err != nil || ex != operations.Ran || a.Status != 200 {
+				t.Errorf("%s: %s %v", action, ex, err)
+			}
+		}
+		f.services[0].ClearFaults()
+	}
+}
+
+// Guards against work for endpoints that leave: new, waiting, drawn by a cached prefix, or over an idle connection.
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	f := newFleet(t, 2, 0, standin.EngineOptions{BatchSlots: 2, TokenInterval: 5 * time.Millisecond}, nil)
+	c := call(5)
+	c.Blocks = []uint64{1, 2, 3}
+	if _, err := f.stream(context.Background(), c, nil); err != nil {
+		t.Fatal(err)
+	}
+	warm := 0
+	if f.engines[1].Counts().Received == 1 {
+		warm = 1
+	}
+	var running sync.WaitGroup
+	for range 10 {
+		running.Go(func() {
+			if _, err := f.stream(context.Background(), call(20), nil); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	time.Sleep(30 * time.Millisecond)
+	if warm == 0 {
+		f.states.names.Store("e0", true)
+	} else {
+		drained := append([]config.Endpoint(nil), f.endpoints...)
+		drained[1].Drain = true
+		f.source.set(drained...)
+	}
+	time.Sleep(20 * time.Millisecond)
+	before := f.engines[warm].Counts().Received
+	for range 5 {
+		c := call(3)
+		c.Blocks = []uint64{1, 2, 3}
+		running.Go(func() {
+			if _, err := f.stream(context.Background(), c, nil); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	running.Wait()
+	if after := f.engines[warm].Counts().Received; after != before {
+		t.Fatalf("%d requests went to the leaving endpoint", after-before)
+	}
+	if n := f.engines[warm].Counts().Cancelled; n != 0 {
+		t.Fatalf("%d requests at the leaving endpoint were cut", n)
+	}
+	f.states.names.Store("e0", true)
+	f.states.names.Store("e1", true)
+	if _, err := f.stream(context.Background(), call(3), nil); execution(t, err) != operations.NotRun {
+		t.Fatalf("all leaving: %v", err)
+	}
+}
+
+// Guards against batches beyond their depth, waiting requests that are lost, and a queue that holds requests it will not
+// serve in time.
+func TestQueueInFrontOfFullBatches(t *testing.T) {
+	f := newFleet(t, 1, 0, standin.EngineOptions{BatchSlots: 2, TokenInterval: 5 * time.Millisecond}, func(o *Options) {
+		o.ShortWait, o.LongWait = 700*time.Millisecond, 10*time.Second
+	})
+	var running sync.WaitGroup
+	var shed, done atomic.Int64
+	for range 40 {
+		running.Go(func() {
+			begun := time.Now()
+			_, err := f.stream(context.Background(), call(10), nil)
+			var e *Error
+			switch {
+			case err == nil:
+				done.Add(1)
+			case errors.As(err, &e) && e.Code == CodeOverloaded && e.RetryAfter > 0 && e.Execution == operations.NotRun:
+				shed.Add(1)
+				if took := time.Since(begun); took > time.Second {
+					t.Errorf("refused after %v", took)
+				}
+			default:
+				t.Error(err)
+			}
+		})
+	}
+	time.Sleep(600 * time.Millisecond)
+	// The drain rate is known by now, so that a request that would wait too long is refused at once.
+	for range 30 {
+		running.Go(func() { _, _ = f.stream(context.Background(), call(10), nil) })
+	}
+	time.Sleep(20 * time.Millisecond)
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := f.stream(ctx, call(500), nil); err == nil || execution(t, err) != operations.NotRun {
+		t.Errorf("request with too little time: %v", err)
+	} else if took := time.Since(begun); took > 40*time.Millisecond {
+		t.Errorf("refused after %v, although its wait was known", took)
+	}
+	running.Wait()
+	if b := f.engines[0].Counts().MaxBatch; b != 2 {
+		t.Errorf("batch of %d, want 2", b)
+	}
+	if done.Load() < 15 || done.Load()+shed.Load() != 40 {
+		t.Errorf("%d done, %d shed", done.Load(), shed.Load())
+	}
+}
+
+// Guards against a class or organisation that is kept out by another's flood.
+func TestFloodDoesNotStarveOthers(t *testing.T) {
+	f := newFleet(t, 1, 0, standin.EngineOptions{BatchSlots: 2, TokenInterval: 2 * time.Millisecond}, func(o *Options) {
+		o.ShortWait, o.LongWait = 20*time.Second, 20*time.Second
+	})
+	var running sync.WaitGroup
+	for range 60 {
+		running.Go(func() {
+			if _, err := f.stream(context.Background(), call(20), nil); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	for _, class := range []fairqueue.Class{fairqueue.Short, fairqueue.Long} {
+		c := call(20)
+		c.Organisation, c.Class = "quiet", class
+		begun := time.Now()
+		if _, err := f.stream(context.Background(), c, nil); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(begun); took > 600*time.Millisecond {
+			t.Errorf("class %d of the quiet organisation took %v", class, took)
+		}
+	}
+	running.Wait()
+}
+
+// Guards against answers that an endpoint did not finish, and headers that must not reach callers.
+func TestPlainAnswersAreWhole(t *testing.T) {
+	f := newFleet(t, 2, 0, standin.EngineOptions{}, nil)
+	for _, e := range f.engines {
+		e.SetFaults(standin.EngineFaults{Streams: []standin.StreamFault{{Kind: standin.StreamBreak, AfterTokens: 2}}})
+	}
+	c := call(10)
+	c.Body = []byte(strings.Replace(string(c.Body), `"stream":true`, `"stream":false`, 1))
+	a, usage, err := f.Plain(context.Background(), c)
+	if err != nil || !usage.Known || usage.OutputTokens != 10 || !strings.Contains(string(a.Body), standin.OutputText(prompt, 0, 10)) {
+		t.Fatalf("%+v %+v %v", a, usage, err)
+	}
+	endless := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nSet-Cookie: a=b\r\n\r\n{\"half\":")
+			conn.Close()
+		}
+	}))
+	t.Cleanup(endless.Close)
+	f.source.set(config.Endpoint{Name: "x", Kind: config.KindService, Service: "book", Addr: strings.TrimPrefix(endless.URL, "http://"), Region: "lima"})
+	if _, ex, err := f.Call(context.Background(), &ServiceCall{ID: "1", Service: "book", Method: "POST", Path: "/"}); err == nil || ex != operations.Unknown {
+		t.Fatalf("answer without a length: %s %v", ex, err)
+	}
+}
+
+// Guards against cache knowledge that is lost on restarts of the sequence, or kept over evictions.
+func TestCacheEventsSteerRequests(t *testing.T) {
+	f := newFleet(t, 3, 0, standin.EngineOptions{}, nil)
+	long := strings.Repeat("which metal? ", 200)
+	body, err := json.Marshal(map[string]any{"model": "m", "stream": true, "max_tokens": 2, "messages": []any{map[string]string{"role": "user", "content": long}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := standin.ChatPrompt("user", long)
+	for range 8 {
+		c := call(2)
+		c.Body, c.PromptTokens, c.Blocks = body, int64(standin.PromptTokens(text)), routing.Blocks([]byte(text), 100)
+		if _, err := f.stream(context.Background(), c, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	used := 0
+	for _, e := range f.engines {
+		if e.Counts().Received > 0 {
+			used++
+		}
+	}
+	if used != 1 {
+		t.Fatalf("a repeated prompt went to %d engines, want 1", used)
+	}
+}
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -39,9 +39,10 @@
 type load struct {
 	inFlight       int
 	inFlightTokens float64
-	unreported     float64 // tokens sent since the last report
-	foreign        int
-	queuedTokens   float64
+	pending        float64 // own prompt tokens that the endpoint has not worked through
+	foreign        int     // requests of other instances, as reported
+	foreignTokens  float64 // their waiting tokens
+	last           ownWork // at the last report
 	reportedAt     clock.Instant
 	reported       bool
 	health         routing.Health
@@ -50,6 +51,19 @@
 	gone           bool  // no longer configured
 }
 
+// ownWork is this instance's work at an endpoint. A report lags, so that it may still count work that has ended since; the
+// largest recent figure is taken for own when the other instances' work is told from it.
+type ownWork struct {
+	requests int
+	tokens   float64
+}
+
+func (l *load) own() ownWork { return ownWork{requests: l.inFlight, tokens: l.pending} }
+
+func (w ownWork) atLeast(o ownWork) ownWork {
+	return ownWork{requests: max(w.requests, o.requests), tokens: max(w.tokens, o.tokens)}
+}
+
 // defaultSlots is the batch depth of an engine that declares none. A plain service has no batch; serviceSlots only bounds the
 // requests that one instance sends to it at once.
 const (
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -79,7 +79,14 @@
 			return &finalError{err}
 		}
 		ctx, end := startAttempt(ctx, "dispatch.stream", l.endpoint, id)
-		err := d.streamAt(ctx, l.endpoint, c, id, sink)
+		first := true
+		err := d.streamAt(ctx, l.endpoint, c, id, func(data []byte) error {
+			if first {
+				first = false
+				d.prefilled(l)
+			}
+			return sink(data)
+		})
 		end(err)
 		return err
 	})
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -65,7 +65,7 @@
 
 func (d *Dispatcher) pollLoad(ctx context.Context, e *endpoint) {
 	d.mu.Lock()
-	before := e.load.inFlight
+	before := e.load.own()
 	d.mu.Unlock()
 	var r loadReport
 	if err := d.get(ctx, e, "/engine/v1/load", &r); err != nil {
@@ -73,11 +73,10 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	// Own work that began or ended while the report was under way may or may not be in it.
-	own := max(before, e.load.inFlight)
-	e.load.foreign = max(r.Running+r.Waiting-own, 0)
-	e.load.queuedTokens = r.QueuedTokens
-	e.load.unreported = 0
+	own := before.atLeast(e.load.own()).atLeast(e.load.last)
+	e.load.last = e.load.own()
+	e.load.foreign = max(r.Running+r.Waiting-own.requests, 0)
+	e.load.foreignTokens = max(r.QueuedTokens-own.tokens, 0)
 	e.load.reportedAt = d.opts.Clock.Now()
 	e.load.reported = true
 	for _, p := range d.pools {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -39,7 +39,7 @@
 	endpoint *endpoint
 	pool     *pool
 	tokens   float64
-	since    clock.Instant
+	prefill  float64 // prompt tokens that the endpoint was believed not to hold, 0 once they are done
 }
 
 // overflowAfter is the wait after which a request goes to an endpoint whose batch is full of other instances' work: their
@@ -203,9 +203,23 @@
 	e := open[i]
 	e.load.inFlight++
 	e.load.inFlightTokens += w.tokens
-	e.load.unreported += w.prompt
+	prefill := max(w.prompt-cands[i].CachedTokens, 0)
+	e.load.pending += prefill
 	e.load.prefix.Stored(w.blocks, now)
-	return &lease{endpoint: e, pool: p, tokens: w.tokens, since: now}
+	return &lease{endpoint: e, pool: p, tokens: w.tokens, prefill: prefill}
+}
+
+// prefilled records that the endpoint has worked through the prompt.
+func (d *Dispatcher) prefilled(l *lease) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l.dropPrefill()
+}
+
+// dropPrefill takes the prompt out of the work waiting at the endpoint. The caller holds d.mu.
+func (l *lease) dropPrefill() {
+	l.endpoint.load.pending -= l.prefill
+	l.prefill = 0
 }
 
 // otherDataCentre is the cost, in tokens, of an endpoint in another data centre of the region: about 1 ms of prefill.
@@ -217,8 +231,9 @@
 		Slots:        e.config.Slots,
 		InFlight:     e.load.inFlight,
 		Foreign:      e.load.foreignNow(now),
-		QueuedTokens: e.load.queuedTokens + e.load.unreported,
+		QueuedTokens: e.load.foreignTokens + e.load.pending,
 		CachedTokens: e.load.prefix.Cached(w.blocks, now),
+		Failures:     e.load.health.Failures(now),
 		Avoid:        w.avoid[e],
 	}
 	if overflow {
@@ -244,6 +259,7 @@
 func (d *Dispatcher) release(l *lease) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	l.dropPrefill()
 	l.endpoint.load.inFlight--
 	l.endpoint.load.inFlightTokens -= l.tokens
 	for _, p := range d.pools {
