--- /dev/null
+++ b/internal/daemon/adapters.go
@@ -0,0 +1,228 @@
+package daemon
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/config"
+	"dogwoodknot.example/dogwoodknot/internal/configsync"
+	"dogwoodknot.example/dogwoodknot/internal/core/membership"
+	"dogwoodknot.example/dogwoodknot/internal/core/ratelimit"
+	"dogwoodknot.example/dogwoodknot/internal/gateway"
+	"dogwoodknot.example/dogwoodknot/internal/limits"
+	"dogwoodknot.example/dogwoodknot/internal/members"
+	"dogwoodknot.example/dogwoodknot/internal/operations"
+	"dogwoodknot.example/dogwoodknot/internal/operator"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
+)
+
+// memberPeers gives limits the other instances.
+type memberPeers struct{ members *members.Service }
+
+var _ limits.Peers = memberPeers{}
+
+// Peers returns all instances but this one that are not known to be gone.
+func (m memberPeers) Peers() []limits.Peer {
+	var out []limits.Peer
+	for _, member := range m.members.Snapshot().Members {
+		if member.Self {
+			continue
+		}
+		out = append(out, limits.Peer{
+			Name:        member.Name,
+			Region:      member.Region,
+			Incarnation: member.Incarnation,
+			Leaving:     member.Status == membership.Leaving,
+		})
+	}
+	return out
+}
+
+// previousTerms returns an organisation's replaced entitlements.
+func previousTerms(o *config.Organisation) []limits.PreviousTerms {
+	var out []limits.PreviousTerms
+	for _, e := range o.Previous {
+		out = append(out, limits.PreviousTerms{
+			Terms:    ratelimit.Terms{Rate: e.Rate, Burst: e.Burst, Home: e.Home, Split: e.Split},
+			Revision: e.Revision,
+		})
+	}
+	return out
+}
+
+// lateRunner passes forwarded operations to the gateway, which is made after the operations it needs itself.
+type lateRunner struct{ parts *parts }
+
+var _ operations.Runner = lateRunner{}
+
+// RunForwarded runs an operation that another instance has forwarded.
+func (r lateRunner) RunForwarded(ctx context.Context, organisation string, req *operations.ForwardedRequest) (*operations.Answer, operations.Execution, error) {
+	return r.parts.gateway.RunForwarded(ctx, organisation, req)
+}
+
+// entryRanking answers which instances an organisation's callers should use.
+type entryRanking struct {
+	members *members.Service
+	source  configsync.Source
+}
+
+var _ gateway.Entries = entryRanking{}
+
+// Entries returns the ranked instances of a region, or of all regions one after the other if region is empty.
+func (e entryRanking) Entries(organisation, region string) ([]gateway.Entry, time.Duration) {
+	view := e.source.View()
+	rate := 0.0
+	if o := view.Organisation(organisation); o != nil {
+		rate = o.Rate
+	}
+	regions := []string{region}
+	if region == "" {
+		regions = regions[:0]
+		for _, r := range view.General().Regions {
+			regions = append(regions, r.Name)
+		}
+	}
+	var out []gateway.Entry
+	valid := time.Duration(0)
+	for _, r := range regions {
+		ranked := e.members.Entries(r, organisation, rate)
+		if valid == 0 || ranked.ValidFor < valid {
+			valid = ranked.ValidFor
+		}
+		for _, m := range ranked.Members {
+			out = append(out, gateway.Entry{Name: m.Name, Region: m.Region, DataCentre: m.DataCentre, CallerAddr: m.CallerAddr})
+		}
+	}
+	return out, valid
+}
+
+// ended returns whether an incarnation is known to have ended: only if the platform's removals are final.
+func ended(p *parts) func(string, uint64) bool {
+	return func(instance string, incarnation uint64) bool {
+		if !p.syncer.View().General().Platform.RemovalFinal {
+			return false
+		}
+		state, known := p.members.Snapshot().StateOf(membership.Ref{Instance: instance, Incarnation: incarnation})
+		return known && state == membership.Gone
+	}
+}
+
+// endpointStates knows which endpoints the platform lists as leaving.
+type endpointStates struct {
+	list    platform.InstanceList
+	members *members.Service
+	log     *zap.Logger
+	leaving atomic.Pointer[map[string]bool]
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+}
+
+func newEndpointStates(list platform.InstanceList, m *members.Service, log *zap.Logger) *endpointStates {
+	s := &endpointStates{list: list, members: m, log: log}
+	s.leaving.Store(&map[string]bool{})
+	return s
+}
+
+// Leaving reports whether the endpoint is listed as leaving.
+func (s *endpointStates) Leaving(name string) bool { return (*s.leaving.Load())[name] }
+
+// endpointPoll is the time between two reads of the list with up to four entry instances.
+const endpointPoll = time.Second
+
+func (s *endpointStates) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.done.Go(func() {
+		for {
+			s.read(ctx)
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(members.PollInterval(endpointPoll, s.members.Snapshot().EntryCount)):
+			}
+		}
+	})
+}
+
+func (s *endpointStates) stop() {
+	s.cancel()
+	s.done.Wait()
+}
+
+func (s *endpointStates) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	rows, _, err := s.list.Instances(ctx)
+	if err != nil {
+		s.log.Debug("instance list could not be read", zap.Error(err))
+		return
+	}
+	leaving := make(map[string]bool)
+	for _, row := range rows {
+		if row.Kind == platform.KindEndpoint && row.State == platform.StateLeaving {
+			leaving[row.Name] = true
+		}
+	}
+	s.leaving.Store(&leaving)
+}
+
+const listTimeout = 2 * time.Second
+
+// backend is the instance behind the operators' port.
+type backend struct {
+	daemon *Daemon
+	parts  *parts
+}
+
+var _ operator.Backend = (*backend)(nil)
+
+// Status returns what the instance says of itself.
+func (b *backend) Status() operator.Status {
+	self := b.daemon.self
+	s := operator.Status{
+		Instance:    self.Instance,
+		Region:      self.Region,
+		DataCentre:  self.DataCentre,
+		Incarnation: self.Incarnation,
+		Revision:    b.parts.syncer.View().Revision(),
+		Slots:       b.parts.limits.Owned(),
+		Ready:       true,
+	}
+	for _, id := range b.parts.transport.Connected() {
+		s.Peers = append(s.Peers, id.Instance)
+	}
+	sort.Strings(s.Peers)
+	if err := b.parts.syncer.Ready(); err != nil {
+		s.Ready, s.Reason = false, err.Error()
+	}
+	if !b.parts.gateway.Ready() || b.daemon.leaving.Load() {
+		s.Ready, s.Reason = false, or(s.Reason, "instance is stopping")
+	}
+	return s
+}
+
+// Usage returns the organisations that have used their rate here.
+func (b *backend) Usage() []operator.Usage {
+	var out []operator.Usage
+	b.parts.syncer.View().Organisations(func(o *config.Organisation) bool {
+		if u, ok := b.parts.limits.Usage(o.Name); ok {
+			out = append(out, operator.Usage{Name: o.Name, RateShare: u.Rate, BurstShare: u.Burst, Level: u.Level, UsedPerSecond: u.Demand})
+		}
+		return true
+	})
+	return out
+}
+
+// Withdraw stops keys here and relays them to the other instances.
+func (b *backend) Withdraw(ctx context.Context, keyIDs []string) error {
+	b.parts.syncer.Withdraw(ctx, keyIDs)
+	return nil
+}
+
+// Drain asks for the planned stop.
+func (b *backend) Drain() { b.daemon.drain() }
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -85,10 +85,13 @@
 // With noRetry each request has a connection of its own. net/http sends a request again on its own when a reused connection
 // fails before the answer; on a new connection it never does, so a non-idempotent request cannot be sent twice.
 func newTransport(o Options, noRetry bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: o.DialTimeout}
+	dial := o.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: o.DialTimeout}).DialContext
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, addr)
+			conn, err := dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -3,6 +3,8 @@
 package dispatch
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +36,8 @@
 
 	// PollInterval is the time between two load reports of an endpoint. With many endpoints it grows, see pollInterval.
 	PollInterval time.Duration
+	// Dial replaces the dialler towards endpoints. Nil: TCP.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// DialTimeout limits a connection to an endpoint.
 	DialTimeout time.Duration
 	// FirstTimeout ends an attempt whose first token does not come, StallTimeout a stream that makes no progress after it.
