--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -78,7 +78,17 @@
 		if err := c.Progress.Begin(); err != nil {
 			return &finalError{err}
 		}
-		return d.streamAt(ctx, l.endpoint, c, id, sink)
+		ctx, end := startAttempt(ctx, "dispatch.stream", l.endpoint, id)
+		first := true
+		err := d.streamAt(ctx, l.endpoint, c, id, func(data []byte) error {
+			if first {
+				first = false
+				d.prefilled(l)
+			}
+			return sink(data)
+		})
+		end(err)
+		return err
 	})
 }
 
@@ -86,7 +96,9 @@
 func (d *Dispatcher) Plain(ctx context.Context, c *ModelCall) (*operations.Answer, Usage, error) {
 	var answer *operations.Answer
 	err := d.attempts(ctx, c, func(l *lease, id string) error {
+		ctx, end := startAttempt(ctx, "dispatch.plain", l.endpoint, id)
 		a, err := d.plainAt(ctx, l.endpoint, c, id)
+		end(err)
 		answer = a
 		return err
 	})
