Take previous entitlements from the configuration and settle them by reports

The limiter took replaced terms from an option, because the configuration had no field for them. It now reads Organisation.Previous, and stops to apply a previous entitlement when all slots have an owner that has reported the revision.

The tests use platform/memory instead of a store of their own.

--- a/internal/limits/configuration.go
+++ b/internal/limits/configuration.go
@@ -9,14 +9,13 @@
 type configuration struct {
 	view     configsync.View
 	regions  []ratelimit.Region
-	options  *Options
 	reported int64 // every slot owner has this revision
 }
 
 var _ ratelimit.Configuration = (*configuration)(nil)
 
-func newConfiguration(view configsync.View, o *Options, reported int64) *configuration {
-	c := &configuration{view: view, options: o, reported: reported}
+func newConfiguration(view configsync.View, reported int64) *configuration {
+	c := &configuration{view: view, reported: reported}
 	for _, r := range view.General().Regions {
 		c.regions = append(c.regions, ratelimit.Region{Name: r.Name, Slots: r.Slots})
 	}
@@ -38,12 +37,9 @@
 	org := ratelimit.Organisation{Name: name, Current: ratelimit.Terms{
 		Rate: declared.Rate, Burst: declared.Burst, Home: declared.Home, Split: declared.Split,
 	}}
-	if c.options.Previous == nil {
-		return org, true
-	}
-	for _, p := range c.options.Previous(declared) {
+	for _, p := range declared.Previous {
 		if p.Revision > c.reported {
-			org.Previous = append(org.Previous, p.Terms)
+			org.Previous = append(org.Previous, ratelimit.Terms{Rate: p.Rate, Burst: p.Burst, Home: p.Home, Split: p.Split})
 		}
 	}
 	return org, true
--- a/internal/limits/fake_test.go
+++ b/internal/limits/fake_test.go
@@ -16,141 +16,9 @@
 	"dogwoodknot.example/dogwoodknot/internal/configsync"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/platform"
+	"dogwoodknot.example/dogwoodknot/internal/platform/memory"
 )
 
-// fakeStore is an in-memory store whose leases follow a clock.
-type fakeStore struct {
-	platform.Store // calls that the package does not use
-	clock          clock.Clock
-
-	mu       sync.Mutex
-	revision int64
-	keys     map[string]platform.Entry
-	leases   map[platform.LeaseID]fakeLease
-	down     bool
-	// loseAnswers makes writes take effect and report an unknown outcome.
-	loseAnswers bool
-}
-
-type fakeLease struct {
-	ttl   time.Duration
-	until clock.Instant
-}
-
-func newFakeStore(c clock.Clock) *fakeStore {
-	return &fakeStore{clock: c, keys: map[string]platform.Entry{}, leases: map[platform.LeaseID]fakeLease{}}
-}
-
-// begin locks the store and ends leases; it fails during an outage.
-func (f *fakeStore) begin() error {
-	f.mu.Lock()
-	for id, l := range f.leases {
-		if l.until <= f.clock.Now() {
-			f.drop(id)
-		}
-	}
-	if f.down {
-		f.mu.Unlock()
-		return platform.ErrUnavailable
-	}
-	return nil
-}
-
-func (f *fakeStore) drop(id platform.LeaseID) {
-	delete(f.leases, id)
-	for k, e := range f.keys {
-		if e.Lease == id {
-			delete(f.keys, k)
-		}
-	}
-}
-
-func (f *fakeStore) setDown(down bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.down = down
-}
-
-func (f *fakeStore) Get(_ context.Context, key string) (platform.Entry, error) {
-	if err := f.begin(); err != nil {
-		return platform.Entry{}, err
-	}
-	defer f.mu.Unlock()
-	e, ok := f.keys[key]
-	if !ok {
-		return platform.Entry{}, platform.ErrNotFound
-	}
-	return e, nil
-}
-
-func (f *fakeStore) List(_ context.Context, prefix, after string, limit int) ([]platform.Entry, error) {
-	if err := f.begin(); err != nil {
-		return nil, err
-	}
-	defer f.mu.Unlock()
-	var out []platform.Entry
-	for k, e := range f.keys {
-		if strings.HasPrefix(k, prefix) && k > after {
-			out = append(out, e)
-		}
-	}
-	slices.SortFunc(out, func(a, b platform.Entry) int { return cmp.Compare(a.Key, b.Key) })
-	return out[:min(limit, len(out))], nil
-}
-
-func (f *fakeStore) Put(_ context.Context, key string, value []byte, o platform.PutOptions) (int64, error) {
-	if err := f.begin(); err != nil {
-		return 0, err
-	}
-	defer f.mu.Unlock()
-	if o.IfRevision != nil && *o.IfRevision != f.keys[key].Revision {
-		return 0, platform.ErrConflict
-	}
-	if _, ok := f.leases[o.Lease]; o.Lease != 0 && !ok {
-		return 0, platform.ErrLeaseLost
-	}
-	f.revision++
-	f.keys[key] = platform.Entry{Key: key, Value: value, Revision: f.revision, Lease: o.Lease}
-	if f.loseAnswers {
-		return 0, platform.ErrUnknownOutcome
-	}
-	return f.revision, nil
-}
-
-func (f *fakeStore) Grant(_ context.Context, ttl time.Duration) (platform.LeaseID, error) {
-	if err := f.begin(); err != nil {
-		return 0, err
-	}
-	defer f.mu.Unlock()
-	f.revision++
-	id := platform.LeaseID(f.revision)
-	f.leases[id] = fakeLease{ttl, f.clock.Now().Add(ttl)}
-	return id, nil
-}
-
-func (f *fakeStore) Renew(_ context.Context, id platform.LeaseID) error {
-	if err := f.begin(); err != nil {
-		return err
-	}
-	defer f.mu.Unlock()
-	l, ok := f.leases[id]
-	if !ok {
-		return platform.ErrLeaseLost
-	}
-	l.until = f.clock.Now().Add(l.ttl)
-	f.leases[id] = l
-	return nil
-}
-
-func (f *fakeStore) Revoke(_ context.Context, id platform.LeaseID) error {
-	if err := f.begin(); err != nil {
-		return err
-	}
-	defer f.mu.Unlock()
-	f.drop(id)
-	return nil
-}
-
 // fakeNetwork connects the instances of a test by direct calls.
 type fakeNetwork struct {
 	mu       sync.Mutex
@@ -260,6 +128,12 @@
 	return s.view
 }
 
+func (s *fakeSource) set(v configsync.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view = v
+}
+
 func (s *fakeSource) Subscribe(func(configsync.View)) func() { return func() {} }
 
 func view(revision int64, regions []config.Region, orgs ...config.Organisation) *fakeView {
@@ -300,23 +174,26 @@
 
 // fleet is a set of services that a test drives step by step.
 type fleet struct {
-	t        *testing.T
-	clock    *clock.Manual
-	store    *fakeStore
-	net      *fakeNetwork
-	source   *fakeSource
-	list     *fakeList
-	services map[string]*Service
-	ids      map[string]peer.Identity
-	next     uint64
+	t          *testing.T
+	clock      *clock.Manual
+	store      *memory.Store
+	net        *fakeNetwork
+	source     *fakeSource
+	sources    map[string]*fakeSource // of single instances, else source
+	list       *fakeList
+	services   map[string]*Service
+	ids        map[string]peer.Identity
+	next       uint64
+	heartbeats map[uint64]int64 // applied revision by incarnation
 }
 
 func newFleet(t *testing.T, v *fakeView) *fleet {
 	c := &clock.Manual{}
 	c.Advance(time.Hour)
 	return &fleet{
-		t: t, clock: c, store: newFakeStore(c), net: newFakeNetwork(), source: &fakeSource{view: v}, list: &fakeList{},
-		services: map[string]*Service{}, ids: map[string]peer.Identity{}, next: 100,
+		t: t, clock: c, store: memory.NewStore(memory.StoreOptions{Clock: c}), net: newFakeNetwork(), source: &fakeSource{view: v}, list: &fakeList{},
+		services: map[string]*Service{}, sources: map[string]*fakeSource{}, ids: map[string]peer.Identity{}, next: 100,
+		heartbeats: map[uint64]int64{},
 	}
 }
 
@@ -346,9 +223,13 @@
 		f.ids[name] = peer.Identity{Instance: name, Region: region, Incarnation: f.next}
 	}
 	for _, name := range names {
+		if f.sources[name] == nil {
+			f.sources[name] = &fakeSource{view: f.source.View()}
+		}
 		s, err := New(Options{
-			Network: f.net.join(f.ids[name]), Store: f.store, Clock: f.clock, Config: f.source, Peers: peersOf{f, name},
+			Network: f.net.join(f.ids[name]), Store: f.store, Clock: f.clock, Config: f.sources[name], Peers: peersOf{f, name},
 			Instances: f.list, CrossRegionRoom: 20 * time.Millisecond, CrossRegionTimeout: 200 * time.Millisecond,
+			Reported: f.reported,
 		})
 		if err != nil {
 			f.t.Fatal(err)
@@ -362,6 +243,12 @@
 	}
 }
 
+// reported is what heartbeats have brought of an instance's applied revision.
+func (f *fleet) reported(name string, incarnation uint64) (int64, bool) {
+	revision, ok := f.heartbeats[incarnation]
+	return revision, ok
+}
+
 // crash removes an instance without notice.
 func (f *fleet) crash(name string) *Service {
 	s := f.services[name]
@@ -382,6 +269,9 @@
 		for _, s := range f.services {
 			f.settle(s)
 		}
+		for _, s := range f.services {
+			f.heartbeats[s.self.Incarnation] = s.AppliedRevision()
+		}
 	}
 }
 
--- a/internal/limits/handover.go
+++ b/internal/limits/handover.go
@@ -126,6 +126,7 @@
 
 // handleHandover takes over the slots of a stopping instance.
 func (s *Service) handleHandover(_ context.Context, from peer.Identity, req *wire.HandoverRequest) (proto.Message, error) {
+	defer s.notifyOwned()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if req.GetIncarnation() != s.self.Incarnation || from.Region != s.self.Region || s.stopping {
--- a/internal/limits/options.go
+++ b/internal/limits/options.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
-	"dogwoodknot.example/dogwoodknot/internal/config"
 	"dogwoodknot.example/dogwoodknot/internal/configsync"
 	"dogwoodknot.example/dogwoodknot/internal/core/ratelimit"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
@@ -27,13 +26,6 @@
 	Peers() []Peer
 }
 
-// PreviousTerms are replaced terms of an organisation.
-type PreviousTerms struct {
-	ratelimit.Terms
-	// Revision is the configuration revision that replaced them. They count until every slot owner has it.
-	Revision int64
-}
-
 // Options of a Service.
 type Options struct {
 	Network peer.Network
@@ -43,8 +35,6 @@
 	Peers   Peers
 	// Instances is the platform's list. It settles slots of ended instances where removal from it is final. May be nil.
 	Instances platform.InstanceList
-	// Previous returns an organisation's replaced terms. Nil: none.
-	Previous func(*config.Organisation) []PreviousTerms
 	// Reported returns the revision that an incarnation has last reported with AppliedRevision, as heartbeats carry it, and
 	// false if it has reported none. Nil: previous terms count as long as they are declared.
 	Reported func(instance string, incarnation uint64) (revision int64, ok bool)
--- a/internal/limits/owners.go
+++ b/internal/limits/owners.go
@@ -36,7 +36,7 @@
 func (s *Service) Owner(region string, slot int) (instance string, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	instance = s.slots.ownerOf[ratelimit.Slot{Region: region, Index: slot}]
+	instance = s.slots.ownerOf[ratelimit.Slot{Region: region, Index: slot}].Name
 	return instance, instance != ""
 }
 
--- a/internal/limits/service.go
+++ b/internal/limits/service.go
@@ -141,7 +141,7 @@
 	if s.conf != nil && s.conf.view == view && s.conf.reported == reported {
 		return
 	}
-	s.conf = newConfiguration(view, &s.opts, reported)
+	s.conf = newConfiguration(view, reported)
 	s.ledger.Configure(s.opts.Clock.Now(), s.conf)
 	s.noteApplied()
 }
--- a/internal/limits/service_test.go
+++ b/internal/limits/service_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"dogwoodknot.example/dogwoodknot/internal/config"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
+	"dogwoodknot.example/dogwoodknot/internal/platform/memory"
 )
 
 func twoRegions() []config.Region {
@@ -178,12 +180,12 @@
 	f := newFleet(t, view(1, twoRegions(), acme(3000, 30000)))
 	f.start("lima-1", "lima-2", "cusco-1")
 	f.run(15)
-	f.store.setDown(true)
+	f.store.SetFaults(memory.Faults{Down: true})
 	f.run(600)
 	if rate, _, level := f.totals("acme"); !near(rate, 3000) || !near(level, 30000) {
 		t.Fatalf("rate %v level %v", rate, level)
 	}
-	f.store.setDown(false)
+	f.store.SetFaults(memory.Faults{})
 	for range 30 {
 		f.run(1)
 		f.check("acme", 3000, 30000)
@@ -199,7 +201,7 @@
 		f := newFleet(t, view(1, []config.Region{{Name: "lima", Slots: 2}}, acme(2000, 20000)))
 		f.start("lima-1", "lima-2")
 		f.run(15)
-		f.store.setDown(storeDown)
+		f.store.SetFaults(memory.Faults{Down: storeDown})
 		s := f.services["lima-1"]
 		if err := s.Stop(context.Background()); err != nil {
 			t.Fatal(err)
@@ -209,7 +211,7 @@
 			t.Fatalf("store down %v: rate %v burst %v level %v after the handover", storeDown, rate, burst, level)
 		}
 		f.run(5)
-		f.store.setDown(false)
+		f.store.SetFaults(memory.Faults{})
 		f.start("lima-3")
 		f.run(30)
 		if rate, _, _ := f.totals("acme"); !near(rate, 2000) {
@@ -241,11 +243,59 @@
 func TestLostClaimAnswer(t *testing.T) {
 	f := newFleet(t, view(1, []config.Region{{Name: "lima", Slots: 2}}, acme(2000, 20000)))
 	f.start("lima-1")
-	f.store.loseAnswers = true
-	f.run(3)
-	f.store.loseAnswers = false
+	f.store.SetFaults(memory.Faults{DropAnswers: 4})
+	f.run(5)
 	f.run(30)
 	if rate, _, _ := f.totals("acme"); !near(rate, 2000) {
 		t.Fatalf("rate %v", rate)
 	}
 }
+
+// When a revision moves an organisation's rate between regions, the region that gains waits until all slot owners have the
+// revision, whichever instance hears of it first.
+func TestMovedRateIsNotUsedTwice(t *testing.T) {
+	before := acme(3000, 30000)
+	before.Split = map[string]float64{"lima": 1, "cusco": 0}
+	after := acme(3000, 30000)
+	after.Split = map[string]float64{"lima": 0, "cusco": 1}
+	after.Previous = []config.Entitlement{{Revision: 2, Rate: 3000, Burst: 30000, Split: before.Split}}
+	f := newFleet(t, view(1, twoRegions(), before))
+	f.start("lima-1", "lima-2", "cusco-1")
+	f.run(15)
+	// cusco borrows, so that the move meets a loan that was given under the old revision.
+	if _, err := f.services["cusco-1"].Admit(context.Background(), "acme", 5000); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"cusco-1", "lima-1", "lima-2"} {
+		f.sources[name].set(view(2, twoRegions(), after))
+		for range 4 {
+			f.run(1)
+			f.check("acme", 3000, 30000)
+		}
+	}
+	for range 30 {
+		f.run(1)
+		f.check("acme", 3000, 30000)
+	}
+	if u, _ := f.services["cusco-1"].Usage("acme"); !near(u.Own.Rate, 3000) {
+		t.Fatalf("own rate %v in the region that gained", u.Own.Rate)
+	}
+}
+
+// A slot is not used under a view that is older than the store's head, since other slots may have received its share.
+func TestNewOwnerNeedsTheHeadRevision(t *testing.T) {
+	f := newFleet(t, view(1, []config.Region{{Name: "lima", Slots: 1}}, acme(100, 1000)))
+	if _, err := f.store.Put(context.Background(), headKey, []byte(`{"revision":2}`), platform.PutOptions{}); err != nil {
+		t.Fatal(err)
+	}
+	f.start("lima-1")
+	f.run(15)
+	if rate, _, _ := f.totals("acme"); rate != 0 {
+		t.Fatalf("rate %v under an old view", rate)
+	}
+	f.sources["lima-1"].set(view(2, []config.Region{{Name: "lima", Slots: 1}}, acme(100, 1000)))
+	f.run(5)
+	if rate, _, _ := f.totals("acme"); !near(rate, 100) {
+		t.Fatalf("rate %v under the head's revision", rate)
+	}
+}
--- a/internal/limits/slots.go
+++ b/internal/limits/slots.go
@@ -480,6 +480,7 @@
 		return &wire.DropResponse{}, nil
 	}
 	s.dropSlot(slotFromWire(req.GetSlot()))
+	s.notifyOwned()
 	return &wire.DropResponse{Dropped: true}, nil
 }
 
