Decide pulls on shortage without goroutines

The rounds of a pull lived in a goroutine with real timers, so that an experiment in virtual time could not run the same policy. They are a pure state machine now (ratelimit.Puller); the adapter sends, waits and books.

Ran: go test -race ./internal/limits ./internal/core/ratelimit.

--- /dev/null
+++ b/internal/core/ratelimit/pull.go
@@ -0,0 +1,255 @@
+package ratelimit
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+)
+
+// Fleet tells a Puller whom to ask.
+type Fleet interface {
+	// Owner returns the holder of a slot, empty if there is none.
+	Owner(slot Slot) string
+	// Region returns the region of a holder, false if it is unknown or does not answer at present.
+	Region(holder string) (region string, ok bool)
+}
+
+// PullOptions of a Puller.
+type PullOptions struct {
+	Self               string
+	Region             string
+	InRegionTimeout    time.Duration
+	CrossRegionTimeout time.Duration
+}
+
+// Puller lets requests that lack tokens wait while it asks other holders: those of the region, those that they name, and then
+// other regions. All waiting requests of an organisation share one exchange. It is not safe for concurrent use.
+type Puller struct {
+	opts   PullOptions
+	ledger *Ledger
+	fleet  Fleet
+	pulls  map[string]*pull
+	next   uint64 // id of the last waiter or timer
+}
+
+// Send asks a holder for a loan.
+type Send struct {
+	To  string
+	Ask Ask
+}
+
+// Outcome ends the wait of a request.
+type Outcome struct {
+	Waiter   uint64
+	Admitted bool
+	Charge   uint64  // if admitted
+	Missing  float64 // tokens, if refused
+}
+
+// Timer asks for a call of TimedOut.
+type Timer struct {
+	ID    uint64
+	After time.Duration
+}
+
+// Actions are what a Puller's owner has to do, in any order.
+type Actions struct {
+	Sends    []Send
+	Outcomes []Outcome
+	Timers   []Timer
+}
+
+// stage is a step of a round.
+type stage int
+
+const (
+	stageInRegion stage = iota
+	stageNamed          // holders of the region that the answers named
+	stageCrossRegion
+	stageEnd
+)
+
+// pull is the exchange of one organisation.
+type pull struct {
+	waiters []waiter
+	batch   uint64 // waiters up to this id belong to the round
+	stage   stage
+	timer   uint64
+	pending map[string]bool // holders that have not answered in this stage
+	asked   map[string]bool // in this round
+	named   []string
+}
+
+type waiter struct {
+	id          uint64
+	tokens      float64
+	crossRegion bool
+}
+
+// NewPuller returns a puller for a ledger.
+func NewPuller(opts PullOptions, ledger *Ledger, fleet Fleet) *Puller {
+	return &Puller{opts: opts, ledger: ledger, fleet: fleet, pulls: map[string]*pull{}}
+}
+
+// Wait queues a request that the ledger did not admit. crossRegion says that its deadline leaves room for other regions.
+func (p *Puller) Wait(now clock.Instant, organisation string, tokens float64, crossRegion bool) (id uint64, do Actions) {
+	p.next++
+	id = p.next
+	x := p.pulls[organisation]
+	if x == nil {
+		x = &pull{stage: stageEnd}
+		p.pulls[organisation] = x
+	}
+	x.waiters = append(x.waiters, waiter{id, tokens, crossRegion})
+	if len(x.waiters) == 1 {
+		p.proceed(now, organisation, x, &do)
+	}
+	return id, do
+}
+
+// Abandon ends the wait of a request without an outcome.
+func (p *Puller) Abandon(organisation string, id uint64) {
+	if x := p.pulls[organisation]; x != nil {
+		x.waiters = slices.DeleteFunc(x.waiters, func(w waiter) bool { return w.id == id })
+	}
+}
+
+// Answered notes that a holder has answered, or that it will not, and that the ledger has booked the answer.
+func (p *Puller) Answered(now clock.Instant, organisation, from string, holders []string) (do Actions) {
+	x := p.pulls[organisation]
+	if x == nil {
+		return do
+	}
+	if x.pending[from] {
+		delete(x.pending, from)
+		x.named = append(x.named, holders...)
+	}
+	p.proceed(now, organisation, x, &do)
+	return do
+}
+
+// TimedOut ends the stage that the timer belongs to.
+func (p *Puller) TimedOut(now clock.Instant, organisation string, timer uint64) (do Actions) {
+	x := p.pulls[organisation]
+	if x == nil || x.timer != timer {
+		return do
+	}
+	clear(x.pending)
+	p.proceed(now, organisation, x, &do)
+	return do
+}
+
+// proceed serves requests and starts the next stages and rounds until the exchange waits for answers or nobody waits.
+func (p *Puller) proceed(now clock.Instant, organisation string, x *pull, do *Actions) {
+	for {
+		p.serve(now, organisation, x, do)
+		if len(x.waiters) == 0 {
+			delete(p.pulls, organisation)
+			return
+		}
+		if x.waiters[0].id > x.batch {
+			x.batch = x.waiters[len(x.waiters)-1].id
+			x.stage, x.pending, x.named = stageInRegion, nil, nil
+			x.asked = map[string]bool{p.opts.Self: true}
+			p.ask(now, organisation, x, p.owners(now, organisation, true, x), p.opts.InRegionTimeout, do)
+		}
+		if len(x.pending) > 0 {
+			return
+		}
+		x.stage++
+		switch x.stage {
+		case stageNamed:
+			p.ask(now, organisation, x, p.pick(x.named, true, x), p.opts.InRegionTimeout, do)
+		case stageCrossRegion:
+			p.refuse(now, organisation, x, do, func(w waiter) bool { return !w.crossRegion })
+			if len(x.waiters) > 0 && x.waiters[0].id <= x.batch {
+				far := append(p.owners(now, organisation, false, x), p.pick(x.named, false, x)...)
+				p.ask(now, organisation, x, far, p.opts.CrossRegionTimeout, do)
+			}
+		default:
+			p.refuse(now, organisation, x, do, func(waiter) bool { return true })
+		}
+	}
+}
+
+// owners returns the holders of the organisation's slots in this region, or in the others.
+func (p *Puller) owners(now clock.Instant, organisation string, inRegion bool, x *pull) []string {
+	var names []string
+	for _, slot := range p.ledger.Slots(now, organisation) {
+		if (slot.Region == p.opts.Region) == inRegion {
+			names = append(names, p.fleet.Owner(slot))
+		}
+	}
+	return p.pick(names, inRegion, x)
+}
+
+// pick returns the holders of this region, or of the others, that answer and were not asked in the round, and marks them.
+func (p *Puller) pick(names []string, inRegion bool, x *pull) []string {
+	var out []string
+	for _, name := range names {
+		region, ok := p.fleet.Region(name)
+		if !ok || x.asked[name] || (region == p.opts.Region) != inRegion {
+			continue
+		}
+		x.asked[name] = true
+		out = append(out, name)
+	}
+	return out
+}
+
+// ask sends the organisation's shortage to the holders.
+func (p *Puller) ask(now clock.Instant, organisation string, x *pull, names []string, timeout time.Duration, do *Actions) {
+	if len(names) == 0 {
+		return
+	}
+	ask := p.ledger.Ask(now, organisation, p.missing(now, organisation, x), len(names))
+	x.pending = map[string]bool{}
+	for _, name := range names {
+		x.pending[name] = true
+		do.Sends = append(do.Sends, Send{name, ask})
+	}
+	p.next++
+	x.timer = p.next
+	do.Timers = append(do.Timers, Timer{x.timer, timeout})
+}
+
+// missing returns the tokens that the waiting requests lack, at most the organisation's burst.
+func (p *Puller) missing(now clock.Instant, organisation string, x *pull) float64 {
+	total := 0.0
+	for _, w := range x.waiters {
+		total += w.tokens
+	}
+	a := p.ledger.account(now, organisation)
+	if a == nil {
+		return 0
+	}
+	return math.Min(total, a.total.Burst) - a.level
+}
+
+// serve admits waiting requests in order, passing over those that are too large for the tokens here.
+func (p *Puller) serve(now clock.Instant, organisation string, x *pull, do *Actions) {
+	x.waiters = slices.DeleteFunc(x.waiters, func(w waiter) bool {
+		charge, ok := p.ledger.Admit(now, organisation, w.tokens)
+		if ok {
+			do.Outcomes = append(do.Outcomes, Outcome{Waiter: w.id, Admitted: true, Charge: charge})
+		}
+		return ok
+	})
+}
+
+// refuse ends the wait of requests of the round.
+func (p *Puller) refuse(now clock.Instant, organisation string, x *pull, do *Actions, which func(waiter) bool) {
+	level := 0.0
+	if a := p.ledger.account(now, organisation); a != nil {
+		level = a.level
+	}
+	x.waiters = slices.DeleteFunc(x.waiters, func(w waiter) bool {
+		if w.id > x.batch || !which(w) {
+			return false
+		}
+		do.Outcomes = append(do.Outcomes, Outcome{Waiter: w.id, Missing: w.tokens - level})
+		return true
+	})
+}
--- a/internal/limits/handover.go
+++ b/internal/limits/handover.go
@@ -29,9 +29,12 @@
 	}
 	usable, accounts, returns := s.ledger.HandOver(now)
 	s.mu.Unlock()
-	returned := make(chan []ratelimit.Answer, len(returns))
+	returned := make(chan struct{}, len(returns))
 	for giver, asks := range returns {
-		s.send(giver, asks, func(a []ratelimit.Answer) { returned <- a })
+		go func() {
+			s.borrow(giver, asks)
+			returned <- struct{}{}
+		}()
 	}
 	target, accepted := s.offerSlots(ctx, usable, accounts)
 	for range returns {
--- a/internal/limits/service.go
+++ b/internal/limits/service.go
@@ -35,7 +35,9 @@
 
 	mu        sync.Mutex
 	ledger    *ratelimit.Ledger
-	pulls     map[string]*pull
+	puller    *ratelimit.Puller
+	waiters   map[uint64]*waiter
+	regionOf  map[string]string  // of the peers
 	failures  map[string]failure // by peer
 	slots     slotTable
 	conf      *configuration
@@ -69,10 +71,15 @@
 		ledger: ratelimit.New(ratelimit.Options{
 			Self: self.Instance, Term: opts.Term, FirstLoan: rand.Uint64(),
 		}),
-		pulls:    map[string]*pull{},
+		waiters:  map[uint64]*waiter{},
+		regionOf: map[string]string{},
 		failures: map[string]failure{},
 		slots:    newSlotTable(),
 	}
+	s.puller = ratelimit.NewPuller(ratelimit.PullOptions{
+		Self: self.Instance, Region: self.Region,
+		InRegionTimeout: opts.InRegionTimeout, CrossRegionTimeout: opts.CrossRegionTimeout,
+	}, s.ledger, fleetView{s})
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.configure(opts.Config.View())
 	opts.Network.Handle(serviceBorrow, peer.Unary(s.handleBorrow))
@@ -121,7 +128,9 @@
 // Stop hands the slots over to another instance of the region and ends the service. Requests have ended before.
 func (s *Service) Stop(ctx context.Context) error {
 	err := s.handOver(ctx)
+	s.mu.Lock() // send adds to the group only with the lock held or from one of the loops
 	s.cancel()
+	s.mu.Unlock()
 	s.wg.Wait()
 	return err
 }
@@ -189,16 +198,7 @@
 		return r.charge, r.err
 	case <-ctx.Done():
 	}
-	s.mu.Lock()
-	w.abandoned = true
-	s.mu.Unlock()
-	select {
-	case r := <-w.result:
-		if r.err == nil {
-			s.Settle(r.charge, 0)
-		}
-	default:
-	}
+	s.abandon(organisation, w)
 	return Charge{}, ctx.Err()
 }
 
@@ -220,9 +220,7 @@
 	if s.stopping {
 		return nil, Charge{}, &RefusedError{organisation, minRetryAfter, "instance is stopping"}
 	}
-	w := &waiter{tokens: tokens, crossRegion: s.roomForCrossRegion(ctx), result: make(chan result, 1)}
-	s.enqueue(organisation, w)
-	return w, Charge{}, nil
+	return s.enqueue(organisation, tokens, s.roomForCrossRegion(ctx)), Charge{}, nil
 }
 
 // roomForCrossRegion reports whether the deadline lets the request wait for another region.
@@ -257,6 +255,7 @@
 
 // tick sends the asks of one second and drops the state of inactive organisations.
 func (s *Service) tick() {
+	s.notePeers()
 	s.mu.Lock()
 	now := s.opts.Clock.Now()
 	s.applyView(s.opts.Config.View())
@@ -268,24 +267,24 @@
 	s.ledger.Sweep(now)
 	s.mu.Unlock()
 	for giver, asks := range batches {
-		s.send(giver, asks, nil)
+		s.send(giver, asks)
 	}
 }
 
-// send borrows from a peer in the background and books the answers. done is called at the end, if not nil.
-func (s *Service) send(giver string, asks []ratelimit.Ask, done func([]ratelimit.Answer)) {
+// send borrows from a peer in the background and books the answers.
+func (s *Service) send(giver string, asks []ratelimit.Ask) {
+	if s.ctx.Err() != nil {
+		return
+	}
 	s.wg.Add(1)
 	go func() {
 		defer s.wg.Done()
-		answers := s.borrow(giver, asks)
-		if done != nil {
-			done(answers)
-		}
+		s.borrow(giver, asks)
 	}()
 }
 
-// borrow sends asks to a peer and books the answers. It returns nil if the peer gave none.
-func (s *Service) borrow(giver string, asks []ratelimit.Ask) []ratelimit.Answer {
+// borrow sends asks to a peer and books the answers.
+func (s *Service) borrow(giver string, asks []ratelimit.Ask) {
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
 	req := &wire.BorrowRequest{}
@@ -299,17 +298,16 @@
 	defer s.mu.Unlock()
 	now := s.opts.Clock.Now()
 	s.noteCall(now, giver, err)
-	if err != nil || len(resp.GetAnswers()) != len(asks) {
-		return nil
-	}
-	var out []ratelimit.Answer
-	for i, a := range resp.GetAnswers() {
-		answer := answerFromWire(a)
-		s.ledger.Accept(now, asked, giver, asks[i].Organisation, answer)
-		s.serveWaiters(now, asks[i].Organisation)
-		out = append(out, answer)
+	answers := resp.GetAnswers()
+	for i, ask := range asks {
+		var holders []string
+		if err == nil && i < len(answers) {
+			answer := answerFromWire(answers[i])
+			s.ledger.Accept(now, asked, giver, ask.Organisation, answer)
+			holders = answer.Holders
+		}
+		s.perform(ask.Organisation, s.puller.Answered(now, ask.Organisation, giver, holders))
 	}
-	return out
 }
 
 // noteCall records whether a peer answers.
