--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -12,7 +12,6 @@
 	"dogwoodknot.example/dogwoodknot/internal/config"
 	"dogwoodknot.example/dogwoodknot/internal/configsync"
 	"dogwoodknot.example/dogwoodknot/internal/core/membership"
-	"dogwoodknot.example/dogwoodknot/internal/core/ratelimit"
 	"dogwoodknot.example/dogwoodknot/internal/gateway"
 	"dogwoodknot.example/dogwoodknot/internal/limits"
 	"dogwoodknot.example/dogwoodknot/internal/members"
@@ -43,18 +42,6 @@
 	return out
 }
 
-// previousTerms returns an organisation's replaced entitlements.
-func previousTerms(o *config.Organisation) []limits.PreviousTerms {
-	var out []limits.PreviousTerms
-	for _, e := range o.Previous {
-		out = append(out, limits.PreviousTerms{
-			Terms:    ratelimit.Terms{Rate: e.Rate, Burst: e.Burst, Home: e.Home, Split: e.Split},
-			Revision: e.Revision,
-		})
-	}
-	return out
-}
-
 // lateRunner passes forwarded operations to the gateway, which is made after the operations it needs itself.
 type lateRunner struct{ parts *parts }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/kernel"
 	"dogwoodknot.example/dogwoodknot/internal/observe"
+	"dogwoodknot.example/dogwoodknot/internal/operator"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 )
 
@@ -28,6 +29,7 @@
 	clock       clock.Clock
 	hooks       Hooks
 	listeners   listeners
+	backend     *backend
 
 	drainOnce sync.Once
 	drained   chan struct{}
@@ -147,6 +149,9 @@
 // Identity returns the instance's name, place and incarnation.
 func (d *Daemon) Identity() peer.Identity { return d.self }
 
+// Status returns what the instance says of itself. Services must have been called.
+func (d *Daemon) Status() operator.Status { return d.backend.Status() }
+
 // Log returns the daemon's logger.
 func (d *Daemon) Log() *zap.Logger { return d.log }
 
--- a/internal/daemon/regions.go
+++ b/internal/daemon/regions.go
@@ -8,7 +8,6 @@
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/configsync"
-	"dogwoodknot.example/dogwoodknot/internal/core/membership"
 	"dogwoodknot.example/dogwoodknot/internal/core/routing"
 	"dogwoodknot.example/dogwoodknot/internal/gateway"
 	"dogwoodknot.example/dogwoodknot/internal/members"
@@ -55,23 +54,15 @@
 	return payload
 }
 
-// lowestRevision returns the lowest configuration revision that an instance of the snapshot has reported, or 0 if one has
-// reported none.
-func (r *regionLoads) lowestRevision(s *membership.Snapshot, own int64) int64 {
+// reported returns the configuration revision that an incarnation has reported as applied, false if it has reported none.
+func (r *regionLoads) reported(instance string, incarnation uint64) (revision int64, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	lowest := own
-	for _, m := range s.Members {
-		if m.Self {
-			continue
-		}
-		h, ok := r.last[m.Name]
-		if !ok || h.from.Incarnation != m.Incarnation {
-			return 0
-		}
-		lowest = min(lowest, h.revision)
+	h, ok := r.last[instance]
+	if !ok || h.from.Incarnation != incarnation {
+		return 0, false
 	}
-	return lowest
+	return h.revision, true
 }
 
 // Model returns the regions that serve a model.
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -183,8 +183,7 @@
 		Config:    p.syncer,
 		Peers:     memberPeers{p.members},
 		Instances: p.list,
-		Previous:  previousTerms,
-		Reported:  func() int64 { return p.regions.lowestRevision(p.members.Snapshot(), p.limits.AppliedRevision()) },
+		Reported:  p.regions.reported,
 		Log:       d.log,
 	})
 	return err
@@ -250,10 +249,11 @@
 }
 
 func (d *Daemon) makeOperator(p *parts) error {
+	d.backend = &backend{daemon: d, parts: p}
 	o := operator.Options{
 		Addr:    d.settings.OperatorAddr,
 		Token:   d.settings.OperatorToken,
-		Backend: &backend{daemon: d, parts: p},
+		Backend: d.backend,
 		Metrics: d.metrics.Handler,
 		Log:     d.log,
 	}
--- a/internal/operations/handover.go
+++ b/internal/operations/handover.go
@@ -64,6 +64,9 @@
 		}
 		s.warn("hand over operation records", zap.String("heir", to.Instance), zap.Error(err))
 	}
+	if len(h.Records) == 0 {
+		return nil // only unused ids are lost: they are answered "unknown" and never run
+	}
 	return errors.Newf("no instance of region %s has taken the %d operation records", self.Region, len(h.Records))
 }
 
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -62,7 +62,7 @@
 
 	mu        sync.Mutex
 	sessions  []*session // open ones in the order of their adoption
-	addr      string // empty if only its sessions are known
+	addr      string     // empty if only its sessions are known
 	since     time.Time
 	attempt   *dialAttempt
 	backoff   *backoff.ExponentialBackOff
