--- a/internal/platform/conformance_test.go
+++ b/internal/platform/conformance_test.go
@@ -322,6 +322,9 @@
 		}
 		_, err = s.store.Get(ctx, "k")
 		wantError(t, err, platform.ErrUnavailable)
+		if errors.Is(err, memory.ErrRateLimited) {
+			t.Fatalf("an outage is reported as a rate limit: %v", err)
+		}
 		s.storeTwin.SetFaults(memory.Faults{})
 		_, err = s.store.Get(ctx, "k")
 		wantError(t, err, platform.ErrNotFound)
--- a/internal/platform/memory/faults.go
+++ b/internal/platform/memory/faults.go
@@ -16,10 +16,12 @@
 	"dogwoodknot.example/dogwoodknot/internal/platform"
 )
 
-// ErrRateLimited reports a call above the service's rate. It is also marked platform.ErrUnavailable.
-var ErrRateLimited = errors.Mark(errors.New("rate limit of the platform service is exceeded"), platform.ErrUnavailable)
+// ErrRateLimited reports a call above the service's rate. Returned errors are also marked platform.ErrUnavailable.
+var ErrRateLimited = errors.New("rate limit of the platform service is exceeded")
 
 var (
+	// The mark stands outside ErrRateLimited: errors.Is takes any two errors with the same mark for equal.
+	errLimited   = errors.Mark(ErrRateLimited, platform.ErrUnavailable)
 	errDown      = errors.Mark(errors.New("platform service is down"), platform.ErrUnavailable)
 	errRestarted = errors.Mark(errors.New("platform service has restarted"), platform.ErrUnavailable)
 	errLost      = errors.Mark(errors.New("answer of the write was lost"), platform.ErrUnknownOutcome)
@@ -150,7 +152,7 @@
 	}
 	if limiter != nil && !limiter.AllowN(time.Unix(0, int64(c.clk.Now())), 1) {
 		c.counts.Refused[kind]++
-		return plan{}, ErrRateLimited
+		return plan{}, errLimited
 	}
 	p := plan{latency: c.faults.Latency}
 	switch {
