Bound an answer of cache events and refuse reused generations of unloads

A reader that started late got all kept events at once: 4,096 events of long prompts are several megabytes, which exceeds the dispatcher's limit of 1 MiB for a report, and since the answer is then dropped, it would ask for the same events for ever. An answer now ends after about 2,048 block hashes; its sequence number says up to where.

An order with the generation of an earlier unload was followed. It is refused now, as one with the generation of another load is.

--- a/internal/standin/engine_cache.go
+++ b/internal/standin/engine_cache.go
@@ -8,8 +8,13 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
-// maxCacheEvents bounds the events that an engine keeps for readers. Older ones are a gap.
-const maxCacheEvents = 4096
+const (
+	// maxCacheEvents bounds the events that an engine keeps for readers. Older ones are a gap.
+	maxCacheEvents = 4096
+	// maxAnswerBlocks ends an answer to a reader after this many block hashes, about 40 KB. The reader asks again from
+	// the answer's sequence number. Without it, a reader that starts late got several megabytes at once.
+	maxAnswerBlocks = 2048
+)
 
 // Kinds of cache events.
 const (
@@ -26,7 +31,7 @@
 
 // CacheEvents is the answer to a reader of cache events.
 type CacheEvents struct {
-	Sequence uint64       `json:"sequence"` // of the last published event, lost ones included
+	Sequence uint64       `json:"sequence"` // up to which the events are given, lost ones included
 	Events   []CacheEvent `json:"events"`
 }
 
@@ -129,13 +134,15 @@
 	defer e.mu.Unlock()
 	horizon := time.Now().Add(-e.opts.CacheEventDelay)
 	out := CacheEvents{Events: []CacheEvent{}}
+	blocks := 0
 	for _, event := range e.cache.events {
-		if event.at.After(horizon) {
+		if event.at.After(horizon) || blocks >= maxAnswerBlocks {
 			break
 		}
 		out.Sequence = event.Sequence
 		if event.Sequence > after && !event.lost {
 			out.Events = append(out.Events, event.CacheEvent)
+			blocks += len(event.Blocks)
 		}
 	}
 	return out
--- a/internal/standin/engine_orders.go
+++ b/internal/standin/engine_orders.go
@@ -160,8 +160,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	refused := e.checkOrder(model, in)
-	if m := e.orders.models[model]; refused == nil && m != nil && m.Generation == in.Generation && !sameTarget(m, in) {
-		refused = &refusal{http.StatusConflict, "generation_reused", "another order has this generation"}
+	if refused == nil && e.orders.taken(model, in) {
+		refused = reusedGeneration
 	}
 	e.answerOrder(w, OrderRecord{Order: in, Model: model}, refused)
 	if refused == nil {
@@ -188,7 +188,7 @@
 	defer e.mu.Unlock()
 	refused := e.checkOrder(model, in)
 	if m := e.orders.models[model]; refused == nil && m != nil && m.Generation == in.Generation && m.Generation > 0 {
-		refused = &refusal{http.StatusConflict, "generation_reused", "another order has this generation"}
+		refused = reusedGeneration
 	}
 	e.answerOrder(w, OrderRecord{Order: in, Model: model, Unload: true}, refused)
 	if refused == nil {
@@ -225,8 +225,15 @@
 	e.orders.record(record)
 }
 
-func sameTarget(m *ModelState, in Order) bool {
-	return m.Version == in.Version && slices.Equal(m.Adapters, in.Adapters)
+var reusedGeneration = &refusal{http.StatusConflict, "generation_reused", "another order has this generation"}
+
+// taken reports whether an order with another target has the generation of in.
+func (s *orderState) taken(model string, in Order) bool {
+	if m := s.models[model]; m != nil {
+		return m.Generation == in.Generation && (m.Version != in.Version || !slices.Equal(m.Adapters, in.Adapters))
+	}
+	generation, unloaded := s.unloaded[model]
+	return unloaded && generation == in.Generation
 }
 
 // apply follows an order. A new version takes the model out of service until its weights are loaded; new adapters alone
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -405,6 +405,18 @@
 		t.Fatalf("load is %+v", load)
 	}
 
+	long, r := newEngineRig(t, EngineOptions{})
+	for i := range 20 {
+		r.stream("", strings.Repeat(string(rune('c'+i)), 200*blockBytes), 1)
+	}
+	page := long.CacheEvents(0)
+	if page.Sequence != 11 || len(page.Events) != 11 {
+		t.Fatalf("first page ends at %d with %d events", page.Sequence, len(page.Events))
+	}
+	if page = long.CacheEvents(page.Sequence); page.Sequence != 20 || len(page.Events) != 9 {
+		t.Fatalf("second page ends at %d with %d events", page.Sequence, len(page.Events))
+	}
+
 	lossy, r := newEngineRig(t, EngineOptions{CacheEventGap: 1})
 	r.stream("", prompt, 2)
 	if got := lossy.CacheEvents(0); got.Sequence != 1 || len(got.Events) != 0 {
@@ -476,8 +488,9 @@
 	r.call(http.MethodDelete, "/engine/v1/orders/m?generation=6&fencing=11", "", nil, http.StatusConflict, nil)
 	r.call(http.MethodDelete, "/engine/v1/orders/m?generation=7&fencing=11", "", nil, http.StatusAccepted, nil)
 	put(Order{Version: "2", Generation: 6, Fencing: 11}, http.StatusConflict)
+	put(Order{Version: "2", Generation: 7, Fencing: 11}, http.StatusConflict)
 	r.call(http.MethodPost, "/v1/completions", "", completionBody("p", 1, false), http.StatusNotFound, nil)
-	if got := e.Orders(); len(got) != 9 || got[4].Status != http.StatusPreconditionFailed || !got[7].Unload {
+	if got := e.Orders(); len(got) != 10 || got[4].Status != http.StatusPreconditionFailed || !got[7].Unload {
 		t.Fatalf("recorded orders are %+v", got)
 	}
 
