Record previous entitlements by slot, and test against the in-memory store

Whether a change lowers a slot is now decided with the entitlements that holders use (core/ratelimit), so that a pure raise records nothing and applies at once.

A change that only lowers is recorded too. Without that, a lowering followed by a raise of another slot, each harmless by itself, could add up to more than the rate at an instance that has heard of neither. For the slots themselves the minimum changes nothing.

The tests' own stores are replaced by platform/memory.

--- a/internal/configstore/entitlement.go
+++ b/internal/configstore/entitlement.go
@@ -1,11 +1,11 @@
 package configstore
 
 import (
-	"maps"
 	"slices"
 
 	"dogwoodknot.example/dogwoodknot/internal/config"
 	"dogwoodknot.example/dogwoodknot/internal/core/configview"
+	"dogwoodknot.example/dogwoodknot/internal/core/ratelimit"
 )
 
 // entitlementOf is what an organisation is entitled to before a revision replaces it. Equal parts are written out, since
@@ -24,35 +24,37 @@
 }
 
 // previousOf returns the entitlements that holders must still keep to beside the one of o.
+//
+// A change that lowers some slot is recorded even if it raises none: a later raise of another slot must still keep to what an
+// instance that has heard of neither change uses. For the slots themselves the minimum makes no difference then. A pure
+// raise records nothing, so that it applies at once.
 func previousOf(old *configview.ShardOrganisation, removed []config.Entitlement, o *config.Organisation,
 	oldRegions, regions []config.Region, revision, inForce int64) []config.Entitlement {
 	if old == nil {
 		return pending(removed, inForce)
 	}
 	previous := pending(old.Previous, inForce)
-	before := entitlementOf(&old.Organisation, oldRegions, revision)
-	after := entitlementOf(o, regions, revision)
-	if shifts(before, after) {
-		previous = append(previous, before)
+	if lowers(slotShares(&old.Organisation, oldRegions), slotShares(o, regions)) {
+		previous = append(previous, entitlementOf(&old.Organisation, oldRegions, revision))
 	}
 	return previous
 }
 
-// shifts reports whether a change may lower the entitlement of some slots and raise that of others.
-//
-// How many slots of a region an organisation is spread over depends on its rate. So a change of a region's rate may move
-// tokens between its slots in either direction, even if the region's total only grows; only burst changes in one
-// direction, with rates unchanged, are certain to be pure.
-func shifts(before, after config.Entitlement) bool {
-	if before.Rate == after.Rate && maps.Equal(parts(before), parts(after)) {
-		return false
+func slotShares(o *config.Organisation, regions []config.Region) map[ratelimit.Slot]ratelimit.Share {
+	terms := ratelimit.Terms{Rate: o.Rate, Burst: o.Burst, Home: o.Home, Split: o.Split}
+	list := make([]ratelimit.Region, len(regions))
+	for i, r := range regions {
+		list[i] = ratelimit.Region{Name: r.Name, Slots: r.Slots}
 	}
-	return true
+	return ratelimit.Entitlements(ratelimit.Organisation{Name: o.Name, Current: terms}, list)
 }
 
-func parts(e config.Entitlement) map[string]float64 {
-	if e.Home != "" {
-		return map[string]float64{e.Home: 1}
+// lowers reports whether some slot loses rate or burst.
+func lowers(before, after map[ratelimit.Slot]ratelimit.Share) bool {
+	for slot, share := range before {
+		if next := after[slot]; next.Rate < share.Rate || next.Burst < share.Burst {
+			return true
+		}
 	}
-	return e.Split
+	return false
 }
--- a/internal/configstore/kv_test.go
+++ b/internal/configstore/kv_test.go
@@ -2,90 +2,40 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
-	"sync"
-	"time"
+	"sync/atomic"
 
 	"dogwoodknot.example/dogwoodknot/internal/platform"
+	"dogwoodknot.example/dogwoodknot/internal/platform/memory"
 )
 
-// fakeKV is a store in memory whose calls can be made to fail.
+// fakeKV is the store in memory with calls of a test around its writes.
 type fakeKV struct {
-	mu       sync.Mutex
-	entries  map[string]platform.Entry
-	revision int64
-	reads    int
-	// beforePut is called without the lock. If it returns an error, the write has no effect.
+	*memory.Store
+	reads atomic.Int64
+	// beforePut may change the store, or keep the write from taking effect by an error.
 	beforePut func(key string, value []byte) error
-	// afterPut is called with the lock after a write took effect and may replace the answer.
+	// afterPut may replace the answer of a write that took effect.
 	afterPut func(key string) error
 }
 
 var _ platform.Store = (*fakeKV)(nil)
 
-func newFakeKV() *fakeKV { return &fakeKV{entries: make(map[string]platform.Entry)} }
+func newFakeKV() *fakeKV { return &fakeKV{Store: memory.NewStore(memory.StoreOptions{})} }
 
-func (k *fakeKV) Get(_ context.Context, key string) (platform.Entry, error) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.reads++
-	e, ok := k.entries[key]
-	if !ok {
-		return e, platform.ErrNotFound
-	}
-	return e, nil
+func (k *fakeKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+	k.reads.Add(1)
+	return k.Store.Get(ctx, key)
 }
 
-func (k *fakeKV) List(_ context.Context, prefix, after string, limit int) ([]platform.Entry, error) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	var list []platform.Entry
-	for key, e := range k.entries {
-		if strings.HasPrefix(key, prefix) && key > after {
-			list = append(list, e)
-		}
-	}
-	slices.SortFunc(list, func(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) })
-	return list[:min(limit, len(list))], nil
-}
-
-func (k *fakeKV) Put(_ context.Context, key string, value []byte, opts platform.PutOptions) (int64, error) {
+func (k *fakeKV) Put(ctx context.Context, key string, value []byte, opts platform.PutOptions) (int64, error) {
 	if k.beforePut != nil {
 		if err := k.beforePut(key, value); err != nil {
 			return 0, err
 		}
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if opts.IfRevision != nil && k.entries[key].Revision != *opts.IfRevision {
-		return 0, platform.ErrConflict
-	}
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
-	}
-	k.revision++
-	k.entries[key] = platform.Entry{Key: key, Value: slices.Clone(value), Revision: k.revision}
-	if k.afterPut != nil {
-		if err := k.afterPut(key); err != nil {
-			return 0, err
-		}
+	revision, err := k.Store.Put(ctx, key, value, opts)
+	if err == nil && k.afterPut != nil {
+		err = k.afterPut(key)
 	}
-	return k.revision, nil
-}
-
-func (k *fakeKV) Delete(_ context.Context, key string, _ *int64) error {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	delete(k.entries, key)
-	return nil
+	return revision, err
 }
-
-func (k *fakeKV) Watch(ctx context.Context, _ string, _ int64) (platform.Entry, error) {
-	<-ctx.Done()
-	return platform.Entry{}, ctx.Err()
-}
-
-func (k *fakeKV) Grant(context.Context, time.Duration) (platform.LeaseID, error) { return 1, nil }
-func (k *fakeKV) Renew(context.Context, platform.LeaseID) error                  { return nil }
-func (k *fakeKV) Revoke(context.Context, platform.LeaseID) error                 { return nil }
--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -229,35 +229,24 @@
 	kv := newFakeKV()
 	s := newTestStore(kv)
 	mustApply(t, s, testConfig(map[string]float64{"acme": 100}), Change{})
-	attempts := 0
-	kv.beforePut = func(key string, _ []byte) error {
-		if key != HeadKey {
+	lost := false
+	kv.afterPut = func(key string) error {
+		if key != HeadKey || lost {
 			return nil
 		}
-		attempts++
-		return nil
-	}
-	kv.afterPut = func(key string) error {
-		if key == HeadKey && attempts == 1 {
-			return platform.ErrUnknownOutcome
+		lost = true
+		if _, _, err := newTestStore(kv).IssueKey(context.Background(), "acme", Change{}); err != nil {
+			t.Error(err)
 		}
-		return nil
+		return platform.ErrUnknownOutcome
 	}
-	// The read back happens after a pause, in which another writer issues a key on top.
-	go func() {
-		for {
-			head, _, err := newTestStore(kv).Head(context.Background())
-			if err != nil || head.Revision >= 2 {
-				break
-			}
-			time.Sleep(time.Millisecond)
-		}
-		_, _, _ = newTestStore(kv).IssueKey(context.Background(), "acme", Change{})
-	}()
 	r := mustApply(t, s, testConfig(map[string]float64{"acme": 200}), Change{})
 	if r.Head.Revision != 2 {
 		t.Errorf("revision %d was written, want 2", r.Head.Revision)
 	}
+	if view := viewOf(t, s); view.Revision() != 3 || view.Organisation("acme").Rate != 200 {
+		t.Errorf("revision %d in the store", view.Revision())
+	}
 }
 
 // Guards against a store outage that is reported as success or hangs.
@@ -340,7 +329,7 @@
 	if len(previous) != 2 || previous[0].Split["lima"] != 0.5 || previous[1].Split["lima"] != 0.75 {
 		t.Fatalf("previous = %+v", previous)
 	}
-	// Once all instances have revision 2 in force, only the later replacement is pending.
+	// Once all instances have revision 2 in force, only the later replacement is pending. A pure raise adds none.
 	burst := split(0.25)
 	burst.Organisations[0].Burst++
 	mustApply(t, s, burst, Change{InForce: 2})
@@ -348,15 +337,38 @@
 	if len(previous) != 1 || previous[0].Revision != 3 {
 		t.Fatalf("previous = %+v", previous)
 	}
+	// A pure lowering is recorded: a raise after it may be applied where the lowering was not.
+	mustApply(t, s, split(0.25), Change{InForce: 4})
+	previous = viewOf(t, s).Organisation("acme").Previous
+	if len(previous) != 1 || previous[0].Revision != 5 || previous[0].Burst != 1001 {
+		t.Fatalf("previous = %+v", previous)
+	}
 	// Removing and returning the organisation does not forget what it was entitled to.
-	mustApply(t, s, testConfig(nil), Change{InForce: 4})
-	mustApply(t, s, split(0.5), Change{InForce: 4})
+	mustApply(t, s, testConfig(nil), Change{InForce: 5})
+	mustApply(t, s, split(0.5), Change{InForce: 5})
 	previous = viewOf(t, s).Organisation("acme").Previous
-	if len(previous) != 1 || previous[0].Revision != 5 || previous[0].Split["lima"] != 0.25 {
+	if len(previous) != 1 || previous[0].Revision != 6 || previous[0].Split["lima"] != 0.25 {
 		t.Fatalf("previous = %+v", previous)
 	}
 }
 
+// Guards against a raise that waits for the whole fleet although it takes nothing from any slot, and against one that spreads
+// the organisation over more slots and so lowers the first.
+func TestPureRaiseRecordsNothing(t *testing.T) {
+	s := newTestStore(newFakeKV())
+	mustApply(t, s, testConfig(map[string]float64{"acme": 100}), Change{})
+	mustApply(t, s, testConfig(map[string]float64{"acme": 200}), Change{})
+	if previous := viewOf(t, s).Organisation("acme").Previous; len(previous) != 0 {
+		t.Errorf("previous = %+v after a pure raise", previous)
+	}
+	mustApply(t, s, testConfig(map[string]float64{"acme": 2000}), Change{})
+	mustApply(t, s, testConfig(map[string]float64{"acme": 2400}), Change{})
+	previous := viewOf(t, s).Organisation("acme").Previous
+	if len(previous) != 1 || previous[0].Rate != 2000 || previous[0].Revision != 4 {
+		t.Errorf("previous = %+v after a spread over more slots", previous)
+	}
+}
+
 // Guards against a key id that two organisations share.
 func TestDeclaredKeyMustNotBeIssued(t *testing.T) {
 	s := newTestStore(newFakeKV())
@@ -386,11 +398,11 @@
 		written = append(written, key)
 		return nil
 	}
-	kv.reads = 0
+	kv.reads.Store(0)
 	if _, _, err := s.IssueKey(t.Context(), "org-7", Change{}); err != nil {
 		t.Fatal(err)
 	}
-	if len(written) != 3 || kv.reads != 2 {
-		t.Errorf("wrote %v with %d reads", written, kv.reads)
+	if len(written) != 3 || kv.reads.Load() != 2 {
+		t.Errorf("wrote %v with %d reads", written, kv.reads.Load())
 	}
 }
--- a/internal/configsync/fake_test.go
+++ b/internal/configsync/fake_test.go
@@ -3,100 +3,63 @@
 import (
 	"context"
 	"io"
-	"slices"
 	"sync"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/platform"
+	"dogwoodknot.example/dogwoodknot/internal/platform/memory"
 )
 
-// fakeKV is a store in memory that can be taken out.
+// fakeKV is the store in memory, with instances that do not reach it.
 type fakeKV struct {
-	mu       sync.Mutex
-	entries  map[string]platform.Entry
-	revision int64
-	changed  chan struct{} // closed and replaced by each write
-	out      map[string]bool
+	*memory.Store
+	mu  sync.Mutex
+	out map[string]bool
 }
 
 func newFakeKV() *fakeKV {
-	return &fakeKV{entries: make(map[string]platform.Entry), changed: make(chan struct{}), out: make(map[string]bool)}
+	return &fakeKV{Store: memory.NewStore(memory.StoreOptions{}), out: make(map[string]bool)}
 }
 
-// client is the store as one instance reaches it.
-type client struct {
-	kv   *fakeKV
-	name string
-}
-
-var _ platform.Store = (*client)(nil)
-
 func (k *fakeKV) setOut(name string, out bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.out[name] = out
 }
 
-func (c *client) Get(_ context.Context, key string) (platform.Entry, error) {
-	c.kv.mu.Lock()
-	defer c.kv.mu.Unlock()
-	if c.kv.out[c.name] {
-		return platform.Entry{}, platform.ErrUnavailable
-	}
-	e, ok := c.kv.entries[key]
-	if !ok {
-		return e, platform.ErrNotFound
-	}
-	return e, nil
+func (k *fakeKV) isOut(name string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.out[name]
 }
 
-func (c *client) List(context.Context, string, string, int) ([]platform.Entry, error) {
-	return nil, platform.ErrUnavailable
+// client is the store as one instance reaches it.
+type client struct {
+	*fakeKV
+	name string
 }
 
-func (c *client) Put(_ context.Context, key string, value []byte, opts platform.PutOptions) (int64, error) {
-	c.kv.mu.Lock()
-	defer c.kv.mu.Unlock()
-	if opts.IfRevision != nil && c.kv.entries[key].Revision != *opts.IfRevision {
-		return 0, platform.ErrConflict
+var _ platform.Store = (*client)(nil)
+
+func (c *client) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if c.isOut(c.name) {
+		return platform.Entry{}, platform.ErrUnavailable
 	}
-	c.kv.revision++
-	c.kv.entries[key] = platform.Entry{Key: key, Value: slices.Clone(value), Revision: c.kv.revision}
-	close(c.kv.changed)
-	c.kv.changed = make(chan struct{})
-	return c.kv.revision, nil
+	return c.Store.Get(ctx, key)
 }
 
-func (c *client) Delete(context.Context, string, *int64) error { return platform.ErrUnavailable }
-
 func (c *client) Watch(ctx context.Context, key string, after int64) (platform.Entry, error) {
-	for {
-		c.kv.mu.Lock()
-		e, changed, out := c.kv.entries[key], c.kv.changed, c.kv.out[c.name]
-		c.kv.mu.Unlock()
-		if out {
-			// A connection that has gone silent looks like a watch without news.
-			<-ctx.Done()
-			return platform.Entry{}, ctx.Err()
-		}
-		if e.Revision > after {
-			return e, nil
-		}
-		select {
-		case <-ctx.Done():
-			return platform.Entry{}, ctx.Err()
-		case <-changed:
-		}
+	e, err := c.Store.Watch(ctx, key, after)
+	if c.isOut(c.name) {
+		// A connection that has gone silent looks like a watch without news.
+		<-ctx.Done()
+		return platform.Entry{}, ctx.Err()
 	}
+	return e, err
 }
 
-func (c *client) Grant(context.Context, time.Duration) (platform.LeaseID, error) { return 1, nil }
-func (c *client) Renew(context.Context, platform.LeaseID) error                  { return nil }
-func (c *client) Revoke(context.Context, platform.LeaseID) error                 { return nil }
-
 // fabric connects fake networks. Links can be cut in one direction.
 type fabric struct {
 	mu    sync.Mutex
--- a/internal/configsync/sync_test.go
+++ b/internal/configsync/sync_test.go
@@ -193,14 +193,10 @@
 	f := newFleet(t)
 	f.startMany("lima", 2)
 	f.apply(100)
-	old := f.kv.entries[configstore.HeadKey]
+	old := f.kv.Snapshot()
 	revision := f.apply(200)
 	f.waitFor(revision)
-	f.kv.mu.Lock()
-	f.kv.revision = 1
-	old.Revision = 1
-	f.kv.entries[configstore.HeadKey] = old
-	f.kv.mu.Unlock()
+	f.kv.Restore(old)
 	time.Sleep(time.Second)
 	for name, s := range f.syncers {
 		if got := s.View().Revision(); got != revision {
--- a/internal/core/configview/state_test.go
+++ b/internal/core/configview/state_test.go
@@ -168,14 +168,12 @@
 
 // drawShards draws organisations whose keys are distinct within a revision but move between organisations over revisions.
 func drawShards(t *rapid.T) map[int]*Shard {
-	owners := make(map[int]int)
 	orgs := make(map[int]*ShardOrganisation)
 	for k := range 10 {
 		owner := rapid.IntRange(-1, 4).Draw(t, "owner")
 		if owner < 0 {
 			continue
 		}
-		owners[k] = owner
 		if orgs[owner] == nil {
 			orgs[owner] = &ShardOrganisation{Organisation: config.Organisation{Name: fmt.Sprintf("org-%d", owner), Rate: 1}}
 		}
