Generate the configuration reference page from the model

docs/configuration.md is written from the doc comments and tags that the decoder uses, so that defaults and units cannot differ from it.

--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -7,6 +7,8 @@
 
 import "time"
 
+//go:generate go run ./gendoc
+
 // Config is a checked declaration. It is immutable once loaded.
 type Config struct {
 	// Regions are the zones of the site. Their names appear in endpoints, homes and splits.
