--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -240,3 +240,17 @@
 		t.Errorf("order counts as a change: %v", changes)
 	}
 }
+
+// Guards against examples that operators copy and that do not pass the checks.
+func TestExamples(t *testing.T) {
+	for _, site := range []string{"veletas", "urmarol"} {
+		cfg, err := LoadFiles("../../examples/base.yaml", "../../examples/"+site+".yaml")
+		if err != nil {
+			t.Errorf("%s:\n%v", site, err)
+			continue
+		}
+		if len(cfg.Organisations) != 5 || len(cfg.Regions) != 3 || !cfg.Platform.RemovalFinal {
+			t.Errorf("%s: %d organisations in %d regions, removal final %v", site, len(cfg.Organisations), len(cfg.Regions), cfg.Platform.RemovalFinal)
+		}
+	}
+}
--- a/internal/configstore/apply.go
+++ b/internal/configstore/apply.go
@@ -48,6 +48,16 @@
 		e.Region, e.Old, e.New)
 }
 
+// ExpectError reports that another revision than the expected one is in the store.
+type ExpectError struct {
+	Expected, Found int64
+}
+
+// Error names both revisions.
+func (e *ExpectError) Error() string {
+	return fmt.Sprintf("revision %d is in the store, not the expected %d", e.Found, e.Expected)
+}
+
 // DryRun returns the changes that Apply would make, with the same checks.
 func (s *Store) DryRun(ctx context.Context, cfg *config.Config) (*Snapshot, []config.Change, error) {
 	base, err := s.Latest(ctx)
@@ -103,7 +113,7 @@
 	base := first
 	for range maxAttempts {
 		if change.Expect != 0 && base.Revision() != change.Expect {
-			return nil, errors.Newf("revision %d is in the store, not the expected %d", base.Revision(), change.Expect)
+			return nil, &ExpectError{Expected: change.Expect, Found: base.Revision()}
 		}
 		cfg, issued, err := declare(base)
 		if err != nil {
--- /dev/null
+++ b/internal/configstore/general.go
@@ -0,0 +1,64 @@
+package configstore
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodknot.example/dogwoodknot/internal/config"
+	"dogwoodknot.example/dogwoodknot/internal/core/configview"
+)
+
+// SetDrain starts or ends the drain of an endpoint as a new revision. It reads and writes no shard. A later Apply of files that
+// say otherwise replaces it.
+func (s *Store) SetDrain(ctx context.Context, endpoint string, drain bool, change Change) (*Result, error) {
+	for range maxAttempts {
+		head, at, err := s.Head(ctx)
+		if err != nil {
+			return nil, err
+		}
+		content, err := s.Content(ctx, head, []configview.Digest{head.General})
+		if err != nil {
+			return nil, err
+		}
+		old, err := configview.DecodeGeneral(content[head.General])
+		if err != nil {
+			return nil, err
+		}
+		general, err := configview.DecodeGeneral(content[head.General])
+		if err != nil {
+			return nil, err
+		}
+		if err := drainEndpoint(general, endpoint, drain); err != nil {
+			return nil, err
+		}
+		changes := config.Diff(old, general)
+		if len(changes) == 0 {
+			return &Result{Head: head}, nil
+		}
+		h := s.nextHead(&Snapshot{Head: head}, change)
+		value, err := configview.EncodeGeneral(general)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode the general part")
+		}
+		h.General = configview.DigestOf(value)
+		err = s.commit(ctx, at, h, map[configview.Digest][]byte{h.General: value})
+		if err == nil {
+			return &Result{Head: h, Changes: changes}, nil
+		}
+		if !errors.Is(err, errLost) {
+			return nil, err
+		}
+	}
+	return nil, errors.Newf("the head changed %d times while this change was built", maxAttempts)
+}
+
+func drainEndpoint(general *config.Config, name string, drain bool) error {
+	for i := range general.Endpoints {
+		if general.Endpoints[i].Name == name {
+			general.Endpoints[i].Drain = drain
+			return nil
+		}
+	}
+	return errors.Newf("endpoint %q is not in the configuration in force", name)
+}
--- a/internal/configstore/keys.go
+++ b/internal/configstore/keys.go
@@ -1,10 +1,12 @@
 package configstore
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/base64"
 	"encoding/hex"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -133,3 +135,41 @@
 	}
 	return configview.DecodeShard(content[d])
 }
+
+// KeyInfo is a key as operators see it.
+type KeyInfo struct {
+	ID           string `json:"id"`
+	Organisation string `json:"organisation,omitempty"` // empty for a withdrawn key that is kept nowhere else
+	Source       string `json:"source"`                 // declared, issued or withdrawn
+	Withdrawn    bool   `json:"withdrawn"`
+}
+
+// Keys lists the keys of one organisation, or of all and all withdrawn ids if the name is empty.
+func (s *Snapshot) Keys(organisation string) []KeyInfo {
+	withdrawn := s.Withdrawn()
+	var keys []KeyInfo
+	add := func(o *configview.ShardOrganisation, list []config.Key, source string) {
+		for _, k := range list {
+			keys = append(keys, KeyInfo{ID: k.ID, Organisation: o.Name, Source: source, Withdrawn: withdrawn[k.ID]})
+			delete(withdrawn, k.ID)
+		}
+	}
+	for _, shard := range s.Shards {
+		for i := range shard.Organisations {
+			o := &shard.Organisations[i]
+			if organisation == "" || o.Name == organisation {
+				add(o, o.Keys, "declared")
+				add(o, o.Issued, "issued")
+			}
+		}
+	}
+	if organisation == "" {
+		for id := range withdrawn {
+			keys = append(keys, KeyInfo{ID: id, Source: "withdrawn", Withdrawn: true})
+		}
+	}
+	slices.SortFunc(keys, func(a, b KeyInfo) int {
+		return cmp.Or(cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.ID, b.ID))
+	})
+	return keys
+}
