Check operation logs with generated schedules and read after the seal

The state machine had no generated schedules. The simulation runs several logs of one slot against one store: writes that are lost, late or doubled, clocks off by up to 30 hours, pauses between all steps, takeovers that earlier owners do not hear of, crashes, planned stops, concurrent repeats with equal and other bodies.

Ruled out: keeping more entries, since the pause has no bound. A new owner now reads once more after its seal and starts over if it finds a later entry; the last entry is never deleted, so that there always is one. Cost: one list call for each takeover.

With one of seven rules switched off the property fails: no seal, no read after the seal, no read-back, no recorded horizon, last entry not kept, other body accepted, sent after cancel.

--- a/internal/core/atmostonce/log.go
+++ b/internal/core/atmostonce/log.go
@@ -35,6 +35,7 @@
 // rules switches off single rules, so that tests can show that their checks find the fault.
 type rules struct {
 	noSeal     bool // a new owner writes no seal
+	noSealRead bool // a new owner does not look for entries after its seal
 	noReadBack bool // a write with an unknown outcome counts as done
 	noHorizon  bool // records are deleted without a recorded horizon
 	noTailKept bool // the last entry and seals are deleted like others
@@ -102,6 +103,7 @@
 	// draining refuses new attempts and writes results at once.
 	draining bool
 	last     uint64 // highest sequence known to exist
+	sealed   uint64 // sequence of this log's own latest seal, 0 before
 	number   uint32 // of the latest token
 	horizon  int64
 	// recordedHorizon is the horizon that an entry in the store carries.
--- /dev/null
+++ b/internal/core/atmostonce/sim_test.go
@@ -0,0 +1,527 @@
+package atmostonce
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// chooser draws a number in [0, n).
+type chooser func(n int) int
+
+// simKey is an operation of the simulation.
+type simKey struct {
+	key     Key
+	time    int64
+	live    int // sends that have not ended as not-run
+	ran     int // executions at the endpoint
+	ranBody byte
+}
+
+type simAttempt struct {
+	id      AttemptID
+	key     *simKey
+	body    byte
+	proc    *simProc
+	sent    bool
+	notRun  bool // the send ended as not-run
+	ended   bool
+	replied *Reply
+}
+
+// simCall is a store call on its way. A write may take effect after its answer, after its caller's death, and twice.
+type simCall struct {
+	proc    *simProc
+	action  Action
+	applied bool
+	result  Event // of the application
+	gone    bool  // the caller has an answer
+}
+
+// simProc is one log object of one process.
+type simProc struct {
+	log     *Log
+	skew    time.Duration
+	crashed bool
+}
+
+// sim runs logs of one slot at several instances against one store, in a generated schedule.
+type sim struct {
+	choose   chooser
+	rules    rules
+	budget   int
+	now      Time
+	store    map[uint64]Entry
+	procs    []*simProc
+	calls    []*simCall
+	running  []*simAttempt
+	attempts map[AttemptID]*simAttempt
+	keys     []*simKey
+	seen     map[string]int // what the schedules have covered
+	err      error
+}
+
+func newSim(choose chooser, r rules, budget int) *sim {
+	start := time.Date(2026, 12, 4, 0, 30, 0, 0, time.UTC).UnixMilli()
+	return &sim{
+		choose:   choose,
+		rules:    r,
+		budget:   budget,
+		now:      Time{Boot: 1, Wall: start},
+		store:    map[uint64]Entry{},
+		attempts: map[AttemptID]*simAttempt{},
+		seen:     map[string]int{},
+	}
+}
+
+func (s *sim) failf(format string, args ...any) {
+	if s.err == nil {
+		s.err = fmt.Errorf(format, args...)
+	}
+}
+
+// takeOver starts a log at a new process. Nothing tells the earlier owners.
+func (s *sim) takeOver() {
+	skews := []time.Duration{0, 0, 0, 0, 10 * time.Minute, -10 * time.Minute, 30 * time.Hour, -30 * time.Hour}
+	o := DefaultLogOptions()
+	o.Incarnation = uint64(len(s.procs) + 1)
+	o.Answers = NewAnswers(64<<10, 2)
+	o.Budget = NewBudget(s.budget)
+	o.MaxClaims = 2
+	o.rules = s.rules
+	p := &simProc{log: NewLog(o), skew: skews[s.choose(len(skews))]}
+	s.procs = append(s.procs, p)
+	s.seen["takeover"]++
+	s.step(p, Opened{})
+}
+
+func (s *sim) step(p *simProc, e Event) {
+	if p.crashed {
+		return
+	}
+	now := s.now
+	now.Wall += p.skew.Milliseconds()
+	for _, a := range p.log.Step(now, e) {
+		s.perform(p, a)
+	}
+}
+
+func (s *sim) perform(p *simProc, a Action) {
+	switch a := a.(type) {
+	case Put, Get, List, Delete:
+		s.calls = append(s.calls, &simCall{proc: p, action: a})
+	case Send:
+		s.send(s.attempts[a.ID])
+	case Reply:
+		s.reply(s.attempts[a.ID], a)
+	case Ready:
+		s.seen["ready"]++
+	case Closed:
+		s.seen["closed"]++
+	}
+}
+
+func (s *sim) send(a *simAttempt) {
+	s.seen["send"]++
+	switch {
+	case a.sent:
+		s.failf("attempt %d is sent twice", a.id)
+	case a.replied != nil && a.replied.Execution == NotRun:
+		s.failf("attempt %d is sent after the answer not-run (reason %d)", a.id, a.replied.Reason)
+	case a.key.live > 0:
+		s.failf("attempt %d sends a key that was sent before", a.id)
+	}
+	a.sent = true
+	a.key.live++
+	s.running = append(s.running, a)
+}
+
+func (s *sim) reply(a *simAttempt, r Reply) {
+	s.seen[fmt.Sprintf("reason %d", r.Reason)]++
+	if a.replied != nil {
+		s.failf("attempt %d has two replies", a.id)
+	}
+	a.replied = &r
+	switch {
+	case r.Execution == NotRun && a.sent && !a.notRun:
+		s.failf("attempt %d is answered not-run after its send", a.id)
+	case r.Execution == Ran && a.key.ran == 0:
+		s.failf("attempt %d is answered ran, but its key never ran", a.id)
+	case r.Execution == Ran && a.key.ranBody != a.body:
+		s.failf("attempt %d has a body that did not run and is answered ran", a.id)
+	case r.Answer != nil && r.Answer != a.key:
+		s.failf("attempt %d gets the answer of another key", a.id)
+	}
+}
+
+// runStep makes the endpoint execute a request, or ends its run.
+func (s *sim) runStep() {
+	if len(s.running) == 0 {
+		return
+	}
+	i := s.choose(len(s.running))
+	a := s.running[i]
+	f := Finished{ID: a.id}
+	switch s.choose(8) {
+	case 0:
+		f.Execution = NotRun
+		a.notRun = true
+		a.key.live--
+	case 1:
+		f.Execution = Unknown
+		if s.choose(2) == 0 {
+			s.execute(a)
+		}
+	case 2, 3, 4, 5:
+		s.execute(a)
+		f.Execution, f.Answer, f.AnswerBytes = Ran, a.key, 100
+	default:
+		return
+	}
+	a.ended = true
+	s.running = append(s.running[:i], s.running[i+1:]...)
+	s.step(a.proc, f)
+}
+
+func (s *sim) execute(a *simAttempt) {
+	a.key.ran++
+	a.key.ranBody = a.body
+	if a.key.ran > 1 {
+		s.failf("a key ran twice")
+	}
+}
+
+func (s *sim) newKey() *simKey {
+	var k Key
+	n := len(s.keys)
+	k[0], k[1] = byte(n), byte(n>>8)
+	sk := &simKey{key: k, time: s.now.Wall}
+	s.keys = append(s.keys, sk)
+	return sk
+}
+
+// attempt sends a request to one of the latest logs, which may not own the slot any more.
+func (s *sim) attempt() {
+	if len(s.procs) == 0 {
+		return
+	}
+	p := s.procs[len(s.procs)-1-s.choose(min(3, len(s.procs)))]
+	if p.crashed {
+		return
+	}
+	var k *simKey
+	if len(s.keys) == 0 || s.choose(4) == 0 {
+		k = s.newKey()
+	} else {
+		k = s.keys[len(s.keys)-1-s.choose(min(3, len(s.keys)))]
+	}
+	a := &simAttempt{id: AttemptID(len(s.attempts) + 1), key: k, body: byte(s.choose(5) / 4), proc: p}
+	s.attempts[a.id] = a
+	e := Attempted{ID: a.id, Idents: []Ident{{Key: k.key, Body: Body{a.body}}}, KeyTime: k.time}
+	if s.choose(4) == 0 {
+		e.Deadline = s.now.Boot.Add(time.Duration(s.choose(1000)) * time.Millisecond)
+	}
+	s.step(p, e)
+}
+
+// apply makes a store call take effect.
+func (s *sim) apply(c *simCall) Event {
+	switch a := c.action.(type) {
+	case Put:
+		w := Written{Token: a.Entry.Token, Result: WriteDone}
+		if _, ok := s.store[a.Entry.Sequence]; ok {
+			w.Result = WriteConflict
+			s.seen["conflict"]++
+			return w
+		}
+		s.store[a.Entry.Sequence] = a.Entry
+		return w
+	case Get:
+		e, ok := s.store[a.Sequence]
+		if !ok {
+			return Fetched{Sequence: a.Sequence, Result: ReadAbsent}
+		}
+		return Fetched{Sequence: a.Sequence, Result: ReadFound, Token: e.Token}
+	case List:
+		return s.list(a.After)
+	case Delete:
+		s.seen["delete"]++
+		delete(s.store, a.Sequence)
+		return Deleted{Sequence: a.Sequence}
+	}
+	return nil
+}
+
+func (s *sim) list(after uint64) Listed {
+	const page = 6
+	l := Listed{}
+	for {
+		next := uint64(0)
+		for seq := range s.store {
+			if seq > after && (next == 0 || seq < next) {
+				next = seq
+			}
+		}
+		switch {
+		case next == 0:
+			return l
+		case len(l.Entries) == page:
+			l.More = true
+			return l
+		}
+		l.Entries = append(l.Entries, s.store[next])
+		after = next
+	}
+}
+
+// fault returns the answer of a call that has failed. refused calls had no effect.
+func fault(a Action, refused bool) Event {
+	switch a := a.(type) {
+	case Put:
+		if refused {
+			return Written{Token: a.Entry.Token, Result: WriteNoEffect}
+		}
+		return Written{Token: a.Entry.Token, Result: WriteUnknown}
+	case Get:
+		return Fetched{Sequence: a.Sequence, Result: ReadFailed}
+	case List:
+		return Listed{Failed: true}
+	case Delete:
+		return Deleted{Sequence: a.Sequence, Failed: true}
+	}
+	return nil
+}
+
+// callStep moves one store call on. A call whose answer is lost may still take effect, once or twice.
+func (s *sim) callStep() {
+	if len(s.calls) == 0 {
+		return
+	}
+	i := s.choose(len(s.calls))
+	c := s.calls[i]
+	drop := func() { s.calls = append(s.calls[:i], s.calls[i+1:]...) }
+	switch s.choose(10) {
+	case 0: // refused, if it has had no effect
+		if c.gone || c.applied {
+			return
+		}
+		drop()
+		s.step(c.proc, fault(c.action, true))
+	case 1: // answer lost or timed out; the call stays on its way
+		if c.gone {
+			return
+		}
+		c.gone = true
+		s.seen["answer lost"]++
+		s.step(c.proc, fault(c.action, false))
+	case 2: // lost on its way, or its last copy vanishes
+		if !c.gone {
+			return
+		}
+		drop()
+	case 3: // applied, and applied again later
+		if _, ok := c.action.(Put); ok && c.applied && c.gone {
+			s.seen["late duplicate"]++
+			s.apply(c)
+			drop()
+		}
+	case 4, 5: // takes effect, the answer is on its way
+		if !c.applied {
+			c.applied = true
+			c.result = s.apply(c)
+		}
+	default: // answered
+		if !c.applied {
+			c.applied = true
+			c.result = s.apply(c)
+		}
+		if !c.gone {
+			c.gone = true
+			if s.choose(8) != 0 {
+				drop()
+			}
+			s.step(c.proc, c.result)
+		}
+	}
+}
+
+func (s *sim) passTime() {
+	d := time.Duration(0)
+	switch s.choose(24) {
+	case 0:
+		d = time.Duration(1+s.choose(4)) * 7 * time.Hour
+	case 1, 2, 3, 4:
+		d = time.Duration(s.choose(3000)) * time.Millisecond
+	default:
+		d = time.Duration(s.choose(20)) * time.Millisecond
+	}
+	s.now.Boot = s.now.Boot.Add(d)
+	s.now.Wall += d.Milliseconds()
+	// Timers of some processes come late: these processes are paused.
+	for _, p := range s.procs {
+		if s.choose(3) != 0 {
+			s.step(p, Ticked{})
+		}
+	}
+}
+
+func (s *sim) disturb() {
+	if len(s.procs) == 0 {
+		return
+	}
+	p := s.procs[len(s.procs)-1-s.choose(min(3, len(s.procs)))]
+	switch s.choose(6) {
+	case 0:
+		p.crashed = true
+	case 1:
+		s.step(p, Lost{})
+	case 2:
+		s.step(p, Drained{})
+	default:
+		if len(s.attempts) > 0 {
+			a := s.attempts[AttemptID(len(s.attempts)-s.choose(min(4, len(s.attempts))))]
+			s.step(a.proc, Cancelled{a.id})
+		}
+	}
+}
+
+// run executes a schedule and returns the first violation.
+func (s *sim) run(steps int) error {
+	s.takeOver()
+	for range steps {
+		switch n := s.choose(100); {
+		case n < 20:
+			s.attempt()
+		case n < 75:
+			s.callStep()
+		case n < 87:
+			s.runStep()
+		case n < 96:
+			s.passTime()
+		case n < 98:
+			s.takeOver()
+		default:
+			s.disturb()
+		}
+		if s.err != nil {
+			return s.err
+		}
+	}
+	s.settle()
+	return s.err
+}
+
+// settle lets everything end without further faults and checks that each attempt at a living process has a reply.
+func (s *sim) settle() {
+	for range 400 {
+		for len(s.calls) > 0 && s.err == nil {
+			c := s.calls[0]
+			s.calls = s.calls[1:]
+			if c.gone {
+				continue
+			}
+			if !c.applied {
+				c.result = s.apply(c)
+			}
+			s.step(c.proc, c.result)
+		}
+		for len(s.running) > 0 {
+			a := s.running[0]
+			s.running = s.running[1:]
+			s.step(a.proc, Finished{ID: a.id, Execution: Unknown})
+		}
+		s.now.Boot = s.now.Boot.Add(100 * time.Millisecond)
+		s.now.Wall += 100
+		for _, p := range s.procs {
+			s.step(p, Ticked{})
+		}
+		if s.err != nil {
+			return
+		}
+	}
+	for _, a := range s.attempts {
+		if a.replied == nil && !a.proc.crashed {
+			s.failf("attempt %d has no reply (sent %v)", a.id, a.sent)
+		}
+	}
+}
+
+// Guards against a second send, a false "not run", a run of another body and a lost reply under generated faults.
+func TestAtMostOnceProperty(t *testing.T) {
+	seen := map[string]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		gen := map[int]*rapid.Generator[int]{}
+		choose := func(n int) int {
+			if gen[n] == nil {
+				gen[n] = rapid.IntRange(0, n-1)
+			}
+			return gen[n].Draw(rt, "choice")
+		}
+		s := newSim(choose, rules{}, []int{1000, 4}[choose(2)])
+		if err := s.run(rapid.IntRange(50, 300).Draw(rt, "steps")); err != nil {
+			rt.Fatal(err)
+		}
+		for k, n := range s.seen {
+			seen[k] += n
+		}
+	})
+	t.Log(seen)
+}
+
+// randomSchedules runs seeded schedules until one fails.
+func randomSchedules(r rules, schedules, steps int, seen map[string]int) (seed int, err error) {
+	for seed := range schedules {
+		rnd := rand.New(rand.NewPCG(uint64(seed), 1))
+		s := newSim(rnd.IntN, r, []int{1000, 1000, 4}[seed%3])
+		if err := s.run(steps); err != nil {
+			return seed, err
+		}
+		for k, n := range s.seen {
+			seen[k] += n
+		}
+	}
+	return schedules, nil
+}
+
+// Guards against the same faults as TestAtMostOnceProperty with longer, uniformly drawn schedules, and against
+// schedules that never reach a rule.
+func TestAtMostOnceSeeds(t *testing.T) {
+	seen := map[string]int{}
+	if seed, err := randomSchedules(rules{}, 3000, 400, seen); err != nil {
+		t.Fatalf("seed %d: %v", seed, err)
+	}
+	t.Log(seen)
+	want := []string{"send", "conflict", "answer lost", "late duplicate", "delete", "closed"}
+	for r := ReasonRun; r <= ReasonCancelled; r++ {
+		want = append(want, fmt.Sprintf("reason %d", r))
+	}
+	for _, k := range want {
+		if seen[k] == 0 {
+			t.Errorf("no schedule reached %q", k)
+		}
+	}
+}
+
+// Guards against checks that cannot fail: with one rule switched off, some schedule must violate the property.
+func TestChecksFindMissingRules(t *testing.T) {
+	for name, r := range map[string]rules{
+		"no seal":                {noSeal: true},
+		"no read after the seal": {noSealRead: true},
+		"no read-back":           {noReadBack: true},
+		"no recorded horizon":    {noHorizon: true},
+		"last entry not kept":    {noTailKept: true},
+		"other body accepted":    {anyBody: true},
+		"sent after the cancel":  {lateCancel: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			seed, err := randomSchedules(r, 20000, 400, map[string]int{})
+			if err == nil {
+				t.Fatal("no schedule violates the property")
+			}
+			t.Logf("schedule %d: %v", seed, err)
+		})
+	}
+}
--- a/internal/core/atmostonce/write.go
+++ b/internal/core/atmostonce/write.go
@@ -131,8 +131,8 @@
 	l.recordedHorizon = max(l.recordedHorizon, f.entry.Horizon)
 	l.entries = append(l.entries, entryMeta{f.entry.Sequence, f.entry.NewestKey, f.entry.Seal})
 	if f.entry.Seal {
-		l.phase = phaseOpen
-		l.emit(Ready{})
+		l.sealed = f.entry.Sequence
+		l.startReading()
 		return
 	}
 	for _, o := range f.ops {
@@ -198,15 +198,23 @@
 		return
 	}
 	l.recs.forget(l.horizon)
-	l.phase = phaseSealing
-	if l.o.rules.noSeal {
+	if l.isSealed() {
 		l.phase = phaseOpen
 		l.emit(Ready{})
 		return
 	}
+	l.phase = phaseSealing
 	l.put(now, Entry{Sequence: l.last + 1, Token: l.token(), Seal: true, Horizon: l.horizon}, nil)
 }
 
+// isSealed reports whether this log's own seal is the last entry. The seal may also have filled the place of an entry
+// that was deleted while this owner was paused between reading and sealing. Then later entries exist, since the last
+// one is never deleted.
+func (l *Log) isSealed() bool {
+	r := l.o.rules
+	return r.noSeal || l.sealed != 0 && (l.sealed == l.last || r.noSealRead)
+}
+
 // load applies an entry of an earlier owner. Its claims without a result are unknown for ever.
 func (l *Log) load(e Entry) {
 	l.last = max(l.last, e.Sequence)
