Read a peer's answer while the request is still being sent

A peer that declines does not take the body, so a body beyond a stream's window would have blocked the sender until its deadline. Waiting for an acceptance before the body was ruled out: it costs a round trip between regions for every request. A refusal by the peer's sessions, which no handler has seen, now counts as not run.

The receiver computes the class itself and declines requests that the sender could serve, if it has a queue of its own.

--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -218,8 +218,9 @@
 	handlerCtx, cancel := context.WithCancel(context.Background())
 	there, back := make(chan []byte, 64), make(chan []byte, 64)
 	broken := make(chan struct{})
-	caller := &fakeStream{ctx: ctx, out: there, in: back, bus: n.bus, broken: broken, cancel: cancel}
-	callee := &fakeStream{ctx: handlerCtx, out: back, in: there, bus: n.bus, broken: broken, callee: true}
+	breaks := &sync.Once{}
+	caller := &fakeStream{ctx: ctx, out: there, in: back, bus: n.bus, broken: broken, breaks: breaks, cancel: cancel}
+	callee := &fakeStream{ctx: handlerCtx, out: back, in: there, bus: n.bus, broken: broken, breaks: breaks, callee: true}
 	stop := context.AfterFunc(ctx, func() { caller.Close() })
 	go func() {
 		defer stop()
@@ -239,7 +240,7 @@
 	callee bool
 	count  int
 	once   sync.Once
-	breaks sync.Once
+	breaks *sync.Once // guards broken, which both ends share
 }
 
 func (s *fakeStream) Send(m proto.Message) error {
@@ -293,6 +294,7 @@
 	if s.cancel != nil {
 		s.cancel()
 	}
+	s.breaks.Do(func() { close(s.broken) })
 	return nil
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -9,7 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dogwoodknot.example/dogwoodknot/internal/core/fairqueue"
 	"dogwoodknot.example/dogwoodknot/internal/dispatch"
 	"dogwoodknot.example/dogwoodknot/internal/operations"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
@@ -44,22 +43,17 @@
 			return nil, err
 		}
 	}
-	// Only the peer can say that a request it was sent has not run.
-	if err := sendRequest(s, head, body); err != nil {
-		// A peer that declines ends the stream while the body is still being sent. Its answer tells more than the error.
-		if end, answered := declined(s); answered {
-			return nil, endError(end)
-		}
-		return nil, g.forwardError(c, err, unsentOr(err))
-	}
-	return g.receive(c, s, sink)
-}
-
-func unsentOr(err error) operations.Execution {
-	if errors.Is(err, peer.ErrNotSent) {
-		return operations.NotRun
-	}
-	return operations.Unknown
+	// A peer may decline before it has taken the body, which would then fill the stream's window and block. So the answer
+	// is read while the body is sent, and the end of the answer ends both.
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		_ = sendRequest(s, head, body) // a broken stream shows at the receiving side too
+	}()
+	end, err := g.receive(c, s, sink)
+	s.Close()
+	<-sent
+	return end, err
 }
 
 func sendRequest(s peer.Stream, head *wire.ForwardHead, body []byte) error {
@@ -76,21 +70,12 @@
 	return s.CloseSend()
 }
 
-// declined reads the end that a peer sent instead of taking the whole request.
-func declined(s peer.Stream) (*wire.ForwardEnd, bool) {
-	var m wire.ForwardResponse
-	if s.Recv(&m) != nil || m.GetEnd() == nil || m.GetEnd().Code == "" {
-		return nil, false
-	}
-	return m.GetEnd(), true
-}
-
 // receive reads an answer until its end.
 func (g *Gateway) receive(c *call, s peer.Stream, sink answerSink) (*wire.ForwardEnd, error) {
 	for {
 		var m wire.ForwardResponse
 		if err := s.Recv(&m); err != nil {
-			return nil, g.forwardError(c, err, operations.Unknown)
+			return nil, g.forwardError(c, err, executionOf(err))
 		}
 		var err error
 		switch part := m.Part.(type) {
@@ -112,6 +97,19 @@
 	}
 }
 
+// executionOf tells whether a request whose exchange failed may have run. Only the peer can say that a request it was sent
+// has not: its sessions refuse some calls before any handler sees them.
+func executionOf(err error) operations.Execution {
+	var remote *peer.RemoteError
+	if errors.As(err, &remote) {
+		switch remote.Code {
+		case peer.CodeOverloaded, peer.CodeUnknownService, peer.CodeBadHeader:
+			return operations.NotRun
+		}
+	}
+	return operations.Unknown
+}
+
 var errUnexpectedPart = errors.New("the peer's answer has another form than the request asks for")
 
 func call1[T any](f func(T) error, v T) error {
@@ -154,10 +152,10 @@
 	}
 }
 
-func modelHead(mc *dispatch.ModelCall, stream bool) *wire.ForwardHead {
-	return &wire.ForwardHead{Method: http.MethodPost, Path: mc.Path, Model: &wire.ModelCall{
+func (g *Gateway) modelHead(mc *dispatch.ModelCall, stream bool) *wire.ForwardHead {
+	return &wire.ForwardHead{Method: http.MethodPost, Path: mc.Path, Relief: g.opts.Dispatcher.Serves(mc.Model), Model: &wire.ModelCall{
 		Model: mc.Model, Stream: stream, PromptTokens: mc.PromptTokens, MaxTokens: mc.MaxTokens,
-		Long: mc.Class == fairqueue.Long, Blocks: mc.Blocks, SingleChoice: mc.Progress.SingleChoice,
+		Blocks: mc.Blocks, SingleChoice: mc.Progress.SingleChoice,
 	}}
 }
 
@@ -165,7 +163,7 @@
 	if err := mc.Progress.Begin(); err != nil {
 		return err
 	}
-	_, err := g.forward(c, instance, modelHead(mc, true), mc.Body, mc.BeforeSend, answerSink{event: func(data []byte) error {
+	_, err := g.forward(c, instance, g.modelHead(mc, true), mc.Body, mc.BeforeSend, answerSink{event: func(data []byte) error {
 		out, err := mc.Progress.Accept(data)
 		if err != nil || out == nil {
 			return err
@@ -176,7 +174,7 @@
 }
 
 func (g *Gateway) forwardPlain(c *call, instance string, mc *dispatch.ModelCall) (*operations.Answer, dispatch.Usage, error) {
-	a, end, err := g.forwardWhole(c, instance, modelHead(mc, false), mc.Body, mc.BeforeSend)
+	a, end, err := g.forwardWhole(c, instance, g.modelHead(mc, false), mc.Body, mc.BeforeSend)
 	if err != nil {
 		return nil, dispatch.Usage{}, err
 	}
@@ -226,6 +224,10 @@
 	return a, end, nil
 }
 
+// maxReliefWait is the wait up to which requests are taken from a region that could serve them itself. The sender's summary
+// was older, and crossing back costs it two latencies.
+const maxReliefWait = 200 * time.Millisecond
+
 // serveForward serves a request of another region's caller at endpoints of this region. It never passes it on.
 func (g *Gateway) serveForward(ctx context.Context, from peer.Identity, s peer.Stream) error {
 	g.forwards.add()
@@ -337,18 +339,19 @@
 	if m == nil || !g.opts.Dispatcher.Serves(m.Name) {
 		return nil, refuse(http.StatusServiceUnavailable, "declined", "no endpoint here serves the model").after(time.Second)
 	}
+	tokens := float64(head.Model.PromptTokens + head.Model.MaxTokens)
+	if head.Relief && g.opts.Dispatcher.Wait(m.Name, c.org.Name, c.org.Weight, classOf(m, head.Model.PromptTokens), tokens) > maxReliefWait {
+		return nil, refuse(http.StatusServiceUnavailable, "declined", "requests already wait here").after(time.Second)
+	}
 	if head.Path != modelPaths[chatCompletion] && head.Path != modelPaths[textCompletion] {
 		return nil, refuse(http.StatusBadRequest, "invalid_forward", "the path is no model path")
 	}
 	mc := &dispatch.ModelCall{
 		ID: c.id, Organisation: c.org.Name, Weight: c.org.Weight, Model: m.Name, Path: head.Path, Body: body,
 		PromptTokens: head.Model.PromptTokens, MaxTokens: head.Model.MaxTokens, Blocks: head.Model.Blocks,
-		Class: fairqueue.Short, BeforeSend: c.beforeSend,
+		Class: classOf(m, head.Model.PromptTokens), BeforeSend: c.beforeSend,
 		Progress: &dispatch.Progress{SingleChoice: head.Model.SingleChoice},
 	}
-	if head.Model.Long {
-		mc.Class = fairqueue.Long
-	}
 	if !head.Model.Stream {
 		a, usage, err := g.opts.Dispatcher.Plain(c.ctx, mc)
 		if err != nil {
