--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -33,6 +33,8 @@
 	Class        fairqueue.Class
 	// BeforeSend is called right before the first byte of each attempt; its error ends the call as not sent.
 	BeforeSend func() error
+	// NoLocal says that the endpoints here have failed the request: another region is not asked for mere relief then.
+	NoLocal bool
 	// Progress is what the caller of a stream has received, from earlier attempts elsewhere too.
 	Progress *Progress
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -153,7 +153,7 @@
 }
 
 func (g *Gateway) modelHead(mc *dispatch.ModelCall, stream bool) *wire.ForwardHead {
-	return &wire.ForwardHead{Method: http.MethodPost, Path: mc.Path, Relief: g.opts.Dispatcher.Serves(mc.Model), Model: &wire.ModelCall{
+	return &wire.ForwardHead{Method: http.MethodPost, Path: mc.Path, Relief: !mc.NoLocal && g.opts.Dispatcher.Serves(mc.Model), Model: &wire.ModelCall{
 		Model: mc.Model, Stream: stream, PromptTokens: mc.PromptTokens, MaxTokens: mc.MaxTokens,
 		Blocks: mc.Blocks, SingleChoice: mc.Progress.SingleChoice,
 	}}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -225,36 +225,67 @@
 	return routing.RegionLoad{}, false
 }
 
-// runStream serves a stream here or in another region. A remote instance that did not finish is replaced by local endpoints.
+// runStream serves a stream here or in another region, and where that fails at the other of the two. What the caller has received
+// of the first attempt is left out of the second.
 func (g *Gateway) runStream(w http.ResponseWriter, c *call, mc *dispatch.ModelCall, sink func([]byte) error) error {
-	w.Header().Set(headerServedRegion, g.opts.Region)
-	remote, found := g.chooseRegion(c, mc)
-	if !found {
-		return g.opts.Dispatcher.Stream(c.ctx, mc, sink)
+	here := func() error { return g.opts.Dispatcher.Stream(c.ctx, mc, sink) }
+	there := func(remote routing.RegionLoad) error { return g.forwardStream(c, remote.Instance, mc, sink) }
+	return g.runSomewhere(w, c, mc, here, there)
+}
+
+func (g *Gateway) runPlain(w http.ResponseWriter, c *call, mc *dispatch.ModelCall) (a *operations.Answer, usage dispatch.Usage, err error) {
+	here := func() (err error) {
+		a, usage, err = g.opts.Dispatcher.Plain(c.ctx, mc)
+		return err
 	}
-	w.Header().Set(headerServedRegion, remote.Region)
-	err := g.forwardStream(c, remote.Instance, mc, sink)
-	if err == nil || !g.fallBack(c, mc, err) {
+	there := func(remote routing.RegionLoad) (err error) {
+		a, usage, err = g.forwardPlain(c, remote.Instance, mc)
 		return err
 	}
-	w.Header().Set(headerServedRegion, g.opts.Region)
-	return withExecution(g.opts.Dispatcher.Stream(c.ctx, mc, sink), err)
+	err = g.runSomewhere(w, c, mc, here, there)
+	return a, usage, err
 }
 
-func (g *Gateway) runPlain(w http.ResponseWriter, c *call, mc *dispatch.ModelCall) (*operations.Answer, dispatch.Usage, error) {
+// runSomewhere tries a model request in the chosen region, and after a failure once more: a remote one at the local endpoints, a
+// local one in another region. The answer's header names the region tried last.
+func (g *Gateway) runSomewhere(w http.ResponseWriter, c *call, mc *dispatch.ModelCall, here func() error, there func(routing.RegionLoad) error) error {
 	w.Header().Set(headerServedRegion, g.opts.Region)
 	remote, found := g.chooseRegion(c, mc)
 	if !found {
-		return g.opts.Dispatcher.Plain(c.ctx, mc)
+		err := here()
+		if remote, found = g.failOver(c, mc, err); !found {
+			return err
+		}
+		w.Header().Set(headerServedRegion, remote.Region)
+		return withExecution(there(remote), err)
 	}
 	w.Header().Set(headerServedRegion, remote.Region)
-	a, usage, err := g.forwardPlain(c, remote.Instance, mc)
+	err := there(remote)
 	if err == nil || !g.fallBack(c, mc, err) {
-		return a, usage, err
+		return err
 	}
 	w.Header().Set(headerServedRegion, g.opts.Region)
-	a, usage, localErr := g.opts.Dispatcher.Plain(c.ctx, mc)
-	return a, usage, withExecution(localErr, err)
+	return withExecution(here(), err)
+}
+
+// failOver returns the region to try after the local endpoints have failed. A refusal for load is not a failure: the other
+// region is chosen for relief beforehand, or not at all.
+func (g *Gateway) failOver(c *call, mc *dispatch.ModelCall, err error) (routing.RegionLoad, bool) {
+	if err == nil || !c.cross || c.ctx.Err() != nil || g.opts.Regions == nil || g.opts.Network == nil {
+		return routing.RegionLoad{}, false
+	}
+	switch asAPIError(err).Code {
+	case dispatch.CodeNoEndpoint, dispatch.CodeEndpointError, dispatch.CodeTruncated:
+	default:
+		return routing.RegionLoad{}, false
+	}
+	remotes := g.opts.Regions.Model(mc.Model)
+	i := routing.ChooseRegion(0, false, remotes, newRand())
+	if i < 0 {
+		return routing.RegionLoad{}, false
+	}
+	mc.NoLocal = true
+	return remotes[i], true
 }
 
 // fallBack reports whether a request that failed in another region is to be tried here.
