--- a/internal/core/membership/list.go
+++ b/internal/core/membership/list.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -130,8 +131,15 @@
 	return c.admit(now, row)
 }
 
+// expiryCheck is how often unlisted processes are looked for.
+const expiryCheck = time.Second
+
 // expireUnlisted forgets processes that the list does not show and that give no more signs.
 func (c *Core) expireUnlisted(now clock.Instant) {
+	if now.Before(c.nextExpiry) {
+		return
+	}
+	c.nextExpiry = now.Add(expiryCheck)
 	for name, m := range c.members {
 		if _, listed := c.listed[m.ref()]; listed || now.Sub(m.contact) < c.params.UnlistedFor {
 			continue
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -49,7 +49,10 @@
 type Params struct {
 	HomePeriod    time.Duration // between probes of a target by each prober of its home scope
 	ForeignPeriod time.Duration // between probes by the prober of another region
-	ProbeTimeout  time.Duration // above the round trip between the farthest regions
+	// ScaleFrom is the number of instances from which both periods grow with the square root of their number. The
+	// traffic of a target's probers stays in the limit, and as the first of them notices, the detection time grows little.
+	ScaleFrom    int
+	ProbeTimeout time.Duration // above the round trip between the farthest regions
 	// FailuresToAsk is the number of failed probes in a row after which other instances are asked.
 	FailuresToAsk int
 	// ReaskAfter is the wait before a suspicion that others have not confirmed is raised again.
@@ -68,6 +71,7 @@
 	return Params{
 		HomePeriod:        time.Second,
 		ForeignPeriod:     3 * time.Second,
+		ScaleFrom:         100,
 		ProbeTimeout:      600 * time.Millisecond,
 		FailuresToAsk:     2,
 		ReaskAfter:        5 * time.Second,
@@ -90,6 +94,7 @@
 	check(p.HomePeriod > 0, "HomePeriod is not positive")
 	check(p.ForeignPeriod > 0, "ForeignPeriod is not positive")
 	check(p.ProbeTimeout > 0 && p.ProbeTimeout <= p.HomePeriod, "ProbeTimeout is not between 0 and HomePeriod")
+	check(p.ScaleFrom > 0, "ScaleFrom is not positive")
 	check(p.FailuresToAsk > 0, "FailuresToAsk is not positive")
 	check(p.ReaskAfter > 0, "ReaskAfter is not positive")
 	check(p.UnlistedFor > 0, "UnlistedFor is not positive")
@@ -170,11 +175,26 @@
 	hasContact bool
 }
 
+// openAsk collects the verdicts about a member.
 type openAsk struct {
 	waiting   map[string]bool
-	unreached int
+	all       votes
+	ownRegion votes
 }
 
+type votes struct{ reached, unreached int }
+
+func (v *votes) add(verdict Verdict) {
+	switch verdict {
+	case Reached:
+		v.reached++
+	case Unreached:
+		v.unreached++
+	}
+}
+
+func (v votes) confirms() bool { return v.reached == 0 && v.unreached > 0 }
+
 // Core holds the view of one instance. It is not safe for concurrent use.
 type Core struct {
 	self    Row
@@ -188,6 +208,9 @@
 	goneOrder  []Ref
 	superseded map[Ref]int64 // replaced by a newer process of that name; value: list version at that time
 
+	targets    []*member     // that this instance probes, in order of their names
+	nextExpiry clock.Instant // of unlisted members
+
 	changed    bool   // the sets of probers are out of date
 	generation uint64 // counts the changes of the view
 }
--- /dev/null
+++ b/internal/core/membership/membership_test.go
@@ -0,0 +1,527 @@
+package membership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/membership"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
+)
+
+// world runs cores in virtual time over a network that may be cut in one direction, with a platform list of which each
+// instance reads older versions at will.
+type world struct {
+	t        *rapid.T
+	random   *rand.Rand
+	now      clock.Instant
+	cores    map[string]*membership.Core
+	rows     map[string]membership.Row // processes that run
+	cut      map[[2]string]bool
+	events   []event // in order of time
+	versions [][]membership.Row
+	ended    map[membership.Ref]bool
+}
+
+type event struct {
+	at  clock.Instant
+	run func()
+}
+
+const (
+	step       = 50 * time.Millisecond
+	oneWay     = 20 * time.Millisecond
+	askTimeout = 800 * time.Millisecond
+)
+
+// params are the default ones, but unlisted processes are forgotten sooner.
+func params() membership.Params {
+	p := membership.DefaultParams()
+	p.UnlistedFor = 8 * time.Second
+	return p
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)),
+		cores: map[string]*membership.Core{}, rows: map[string]membership.Row{},
+		cut: map[[2]string]bool{}, ended: map[membership.Ref]bool{},
+		versions: [][]membership.Row{nil},
+	}
+	for i := range rapid.IntRange(2, 12).Draw(t, "instances") {
+		w.start(fmt.Sprintf("i%d", i))
+	}
+	w.publishList()
+	for name := range w.cores {
+		w.readList(name, len(w.versions)-1)
+	}
+	return w
+}
+
+// start runs a new process under a name. It takes the place of a former one.
+func (w *world) start(name string) {
+	if former, runs := w.rows[name]; runs {
+		w.ended[ref(former)] = true
+	}
+	place := int(name[len(name)-1]-'0') % 3
+	row := membership.Row{
+		Name: name, Kind: platform.KindEntry, Region: fmt.Sprintf("r%d", place%2), DataCentre: fmt.Sprintf("r%d-d%d", place%2, place),
+		Incarnation: 1 + w.random.Uint64N(1<<62), PeerAddr: "127.0.0.1:1", State: platform.StateLive,
+	}
+	core, err := membership.New(row, params(), rand.New(rand.NewPCG(w.random.Uint64(), 1)))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.cores[name], w.rows[name] = core, row
+}
+
+// stop ends a process. The list shows it until the next version.
+func (w *world) stop(name string) {
+	if row, runs := w.rows[name]; runs {
+		w.ended[ref(row)] = true
+		delete(w.rows, name)
+		delete(w.cores, name)
+	}
+}
+
+func ref(r membership.Row) membership.Ref {
+	return membership.Ref{Instance: r.Name, Incarnation: r.Incarnation}
+}
+
+func (w *world) names() []string {
+	var names []string
+	for name := range w.rows {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (w *world) publishList() {
+	var rows []membership.Row
+	for _, name := range w.names() {
+		rows = append(rows, w.rows[name])
+	}
+	w.versions = append(w.versions, rows)
+}
+
+func (w *world) readList(name string, version int) {
+	if core := w.cores[name]; core != nil {
+		core.ApplyList(w.now, int64(version), w.versions[version])
+	}
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	e := event{w.now.Add(d), run}
+	at, _ := slices.BinarySearchFunc(w.events, e, func(a, b event) int {
+		if a.at <= b.at {
+			return -1
+		}
+		return 1
+	})
+	w.events = slices.Insert(w.events, at, e)
+}
+
+// run lets the time pass.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for w.now < end {
+		w.now = w.now.Add(step)
+		for len(w.events) > 0 && w.events[0].at <= w.now {
+			e := w.events[0]
+			w.events = w.events[1:]
+			e.run()
+		}
+		for _, name := range w.names() {
+			w.perform(name, w.cores[name].Tick(w.now))
+		}
+	}
+}
+
+// roundTrip calls f with whether a request of one process got an answer from another one that runs at that time.
+func (w *world) roundTrip(from, to string, timeout time.Duration, f func(answerer *membership.Core, row membership.Row)) {
+	caller := w.cores[from]
+	row, runs := w.rows[to]
+	if runs && !w.cut[[2]string{from, to}] && !w.cut[[2]string{to, from}] {
+		core := w.cores[to]
+		w.after(2*oneWay, func() {
+			if w.cores[from] == caller {
+				f(core, row)
+			}
+		})
+		return
+	}
+	w.after(timeout, func() {
+		if w.cores[from] == caller {
+			f(nil, membership.Row{})
+		}
+	})
+}
+
+func (w *world) probe(from string, p membership.Probe, done func(reached bool)) {
+	w.roundTrip(from, p.Target.Instance, membership.DefaultParams().ProbeTimeout, func(core *membership.Core, row membership.Row) {
+		var answer *membership.Answer
+		if core != nil {
+			answer = &membership.Answer{Incarnation: row.Incarnation}
+			core.Contact(w.now, w.rows[from])
+		}
+		w.perform(from, w.cores[from].ProbeResult(w.now, p, answer))
+		done(core != nil && row.Incarnation == p.Target.Incarnation)
+	})
+}
+
+func (w *world) perform(name string, actions []membership.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case membership.Probe:
+			w.probe(name, a, func(bool) {})
+		case membership.Ask:
+			for _, helper := range a.Peers {
+				w.ask(name, helper, a.Target)
+			}
+		case membership.Publish:
+			for _, to := range a.Local {
+				w.push(name, to, a.Reports, false)
+			}
+			for _, to := range a.Relays {
+				w.push(name, to, a.Reports, true)
+			}
+		}
+	}
+}
+
+func (w *world) ask(from, helper string, target membership.Ref) {
+	reply := func(v membership.Verdict) {
+		if core := w.cores[from]; core != nil {
+			w.perform(from, core.AskResult(w.now, target, helper, v))
+		}
+	}
+	w.roundTrip(from, helper, askTimeout, func(core *membership.Core, _ membership.Row) {
+		switch {
+		case core == nil || w.cores[helper] != core || !core.Asked(target):
+			reply(membership.Unknown)
+		default:
+			w.probe(helper, membership.Probe{Target: target, SentAt: w.now}, func(reached bool) {
+				if reached {
+					reply(membership.Reached)
+				} else {
+					reply(membership.Unreached)
+				}
+			})
+		}
+	})
+}
+
+func (w *world) push(from, to string, reports []membership.Report, relay bool) {
+	if w.cut[[2]string{from, to}] {
+		return
+	}
+	for range 1 + w.random.IntN(2) { // now and then twice
+		w.after(time.Duration(w.random.Int64N(int64(200*time.Millisecond))), func() {
+			if core := w.cores[to]; core != nil {
+				w.perform(to, core.Merge(w.now, reports, relay))
+			}
+		})
+	}
+}
+
+// exchange lets each pair that reach each other compare their reports, as heartbeats do.
+func (w *world) exchange() {
+	for _, a := range w.names() {
+		for _, b := range w.names() {
+			if a != b && !w.cut[[2]string{a, b}] && !w.cut[[2]string{b, a}] {
+				w.perform(a, w.cores[a].Merge(w.now, w.cores[b].Reports(), false))
+			}
+		}
+	}
+}
+
+// checkGone fails if an instance holds a process for gone that no version of the list has dropped, or keeps one in its
+// members that its version has dropped.
+func (w *world) checkGone() {
+	for _, at := range w.names() {
+		s := w.cores[at].Snapshot()
+		for listed := range w.versions {
+			for _, row := range w.versions[listed] {
+				state, known := s.StateOf(ref(row))
+				isGone := known && state == membership.Gone
+				dropped := int64(listed) < s.Version && !slices.ContainsFunc(w.versions[s.Version], func(r membership.Row) bool { return ref(r) == ref(row) })
+				if isGone && !dropped {
+					w.t.Fatalf("%s holds %v for gone at version %d, which shows it", at, ref(row), s.Version)
+				}
+				if m, found := s.Member(row.Name); found && isGone && m.Incarnation == row.Incarnation && !m.Self {
+					w.t.Fatalf("%s has the gone process %v among its members", at, ref(row))
+				}
+			}
+		}
+	}
+}
+
+// Guards against an end that the list does not show, against suspicions of processes that any prober reaches, and
+// against views that stay apart once all faults are over: under one-way cuts, stale list versions, crashes and new
+// incarnations.
+func TestViewsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(rt)
+		w.run(2 * time.Second)
+		for range rapid.IntRange(1, 8).Draw(rt, "faults") {
+			names := w.names()
+			if len(names) == 0 {
+				break
+			}
+			name := rapid.SampledFrom(names).Draw(rt, "instance")
+			switch rapid.SampledFrom([]string{"cut", "cut", "heal", "stop", "restart", "list", "stale list"}).Draw(rt, "fault") {
+			case "cut":
+				w.cut[[2]string{name, rapid.SampledFrom(names).Draw(rt, "other")}] = true
+			case "heal":
+				clear(w.cut)
+			case "stop":
+				w.stop(name)
+			case "restart":
+				w.start(name)
+			case "list":
+				w.publishList()
+				w.readList(name, len(w.versions)-1)
+			case "stale list":
+				w.readList(name, rapid.IntRange(0, len(w.versions)-1).Draw(rt, "version"))
+			}
+			w.checkGone()
+			w.run(time.Duration(rapid.IntRange(0, 4000).Draw(rt, "ms")) * time.Millisecond)
+			w.checkGone()
+		}
+		clear(w.cut)
+		w.publishList()
+		for _, name := range w.names() {
+			w.readList(name, len(w.versions)-1)
+		}
+		w.run(10 * time.Second)
+		w.exchange()
+		w.run(6 * time.Second)
+		for _, at := range w.names() {
+			s := w.cores[at].Snapshot()
+			if len(s.Members) != len(w.rows) {
+				rt.Fatalf("%s has %d members, %d processes run", at, len(s.Members), len(w.rows))
+			}
+			for _, m := range s.Members {
+				if m.Incarnation != w.rows[m.Name].Incarnation || m.Status != membership.Live || m.Unreached {
+					rt.Fatalf("%s holds %s (%d) for %v, unreached %v; process %d runs", at, m.Name, m.Incarnation, m.Status, m.Unreached, w.rows[m.Name].Incarnation)
+				}
+			}
+		}
+		w.checkGone()
+	})
+}
+
+// Guards against a suspicion of a process that an instance of the observer's region still reaches, while others are cut
+// off from it in one direction. With up to six instances, each prober asks all others.
+func TestReachedProcessIsNotSuspected(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(rt)
+		names := w.names()
+		if len(names) < 4 || len(names) > 6 {
+			return
+		}
+		w.run(2 * time.Second)
+		target := rapid.SampledFrom(names).Draw(rt, "target")
+		reachedIn := map[string]bool{}
+		for _, name := range names {
+			if name == target {
+				continue
+			}
+			if rapid.Bool().Draw(rt, "cut") {
+				w.cut[[2]string{name, target}] = true
+			} else {
+				reachedIn[w.rows[name].Region] = true
+			}
+		}
+		for range 150 {
+			w.run(100 * time.Millisecond)
+			for _, at := range names {
+				m, found := w.cores[at].Snapshot().Member(target)
+				if found && m.Status != membership.Live && reachedIn[w.rows[at].Region] {
+					rt.Fatalf("%s holds %s for %v", at, target, m.Status)
+				}
+			}
+		}
+	})
+}
+
+func row(name string, incarnation uint64) membership.Row {
+	return membership.Row{
+		Name: name, Kind: platform.KindEntry, Region: "r0", DataCentre: "d0", Incarnation: incarnation,
+		PeerAddr: "127.0.0.1:1", State: platform.StateLive,
+	}
+}
+
+func newCore(t *testing.T) *membership.Core {
+	t.Helper()
+	core, err := membership.New(row("self", 1), membership.DefaultParams(), rand.New(rand.NewPCG(1, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return core
+}
+
+func incarnationOf(core *membership.Core, name string) uint64 {
+	m, _ := core.Snapshot().Member(name)
+	return m.Incarnation
+}
+
+// Guards against a paused process that takes its name back from its successor, or returns after the list has ended it.
+func TestFormerProcessDoesNotReturn(t *testing.T) {
+	core := newCore(t)
+	core.ApplyList(0, 1, []membership.Row{row("self", 1), row("x", 10)})
+	core.Contact(1, row("x", 20))
+	if got := incarnationOf(core, "x"); got != 20 {
+		t.Fatalf("successor in contact is not taken: %d", got)
+	}
+	core.Contact(2, row("x", 10))
+	if got := incarnationOf(core, "x"); got != 20 {
+		t.Errorf("former process is taken back: %d", got)
+	}
+	core.ApplyList(3, 2, []membership.Row{row("self", 1), row("x", 10)})
+	if got := incarnationOf(core, "x"); got != 20 {
+		t.Errorf("lagging list brings the former process back: %d", got)
+	}
+	core.ApplyList(4, 3, []membership.Row{row("self", 1), row("x", 20)})
+	core.Contact(5, row("x", 10))
+	if got := incarnationOf(core, "x"); got != 20 {
+		t.Errorf("process that the list has ended is taken back: %d", got)
+	}
+	if state, known := core.Snapshot().StateOf(membership.Ref{Instance: "x", Incarnation: 10}); !known || state != membership.Gone {
+		t.Errorf("former process: %v, %v", state, known)
+	}
+	core.ApplyList(6, 4, []membership.Row{row("self", 1)})
+	core.Contact(7, row("x", 20))
+	if _, found := core.Snapshot().Member("x"); found {
+		t.Error("ended process is a member again")
+	}
+}
+
+// Guards against a process that was paused and takes its own late probes for failures of the others.
+func TestPausedProberAsksNobody(t *testing.T) {
+	for _, pause := range []time.Duration{0, 10 * time.Second} {
+		core := newCore(t)
+		core.ApplyList(0, 1, []membership.Row{row("self", 1), row("x", 10), row("y", 11)})
+		asked := 0
+		for now := clock.Instant(0); now < clock.Instant(5*time.Second); now = now.Add(50 * time.Millisecond) {
+			for _, action := range core.Tick(now) {
+				p, isProbe := action.(membership.Probe)
+				if !isProbe {
+					continue
+				}
+				noted := now.Add(membership.DefaultParams().ProbeTimeout + pause)
+				for _, next := range core.ProbeResult(noted, p, nil) {
+					if _, isAsk := next.(membership.Ask); isAsk {
+						asked++
+					}
+				}
+			}
+		}
+		if pause == 0 && asked == 0 {
+			t.Error("failed probes lead to no question")
+		}
+		if pause > 0 && asked > 0 {
+			t.Error("probes that were noted 10 s late lead to questions")
+		}
+	}
+}
+
+// Guards against merges that depend on the order or the number of deliveries.
+func TestReportsMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rows := []membership.Row{
+			{Name: "a", Kind: platform.KindEntry, Region: "r0", DataCentre: "d0", Incarnation: 1, PeerAddr: "x"},
+			{Name: "b", Kind: platform.KindEntry, Region: "r0", DataCentre: "d0", Incarnation: 2, PeerAddr: "x"},
+			{Name: "c", Kind: platform.KindEntry, Region: "r1", DataCentre: "d1", Incarnation: 3, PeerAddr: "x"},
+		}
+		reports := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) membership.Report {
+			target := rapid.SampledFrom(rows[1:]).Draw(t, "target")
+			r := membership.Report{Target: ref(target), Counter: rapid.Uint32Range(0, 5).Draw(t, "counter")}
+			if rapid.Bool().Draw(t, "own") {
+				r.Scope, r.Overrules = "r0", rapid.Uint32Range(0, 5).Draw(t, "overrules")
+			} else {
+				r.Leaving = rapid.Bool().Draw(t, "leaving")
+			}
+			return r
+		}), 1, 12).Draw(rt, "reports")
+		view := func(order []membership.Report) string {
+			core, err := membership.New(rows[0], membership.DefaultParams(), rand.New(rand.NewPCG(1, 1)))
+			if err != nil {
+				rt.Fatal(err)
+			}
+			core.ApplyList(0, 1, rows)
+			for _, r := range order {
+				core.Merge(0, []membership.Report{r}, false)
+			}
+			home, own := core.Digests()
+			return fmt.Sprint(core.Reports(), home, own)
+		}
+		shuffled := append(slices.Clone(reports), reports...)
+		rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "order"), 2)).Shuffle(len(shuffled), func(i, j int) {
+			shuffled[i], shuffled[j] = shuffled[j], shuffled[i]
+		})
+		if a, b := view(reports), view(shuffled); a != b {
+			rt.Fatalf("views differ:\n%s\n%s", a, b)
+		}
+	})
+}
+
+// Guards against entries that change more than needed, too few or too many of them, and callers that come back at once.
+func TestRankEntries(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 60).Draw(rt, "instances")
+		rate := rapid.Float64Range(0, 100_000).Draw(rt, "rate")
+		p := membership.DefaultEntryParams()
+		var rows []membership.Row
+		for i := range n {
+			row := membership.Row{
+				Name: fmt.Sprintf("i%d", i), Kind: platform.KindEntry, Region: "r0", DataCentre: "d0",
+				Incarnation: uint64(i + 1), PeerAddr: "x", State: platform.StateLive,
+			}
+			if rapid.IntRange(0, 3).Draw(rt, "leaving") == 0 && i > 0 {
+				row.State = platform.StateLeaving
+			}
+			rows = append(rows, row)
+		}
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 3))
+		core, err := membership.New(rows[0], membership.DefaultParams(), random)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		core.ApplyList(0, 1, rows)
+		entries := membership.RankEntries(core.Snapshot(), "r0", "acme", rate, p, random)
+		live := 0
+		for _, row := range rows {
+			if row.State == platform.StateLive {
+				live++
+			}
+		}
+		want := min(live, p.MinEntries+int(rate/p.RatePerEntry))
+		if len(entries.Members) != want {
+			rt.Fatalf("%d entries for rate %.0f, want %d", len(entries.Members), rate, want)
+		}
+		for _, m := range entries.Members {
+			if m.Status != membership.Live {
+				rt.Fatalf("entry %s is %v", m.Name, m.Status)
+			}
+		}
+		if entries.ValidFor > p.Validity || entries.ValidFor < time.Duration(float64(p.Validity)*(1-p.Jitter)) {
+			rt.Fatalf("valid for %v", entries.ValidFor)
+		}
+		// One instance less: the others keep their order.
+		core.ApplyList(0, 2, rows[:n-1])
+		fewer := membership.RankEntries(core.Snapshot(), "r0", "acme", rate, p, random)
+		kept := slices.DeleteFunc(slices.Clone(entries.Members), func(m membership.Member) bool { return m.Name == rows[n-1].Name && n > 1 })
+		for i := range min(len(kept), len(fewer.Members)) {
+			if kept[i].Name != fewer.Members[i].Name {
+				rt.Fatalf("order changed: %v, then %v", kept, fewer.Members)
+			}
+		}
+	})
+}
--- a/internal/core/membership/probe.go
+++ b/internal/core/membership/probe.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math"
 	"time"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
@@ -10,11 +11,16 @@
 // periodJitter is the part of the period by which probes vary, so that probers do not fall into step.
 const periodJitter = 0.1
 
+// pauseMargin is how much later than its timeout a probe's failure may be noted by a process that was not paused.
+const pauseMargin = time.Second
+
 func (c *Core) period(m *member) time.Duration {
+	period := c.params.HomePeriod
 	if m.role == roleForeign {
-		return c.params.ForeignPeriod
+		period = c.params.ForeignPeriod
 	}
-	return c.params.HomePeriod
+	scale := math.Sqrt(float64(len(c.members)+1) / float64(c.params.ScaleFrom))
+	return time.Duration(float64(period) * max(1, scale))
 }
 
 func (c *Core) spread(d time.Duration) time.Duration {
@@ -26,9 +32,8 @@
 	c.expireUnlisted(now)
 	c.refresh(now)
 	var actions []Action
-	for _, name := range c.names() {
-		m := c.members[name]
-		if m.role == roleNone || m.inFlight || now.Before(m.nextProbe) {
+	for _, m := range c.targets {
+		if m.inFlight || now.Before(m.nextProbe) {
 			continue
 		}
 		m.inFlight = true
@@ -69,7 +74,7 @@
 		return nil
 	}
 	// A probe that took much longer than its timeout shows that this process was paused, not that the target failed.
-	if now.Sub(probe.SentAt) > c.params.ProbeTimeout+c.params.HomePeriod {
+	if now.Sub(probe.SentAt) > c.params.ProbeTimeout+pauseMargin {
 		return nil
 	}
 	m.failures++
@@ -154,53 +159,44 @@
 	return []Action{Ask{Target: m.ref(), Peers: peers}}
 }
 
-// AskResult takes the verdict of an asked instance. The suspicion is confirmed once all have answered or failed to,
-// if at least one has not reached the target and none has.
+// AskResult takes the verdict of an asked instance. Once all have answered or failed to, a suspicion is confirmed if
+// at least one has not reached the target and none has: for the home scope among all asked instances, for the own
+// region's scope among those of the region.
 func (c *Core) AskResult(now clock.Instant, target Ref, from string, verdict Verdict) []Action {
 	m := c.members[target.Instance]
 	if m == nil || m.ref() != target || m.ask == nil || !m.ask.waiting[from] {
 		return nil
 	}
 	delete(m.ask.waiting, from)
-	switch verdict {
-	case Reached:
-		m.ask = nil
-		c.setUnreached(m, true)
-		return nil
-	case Unreached:
-		m.ask.unreached++
+	m.ask.all.add(verdict)
+	if helper := c.members[from]; helper != nil && helper.row.Region == c.self.Region {
+		m.ask.ownRegion.add(verdict)
 	}
 	if len(m.ask.waiting) > 0 {
 		return nil
 	}
-	confirmed := m.ask.unreached > 0
+	ask := m.ask
 	m.ask = nil
 	c.setUnreached(m, true)
-	if !confirmed || m.suspect(c.self.Region) {
+	if m.suspect(c.self.Region) {
 		return nil
 	}
-	c.touch()
-	if c.inHomeScope(m) {
+	switch {
+	case m.role == roleHome && ask.all.confirms():
 		m.home++
+		c.touch()
 		return c.publish([]Report{m.homeReport()})
+	case m.row.Region != c.self.Region && ask.ownRegion.confirms():
+		m.own++
+		c.touch()
+		return c.publish([]Report{c.ownReport(m)})
 	}
-	m.own++
-	return c.publish([]Report{c.ownReport(m)})
+	return nil
 }
 
-// Asked tells what this instance knows of a target. Without a recent answer, the adapter probes it now, passes the
-// outcome to ProbeResult and replies with it.
-func (c *Core) Asked(now clock.Instant, target Ref) (verdict Verdict, probe bool) {
+// Asked reports whether this instance knows the target. If so, the adapter probes it now, passes the outcome to
+// ProbeResult and replies with it. An earlier answer would not do: the target may have failed since.
+func (c *Core) Asked(target Ref) bool {
 	m := c.members[target.Instance]
-	if m == nil || m.ref() != target {
-		return Unknown, false
-	}
-	if c.recentlyAnswered(now, m) {
-		return Reached, false
-	}
-	return Unknown, true
-}
-
-func (c *Core) recentlyAnswered(now clock.Instant, m *member) bool {
-	return m.answered && now.Sub(m.answer) < c.params.HomePeriod
+	return m != nil && m.ref() == target
 }
--- a/internal/core/membership/probers.go
+++ b/internal/core/membership/probers.go
@@ -128,6 +128,7 @@
 func (c *Core) assignRoles(now clock.Instant) {
 	p := poolsOf(c.candidates())
 	foreign := 0
+	c.targets = c.targets[:0]
 	for _, name := range c.names() {
 		m := c.members[name]
 		next := roleNone
@@ -135,20 +136,18 @@
 		switch {
 		case contains(home, c.self.Name):
 			next = roleHome
-		case m.row.Region == c.self.Region || containsRegion(home, c.self.Region):
+		case m.row.Region == c.self.Region:
 		case foreign < c.params.MaxForeignTargets && c.firstOfRegion(p, m):
 			next = roleForeign
 			foreign++
 		}
 		c.setRole(now, m, next)
+		if next != roleNone {
+			c.targets = append(c.targets, m)
+		}
 	}
 }
 
-// containsRegion reports whether a region takes part in a home scope already.
-func containsRegion(list []candidate, region string) bool {
-	return slices.ContainsFunc(list, func(c candidate) bool { return c.region == region })
-}
-
 func (c *Core) firstOfRegion(p pools, m *member) bool {
 	first := top(m.hash, p.byRegion[c.self.Region], 1)
 	return len(first) == 1 && first[0].name == c.self.Name
@@ -177,25 +176,38 @@
 	return names
 }
 
-// helpers returns the instances to ask about a target: the other probers of the scope, and one of each data centre of
-// the scope's region without one, so that a cut between data centres is not taken for a failure.
+// helpers returns the instances to ask about a target: for the home scope its other probers, and for the own region's
+// scope some of the region. Further ones see to it that a cut between two places is not taken for a failure.
 func (c *Core) helpers(m *member) []string {
 	p := poolsOf(c.candidates())
-	region := c.self.Region
+	suits := func(x candidate) bool { return c.isOther(x) && x.name != m.row.Name }
 	var chosen []candidate
-	if m.role == roleForeign {
-		chosen = top(m.hash, filter(p.byRegion[region], c.isOther), c.params.ForeignHelpers)
-	} else {
-		region = m.row.Region
-		chosen = filter(c.homeProbers(p, m.row, m.hash), c.isOther)
+	add := func(list []candidate, n int) {
+		for _, x := range top(m.hash, filter(list, suits), n) {
+			if !contains(chosen, x.name) {
+				chosen = append(chosen, x)
+			}
+		}
 	}
-	for at, list := range p.byDataCentre {
-		represented := slices.ContainsFunc(chosen, func(x candidate) bool { return x.dataCentre == at.dataCentre })
-		if at.region == region && !represented && at.dataCentre != c.self.DataCentre {
-			others := filter(list, func(x candidate) bool { return c.isOther(x) && x.name != m.row.Name })
-			chosen = append(chosen, top(m.hash, others, 1)...)
+	foreign := m.row.Region != c.self.Region
+	if m.role == roleHome {
+		chosen = filter(c.homeProbers(p, m.row, m.hash), suits)
+		for at, list := range p.byDataCentre {
+			if at.region == m.row.Region && !hasPlace(chosen, at) {
+				add(list, 1)
+			}
 		}
 	}
+	if m.role == roleHome && foreign {
+		for region, list := range p.byRegion {
+			if !hasRegion(chosen, region) {
+				add(list, 1)
+			}
+		}
+	}
+	if foreign {
+		add(p.byRegion[c.self.Region], c.params.ForeignHelpers)
+	}
 	names := make([]string, len(chosen))
 	for i, x := range chosen {
 		names[i] = x.name
@@ -204,6 +216,14 @@
 	return names
 }
 
+func hasPlace(list []candidate, at place) bool {
+	return slices.ContainsFunc(list, func(x candidate) bool { return x.region == at.region && x.dataCentre == at.dataCentre })
+}
+
+func hasRegion(list []candidate, region string) bool {
+	return slices.ContainsFunc(list, func(x candidate) bool { return x.region == region })
+}
+
 func (c *Core) isOther(x candidate) bool { return x.name != c.self.Name }
 
 // recipients returns the instances that a report goes to.
--- a/internal/core/membership/report.go
+++ b/internal/core/membership/report.go
@@ -37,29 +37,33 @@
 	return actions
 }
 
-// Merge takes reports of another instance. With relay, it returns what is new for the own data centre. A suspicion
-// of a target that has answered this instance a moment ago is refuted at once.
+// Merge takes reports of another instance. With relay, it returns what is new for the own data centre. A prober of
+// a newly suspected target probes it at once: an answer refutes the suspicion.
 func (c *Core) Merge(now clock.Instant, reports []Report, relay bool) []Action {
-	var news, refuted []Report
+	var news []Report
 	for _, r := range reports {
 		m := c.members[r.Target.Instance]
-		if m == nil || m.ref() != r.Target || !c.mergeOne(m, r) {
+		if m == nil || m.ref() != r.Target {
 			continue
 		}
-		c.touch()
-		if m.suspect(c.self.Region) && c.recentlyAnswered(now, m) {
-			refuted = append(refuted, c.refute(m)...)
+		suspected := m.suspect(c.self.Region)
+		if !c.mergeOne(m, r) {
 			continue
 		}
+		c.touch()
 		news = append(news, r)
-	}
-	actions := c.publish(refuted)
-	if relay && len(news) > 0 {
-		if local, _ := c.recipients(""); len(local) > 0 {
-			actions = append(actions, Publish{Reports: news, Local: local})
+		if !suspected && m.suspect(c.self.Region) {
+			m.nextProbe = now
 		}
 	}
-	return actions
+	if !relay || len(news) == 0 {
+		return nil
+	}
+	local, _ := c.recipients("")
+	if len(local) == 0 {
+		return nil
+	}
+	return []Action{Publish{Reports: news, Local: local}}
 }
 
 // mergeOne takes over what is newer in a report and says whether anything was.
--- /dev/null
+++ b/internal/members/fleet_test.go
@@ -0,0 +1,331 @@
+package members_test
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/core/membership"
+	"dogwoodknot.example/dogwoodknot/internal/members"
+	"dogwoodknot.example/dogwoodknot/internal/peer"
+	"dogwoodknot.example/dogwoodknot/internal/peer/peertest"
+	"dogwoodknot.example/dogwoodknot/internal/platform/memory"
+	"dogwoodknot.example/dogwoodknot/internal/wire"
+)
+
+// largeFleetVariable selects the measurement at 390 instances, which takes too long for each run of the tests.
+const largeFleetVariable = "DOGWOODKNOT_LARGE_FLEET"
+
+// Bytes that one call adds to its frames: yamux, TLS (TestBytesPerCall in package peer: 107 sent and 146 received, less
+// the frames) and TCP/IP headers of 52 bytes for each write and acknowledgement.
+const (
+	callerSendOverhead = 76 + 3.5*52
+	callerRecvOverhead = 136 + 4*52
+	// keepAliveBytes are sent and received by each session in each keepalive interval: a ping and its answer.
+	keepAliveBytes    = 2 * (12 + 22 + 52)
+	keepAliveInterval = 10 * time.Second
+)
+
+// controlLimit is the limit of all control traffic of an instance in bytes per second.
+const controlLimit = 21_000
+
+// layout gives the number of instances of each data centre by region.
+type layout map[string][]int
+
+func smallLayout() layout {
+	return layout{"lima": {1, 1}, "arequipa": {1}, "cusco": {1}}
+}
+
+func mediumLayout() layout {
+	return layout{"r1": {2, 2, 2}, "r2": {2, 2}, "r3": {1, 1}}
+}
+
+// largeLayout has 390 instances in 5 regions and 15 data centres, with capacities that differ tenfold.
+func largeLayout() layout {
+	return layout{"r1": {50, 50, 50}, "r2": {36, 36, 36}, "r3": {24, 24, 24}, "r4": {15, 15, 15}, "r5": {5, 5, 5}}
+}
+
+// virtualFleet runs services with the default parameters in a synctest bubble.
+type virtualFleet struct {
+	t        *testing.T
+	fabric   *peertest.Fabric
+	list     *memory.InstanceList
+	services map[string]*members.Service
+	networks map[string]*peertest.Network
+	order    []string
+}
+
+// latency is that of the sites: 0.25 ms within a data centre, 1.5 ms within a region, 80 ms between regions.
+func latency(from, to peer.Identity) time.Duration {
+	switch {
+	case from.Region != to.Region:
+		return 80 * time.Millisecond
+	case from.DataCentre != to.DataCentre:
+		return 1500 * time.Microsecond
+	default:
+		return 250 * time.Microsecond
+	}
+}
+
+func startVirtualFleet(t *testing.T, l layout) *virtualFleet {
+	f := &virtualFleet{
+		t:        t,
+		fabric:   peertest.NewFabric(t),
+		list:     memory.NewInstanceList(memory.InstanceListOptions{Clock: virtualClock{}, Lag: 5 * time.Second}),
+		services: map[string]*members.Service{},
+		networks: map[string]*peertest.Network{},
+	}
+	f.fabric.SetLatency(latency)
+	t.Cleanup(func() {
+		for _, s := range f.services {
+			s.Close()
+		}
+	})
+	for region, sizes := range l {
+		for i, size := range sizes {
+			for k := range size {
+				f.start(fmt.Sprintf("%s-%c-%d", region, 'a'+i, k), region, fmt.Sprintf("%s-%c", region, 'a'+i))
+			}
+		}
+	}
+	slices.Sort(f.order)
+	return f
+}
+
+func (f *virtualFleet) start(name, region, dataCentre string) {
+	n := incarnations.Add(1)
+	network := f.fabric.Add(peer.Identity{Instance: name, Region: region, DataCentre: dataCentre, Incarnation: n << 40})
+	s, err := members.New(members.Options{
+		Network: network, List: f.list, Clock: virtualClock{},
+		Self: membership.Row{
+			Name: name, Region: region, DataCentre: dataCentre, Incarnation: n << 40,
+			PeerAddr: "10.11.12.13:17443", CallerAddr: "10.11.12.13:18080", OperatorURL: "10.11.12.13:18081",
+		},
+		Payload: func() members.Payload {
+			return members.Payload{Revision: 123456, Load: &wire.LoadSummary{QueuedTokens: 250_000, Running: 40, Waiting: 12, FreeSlots: 8}}
+		},
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	s.Start()
+	f.services[name], f.networks[name] = s, network
+	f.order = append(f.order, name)
+}
+
+// all reports whether the condition holds for the status of a target at all instances but the excepted ones.
+func (f *virtualFleet) all(target string, want membership.State, except func(string) bool) bool {
+	for name, s := range f.services {
+		if name == target || (except != nil && except(name)) {
+			continue
+		}
+		m, found := s.Snapshot().Member(target)
+		if !found && want != membership.Gone || found && m.Status != want {
+			return false
+		}
+	}
+	return true
+}
+
+// until returns the virtual time until the condition holds.
+func (f *virtualFleet) until(what string, limit time.Duration, condition func() bool) time.Duration {
+	f.t.Helper()
+	start := time.Now()
+	for !condition() {
+		if time.Since(start) > limit {
+			f.t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+func (f *virtualFleet) settle() {
+	f.t.Helper()
+	took := f.until("all see all as live", 3*time.Minute, func() bool {
+		for _, s := range f.services {
+			snapshot := s.Snapshot()
+			if len(snapshot.Members) != len(f.services) || snapshot.EntryCount != len(f.services) {
+				return false
+			}
+		}
+		return true
+	})
+	f.t.Logf("all %d instances know each other after %v", len(f.services), took.Round(time.Millisecond))
+}
+
+// stop ends an instance: its connections are refused.
+func (f *virtualFleet) stop(name string) {
+	f.fabric.Remove(name)
+	f.services[name].Close()
+	delete(f.services, name)
+	delete(f.networks, name)
+}
+
+// suspicions returns how many pairs of instances hold the other one for suspect.
+func (f *virtualFleet) suspicions(except func(string) bool) int {
+	n := 0
+	for _, s := range f.services {
+		for _, m := range s.Snapshot().Members {
+			if m.Status == membership.Suspect && (except == nil || !except(m.Name)) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// measureTraffic runs the fleet for a minute and reports the traffic of its instances in bytes per second.
+func (f *virtualFleet) measureTraffic() {
+	const period = time.Minute
+	before := map[string]peertest.Traffic{}
+	for name, network := range f.networks {
+		before[name] = network.Traffic()
+	}
+	time.Sleep(period)
+	var sent, received, calls []float64
+	for name, network := range f.networks {
+		now, was := network.Traffic(), before[name]
+		started := float64(now.CallsStarted - was.CallsStarted)
+		served := float64(now.CallsServed - was.CallsServed)
+		// Each prober or target is a session; calls in both directions share one, which this leaves out.
+		keepAlive := (started + served) / 60 * keepAliveBytes / keepAliveInterval.Seconds() * 3
+		out := float64(now.BytesSent-was.BytesSent) + started*callerSendOverhead + served*callerRecvOverhead
+		in := float64(now.BytesReceived-was.BytesReceived) + started*callerRecvOverhead + served*callerSendOverhead
+		sent = append(sent, out/period.Seconds()+keepAlive)
+		received = append(received, in/period.Seconds()+keepAlive)
+		calls = append(calls, (started+served)/period.Seconds())
+	}
+	f.t.Logf("calls/s per instance: %s", describe(calls))
+	f.t.Logf("bytes/s sent per instance: %s", describe(sent))
+	f.t.Logf("bytes/s received per instance: %s", describe(received))
+	if top := slices.Max(sent) + slices.Max(received); top > controlLimit {
+		f.t.Errorf("an instance has %.0f bytes/s of membership traffic alone, the limit of all control traffic is %d", top, controlLimit)
+	}
+}
+
+func describe(values []float64) string {
+	slices.Sort(values)
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return fmt.Sprintf("mean %.1f, median %.1f, max %.1f", sum/float64(len(values)), values[len(values)/2], values[len(values)-1])
+}
+
+// Guards the time in which a failure is known everywhere, the absence of false suspicions under a one-way cut, and the
+// traffic, at 4, 12 and, if the variable is set, 390 instances.
+func TestFleet(t *testing.T) {
+	fleets := map[string]layout{"4": smallLayout(), "12": mediumLayout()}
+	if os.Getenv(largeFleetVariable) != "" {
+		fleets["390"] = largeLayout()
+	}
+	for name, l := range fleets {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { exercise(t, startVirtualFleet(t, l)) })
+		})
+	}
+}
+
+func exercise(t *testing.T, f *virtualFleet) {
+	const detectionLimit = 6 * time.Second
+	f.settle()
+	time.Sleep(20 * time.Second)
+	if n := f.suspicions(nil); n != 0 {
+		t.Errorf("%d suspicions without a fault", n)
+	}
+	f.measureTraffic()
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	t.Logf("heap per instance: %d KiB, in-memory network included", mem.HeapAlloc/1024/uint64(len(f.services)))
+
+	refused := f.order[0]
+	f.stop(refused)
+	took := f.until("refused instance is suspect everywhere", detectionLimit, func() bool { return f.all(refused, membership.Suspect, nil) })
+	t.Logf("crash, connections refused: suspect everywhere after %v", took)
+
+	silent := f.order[len(f.order)/2]
+	for _, other := range f.order {
+		f.fabric.Cut(silent, other)
+	}
+	first := f.until("silent instance is suspect somewhere", detectionLimit, func() bool {
+		for name, s := range f.services {
+			if m, _ := s.Snapshot().Member(silent); name != silent && m.Status == membership.Suspect {
+				return true
+			}
+		}
+		return false
+	})
+	took = f.until("silent instance is suspect everywhere", detectionLimit, func() bool { return f.all(silent, membership.Suspect, nil) })
+	t.Logf("silence: suspect first after %v, everywhere after %v", first, first+took)
+	for _, other := range f.order {
+		f.fabric.Heal(silent, other)
+	}
+	took = f.until("suspicion is refuted", detectionLimit, func() bool { return f.all(silent, membership.Live, nil) })
+	t.Logf("healed: live everywhere after %v", took)
+	time.Sleep(20 * time.Second)
+
+	cutFrom, cutTo := f.order[1], f.order[2]
+	f.fabric.CutOneWay(cutFrom, cutTo)
+	worst := 0
+	for range 300 {
+		time.Sleep(100 * time.Millisecond)
+		worst = max(worst, f.suspicions(func(name string) bool { return name == refused }))
+	}
+	t.Logf("one-way cut %s to %s for 30 s: at most %d false suspicions", cutFrom, cutTo, worst)
+	if worst > 0 {
+		t.Error("a one-way cut between two instances led to a suspicion")
+	}
+	f.fabric.Heal(cutFrom, cutTo)
+
+	f.cutRegions(t, refused)
+}
+
+// cutRegions cuts one region's way to another one, in one direction: only these two may suspect each other.
+func (f *virtualFleet) cutRegions(t *testing.T, refused string) {
+	regionOf := func(name string) string { return name[:strings.Index(name, "-")] }
+	from, to := regionOf(f.order[1]), regionOf(f.order[len(f.order)-1])
+	for _, a := range f.order {
+		for _, b := range f.order {
+			if regionOf(a) == from && regionOf(b) == to {
+				f.fabric.CutOneWay(a, b)
+			}
+		}
+	}
+	elsewhere, between := 0, 0
+	for range 300 {
+		time.Sleep(100 * time.Millisecond)
+		outside, inside := 0, 0
+		for at, s := range f.services {
+			for _, m := range s.Snapshot().Members {
+				if m.Status != membership.Suspect || m.Name == refused {
+					continue
+				}
+				if (regionOf(at) == from && m.Region == to) || (regionOf(at) == to && m.Region == from) {
+					inside++
+				} else {
+					outside++
+				}
+			}
+		}
+		elsewhere, between = max(elsewhere, outside), max(between, inside)
+	}
+	t.Logf("one-way cut of region %s to %s for 30 s: at most %d suspicions between them, %d elsewhere", from, to, between, elsewhere)
+	if elsewhere > 0 {
+		t.Error("instances outside of the cut regions are suspected, or suspect")
+	}
+	for _, a := range f.order {
+		for _, b := range f.order {
+			f.fabric.Heal(a, b)
+		}
+	}
+	took := f.until("all suspicions are refuted", 20*time.Second, func() bool {
+		return f.suspicions(func(name string) bool { return name == refused }) == 0
+	})
+	t.Logf("healed: no suspicion after %v", took)
+}
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/goleak"
 
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/membership"
 	"dogwoodknot.example/dogwoodknot/internal/members"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
@@ -23,6 +25,11 @@
 
 var incarnations atomic.Uint64
 
+// virtualClock reads the time of the synctest bubble.
+type virtualClock struct{}
+
+func (virtualClock) Now() clock.Instant { return clock.Instant(time.Now().UnixNano()) }
+
 // fleet is a set of services over the in-memory network and platform.
 type fleet struct {
 	t         *testing.T
@@ -37,8 +44,8 @@
 	f := &fleet{
 		t:         t,
 		fabric:    peertest.NewFabric(t),
-		list:      memory.NewInstanceList(memory.InstanceListOptions{Lag: 100 * time.Millisecond}),
-		directory: memory.NewDirectory(memory.DirectoryOptions{Rates: memory.Rates{Writes: 10}}),
+		list:      memory.NewInstanceList(memory.InstanceListOptions{Clock: virtualClock{}, Lag: 100 * time.Millisecond}),
+		directory: memory.NewDirectory(memory.DirectoryOptions{Clock: virtualClock{}, Rates: memory.Rates{Writes: 10}}),
 		services:  map[string]*members.Service{},
 	}
 	f.fabric.SetBreakAfter(300 * time.Millisecond)
@@ -71,7 +78,7 @@
 			Name: name, Region: region, DataCentre: dataCentre, Incarnation: n,
 			PeerAddr: fmt.Sprintf("127.0.0.1:%d", 20000+n), CallerAddr: fmt.Sprintf("127.0.0.1:%d", 10000+n),
 		},
-		Params: fastParams(), PollBase: 200 * time.Millisecond, DirectoryInterval: 200 * time.Millisecond,
+		Clock: virtualClock{}, Params: fastParams(), PollBase: 200 * time.Millisecond, DirectoryInterval: 200 * time.Millisecond,
 		Payload: func() members.Payload {
 			return members.Payload{Revision: 42, Load: &wire.LoadSummary{Running: 3}}
 		},
@@ -154,98 +161,108 @@
 
 // Guards against instances that do not find each other through the list, and against heartbeats without payload.
 func TestJoinAndPayload(t *testing.T) {
-	f := newFleet(t)
-	f.addFour()
-	f.eventually("payloads arrive", func() bool { return f.revisions.Load() > 8 })
-	self, found := f.services["lima-1"].Snapshot().Member("lima-1")
-	if !found || !self.Self || !self.Listed {
-		t.Errorf("own row: %+v, %v", self, found)
-	}
-	if n := f.services["cusco-1"].Snapshot().EntryCount; n != 4 {
-		t.Errorf("entry count is %d", n)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.addFour()
+		f.eventually("payloads arrive", func() bool { return f.revisions.Load() > 8 })
+		self, found := f.services["lima-1"].Snapshot().Member("lima-1")
+		if !found || !self.Self || !self.Listed {
+			t.Errorf("own row: %+v, %v", self, found)
+		}
+		if n := f.services["cusco-1"].Snapshot().EntryCount; n != 4 {
+			t.Errorf("entry count is %d", n)
+		}
+	})
 }
 
 // Guards against a crashed instance that stays live, one that is gone before the list says so, and a successor of the
 // same name that inherits the suspicion.
 func TestCrashSuspectGoneRestart(t *testing.T) {
-	f := newFleet(t)
-	f.addFour()
-	before, _ := f.services["lima-1"].Snapshot().Member("cusco-1")
-	f.services["cusco-1"].Close()
-	delete(f.services, "cusco-1")
-	f.fabric.Remove("cusco-1")
-	f.eventually("suspect everywhere", f.everywhere("cusco-1", membership.Suspect))
-	time.Sleep(400 * time.Millisecond)
-	if !f.everywhere("cusco-1", membership.Suspect)() {
-		t.Error("suspect instance changed its state although the list still shows it")
-	}
-	f.list.Drop("cusco-1")
-	f.eventually("gone everywhere", f.everywhere("cusco-1", membership.Gone))
-	ref := membership.Ref{Instance: "cusco-1", Incarnation: before.Incarnation}
-	if state, known := f.services["lima-1"].Snapshot().StateOf(ref); !known || state != membership.Gone {
-		t.Errorf("state of the ended process: %v, %v", state, known)
-	}
-	f.add("cusco-1", "cusco", "cusco-a")
-	f.eventually("live everywhere", f.everywhere("cusco-1", membership.Live))
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.addFour()
+		before, _ := f.services["lima-1"].Snapshot().Member("cusco-1")
+		f.services["cusco-1"].Close()
+		delete(f.services, "cusco-1")
+		f.fabric.Remove("cusco-1")
+		f.eventually("suspect everywhere", f.everywhere("cusco-1", membership.Suspect))
+		time.Sleep(400 * time.Millisecond)
+		if !f.everywhere("cusco-1", membership.Suspect)() {
+			t.Error("suspect instance changed its state although the list still shows it")
+		}
+		f.list.Drop("cusco-1")
+		f.eventually("gone everywhere", f.everywhere("cusco-1", membership.Gone))
+		ref := membership.Ref{Instance: "cusco-1", Incarnation: before.Incarnation}
+		if state, known := f.services["lima-1"].Snapshot().StateOf(ref); !known || state != membership.Gone {
+			t.Errorf("state of the ended process: %v, %v", state, known)
+		}
+		f.add("cusco-1", "cusco", "cusco-a")
+		f.eventually("live everywhere", f.everywhere("cusco-1", membership.Live))
+	})
 }
 
 // Guards against a suspicion by one instance that others can refute: the way from one instance to another is cut.
 func TestOneWayCutIsNotConfirmed(t *testing.T) {
-	f := newFleet(t)
-	f.addFour()
-	f.fabric.CutOneWay("lima-1", "cusco-1")
-	f.eventually("lima-1 gets no answer from cusco-1", func() bool {
-		m, _ := f.services["lima-1"].Snapshot().Member("cusco-1")
-		return m.Unreached
-	})
-	for range 100 {
-		for at := range f.services {
-			if at != "cusco-1" && f.status(at, "cusco-1") != membership.Live {
-				t.Fatalf("%s holds cusco-1 for %v", at, f.status(at, "cusco-1"))
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.addFour()
+		f.fabric.CutOneWay("lima-1", "cusco-1")
+		f.eventually("lima-1 gets no answer from cusco-1", func() bool {
+			m, _ := f.services["lima-1"].Snapshot().Member("cusco-1")
+			return m.Unreached
+		})
+		for range 100 {
+			for at := range f.services {
+				if at != "cusco-1" && f.status(at, "cusco-1") != membership.Live {
+					t.Fatalf("%s holds cusco-1 for %v", at, f.status(at, "cusco-1"))
+				}
 			}
+			time.Sleep(10 * time.Millisecond)
 		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	f.fabric.Heal("lima-1", "cusco-1")
-	f.eventually("lima-1 reaches cusco-1 again", func() bool {
-		m, _ := f.services["lima-1"].Snapshot().Member("cusco-1")
-		return !m.Unreached
+		f.fabric.Heal("lima-1", "cusco-1")
+		f.eventually("lima-1 reaches cusco-1 again", func() bool {
+			m, _ := f.services["lima-1"].Snapshot().Member("cusco-1")
+			return !m.Unreached
+		})
 	})
 }
 
 // Guards against a suspicion that outlives the partition.
 func TestPartitionHeals(t *testing.T) {
-	f := newFleet(t)
-	f.addFour()
-	others := []string{"lima-1", "lima-2", "arequipa-1"}
-	for _, name := range others {
-		f.fabric.Cut(name, "cusco-1")
-	}
-	f.eventually("suspect on the larger side", f.everywhere("cusco-1", membership.Suspect))
-	for _, name := range others {
-		f.fabric.Heal(name, "cusco-1")
-	}
-	f.eventually("live on the larger side", f.everywhere("cusco-1", membership.Live))
-	f.eventually("cusco-1 sees all live", func() bool { return f.count("cusco-1", membership.Live) == 4 })
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.addFour()
+		others := []string{"lima-1", "lima-2", "arequipa-1"}
+		for _, name := range others {
+			f.fabric.Cut(name, "cusco-1")
+		}
+		f.eventually("suspect on the larger side", f.everywhere("cusco-1", membership.Suspect))
+		for _, name := range others {
+			f.fabric.Heal(name, "cusco-1")
+		}
+		f.eventually("live on the larger side", f.everywhere("cusco-1", membership.Live))
+		f.eventually("cusco-1 sees all live", func() bool { return f.count("cusco-1", membership.Live) == 4 })
+	})
 }
 
 // Guards against a leaving instance that still gets callers, and against a directory that keeps it.
 func TestLeave(t *testing.T) {
-	f := newFleet(t)
-	f.addFour()
-	f.eventually("directory holds both entries", func() bool { return f.directoryCount("lima") == 2 })
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-	defer cancel()
-	if err := f.services["lima-1"].Leave(ctx); err != nil {
-		t.Fatal(err)
-	}
-	f.eventually("leaving everywhere", f.everywhere("lima-1", membership.Leaving))
-	entries := f.services["cusco-1"].Entries("lima", "weathervanes", 100)
-	if len(entries.Members) != 1 || entries.Members[0].Name != "lima-2" {
-		t.Errorf("entries: %+v", entries.Members)
-	}
-	f.eventually("directory has dropped it", func() bool { return f.directoryCount("lima") == 1 })
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.addFour()
+		f.eventually("directory holds both entries", func() bool { return f.directoryCount("lima") == 2 })
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		if err := f.services["lima-1"].Leave(ctx); err != nil {
+			t.Fatal(err)
+		}
+		f.eventually("leaving everywhere", f.everywhere("lima-1", membership.Leaving))
+		entries := f.services["cusco-1"].Entries("lima", "weathervanes", 100)
+		if len(entries.Members) != 1 || entries.Members[0].Name != "lima-2" {
+			t.Errorf("entries: %+v", entries.Members)
+		}
+		f.eventually("directory has dropped it", func() bool { return f.directoryCount("lima") == 1 })
+	})
 }
 
 func (f *fleet) directoryCount(region string) int {
@@ -259,16 +276,18 @@
 // Guards against a view that is lost while the platform's list is out, and against instances that do not get the
 // list from a peer when they cannot read it themselves.
 func TestListOut(t *testing.T) {
-	f := newFleet(t)
-	f.addFour()
-	f.list.SetFaults(memory.Faults{Down: true})
-	time.Sleep(500 * time.Millisecond)
-	for name := range f.services {
-		if n := f.count(name, membership.Live); n != 4 {
-			t.Errorf("%s sees %d live instances while the list is out", name, n)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.addFour()
+		f.list.SetFaults(memory.Faults{Down: true})
+		time.Sleep(500 * time.Millisecond)
+		for name := range f.services {
+			if n := f.count(name, membership.Live); n != 4 {
+				t.Errorf("%s sees %d live instances while the list is out", name, n)
+			}
 		}
-	}
-	f.list.SetFaults(memory.Faults{})
-	f.add("lima-3", "lima", "lima-a")
-	f.eventually("the new instance is seen", f.everywhere("lima-3", membership.Live))
+		f.list.SetFaults(memory.Faults{})
+		f.add("lima-3", "lima", "lima-a")
+		f.eventually("the new instance is seen", f.everywhere("lima-3", membership.Live))
+	})
 }
--- a/internal/members/probe.go
+++ b/internal/members/probe.go
@@ -168,25 +168,21 @@
 
 func (s *Service) handleAsk(_ context.Context, _ peer.Identity, req *wire.MembersAsk) (proto.Message, error) {
 	target := decodeRef(req.GetTarget())
-	var verdict membership.Verdict
-	var needed bool
+	known := false
 	now := s.clock.Now()
-	s.update(func(now clock.Instant, core *membership.Core) []membership.Action {
-		verdict, needed = core.Asked(now, target)
+	s.update(func(_ clock.Instant, core *membership.Core) []membership.Action {
+		known = core.Asked(target)
 		return nil
 	})
-	reached := verdict == membership.Reached
-	if needed {
-		reached = s.probe(membership.Probe{Target: target, SentAt: now})
-	}
+	verdict := wire.MembersVerdict_VERDICT_UNSPECIFIED
 	switch {
-	case reached:
-		return &wire.MembersVerdict{Verdict: wire.MembersVerdict_VERDICT_REACHED}, nil
-	case needed:
-		return &wire.MembersVerdict{Verdict: wire.MembersVerdict_VERDICT_UNREACHED}, nil
+	case !known:
+	case s.probe(membership.Probe{Target: target, SentAt: now}):
+		verdict = wire.MembersVerdict_VERDICT_REACHED
 	default:
-		return &wire.MembersVerdict{}, nil
+		verdict = wire.MembersVerdict_VERDICT_UNREACHED
 	}
+	return &wire.MembersVerdict{Verdict: verdict}, nil
 }
 
 // publish sends reports to their recipients.
--- a/internal/peer/peertest/fabric.go
+++ b/internal/peer/peertest/fabric.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,6 +25,7 @@
 	links      map[direction]*fault
 	calls      map[*call]struct{}
 	breakAfter time.Duration
+	latency    func(from, to peer.Identity) time.Duration
 	closed     bool
 	work       sync.WaitGroup
 }
@@ -95,6 +97,13 @@
 	f.change(from, to, func(l *fault) { l.delay, l.jitter = d, jitter })
 }
 
+// SetLatency sets the one-way delay of all links without a Delay of their own.
+func (f *Fabric) SetLatency(latency func(from, to peer.Identity) time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.latency = latency
+}
+
 // Duplicate runs the handler of each further call in one direction n more times, as if the call had been repeated.
 // The caller gets the response of the first run.
 func (f *Fabric) Duplicate(from, to string, n int) {
@@ -126,6 +135,17 @@
 	apply(f.link(from, to))
 }
 
+// noFault is the state of a link that no fault was injected into.
+var noFault = &fault{}
+
+// look returns the state of a link without creating one. It is called under mu.
+func (f *Fabric) look(from, to string) *fault {
+	if l := f.links[direction{from, to}]; l != nil {
+		return l
+	}
+	return noFault
+}
+
 // link is called under mu.
 func (f *Fabric) link(from, to string) *fault {
 	key := direction{from, to}
@@ -146,11 +166,14 @@
 }
 
 // passage decides about one message: whether it is lost, and when it arrives.
-func (f *Fabric) passage(from, to string) (lost bool, delay time.Duration) {
+func (f *Fabric) passage(from, to peer.Identity) (lost bool, delay time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	l := f.link(from, to)
+	l := f.look(from.Instance, to.Instance)
 	delay = l.delay
+	if delay == 0 && f.latency != nil {
+		delay = f.latency(from, to)
+	}
 	if l.jitter > 0 {
 		delay += rand.N(l.jitter)
 	}
@@ -171,6 +194,29 @@
 	// Guarded by the fabric's mu.
 	handlers map[string]peer.Handler
 	known    map[string]string // nil: all instances of the fabric
+
+	traffic counters
+}
+
+type counters struct{ started, served, sent, received atomic.Int64 }
+
+// Traffic is what an instance has sent and received. Bytes are those of the frames of package peer, without the
+// overhead of sessions, TLS and TCP.
+type Traffic struct {
+	CallsStarted  int64
+	CallsServed   int64
+	BytesSent     int64
+	BytesReceived int64
+}
+
+// Traffic returns the counts since the instance was added.
+func (n *Network) Traffic() Traffic {
+	return Traffic{
+		CallsStarted:  n.traffic.started.Load(),
+		CallsServed:   n.traffic.served.Load(),
+		BytesSent:     n.traffic.sent.Load(),
+		BytesReceived: n.traffic.received.Load(),
+	}
 }
 
 var _ peer.Network = (*Network)(nil)
@@ -235,5 +281,5 @@
 	if to == nil || n.fabric.closed || n.fabric.nodes[n.self.Instance] != n {
 		return nil, 0, peer.NotSent(name, service, errors.New("instance does not run"))
 	}
-	return to, 1 + n.fabric.link(n.self.Instance, name).duplicates, nil
+	return to, 1 + n.fabric.look(n.self.Instance, name).duplicates, nil
 }
--- a/internal/peer/peertest/stream.go
+++ b/internal/peer/peertest/stream.go
@@ -11,8 +11,12 @@
 	"google.golang.org/protobuf/proto"
 
 	"dogwoodknot.example/dogwoodknot/internal/peer"
+	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
 
+// frameOverhead is the size of a frame of package peer without its payload.
+const frameOverhead = 5
+
 // window is the number of messages that one side may send ahead of the other side's reads.
 const window = 64
 
@@ -115,6 +119,15 @@
 		return nil
 	}
 	f.calls[c] = struct{}{}
+	header := &wire.CallHeader{Service: service}
+	if deadline, ok := ctx.Deadline(); ok {
+		header.TimeoutNanos = int64(time.Until(deadline))
+	}
+	size := int64(proto.Size(header)) + frameOverhead
+	from.traffic.started.Add(1)
+	from.traffic.sent.Add(size)
+	to.traffic.served.Add(1)
+	to.traffic.received.Add(size)
 	handler := to.handlers[service]
 	f.work.Go(func() { c.serve(handler) })
 	return c
@@ -123,7 +136,7 @@
 func (c *call) serve(handler peer.Handler) {
 	server := &side{call: c, ctx: c.ctx}
 	// The handler starts when the opening of the stream arrives.
-	lost, delay := c.fabric.passage(c.from.self.Instance, c.to.self.Instance)
+	lost, delay := c.fabric.passage(c.from.self, c.to.self)
 	if lost {
 		c.loseMessage()
 		<-c.broken
@@ -220,11 +233,12 @@
 		return errors.New("message after CloseSend")
 	}
 	s.ended = it.end != nil
-	from, to := s.call.from.self.Instance, s.call.to.self.Instance
+	from, to := s.call.from, s.call.to
 	if !s.client {
 		from, to = to, from
 	}
-	lost, delay := s.call.fabric.passage(from, to)
+	from.traffic.sent.Add(int64(len(it.payload)) + frameOverhead)
+	lost, delay := s.call.fabric.passage(from.self, to.self)
 	if lost && !s.lost {
 		s.lost = true
 		s.call.loseMessage()
@@ -232,6 +246,7 @@
 	if s.lost {
 		return nil
 	}
+	to.traffic.received.Add(int64(len(it.payload)) + frameOverhead)
 	it.at = time.Now().Add(delay)
 	for _, c := range s.copies {
 		select {
@@ -300,7 +315,7 @@
 		return nil
 	}
 	for _, c := range append(s.copies, s.call) {
-		lost, delay := c.fabric.passage(c.from.self.Instance, c.to.self.Instance)
+		lost, delay := c.fabric.passage(c.from.self, c.to.self)
 		if lost {
 			c.loseMessage()
 			continue
--- a/internal/peer/trace.go
+++ b/internal/peer/trace.go
@@ -12,8 +12,12 @@
 // traceparentKey is the name of the W3C header that the call header carries as a field.
 const traceparentKey = "traceparent"
 
-// startSpan starts the span of one hop.
+// startSpan starts the span of one hop. A call outside of a trace, such as a heartbeat, starts none: it would add
+// 57 bytes to each message and a trace of its own each second.
 func (t *Transport) startSpan(ctx context.Context, service, peer string, kind trace.SpanKind) (context.Context, trace.Span) {
+	if !trace.SpanContextFromContext(ctx).IsValid() {
+		return ctx, trace.SpanFromContext(ctx)
+	}
 	return t.options.Tracer.Start(ctx, "peer "+service,
 		trace.WithSpanKind(kind),
 		trace.WithAttributes(
