--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -15,6 +15,8 @@
 	Slots int
 	// InFlight is this instance's own work at the endpoint, Foreign the other instances' as last reported.
 	InFlight, Foreign int
+	// Reported is the number of requests in the endpoint's last load report, whoever sent them.
+	Reported int
 	// QueuedTokens is the work waiting at the endpoint: reported, and own dispatches since the report.
 	QueuedTokens float64
 	// CachedTokens is the part of the prompt that the endpoint is believed to hold, scaled by the trust in that.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/routing"
 	"dogwoodknot.example/dogwoodknot/internal/kernel"
 	"dogwoodknot.example/dogwoodknot/internal/observe"
 	"dogwoodknot.example/dogwoodknot/internal/operator"
@@ -45,6 +46,8 @@
 	DialEndpoint func(ctx context.Context, network, addr string) (net.Conn, error)
 	// DialPlatform replaces the dialler towards the platform's services.
 	DialPlatform func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Chooser replaces the choice of endpoints, for baselines of experiments.
+	Chooser routing.Chooser
 	// TraceWriter takes the spans of the stdout exporter. Nil: standard output.
 	TraceWriter io.Writer
 	// Clock replaces the boot clock.
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -198,6 +198,7 @@
 		Logger:     d.log,
 		States:     p.endpoints,
 		Dial:       d.hooks.DialEndpoint,
+		Chooser:    d.hooks.Chooser,
 	})
 	return err
 }
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -44,6 +44,7 @@
 	foreignTokens  float64 // their waiting tokens
 	last           ownWork // at the last report
 	reportedAt     clock.Instant
+	reportedTotal  int // requests in the last report, whoever sent them
 	reported       bool
 	health         routing.Health
 	prefix         *routing.PrefixCache
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -30,7 +30,8 @@
 	Logger     *zap.Logger
 	// States may be nil: no endpoint is then listed as leaving.
 	States EndpointStates
-	Policy routing.Policy
+	// Chooser picks endpoints. Nil: routing.DefaultPolicy.
+	Chooser routing.Chooser
 	// Seed starts the random source of the endpoint choice. 0 takes one from the system.
 	Seed uint64
 
@@ -89,8 +90,8 @@
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
-	if o.Policy == (routing.Policy{}) {
-		o.Policy = routing.DefaultPolicy
+	if o.Chooser == nil {
+		o.Chooser = routing.DefaultPolicy
 	}
 	o.PollInterval = either(o.PollInterval, defaultPollInterval)
 	o.DialTimeout = either(o.DialTimeout, defaultDialTimeout)
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -77,6 +77,7 @@
 	e.load.last = e.load.own()
 	e.load.foreign = max(r.Running+r.Waiting-own.requests, 0)
 	e.load.foreignTokens = max(r.QueuedTokens-own.tokens, 0)
+	e.load.reportedTotal = r.Running + r.Waiting
 	e.load.reportedAt = d.opts.Clock.Now()
 	e.load.reported = true
 	for _, p := range d.pools {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -196,7 +196,7 @@
 		cands[i].Ejected = ejected[i]
 		cands[i].Slowness = slowness[i]
 	}
-	i := d.opts.Policy.Choose(cands, w.prompt, false, d.rng)
+	i := d.opts.Chooser.Choose(cands, w.prompt, false, d.rng)
 	if i < 0 {
 		return nil
 	}
@@ -231,6 +231,7 @@
 		Slots:        e.config.Slots,
 		InFlight:     e.load.inFlight,
 		Foreign:      e.load.foreignNow(now),
+		Reported:     e.load.reportedTotal,
 		QueuedTokens: e.load.foreignTokens + e.load.pending,
 		CachedTokens: e.load.prefix.Cached(w.blocks, now),
 		Failures:     e.load.health.Failures(now),
--- a/internal/site/options.go
+++ b/internal/site/options.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"dogwoodknot.example/dogwoodknot/internal/core/routing"
 	"dogwoodknot.example/dogwoodknot/internal/standin"
 )
 
@@ -25,6 +26,8 @@
 	RemovalFinal  bool
 	LogLevel      string
 	StopDelay     time.Duration
+	// Chooser replaces the choice of endpoints. Nil: the product's.
+	Chooser routing.Chooser
 }
 
 // Region is a region of a deployment.
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -221,6 +221,7 @@
 		DialPeer:     func(ctx context.Context, addr string) (net.Conn, error) { return dial(ctx, "tcp", addr) },
 		DialEndpoint: dial,
 		DialPlatform: dial,
+		Chooser:      s.opts.Chooser,
 	})
 	if err != nil {
 		return nil, err
