Add the serving experiment and the load command

dogwood-load site runs a whole deployment with stand-ins under seeded open-loop load and one fault, beside the baselines; rates runs the shares in virtual time; run sends load to a running system on loopback.

--- /dev/null
+++ b/cmd/dogwood-load/main.go
@@ -0,0 +1,33 @@
+// Command dogwood-load measures the system: seeded open-loop load, experiments against baselines and capacity slopes.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+type command struct {
+	Site  siteCommand  `cmd:"" help:"Run a whole deployment with stand-ins in this process under load and faults."`
+	Rates ratesCommand `cmd:"" help:"Measure wrongful refusals of the rate shares in virtual time."`
+	Run   runCommand   `cmd:"" help:"Send load to a running system."`
+}
+
+func main() {
+	var c command
+	parsed := kong.Parse(&c,
+		kong.Name("dogwood-load"),
+		kong.Description("Measures the gateway: load, experiments and capacity slopes. All traffic goes to loopback addresses."),
+		kong.UsageOnError())
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	if err := parsed.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "dogwood-load:", err)
+		os.Exit(1)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -165,6 +165,14 @@
 	d.drainOnce.Do(func() { close(d.drained) })
 }
 
+// Abort cuts all connections of callers and instances at once, as a crash would. Services must have been called.
+func (d *Daemon) Abort() {
+	_ = d.listeners.caller.Close()
+	_ = d.listeners.peer.Close()
+	// Errors have nobody left to tell.
+	_ = d.backend.parts.gateway.Close()
+}
+
 // Close flushes metrics and spans. The kernel must have stopped.
 func (d *Daemon) Close(ctx context.Context) error {
 	return errors.Join(d.metrics.Close(), d.stopTracing(ctx))
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -60,7 +60,7 @@
 	defer server.Close()
 	w := workload()
 	w.Streams[0].PerSecond, w.Streams[1].PerSecond = 8, 8
-	results, err := Run(context.Background(), w, Options{Entries: func(*Stream) []string { return []string{"http://127.0.0.1:1", server.URL} }})
+	results, err := Run(context.Background(), w, Options{Entries: func(*Stream, int) []string { return []string{"http://127.0.0.1:1", server.URL} }})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -14,14 +14,14 @@
 	maxConnsPerHost = 4096
 )
 
-// Entries returns the base URLs of the entries that a stream's callers should use now, best first.
-type Entries func(s *Stream) []string
+// Entries returns the base URLs of the entries that the caller of a stream's n-th request should use, best first.
+type Entries func(s *Stream, n int) []string
 
 // Options are the settings of a run.
 type Options struct {
 	Entries Entries
-	// Dial replaces the dialler of the callers' connections, for injected latency. Nil: the default.
-	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Client returns the client of a stream's callers, for injected latency. Nil: one client for all.
+	Client func(s *Stream) *http.Client
 	// OnStart is called with the time at which the schedule starts.
 	OnStart func(time.Time)
 }
@@ -33,13 +33,16 @@
 		return nil, err
 	}
 	transport := &http.Transport{
-		DialContext:         o.Dial,
 		MaxIdleConnsPerHost: maxConnsPerHost,
 		MaxConnsPerHost:     maxConnsPerHost,
 		DisableCompression:  true,
 	}
 	defer transport.CloseIdleConnections()
-	client := &http.Client{Transport: transport}
+	shared := &http.Client{Transport: transport}
+	client := o.Client
+	if client == nil {
+		client = func(*Stream) *http.Client { return shared }
+	}
 	schedule := w.Schedule()
 	results := make([]Result, len(schedule))
 	start := time.Now()
@@ -57,7 +60,7 @@
 		inFlight.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 			defer cancel()
-			results[i] = sendToFirst(ctx, client, o.Entries(a.Stream), a, due)
+			results[i] = sendToFirst(ctx, client(a.Stream), o.Entries(a.Stream, a.Number), a, due)
 		})
 	}
 	inFlight.Wait()
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -92,6 +92,13 @@
 	return errors.CombineErrors(i.kernel.Stop(ctx), i.Daemon.Close(ctx))
 }
 
+// Kill ends the instance without a planned stop: its callers' connections and sessions are cut at once. The process of the
+// other instances goes on, so unlike a real crash its goroutines still end in order.
+func (i *Instance) Kill(ctx context.Context) error {
+	i.Daemon.Abort()
+	return i.Stop(ctx)
+}
+
 // Start brings a deployment up: platform, endpoints, configuration, keys, instances. It returns when every instance is ready.
 func Start(ctx context.Context, o Options) (*Site, error) {
 	log, err := observe.NewLogger(observe.FormatConsole, o.LogLevel)
@@ -305,6 +312,17 @@
 	return nil
 }
 
+// Homes returns the home region of each bound organisation.
+func (s *Site) Homes() map[string]string {
+	homes := make(map[string]string)
+	for _, o := range s.opts.Organisations {
+		if o.Home != "" {
+			homes[o.Name] = o.Home
+		}
+	}
+	return homes
+}
+
 // Client returns an HTTP client of callers in a region.
 func (s *Site) Client(region string) *http.Client {
 	return &http.Client{Transport: &http.Transport{
