--- a/internal/standin/engine_orders.go
+++ b/internal/standin/engine_orders.go
@@ -159,6 +159,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.dead {
+		breakConnection() // the engine has died since it let the call in
+	}
 	refused := e.checkOrder(model, in)
 	if refused == nil && e.orders.taken(model, in) {
 		refused = reusedGeneration
@@ -186,6 +189,9 @@
 	in := Order{Generation: generation, Fencing: fencing}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.dead {
+		breakConnection() // the engine has died since it let the call in
+	}
 	refused := e.checkOrder(model, in)
 	if m := e.orders.models[model]; refused == nil && m != nil && m.Generation == in.Generation && m.Generation > 0 {
 		refused = reusedGeneration
--- a/internal/standin/engine_requests.go
+++ b/internal/standin/engine_requests.go
@@ -117,6 +117,9 @@
 	}
 	if refused := e.submit(g); refused != nil {
 		e.countRefused()
+		if refused == diedMeanwhile {
+			breakConnection()
+		}
 		writeError(w, refused.status, refused.code, refused.message)
 		return
 	}
@@ -176,10 +179,16 @@
 	return g, nil
 }
 
+// diedMeanwhile is the refusal of a call that the engine had let in just before its death.
+var diedMeanwhile = &refusal{code: "dead"}
+
 // submit queues a request, or says why it is refused.
 func (e *Engine) submit(g *generation) *refusal {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.dead {
+		return diedMeanwhile
+	}
 	if e.faults.Leaving {
 		return &refusal{http.StatusServiceUnavailable, "leaving", "the engine is leaving and takes no new requests"}
 	}
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -290,6 +290,9 @@
 	if lost := e.Counts().Lost; lost != 4 {
 		t.Fatalf("%d requests were lost", lost)
 	}
+	if refused := e.submit(&generation{model: "m"}); refused != diedMeanwhile {
+		t.Fatal("a dead engine takes a request that it had let in before")
+	}
 	if _, err := r.send(http.MethodGet, "/engine/v1/load", "", nil); err == nil {
 		t.Fatal("a dead engine answers")
 	}
