--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -291,7 +291,7 @@
 }
 
 var (
-	literalSegment   = regexp.MustCompile(`^[A-Za-z0-9._~!$&'()*+,;=:@-]+$`)
+	literalSegment   = regexp.MustCompile(`^[A-Za-z0-9._~!$&'()*+,=:@-]+$`)
 	parameterSegment = regexp.MustCompile(`^\{[a-z][a-z0-9_]*\}$`)
 )
 
