--- a/internal/operations/forward.go
+++ b/internal/operations/forward.go
@@ -52,7 +52,10 @@
 }
 
 func forwardFailed(err error) Outcome {
-	if errors.Is(err, peer.ErrNotSent) || errors.Is(err, peer.ErrUnknownPeer) {
+	if errors.Is(err, peer.ErrUnknownPeer) {
+		return notRun(http.StatusServiceUnavailable, codeUnlisted, "the owner of the key has no known address", retrySoon)
+	}
+	if errors.Is(err, peer.ErrNotSent) {
 		return notRun(http.StatusServiceUnavailable, CodeOwnerAway, "the owner of the key cannot be reached", retrySoon)
 	}
 	o := unknown(http.StatusBadGateway, CodeUnknown, "the link to the owner of the key broke before its answer came")
@@ -171,6 +174,9 @@
 	if !s.holds(c.key.Issued.GetIncarnation()) {
 		return notRun(http.StatusServiceUnavailable, codeNotHolder, "the instance does not hold the records of this id", retrySoon)
 	}
+	if ctx.Err() != nil {
+		return cancelledOutcome(atmostonce.NotRun)
+	}
 	id, w := s.wait(ctx, c.run)
 	if w == nil {
 		return stoppingOutcome()
@@ -212,21 +218,31 @@
 	if h, ok := s.heirs.Get(id.GetIncarnation()); ok {
 		target = h.instance
 	}
-	o := s.askHolder(ctx, c, target)
-	if o.Execution != NotRun || (o.Code != CodeIssuerGone && o.Code != CodeOwnerAway) {
+	o := s.forward(ctx, c, target)
+	if !untaken(o) {
 		return o
 	}
 	// The instance has not taken the request, so that an heir may.
 	s.heirs.Remove(id.GetIncarnation())
 	if h, ok := s.findHeir(ctx, id); ok {
-		o = s.askHolder(ctx, c, h.instance)
+		o = s.forward(ctx, c, h.instance)
 	}
-	if o.Code == CodeIssuerGone {
+	switch o.Code {
+	case codeNotHolder:
 		return issuerGone()
+	case codeUnlisted:
+		// A new issuer may not be listed yet, therefore a repeat is advised.
+		o = issuerGone()
+		o.RetryAfter = retrySoon
 	}
 	return o
 }
 
+// untaken reports whether a forwarded request was certainly not taken by the instance that was asked.
+func untaken(o Outcome) bool {
+	return o.Execution == NotRun && (o.Code == codeNotHolder || o.Code == codeUnlisted || o.Code == CodeOwnerAway || o.Code == CodeStopping)
+}
+
 // holds reports whether this instance answers for the ids of an incarnation.
 func (s *Service) holds(incarnation uint64) bool {
 	s.mu.Lock()
@@ -238,12 +254,3 @@
 func issuerGone() Outcome {
 	return unknown(http.StatusConflict, CodeIssuerGone, "the instance that issued the id has ended; the request may have run and is never run again")
 }
-
-// askHolder forwards to the instance that is taken for the holder. The code CodeIssuerGone with NotRun says that it is not.
-func (s *Service) askHolder(ctx context.Context, c call, instance string) Outcome {
-	o := s.forward(ctx, c, instance)
-	if o.Code == codeNotHolder {
-		o.Code = CodeIssuerGone
-	}
-	return o
-}
--- a/internal/operations/outcome.go
+++ b/internal/operations/outcome.go
@@ -30,6 +30,8 @@
 	CodeOrganisation  = "organisation_unknown"
 	// codeNotHolder is said between instances only.
 	codeNotHolder = "operation_not_holder"
+	// codeUnlisted says inside an instance that the peer has no known address.
+	codeUnlisted = "operation_peer_unlisted"
 )
 
 // Times after which a repeat is worthwhile.
--- a/internal/operations/service.go
+++ b/internal/operations/service.go
@@ -191,7 +191,11 @@
 	if owner == s.o.Network.Self().Instance {
 		return s.runKeyed(ctx, c, p)
 	}
-	return s.forward(ctx, c, owner)
+	o := s.forward(ctx, c, owner)
+	if o.Code == codeUnlisted {
+		o.Code = CodeOwnerAway
+	}
+	return o
 }
 
 // runKeyed runs a request at this instance if it owns the key's slot.
@@ -202,6 +206,9 @@
 	if p.region != s.o.Network.Self().Region || l == nil {
 		return outcomeOf(atmostonce.Reply{Execution: atmostonce.NotRun, Reason: atmostonce.ReasonMoved})
 	}
+	if ctx.Err() != nil {
+		return cancelledOutcome(atmostonce.NotRun)
+	}
 	id, w := s.wait(ctx, c.run)
 	if w == nil {
 		return stoppingOutcome()
