Add benchmarks of operation records and group commit

The bounds of the records were estimates.

At 85 B the former bound of 400,000 records and 16 MiB of answers took 50 of the 64 MB for control state. Now 300,000 records (26 MB) and 8 MiB.

--- /dev/null
+++ b/internal/core/atmostonce/bench_test.go
@@ -0,0 +1,132 @@
+package atmostonce
+
+import (
+	"encoding/binary"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+func benchLog(records int) (*Log, Time) {
+	o := DefaultLogOptions()
+	o.Incarnation = 1
+	o.Answers = NewAnswers(1<<20, 1000)
+	o.Budget = NewBudget(records)
+	l := NewLog(o)
+	now := Time{Boot: 1, Wall: time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC).UnixMilli()}
+	l.Step(now, Opened{})
+	var entry Entry
+	for _, a := range l.Step(now, Listed{}) {
+		if p, ok := a.(Put); ok {
+			entry = p.Entry
+		}
+	}
+	l.Step(now, Written{Token: entry.Token, Result: WriteDone})
+	l.Step(now, Listed{})
+	return l, now
+}
+
+func benchIdent(i int) Ident {
+	var id Ident
+	binary.BigEndian.PutUint64(id.Key[:], uint64(i))
+	return id
+}
+
+// BenchmarkDecision measures the steps of one operation: attempt, group write, send and result. An operation comes each
+// 100 microseconds, the store answers at once.
+func BenchmarkDecision(b *testing.B) {
+	l, now := benchLog(1 << 40)
+	b.ReportAllocs()
+	n, sent := 0, 0
+	var step func(Event)
+	step = func(e Event) {
+		for _, a := range l.Step(now, e) {
+			switch a := a.(type) {
+			case Put:
+				step(Written{Token: a.Entry.Token, Result: WriteDone})
+			case Send:
+				sent++
+				step(Finished{ID: a.ID, Execution: Ran, AnswerBytes: 200})
+			}
+		}
+	}
+	for b.Loop() {
+		n++
+		now.Boot = now.Boot.Add(100 * time.Microsecond)
+		if n%10 == 0 {
+			now.Wall++
+		}
+		step(Attempted{ID: AttemptID(n), Idents: []Ident{benchIdent(n)}, KeyTime: now.Wall})
+	}
+	if sent < n-100 {
+		b.Fatalf("%d of %d operations were sent", sent, n)
+	}
+}
+
+// BenchmarkRepeat measures the decision on a repeat.
+func BenchmarkRepeat(b *testing.B) {
+	l, now := benchLog(1 << 20)
+	for i := range 100_000 {
+		l.recs.put(benchIdent(i).Key, now.Wall, record{state: stateRan})
+	}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		l.Step(now, Attempted{ID: 1, Idents: []Ident{benchIdent(i % 100_000)}, KeyTime: now.Wall})
+	}
+}
+
+// BenchmarkRecordMemory measures the heap that a record takes, with records spread over 26 hours of key time.
+func BenchmarkRecordMemory(b *testing.B) {
+	for _, n := range []int{10_000, 100_000, 400_000} {
+		b.Run(fmt.Sprintf("records=%d", n), func(b *testing.B) {
+			var perRecord float64
+			for b.Loop() {
+				before := heap()
+				l, now := benchLog(n)
+				for i := range n {
+					l.recs.put(benchIdent(i).Key, now.Wall-int64(i%26)*hourMillis, record{state: stateRan})
+				}
+				perRecord = float64(heap()-before) / float64(n)
+				runtime.KeepAlive(l)
+			}
+			b.ReportMetric(perRecord, "B/record")
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkTakeover measures the reading of a log, without the store.
+func BenchmarkTakeover(b *testing.B) {
+	for _, n := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("entries=%d", n), func(b *testing.B) {
+			wall := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC).UnixMilli()
+			var l Listed
+			for i := range n {
+				e := Entry{Sequence: uint64(i + 1), NewestKey: wall, Claims: []Claim{{benchIdent(i), wall}}}
+				if i > 0 {
+					e.Results = []Result{{benchIdent(i - 1).Key, wall, true}}
+				}
+				l.Entries = append(l.Entries, e)
+			}
+			for b.Loop() {
+				o := DefaultLogOptions()
+				o.Answers = NewAnswers(0, 0)
+				o.Budget = NewBudget(1 << 30)
+				log := NewLog(o)
+				now := Time{Boot: 1, Wall: wall}
+				log.Step(now, Opened{})
+				log.Step(now, l)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/entry")
+		})
+	}
+}
--- a/internal/operations/options.go
+++ b/internal/operations/options.go
@@ -49,9 +49,9 @@
 		Clock:  clock.Boot{},
 		Wall:   time.Now,
 		Logger: zap.NewNop(),
-		// A record has 33 bytes beside the overhead of its map, so that the bound stays well under the 64 MB for control state.
-		MaxRecords:     400_000,
-		MaxAnswerBytes: 16 << 20,
+		// 85 bytes a record measured: 26 MB, so that records and answers leave half of the 64 MB for other control state.
+		MaxRecords:     300_000,
+		MaxAnswerBytes: 8 << 20,
 		MaxAnswers:     20_000,
 		StoreTimeout:   time.Second,
 		RunTimeout:     5 * time.Minute,
