Carry the load of each model and service in heartbeats

Heartbeats now carry the expected wait per model and service (about 20 bytes each), and probes measure the one-way latency, which was a constant of 80 ms. Of a region's instances the less loaded of two random ones with a fresh heartbeat is taken; leaving and suspected ones are left out.

--- a/cmd/dogwood-load/commands.go
+++ b/cmd/dogwood-load/commands.go
@@ -76,11 +76,8 @@
 
 // Run prints the table of all scenarios.
 func (c *ratesCommand) Run() error {
-	results, err := rates.All(os.Stdout, c.Seed, c.Duration)
-	if err != nil {
-		return err
-	}
-	return rates.Write(os.Stdout, results)
+	_, err := rates.All(os.Stdout, c.Seed, c.Duration)
+	return err
 }
 
 // runCommand sends load to a running system.
--- a/internal/daemon/regions.go
+++ b/internal/daemon/regions.go
@@ -1,31 +1,41 @@
 package daemon
 
 import (
-	"cmp"
+	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
-	"dogwoodknot.example/dogwoodknot/internal/configsync"
+	"dogwoodknot.example/dogwoodknot/internal/core/membership"
 	"dogwoodknot.example/dogwoodknot/internal/core/routing"
+	"dogwoodknot.example/dogwoodknot/internal/dispatch"
 	"dogwoodknot.example/dogwoodknot/internal/gateway"
 	"dogwoodknot.example/dogwoodknot/internal/members"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
 
-// defaultOneWay is taken for the latency to another region.
-const defaultOneWay = 80 * time.Millisecond
+const (
+	// unknownOneWay is taken for the latency to a region that no probe has measured yet.
+	unknownOneWay = 80 * time.Millisecond
+	// heardFor is how long an instance's last heartbeat is kept. A region that was heard of within this time is still tried
+	// when nothing else can serve a request.
+	heardFor = 2 * time.Minute
+	// freshFor is the age up to which a heartbeat counts for the choice among the instances of a region.
+	freshFor = 5 * time.Second
+)
 
-// regionLoads keeps the last heartbeat payload of each instance, and summarises them by region.
+// regionLoads keeps the last heartbeat of each instance and summarises those of other regions.
 type regionLoads struct {
-	clock  clock.Clock
-	region string
-	source configsync.Source
+	clock    clock.Clock
+	region   string
+	snapshot func() *membership.Snapshot
 
-	mu   sync.Mutex
-	last map[string]heard // by instance
+	mu     sync.Mutex
+	last   map[string]heard         // by instance
+	oneWay map[string]time.Duration // by region, the shortest seen
 }
 
 // heard is the payload of an instance and when it came.
@@ -33,25 +43,40 @@
 	from     peer.Identity
 	at       clock.Instant
 	revision int64
-	load     *wire.LoadSummary
+	pools    []*wire.PoolLoad
 }
 
 var _ gateway.Regions = (*regionLoads)(nil)
 
-func newRegionLoads(c clock.Clock, region string, source configsync.Source) *regionLoads {
-	return &regionLoads{clock: c, region: region, source: source, last: make(map[string]heard)}
+func newRegionLoads(c clock.Clock, region string) *regionLoads {
+	return &regionLoads{clock: c, region: region, last: make(map[string]heard), oneWay: make(map[string]time.Duration)}
 }
 
 func (r *regionLoads) received(from peer.Identity, p members.Payload) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.last[from.Instance] = heard{from: from, at: r.clock.Now(), revision: p.Revision, load: p.Load}
+	now := r.clock.Now()
+	r.last[from.Instance] = heard{from: from, at: now, revision: p.Revision, pools: p.Load.GetPools()}
+	if shortest, ok := r.oneWay[from.Region]; p.RoundTrip > 0 && (!ok || p.RoundTrip/2 < shortest) {
+		r.oneWay[from.Region] = p.RoundTrip / 2
+	}
+	for name, h := range r.last {
+		if now.Sub(h.at) > heardFor {
+			delete(r.last, name)
+		}
+	}
 }
 
-// own returns what this instance's heartbeats carry.
-func (r *regionLoads) own(p *parts) members.Payload {
-	payload := members.Payload{Revision: p.limits.AppliedRevision()}
-	return payload
+// payload returns what this instance's heartbeats carry.
+func payload(revision int64, loads []dispatch.PoolLoad) members.Payload {
+	summary := &wire.LoadSummary{}
+	for _, l := range loads {
+		summary.Pools = append(summary.Pools, &wire.PoolLoad{
+			Name: l.Name, Service: l.Service, WaitMillis: uint32(l.Wait.Milliseconds()), Free: uint32(l.Free),
+		})
+	}
+	slices.SortFunc(summary.Pools, func(a, b *wire.PoolLoad) int { return strings.Compare(a.Name, b.Name) })
+	return members.Payload{Revision: revision, Load: summary}
 }
 
 // reported returns the configuration revision that an incarnation has reported as applied, false if it has reported none.
@@ -66,52 +91,75 @@
 }
 
 // Model returns the regions that serve a model.
-func (r *regionLoads) Model(name string) []routing.RegionLoad {
-	return r.loads(func(region string) bool {
-		for _, e := range r.source.View().General().Endpoints {
-			if e.Region == region && !e.Drain && slices.Contains(e.Models, name) {
-				return true
-			}
-		}
-		return false
-	})
-}
+func (r *regionLoads) Model(name string) []routing.RegionLoad { return r.loads(name, false) }
 
 // Service returns the regions that have a plain service.
-func (r *regionLoads) Service(name string) []routing.RegionLoad {
-	return r.loads(func(region string) bool {
-		for _, e := range r.source.View().General().Endpoints {
-			if e.Region == region && !e.Drain && e.Service == name {
-				return true
-			}
-		}
-		return false
-	})
-}
+func (r *regionLoads) Service(name string) []routing.RegionLoad { return r.loads(name, true) }
 
-// loads returns the last heard instance of each other region that serves.
-func (r *regionLoads) loads(serves func(region string) bool) []routing.RegionLoad {
+// loads returns an instance of each other region that serves, in order of the regions' names.
+func (r *regionLoads) loads(pool string, service bool) []routing.RegionLoad {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	best := make(map[string]heard)
-	for _, h := range r.last {
-		if b, ok := best[h.from.Region]; h.from.Region != r.region && (!ok || h.at > b.at) {
-			best[h.from.Region] = h
-		}
-	}
+	byRegion := make(map[string][]routing.RegionLoad)
 	now := r.clock.Now()
-	var out []routing.RegionLoad
-	for region, h := range best {
-		if !serves(region) {
+	for _, h := range r.last {
+		if h.from.Region == r.region || !r.usable(h.from) {
 			continue
 		}
-		out = append(out, routing.RegionLoad{
-			Region:   region,
-			Instance: h.from.Instance,
-			Age:      now.Sub(h.at),
-			OneWay:   defaultOneWay,
-		})
+		if load := findPool(h.pools, pool, service); load != nil {
+			byRegion[h.from.Region] = append(byRegion[h.from.Region], routing.RegionLoad{
+				Region:   h.from.Region,
+				Instance: h.from.Instance,
+				Wait:     time.Duration(load.GetWaitMillis()) * time.Millisecond,
+				Age:      now.Sub(h.at),
+				OneWay:   r.latency(h.from.Region),
+			})
+		}
+	}
+	out := make([]routing.RegionLoad, 0, len(byRegion))
+	for _, loads := range byRegion {
+		out = append(out, pick(loads))
 	}
-	slices.SortFunc(out, func(a, b routing.RegionLoad) int { return cmp.Compare(a.Region, b.Region) })
+	slices.SortFunc(out, func(a, b routing.RegionLoad) int { return strings.Compare(a.Region, b.Region) })
 	return out
 }
+
+// usable reports whether requests may be sent to an instance: it is neither leaving nor suspected.
+func (r *regionLoads) usable(id peer.Identity) bool {
+	m, known := r.snapshot().Member(id.Instance)
+	return known && m.Incarnation == id.Incarnation && m.Status == membership.Live
+}
+
+func (r *regionLoads) latency(region string) time.Duration {
+	if d, ok := r.oneWay[region]; ok {
+		return d
+	}
+	return unknownOneWay
+}
+
+func findPool(pools []*wire.PoolLoad, name string, service bool) *wire.PoolLoad {
+	for _, p := range pools {
+		if p.GetName() == name && p.GetService() == service {
+			return p
+		}
+	}
+	return nil
+}
+
+// pick returns the less loaded of two random instances with fresh heartbeats, so that the senders don't all take the same
+// one; without fresh ones it returns the freshest.
+func pick(loads []routing.RegionLoad) routing.RegionLoad {
+	slices.SortFunc(loads, func(a, b routing.RegionLoad) int { return int(a.Age - b.Age) })
+	fresh := 0
+	for fresh < len(loads) && loads[fresh].Age <= freshFor {
+		fresh++
+	}
+	if fresh == 0 {
+		return loads[0]
+	}
+	a, b := loads[rand.IntN(fresh)], loads[rand.IntN(fresh)]
+	if b.Wait < a.Wait {
+		return b
+	}
+	return a
+}
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -151,7 +151,7 @@
 }
 
 func (d *Daemon) makeMembers(p *parts) (err error) {
-	p.regions = newRegionLoads(d.clock, d.self.Region, p.syncer)
+	p.regions = newRegionLoads(d.clock, d.self.Region)
 	p.members, err = members.New(members.Options{
 		Network:   p.transport,
 		List:      p.list,
@@ -166,13 +166,17 @@
 			PeerAddr:    d.PeerAddr(),
 			OperatorURL: or(d.settings.AdvertiseOperatorAddr, d.settings.OperatorAddr),
 		},
-		Payload:   func() members.Payload { return p.regions.own(p) },
+		Payload:   func() members.Payload { return payload(p.limits.AppliedRevision(), p.dispatch.Loads()) },
 		OnPayload: p.regions.received,
 		Logger:    d.log,
 		Scope:     d.metrics.SubScope("members"),
 	})
+	if err != nil {
+		return err
+	}
+	p.regions.snapshot = p.members.Snapshot
 	p.endpoints = newEndpointStates(p.list, p.members, d.log)
-	return err
+	return nil
 }
 
 func (d *Daemon) makeLimits(p *parts) (err error) {
@@ -272,7 +276,7 @@
 		{name: nameTransport,
 			start: func(context.Context) error { p.transport.Start(); return nil }, stop: p.transport.Close},
 		{name: nameConfig, requires: []string{nameTransport}, start: p.syncer.Start, stop: p.syncer.Stop},
-		{name: nameMembers, requires: []string{nameConfig},
+		{name: nameMembers, requires: []string{nameConfig, nameDispatch},
 			start: func(ctx context.Context) error { p.members.Start(); p.endpoints.start(); return nil },
 			stop:  func(context.Context) error { p.endpoints.stop(); p.members.Close(); return nil }},
 		{name: nameLimits, requires: []string{nameMembers}, start: p.limits.Start, stop: p.limits.Stop},
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
@@ -293,3 +294,35 @@
 	wait, _ := d.wait(p, w, d.opts.Clock.Now())
 	return wait
 }
+
+// PoolLoad is the load of the endpoints that serve a model or a plain service.
+type PoolLoad struct {
+	Name    string
+	Service bool
+	Wait    time.Duration // expected time until work is begun; 0 if nothing waits or it is not known
+	Free    int           // places in batches
+}
+
+// Loads returns the load of every model and service that this region serves, in no order.
+func (d *Dispatcher) Loads() []PoolLoad {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.opts.Clock.Now()
+	out := make([]PoolLoad, 0, len(d.pools))
+	for name, p := range d.pools {
+		free := 0
+		for _, e := range p.endpoints {
+			if d.takesWork(e) {
+				free += max(e.config.Slots-e.load.inFlight-e.load.foreignNow(now), 0)
+			}
+		}
+		// The class that is served last gives the longest wait, which another region should count with.
+		wait, _ := d.wait(p, &work{weight: 1, class: fairqueue.Long}, now)
+		service, isService := strings.CutPrefix(name, servicePrefix)
+		if isService {
+			name = service
+		}
+		out = append(out, PoolLoad{Name: name, Service: isService, Wait: wait, Free: free})
+	}
+	return out
+}
--- a/internal/members/options.go
+++ b/internal/members/options.go
@@ -26,6 +26,8 @@
 type Payload struct {
 	Revision int64 // configuration in force
 	Load     *wire.LoadSummary
+	// RoundTrip is the time of the probe that brought the payload, 0 if the other side sent the probe.
+	RoundTrip time.Duration
 }
 
 // Options configure a Service. Zero fields take the defaults, except for those marked as required.
--- a/internal/members/probe.go
+++ b/internal/members/probe.go
@@ -60,8 +60,8 @@
 }
 
 // receive takes a heartbeat of another instance.
-func (s *Service) receive(from peer.Identity, hb *wire.Heartbeat) {
-	s.options.OnPayload(from, Payload{Revision: hb.GetRevision(), Load: hb.GetLoad()})
+func (s *Service) receive(from peer.Identity, hb *wire.Heartbeat, roundTrip time.Duration) {
+	s.options.OnPayload(from, Payload{Revision: hb.GetRevision(), Load: hb.GetLoad(), RoundTrip: roundTrip})
 	if s.shouldSync(from, hb) {
 		s.spawn(func() { s.sync(from.Instance) })
 	}
@@ -104,7 +104,7 @@
 		core.Contact(now, row)
 		return nil
 	})
-	s.receive(from, hb)
+	s.receive(from, hb, 0)
 	return s.heartbeat(), nil
 }
 
@@ -114,6 +114,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, s.options.Params.ProbeTimeout)
 	defer cancel()
 	hb := &wire.Heartbeat{}
+	sent := s.clock.Now()
 	err := s.network.Call(ctx, p.Target.Instance, serviceProbe, s.heartbeat(), hb)
 	if s.ctx.Err() != nil {
 		return false
@@ -131,7 +132,7 @@
 	if answer == nil {
 		return false
 	}
-	s.receive(s.identityOf(p.Target.Instance, hb.GetIncarnation()), hb)
+	s.receive(s.identityOf(p.Target.Instance, hb.GetIncarnation()), hb, s.clock.Now().Sub(sent))
 	return answer.Incarnation == p.Target.Incarnation
 }
 
