--- a/internal/standin/markers.go
+++ b/internal/standin/markers.go
@@ -17,7 +17,7 @@
 type MarkerReport struct {
 	Marker string   `json:"marker"`
 	Seen   int      `json:"seen"`  // requests that contained it
-	Where  []string `json:"where"` // such as "header Authorization", "query", "path", "body"
+	Where  []string `json:"where"` // such as "header Authorization", "trailer X", "query", "path", "body"
 }
 
 // Markers records whether requests contain given strings, such as a caller's key. Requests to /standin/ are not searched.
@@ -98,10 +98,10 @@
 // places lists the parts of a request that contain the marker.
 func places(r *http.Request, body []byte, marker string) []string {
 	var where []string
-	for name, values := range r.Header {
-		if strings.Contains(name+"\n"+strings.Join(values, "\n"), marker) {
-			where = append(where, "header "+name)
-		}
+	where = append(where, placesIn("header ", r.Header, marker)...)
+	where = append(where, placesIn("trailer ", r.Trailer, marker)...)
+	if user, password, ok := r.BasicAuth(); ok && strings.Contains(user+":"+password, marker) {
+		where = append(where, "header Authorization") // base64 hides it from the search above
 	}
 	if strings.Contains(r.Host, marker) {
 		where = append(where, "header Host")
@@ -118,6 +118,16 @@
 	return where
 }
 
+func placesIn(kind string, h http.Header, marker string) []string {
+	var where []string
+	for name, values := range h {
+		if strings.Contains(name+"\n"+strings.Join(values, "\n"), marker) {
+			where = append(where, kind+name)
+		}
+	}
+	return where
+}
+
 func unescape(query string) string {
 	s, err := url.QueryUnescape(query)
 	if err != nil {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,12 @@
 // readHeaderTimeout bounds the time in which a client of a stand-in must send its header.
 const readHeaderTimeout = 10 * time.Second
 
+// A restart at the same address is tried for two seconds.
+const (
+	restartAttempts = 40
+	restartPause    = 50 * time.Millisecond
+)
+
 // Listener serves a handler on one address. It can be killed and started again at that address.
 type Listener struct {
 	handler http.Handler
@@ -31,7 +38,7 @@
 	mu     sync.Mutex
 	addr   string
 	server *http.Server
-	done   chan struct{}
+	done   chan struct{} // closed when server has ended; nil before the first start
 }
 
 // Listen serves h on a free port of 127.0.0.1.
@@ -64,6 +71,14 @@
 		return nil
 	}
 	ln, err := net.Listen("tcp", l.addr)
+	for range restartAttempts {
+		if l.done == nil || !errors.Is(err, syscall.EADDRINUSE) {
+			break
+		}
+		// An outgoing connection of this machine may have the port for a moment.
+		time.Sleep(restartPause)
+		ln, err = net.Listen("tcp", l.addr)
+	}
 	if err != nil {
 		return errors.Wrap(err, "listen for a stand-in")
 	}
--- a/internal/standin/service_test.go
+++ b/internal/standin/service_test.go
@@ -86,10 +86,15 @@
 func TestMarkers(t *testing.T) {
 	const key = "dk_r1_s3cret/+"
 	places := map[string]func(*http.Request){
-		"header Authorization": func(q *http.Request) { q.Header.Set("Authorization", "Bearer "+key) },
-		"header Cookie":        func(q *http.Request) { q.Header.Set("Cookie", "k="+key) },
-		"query":                func(q *http.Request) { q.URL.RawQuery = "key=dk_r1_s3cret%2F%2B" },
-		"path":                 func(q *http.Request) { q.URL.Path = "/" + key },
+		"header Authorization":  func(q *http.Request) { q.Header.Set("Authorization", "Bearer "+key) },
+		"header Authorization ": func(q *http.Request) { q.SetBasicAuth("caller", key) },
+		"trailer X-Key": func(q *http.Request) {
+			q.Body = io.NopCloser(strings.NewReader("body"))
+			q.Trailer = http.Header{"X-Key": {key}}
+		},
+		"header Cookie": func(q *http.Request) { q.Header.Set("Cookie", "k="+key) },
+		"query":         func(q *http.Request) { q.URL.RawQuery = "key=dk_r1_s3cret%2F%2B" },
+		"path":          func(q *http.Request) { q.URL.Path = "/" + key },
 		"body": func(q *http.Request) {
 			q.Body = io.NopCloser(strings.NewReader(strings.Repeat(" ", 100_000) + key))
 		},
@@ -118,7 +123,7 @@
 				if report.Seen != 0 {
 					t.Fatalf("report is %+v", report)
 				}
-			} else if report.Seen != 1 || len(report.Where) != 1 || report.Where[0] != place {
+			} else if report.Seen != 1 || len(report.Where) != 1 || report.Where[0] != strings.TrimSpace(place) {
 				t.Fatalf("report is %+v", report)
 			}
 			if s.Executions().Total != 1 {
