--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -43,6 +43,8 @@
 type Options struct {
 	// RetryFor bounds how long a write is repeated while the store is unavailable or its outcome unknown. Default 15 s.
 	RetryFor time.Duration
+	// RetryPause is the first pause between repeated calls; later ones are longer, up to 40 times. Default 50 ms.
+	RetryPause time.Duration
 	// Now is the time written into heads. Default time.Now.
 	Now func() time.Time
 	// NewToken returns a value that is unique to a write. Default a random UUID.
@@ -60,6 +62,9 @@
 	if opts.RetryFor <= 0 {
 		opts.RetryFor = 15 * time.Second
 	}
+	if opts.RetryPause <= 0 {
+		opts.RetryPause = 50 * time.Millisecond
+	}
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
@@ -146,7 +151,7 @@
 			return struct{}{}, backoff.Permanent(err)
 		}
 		return struct{}{}, err
-	}, backoff.WithMaxElapsedTime(s.opts.RetryFor), backoff.WithBackOff(newBackOff()))
+	}, backoff.WithMaxElapsedTime(s.opts.RetryFor), backoff.WithBackOff(s.newBackOff()))
 	var permanent *backoff.PermanentError
 	if errors.As(err, &permanent) {
 		return permanent.Unwrap()
@@ -158,10 +163,10 @@
 	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknownOutcome)
 }
 
-func newBackOff() *backoff.ExponentialBackOff {
+func (s *Store) newBackOff() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = 50 * time.Millisecond
-	b.MaxInterval = 2 * time.Second
+	b.InitialInterval = s.opts.RetryPause
+	b.MaxInterval = 40 * s.opts.RetryPause
 	return b
 }
 
