Read content at boot from peers, and keep what a failed read has brought

A boot reads about 257 parts. When a whole fleet of 390 starts at once, that is 100,000 reads, 50 s of the store's rate; and a refused call threw away all others. Content is named by its digest, so it may come from any instance: a boot now asks one neighbour first and reads the rest from the store. Parts that were read before a failure are kept for the next attempt.

In the test a second instance boots with at most 5 reads of the store.

--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -108,7 +108,7 @@
 	return shardPrefix + string(d)
 }
 
-// Content reads the named parts of a head and checks their digests.
+// Content reads the named parts of a head and checks their digests. With an error it returns the parts that were read.
 func (s *Store) Content(ctx context.Context, h *configview.Head, digests []configview.Digest) (map[configview.Digest][]byte, error) {
 	content := make(map[configview.Digest][]byte, len(digests))
 	var mu sync.Mutex
@@ -116,6 +116,9 @@
 	g.SetLimit(readParallelism)
 	for _, d := range digests {
 		g.Go(func() error {
+			if err := ctx.Err(); err != nil {
+				return err // another read has failed
+			}
 			value, err := s.readContent(ctx, keyOf(h, d), d)
 			if err != nil {
 				return err
@@ -126,10 +129,7 @@
 			return nil
 		})
 	}
-	if err := g.Wait(); err != nil {
-		return nil, err
-	}
-	return content, nil
+	return content, g.Wait()
 }
 
 func (s *Store) readContent(ctx context.Context, key string, d configview.Digest) ([]byte, error) {
--- a/internal/configsync/fake_test.go
+++ b/internal/configsync/fake_test.go
@@ -15,12 +15,39 @@
 // fakeKV is the store in memory, with instances that do not reach it.
 type fakeKV struct {
 	*memory.Store
-	mu  sync.Mutex
-	out map[string]bool
+	mu    sync.Mutex
+	out   map[string]bool
+	reads map[string]int
+	limit map[string]int // reads of an instance that succeed; 0 for all
 }
 
 func newFakeKV() *fakeKV {
-	return &fakeKV{Store: memory.NewStore(memory.StoreOptions{}), out: make(map[string]bool)}
+	return &fakeKV{
+		Store: memory.NewStore(memory.StoreOptions{}),
+		out:   make(map[string]bool),
+		reads: make(map[string]int),
+		limit: make(map[string]int),
+	}
+}
+
+func (k *fakeKV) failAfter(name string, reads int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.limit[name] = reads
+}
+
+func (k *fakeKV) readsOf(name string) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.reads[name]
+}
+
+// read counts a read and reports whether it fails.
+func (k *fakeKV) read(name string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.reads[name]++
+	return k.out[name] || k.limit[name] > 0 && k.reads[name] > k.limit[name]
 }
 
 func (k *fakeKV) setOut(name string, out bool) {
@@ -44,7 +71,7 @@
 var _ platform.Store = (*client)(nil)
 
 func (c *client) Get(ctx context.Context, key string) (platform.Entry, error) {
-	if c.isOut(c.name) {
+	if c.read(c.name) {
 		return platform.Entry{}, platform.ErrUnavailable
 	}
 	return c.Store.Get(ctx, key)
--- a/internal/configsync/holder.go
+++ b/internal/configsync/holder.go
@@ -26,10 +26,12 @@
 	// newest are the digests that the head in force names and the one before did not.
 	newest []configview.Digest
 	queue  *publisher
+	// stash holds content (gzip) of a head that could be read in part only, so that the next attempt reads the rest.
+	stash map[configview.Digest][]byte
 }
 
 func newHolder(queue *publisher) *holder {
-	h := &holder{state: configview.NewState(), parts: make(map[configview.Digest][]byte), queue: queue}
+	h := &holder{state: configview.NewState(), parts: make(map[configview.Digest][]byte), stash: make(map[configview.Digest][]byte), queue: queue}
 	h.view.Store(h.state.View())
 	return h
 }
@@ -42,15 +44,32 @@
 	if err != nil {
 		return nil, err
 	}
+	kept := make(map[configview.Digest][]byte)
 	var absent []configview.Digest
 	for _, d := range digests {
-		if _, ok := h.parts[d]; !ok {
+		if part, ok := h.stash[d]; ok {
+			kept[d] = part
+		} else if _, ok := h.parts[d]; !ok {
 			absent = append(absent, d)
 		}
 	}
+	h.stash = kept
 	return absent, nil
 }
 
+// keep stores content of a head that is not complete yet.
+func (h *holder) keep(content map[configview.Digest][]byte) {
+	compressed := make(map[configview.Digest][]byte, len(content))
+	for d, c := range content {
+		compressed[d] = compress(c)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for d, part := range compressed {
+		h.stash[d] = part
+	}
+}
+
 // accept puts a higher revision in force. content holds what missing has named, uncompressed.
 func (h *holder) accept(head *configview.Head, content map[configview.Digest][]byte) error {
 	compressed := make(map[configview.Digest][]byte, len(content))
@@ -59,6 +78,9 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	for d, part := range h.stash {
+		compressed[d] = part
+	}
 	if err := h.addHeld(head, content); err != nil {
 		return err
 	}
@@ -67,18 +89,22 @@
 		return err
 	}
 	h.keepParts(head, compressed)
+	clear(h.stash)
 	h.publish(view)
 	return nil
 }
 
-// addHeld completes content with parts that moved from one place of the head to another.
+// addHeld completes content with parts that an earlier attempt has read, or that moved from one place of the head to another.
 func (h *holder) addHeld(head *configview.Head, content map[configview.Digest][]byte) error {
 	digests, err := h.state.Missing(head)
 	if err != nil {
 		return err
 	}
 	for _, d := range digests {
-		part, held := h.parts[d]
+		part, held := h.stash[d]
+		if !held {
+			part, held = h.parts[d]
+		}
 		if _, ok := content[d]; ok || !held {
 			continue
 		}
--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -247,6 +247,9 @@
 		if err != nil {
 			return err
 		}
+		if configview.DigestOf(c) != configview.Digest(p.Digest) {
+			return errors.New("content of a peer does not have the digest that it is sent under")
+		}
 		content[configview.Digest(p.Digest)] = c
 	}
 	return nil
--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -16,6 +16,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/core/configview"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/platform"
+	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
 
 // Options of a Syncer.
@@ -199,7 +200,8 @@
 	s.storeRevision.Store(at)
 }
 
-// bring fetches what a head needs from the store and puts it in force. A head that is not higher is no fault.
+// bring fetches what a head needs and puts it in force. A head that is not higher is no fault. What could be read before a failure
+// is kept for the next attempt.
 func (s *Syncer) bring(ctx context.Context, head *configview.Head) error {
 	missing, err := s.hold.missing(head)
 	if errors.Is(err, configview.ErrNotHigher) {
@@ -208,15 +210,50 @@
 	if err != nil {
 		return err
 	}
+	if len(missing) > maxPushedParts {
+		missing, err = s.askPeer(ctx, head, missing)
+		if errors.Is(err, configview.ErrNotHigher) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
 	call, cancel := context.WithTimeout(ctx, s.opts.CallTimeout+time.Duration(len(missing))*partTimeout)
 	defer cancel()
 	content, err := s.store.Content(call, head, missing)
 	if err != nil {
+		s.hold.keep(content)
 		return err
 	}
 	return s.accept(head, content, "store")
 }
 
+// askPeer reads content from a peer that has much of it in force, and returns what is still missing. When many instances start
+// at once, the store could not serve hundreds of parts to each of them.
+func (s *Syncer) askPeer(ctx context.Context, head *configview.Head, missing []configview.Digest) ([]configview.Digest, error) {
+	names := s.neighbours()
+	if len(names) == 0 {
+		return missing, nil
+	}
+	name := names[rand.IntN(len(names))]
+	digests := make([]string, len(missing))
+	for i, d := range missing {
+		digests[i] = string(d)
+	}
+	parts, err := s.fetchParts(ctx, name, &wire.ConfigFetch{Digests: digests})
+	content := make(map[configview.Digest][]byte, len(parts))
+	if err == nil {
+		err = addParts(content, parts)
+	}
+	if err != nil {
+		s.opts.Log.Debug("no configuration from peer", zap.String("peer", name), zap.Error(err))
+		return missing, nil
+	}
+	s.hold.keep(content)
+	return s.hold.missing(head)
+}
+
 // partTimeout is added to the timeout of a fetch for each part: at boot hundreds are read, and the store answers in milliseconds.
 const partTimeout = 30 * time.Millisecond
 
--- a/internal/configsync/sync_test.go
+++ b/internal/configsync/sync_test.go
@@ -286,3 +286,33 @@
 		}
 	}
 }
+
+// Guards against a start of many instances that reads all content from the store for each of them, and against a read that
+// starts from nothing after each failure.
+func TestBootReadsContentFromPeers(t *testing.T) {
+	f := newFleet(t)
+	f.exchange, f.timeout, f.watch = time.Second, time.Second, time.Second
+	cfg := &config.Config{Regions: []config.Region{{Name: "lima", DataCentres: []string{"lima"}, Slots: 2}}}
+	for i := range 500 {
+		cfg.Organisations = append(cfg.Organisations, config.Organisation{Name: fmt.Sprintf("org-%d", i), Rate: 1, Burst: 1})
+	}
+	r, err := f.store.Apply(t.Context(), cfg, configstore.Change{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.kv.failAfter("lima-0", 100)
+	f.start("lima-0", "lima")
+	if reads := f.kv.readsOf("lima-0"); f.syncers["lima-0"].Ready() == nil || reads < 100 {
+		t.Fatalf("the first boot has not failed in the middle: %d reads", reads)
+	}
+	f.kv.failAfter("lima-0", 1000)
+	f.waitFor(r.Head.Revision)
+	// 222 shards and the general part in two attempts, two reads of the head, and some that were in flight at the failure.
+	if reads := f.kv.readsOf("lima-0"); reads > 300 {
+		t.Errorf("%d reads for 2 attempts", reads)
+	}
+	late := f.start("lima-1", "lima")
+	if reads := f.kv.readsOf("lima-1"); late.Ready() != nil || reads > 5 {
+		t.Errorf("the second boot made %d reads: %v", reads, late.Ready())
+	}
+}
