Keep levels even between holders, and return what a loan no longer needs

Demand is now averaged over 30 s, and rate moves from a tenth of a pair's rate on. - Burst share that came with spent tokens stayed with the borrower, so the giver was full with an empty fleet. It is now returned at once, in parts. - Holders lent to each other in both directions; such loans back each other and cannot be extended. A loan is now reduced before a new one is granted. - More than 24 small loans per pair stopped lending. An extension makes one loan of several. - Tokens were divided by rate; a full holder with little burst share kept them.

--- a/internal/core/ratelimit/handover.go
+++ b/internal/core/ratelimit/handover.go
@@ -38,7 +38,7 @@
 		a.advance(now)
 		for i := len(a.taken) - 1; i >= 0; i-- {
 			x := a.taken[i]
-			if r, ok := l.giveBack(a, i, 0); ok {
+			if r, _, ok := l.giveBack(a, i, x.Share, 0); ok {
 				returns[x.other] = append(returns[x.other], Ask{Organisation: name, Returns: []Return{r}})
 			}
 		}
--- a/internal/core/ratelimit/ledger.go
+++ b/internal/core/ratelimit/ledger.go
@@ -15,7 +15,7 @@
 	// DefaultMargin is added to the giver's count of a term. Crystal clocks drift by up to 200 ppm, which is 2 ms in a term.
 	DefaultMargin = 20 * time.Millisecond
 	// demandWindow is the time constant of the moving average of offered tokens.
-	demandWindow = 3 * time.Second
+	demandWindow = 30 * time.Second
 	// lateExpiry is how late an expired loan may be noticed before charges that it may have paid for become invalid.
 	// The adapter advances every active account each second, so that only a paused process notices later than this.
 	lateExpiry = 3 * time.Second
@@ -63,6 +63,7 @@
 type rules struct {
 	addTwice        bool // a duplicated answer is accepted again
 	lateReturn      bool // returned tokens are accepted after the end of the term
+	returnTwice     bool // tokens of a return are accepted although its share was taken back before
 	receiverLate    bool // the receiver counts the term from the arrival of the loan
 	sendFirst       bool // the giver does not subtract what it lends
 	fullLevel       bool // a gained slot starts with a full level
@@ -87,10 +88,12 @@
 	updated clock.Instant
 	demand  float64 // tokens/s offered, moving average
 	offered clock.Instant
-	open    int    // unsettled charges
-	epoch   uint64 // changes when shares that charges were taken from are gone
-	total   Terms
-	slots   []Slot // that have a share of the organisation, in a fixed order
+	open    int // unsettled charges
+	// openTokens is the sum of the unsettled charges.
+	openTokens float64
+	epoch      uint64 // changes when shares that charges were taken from are gone
+	total      Terms
+	slots      []Slot // that have a share of the organisation, in a fixed order
 	// seen holds the accepted loans until their term ends, since a duplicate may arrive after the loan was given back.
 	seen map[loanKey]clock.Instant
 }
@@ -421,6 +424,7 @@
 	}
 	a.level -= tokens
 	a.open++
+	a.openTokens += tokens
 	l.nextCharge++
 	l.charges[l.nextCharge] = charge{organisation, tokens, a.epoch}
 	return l.nextCharge, true
@@ -445,6 +449,7 @@
 	delete(l.charges, id)
 	if a := l.account(now, c.organisation); a != nil {
 		a.open--
+		a.openTokens -= c.tokens
 		a.level += c.tokens - used
 		a.clip()
 	}
--- a/internal/core/ratelimit/loan.go
+++ b/internal/core/ratelimit/loan.go
@@ -9,16 +9,28 @@
 )
 
 const (
-	// maxWeight is the largest part of a pair's shares that moves to the asking side by demand. The rest lets the giver
-	// serve its first requests without asking.
-	maxWeight = 0.95
-	// minGrant is the smallest part of a total rate or burst that is lent without need, so that small differences cause no loans.
-	minGrant = 0.02
+	// minMove is the smallest part of two holders' rate that moves between them. A loan of rate gains nothing for anyone while
+	// it is on its way (80 ms between regions), so small differences must not move rate to and fro.
+	minMove = 0.1
+	// minIdleMove is the same for a holder whose level is full and whose demand is low: what it gains is lost anyway.
+	minIdleMove = 0.001
+	// minTokens is the smallest part of a burst share that is lent without need or given back.
+	minTokens = 0.02
+	// keepLevel is the part of its tokens that a holder keeps for its own next requests unless others wait for them.
+	keepLevel = 0.1
+	// refundReserve is the part of the open charges that is expected back; burst share is kept for it.
+	refundReserve = 0.25
+	// fullLevel is the part of the burst share from which a holder needs no further tokens.
+	fullLevel = 0.95
+	// negligible is the rate (tokens/s) or burst (tokens) below which a loan is over.
+	negligible = 1e-9
 	// minSubTerm is the shortest term for which taken shares are lent on.
 	minSubTerm = 500 * time.Millisecond
 	// renewBefore is the time before the end of a loan from which it is extended or returned.
 	renewBefore = 5 * time.Second
-	// maxLoansPerPair bounds the loans of one organisation with one other holder.
+	// mergeLoans is the number of loans of one organisation from one holder that are made one with the next ask.
+	mergeLoans = 4
+	// maxLoansPerPair bounds the loans of one organisation with one other holder whose asks for extension are lost.
 	maxLoansPerPair = 24
 )
 
@@ -47,9 +59,11 @@
 	Returns      []Return
 }
 
-// Return gives a loan back before its term ends.
+// Return gives a part of a running loan back, or all of it. The holder that took the loan has dropped the part. A repeated or
+// overtaken return changes nothing more, because the giver takes the smaller share and only tokens that fit into what came back.
 type Return struct {
 	ID     uint64
+	Left   Share // of the loan
 	Tokens float64
 }
 
@@ -61,8 +75,9 @@
 	Term   time.Duration
 }
 
-// Extension gives a running loan a new term, counted from the ask.
+// Extension gives running loans a new term, counted from the ask, as one loan with a new id.
 type Extension struct {
+	IDs  []uint64
 	ID   uint64
 	Term time.Duration
 }
@@ -70,20 +85,31 @@
 // Answer is the reply to an Ask.
 type Answer struct {
 	Loan     *Loan
-	Extended []Extension
-	Returns  []Return // loans that the asking holder had given to this one
+	Extended *Extension
+	Returns  []Return // of loans that the asking holder had given to this one
 	Holders  []string // holders that this one has lent to; they may have tokens
 }
 
-// Ask returns the state to send with a request for a loan.
-func (l *Ledger) Ask(now clock.Instant, organisation string, need float64, fanout int) Ask {
+// Ask returns the state to send to a giver with a request for a loan. Several loans from it are extended on the way, which
+// makes one of them.
+func (l *Ledger) Ask(now clock.Instant, organisation, giver string, need float64, fanout int) Ask {
 	a := l.account(now, organisation)
 	if a == nil {
 		return Ask{Organisation: organisation, Fanout: fanout}
 	}
-	return Ask{
+	ask := Ask{
 		Organisation: organisation, Need: need, Level: a.level, Share: a.share(), Demand: a.demandAt(now), Fanout: fanout,
 	}
+	ask.Returns = l.returnExcess(a, giver)
+	ask.Share = a.share()
+	if count(a.taken, giver) >= mergeLoans {
+		for _, x := range a.taken {
+			if x.other == giver {
+				ask.Extend = append(ask.Extend, x.ID)
+			}
+		}
+	}
+	return ask
 }
 
 // Grant answers an ask: it gives back loans of the asking holder first, and lends from its own share for the rest.
@@ -96,77 +122,100 @@
 	for _, r := range ask.Returns {
 		l.takeReturn(a, from, r)
 	}
-	for _, id := range ask.Extend {
-		if term, ok := l.extend(now, a, from, id); ok {
-			answer.Extended = append(answer.Extended, Extension{id, term})
-		}
-	}
+	answer.Extended = l.extend(now, a, from, ask.Extend)
 	for _, x := range a.given {
 		if x.other != from && !slices.Contains(answer.Holders, x.other) {
 			answer.Holders = append(answer.Holders, x.other)
 		}
 	}
-	want, tokens := l.wanted(now, a, ask)
-	if tokens <= 0 && want.Rate <= 0 && want.Burst <= 0 {
-		return answer
+	if ask.Fanout == 0 {
+		return answer // only gives back or extends
 	}
-	for i := 0; i < len(a.taken) && (tokens > 0 || want.Rate > 0); {
-		x := a.taken[i]
-		if x.other != from {
-			i++
+	rate, tokens := l.wanted(now, a, ask)
+	want := Share{rate, math.Max(tokens, l.burstFor(a, rate)+l.burstLack(a, ask))}
+	for i := len(a.taken) - 1; i >= 0 && (want.Rate > 0 || tokens > 0); i-- {
+		if a.taken[i].other != from {
 			continue
 		}
-		r, ok := l.giveBack(a, i, tokens)
-		if !ok {
-			i++
-			continue
+		if r, drop, ok := l.giveBack(a, i, want, tokens); ok {
+			answer.Returns = append(answer.Returns, r)
+			want = Share{math.Max(0, want.Rate-drop.Rate), math.Max(0, want.Burst-drop.Burst)}
+			tokens = math.Max(0, tokens-r.Tokens)
 		}
-		answer.Returns = append(answer.Returns, r)
-		tokens -= r.Tokens
-		want = want.minus(x.Share)
 	}
 	answer.Loan = l.lend(now, a, from, want, tokens)
 	return answer
 }
 
-// wanted returns the share and tokens that should move to the asking holder: by demand, and at least what it needs.
-func (l *Ledger) wanted(now clock.Instant, a *account, ask Ask) (Share, float64) {
-	weight := 0.5
-	demand := a.demandAt(now)
-	if sum := demand + ask.Demand; sum > 0 {
-		weight = math.Min(maxWeight, ask.Demand/sum)
-	}
-	part := 1 / math.Max(1, float64(ask.Fanout))
+// burstLack returns the burst share that the asking holder lacks for its rate and that this one has beyond its own.
+func (l *Ledger) burstLack(a *account, ask Ask) float64 {
 	mine := a.share()
+	lack := l.burstFor(a, ask.Share.Rate) - ask.Share.Burst
+	spare := math.Min(mine.Burst-l.burstFor(a, mine.Rate), a.free().Burst)
+	if lack = math.Min(lack, spare); lack < minTokens*a.total.Burst {
+		return 0
+	}
+	return lack / float64(ask.Fanout)
+}
+
+// burstFor returns the part of the burst that belongs to a part of the rate.
+func (l *Ledger) burstFor(a *account, rate float64) float64 {
+	if a.total.Rate <= 0 {
+		return 0
+	}
+	return a.total.Burst * rate / a.total.Rate
+}
+
+// free returns the share that is neither needed for loans given nor for the tokens here and the refunds expected.
+func (a *account) free() Share {
+	s := a.share()
+	return Share{s.Rate, math.Max(0, s.Burst-math.Max(0, a.level)-refundReserve*a.openTokens)}
+}
+
+// wanted returns the rate and tokens that should move to the asking holder: rate by demand, tokens by rate, and at least the
+// tokens that its waiting requests lack.
+func (l *Ledger) wanted(now clock.Instant, a *account, ask Ask) (rate, tokens float64) {
+	mine, demand := a.share(), a.demandAt(now)
 	level, theirs := math.Max(0, a.level), math.Max(0, ask.Level)
-	want := Share{
-		Rate:  (weight*(mine.Rate+ask.Share.Rate) - ask.Share.Rate) * part,
-		Burst: (weight*(mine.Burst+ask.Share.Burst) - ask.Share.Burst) * part,
+	part := 1 / math.Max(1, float64(ask.Fanout))
+	pair := mine.Rate + ask.Share.Rate
+	smallest := minMove
+	if level >= fullLevel*mine.Burst && demand < 0.5*mine.Rate {
+		smallest = minIdleMove
 	}
-	tokens := (weight*(level+theirs) - theirs) * part
-	if want.Rate < minGrant*a.total.Rate {
-		want.Rate = 0
+	if sum := demand + ask.Demand; sum > 0 {
+		rate = pair*ask.Demand/sum - ask.Share.Rate
+	}
+	if rate < smallest*pair {
+		rate = 0
 	}
-	if want.Burst < minGrant*a.total.Burst {
-		want.Burst = 0
+	rate *= part
+	if bursts := mine.Burst + ask.Share.Burst; bursts > 0 {
+		tokens = (level+theirs)*ask.Share.Burst/bursts - theirs
+		tokens = math.Min(tokens, (1-keepLevel)*level)
+		if tokens < minTokens*bursts {
+			tokens = 0
+		}
+		tokens *= part
 	}
-	if tokens < minGrant*a.total.Burst {
-		tokens = 0
+	if mine.Rate > 0 {
+		// Rate moves with its part of the tokens, so that both holders stay as full as they are.
+		tokens = math.Max(tokens, level*math.Min(1, rate/mine.Rate))
 	}
-	tokens = math.Min(math.Max(tokens, ask.Need), level)
-	want.Burst = math.Max(want.Burst, tokens)
-	return want, tokens
+	return rate, math.Min(math.Max(tokens, ask.Need), level)
 }
 
 // lend subtracts a loan from the account and returns it, or nil if there is nothing to lend.
 func (l *Ledger) lend(now clock.Instant, a *account, to string, want Share, tokens float64) *Loan {
 	mine := a.share()
 	tokens = math.Max(0, math.Min(tokens, a.level))
+	tokens = math.Min(tokens, mine.Burst)
+	// Burst share that holds the remaining tokens stays.
+	spare := mine.Burst - math.Max(0, a.level-tokens)
 	give := Share{
 		Rate:  math.Max(0, math.Min(want.Rate, mine.Rate)),
-		Burst: math.Max(0, math.Min(math.Max(want.Burst, tokens), mine.Burst)),
+		Burst: math.Max(tokens, math.Min(want.Burst, spare)),
 	}
-	tokens = math.Min(tokens, give.Burst)
 	if give.Rate <= 0 && give.Burst <= 0 {
 		return nil
 	}
@@ -202,45 +251,85 @@
 	return shortest - l.opts.Margin
 }
 
-// extend gives a loan a new term, unless the account no longer has what it lent.
-func (l *Ledger) extend(now clock.Instant, a *account, to string, id uint64) (time.Duration, bool) {
-	i := slices.IndexFunc(a.given, func(x loan) bool { return x.other == to && x.ID == id })
-	if i < 0 {
-		return 0, false
+// extend makes one loan with a new term of the given loans, unless the account no longer has what it lent. If the answer is
+// lost, the receiver drops the loans at their old end, which is earlier.
+func (l *Ledger) extend(now clock.Instant, a *account, to string, ids []uint64) *Extension {
+	merged := loan{other: to}
+	var found []uint64
+	for _, x := range a.given {
+		if x.other == to && slices.Contains(ids, x.ID) {
+			found = append(found, x.ID)
+			merged.Share = merged.plus(x.Share)
+			merged.until = max(merged.until, x.until)
+		}
+	}
+	if len(found) == 0 {
+		return nil
 	}
 	term := l.opts.Term
 	if free := a.own.minus(a.givenS); free.Rate < 0 || free.Burst < 0 {
 		if total := free.plus(a.takenS); total.Rate < 0 || total.Burst < 0 {
-			return 0, false
+			return nil
 		}
 		term = min(term, l.subTerm(now, a))
 		if term < minSubTerm {
-			return 0, false
+			return nil
 		}
 	}
-	a.given[i].until = max(a.given[i].until, now.Add(term+l.opts.Margin))
-	return term, true
+	l.nextLoan++
+	merged.ID = l.nextLoan
+	merged.until = max(merged.until, now.Add(term+l.opts.Margin))
+	a.given = slices.DeleteFunc(a.given, func(x loan) bool { return x.other == to && slices.Contains(found, x.ID) })
+	a.given = append(a.given, merged)
+	a.sum()
+	return &Extension{found, merged.ID, term}
 }
 
-// giveBack removes the taken loan i from the account and returns it with up to the wanted tokens. It reports false if shares
-// given on depend on it.
-func (l *Ledger) giveBack(a *account, i int, tokens float64) (Return, bool) {
-	x := a.taken[i]
-	left := a.own.plus(a.takenS).minus(a.givenS).minus(x.Share)
-	if left.Rate < 0 || left.Burst < 0 {
-		return Return{}, false
+// acceptExtension replaces those of the extended loans that are still here by one loan.
+func (l *Ledger) acceptExtension(asked clock.Instant, a *account, from string, e Extension) {
+	merged := loan{ID: e.ID, other: from}
+	rest := slices.DeleteFunc(slices.Clone(a.taken), func(x loan) bool {
+		found := x.other == from && slices.Contains(e.IDs, x.ID)
+		if found {
+			merged.Share = merged.plus(x.Share)
+			merged.until = max(merged.until, asked.Add(e.Term))
+		}
+		return found
+	})
+	if len(rest) == len(a.taken) {
+		return
+	}
+	a.taken = append(rest, merged)
+	a.sum()
+}
+
+// giveBack drops up to a share of the taken loan i and returns it with tokens. It reports false if nothing can be dropped.
+func (l *Ledger) giveBack(a *account, i int, want Share, tokens float64) (Return, Share, bool) {
+	x, mine := &a.taken[i], a.share()
+	level := math.Max(0, a.level)
+	tokens = math.Min(tokens, math.Min(x.Burst, level))
+	drop := Share{
+		Rate:  math.Max(0, math.Min(want.Rate, math.Min(x.Rate, mine.Rate))),
+		Burst: math.Max(0, math.Min(math.Max(want.Burst, tokens), math.Min(x.Burst, mine.Burst))),
+	}
+	if drop.Rate < negligible && drop.Burst < negligible {
+		return Return{}, Share{}, false
 	}
 	// Tokens that no longer fit the remaining burst share go along.
-	tokens = math.Max(tokens, a.level-left.Burst)
-	tokens = math.Max(0, math.Min(tokens, math.Min(a.level, x.Burst)))
-	a.taken = slices.Delete(a.taken, i, i+1)
+	tokens = math.Min(drop.Burst, math.Max(tokens, level-(mine.Burst-drop.Burst)))
+	x.Share = x.minus(drop)
+	r := Return{x.ID, x.Share, tokens}
+	if x.Rate < negligible && x.Burst < negligible {
+		a.taken = slices.Delete(a.taken, i, i+1)
+	}
 	a.sum()
 	a.level -= tokens
 	a.clip()
-	return Return{ID: x.ID, Tokens: tokens}, true
+	return r, drop, true
 }
 
-// takeReturn takes a given loan back. After its term it is ignored: the share is already back, and more tokens would exceed it.
+// takeReturn takes a part of a given loan back. After its term it is ignored: the share is already back, and more tokens would
+// exceed it.
 func (l *Ledger) takeReturn(a *account, from string, r Return) {
 	i := slices.IndexFunc(a.given, func(x loan) bool { return x.other == from && x.ID == r.ID })
 	if i < 0 {
@@ -249,10 +338,18 @@
 		}
 		return
 	}
-	tokens := math.Min(r.Tokens, a.given[i].Burst)
-	a.given = slices.Delete(a.given, i, i+1)
+	x := &a.given[i]
+	left := x.min(r.Left)
+	tokens := math.Min(r.Tokens, x.Burst-left.Burst)
+	if l.rules.returnTwice {
+		tokens = r.Tokens
+	}
+	x.Share = left
+	if left.Rate < negligible && left.Burst < negligible {
+		a.given = slices.Delete(a.given, i, i+1)
+	}
 	a.sum()
-	a.level += tokens
+	a.level += math.Max(0, tokens)
 	a.clip()
 }
 
@@ -265,11 +362,8 @@
 	for _, r := range answer.Returns {
 		l.takeReturn(a, from, r)
 	}
-	for _, e := range answer.Extended {
-		i := slices.IndexFunc(a.taken, func(x loan) bool { return x.other == from && x.ID == e.ID })
-		if i >= 0 {
-			a.taken[i].until = max(a.taken[i].until, asked.Add(e.Term))
-		}
+	if answer.Extended != nil {
+		l.acceptExtension(asked, a, from, *answer.Extended)
 	}
 	if answer.Loan != nil {
 		l.acceptLoan(now, asked, a, from, *answer.Loan)
@@ -329,6 +423,11 @@
 		return byGiver[giver]
 	}
 	demand := a.demandAt(now)
+	for _, giver := range a.givers() {
+		if returns := l.returnExcess(a, giver); len(returns) > 0 {
+			ask(giver).Returns = returns
+		}
+	}
 	for i := 0; i < len(a.taken); {
 		x := a.taken[i]
 		if x.until.Sub(now) > renewBefore {
@@ -340,26 +439,78 @@
 			i++
 			continue
 		}
-		r, ok := l.giveBack(a, i, a.level*part(x.Burst, a.share().Burst))
-		if !ok {
-			ask(x.other).Extend = append(ask(x.other).Extend, x.ID)
+		r, _, ok := l.giveBack(a, i, x.Share, a.level*part(x.Burst, a.share().Burst))
+		if ok {
+			ask(x.other).Returns = append(ask(x.other).Returns, r)
+		}
+		if r.Left.Rate > 0 || r.Left.Burst > 0 || !ok {
 			i++
-			continue
 		}
-		ask(x.other).Returns = append(ask(x.other).Returns, r)
 	}
-	// A holder that gains tokens faster than they are asked for, or is half full, needs no more.
-	if demand > 0 && (a.level < 0.5*a.share().Burst || demand > a.share().Rate) {
-		for _, giver := range owners(name) {
-			ask(giver)
+	if a.needsMore(demand) {
+		givers := owners(name)
+		for _, giver := range givers {
+			ask(giver).Fanout = len(givers)
 		}
 	}
 	for giver, x := range byGiver {
-		x.Level, x.Share, x.Demand, x.Fanout = a.level, a.share(), demand, len(byGiver)
+		x.Level, x.Share, x.Demand = a.level, a.share(), demand
 		out[giver] = append(out[giver], *x)
 	}
 }
 
+// givers returns the holders that this one has taken loans from.
+func (a *account) givers() []string {
+	var out []string
+	for _, x := range a.taken {
+		if !slices.Contains(out, x.other) {
+			out = append(out, x.other)
+		}
+	}
+	return out
+}
+
+// Excess gives the burst share back that came with a holder's loan and is not needed any more. The caller sends the returns to
+// the giver at once: until then its level is limited by the burst share that it lent.
+func (l *Ledger) Excess(now clock.Instant, organisation, giver string) (Ask, bool) {
+	a := l.account(now, organisation)
+	if a == nil {
+		return Ask{}, false
+	}
+	returns := l.returnExcess(a, giver)
+	return Ask{Organisation: organisation, Returns: returns}, len(returns) > 0
+}
+
+// returnExcess gives back burst share taken from a holder that exceeds what belongs to the rate share here and what the tokens
+// and expected refunds need.
+func (l *Ledger) returnExcess(a *account, giver string) []Return {
+	excess := math.Min(a.free().Burst, a.share().Burst-l.burstFor(a, a.share().Rate))
+	if excess < minTokens*a.total.Burst {
+		return nil
+	}
+	var out []Return
+	for i := len(a.taken) - 1; i >= 0 && excess > 0; i-- {
+		if a.taken[i].other != giver {
+			continue
+		}
+		if r, drop, ok := l.giveBack(a, i, Share{0, excess}, 0); ok {
+			out = append(out, r)
+			excess -= drop.Burst
+		}
+	}
+	return out
+}
+
+// needsMore reports whether the holder should ask for more without a waiting request. Most organisations use little of their
+// rate and never ask.
+func (a *account) needsMore(demand float64) bool {
+	s := a.share()
+	if demand <= 0 || a.level >= fullLevel*s.Burst && s.Burst >= 0.8*a.total.Burst*part(s.Rate, a.total.Rate) {
+		return false
+	}
+	return a.level < 0.5*s.Burst || demand > 0.5*s.Rate
+}
+
 func part(a, b float64) float64 {
 	if b <= 0 {
 		return 0
--- a/internal/core/ratelimit/pull.go
+++ b/internal/core/ratelimit/pull.go
@@ -61,6 +61,10 @@
 	Timers   []Timer
 }
 
+// maxRounds is how often a request asks all holders. In the first round the tokens may be on their way to another holder that
+// asks at the same time.
+const maxRounds = 2
+
 // stage is a step of a round.
 type stage int
 
@@ -86,6 +90,7 @@
 	id          uint64
 	tokens      float64
 	crossRegion bool
+	rounds      int
 }
 
 // NewPuller returns a puller for a ledger.
@@ -102,7 +107,7 @@
 		x = &pull{stage: stageEnd}
 		p.pulls[organisation] = x
 	}
-	x.waiters = append(x.waiters, waiter{id, tokens, crossRegion})
+	x.waiters = append(x.waiters, waiter{id: id, tokens: tokens, crossRegion: crossRegion})
 	if len(x.waiters) == 1 {
 		p.proceed(now, organisation, x, &do)
 	}
@@ -169,7 +174,13 @@
 				p.ask(now, organisation, x, far, p.opts.CrossRegionTimeout, do)
 			}
 		default:
-			p.refuse(now, organisation, x, do, func(waiter) bool { return true })
+			for i := range x.waiters {
+				if x.waiters[i].id <= x.batch {
+					x.waiters[i].rounds++
+				}
+			}
+			p.refuse(now, organisation, x, do, func(w waiter) bool { return w.rounds >= maxRounds })
+			x.batch = 0
 		}
 	}
 }
@@ -204,11 +215,11 @@
 	if len(names) == 0 {
 		return
 	}
-	ask := p.ledger.Ask(now, organisation, p.missing(now, organisation, x), len(names))
+	need := p.missing(now, organisation, x)
 	x.pending = map[string]bool{}
 	for _, name := range names {
 		x.pending[name] = true
-		do.Sends = append(do.Sends, Send{name, ask})
+		do.Sends = append(do.Sends, Send{name, p.ledger.Ask(now, organisation, name, need, len(names))})
 	}
 	p.next++
 	x.timer = p.next
--- a/internal/limits/messages.go
+++ b/internal/limits/messages.go
@@ -24,6 +24,9 @@
 }
 
 func shareToWire(s ratelimit.Share) *wire.RateShare {
+	if s == (ratelimit.Share{}) {
+		return nil
+	}
 	return &wire.RateShare{Rate: s.Rate, Burst: s.Burst}
 }
 
@@ -34,7 +37,7 @@
 func returnsToWire(in []ratelimit.Return) []*wire.LoanReturn {
 	var out []*wire.LoanReturn
 	for _, r := range in {
-		out = append(out, &wire.LoanReturn{Id: r.ID, Tokens: r.Tokens})
+		out = append(out, &wire.LoanReturn{Id: r.ID, Tokens: r.Tokens, Left: shareToWire(r.Left)})
 	}
 	return out
 }
@@ -42,7 +45,7 @@
 func returnsFromWire(in []*wire.LoanReturn) []ratelimit.Return {
 	var out []ratelimit.Return
 	for _, r := range in {
-		out = append(out, ratelimit.Return{ID: r.GetId(), Tokens: amount(r.GetTokens())})
+		out = append(out, ratelimit.Return{ID: r.GetId(), Tokens: amount(r.GetTokens()), Left: shareFromWire(r.GetLeft())})
 	}
 	return out
 }
@@ -68,8 +71,8 @@
 			Id: a.Loan.ID, Share: shareToWire(a.Loan.Share), Tokens: a.Loan.Tokens, TermNanos: int64(a.Loan.Term),
 		}
 	}
-	for _, e := range a.Extended {
-		out.Extended = append(out.Extended, &wire.LoanExtension{Id: e.ID, TermNanos: int64(e.Term)})
+	if e := a.Extended; e != nil {
+		out.Extended = &wire.LoanExtension{Ids: e.IDs, Id: e.ID, TermNanos: int64(e.Term)}
 	}
 	return out
 }
@@ -81,8 +84,8 @@
 			ID: x.GetId(), Share: shareFromWire(x.GetShare()), Tokens: amount(x.GetTokens()), Term: time.Duration(x.GetTermNanos()),
 		}
 	}
-	for _, e := range a.GetExtended() {
-		out.Extended = append(out.Extended, ratelimit.Extension{ID: e.GetId(), Term: time.Duration(e.GetTermNanos())})
+	if e := a.GetExtended(); e != nil {
+		out.Extended = &ratelimit.Extension{IDs: e.GetIds(), ID: e.GetId(), Term: time.Duration(e.GetTermNanos())}
 	}
 	return out
 }
--- a/internal/limits/service.go
+++ b/internal/limits/service.go
@@ -307,6 +307,9 @@
 			holders = answer.Holders
 		}
 		s.perform(ask.Organisation, s.puller.Answered(now, ask.Organisation, giver, holders))
+		if excess, ok := s.ledger.Excess(now, ask.Organisation, giver); ok && err == nil {
+			s.send(giver, []ratelimit.Ask{excess})
+		}
 	}
 }
 
