--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -437,8 +437,9 @@
 
 func (e *engine) stream(w http.ResponseWriter, r *http.Request, chat bool, from int, breakNow bool) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	id := "c-" + r.Header.Get("X-Request-Id")
 	flush := func(format string, args ...any) {
-		fmt.Fprintf(w, "data: "+format+"\n\n", args...)
+		fmt.Fprintf(w, "data: "+strings.Replace(format, `{"id":"c"`, `{"id":"`+id+`"`, 1)+"\n\n", args...)
 		w.(http.Flusher).Flush()
 	}
 	for i := from; i < e.tokens; i++ {
@@ -449,7 +450,7 @@
 			return
 		}
 		if chat {
-			flush(`{"id":"c-%s","object":"chat.completion.chunk","index_from":%d,"choices":[{"index":0,"delta":{"content":"w%d "},"finish_reason":null}]}`, r.Header.Get("X-Request-Id"), i, i)
+			flush(`{"id":"c","object":"chat.completion.chunk","index_from":%d,"choices":[{"index":0,"delta":{"content":"w%d "},"finish_reason":null}]}`, i, i)
 			continue
 		}
 		flush(`{"id":"c","object":"text_completion","index_from":%d,"choices":[{"index":0,"text":"w%d ","finish_reason":null}]}`, i, i)
--- a/internal/gateway/routes.go
+++ b/internal/gateway/routes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"net/url"
 	"strings"
@@ -89,11 +90,24 @@
 		if strings.Contains(decoded, "dk_") || (credentialNames[strings.ToLower(name)] && len(decoded) >= minCredential) {
 			continue
 		}
-		kept = append(kept, part)
+		kept = append(kept, escapeUnsafe(part))
 	}
 	return strings.Join(kept, "&")
 }
 
+// escapeUnsafe encodes the bytes that may not stand in a request line. Others stay as the caller wrote them.
+func escapeUnsafe(part string) string {
+	var out strings.Builder
+	for i := range len(part) {
+		if c := part[i]; c <= ' ' || c >= 0x7f {
+			fmt.Fprintf(&out, "%%%02X", c)
+			continue
+		}
+		out.WriteByte(part[i])
+	}
+	return out.String()
+}
+
 // minCredential is the length from which the value of a parameter such as "token" counts as a credential.
 const minCredential = 16
 
