--- a/internal/limits/handover.go
+++ b/internal/limits/handover.go
@@ -29,9 +29,12 @@
 	}
 	usable, accounts, returns := s.ledger.HandOver(now)
 	s.mu.Unlock()
-	returned := make(chan []ratelimit.Answer, len(returns))
+	returned := make(chan struct{}, len(returns))
 	for giver, asks := range returns {
-		s.send(giver, asks, func(a []ratelimit.Answer) { returned <- a })
+		go func() {
+			s.borrow(giver, asks)
+			returned <- struct{}{}
+		}()
 	}
 	target, accepted := s.offerSlots(ctx, usable, accounts)
 	for range returns {
@@ -126,6 +129,7 @@
 
 // handleHandover takes over the slots of a stopping instance.
 func (s *Service) handleHandover(_ context.Context, from peer.Identity, req *wire.HandoverRequest) (proto.Message, error) {
+	defer s.notifyOwned()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if req.GetIncarnation() != s.self.Incarnation || from.Region != s.self.Region || s.stopping {
@@ -135,7 +139,7 @@
 	for _, handed := range req.GetSlots() {
 		slot := slotFromWire(handed.GetSlot())
 		held := s.slots.held[slot]
-		if slot.Region != s.self.Region || held != nil && held.usable {
+		if slot.Region != s.self.Region || held != nil && held.usable || handed.GetRevision() > s.conf.Revision() {
 			return &wire.HandoverResponse{}, nil
 		}
 		slots = append(slots, ratelimit.HandedSlot{
@@ -145,7 +149,7 @@
 	for _, x := range slots {
 		slot := x.Slot
 		s.slots.held[slot] = &heldSlot{usable: true, resolved: true, speaksFor: []uint64{from.Incarnation}}
-		s.slots.ownerOf[slot] = s.self.Instance
+		s.slots.ownerOf[slot] = Predecessor{s.self.Instance, s.self.Incarnation, s.slots.listed}
 		s.slots.spoken[slot] = slices.DeleteFunc(s.slots.spoken[slot], func(i uint64) bool { return i == from.Incarnation })
 	}
 	s.ledger.TakeOver(s.opts.Clock.Now(), slots, handedFromWire(req.GetAccounts()))
