Survive refused writes and older store data, and test against chaos

Found by reading the code against the landed packages, each now with a test: - One write refused for the store's rate limit refused all bookings for 500 ms. A refused write is tried three more times with 20, 40 and 80 ms between them. Test: 100 concurrent bookings at 50 writes/s all run. - A store that restarts with older data loses claims. The revision of the next write then falls back: the living owner keeps its records and writes a horizon that later owners refuse older keys with; a new owner that has seen later revisions refuses all keys made so far. Ruled out: a complete answer. If owner and claims are lost together and nobody has seen a later revision, or a seal is lost, nothing shows it; this stays unproved. - A peer that refuses a call as overloaded says itself that its handler has not run: "not run" instead of "unknown". - A handover whose handler panicked no longer counts as refused, since the heir may have the records. - Request.StayInRegion refuses a request whose owner is in another region, so that the gateway can forward home-bound routes to owners in their own region.

The tests now use platform/memory and peertest in place of fakes. New: handover with lost answers, in doubt, refused, to a wrong incarnation and in chunks; secret rotation; bounds; codec; run results; a chaos test with four instances, 24 callers, cuts, store faults, moves, crashes and stops.

--- a/internal/core/atmostonce/log.go
+++ b/internal/core/atmostonce/log.go
@@ -11,7 +11,10 @@
 	// Incarnation and Term make the tokens of this log's writes unique: Term differs between the logs of a process.
 	Incarnation uint64
 	Term        uint32
-	Answers     *Answers
+	// Revision is the highest revision of the store that this instance has seen. A seal with a lower one shows that the
+	// store has come back with older data.
+	Revision int64
+	Answers  *Answers
 	// Budget bounds the records. An attempt beyond it is refused.
 	Budget *Budget
 	// MaxQueue bounds the claims that wait for a write.
@@ -26,6 +29,9 @@
 	Patience time.Duration
 	// StoreRetry is the delay between two tries at a store that fails.
 	StoreRetry time.Duration
+	// RefusedRetry is the delay before a refused write is tried again, doubled each time. A rate limit lets it through
+	// then; after refusedTries the store counts as out.
+	RefusedRetry time.Duration
 	// DeleteInterval is the pause between two deletions of entries.
 	DeleteInterval time.Duration
 
@@ -55,6 +61,7 @@
 		ResultDelay:    2 * time.Second,
 		Patience:       2 * time.Second,
 		StoreRetry:     500 * time.Millisecond,
+		RefusedRetry:   20 * time.Millisecond,
 		DeleteInterval: 50 * time.Millisecond,
 	}
 }
@@ -88,8 +95,12 @@
 	since   clock.Instant
 	retryAt clock.Instant // 0 while a call is under way
 	tries   int
+	refused int // tries that certainly had no effect
 }
 
+// refusedTries is the number of refused tries of a write after which its attempts are refused.
+const refusedTries = 3
+
 type entryMeta struct {
 	sequence  uint64
 	newestKey int64
@@ -108,14 +119,19 @@
 	horizon  int64
 	// recordedHorizon is the horizon that an entry in the store carries.
 	recordedHorizon int64
-	recs            records
-	ops             map[AttemptID]*op
-	active          map[Key]*op
-	queue           []*op
-	results         []Result
-	resultsSince    clock.Instant
-	flight          *flight
-	entries         []entryMeta
+	// newestKey is the highest key time of all claims made or read.
+	newestKey int64
+	// lostHorizon is the horizon for later owners after the store has lost entries. This log still has their records.
+	lostHorizon  int64
+	revision     int64 // highest revision seen in the store
+	recs         records
+	ops          map[AttemptID]*op
+	active       map[Key]*op
+	queue        []*op
+	results      []Result
+	resultsSince clock.Instant
+	flight       *flight
+	entries      []entryMeta
 	// checkedHorizon is the last time for which raiseHorizon has looked at the entries.
 	checkedHorizon int64
 	doomed         []entryMeta // no longer needed, still to be deleted
@@ -133,9 +149,12 @@
 
 // NewLog returns a log that takes no attempts before its takeover has finished.
 func NewLog(o LogOptions) *Log {
-	return &Log{o: o, recs: records{budget: o.Budget}, ops: map[AttemptID]*op{}, active: map[Key]*op{}}
+	return &Log{o: o, revision: o.Revision, recs: records{budget: o.Budget}, ops: map[AttemptID]*op{}, active: map[Key]*op{}}
 }
 
+// Revision returns the highest revision seen in the store.
+func (l *Log) Revision() int64 { return l.revision }
+
 // Records returns the number of records held.
 func (l *Log) Records() int { return l.recs.count }
 
@@ -236,6 +255,7 @@
 	l.ops[o.id] = o
 	l.active[o.ident.Key] = o
 	l.recs.put(o.ident.Key, o.keyTime, record{o.ident.Body, stateActive})
+	l.newestKey = max(l.newestKey, o.keyTime)
 	l.queue = append(l.queue, o)
 	if l.nextDeadline == 0 || o.deadline < l.nextDeadline {
 		l.nextDeadline = o.deadline
@@ -369,8 +389,7 @@
 		if now.Boot < l.flight.retryAt {
 			l.wakeAt(l.flight.retryAt)
 		} else {
-			l.flight.retryAt = 0
-			l.emit(Get{l.flight.entry.Sequence})
+			l.retry()
 		}
 	}
 	if l.draining && len(l.ops) == 0 && l.flight == nil && len(l.results) == 0 {
--- a/internal/core/atmostonce/types.go
+++ b/internal/core/atmostonce/types.go
@@ -66,6 +66,8 @@
 	Results []Result
 	// Unreadable says that the claims were made under a secret that this instance does not have.
 	Unreadable bool
+	// Revision is the store's revision of the entry. It is not part of the value.
+	Revision int64
 	// NewestKey is the highest key time of the entry's claims and results, in Unix milliseconds.
 	NewestKey int64
 }
@@ -150,14 +152,16 @@
 	Cancelled struct{ ID AttemptID }
 	// Written answers a Put action.
 	Written struct {
-		Token  Token
-		Result WriteResult
+		Token    Token
+		Result   WriteResult
+		Revision int64 // of the entry, if done
 	}
 	// Fetched answers a Get action.
 	Fetched struct {
 		Sequence uint64
 		Result   ReadResult
 		Token    Token // of the entry, if found
+		Revision int64 // of the entry, if found
 	}
 	// Finished ends a Send action. Answer is any value, held for repeats up to a bound.
 	Finished struct {
--- a/internal/core/atmostonce/write.go
+++ b/internal/core/atmostonce/write.go
@@ -29,7 +29,7 @@
 	e := Entry{
 		Sequence: l.last + 1,
 		Token:    l.token(),
-		Horizon:  l.horizon,
+		Horizon:  max(l.horizon, l.lostHorizon),
 		Results:  append([]Result(nil), l.results[:m]...),
 	}
 	l.results = l.results[m:]
@@ -47,7 +47,7 @@
 	if len(l.queue) > 0 {
 		return l.queue[0].queued.Add(l.o.GroupDelay), true
 	}
-	if l.horizon > l.recordedHorizon {
+	if max(l.horizon, l.lostHorizon) > l.recordedHorizon {
 		return 0, true
 	}
 	if len(l.results) > 0 && l.draining {
@@ -82,11 +82,14 @@
 	}
 	switch {
 	case e.Result == WriteDone:
-		l.recorded(now)
+		l.recorded(now, e.Revision)
+	case e.Result == WriteNoEffect && !f.doubt && f.refused < refusedTries:
+		f.retryAt = now.Boot.Add(l.o.RefusedRetry << f.refused)
+		f.refused++
 	case e.Result == WriteNoEffect && !f.doubt:
 		l.refusedByStore(now)
 	case l.o.rules.noReadBack && e.Result == WriteUnknown:
-		l.recorded(now)
+		l.recorded(now, l.revision+1)
 	case e.Result == WriteNoEffect:
 		l.retryLater(now)
 	default:
@@ -105,7 +108,7 @@
 	case e.Result == ReadFailed:
 		l.retryLater(now)
 	case e.Result == ReadFound && e.Token == f.entry.Token:
-		l.recorded(now)
+		l.recorded(now, e.Revision)
 	case e.Result == ReadFound:
 		l.overtaken()
 	case f.tries > 0:
@@ -123,10 +126,25 @@
 	l.flight.retryAt = now.Boot.Add(l.o.StoreRetry)
 }
 
+// retry moves a write on whose delay has passed.
+func (l *Log) retry() {
+	f := l.flight
+	f.retryAt = 0
+	if f.doubt {
+		l.emit(Get{f.entry.Sequence})
+		return
+	}
+	l.emit(Put{f.entry})
+}
+
 // recorded sends the requests whose claims are in the log.
-func (l *Log) recorded(now Time) {
+func (l *Log) recorded(now Time, revision int64) {
 	f := l.flight
 	l.flight = nil
+	if revision <= l.revision {
+		l.storeWentBack(now, f.entry.Seal)
+	}
+	l.revision = revision
 	l.last = f.entry.Sequence
 	l.recordedHorizon = max(l.recordedHorizon, f.entry.Horizon)
 	l.entries = append(l.entries, entryMeta{f.entry.Sequence, f.entry.NewestKey, f.entry.Seal})
@@ -147,6 +165,15 @@
 	}
 }
 
+// storeWentBack covers the entries that a store with older data may have lost. An owner with the records keeps serving
+// them and lets later owners refuse their keys. A new owner lacks the records, therefore it refuses all keys made so far.
+func (l *Log) storeWentBack(now Time, seal bool) {
+	l.lostHorizon = max(l.lostHorizon, l.newestKey+1)
+	if seal {
+		l.horizon = max(l.horizon, l.newestKey+1, now.Wall+MaxFuture.Milliseconds())
+	}
+}
+
 // refusedByStore ends the attempts of a write that certainly had no effect.
 func (l *Log) refusedByStore(now Time) {
 	f := l.flight
@@ -207,17 +234,19 @@
 	l.put(now, Entry{Sequence: l.last + 1, Token: l.token(), Seal: true, Horizon: l.horizon}, nil)
 }
 
-// isSealed reports whether this log's own seal is the last entry. The seal may also have filled the place of an entry
+// isSealed reports whether this log's own seal is the last entry and carries the horizon. The seal may also have filled the place of an entry
 // that was deleted while this owner was paused between reading and sealing. Then later entries exist, since the last
 // one is never deleted.
 func (l *Log) isSealed() bool {
 	r := l.o.rules
-	return r.noSeal || l.sealed != 0 && (l.sealed == l.last || r.noSealRead)
+	return r.noSeal || l.sealed != 0 && (l.sealed == l.last && l.horizon <= l.recordedHorizon || r.noSealRead)
 }
 
 // load applies an entry of an earlier owner. Its claims without a result are unknown for ever.
 func (l *Log) load(e Entry) {
 	l.last = max(l.last, e.Sequence)
+	l.revision = max(l.revision, e.Revision)
+	l.newestKey = max(l.newestKey, e.NewestKey)
 	l.horizon = max(l.horizon, e.Horizon)
 	if l.o.rules.noHorizon {
 		l.horizon = 0
--- a/internal/operations/forward.go
+++ b/internal/operations/forward.go
@@ -58,11 +58,20 @@
 	if errors.Is(err, peer.ErrNotSent) {
 		return notRun(http.StatusServiceUnavailable, CodeOwnerAway, "the owner of the key cannot be reached", retrySoon)
 	}
+	var remote *peer.RemoteError
+	if errors.As(err, &remote) && handlerNotRun(remote.Code) {
+		return notRun(http.StatusServiceUnavailable, CodeOwnerAway, "the owner of the key takes no calls at present", retrySoon)
+	}
 	o := unknown(http.StatusBadGateway, CodeUnknown, "the link to the owner of the key broke before its answer came")
 	o.RetryAfter = retrySoon
 	return o
 }
 
+// handlerNotRun reports whether the peer itself says with the code that its handler has not run.
+func handlerNotRun(code string) bool {
+	return code == peer.CodeUnknownService || code == peer.CodeOverloaded || code == peer.CodeBadHeader
+}
+
 // handleDo runs a forwarded request, or refuses it if this instance is not the key's owner. It never forwards it again.
 func (s *Service) handleDo(ctx context.Context, from peer.Identity, req *wire.OperationDoRequest) (proto.Message, error) {
 	return encodeOutcome(s.doForwarded(ctx, from, req)), nil
@@ -211,6 +220,9 @@
 	if org.Home != "" && org.Home != id.GetRegion() {
 		return unknown(http.StatusConflict, CodeIssuerGone, "the operation id was issued outside the organisation's home region")
 	}
+	if c.stay && id.GetRegion() != s.region() {
+		return otherRegion()
+	}
 	if s.holds(id.GetIncarnation()) {
 		return s.runIssued(ctx, c)
 	}
--- a/internal/operations/handover.go
+++ b/internal/operations/handover.go
@@ -109,7 +109,7 @@
 	}
 	err = stream.Recv(&wire.OperationHandoverResult{})
 	var remote *peer.RemoteError
-	return errors.As(err, &remote), err
+	return errors.As(err, &remote) && remote.Code != peer.CodeInternal, err
 }
 
 func handoverChunks(to peer.Identity, incarnation uint64, h atmostonce.Handover) []*wire.OperationHandoverChunk {
@@ -212,7 +212,7 @@
 // announceHeir tells all connected instances that this one answers for the incarnation.
 func (s *Service) announceHeir(incarnation uint64) {
 	self := s.o.Network.Self()
-	notice := &wire.OperationHeirNotice{Incarnation: incarnation, Heir: self.Instance, HeirIncarnation: self.Incarnation}
+	notice := heirNotice(incarnation, self)
 	s.spawn(func() {
 		var g errgroup.Group
 		g.SetLimit(heirParallel)
@@ -230,6 +230,10 @@
 	})
 }
 
+func heirNotice(incarnation uint64, heir peer.Identity) *wire.OperationHeirNotice {
+	return &wire.OperationHeirNotice{Incarnation: incarnation, Heir: heir.Instance, HeirIncarnation: heir.Incarnation}
+}
+
 func (s *Service) handleHeirNotice(_ context.Context, from peer.Identity, n *wire.OperationHeirNotice) (proto.Message, error) {
 	if n.GetHeir() != from.Instance || n.GetHeirIncarnation() != from.Incarnation {
 		return nil, errors.New("an instance can name only itself as heir")
--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -46,6 +46,8 @@
 	Method, Path string
 	// Forwardable is the whole request, for an owner at another instance. Nil for requests that must be run here.
 	Forwardable *ForwardedRequest
+	// StayInRegion refuses the request if its owner is an instance of another region.
+	StayInRegion bool
 }
 
 // ForwardedRequest is what an owner at another instance needs to run the request there.
--- a/internal/operations/outcome.go
+++ b/internal/operations/outcome.go
@@ -27,6 +27,7 @@
 	CodeFull          = "operation_records_full"
 	CodeCancelled     = "operation_cancelled"
 	CodeStopping      = "operation_instance_stopping"
+	CodeOtherRegion   = "operation_other_region"
 	CodeOrganisation  = "organisation_unknown"
 	// codeNotHolder is said between instances only.
 	codeNotHolder = "operation_not_holder"
--- a/internal/operations/service.go
+++ b/internal/operations/service.go
@@ -30,6 +30,7 @@
 	stopped  bool
 	logs     map[int]*slotLog
 	term     uint32
+	revision int64 // highest revision seen in the store
 	nextID   atmostonce.AttemptID
 	issued   map[uint64]*atmostonce.Issued // by incarnation, this one and adopted ones
 	number   uint64                        // of the last issued id
@@ -116,6 +117,7 @@
 		digest:       atmostonce.Digest(req.Organisation, req.Method, req.Path, "", req.BodyDigest[:]),
 		run:          run,
 		forward:      req.Forwardable,
+		stay:         req.StayInRegion,
 	}
 	if key.Issued != nil {
 		return s.doIssued(ctx, c)
@@ -130,6 +132,7 @@
 	digest       [32]byte
 	run          RunFunc
 	forward      *ForwardedRequest
+	stay         bool // in this region
 }
 
 // Issue returns a new id that only this instance may run.
@@ -184,6 +187,9 @@
 	if refused != nil {
 		return *refused
 	}
+	if c.stay && p.region != s.region() {
+		return otherRegion()
+	}
 	owner, ok := s.o.Slots.Owner(p.region, p.slot)
 	if !ok {
 		return notRun(http.StatusServiceUnavailable, CodeOwnerUnknown, "the key has no owner at present", retrySoon)
@@ -198,6 +204,11 @@
 	return o
 }
 
+func otherRegion() Outcome {
+	return notRun(http.StatusConflict, CodeOtherRegion,
+		"the key is recorded in another region, which the request must not reach; use an id from POST /v1/operations", 0)
+}
+
 // runKeyed runs a request at this instance if it owns the key's slot.
 func (s *Service) runKeyed(ctx context.Context, c call, p place) Outcome {
 	s.mu.Lock()
--- a/internal/operations/slotlog.go
+++ b/internal/operations/slotlog.go
@@ -68,6 +68,7 @@
 	o := s.o.Log
 	o.Incarnation = s.o.Network.Self().Incarnation
 	o.Term = s.term
+	o.Revision = s.revision
 	o.Answers = s.answers
 	o.Budget = s.budget
 	return &slotLog{slot: slot, core: atmostonce.NewLog(o), closed: make(chan struct{})}
@@ -77,6 +78,7 @@
 func (s *Service) step(l *slotLog, e atmostonce.Event) {
 	s.mu.Lock()
 	actions := l.core.Step(s.now(), e)
+	s.revision = max(s.revision, l.core.Revision())
 	senders := make([]*waiter, len(actions))
 	for i, a := range actions {
 		if send, ok := a.(atmostonce.Send); ok {
@@ -150,7 +152,7 @@
 	ctx, cancel := context.WithTimeout(s.base, s.o.StoreTimeout)
 	defer cancel()
 	absent := platform.IfAbsent
-	_, err = s.o.Store.Put(ctx, logKey(s.region(), l.slot, e.Sequence), value, platform.PutOptions{IfRevision: &absent})
+	w.Revision, err = s.o.Store.Put(ctx, logKey(s.region(), l.slot, e.Sequence), value, platform.PutOptions{IfRevision: &absent})
 	switch {
 	case err == nil:
 		w.Result = atmostonce.WriteDone
@@ -179,6 +181,7 @@
 			s.warn("read back log entry", zap.Int("slot", l.slot), zap.Error(err))
 		}
 		f.Token = e.Token
+		f.Revision = entry.Revision
 	}
 	return f
 }
@@ -209,7 +212,9 @@
 	if err != nil {
 		return atmostonce.Entry{}, errors.Wrap(err, "parse sequence")
 	}
-	return decodeEntry(sequence, row.Value, s.secrets)
+	e, err := decodeEntry(sequence, row.Value, s.secrets)
+	e.Revision = row.Revision
+	return e, err
 }
 
 func (s *Service) delete(l *slotLog, sequence uint64) atmostonce.Event {
