Test the orders adapter against stand-in engines

Swaps of three engines keep a ready copy with both kinds of endpoints, a planned stop hands the role over without a wait, and after a crash the second ready copy stays until the predecessor is known to have ended.

--- /dev/null
+++ b/internal/orderer/orderer_test.go
@@ -0,0 +1,178 @@
+package orderer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/config"
+	"dogwoodknot.example/dogwoodknot/internal/configsync"
+	"dogwoodknot.example/dogwoodknot/internal/platform/memory"
+	"dogwoodknot.example/dogwoodknot/internal/standin"
+)
+
+// fixedSource gives one configuration for ever.
+type fixedSource struct{ general config.Config }
+
+type fixedView struct {
+	configsync.View
+	general *config.Config
+}
+
+func (v fixedView) General() *config.Config { return v.general }
+
+func (s *fixedSource) View() configsync.View                { return fixedView{general: &s.general} }
+func (*fixedSource) Subscribe(func(configsync.View)) func() { return func() {} }
+
+// fleet starts stand-in engines with version 1 of a model and a configuration that wants another version.
+func fleet(t *testing.T, n int, fencing bool, version string) (*fixedSource, []*standin.Engine) {
+	t.Helper()
+	source := &fixedSource{general: config.Config{Models: []config.Model{{Name: "taller-lm", Version: version}}}}
+	var engines []*standin.Engine
+	for i := range n {
+		e, err := standin.NewEngine(standin.EngineOptions{
+			Models:             []standin.EngineModel{{Name: "taller-lm", Version: "1"}},
+			ChecksFencing:      fencing,
+			LoadBytesPerSecond: 4 * standin.DefaultWeightBytes, // a quarter of a second
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, err := standin.Listen(e.Handler())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { e.Close(); l.Close() })
+		engines = append(engines, e)
+		source.general.Endpoints = append(source.general.Endpoints, config.Endpoint{
+			Name: string(rune('a' + i)), Kind: config.KindEngine, Addr: l.Addr(), Region: "lima", Models: []string{"taller-lm"}, ChecksFencing: fencing,
+		})
+	}
+	return source, engines
+}
+
+func newService(t *testing.T, store *memory.Store, source configsync.Source, instance string, incarnation uint64) *Service {
+	t.Helper()
+	o := Options{
+		Store: store, Source: source, Clock: clock.Boot{}, Region: "lima", Instance: instance, Incarnation: incarnation,
+		Period: 20 * time.Millisecond, Log: zap.NewNop(), Metrics: tally.NoopScope,
+	}
+	if problems := o.Validate(); len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	return New(o)
+}
+
+func ready(e *standin.Engine, version string) bool {
+	for _, m := range e.State().Models {
+		if m.Model == "taller-lm" && m.Ready && (version == "" || m.Version == version) {
+			return true
+		}
+	}
+	return false
+}
+
+// swap runs the services until all engines serve the version, and fails if at any time none is ready.
+func swap(t *testing.T, engines []*standin.Engine, version string) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for time.Now().Before(deadline) {
+		readyNow, done := 0, 0
+		for _, e := range engines {
+			if ready(e, "") {
+				readyNow++
+			}
+			if ready(e, version) {
+				done++
+			}
+		}
+		if readyNow == 0 {
+			t.Fatal("no engine is ready during the swap")
+		}
+		if done == len(engines) {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("the swap did not end in time")
+}
+
+// Guards against a swap that takes the last ready copy, through real HTTP and with both kinds of endpoints.
+func TestSwapOfAFleet(t *testing.T) {
+	for name, fencing := range map[string]bool{"checked fencing": true, "ignored fencing": false} {
+		t.Run(name, func(t *testing.T) {
+			store := memory.NewStore(memory.StoreOptions{Clock: clock.Boot{}})
+			source, engines := fleet(t, 3, fencing, "2")
+			s := newService(t, store, source, "lima-1", 1)
+			if err := s.Start(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			swap(t, engines, "2")
+			if err := s.Stop(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
+
+// Guards against two issuers at once, and against a successor that waits for the lease of one that has handed over.
+func TestPlannedStopHandsTheRoleOver(t *testing.T) {
+	store := memory.NewStore(memory.StoreOptions{Clock: clock.Boot{}})
+	source, engines := fleet(t, 2, false, "1")
+	first, second := newService(t, store, source, "lima-1", 1), newService(t, store, source, "lima-2", 2)
+	ctx := context.Background()
+	if !first.hold(ctx) {
+		t.Fatal("first instance did not become the issuer")
+	}
+	if second.hold(ctx) {
+		t.Fatal("two issuers at once")
+	}
+	if err := first.release(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if !second.hold(ctx) {
+		t.Fatal("successor did not become the issuer")
+	}
+	if term := second.term(); !term.PredecessorEnded || term.FirstSend > second.opts.Clock.Now() {
+		t.Errorf("successor waits after a hand-over: %+v", term)
+	}
+	source.general.Models[0].Version = "2"
+	if err := second.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	swap(t, engines, "2")
+	if err := second.Stop(ctx); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a successor that trusts the only other ready copy while a crashed issuer's order may still be late.
+func TestCrashedIssuerLeavesAReserve(t *testing.T) {
+	store := memory.NewStore(memory.StoreOptions{Clock: clock.Boot{}})
+	source, _ := fleet(t, 2, false, "2")
+	ctx := context.Background()
+	first, second := newService(t, store, source, "lima-1", 1), newService(t, store, source, "lima-2", 2)
+	if !first.hold(ctx) {
+		t.Fatal("first instance did not become the issuer")
+	}
+	store.ExpireLease(first.lease.id)
+	second.round(ctx)
+	if second.lease == nil {
+		t.Fatal("successor did not become the issuer")
+	}
+	second.lease.firstSend = second.opts.Clock.Now() // the wait itself is tested in package orders
+	second.round(ctx)
+	if blocked := second.Blocked(); len(blocked) == 0 {
+		t.Error("the swap went on with one other ready copy and a predecessor that may still send")
+	}
+	second.opts.Ended = func(instance string, incarnation uint64) bool { return instance == "lima-1" && incarnation == 1 }
+	second.round(ctx)
+	if blocked := second.Blocked(); len(blocked) != 1 {
+		// One endpoint is being swapped now, the other waits for it.
+		t.Errorf("blocked after the predecessor's end: %+v", blocked)
+	}
+}
