Refuse changes that move idempotency records, unless allowed

A key's owner is a slot of the organisation's record region.

The region comes from operations.RecordRegion.

A write above a revision that only instances hold warns that the store was restored.

--- a/cmd/dogwoodctl/app.go
+++ b/cmd/dogwoodctl/app.go
@@ -15,6 +15,7 @@
 
 	"dogwoodknot.example/dogwoodknot/internal/config"
 	"dogwoodknot.example/dogwoodknot/internal/configstore"
+	"dogwoodknot.example/dogwoodknot/internal/operations"
 	"dogwoodknot.example/dogwoodknot/internal/platform"
 )
 
@@ -63,6 +64,7 @@
 		race     *configstore.RaceError
 		slots    *configstore.SlotsError
 		expect   *configstore.ExpectError
+		moved    *configstore.MovedRecordsError
 		unknown  *configstore.UnknownOutcomeError
 	)
 	switch {
@@ -72,7 +74,7 @@
 		return coded.code
 	case errors.As(err, &findings):
 		return codeFindings
-	case errors.As(err, &race), errors.As(err, &slots), errors.As(err, &expect):
+	case errors.As(err, &race), errors.As(err, &slots), errors.As(err, &expect), errors.As(err, &moved):
 		return codeConflict
 	case errors.As(err, &unknown), errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrUnknownOutcome),
 		errors.Is(err, context.DeadlineExceeded):
@@ -128,7 +130,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return configstore.New(kv, configstore.Options{RetryFor: a.RetryFor}), nil
+	return a.configurationsIn(kv), nil
+}
+
+func (a *app) configurationsIn(kv platform.Store) *configstore.Store {
+	return configstore.New(kv, configstore.Options{RetryFor: a.RetryFor, RecordRegion: operations.RecordRegion})
 }
 
 func (a *app) json() bool { return a.Output == "json" }
--- a/cmd/dogwoodctl/apply.go
+++ b/cmd/dogwoodctl/apply.go
@@ -22,6 +22,11 @@
 	WaitTimeout time.Duration `help:"How long to wait." default:"30s"`
 }
 
+// moveFlags allow a change that is refused otherwise.
+type moveFlags struct {
+	MoveRecords bool `help:"Allow a change that moves idempotency records to another region. Repeats of requests from before it may run again."`
+}
+
 // waitPoll is the pause between two looks at the instances.
 const waitPoll = 250 * time.Millisecond
 
@@ -209,6 +214,7 @@
 	Note   string `help:"Why, for the history." placeholder:"TEXT"`
 	Expect int64  `help:"Refuse unless this revision is in the store." placeholder:"N"`
 	DryRun bool   `help:"Show the changes and write nothing."`
+	moveFlags
 }
 
 // Help gives examples.
@@ -235,12 +241,12 @@
 	if err != nil {
 		return err
 	}
-	s := configstore.New(kv, configstore.Options{RetryFor: a.RetryFor})
+	s := a.configurationsIn(kv)
 	if c.DryRun {
 		return c.dryRun(a, s, cfg)
 	}
 	change := a.change(kv, c.Note)
-	change.Expect = c.Expect
+	change.Expect, change.MoveRecords = c.Expect, c.MoveRecords
 	r, err := s.Apply(a.ctx, cfg, change)
 	if err != nil {
 		return err
@@ -265,6 +271,7 @@
 	Revision int64 `arg:"" help:"Revision whose declarations are put in force again."`
 	waitFlags
 	Note string `help:"Why, for the history." placeholder:"TEXT"`
+	moveFlags
 }
 
 // Help gives examples.
@@ -282,8 +289,10 @@
 	if err != nil {
 		return err
 	}
-	s := configstore.New(kv, configstore.Options{RetryFor: a.RetryFor})
-	r, err := s.Rollback(a.ctx, c.Revision, a.change(kv, c.Note))
+	s := a.configurationsIn(kv)
+	change := a.change(kv, c.Note)
+	change.MoveRecords = c.MoveRecords
+	r, err := s.Rollback(a.ctx, c.Revision, change)
 	if err != nil {
 		return err
 	}
--- a/cmd/dogwoodctl/fleet_cmds.go
+++ b/cmd/dogwoodctl/fleet_cmds.go
@@ -338,7 +338,7 @@
 	if err != nil {
 		return err
 	}
-	s := configstore.New(kv, configstore.Options{RetryFor: a.RetryFor})
+	s := a.configurationsIn(kv)
 	r, err := s.SetDrain(a.ctx, c.Name, !c.Undo, a.change(kv, c.Note))
 	if err != nil {
 		return err
--- a/cmd/dogwoodctl/key.go
+++ b/cmd/dogwoodctl/key.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return err
 	}
-	s := configstore.New(kv, configstore.Options{RetryFor: a.RetryFor})
+	s := a.configurationsIn(kv)
 	key, r, err := s.IssueKey(a.ctx, c.Organisation, a.change(kv, c.Note))
 	if err != nil {
 		return err
--- a/internal/configstore/apply.go
+++ b/internal/configstore/apply.go
@@ -26,6 +26,8 @@
 	InForce int64
 	// Expect refuses the write unless this revision is in force. 0 expects any.
 	Expect int64
+	// MoveRecords allows a change that moves idempotency records to another region.
+	MoveRecords bool
 }
 
 // Result is a revision that is in the store.
@@ -143,6 +145,9 @@
 	if err := checkKeys(base, cfg, issued); err != nil {
 		return nil, err
 	}
+	if err := s.checkRecords(base, cfg, change); err != nil {
+		return nil, err
+	}
 	h := s.nextHead(base, change)
 	h.Restores = restores
 	shards := buildShards(base, cfg, issued, h.Revision, change.InForce)
@@ -165,7 +170,7 @@
 	return &Result{
 		Head:     h,
 		Changes:  config.Diff(base.Declared(), cfg),
-		Warnings: stayWithdrawn(base, cfg),
+		Warnings: warnings(base, cfg, change),
 	}, nil
 }
 
@@ -245,6 +250,66 @@
 	return nil
 }
 
+// warnings names what the operator should know of a change that is made nevertheless.
+func warnings(base *Snapshot, cfg *config.Config, change Change) []string {
+	var list []string
+	if base.Head != nil && change.Above > base.Revision() {
+		list = append(list, fmt.Sprintf("the store held revision %d, but an instance has revision %d in force: the store was restored from older data, "+
+			"and keys issued or withdrawn between these revisions are not in it; withdraw such keys again", base.Revision(), change.Above))
+	}
+	return append(list, stayWithdrawn(base, cfg)...)
+}
+
+// MovedRecordsError reports a change that moves idempotency records of organisations to another region. A key that was used
+// before the change would not be recognised after it, and its request could run twice.
+type MovedRecordsError struct {
+	Organisations []MovedRecords
+}
+
+// MovedRecords says where the records of an organisation are looked for.
+type MovedRecords struct {
+	Organisation string `json:"organisation"`
+	From         string `json:"from"`
+	To           string `json:"to"`
+}
+
+// Error names the organisations and how to avoid the move.
+func (e *MovedRecordsError) Error() string {
+	var b strings.Builder
+	b.WriteString("idempotency records would move to another region, and repeats of requests that ran there would run again:")
+	const shown = 10
+	for _, m := range e.Organisations[:min(shown, len(e.Organisations))] {
+		fmt.Fprintf(&b, "\n  %s: from %s to %s", m.Organisation, m.From, m.To)
+	}
+	if more := len(e.Organisations) - shown; more > 0 {
+		fmt.Fprintf(&b, "\n  and %d more", more)
+	}
+	b.WriteString("\nset records_region to the old region where there is no home, or allow the move")
+	return b.String()
+}
+
+func (s *Store) checkRecords(base *Snapshot, cfg *config.Config, change Change) error {
+	if s.opts.RecordRegion == nil || change.MoveRecords {
+		return nil
+	}
+	var moved []MovedRecords
+	for i := range cfg.Organisations {
+		o := &cfg.Organisations[i]
+		old := base.Organisation(o.Name)
+		if old == nil {
+			continue
+		}
+		from, to := s.opts.RecordRegion(base.General, &old.Organisation), s.opts.RecordRegion(cfg, o)
+		if from != to {
+			moved = append(moved, MovedRecords{o.Name, from, to})
+		}
+	}
+	if len(moved) > 0 {
+		return &MovedRecordsError{Organisations: moved}
+	}
+	return nil
+}
+
 // stayWithdrawn names declared keys that are withdrawn.
 func stayWithdrawn(base *Snapshot, cfg *config.Config) []string {
 	withdrawn := base.Withdrawn()
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -20,6 +20,7 @@
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
+	"dogwoodknot.example/dogwoodknot/internal/config"
 	"dogwoodknot.example/dogwoodknot/internal/core/configview"
 	"dogwoodknot.example/dogwoodknot/internal/platform"
 )
@@ -45,6 +46,8 @@
 	RetryFor time.Duration
 	// RetryPause is the first pause between repeated calls; later ones are longer, up to 40 times. Default 50 ms.
 	RetryPause time.Duration
+	// RecordRegion returns the region that keeps an organisation's idempotency records. Nil: changes of it are not noticed.
+	RecordRegion func(general *config.Config, org *config.Organisation) string
 	// Now is the time written into heads. Default time.Now.
 	Now func() time.Time
 	// NewToken returns a value that is unique to a write. Default a random UUID.
