--- a/cmd/dogwood-standin/main.go
+++ b/cmd/dogwood-standin/main.go
@@ -8,6 +8,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"dogwoodknot.example/dogwoodknot/internal/peer/certs"
 )
 
 // envPrefix is the prefix of the environment variables: --token-interval is DOGWOODKNOT_STANDIN_TOKEN_INTERVAL.
@@ -16,13 +18,14 @@
 type cli struct {
 	ReadyFile string `help:"File to write the listening addresses to, one JSON object a line, once all stand-ins listen." type:"path"`
 
-	Store     storeCmd     `cmd:"" help:"Run the key-value store."`
-	Directory directoryCmd `cmd:"" help:"Run the directory for clients."`
-	Instances instancesCmd `cmd:"" help:"Run the lagging instance list."`
-	Weights   weightsCmd   `cmd:"" help:"Run the weight store."`
-	Engine    engineCmd    `cmd:"" help:"Run a model engine."`
-	Service   serviceCmd   `cmd:"" help:"Run a plain service."`
-	All       allCmd       `cmd:"" help:"Run all stand-ins in one process, each on a free port."`
+	Store     storeCmd      `cmd:"" help:"Run the key-value store."`
+	Directory directoryCmd  `cmd:"" help:"Run the directory for clients."`
+	Instances instancesCmd  `cmd:"" help:"Run the lagging instance list."`
+	Weights   weightsCmd    `cmd:"" help:"Run the weight store."`
+	Engine    engineCmd     `cmd:"" help:"Run a model engine."`
+	Service   serviceCmd    `cmd:"" help:"Run a plain service."`
+	Certs     certs.Command `cmd:"" help:"Write a certificate authority and the certificates of instances, for trials on one machine."`
+	All       allCmd        `cmd:"" help:"Run all stand-ins in one process, each on a free port."`
 }
 
 func main() {
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -140,7 +140,7 @@
 		Listener:    d.listeners.peer,
 		Dial:        d.hooks.DialPeer,
 		Logger:      d.log,
-		Scope:       d.metrics.SubScope("peer"),
+		Scope:       d.metrics,
 	})
 	return err
 }
@@ -169,7 +169,7 @@
 		Payload:   func() members.Payload { return payload(p.limits.AppliedRevision(), p.dispatch.Loads()) },
 		OnPayload: p.regions.received,
 		Logger:    d.log,
-		Scope:     d.metrics.SubScope("members"),
+		Scope:     d.metrics,
 	})
 	if err != nil {
 		return err
@@ -244,7 +244,7 @@
 		Incarnation: d.self.Incarnation,
 		Ended:       ended(p),
 		Log:         d.log,
-		Metrics:     d.metrics.SubScope("orders"),
+		Metrics:     d.metrics,
 	}
 	if problems := o.Validate(); len(problems) > 0 {
 		return errors.Join(problems...)
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -40,10 +40,17 @@
 		Tags:            tags,
 		CachedReporter:  reporter,
 		Separator:       promreporter.DefaultSeparator,
-		SanitizeOptions: &promreporter.DefaultSanitizerOpts,
+		SanitizeOptions: sanitizer(),
 	}, metricsInterval)
 	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}, nil
 }
 
 // Close reports once more and ends the reporting.
 func (m *Metrics) Close() error { return m.closer.Close() }
+
+// sanitizer allows the characters of instance, region and endpoint names in tag values, which the default replaces.
+func sanitizer() *tally.SanitizeOptions {
+	o := promreporter.DefaultSanitizerOpts
+	o.ValueCharacters.Characters = append([]rune{'-', '.', '/', ' '}, o.ValueCharacters.Characters...)
+	return &o
+}
--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -12,7 +12,7 @@
 
 // Guards against metrics that are counted but never reach the operators' page.
 func TestMetricsReachTheTextPage(t *testing.T) {
-	m, err := NewMetrics("dogwoodknot", map[string]string{"region": "lima"})
+	m, err := NewMetrics("dogwoodknot", map[string]string{"region": "ro-nord"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -22,7 +22,7 @@
 	}
 	w := httptest.NewRecorder()
 	m.Handler.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
-	if want := `dogwoodknot_requests{code="200",region="lima"} 3`; !strings.Contains(w.Body.String(), want) {
+	if want := `dogwoodknot_requests{code="200",region="ro-nord"} 3`; !strings.Contains(w.Body.String(), want) {
 		t.Errorf("page lacks %s:\n%s", want, w.Body.String())
 	}
 }
