Wait for full good endpoints and check right before the first byte

An ejected endpoint was used whenever the good ones were full. One that fails at once always has room, so it drained the queue: with one of four engines dead, 24 of 60 calls were answered. Ejected endpoints are now used only if there are no others, and after an ejection get one request at a time until one succeeds.

The check of key and charge ran before a connection was made, which may take a second or a pause of the process. It now runs again in the connection's first write of the request; net/http offers no later hook.

A keyed request whose handler had ended could still be about to run and then use a charge that was settled. Nothing is sent any more after the settlement.

Requests that wait are refused at once when their last endpoint leaves.

--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -82,24 +82,23 @@
 	return first
 }
 
-// usable lists the candidates with room. Those that failed the request or are ejected come in only if nothing else is left.
+// usable lists the candidates with room. Those that failed the request or are ejected come in only if there are no others,
+// not if the others are merely full: an endpoint that fails at once always has room, and would drain the queue.
 func usable(cands []Candidate, force bool) []int {
-	for _, strict := range []bool{true, false} {
-		var out []int
-		for i, c := range cands {
-			if !force && !c.Free() {
-				continue
-			}
-			if strict && (c.Ejected || c.Avoid) {
-				continue
-			}
-			out = append(out, i)
+	sound := false
+	for _, c := range cands {
+		sound = sound || !c.Ejected && !c.Avoid
+	}
+	var out []int
+	for i, c := range cands {
+		if sound && (c.Ejected || c.Avoid) {
+			continue
 		}
-		if len(out) > 0 {
-			return out
+		if force || c.Free() {
+			out = append(out, i)
 		}
 	}
-	return nil
+	return out
 }
 
 func (c Candidate) load() float64 {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -538,3 +538,64 @@
 		t.Fatalf("a repeated prompt went to %d engines, want 1", used)
 	}
 }
+
+// Guards against a request that goes out on a charge or key that has lapsed while its connection was made.
+func TestCheckRightBeforeTheFirstByte(t *testing.T) {
+	var lapsed atomic.Bool
+	f := newFleet(t, 1, 1, standin.EngineOptions{}, func(o *Options) {
+		o.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+			lapsed.Store(true)
+			return conn, err
+		}
+	})
+	f.source.set(f.endpoints[1]) // no load reports of an engine, whose connections would count too
+	check := func() error {
+		if lapsed.Load() {
+			return &Error{Status: 503, Code: "lapsed", Message: "lapsed", Execution: operations.NotRun}
+		}
+		return nil
+	}
+	for _, idempotent := range []bool{false, true} {
+		lapsed.Store(false)
+		_, ex, err := f.Call(context.Background(), &ServiceCall{ID: "1", Service: "book", Method: "POST", Path: "/", Idempotent: idempotent, BeforeSend: check})
+		var e *Error
+		if ex != operations.NotRun || !errors.As(err, &e) || e.Code != "lapsed" || e.Execution != operations.NotRun {
+			t.Errorf("idempotent %v: %s %v", idempotent, ex, err)
+		}
+	}
+	if n := f.services[0].Executions().Received; n != 0 {
+		t.Errorf("%d requests were sent", n)
+	}
+}
+
+// Guards against requests that wait for endpoints that will take none of them.
+func TestWaitingRequestsAreRefusedWhenTheLastEndpointLeaves(t *testing.T) {
+	f := newFleet(t, 1, 0, standin.EngineOptions{BatchSlots: 1, TokenInterval: 20 * time.Millisecond}, nil)
+	var running sync.WaitGroup
+	running.Go(func() {
+		if _, err := f.stream(context.Background(), call(20), nil); err != nil {
+			t.Errorf("request in flight: %v", err)
+		}
+	})
+	time.Sleep(50 * time.Millisecond)
+	refused := make(chan error, 1)
+	running.Go(func() {
+		_, err := f.stream(context.Background(), call(20), nil)
+		refused <- err
+	})
+	time.Sleep(50 * time.Millisecond)
+	drained := append([]config.Endpoint(nil), f.endpoints...)
+	drained[0].Drain = true
+	f.source.set(drained...)
+	select {
+	case err := <-refused:
+		var e *Error
+		if !errors.As(err, &e) || e.Execution != operations.NotRun || e.RetryAfter == 0 {
+			t.Errorf("refused with %v", err)
+		}
+	case <-time.After(time.Second):
+		t.Error("the request still waits")
+	}
+	running.Wait()
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -231,15 +231,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.pools[name]
-	if p == nil {
-		return false
-	}
-	for _, e := range p.endpoints {
-		if d.takesWork(e) {
-			return true
-		}
-	}
-	return false
+	return p != nil && d.usable(p)
 }
 
 // spendRetry takes a retry from the budget.
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -120,14 +120,21 @@
 	}
 }
 
-// countedConn knows whether a byte may have left through it.
+// countedConn knows whether a byte may have left through it, and checks right before the first byte of a request whether the
+// request may still be sent.
 type countedConn struct {
 	net.Conn
 	written atomic.Bool
+	check   atomic.Pointer[func() error]
 }
 
 // Write marks the connection before it writes: a failed write may have sent a part.
 func (c *countedConn) Write(p []byte) (int, error) {
+	if check := c.check.Swap(nil); check != nil {
+		if err := (*check)(); err != nil {
+			return 0, err
+		}
+	}
 	c.written.Store(true)
 	return c.Conn.Write(p)
 }
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -316,7 +316,7 @@
 	if err != nil {
 		return &finalError{err}
 	}
-	resp, err := d.send(e.pooled, req)
+	resp, err := d.send(e.pooled, req, c.BeforeSend)
 	if err != nil {
 		return stalledOr(ctx, err)
 	}
@@ -382,7 +382,7 @@
 	if err != nil {
 		return nil, &finalError{err}
 	}
-	resp, err := d.send(e.pooled, req)
+	resp, err := d.send(e.pooled, req, c.BeforeSend)
 	if err != nil {
 		d.cancelAt(e, id, err)
 		return nil, err
@@ -421,7 +421,7 @@
 		if err != nil {
 			return
 		}
-		resp, err := d.send(e.pooled, req)
+		resp, err := d.send(e.pooled, req, nil)
 		if err != nil {
 			d.opts.Logger.Debug("cancel did not reach the endpoint", zap.String("request_id", id), zap.Error(err))
 			return
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -156,7 +156,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := d.send(e.pooled, req)
+	resp, err := d.send(e.pooled, req, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -91,11 +91,7 @@
 
 // mayWait refuses a request that would wait longer than it may.
 func (d *Dispatcher) mayWait(p *pool, w *work, now clock.Instant, allowed time.Duration) error {
-	usable := false
-	for _, e := range p.endpoints {
-		usable = usable || d.takesWork(e)
-	}
-	if !usable {
+	if !d.usable(p) {
 		return noEndpoint("all endpoints for the request are leaving")
 	}
 	if p.queue.Len() >= d.opts.MaxQueued {
@@ -154,6 +150,9 @@
 // pump gives free places to waiting requests in the queue's order. The caller holds d.mu.
 func (d *Dispatcher) pump(p *pool) {
 	now := d.opts.Clock.Now()
+	if p.queue.Len() > 0 && !d.usable(p) {
+		d.refuseAll(p)
+	}
 	for {
 		item := p.queue.Peek()
 		if item == nil {
@@ -171,6 +170,23 @@
 	d.settleDrain(p)
 }
 
+// refuseAll ends the wait of requests that no endpoint is left for.
+func (d *Dispatcher) refuseAll(p *pool) {
+	for item := p.queue.Pop(); item != nil; item = p.queue.Pop() {
+		item.Value.ready <- grant{err: noEndpoint("all endpoints for the request are leaving")}
+	}
+}
+
+// usable reports whether an endpoint of the pool takes new work.
+func (d *Dispatcher) usable(p *pool) bool {
+	for _, e := range p.endpoints {
+		if d.takesWork(e) {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Dispatcher) settleDrain(p *pool) {
 	if p.queue.Len() == 0 {
 		p.drain.Idle(d.opts.Clock.Now())
@@ -237,6 +253,9 @@
 		Failures:     e.load.health.Failures(now),
 		Avoid:        w.avoid[e],
 	}
+	if e.load.health.Probing() {
+		c.Slots = 1
+	}
 	if overflow {
 		c.Foreign = min(c.Foreign, max(c.Slots-c.InFlight-1, 0))
 	}
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -20,22 +21,41 @@
 func (e *unsentError) Unwrap() error { return e.cause }
 
 // send makes one round trip. It follows no redirect, since that would send the request again. An *unsentError means that no
-// byte of the request was written.
-func (d *Dispatcher) send(t *http.Transport, req *http.Request) (*http.Response, error) {
+// byte of the request was written. check, if set, is called right before the first byte: connecting may have taken long, or
+// the process may have been paused. Its error is returned as a *finalError.
+func (d *Dispatcher) send(t *http.Transport, req *http.Request, check func() error) (*http.Response, error) {
 	var got atomic.Pointer[countedConn]
 	var reused atomic.Bool
+	var refused atomic.Pointer[error]
+	ctx, cancel := context.WithCancel(req.Context())
+	gate := func() error {
+		err := check()
+		if err != nil {
+			refused.Store(&err)
+			cancel() // net/http would try another connection
+		}
+		return err
+	}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*countedConn); ok {
 			got.Store(c)
+			if check != nil {
+				c.check.Store(&gate)
+			}
 		}
 		reused.Store(info.Reused)
 	}}
-	ctx := httptrace.WithClientTrace(req.Context(), trace)
+	ctx = httptrace.WithClientTrace(ctx, trace)
 	injectTrace(ctx, req.Header)
 	resp, err := t.RoundTrip(req.WithContext(ctx))
 	if err == nil {
+		resp.Body = &cancelBody{resp.Body, cancel}
 		return resp, nil
 	}
+	defer cancel()
+	if why := refused.Load(); why != nil {
+		return nil, &finalError{&unsentError{*why}}
+	}
 	// A reused connection has carried earlier requests, so its count says nothing about this one.
 	if c := got.Load(); c == nil || (!reused.Load() && !c.written.Load()) {
 		return nil, &unsentError{err}
@@ -43,6 +63,18 @@
 	return nil, err
 }
 
+// cancelBody ends the request's context with its answer.
+type cancelBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close ends the answer.
+func (b *cancelBody) Close() error {
+	defer b.cancel()
+	return b.ReadCloser.Close()
+}
+
 // answerHeaders are the headers of an endpoint's answer that reach the caller.
 var answerHeaders = []string{
 	"Content-Type", "Content-Language", "Cache-Control", "Etag", "Last-Modified", "Location", "Retry-After",
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -103,7 +103,7 @@
 		transport = e.pooled
 	}
 	begun := d.opts.Clock.Now()
-	resp, err := d.send(transport, req)
+	resp, err := d.send(transport, req, c.BeforeSend)
 	if err == nil {
 		defer resp.Body.Close()
 		answer, err = d.readAnswer(resp)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -30,8 +30,10 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 
-	charge  limits.Charge
-	charged bool
+	chargeMu sync.Mutex // an operation may still be about to run when its handler has ended
+	charge   limits.Charge
+	charged  bool
+	over     bool // the handler has ended; nothing may be sent any more
 	// mustFinish is set once a non-idempotent request may have reached an endpoint: ending it then would only lose its
 	// answer. The mutex orders it with the end of the context.
 	sendMu     sync.Mutex
@@ -94,8 +96,7 @@
 	}
 	charge, err := c.g.opts.Limiter.Admit(c.ctx, c.org.Name, tokens)
 	if err == nil {
-		c.charge, c.charged = charge, true
-		return nil
+		return c.take(charge)
 	}
 	var refused *limits.RefusedError
 	if errors.As(err, &refused) {
@@ -116,30 +117,67 @@
 	return refuse(http.StatusServiceUnavailable, dispatch.CodeTimeout, "the request's time has run out").after(time.Second)
 }
 
-// settle replaces the charge by the real use. It must be called once after admit.
+// take keeps a charge, or gives it back if the call is over.
+func (c *call) take(charge limits.Charge) *apiError {
+	c.chargeMu.Lock()
+	defer c.chargeMu.Unlock()
+	if c.over {
+		c.g.opts.Limiter.Settle(charge, 0)
+		return c.ended(context.Canceled)
+	}
+	c.charge, c.charged = charge, true
+	return nil
+}
+
+// settle replaces the charge by the real use, at the end of the call. Nothing is sent after it.
 func (c *call) settle(used int64) {
+	c.chargeMu.Lock()
+	defer c.chargeMu.Unlock()
+	c.over = true
+	c.drop(used)
+}
+
+// drop settles the charge if there is one. The caller holds chargeMu.
+func (c *call) drop(used int64) {
 	if c.charged {
 		c.g.opts.Limiter.Settle(c.charge, used)
 		c.charged = false
 	}
 }
 
+// lapsed returns the tokens of a charge whose shares may no longer be used, and drops it.
+func (c *call) lapsed() (tokens int64, lapsed bool, err *apiError) {
+	c.chargeMu.Lock()
+	defer c.chargeMu.Unlock()
+	if c.over {
+		return 0, false, c.ended(context.Canceled)
+	}
+	if !c.charged || c.g.opts.Limiter.StillValid(c.charge) {
+		return 0, false, nil
+	}
+	tokens = c.charge.Tokens
+	c.drop(0)
+	return tokens, true, nil
+}
+
 // beforeSend checks, right before the first byte leaves, what may have changed while the request waited or the process was
 // paused. The error ends the request as not sent.
 func (c *call) beforeSend() error {
 	if err := c.permitted(c.g.opts.Source.View()); err != nil {
 		return &err.failure
 	}
-	if !c.charged || c.g.opts.Limiter.StillValid(c.charge) {
+	tokens, lapsed, err := c.lapsed()
+	if err != nil {
+		return &err.failure
+	}
+	if !lapsed {
 		return nil
 	}
 	// The shares are gone. The request is charged again from those held now.
-	tokens := c.charge.Tokens
-	c.settle(0)
 	if err := c.admit(tokens); err != nil {
 		return &err.failure
 	}
-	if c.g.opts.Limiter.StillValid(c.charge) {
+	if _, lapsed, _ := c.lapsed(); !lapsed {
 		return nil
 	}
 	return &refuse(http.StatusServiceUnavailable, "admission_failed", "the request's charge has lapsed").after(time.Second).failure
