Leave engines that hang without breaking their connections

A paused engine keeps its connections, so a request stayed with it until the limit for a first token, 60 s, and a stream that stalled was resumed at the same engine. An engine that misses three load reports in a row is now ejected, and attempts there without an event for 2 s go elsewhere. A stalled stream is not resumed where it stalled. A shorter limit for the first token was ruled out: long prompts in a full batch take that long.

--- a/internal/core/routing/health.go
+++ b/internal/core/routing/health.go
@@ -61,6 +61,12 @@
 	h.until = now.Add(wait)
 }
 
+// Silent records that the endpoint has not answered for a while, which ejects it at once.
+func (h *Health) Silent(now clock.Instant) {
+	h.failures = failuresToEject - 1
+	h.Failed(now)
+}
+
 // Failures is the number of failures in a row, 0 once the last lies so far back that the endpoint is worth a try again.
 func (h *Health) Failures(now clock.Instant) int {
 	if h.failures > 0 && now.Sub(h.failedAt) > maxEjection {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -260,6 +260,35 @@
 	}
 }
 
+// Guards against requests that stay with a paused engine, which keeps its connections, until the long limit for a first
+// token.
+func TestSilentEngineIsLeft(t *testing.T) {
+	f := newFleet(t, 2, 0, standin.EngineOptions{TokenInterval: 50 * time.Millisecond}, func(o *Options) {
+		o.FirstTimeout, o.StallTimeout, o.ReportTimeout = time.Minute, time.Minute, 300*time.Millisecond
+	})
+	var running sync.WaitGroup
+	for range 6 {
+		running.Go(func() {
+			begun := time.Now()
+			text, err := f.stream(context.Background(), call(10), nil)
+			if err != nil || text != standin.OutputText(prompt, 0, 10) {
+				t.Errorf("%q, %v", text, err)
+			}
+			if took := time.Since(begun); took > 8*time.Second {
+				t.Errorf("answered after %v", took)
+			}
+		})
+	}
+	time.Sleep(150 * time.Millisecond)
+	f.engines[0].SetFaults(standin.EngineFaults{Hang: true, HangCalls: true})
+	running.Wait()
+	begun := time.Now()
+	if _, err := f.stream(context.Background(), call(1), nil); err != nil || time.Since(begun) > time.Second {
+		t.Errorf("the next request: %v after %v", err, time.Since(begun))
+	}
+	f.engines[0].SetFaults(standin.EngineFaults{})
+}
+
 // Guards against a non-idempotent request that is executed twice, and against a wrong "not run".
 func TestNonIdempotentCallRunsAtMostOnce(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -50,6 +50,8 @@
 	prefix         *routing.PrefixCache
 	sequence       int64 // of the last cache event
 	gone           bool  // no longer configured
+	silent         int   // load reports in a row that did not come
+	attempts       map[*attemptWatch]struct{}
 }
 
 // ownWork is this instance's work at an endpoint. A report lags, so that it may still count work that has ended since; the
@@ -88,7 +90,7 @@
 		base:   "http://" + c.Addr,
 		pooled: newTransport(o, false),
 		single: newTransport(o, true),
-		load:   load{prefix: routing.NewPrefixCache(blocks)},
+		load:   load{prefix: routing.NewPrefixCache(blocks), attempts: map[*attemptWatch]struct{}{}},
 	}
 }
 
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -252,7 +252,7 @@
 
 // streamAt runs a stream at one endpoint. A stream that breaks is resumed there.
 func (d *Dispatcher) streamAt(ctx context.Context, e *endpoint, c *ModelCall, id string, sink func([]byte) error) error {
-	err := d.streamOnce(ctx, e, c, func(ctx context.Context) (*http.Request, error) {
+	err := d.streamOnce(ctx, e, c, d.opts.FirstTimeout, func(ctx context.Context) (*http.Request, error) {
 		return d.engineRequest(ctx, e, http.MethodPost, c.Path, id, c.prioritised())
 	}, sink)
 	for range maxResumes {
@@ -264,7 +264,7 @@
 			err = &finalError{joinErr}
 			break
 		}
-		resumeErr := d.streamOnce(ctx, e, c, func(ctx context.Context) (*http.Request, error) {
+		resumeErr := d.streamOnce(ctx, e, c, min(d.opts.FirstTimeout, resumeTimeout), func(ctx context.Context) (*http.Request, error) {
 			path := "/engine/v1/requests/" + url.PathEscape(id) + "/stream?from=" + strconv.FormatInt(from, 10)
 			return d.engineRequest(ctx, e, http.MethodGet, path, id, nil)
 		}, sink)
@@ -283,10 +283,13 @@
 	return err
 }
 
-// resumable reports whether the stream broke after its head had arrived.
+// resumeTimeout limits the wait for the first event of a resumed stream, which needs no prefill.
+const resumeTimeout = 2 * time.Second
+
+// resumable reports whether the stream broke after its head had arrived. One whose endpoint hangs would hang again.
 func resumable(ctx context.Context, err error) bool {
 	var broken *brokenError
-	return ctx.Err() == nil && errors.As(err, &broken)
+	return ctx.Err() == nil && errors.As(err, &broken) && !errors.Is(err, errStalled)
 }
 
 // brokenError reports a stream that ended without its end mark.
@@ -306,12 +309,14 @@
 var errStalled = errors.New("the endpoint made no progress")
 
 // streamOnce sends one request and gives its events to sink until the end mark.
-func (d *Dispatcher) streamOnce(ctx context.Context, e *endpoint, c *ModelCall, build func(context.Context) (*http.Request, error),
-	sink func([]byte) error) error {
+func (d *Dispatcher) streamOnce(ctx context.Context, e *endpoint, c *ModelCall, first time.Duration,
+	build func(context.Context) (*http.Request, error), sink func([]byte) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(d.opts.FirstTimeout, func() { cancel(errStalled) })
+	watchdog := time.AfterFunc(first, func() { cancel(errStalled) })
 	defer watchdog.Stop()
+	watched, unwatch := d.watch(e, cancel)
+	defer unwatch()
 	req, err := build(ctx)
 	if err != nil {
 		return &finalError{err}
@@ -344,6 +349,7 @@
 				return &finalError{&sinkError{err}}
 			}
 		}
+		d.progressed(watched)
 		watchdog.Reset(d.opts.StallTimeout)
 	}
 }
@@ -376,8 +382,12 @@
 // plainAt runs a plain call at one endpoint.
 func (d *Dispatcher) plainAt(ctx context.Context, e *endpoint, c *ModelCall, id string) (*operations.Answer, error) {
 	limit := d.opts.FirstTimeout + time.Duration(c.MaxTokens)*slowestToken
-	ctx, cancel := context.WithTimeoutCause(ctx, limit, errStalled)
-	defer cancel()
+	ctx, stop := context.WithTimeoutCause(ctx, limit, errStalled)
+	defer stop()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	_, unwatch := d.watch(e, cancel)
+	defer unwatch()
 	req, err := d.engineRequest(ctx, e, http.MethodPost, c.Path, id, c.prioritised())
 	if err != nil {
 		return nil, &finalError{err}
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -39,6 +39,8 @@
 	PollInterval time.Duration
 	// Dial replaces the dialler towards endpoints. Nil: TCP.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// ReportTimeout limits a load report.
+	ReportTimeout time.Duration
 	// DialTimeout limits a connection to an endpoint.
 	DialTimeout time.Duration
 	// FirstTimeout ends an attempt whose first token does not come, StallTimeout a stream that makes no progress after it.
@@ -55,15 +57,16 @@
 
 // Defaults of Options.
 const (
-	defaultPollInterval = 250 * time.Millisecond
-	defaultDialTimeout  = time.Second
-	defaultFirstTimeout = 60 * time.Second
-	defaultStallTimeout = 20 * time.Second
-	defaultShortWait    = 5 * time.Second
-	defaultLongWait     = 60 * time.Second
-	defaultMaxQueued    = 4096
-	defaultMaxAnswer    = 8 << 20
-	defaultMaxAttempts  = 3
+	defaultPollInterval  = 250 * time.Millisecond
+	defaultReportTimeout = time.Second
+	defaultDialTimeout   = time.Second
+	defaultFirstTimeout  = 60 * time.Second
+	defaultStallTimeout  = 20 * time.Second
+	defaultShortWait     = 5 * time.Second
+	defaultLongWait      = 60 * time.Second
+	defaultMaxQueued     = 4096
+	defaultMaxAnswer     = 8 << 20
+	defaultMaxAttempts   = 3
 )
 
 // Validate returns all findings, joined.
@@ -75,7 +78,7 @@
 	if o.Source == nil {
 		found = append(found, errors.New("dispatch: source of the configuration is not set"))
 	}
-	for _, d := range []time.Duration{o.PollInterval, o.DialTimeout, o.FirstTimeout, o.StallTimeout, o.ShortWait, o.LongWait} {
+	for _, d := range []time.Duration{o.PollInterval, o.ReportTimeout, o.DialTimeout, o.FirstTimeout, o.StallTimeout, o.ShortWait, o.LongWait} {
 		if d < 0 {
 			found = append(found, errors.Newf("dispatch: time %v is negative", d))
 		}
@@ -94,6 +97,7 @@
 		o.Chooser = routing.DefaultPolicy
 	}
 	o.PollInterval = either(o.PollInterval, defaultPollInterval)
+	o.ReportTimeout = either(o.ReportTimeout, defaultReportTimeout)
 	o.DialTimeout = either(o.DialTimeout, defaultDialTimeout)
 	o.FirstTimeout = either(o.FirstTimeout, defaultFirstTimeout)
 	o.StallTimeout = either(o.StallTimeout, defaultStallTimeout)
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -69,7 +69,10 @@
 	d.mu.Unlock()
 	var r loadReport
 	if err := d.get(ctx, e, "/engine/v1/load", &r); err != nil {
-		return // an endpoint that gives no report is judged by its answers; its old report expires
+		if ctx.Err() == nil {
+			d.unreported(e)
+		}
+		return // the old report expires
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -80,6 +83,7 @@
 	e.load.reportedTotal = r.Running + r.Waiting
 	e.load.reportedAt = d.opts.Clock.Now()
 	e.load.reported = true
+	e.load.silent = 0
 	for _, p := range d.pools {
 		if p.queue.Len() > 0 {
 			d.pump(p)
@@ -143,14 +147,11 @@
 	return out
 }
 
-// Limits of a report.
-const (
-	reportTimeout = time.Second
-	maxReport     = 1 << 20
-)
+// maxReport bounds a report in bytes.
+const maxReport = 1 << 20
 
 func (d *Dispatcher) get(ctx context.Context, e *endpoint, path string, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	ctx, cancel := context.WithTimeout(ctx, d.opts.ReportTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.base+path, nil)
 	if err != nil {
