Benchmark admission, memory and loans, and compute entitlements once

An account of 34,000 took 160 us to make, because the slots of every region were sorted by hash for each configuration in the history; a changed configuration recomputed all accounts. The first k slots are now selected in one pass, an account keeps its entitlements, and a configuration recomputes only accounts whose terms changed.

--- /dev/null
+++ b/internal/core/ratelimit/bench_test.go
@@ -0,0 +1,132 @@
+package ratelimit
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+)
+
+// manyOrganisations declares the same terms for every name.
+type manyOrganisations struct {
+	regions []Region
+	terms   Terms
+}
+
+func (manyOrganisations) Revision() int64     { return 1 }
+func (c manyOrganisations) Regions() []Region { return c.regions }
+func (c manyOrganisations) Organisation(name string) (Organisation, bool) {
+	return Organisation{Name: name, Current: c.terms}, true
+}
+
+var sizes = []int{340, 3_400, 34_000}
+
+// fleetOfSlots is the size in two years: 5 regions and 390 instances.
+func fleetOfSlots() []Region {
+	return []Region{{"a", 78}, {"b", 78}, {"c", 78}, {"d", 78}, {"e", 78}}
+}
+
+func names(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("organisation-%05d", i)
+	}
+	return out
+}
+
+// owner returns a ledger that owns all slots of region a, full.
+func owner(name string) (*Ledger, clock.Instant) {
+	l := New(Options{Self: name})
+	now := clock.Instant(time.Hour)
+	l.Configure(now, manyOrganisations{fleetOfSlots(), Terms{Rate: 400, Burst: 4000}})
+	for i := range 78 {
+		l.GainSlot(now, Slot{"a", i})
+	}
+	return l, now.Add(time.Minute)
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l, now := owner("a-1")
+			orgs := names(n)
+			for _, org := range orgs {
+				l.Offer(now, org, 1)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(time.Millisecond)
+				org := orgs[i%n]
+				l.Offer(now, org, 1)
+				if id, ok := l.Admit(now, org, 1); ok {
+					l.Settle(now, id, 1)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkAccountBytes reports the memory of an active organisation.
+func BenchmarkAccountBytes(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			orgs := names(n)
+			for range b.N {
+				l, now := owner("a-1")
+				before := heap()
+				for _, org := range orgs {
+					l.Offer(now, org, 1)
+				}
+				b.ReportMetric(float64(heap()-before)/float64(n), "bytes/org")
+				runtime.KeepAlive(l)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkLoan is one ask, grant and acceptance with the return of the burst share.
+func BenchmarkLoan(b *testing.B) {
+	giver, now := owner("a-1")
+	receiver := New(Options{Self: "b-1", FirstLoan: 1 << 40})
+	receiver.Configure(now, manyOrganisations{fleetOfSlots(), Terms{Rate: 400, Burst: 4000}})
+	orgs := names(3_400)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		now = now.Add(3 * time.Millisecond)
+		org := orgs[i%len(orgs)]
+		receiver.Offer(now, org, 10)
+		answer := giver.Grant(now, "b-1", receiver.Ask(now, org, "a-1", 10, 1))
+		receiver.Accept(now, now, "a-1", org, answer)
+	}
+}
+
+// BenchmarkSecond is the work of one second for active organisations: rebalancing and sweep.
+func BenchmarkSecond(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l, now := owner("a-1")
+			for _, org := range names(n) {
+				l.Offer(now, org, 500)
+				l.Admit(now, org, 500)
+			}
+			owners := func(string) []string { return []string{"b-1", "c-1"} }
+			b.ResetTimer()
+			for range b.N {
+				now = now.Add(time.Millisecond)
+				l.Rebalance(now, owners)
+				l.Sweep(now)
+			}
+		})
+	}
+}
--- a/internal/core/ratelimit/entitlement.go
+++ b/internal/core/ratelimit/entitlement.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"math"
 	"slices"
 
@@ -95,64 +96,76 @@
 	return max(1, min(slots, int(math.Ceil(rate/slotRate))))
 }
 
-// rankedSlots returns the slot indexes of a region in the organisation's rendezvous order.
-func rankedSlots(organisation string, region Region) []int {
+// rankedSlots returns the first k slot indexes of a region in the organisation's rendezvous order.
+func rankedSlots(organisation string, region Region, k int) []int {
 	type ranked struct {
-		index int
 		hash  uint64
+		index int
 	}
-	order := make([]ranked, region.Slots)
-	buf := make([]byte, 0, len(organisation)+len(region.Name)+10)
+	buf := make([]byte, 0, 64)
 	buf = append(buf, organisation...)
 	buf = append(buf, 0)
 	buf = append(buf, region.Name...)
 	buf = append(buf, 0)
-	for i := range order {
-		order[i] = ranked{i, xxhash.Sum64(binary.BigEndian.AppendUint64(buf, uint64(i)))}
+	prefix := len(buf)
+	first := make([]ranked, 0, min(k, region.Slots)+1)
+	for index := range region.Slots {
+		buf = binary.BigEndian.AppendUint64(buf[:prefix], uint64(index))
+		x := ranked{xxhash.Sum64(buf), index}
+		if len(first) == k && x.hash <= first[k-1].hash {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(first, x, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
+		first = slices.Insert(first, at, x)
+		first = first[:min(len(first), k)]
 	}
-	slices.SortFunc(order, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.index, b.index))
-	})
-	out := make([]int, len(order))
-	for i, r := range order {
+	out := make([]int, len(first))
+	for i, r := range first {
 		out[i] = r.index
 	}
 	return out
 }
 
-// Entitlements returns the share of each slot that has one: per slot the minimum of the current and all previous terms.
-func Entitlements(org Organisation, regions []Region) map[Slot]Share {
-	shares := map[Slot]Share{}
-	for _, region := range regions {
-		if region.Slots <= 0 {
-			continue
-		}
-		ranked := rankedSlots(org.Name, region)
-		addRegion(shares, org.Current, regions, region, ranked)
-	}
+// SlotShare is the entitlement of a slot.
+type SlotShare struct {
+	Slot  Slot
+	Share Share
+}
+
+// Entitlements returns the shares of the slots that the current terms give one, in the order of the regions: per slot the
+// minimum of the current and all previous terms.
+func Entitlements(org Organisation, regions []Region) []SlotShare {
+	shares := divide(org.Name, org.Current, regions)
 	for _, previous := range org.Previous {
 		before := map[Slot]Share{}
-		for _, region := range regions {
-			if region.Slots > 0 {
-				addRegion(before, previous, regions, region, rankedSlots(org.Name, region))
-			}
+		for _, x := range divide(org.Name, previous, regions) {
+			before[x.Slot] = x.Share
 		}
-		for slot, share := range shares {
-			shares[slot] = share.min(before[slot])
+		for i, x := range shares {
+			shares[i].Share = x.Share.min(before[x.Slot])
 		}
 	}
 	return shares
 }
 
-// addRegion adds the shares of one region under the given terms.
-func addRegion(shares map[Slot]Share, t Terms, regions []Region, region Region, ranked []int) {
-	part := t.regionPart(regions, region.Name)
-	if part <= 0 {
-		return
-	}
-	k := slotCount(t.Rate*part, region.Slots)
-	share := Share{t.Rate * part / float64(k), t.Burst * part / float64(k)}
-	for _, index := range ranked[:k] {
-		shares[Slot{region.Name, index}] = share
+// divide returns the slots' shares under the given terms.
+func divide(organisation string, t Terms, regions []Region) []SlotShare {
+	var out []SlotShare
+	for _, region := range regions {
+		part := t.regionPart(regions, region.Name)
+		if part <= 0 || region.Slots <= 0 {
+			continue
+		}
+		k := slotCount(t.Rate*part, region.Slots)
+		share := Share{t.Rate * part / float64(k), t.Burst * part / float64(k)}
+		for _, index := range rankedSlots(organisation, region, k) {
+			out = append(out, SlotShare{Slot{region.Name, index}, share})
+		}
 	}
+	return out
+}
+
+// equal reports whether two terms are the same.
+func (t Terms) equal(o Terms) bool {
+	return t.Rate == o.Rate && t.Burst == o.Burst && t.Home == o.Home && maps.Equal(t.Split, o.Split)
 }
--- a/internal/core/ratelimit/ledger.go
+++ b/internal/core/ratelimit/ledger.go
@@ -1,7 +1,6 @@
 package ratelimit
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -93,7 +92,9 @@
 	openTokens float64
 	epoch      uint64 // changes when shares that charges were taken from are gone
 	total      Terms
-	slots      []Slot // that have a share of the organisation, in a fixed order
+	// entitled are the shares of all slots under the configuration in force.
+	entitled []SlotShare
+	limited  bool // previous terms limit the entitlements
 	// seen holds the accepted loans until their term ends, since a duplicate may arrive after the loan was given back.
 	seen map[loanKey]clock.Instant
 }
@@ -142,15 +143,19 @@
 		l.history = append([]pastConfiguration(nil), l.history[1:]...)
 		l.complete = false
 	}
+	sameRegions := len(l.history) > 1 && slices.Equal(l.history[len(l.history)-2].conf.Regions(), conf.Regions())
 	for name, a := range l.accounts {
-		l.rescale(name, a)
+		org, _ := conf.Organisation(name)
+		if sameRegions && !a.limited && len(org.Previous) == 0 && a.total.equal(org.Current) {
+			continue
+		}
+		l.rescale(a, org)
 	}
 }
 
 // rescale applies the configuration in force to an account.
-func (l *Ledger) rescale(name string, a *account) {
+func (l *Ledger) rescale(a *account, org Organisation) {
 	before := a.share().Burst
-	org, _ := l.current().Organisation(name)
 	factor := Share{scale(a.total.Rate, org.Current.Rate), scale(a.total.Burst, org.Current.Burst)}
 	if factor.Rate < 1 || factor.Burst < 1 {
 		for i := range a.taken {
@@ -160,7 +165,7 @@
 		a.sum()
 	}
 	a.total = org.Current
-	a.own, a.slots = l.ownShare(name, l.current())
+	l.entitle(a, org, l.current())
 	if after := a.share().Burst; after < before && a.level > 0 {
 		a.level *= after / before
 	}
@@ -175,35 +180,30 @@
 	return after / before
 }
 
-// entitlements returns the slots' shares of an organisation, nil if it does not exist.
-func (l *Ledger) entitlements(name string, conf Configuration) map[Slot]Share {
-	org, ok := conf.Organisation(name)
-	if !ok {
-		return nil
-	}
+// entitle computes the entitlements of an account.
+func (l *Ledger) entitle(a *account, org Organisation, conf Configuration) {
+	a.entitled = l.entitlements(org, conf)
+	a.limited = len(org.Previous) > 0
+	a.own = l.ownShare(a)
+}
+
+// entitlements returns the slots' shares of an organisation; a name that is not declared has none.
+func (l *Ledger) entitlements(org Organisation, conf Configuration) []SlotShare {
 	if l.rules.noMinimum {
 		org.Previous = nil
 	}
 	return Entitlements(org, conf.Regions())
 }
 
-// ownShare returns the sum of the usable slots' entitlements, and all slots that have a share.
-func (l *Ledger) ownShare(name string, conf Configuration) (Share, []Slot) {
-	shares := l.entitlements(name, conf)
-	slots := make([]Slot, 0, len(shares))
-	for slot := range shares {
-		slots = append(slots, slot)
-	}
-	slices.SortFunc(slots, func(a, b Slot) int {
-		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Index, b.Index))
-	})
+// ownShare returns the sum of the usable slots' entitlements.
+func (l *Ledger) ownShare(a *account) Share {
 	var own Share
-	for _, slot := range slots {
-		if l.slots[slot].usable {
-			own = own.plus(shares[slot])
+	for _, x := range a.entitled {
+		if l.slots[x.Slot].usable {
+			own = own.plus(x.Share)
 		}
 	}
-	return own, slots
+	return own
 }
 
 // GainSlot starts the use of a slot from now on, without tokens. The caller is certain that the predecessor has ended its
@@ -234,11 +234,8 @@
 		a.advance(now)
 	}
 	change()
-	if l.current() == nil {
-		return
-	}
-	for name, a := range l.accounts {
-		own, _ := l.ownShare(name, l.current())
+	for _, a := range l.accounts {
+		own := l.ownShare(a)
 		if own.Burst < a.own.Burst || own.Rate < a.own.Rate {
 			before := a.share().Burst
 			a.own = own
@@ -269,9 +266,11 @@
 	if !ok {
 		return nil
 	}
-	own, slots := l.ownShare(name, conf)
-	a := &account{own: own, slots: slots, updated: now, offered: now, total: org.Current}
-	a.level = math.Min(l.idleLevel(now, name), a.own.Burst)
+	a := &account{updated: now, offered: now, total: org.Current}
+	l.entitle(a, org, conf)
+	if a.own != (Share{}) {
+		a.level = math.Min(l.idleLevel(now, name), a.own.Burst)
+	}
 	l.accounts[name] = a
 	return a
 }
@@ -279,40 +278,49 @@
 // idleLevel returns the tokens that an organisation without an account has gathered in the usable slots: each slot filled
 // up since it became usable and since its share was last changed.
 func (l *Ledger) idleLevel(now clock.Instant, name string) float64 {
-	type step struct {
-		from   clock.Instant
-		shares map[Slot]Share
-	}
-	steps := make([]step, len(l.history))
+	total := 0.0
+	levels := map[Slot]float64{}
+	var shares []SlotShare
+	var before Organisation
+	var regions []Region
 	for i, past := range l.history {
-		steps[i] = step{past.from, l.entitlements(name, past.conf)}
+		org, _ := past.conf.Organisation(name)
+		unchanged := i > 0 && len(org.Previous) == 0 && len(before.Previous) == 0 && org.Current.equal(before.Current) &&
+			slices.Equal(regions, past.conf.Regions())
+		if !unchanged {
+			shares = l.entitlements(org, past.conf)
+		}
+		before, regions = org, past.conf.Regions()
+		until := now
+		if i+1 < len(l.history) {
+			until = l.history[i+1].from
+		}
+		levels = l.fill(levels, shares, past.from, until)
 	}
-	total := 0.0
-	for slot, state := range l.slots {
+	for _, level := range levels {
+		total += level
+	}
+	return total
+}
+
+// fill returns the levels of the usable slots after a time under constant shares.
+func (l *Ledger) fill(levels map[Slot]float64, shares []SlotShare, from, until clock.Instant) map[Slot]float64 {
+	out := map[Slot]float64{}
+	for _, x := range shares {
+		state := l.slots[x.Slot]
 		if !state.usable {
 			continue
 		}
-		level := 0.0
-		if l.rules.fullLevel {
-			level = math.Inf(1)
+		level := math.Min(levels[x.Slot], x.Share.Burst)
+		if since := max(from, state.from); until > since {
+			level = math.Min(x.Share.Burst, level+x.Share.Rate*until.Sub(since).Seconds())
 		}
-		for i, s := range steps {
-			share := s.shares[slot]
-			from, until := s.from, now
-			if i+1 < len(steps) {
-				until = steps[i+1].from
-			}
-			if state.from > from {
-				from = state.from
-			}
-			level = math.Min(level, share.Burst)
-			if until > from {
-				level = math.Min(share.Burst, level+share.Rate*until.Sub(from).Seconds())
-			}
+		if l.rules.fullLevel {
+			level = x.Share.Burst
 		}
-		total += level
+		out[x.Slot] = level
 	}
-	return total
+	return out
 }
 
 // share returns the rate and burst that may be used now. Shares that were lowered below the loans given count as 0.
@@ -508,10 +516,10 @@
 }
 
 // Slots returns the slots that have a share of the organisation.
-func (l *Ledger) Slots(now clock.Instant, organisation string) []Slot {
+func (l *Ledger) Slots(now clock.Instant, organisation string) []SlotShare {
 	a := l.account(now, organisation)
 	if a == nil {
 		return nil
 	}
-	return a.slots
+	return a.entitled
 }
--- a/internal/core/ratelimit/loan.go
+++ b/internal/core/ratelimit/loan.go
@@ -415,6 +415,10 @@
 }
 
 func (l *Ledger) rebalance(now clock.Instant, name string, a *account, owners func(string) []string, out map[string][]Ask) {
+	demand := a.demandAt(now)
+	if len(a.taken) == 0 && !a.needsMore(demand) {
+		return
+	}
 	byGiver := map[string]*Ask{}
 	ask := func(giver string) *Ask {
 		if byGiver[giver] == nil {
@@ -422,7 +426,6 @@
 		}
 		return byGiver[giver]
 	}
-	demand := a.demandAt(now)
 	for _, giver := range a.givers() {
 		if returns := l.returnExcess(a, giver); len(returns) > 0 {
 			ask(giver).Returns = returns
--- a/internal/core/ratelimit/pull.go
+++ b/internal/core/ratelimit/pull.go
@@ -188,9 +188,9 @@
 // owners returns the holders of the organisation's slots in this region, or in the others.
 func (p *Puller) owners(now clock.Instant, organisation string, inRegion bool, x *pull) []string {
 	var names []string
-	for _, slot := range p.ledger.Slots(now, organisation) {
-		if (slot.Region == p.opts.Region) == inRegion {
-			names = append(names, p.fleet.Owner(slot))
+	for _, x := range p.ledger.Slots(now, organisation) {
+		if (x.Slot.Region == p.opts.Region) == inRegion {
+			names = append(names, p.fleet.Owner(x.Slot))
 		}
 	}
 	return p.pick(names, inRegion, x)
--- a/internal/limits/slots.go
+++ b/internal/limits/slots.go
@@ -91,10 +91,10 @@
 }
 
 // owners returns the distinct owners of the slots without self.
-func (t *slotTable) owners(slots []ratelimit.Slot, self string) []string {
+func (t *slotTable) owners(slots []ratelimit.SlotShare, self string) []string {
 	var out []string
-	for _, slot := range slots {
-		if name := t.ownerOf[slot].Name; name != "" && name != self && !slices.Contains(out, name) {
+	for _, x := range slots {
+		if name := t.ownerOf[x.Slot].Name; name != "" && name != self && !slices.Contains(out, name) {
 			out = append(out, name)
 		}
 	}
