--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -43,6 +43,8 @@
 type Options struct {
 	// RetryFor bounds how long a write is repeated while the store is unavailable or its outcome unknown. Default 15 s.
 	RetryFor time.Duration
+	// RetryPause is the first pause between repeated calls; later ones are longer, up to 40 times. Default 50 ms.
+	RetryPause time.Duration
 	// Now is the time written into heads. Default time.Now.
 	Now func() time.Time
 	// NewToken returns a value that is unique to a write. Default a random UUID.
@@ -60,6 +62,9 @@
 	if opts.RetryFor <= 0 {
 		opts.RetryFor = 15 * time.Second
 	}
+	if opts.RetryPause <= 0 {
+		opts.RetryPause = 50 * time.Millisecond
+	}
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
@@ -103,7 +108,7 @@
 	return shardPrefix + string(d)
 }
 
-// Content reads the named parts of a head and checks their digests.
+// Content reads the named parts of a head and checks their digests. With an error it returns the parts that were read.
 func (s *Store) Content(ctx context.Context, h *configview.Head, digests []configview.Digest) (map[configview.Digest][]byte, error) {
 	content := make(map[configview.Digest][]byte, len(digests))
 	var mu sync.Mutex
@@ -111,6 +116,9 @@
 	g.SetLimit(readParallelism)
 	for _, d := range digests {
 		g.Go(func() error {
+			if err := ctx.Err(); err != nil {
+				return err // another read has failed
+			}
 			value, err := s.readContent(ctx, keyOf(h, d), d)
 			if err != nil {
 				return err
@@ -121,10 +129,7 @@
 			return nil
 		})
 	}
-	if err := g.Wait(); err != nil {
-		return nil, err
-	}
-	return content, nil
+	return content, g.Wait()
 }
 
 func (s *Store) readContent(ctx context.Context, key string, d configview.Digest) ([]byte, error) {
@@ -146,7 +151,7 @@
 			return struct{}{}, backoff.Permanent(err)
 		}
 		return struct{}{}, err
-	}, backoff.WithMaxElapsedTime(s.opts.RetryFor), backoff.WithBackOff(newBackOff()))
+	}, backoff.WithMaxElapsedTime(s.opts.RetryFor), backoff.WithBackOff(s.newBackOff()))
 	var permanent *backoff.PermanentError
 	if errors.As(err, &permanent) {
 		return permanent.Unwrap()
@@ -158,10 +163,10 @@
 	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknownOutcome)
 }
 
-func newBackOff() *backoff.ExponentialBackOff {
+func (s *Store) newBackOff() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = 50 * time.Millisecond
-	b.MaxInterval = 2 * time.Second
+	b.InitialInterval = s.opts.RetryPause
+	b.MaxInterval = 40 * s.opts.RetryPause
 	return b
 }
 
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -39,10 +39,12 @@
 type load struct {
 	inFlight       int
 	inFlightTokens float64
-	unreported     float64 // tokens sent since the last report
-	foreign        int
-	queuedTokens   float64
+	pending        float64 // own prompt tokens that the endpoint has not worked through
+	foreign        int     // requests of other instances, as reported
+	foreignTokens  float64 // their waiting tokens
+	last           ownWork // at the last report
 	reportedAt     clock.Instant
+	reportedTotal  int // requests in the last report, whoever sent them
 	reported       bool
 	health         routing.Health
 	prefix         *routing.PrefixCache
@@ -50,18 +52,31 @@
 	gone           bool  // no longer configured
 }
 
-// Default batch depths. A plain service has no batch; its depth only bounds the connections to it.
+// ownWork is this instance's work at an endpoint. A report lags, so that it may still count work that has ended since; the
+// largest recent figure is taken for own when the other instances' work is told from it.
+type ownWork struct {
+	requests int
+	tokens   float64
+}
+
+func (l *load) own() ownWork { return ownWork{requests: l.inFlight, tokens: l.pending} }
+
+func (w ownWork) atLeast(o ownWork) ownWork {
+	return ownWork{requests: max(w.requests, o.requests), tokens: max(w.tokens, o.tokens)}
+}
+
+// defaultSlots is the batch depth of an engine that declares none. A plain service has no batch; serviceSlots only bounds the
+// requests that one instance sends to it at once.
 const (
-	defaultSlots        = 8
-	defaultServiceSlots = 64
+	defaultSlots = 8
+	serviceSlots = 64
 )
 
 func withSlots(c config.Endpoint) config.Endpoint {
 	switch {
-	case c.Slots > 0:
 	case c.Kind == config.KindService:
-		c.Slots = defaultServiceSlots
-	default:
+		c.Slots = serviceSlots
+	case c.Slots <= 0:
 		c.Slots = defaultSlots
 	}
 	return c
@@ -85,10 +100,13 @@
 // With noRetry each request has a connection of its own. net/http sends a request again on its own when a reused connection
 // fails before the answer; on a new connection it never does, so a non-idempotent request cannot be sent twice.
 func newTransport(o Options, noRetry bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: o.DialTimeout}
+	dial := o.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: o.DialTimeout}).DialContext
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, addr)
+			conn, err := dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -33,6 +33,8 @@
 	Class        fairqueue.Class
 	// BeforeSend is called right before the first byte of each attempt; its error ends the call as not sent.
 	BeforeSend func() error
+	// NoLocal says that the endpoints here have failed the request: another region is not asked for mere relief then.
+	NoLocal bool
 	// Progress is what the caller of a stream has received, from earlier attempts elsewhere too.
 	Progress *Progress
 }
@@ -78,7 +80,17 @@
 		if err := c.Progress.Begin(); err != nil {
 			return &finalError{err}
 		}
-		return d.streamAt(ctx, l.endpoint, c, id, sink)
+		ctx, end := startAttempt(ctx, "dispatch.stream", l.endpoint, id)
+		first := true
+		err := d.streamAt(ctx, l.endpoint, c, id, func(data []byte) error {
+			if first {
+				first = false
+				d.prefilled(l)
+			}
+			return sink(data)
+		})
+		end(err)
+		return err
 	})
 }
 
@@ -86,7 +98,9 @@
 func (d *Dispatcher) Plain(ctx context.Context, c *ModelCall) (*operations.Answer, Usage, error) {
 	var answer *operations.Answer
 	err := d.attempts(ctx, c, func(l *lease, id string) error {
+		ctx, end := startAttempt(ctx, "dispatch.plain", l.endpoint, id)
 		a, err := d.plainAt(ctx, l.endpoint, c, id)
+		end(err)
 		answer = a
 		return err
 	})
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -3,6 +3,8 @@
 package dispatch
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,12 +30,15 @@
 	Logger     *zap.Logger
 	// States may be nil: no endpoint is then listed as leaving.
 	States EndpointStates
-	Policy routing.Policy
+	// Chooser picks endpoints. Nil: routing.DefaultPolicy.
+	Chooser routing.Chooser
 	// Seed starts the random source of the endpoint choice. 0 takes one from the system.
 	Seed uint64
 
 	// PollInterval is the time between two load reports of an endpoint. With many endpoints it grows, see pollInterval.
 	PollInterval time.Duration
+	// Dial replaces the dialler towards endpoints. Nil: TCP.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// DialTimeout limits a connection to an endpoint.
 	DialTimeout time.Duration
 	// FirstTimeout ends an attempt whose first token does not come, StallTimeout a stream that makes no progress after it.
@@ -85,8 +90,8 @@
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
-	if o.Policy == (routing.Policy{}) {
-		o.Policy = routing.DefaultPolicy
+	if o.Chooser == nil {
+		o.Chooser = routing.DefaultPolicy
 	}
 	o.PollInterval = either(o.PollInterval, defaultPollInterval)
 	o.DialTimeout = either(o.DialTimeout, defaultDialTimeout)
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
@@ -39,7 +40,7 @@
 	endpoint *endpoint
 	pool     *pool
 	tokens   float64
-	since    clock.Instant
+	prefill  float64 // prompt tokens that the endpoint was believed not to hold, 0 once they are done
 }
 
 // overflowAfter is the wait after which a request goes to an endpoint whose batch is full of other instances' work: their
@@ -196,16 +197,30 @@
 		cands[i].Ejected = ejected[i]
 		cands[i].Slowness = slowness[i]
 	}
-	i := d.opts.Policy.Choose(cands, w.prompt, false, d.rng)
+	i := d.opts.Chooser.Choose(cands, w.prompt, false, d.rng)
 	if i < 0 {
 		return nil
 	}
 	e := open[i]
 	e.load.inFlight++
 	e.load.inFlightTokens += w.tokens
-	e.load.unreported += w.prompt
+	prefill := max(w.prompt-cands[i].CachedTokens, 0)
+	e.load.pending += prefill
 	e.load.prefix.Stored(w.blocks, now)
-	return &lease{endpoint: e, pool: p, tokens: w.tokens, since: now}
+	return &lease{endpoint: e, pool: p, tokens: w.tokens, prefill: prefill}
+}
+
+// prefilled records that the endpoint has worked through the prompt.
+func (d *Dispatcher) prefilled(l *lease) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l.dropPrefill()
+}
+
+// dropPrefill takes the prompt out of the work waiting at the endpoint. The caller holds d.mu.
+func (l *lease) dropPrefill() {
+	l.endpoint.load.pending -= l.prefill
+	l.prefill = 0
 }
 
 // otherDataCentre is the cost, in tokens, of an endpoint in another data centre of the region: about 1 ms of prefill.
@@ -217,8 +232,10 @@
 		Slots:        e.config.Slots,
 		InFlight:     e.load.inFlight,
 		Foreign:      e.load.foreignNow(now),
-		QueuedTokens: e.load.queuedTokens + e.load.unreported,
+		Reported:     e.load.reportedTotal,
+		QueuedTokens: e.load.foreignTokens + e.load.pending,
 		CachedTokens: e.load.prefix.Cached(w.blocks, now),
+		Failures:     e.load.health.Failures(now),
 		Avoid:        w.avoid[e],
 	}
 	if overflow {
@@ -244,6 +261,7 @@
 func (d *Dispatcher) release(l *lease) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	l.dropPrefill()
 	l.endpoint.load.inFlight--
 	l.endpoint.load.inFlightTokens -= l.tokens
 	for _, p := range d.pools {
@@ -276,3 +294,35 @@
 	wait, _ := d.wait(p, w, d.opts.Clock.Now())
 	return wait
 }
+
+// PoolLoad is the load of the endpoints that serve a model or a plain service.
+type PoolLoad struct {
+	Name    string
+	Service bool
+	Wait    time.Duration // expected time until work is begun; 0 if nothing waits or it is not known
+	Free    int           // places in batches
+}
+
+// Loads returns the load of every model and service that this region serves, in no order.
+func (d *Dispatcher) Loads() []PoolLoad {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.opts.Clock.Now()
+	out := make([]PoolLoad, 0, len(d.pools))
+	for name, p := range d.pools {
+		free := 0
+		for _, e := range p.endpoints {
+			if d.takesWork(e) {
+				free += max(e.config.Slots-e.load.inFlight-e.load.foreignNow(now), 0)
+			}
+		}
+		// The class that is served last gives the longest wait, which another region should count with.
+		wait, _ := d.wait(p, &work{weight: 1, class: fairqueue.Long}, now)
+		service, isService := strings.CutPrefix(name, servicePrefix)
+		if isService {
+			name = service
+		}
+		out = append(out, PoolLoad{Name: name, Service: isService, Wait: wait, Free: free})
+	}
+	return out
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,8 +60,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for c := range g.open {
-		if err := c.permitted(v); err != nil && !c.mustFinish.Load() {
-			c.cancel(&err.failure)
+		if err := c.permitted(v); err != nil {
+			c.endUnsent(&err.failure)
 		}
 	}
 }
@@ -101,6 +101,7 @@
 	id := newID()
 	h := w.Header()
 	h.Set(headerRequestID, id)
+	markServed(r.Context())
 	// A request with both a length and chunks is read by its chunks. Ending the connection after any chunked request
 	// leaves no bytes that could be read as a second request.
 	if g.draining.Load() || len(r.TransferEncoding) > 0 {
@@ -111,7 +112,9 @@
 			g.panicked(w, id, p)
 		}
 	}()
-	g.table().router.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), requestIDKey{}, id)))
+	ctx, span := startRequest(r, id)
+	defer span.End()
+	g.table().router.ServeHTTP(w, r.WithContext(context.WithValue(ctx, requestIDKey{}, id)))
 }
 
 type requestIDKey struct{}
--- a/internal/operations/outcome.go
+++ b/internal/operations/outcome.go
@@ -27,9 +27,12 @@
 	CodeFull          = "operation_records_full"
 	CodeCancelled     = "operation_cancelled"
 	CodeStopping      = "operation_instance_stopping"
+	CodeOtherRegion   = "operation_other_region"
 	CodeOrganisation  = "organisation_unknown"
 	// codeNotHolder is said between instances only.
 	codeNotHolder = "operation_not_holder"
+	// codeUnlisted says inside an instance that the peer has no known address.
+	codeUnlisted = "operation_peer_unlisted"
 )
 
 // Times after which a repeat is worthwhile.
