Give entitlements as a map again

The ledger uses the ordered list inside the package.

Ran: go vet ./..., go test of ratelimit, limits, configstore and daemon.

--- a/internal/core/ratelimit/entitlement.go
+++ b/internal/core/ratelimit/entitlement.go
@@ -132,9 +132,17 @@
 	Share Share
 }
 
-// Entitlements returns the shares of the slots that the current terms give one, in the order of the regions: per slot the
-// minimum of the current and all previous terms.
-func Entitlements(org Organisation, regions []Region) []SlotShare {
+// Entitlements returns the share of each slot that has one: per slot the minimum of the current and all previous terms.
+func Entitlements(org Organisation, regions []Region) map[Slot]Share {
+	out := map[Slot]Share{}
+	for _, x := range slotShares(org, regions) {
+		out[x.Slot] = x.Share
+	}
+	return out
+}
+
+// slotShares returns the entitlements in the order of the regions.
+func slotShares(org Organisation, regions []Region) []SlotShare {
 	shares := divide(org.Name, org.Current, regions)
 	for _, previous := range org.Previous {
 		before := map[Slot]Share{}
--- a/internal/core/ratelimit/ledger.go
+++ b/internal/core/ratelimit/ledger.go
@@ -192,7 +192,7 @@
 	if l.rules.noMinimum {
 		org.Previous = nil
 	}
-	return Entitlements(org, conf.Regions())
+	return slotShares(org, conf.Regions())
 }
 
 // ownShare returns the sum of the usable slots' entitlements.
