Carry large bodies between instances in parts and survive panicking runs

A forwarded request or answer above the 4 MiB limit of a message failed: the request as "not run" for ever, the answer as "unknown" although it had arrived at the owner. Bodies now follow in parts of 1 MiB, up to 64 MiB for requests. An answer that breaks off keeps its execution "ran" and is never passed on as whole. Ruled out: a higher message limit, since it applies to every service and sizes the buffers of a session.

A panic in a run ended the instance with all its operations. It is now "unknown" for its own operation and logged with its stack.

--- a/internal/operations/forward.go
+++ b/internal/operations/forward.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/proto"
 
 	"dogwoodknot.example/dogwoodknot/internal/core/atmostonce"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
@@ -23,7 +22,7 @@
 
 func (s *Service) register() {
 	n := s.o.Network
-	n.Handle(serviceDo, peer.Unary(s.handleDo))
+	n.Handle(serviceDo, s.handleDo)
 	n.Handle(serviceHandover, s.handleHandover)
 	n.Handle(serviceHeirNotice, peer.Unary(s.handleHeirNotice))
 	n.Handle(serviceHeirQuery, peer.Unary(s.handleHeirQuery))
@@ -34,6 +33,9 @@
 	if c.forward == nil {
 		return notRun(http.StatusServiceUnavailable, CodeOwnerAway, "the key is owned by another instance", retrySoon)
 	}
+	if len(c.forward.Body) > maxForwardedBody {
+		return bodyTooLarge()
+	}
 	req := &wire.OperationDoRequest{
 		Organisation: c.organisation,
 		Key:          c.key.Canonical,
@@ -42,15 +44,62 @@
 		Method:       c.forward.Method,
 		Path:         c.forward.Path,
 		ContentType:  c.forward.ContentType,
-		Body:         c.forward.Body,
+		Body:         firstPart(c.forward.Body),
+		BodyBytes:    int64(len(c.forward.Body)),
 	}
-	resp := &wire.OperationDoResponse{}
-	if err := s.o.Network.Call(ctx, owner, serviceDo, req, resp); err != nil {
+	resp, err := s.exchange(ctx, owner, req, c.forward.Body)
+	switch {
+	case resp == nil:
 		return forwardFailed(err)
+	case err != nil:
+		return answerCut(resp)
 	}
 	return decodeOutcome(resp)
 }
 
+// exchange sends the request and returns the owner's response with its whole answer. An error beside a response says
+// that the answer is not complete.
+func (s *Service) exchange(ctx context.Context, owner string, req *wire.OperationDoRequest, body []byte) (*wire.OperationDoResponse, error) {
+	stream, err := s.o.Network.Open(ctx, owner, serviceDo)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	if err := stream.Send(req); err != nil {
+		return nil, err
+	}
+	if err := sendRest(stream, body); err != nil {
+		return nil, err
+	}
+	if err := stream.CloseSend(); err != nil {
+		return nil, err
+	}
+	resp := &wire.OperationDoResponse{}
+	if err := stream.Recv(resp); err != nil {
+		return nil, err
+	}
+	if a := resp.GetAnswer(); a != nil {
+		a.Body, err = receiveRest(stream, a.GetBody(), a.GetBodyBytes())
+	}
+	return resp, err
+}
+
+// answerCut returns the outcome of an owner whose answer did not come whole. Its word on the execution holds.
+func answerCut(resp *wire.OperationDoResponse) Outcome {
+	return Outcome{
+		Execution:  decodeExecution(resp.GetExecution()),
+		Status:     http.StatusBadGateway,
+		Code:       CodeAnswerCut,
+		Message:    "the link to the owner of the key broke within the answer",
+		RetryAfter: retrySoon,
+		Repeat:     resp.GetRepeat(),
+	}
+}
+
+func bodyTooLarge() Outcome {
+	return notRun(http.StatusRequestEntityTooLarge, CodeTooLarge, "the body is too large for the owner of the key", 0)
+}
+
 func forwardFailed(err error) Outcome {
 	if errors.Is(err, peer.ErrUnknownPeer) {
 		return notRun(http.StatusServiceUnavailable, codeUnlisted, "the owner of the key has no known address", retrySoon)
@@ -73,8 +122,26 @@
 }
 
 // handleDo runs a forwarded request, or refuses it if this instance is not the key's owner. It never forwards it again.
-func (s *Service) handleDo(ctx context.Context, from peer.Identity, req *wire.OperationDoRequest) (proto.Message, error) {
-	return encodeOutcome(s.doForwarded(ctx, from, req)), nil
+func (s *Service) handleDo(ctx context.Context, from peer.Identity, stream peer.Stream) error {
+	req := &wire.OperationDoRequest{}
+	if err := stream.Recv(req); err != nil {
+		return err
+	}
+	if req.GetBodyBytes() > maxForwardedBody {
+		return stream.Send(encodeOutcome(bodyTooLarge()))
+	}
+	var err error
+	if req.Body, err = receiveRest(stream, req.GetBody(), req.GetBodyBytes()); err != nil {
+		return err
+	}
+	o := s.doForwarded(ctx, from, req)
+	if err := stream.Send(encodeOutcome(o)); err != nil {
+		return err
+	}
+	if o.Answer == nil {
+		return nil
+	}
+	return sendRest(stream, o.Answer.Body)
 }
 
 func (s *Service) doForwarded(ctx context.Context, from peer.Identity, req *wire.OperationDoRequest) Outcome {
@@ -130,7 +197,11 @@
 		Repeat:           o.Repeat,
 	}
 	if o.Answer != nil {
-		resp.Answer = &wire.OperationAnswer{Status: int32(o.Answer.Status), Body: o.Answer.Body}
+		resp.Answer = &wire.OperationAnswer{
+			Status:    int32(o.Answer.Status),
+			Body:      firstPart(o.Answer.Body),
+			BodyBytes: int64(len(o.Answer.Body)),
+		}
 		for name, values := range o.Answer.Header {
 			resp.Answer.Headers = append(resp.Answer.Headers, &wire.OperationHeader{Name: name, Values: values})
 		}
--- a/internal/operations/outcome.go
+++ b/internal/operations/outcome.go
@@ -28,6 +28,8 @@
 	CodeCancelled     = "operation_cancelled"
 	CodeStopping      = "operation_instance_stopping"
 	CodeOtherRegion   = "operation_other_region"
+	CodeAnswerCut     = "operation_answer_cut"
+	CodeTooLarge      = "operation_too_large"
 	CodeOrganisation  = "organisation_unknown"
 	// codeNotHolder is said between instances only.
 	codeNotHolder = "operation_not_holder"
--- a/internal/operations/records_test.go
+++ b/internal/operations/records_test.go
@@ -276,6 +276,8 @@
 	key := newKey(t)
 	expect(t, do(key, nil, Unknown, errors.New("reset")), Unknown, CodeUnknown)
 	expect(t, do(key, &Answer{}, Ran, nil), Unknown, CodeUnknown)
+	panics := func(context.Context) (*Answer, Execution, error) { panic("run") }
+	expect(t, a.Do(context.Background(), Request{Organisation: testOrg, Key: newKey(t)}, panics), Unknown, CodeUnknown)
 	free := newKey(t)
 	expect(t, do(free, nil, NotRun, nil), NotRun, CodeNotRun)
 	eventually(t, "result recorded", func() bool { return f.store.entries() > 4 })
--- a/internal/operations/service.go
+++ b/internal/operations/service.go
@@ -281,7 +281,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	answer, execution, err := w.run(ctx)
+	answer, execution, err := s.guard(ctx, w.run)
 	f := atmostonce.Finished{ID: id, Execution: atmostonce.Unknown, Answer: ended{answer, err}}
 	switch {
 	case execution == NotRun:
@@ -293,6 +293,17 @@
 	finish(f)
 }
 
+// guard calls a run and turns a panic into an error, since the request may have been sent before it.
+func (s *Service) guard(ctx context.Context, run RunFunc) (answer *Answer, x Execution, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.o.Logger.Error("run of an operation panicked", zap.Any("panic", p), zap.Stack("stack"))
+			answer, x, err = nil, Unknown, errors.New("the run ended abnormally")
+		}
+	}()
+	return run(ctx)
+}
+
 // spawn runs f on a goroutine that Stop waits for.
 func (s *Service) spawn(f func()) {
 	s.mu.Lock()
--- a/internal/operations/service_test.go
+++ b/internal/operations/service_test.go
@@ -227,3 +227,41 @@
 		t.Fatalf("%d executions", n)
 	}
 }
+
+// Guards against bodies and answers that do not fit into one message between instances.
+func TestForwardLargeBodies(t *testing.T) {
+	f, a := startOwner(t)
+	b := f.start("lima-2")
+	a.doReady(newKey(t), "warm-up")
+	body := strings.Repeat("deposit ", 3*partBytes/8) + "end"
+	key := newKey(t)
+	o := b.do(key, body)
+	expect(t, o, Ran, "")
+	if want := body + " 1"; string(o.Answer.Body) != want {
+		t.Fatalf("answer of %d instead of %d bytes", len(o.Answer.Body), len(want))
+	}
+	expect(t, b.do(key, body), Ran, CodeAnswerGone)
+	expect(t, b.do(newKey(t), strings.Repeat("x", maxForwardedBody+1)), NotRun, CodeTooLarge)
+	if n := f.endpoint.executions(body); n != 1 {
+		t.Fatalf("%d executions", n)
+	}
+}
+
+// Guards against a part of an answer that counts as the whole.
+func TestAnswerCut(t *testing.T) {
+	f, a := startOwner(t)
+	b := f.start("lima-2")
+	a.doReady(newKey(t), "warm-up")
+	received := 0
+	f.hub.hook(nil, func(context.Context, string, string, string) error {
+		if received++; received == 2 {
+			return peer.ErrBroken
+		}
+		return nil
+	})
+	o := b.do(newKey(t), strings.Repeat("deposit ", 3*partBytes/8))
+	expect(t, o, Ran, CodeAnswerCut)
+	if o.Answer != nil || o.RetryAfter == 0 {
+		t.Fatalf("outcome %+v", o)
+	}
+}
