--- a/internal/core/atmostonce/types.go
+++ b/internal/core/atmostonce/types.go
@@ -66,6 +66,8 @@
 	Results []Result
 	// Unreadable says that the claims were made under a secret that this instance does not have.
 	Unreadable bool
+	// Revision is the store's revision of the entry. It is not part of the value.
+	Revision int64
 	// NewestKey is the highest key time of the entry's claims and results, in Unix milliseconds.
 	NewestKey int64
 }
@@ -150,14 +152,16 @@
 	Cancelled struct{ ID AttemptID }
 	// Written answers a Put action.
 	Written struct {
-		Token  Token
-		Result WriteResult
+		Token    Token
+		Result   WriteResult
+		Revision int64 // of the entry, if done
 	}
 	// Fetched answers a Get action.
 	Fetched struct {
 		Sequence uint64
 		Result   ReadResult
 		Token    Token // of the entry, if found
+		Revision int64 // of the entry, if found
 	}
 	// Finished ends a Send action. Answer is any value, held for repeats up to a bound.
 	Finished struct {
@@ -173,10 +177,11 @@
 	}
 	// Ticked says that the time of a Wake action has come.
 	Ticked struct{}
-	// Lost says that this instance no longer owns the slot.
-	Lost struct{}
-	// Drained starts a planned stop: new attempts are refused, and Closed follows once all results are recorded.
+	// Drained says that the slot was lost or that the instance stops. New attempts are refused, those under way end, and
+	// Closed follows once all results are recorded. Another owner's seal closes the log earlier.
 	Drained struct{}
+	// Resumed says that the slot was regained before the log was closed.
+	Resumed struct{}
 )
 
 func (Opened) event()    {}
@@ -188,8 +193,8 @@
 func (Finished) event()  {}
 func (Deleted) event()   {}
 func (Ticked) event()    {}
-func (Lost) event()      {}
 func (Drained) event()   {}
+func (Resumed) event()   {}
 
 // WriteResult is the outcome of a store write.
 type WriteResult uint8
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/routing"
 	"dogwoodknot.example/dogwoodknot/internal/kernel"
 	"dogwoodknot.example/dogwoodknot/internal/observe"
 	"dogwoodknot.example/dogwoodknot/internal/operator"
@@ -45,6 +46,8 @@
 	DialEndpoint func(ctx context.Context, network, addr string) (net.Conn, error)
 	// DialPlatform replaces the dialler towards the platform's services.
 	DialPlatform func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Chooser replaces the choice of endpoints, for baselines of experiments.
+	Chooser routing.Chooser
 	// TraceWriter takes the spans of the stdout exporter. Nil: standard output.
 	TraceWriter io.Writer
 	// Clock replaces the boot clock.
@@ -162,6 +165,14 @@
 	d.drainOnce.Do(func() { close(d.drained) })
 }
 
+// Abort cuts all connections of callers and instances at once, as a crash would. Services must have been called.
+func (d *Daemon) Abort() {
+	_ = d.listeners.caller.Close()
+	_ = d.listeners.peer.Close()
+	// Errors have nobody left to tell.
+	_ = d.backend.parts.gateway.Close()
+}
+
 // Close flushes metrics and spans. The kernel must have stopped.
 func (d *Daemon) Close(ctx context.Context) error {
 	return errors.Join(d.metrics.Close(), d.stopTracing(ctx))
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -30,7 +30,8 @@
 	Logger     *zap.Logger
 	// States may be nil: no endpoint is then listed as leaving.
 	States EndpointStates
-	Policy routing.Policy
+	// Chooser picks endpoints. Nil: routing.DefaultPolicy.
+	Chooser routing.Chooser
 	// Seed starts the random source of the endpoint choice. 0 takes one from the system.
 	Seed uint64
 
@@ -38,6 +39,8 @@
 	PollInterval time.Duration
 	// Dial replaces the dialler towards endpoints. Nil: TCP.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// ReportTimeout limits a load report.
+	ReportTimeout time.Duration
 	// DialTimeout limits a connection to an endpoint.
 	DialTimeout time.Duration
 	// FirstTimeout ends an attempt whose first token does not come, StallTimeout a stream that makes no progress after it.
@@ -54,15 +57,16 @@
 
 // Defaults of Options.
 const (
-	defaultPollInterval = 250 * time.Millisecond
-	defaultDialTimeout  = time.Second
-	defaultFirstTimeout = 60 * time.Second
-	defaultStallTimeout = 20 * time.Second
-	defaultShortWait    = 5 * time.Second
-	defaultLongWait     = 60 * time.Second
-	defaultMaxQueued    = 4096
-	defaultMaxAnswer    = 8 << 20
-	defaultMaxAttempts  = 3
+	defaultPollInterval  = 250 * time.Millisecond
+	defaultReportTimeout = time.Second
+	defaultDialTimeout   = time.Second
+	defaultFirstTimeout  = 60 * time.Second
+	defaultStallTimeout  = 20 * time.Second
+	defaultShortWait     = 5 * time.Second
+	defaultLongWait      = 60 * time.Second
+	defaultMaxQueued     = 4096
+	defaultMaxAnswer     = 8 << 20
+	defaultMaxAttempts   = 3
 )
 
 // Validate returns all findings, joined.
@@ -74,7 +78,7 @@
 	if o.Source == nil {
 		found = append(found, errors.New("dispatch: source of the configuration is not set"))
 	}
-	for _, d := range []time.Duration{o.PollInterval, o.DialTimeout, o.FirstTimeout, o.StallTimeout, o.ShortWait, o.LongWait} {
+	for _, d := range []time.Duration{o.PollInterval, o.ReportTimeout, o.DialTimeout, o.FirstTimeout, o.StallTimeout, o.ShortWait, o.LongWait} {
 		if d < 0 {
 			found = append(found, errors.Newf("dispatch: time %v is negative", d))
 		}
@@ -89,10 +93,11 @@
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
-	if o.Policy == (routing.Policy{}) {
-		o.Policy = routing.DefaultPolicy
+	if o.Chooser == nil {
+		o.Chooser = routing.DefaultPolicy
 	}
 	o.PollInterval = either(o.PollInterval, defaultPollInterval)
+	o.ReportTimeout = either(o.ReportTimeout, defaultReportTimeout)
 	o.DialTimeout = either(o.DialTimeout, defaultDialTimeout)
 	o.FirstTimeout = either(o.FirstTimeout, defaultFirstTimeout)
 	o.StallTimeout = either(o.StallTimeout, defaultStallTimeout)
--- a/internal/operations/forward.go
+++ b/internal/operations/forward.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/proto"
 
 	"dogwoodknot.example/dogwoodknot/internal/core/atmostonce"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
@@ -23,7 +22,7 @@
 
 func (s *Service) register() {
 	n := s.o.Network
-	n.Handle(serviceDo, peer.Unary(s.handleDo))
+	n.Handle(serviceDo, s.handleDo)
 	n.Handle(serviceHandover, s.handleHandover)
 	n.Handle(serviceHeirNotice, peer.Unary(s.handleHeirNotice))
 	n.Handle(serviceHeirQuery, peer.Unary(s.handleHeirQuery))
@@ -34,6 +33,9 @@
 	if c.forward == nil {
 		return notRun(http.StatusServiceUnavailable, CodeOwnerAway, "the key is owned by another instance", retrySoon)
 	}
+	if len(c.forward.Body) > maxForwardedBody {
+		return bodyTooLarge()
+	}
 	req := &wire.OperationDoRequest{
 		Organisation: c.organisation,
 		Key:          c.key.Canonical,
@@ -42,27 +44,104 @@
 		Method:       c.forward.Method,
 		Path:         c.forward.Path,
 		ContentType:  c.forward.ContentType,
-		Body:         c.forward.Body,
+		Body:         firstPart(c.forward.Body),
+		BodyBytes:    int64(len(c.forward.Body)),
 	}
-	resp := &wire.OperationDoResponse{}
-	if err := s.o.Network.Call(ctx, owner, serviceDo, req, resp); err != nil {
+	resp, err := s.exchange(ctx, owner, req, c.forward.Body)
+	switch {
+	case resp == nil:
 		return forwardFailed(err)
+	case err != nil:
+		return answerCut(resp)
 	}
 	return decodeOutcome(resp)
 }
 
+// exchange sends the request and returns the owner's response with its whole answer. An error beside a response says
+// that the answer is not complete.
+func (s *Service) exchange(ctx context.Context, owner string, req *wire.OperationDoRequest, body []byte) (*wire.OperationDoResponse, error) {
+	stream, err := s.o.Network.Open(ctx, owner, serviceDo)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	if err := stream.Send(req); err != nil {
+		return nil, err
+	}
+	if err := sendRest(stream, body); err != nil {
+		return nil, err
+	}
+	if err := stream.CloseSend(); err != nil {
+		return nil, err
+	}
+	resp := &wire.OperationDoResponse{}
+	if err := stream.Recv(resp); err != nil {
+		return nil, err
+	}
+	if a := resp.GetAnswer(); a != nil {
+		a.Body, err = receiveRest(stream, a.GetBody(), a.GetBodyBytes())
+	}
+	return resp, err
+}
+
+// answerCut returns the outcome of an owner whose answer did not come whole. Its word on the execution holds.
+func answerCut(resp *wire.OperationDoResponse) Outcome {
+	return Outcome{
+		Execution:  decodeExecution(resp.GetExecution()),
+		Status:     http.StatusBadGateway,
+		Code:       CodeAnswerCut,
+		Message:    "the link to the owner of the key broke within the answer",
+		RetryAfter: retrySoon,
+		Repeat:     resp.GetRepeat(),
+	}
+}
+
+func bodyTooLarge() Outcome {
+	return notRun(http.StatusRequestEntityTooLarge, CodeTooLarge, "the body is too large for the owner of the key", 0)
+}
+
 func forwardFailed(err error) Outcome {
-	if errors.Is(err, peer.ErrNotSent) || errors.Is(err, peer.ErrUnknownPeer) {
+	if errors.Is(err, peer.ErrUnknownPeer) {
+		return notRun(http.StatusServiceUnavailable, codeUnlisted, "the owner of the key has no known address", retrySoon)
+	}
+	if errors.Is(err, peer.ErrNotSent) {
 		return notRun(http.StatusServiceUnavailable, CodeOwnerAway, "the owner of the key cannot be reached", retrySoon)
 	}
+	var remote *peer.RemoteError
+	if errors.As(err, &remote) && handlerNotRun(remote.Code) {
+		return notRun(http.StatusServiceUnavailable, CodeOwnerAway, "the owner of the key takes no calls at present", retrySoon)
+	}
 	o := unknown(http.StatusBadGateway, CodeUnknown, "the link to the owner of the key broke before its answer came")
 	o.RetryAfter = retrySoon
 	return o
 }
 
+// handlerNotRun reports whether the peer itself says with the code that its handler has not run.
+func handlerNotRun(code string) bool {
+	return code == peer.CodeUnknownService || code == peer.CodeOverloaded || code == peer.CodeBadHeader
+}
+
 // handleDo runs a forwarded request, or refuses it if this instance is not the key's owner. It never forwards it again.
-func (s *Service) handleDo(ctx context.Context, from peer.Identity, req *wire.OperationDoRequest) (proto.Message, error) {
-	return encodeOutcome(s.doForwarded(ctx, from, req)), nil
+func (s *Service) handleDo(ctx context.Context, from peer.Identity, stream peer.Stream) error {
+	req := &wire.OperationDoRequest{}
+	if err := stream.Recv(req); err != nil {
+		return err
+	}
+	if req.GetBodyBytes() > maxForwardedBody {
+		return stream.Send(encodeOutcome(bodyTooLarge()))
+	}
+	var err error
+	if req.Body, err = receiveRest(stream, req.GetBody(), req.GetBodyBytes()); err != nil {
+		return err
+	}
+	o := s.doForwarded(ctx, from, req)
+	if err := stream.Send(encodeOutcome(o)); err != nil {
+		return err
+	}
+	if o.Answer == nil {
+		return nil
+	}
+	return sendRest(stream, o.Answer.Body)
 }
 
 func (s *Service) doForwarded(ctx context.Context, from peer.Identity, req *wire.OperationDoRequest) Outcome {
@@ -118,7 +197,11 @@
 		Repeat:           o.Repeat,
 	}
 	if o.Answer != nil {
-		resp.Answer = &wire.OperationAnswer{Status: int32(o.Answer.Status), Body: o.Answer.Body}
+		resp.Answer = &wire.OperationAnswer{
+			Status:    int32(o.Answer.Status),
+			Body:      firstPart(o.Answer.Body),
+			BodyBytes: int64(len(o.Answer.Body)),
+		}
 		for name, values := range o.Answer.Header {
 			resp.Answer.Headers = append(resp.Answer.Headers, &wire.OperationHeader{Name: name, Values: values})
 		}
@@ -171,6 +254,9 @@
 	if !s.holds(c.key.Issued.GetIncarnation()) {
 		return notRun(http.StatusServiceUnavailable, codeNotHolder, "the instance does not hold the records of this id", retrySoon)
 	}
+	if ctx.Err() != nil {
+		return cancelledOutcome(atmostonce.NotRun)
+	}
 	id, w := s.wait(ctx, c.run)
 	if w == nil {
 		return stoppingOutcome()
@@ -205,6 +291,9 @@
 	if org.Home != "" && org.Home != id.GetRegion() {
 		return unknown(http.StatusConflict, CodeIssuerGone, "the operation id was issued outside the organisation's home region")
 	}
+	if c.stay && id.GetRegion() != s.region() {
+		return otherRegion()
+	}
 	if s.holds(id.GetIncarnation()) {
 		return s.runIssued(ctx, c)
 	}
@@ -212,21 +301,31 @@
 	if h, ok := s.heirs.Get(id.GetIncarnation()); ok {
 		target = h.instance
 	}
-	o := s.askHolder(ctx, c, target)
-	if o.Execution != NotRun || (o.Code != CodeIssuerGone && o.Code != CodeOwnerAway) {
+	o := s.forward(ctx, c, target)
+	if !untaken(o) {
 		return o
 	}
 	// The instance has not taken the request, so that an heir may.
 	s.heirs.Remove(id.GetIncarnation())
 	if h, ok := s.findHeir(ctx, id); ok {
-		o = s.askHolder(ctx, c, h.instance)
+		o = s.forward(ctx, c, h.instance)
 	}
-	if o.Code == CodeIssuerGone {
+	switch o.Code {
+	case codeNotHolder:
 		return issuerGone()
+	case codeUnlisted:
+		// A new issuer may not be listed yet, therefore a repeat is advised.
+		o = issuerGone()
+		o.RetryAfter = retrySoon
 	}
 	return o
 }
 
+// untaken reports whether a forwarded request was certainly not taken by the instance that was asked.
+func untaken(o Outcome) bool {
+	return o.Execution == NotRun && (o.Code == codeNotHolder || o.Code == codeUnlisted || o.Code == CodeOwnerAway || o.Code == CodeStopping)
+}
+
 // holds reports whether this instance answers for the ids of an incarnation.
 func (s *Service) holds(incarnation uint64) bool {
 	s.mu.Lock()
@@ -238,12 +337,3 @@
 func issuerGone() Outcome {
 	return unknown(http.StatusConflict, CodeIssuerGone, "the instance that issued the id has ended; the request may have run and is never run again")
 }
-
-// askHolder forwards to the instance that is taken for the holder. The code CodeIssuerGone with NotRun says that it is not.
-func (s *Service) askHolder(ctx context.Context, c call, instance string) Outcome {
-	o := s.forward(ctx, c, instance)
-	if o.Code == codeNotHolder {
-		o.Code = CodeIssuerGone
-	}
-	return o
-}
