--- a/internal/core/membership/report.go
+++ b/internal/core/membership/report.go
@@ -37,8 +37,8 @@
 	return actions
 }
 
-// Merge takes reports of another instance. With relay, it returns what is new for the own data centre. A prober of
-// a newly suspected target probes it at once: an answer refutes the suspicion.
+// Merge takes reports of another instance. With relay, it returns what is new for the own data centre. A prober of the
+// target probes it at once: an answer refutes a suspicion, also one of its own region after the home scope has ended its.
 func (c *Core) Merge(now clock.Instant, reports []Report, relay bool) []Action {
 	var news []Report
 	for _, r := range reports {
@@ -46,13 +46,12 @@
 		if m == nil || m.ref() != r.Target {
 			continue
 		}
-		suspected := m.suspect(c.self.Region)
 		if !c.mergeOne(m, r) {
 			continue
 		}
 		c.touch()
 		news = append(news, r)
-		if !suspected && m.suspect(c.self.Region) {
+		if m.suspect(c.self.Region) {
 			m.nextProbe = now
 		}
 	}
--- a/internal/members/fleet_test.go
+++ b/internal/members/fleet_test.go
@@ -107,7 +107,7 @@
 			PeerAddr: "10.11.12.13:17443", CallerAddr: "10.11.12.13:18080", OperatorURL: "10.11.12.13:18081",
 		},
 		Payload: func() members.Payload {
-			return members.Payload{Revision: 123456, Load: &wire.LoadSummary{QueuedTokens: 250_000, Running: 40, Waiting: 12, FreeSlots: 8}}
+			return members.Payload{Revision: 123456, Load: sixModels()}
 		},
 	})
 	if err != nil {
@@ -118,6 +118,15 @@
 	f.order = append(f.order, name)
 }
 
+// sixModels is the load summary of the large deployment: 6 models and a plain service.
+func sixModels() *wire.LoadSummary {
+	load := &wire.LoadSummary{Pools: []*wire.PoolLoad{{Name: "libro-pedidos", Service: true}}}
+	for i := range 6 {
+		load.Pools = append(load.Pools, &wire.PoolLoad{Name: fmt.Sprintf("taller-lm-%d", i), WaitMillis: 1200, Free: 300})
+	}
+	return load
+}
+
 // all reports whether the condition holds for the status of a target at all instances but the excepted ones.
 func (f *virtualFleet) all(target string, want membership.State, except func(string) bool) bool {
 	for name, s := range f.services {
--- a/internal/peer/faults_test.go
+++ b/internal/peer/faults_test.go
@@ -360,38 +360,66 @@
 	}
 }
 
-// Guards against an unbounded number of calls served at once, and against a refusal that hides that nothing ran.
-func TestInboundStreamLimit(t *testing.T) {
-	authority := peertest.NewAuthority(t)
-	a := startNode(t, authority, "a", nil)
-	b := startNode(t, authority, "b", func(o *peer.Options) { o.MaxInboundStreams = 3 })
-	link(a, b)
-	ctx := within(t, 5*time.Second)
-	var held []peer.Stream
-	for range 3 {
-		s, err := a.Open(ctx, "b", "hold")
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := s.Recv(&wrapperspb.StringValue{}); err != nil {
-			t.Fatal(err)
-		}
-		held = append(held, s)
-	}
-	var remote *peer.RemoteError
-	if _, err := a.echo(ctx, "b", "x"); !errors.As(err, &remote) || remote.Code != peer.CodeOverloaded {
-		t.Errorf("got %v", err)
+// Guards against an unbounded number of calls served at once, against long calls that keep out those of other services,
+// and against a refusal that hides that nothing ran.
+func TestInboundStreamLimits(t *testing.T) {
+	cases := []struct {
+		name           string
+		total, service int
+		other          string // code of a call of another service while the limit is reached
+	}{
+		{"in total", 3, 3, peer.CodeOverloaded},
+		{"of one service", 5, 3, ""},
 	}
-	if b.calls.Load() != 0 {
-		t.Error("refused call has run")
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			authority := peertest.NewAuthority(t)
+			a := startNode(t, authority, "a", nil)
+			b := startNode(t, authority, "b", func(o *peer.Options) { o.MaxInboundStreams, o.MaxServiceStreams = c.total, c.service })
+			link(a, b)
+			ctx := within(t, 5*time.Second)
+			var held []peer.Stream
+			for range 3 {
+				s, err := a.Open(ctx, "b", "hold")
+				if err != nil {
+					t.Fatal(err)
+				}
+				if err := s.Recv(&wrapperspb.StringValue{}); err != nil {
+					t.Fatal(err)
+				}
+				held = append(held, s)
+			}
+			if code := codeOf(a.Call(ctx, "b", "hold", wrapperspb.String(""), &wrapperspb.StringValue{})); code != peer.CodeOverloaded {
+				t.Errorf("call beyond the limit: code %q", code)
+			}
+			_, err := a.echo(ctx, "b", "x")
+			if code := codeOf(err); code != c.other || (c.other == "") != (err == nil) {
+				t.Errorf("call of another service: %v", err)
+			}
+			if c.other != "" && b.calls.Load() != 0 {
+				t.Error("refused call has run")
+			}
+			for _, s := range held {
+				s.Close()
+			}
+			eventually(t, "calls are served again", func() bool {
+				s, err := a.Open(ctx, "b", "hold")
+				if err != nil {
+					return false
+				}
+				defer s.Close()
+				return s.Recv(&wrapperspb.StringValue{}) == nil
+			})
+		})
 	}
-	for _, s := range held {
-		s.Close()
+}
+
+func codeOf(err error) string {
+	var remote *peer.RemoteError
+	if errors.As(err, &remote) {
+		return remote.Code
 	}
-	eventually(t, "calls are served again", func() bool {
-		_, err := a.echo(ctx, "b", "x")
-		return err == nil
-	})
+	return ""
 }
 
 // Guards against an unbounded number of sessions: an idle one makes room for a new one.
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -17,6 +17,7 @@
 	defaultMaxMessageBytes   = 4 << 20
 	defaultMaxSessions       = 512
 	defaultMaxInboundStreams = 4096
+	defaultMaxServiceStreams = 1536 // of 4096: two services that are full leave a quarter to all others
 	defaultEagerPeers        = 16
 	defaultDialTimeout       = 3 * time.Second
 	defaultKeepAlive         = 10 * time.Second
@@ -40,6 +41,9 @@
 	MaxMessageBytes   int // largest encoded message in bytes
 	MaxSessions       int // sessions in both directions; the least recently used idle one makes room
 	MaxInboundStreams int // calls served at once; further ones are refused with CodeOverloaded
+	// MaxServiceStreams bounds the calls of one service that are served at once, so that long forwarded requests
+	// leave room for control calls.
+	MaxServiceStreams int
 	// EagerPeers is the number of known peers up to which sessions are kept open without a call, so that a small
 	// fleet never waits for a handshake. Larger fleets connect at the first call. Negative: never.
 	EagerPeers int
@@ -72,6 +76,7 @@
 	check(o.MaxMessageBytes == 0 || o.MaxMessageBytes >= minMaxMessageBytes, "MaxMessageBytes is below 1 KiB")
 	check(o.MaxSessions >= 0, "MaxSessions is negative")
 	check(o.MaxInboundStreams >= 0, "MaxInboundStreams is negative")
+	check(o.MaxServiceStreams >= 0, "MaxServiceStreams is negative")
 	for name, d := range map[string]time.Duration{
 		"DialTimeout": o.DialTimeout, "KeepAlive": o.KeepAlive, "WriteTimeout": o.WriteTimeout,
 		"IdleTimeout": o.IdleTimeout, "DrainTimeout": o.DrainTimeout,
@@ -98,6 +103,7 @@
 	setDefault(&o.MaxMessageBytes, defaultMaxMessageBytes)
 	setDefault(&o.MaxSessions, defaultMaxSessions)
 	setDefault(&o.MaxInboundStreams, defaultMaxInboundStreams)
+	setDefault(&o.MaxServiceStreams, min(defaultMaxServiceStreams, o.MaxInboundStreams))
 	setDefault(&o.EagerPeers, defaultEagerPeers)
 	setDefault(&o.DialTimeout, defaultDialTimeout)
 	setDefault(&o.KeepAlive, defaultKeepAlive)
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -81,10 +81,12 @@
 	_ = mux.Close()
 }
 
+var errOverloaded = NewError(CodeOverloaded, "too many calls at once; the call was not run")
+
 func (t *Transport) refuse(_ *session, mux *yamux.Stream) {
 	defer closeQuietly(mux)
 	_ = mux.SetDeadline(time.Now().Add(headerTimeout))
-	t.writeError(mux, NewError(CodeOverloaded, "too many calls at once; the call was not run"))
+	t.writeError(mux, errOverloaded)
 }
 
 // writeError ends the stream with an error. It is best effort: without it, the caller sees a broken stream.
@@ -118,11 +120,18 @@
 		t.serveDrain(s, mux)
 		return
 	}
-	handler := t.handlers[header.GetService()]
-	if handler == nil {
+	service := t.handlers[header.GetService()]
+	if service == nil {
 		t.writeError(mux, NewError(CodeUnknownService, "service "+header.GetService()+" is not registered"))
 		return
 	}
+	select {
+	case service.slots <- struct{}{}:
+		defer func() { <-service.slots }()
+	default:
+		t.writeError(mux, errOverloaded)
+		return
+	}
 	counters := t.metrics.service(header.GetService())
 	counters.received(size)
 
@@ -143,7 +152,7 @@
 	var reading sync.WaitGroup
 	reading.Go(func() { stream.read(cancel) })
 
-	err = t.run(ctx, handler, s, stream, header.GetService())
+	err = t.run(ctx, service.handler, s, stream, header.GetService())
 	endSpan(span, err)
 	stop()
 	stream.conclude(t, err)
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -36,7 +36,7 @@
 	log     *zap.Logger
 	metrics *metrics
 
-	handlers map[string]Handler
+	handlers map[string]*served
 	started  atomic.Bool
 
 	ctx     context.Context // ends when calls in flight are cut
@@ -55,6 +55,12 @@
 
 var _ Network = (*Transport)(nil)
 
+// served is a registered service.
+type served struct {
+	handler Handler
+	slots   chan struct{} // of calls being served
+}
+
 // remote is what is known of one peer.
 type remote struct {
 	name    string
@@ -88,7 +94,7 @@
 		self:     options.Self,
 		log:      options.Logger.Named("peer"),
 		metrics:  newMetrics(options.Scope),
-		handlers: map[string]Handler{},
+		handlers: map[string]*served{},
 		ctx:      ctx,
 		cancel:   cancel,
 		inbound:  make(chan struct{}, options.MaxInboundStreams),
@@ -109,7 +115,7 @@
 	if _, taken := t.handlers[service]; taken || service == drainService {
 		panic("peer: service is registered twice: " + service)
 	}
-	t.handlers[service] = h
+	t.handlers[service] = &served{handler: h, slots: make(chan struct{}, t.options.MaxServiceStreams)}
 }
 
 // Start accepts connections until Close.
