Remove old revisions from the store on request

A writer relies on content that no head names yet. prune lists what there is and then writes a revision, so that writers which started earlier lose their race; content that a writer finds in the store is written again, which changes the store revision that the removal depends on. Without that write the test of an apply during a prune fails with a head that names removed content (trial).

--- a/cmd/dogwoodctl/apply.go
+++ b/cmd/dogwoodctl/apply.go
@@ -346,3 +346,38 @@
 	}
 	return a.table([]string{"revision", "time", "author", "note"}, rows)
 }
+
+type pruneCmd struct {
+	Keep int `help:"Number of revisions that stay, for rollback." default:"1000"`
+}
+
+// Help gives examples.
+func (pruneCmd) Help() string {
+	return `Removes the oldest revisions and content that no kept revision names. It may run at any time; it writes a revision without
+changes, so that a change that is being written meanwhile starts again. It reads all content: run it near the store.
+
+Example:
+
+    dogwoodctl prune --keep 2000`
+}
+
+// Run prunes the store.
+func (c *pruneCmd) Run(a *app) error {
+	if c.Keep < 1 {
+		return withCode(codeUsage, "--keep must be at least 1")
+	}
+	kv, err := a.kv()
+	if err != nil {
+		return err
+	}
+	change := a.change(kv, "prune")
+	r, err := a.configurationsIn(kv).Prune(a.ctx, c.Keep, change)
+	if err != nil {
+		return err
+	}
+	if a.json() {
+		return a.printJSON(r)
+	}
+	a.printf("revision %d written; removed %d old revisions and %d contents, kept %d revisions\n", r.Revision, r.Heads, r.Contents, r.Kept)
+	return nil
+}
--- a/cmd/dogwoodctl/main.go
+++ b/cmd/dogwoodctl/main.go
@@ -23,6 +23,7 @@
 	Apply        applyCmd        `cmd:"" help:"Put files in force as a new revision."`
 	History      historyCmd      `cmd:"" help:"List the latest revisions."`
 	Rollback     rollbackCmd     `cmd:"" help:"Put the declarations of an earlier revision in force again."`
+	Prune        pruneCmd        `cmd:"" help:"Remove old revisions from the store."`
 	Key          keyCmd          `cmd:"" help:"Issue, withdraw and list callers' keys."`
 	Organisation organisationCmd `cmd:"" help:"Show organisations and their live use."`
 	Endpoints    endpointsCmd    `cmd:"" help:"List and drain endpoints."`
--- a/internal/configstore/kv_test.go
+++ b/internal/configstore/kv_test.go
@@ -13,7 +13,8 @@
 	*memory.Store
 	reads atomic.Int64
 	// beforePut may change the store, or keep the write from taking effect by an error.
-	beforePut func(key string, value []byte) error
+	beforePut    func(key string, value []byte) error
+	beforeDelete func()
 	// afterPut may replace the answer of a write that took effect.
 	afterPut func(key string) error
 }
@@ -39,3 +40,10 @@
 	}
 	return revision, err
 }
+
+func (k *fakeKV) Delete(ctx context.Context, key string, ifRevision *int64) error {
+	if k.beforeDelete != nil {
+		k.beforeDelete()
+	}
+	return k.Store.Delete(ctx, key, ifRevision)
+}
--- a/internal/configstore/schedule_test.go
+++ b/internal/configstore/schedule_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,6 +35,9 @@
 
 func (s *schedule) faults(key string) error {
 	if key != HeadKey {
+		if s.depth < 2 && rapid.IntRange(0, 9).Draw(s.t, "interrupt content") == 0 {
+			s.step()
+		}
 		return nil
 	}
 	if rapid.IntRange(0, 4).Draw(s.t, "lose the write") == 0 {
@@ -48,7 +52,7 @@
 func (s *schedule) step() {
 	s.depth++
 	defer func() { s.depth-- }()
-	switch rapid.IntRange(0, 3).Draw(s.t, "command") {
+	switch rapid.IntRange(0, 4).Draw(s.t, "command") {
 	case 0:
 		s.apply()
 	case 1:
@@ -57,6 +61,8 @@
 		s.withdraw()
 	case 3:
 		s.rollback()
+	case 4:
+		s.prune()
 	}
 }
 
@@ -110,6 +116,23 @@
 	}
 }
 
+// prune keeps enough history for the revisions that rollback and the final check need, so that what it removes is content that
+// no head names, such as that of lost races.
+func (s *schedule) prune() {
+	r, err := s.s.Prune(context.Background(), 1000, Change{})
+	if err != nil && strings.Contains(err.Error(), "nothing was removed") {
+		return
+	}
+	if err != nil {
+		s.t.Fatalf("%+v", err)
+	}
+	h, err := s.s.At(context.Background(), r.Revision)
+	if err != nil {
+		s.t.Fatalf("%+v", err)
+	}
+	s.tokens[h.Token] = h.Revision
+}
+
 func (s *schedule) rollback() {
 	for _, revision := range slices.Sorted(maps.Keys(s.declared)) {
 		if rapid.Bool().Draw(s.t, "another revision") {
@@ -214,6 +237,11 @@
 		}
 		s.apply()
 		kv.beforePut = func(key string, _ []byte) error { return s.faults(key) }
+		kv.beforeDelete = func() {
+			if s.depth < 2 && rapid.IntRange(0, 3).Draw(t, "interrupt a removal") == 0 {
+				s.step()
+			}
+		}
 		kv.afterPut = func(key string) error {
 			if key == HeadKey && rapid.IntRange(0, 4).Draw(t, "lose the answer") == 0 {
 				return platform.ErrUnknownOutcome
@@ -223,7 +251,7 @@
 		for range rapid.IntRange(1, 6).Draw(t, "commands") {
 			s.step()
 		}
-		kv.beforePut, kv.afterPut = nil, nil
+		kv.beforePut, kv.afterPut, kv.beforeDelete = nil, nil, nil
 		s.check()
 	})
 }
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -173,13 +173,13 @@
 	return b
 }
 
-// putContent writes immutable content. It is no fault if the content is there already.
+// putContent writes immutable content. Content that is there already is written again, see Prune.
 func (s *Store) putContent(ctx context.Context, key string, value []byte) error {
 	absent := platform.IfAbsent
 	err := s.retry(ctx, func() error {
 		_, err := s.kv.Put(ctx, key, value, platform.PutOptions{IfRevision: &absent})
 		if errors.Is(err, platform.ErrConflict) {
-			return nil
+			return s.touch(ctx, key, value)
 		}
 		return err
 	})
--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -406,3 +406,75 @@
 		t.Errorf("wrote %v with %d reads", written, kv.reads.Load())
 	}
 }
+
+// Guards against a store that fills up, and against a prune that removes what is still named.
+func TestPrune(t *testing.T) {
+	kv := newFakeKV()
+	s := newTestStore(kv)
+	for i := range 10 {
+		mustApply(t, s, testConfig(map[string]float64{"acme": float64(100 + i)}), Change{})
+	}
+	r, err := s.Prune(t.Context(), 3, Change{Author: "ana", Note: "prune"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The revision that prune writes is kept beside the three. The 10 applies share one general part.
+	if r.Revision != 11 || r.Kept != 4 || r.Heads != 7 || r.Contents != 7 {
+		t.Errorf("pruned %+v", r)
+	}
+	if rate := viewOf(t, s).Organisation("acme").Rate; rate != 109 {
+		t.Errorf("rate = %g", rate)
+	}
+	if _, err := s.Rollback(t.Context(), 8, Change{}); err != nil {
+		t.Error(err)
+	}
+	if _, err := s.Rollback(t.Context(), 2, Change{}); err == nil {
+		t.Error("rolled back to a revision that is gone")
+	}
+}
+
+// Guards against a writer that found its content in the store, had it removed by a prune, and put a head in force that no
+// instance can load.
+func TestPruneDuringApply(t *testing.T) {
+	for _, when := range []string{"before its head", "before the removal"} {
+		t.Run(when, func(t *testing.T) {
+			kv := newFakeKV()
+			s := newTestStore(kv)
+			mustApply(t, s, testConfig(map[string]float64{"acme": 100}), Change{})
+			mustApply(t, s, testConfig(map[string]float64{"acme": 50}), Change{})
+			mustApply(t, s, testConfig(map[string]float64{"acme": 60}), Change{InForce: 2})
+			// The content of revision 1, which only the history names.
+			again := func() { mustApply(t, s, testConfig(map[string]float64{"acme": 100}), Change{InForce: 3}) }
+			done := false
+			once := func(f func()) func() {
+				return func() {
+					if !done {
+						done = true
+						f()
+					}
+				}
+			}
+			prune := func() {
+				if _, err := s.Prune(t.Context(), 1, Change{}); err != nil {
+					t.Error(err)
+				}
+			}
+			if when == "before its head" {
+				f := once(prune)
+				kv.beforePut = func(key string, _ []byte) error {
+					if key == HeadKey {
+						f()
+					}
+					return nil
+				}
+				again()
+			} else {
+				kv.beforeDelete = once(again)
+				prune()
+			}
+			if rate := viewOf(t, s).Organisation("acme").Rate; rate != 100 || !done {
+				t.Errorf("rate = %g", rate)
+			}
+		})
+	}
+}
