--- a/internal/core/atmostonce/log.go
+++ b/internal/core/atmostonce/log.go
@@ -11,7 +11,10 @@
 	// Incarnation and Term make the tokens of this log's writes unique: Term differs between the logs of a process.
 	Incarnation uint64
 	Term        uint32
-	Answers     *Answers
+	// Revision is the highest revision of the store that this instance has seen. A seal with a lower one shows that the
+	// store has come back with older data.
+	Revision int64
+	Answers  *Answers
 	// Budget bounds the records. An attempt beyond it is refused.
 	Budget *Budget
 	// MaxQueue bounds the claims that wait for a write.
@@ -26,7 +29,10 @@
 	Patience time.Duration
 	// StoreRetry is the delay between two tries at a store that fails.
 	StoreRetry time.Duration
-	// DeleteInterval is the pause between two deletions of entries.
+	// RefusedRetry is the delay before a refused write is tried again, doubled each time. A rate limit lets it through
+	// then; after refusedTries the store counts as out.
+	RefusedRetry time.Duration
+	// DeleteInterval is the longest pause between two deletions of entries.
 	DeleteInterval time.Duration
 
 	rules rules
@@ -47,14 +53,16 @@
 func DefaultLogOptions() LogOptions {
 	return LogOptions{
 		MaxQueue: 10_000,
-		// An entry of 4,000 claims and as many results has about 250 KB, a quarter of the store's limit.
-		MaxClaims: 4_000,
+		// An entry of 1,000 claims and as many results has about 50 KB, so that a page of a takeover stays under 16 MB.
+		MaxClaims: 1_000,
 		// The store answers in milliseconds. A shorter delay saves less than one answer time and costs more writes.
 		GroupDelay: 3 * time.Millisecond,
-		// A result that is lost with its owner turns "ran" into "unknown", which is true but less useful.
-		ResultDelay:    2 * time.Second,
+		// Results wait for the next claims: at 0.8 claims a second, 98 in 100 need no entry of their own. A result that is
+		// lost with its owner turns "ran" into "unknown", which is true but less useful.
+		ResultDelay:    5 * time.Second,
 		Patience:       2 * time.Second,
 		StoreRetry:     500 * time.Millisecond,
+		RefusedRetry:   20 * time.Millisecond,
 		DeleteInterval: 50 * time.Millisecond,
 	}
 }
@@ -88,8 +96,12 @@
 	since   clock.Instant
 	retryAt clock.Instant // 0 while a call is under way
 	tries   int
+	refused int // tries that certainly had no effect
 }
 
+// refusedTries is the number of refused tries of a write after which its attempts are refused.
+const refusedTries = 3
+
 type entryMeta struct {
 	sequence  uint64
 	newestKey int64
@@ -108,18 +120,24 @@
 	horizon  int64
 	// recordedHorizon is the horizon that an entry in the store carries.
 	recordedHorizon int64
-	recs            records
-	ops             map[AttemptID]*op
-	active          map[Key]*op
-	queue           []*op
-	results         []Result
-	resultsSince    clock.Instant
-	flight          *flight
-	entries         []entryMeta
+	// newestKey is the highest key time of all claims made or read.
+	newestKey int64
+	// lostHorizon is the horizon for later owners after the store has lost entries. This log still has their records.
+	lostHorizon  int64
+	revision     int64 // highest revision seen in the store
+	recs         records
+	ops          map[AttemptID]*op
+	active       map[Key]*op
+	queue        []*op
+	results      []Result
+	resultsSince clock.Instant
+	flight       *flight
+	entries      []entryMeta
 	// checkedHorizon is the last time for which raiseHorizon has looked at the entries.
 	checkedHorizon int64
 	doomed         []entryMeta // no longer needed, still to be deleted
 	doomedHorizon  int64       // recordedHorizon when doomed was last filled
+	deletePause    time.Duration
 	deleting       bool
 	deleteAt       clock.Instant
 	// nextDeadline is no later than the deadline of any waiting attempt, 0 for none.
@@ -133,9 +151,12 @@
 
 // NewLog returns a log that takes no attempts before its takeover has finished.
 func NewLog(o LogOptions) *Log {
-	return &Log{o: o, recs: records{budget: o.Budget}, ops: map[AttemptID]*op{}, active: map[Key]*op{}}
+	return &Log{o: o, revision: o.Revision, recs: records{budget: o.Budget}, ops: map[AttemptID]*op{}, active: map[Key]*op{}}
 }
 
+// Revision returns the highest revision seen in the store.
+func (l *Log) Revision() int64 { return l.revision }
+
 // Records returns the number of records held.
 func (l *Log) Records() int { return l.recs.count }
 
@@ -167,10 +188,10 @@
 		l.finished(now, e)
 	case Deleted:
 		l.deleted(now, e)
-	case Lost:
-		l.close()
 	case Drained:
 		l.draining = true
+	case Resumed:
+		l.draining = false
 	case Ticked:
 		l.wake = 0
 	}
@@ -236,6 +257,7 @@
 	l.ops[o.id] = o
 	l.active[o.ident.Key] = o
 	l.recs.put(o.ident.Key, o.keyTime, record{o.ident.Body, stateActive})
+	l.newestKey = max(l.newestKey, o.keyTime)
 	l.queue = append(l.queue, o)
 	if l.nextDeadline == 0 || o.deadline < l.nextDeadline {
 		l.nextDeadline = o.deadline
@@ -369,8 +391,7 @@
 		if now.Boot < l.flight.retryAt {
 			l.wakeAt(l.flight.retryAt)
 		} else {
-			l.flight.retryAt = 0
-			l.emit(Get{l.flight.entry.Sequence})
+			l.retry()
 		}
 	}
 	if l.draining && len(l.ops) == 0 && l.flight == nil && len(l.results) == 0 {
@@ -454,6 +475,10 @@
 	return !e.seal && i < len(l.entries)-1 && e.newestKey < h
 }
 
+// deleteWithin is the time in which the entries of an hour are deleted. It must be under an hour, so that the log does
+// not grow.
+const deleteWithin = 40 * time.Minute
+
 func (l *Log) startDelete(now Time) {
 	if l.recordedHorizon > l.doomedHorizon {
 		l.doomedHorizon = l.recordedHorizon
@@ -481,6 +506,9 @@
 		}
 	}
 	l.entries = kept
+	if len(l.doomed) > 0 {
+		l.deletePause = min(l.o.DeleteInterval, deleteWithin/time.Duration(len(l.doomed)))
+	}
 }
 
 func (l *Log) deleted(now Time, e Deleted) {
@@ -489,6 +517,6 @@
 		l.deleteAt = now.Boot.Add(l.o.StoreRetry)
 		return
 	}
-	l.deleteAt = now.Boot.Add(l.o.DeleteInterval)
+	l.deleteAt = now.Boot.Add(l.deletePause)
 	l.doomed = l.doomed[1:]
 }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
@@ -91,11 +92,7 @@
 
 // mayWait refuses a request that would wait longer than it may.
 func (d *Dispatcher) mayWait(p *pool, w *work, now clock.Instant, allowed time.Duration) error {
-	usable := false
-	for _, e := range p.endpoints {
-		usable = usable || d.takesWork(e)
-	}
-	if !usable {
+	if !d.usable(p) {
 		return noEndpoint("all endpoints for the request are leaving")
 	}
 	if p.queue.Len() >= d.opts.MaxQueued {
@@ -154,6 +151,9 @@
 // pump gives free places to waiting requests in the queue's order. The caller holds d.mu.
 func (d *Dispatcher) pump(p *pool) {
 	now := d.opts.Clock.Now()
+	if p.queue.Len() > 0 && !d.usable(p) {
+		d.refuseAll(p)
+	}
 	for {
 		item := p.queue.Peek()
 		if item == nil {
@@ -171,6 +171,23 @@
 	d.settleDrain(p)
 }
 
+// refuseAll ends the wait of requests that no endpoint is left for.
+func (d *Dispatcher) refuseAll(p *pool) {
+	for item := p.queue.Pop(); item != nil; item = p.queue.Pop() {
+		item.Value.ready <- grant{err: noEndpoint("all endpoints for the request are leaving")}
+	}
+}
+
+// usable reports whether an endpoint of the pool takes new work.
+func (d *Dispatcher) usable(p *pool) bool {
+	for _, e := range p.endpoints {
+		if d.takesWork(e) {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Dispatcher) settleDrain(p *pool) {
 	if p.queue.Len() == 0 {
 		p.drain.Idle(d.opts.Clock.Now())
@@ -237,6 +254,9 @@
 		Failures:     e.load.health.Failures(now),
 		Avoid:        w.avoid[e],
 	}
+	if e.load.health.Probing() {
+		c.Slots = 1
+	}
 	if overflow {
 		c.Foreign = min(c.Foreign, max(c.Slots-c.InFlight-1, 0))
 	}
@@ -293,3 +313,35 @@
 	wait, _ := d.wait(p, w, d.opts.Clock.Now())
 	return wait
 }
+
+// PoolLoad is the load of the endpoints that serve a model or a plain service.
+type PoolLoad struct {
+	Name    string
+	Service bool
+	Wait    time.Duration // expected time until work is begun; 0 if nothing waits or it is not known
+	Free    int           // places in batches
+}
+
+// Loads returns the load of every model and service that this region serves, in no order.
+func (d *Dispatcher) Loads() []PoolLoad {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.opts.Clock.Now()
+	out := make([]PoolLoad, 0, len(d.pools))
+	for name, p := range d.pools {
+		free := 0
+		for _, e := range p.endpoints {
+			if d.takesWork(e) {
+				free += max(e.config.Slots-e.load.inFlight-e.load.foreignNow(now), 0)
+			}
+		}
+		// The class that is served last gives the longest wait, which another region should count with.
+		wait, _ := d.wait(p, &work{weight: 1, class: fairqueue.Long}, now)
+		service, isService := strings.CutPrefix(name, servicePrefix)
+		if isService {
+			name = service
+		}
+		out = append(out, PoolLoad{Name: name, Service: isService, Wait: wait, Free: free})
+	}
+	return out
+}
--- a/internal/operations/service_test.go
+++ b/internal/operations/service_test.go
@@ -89,10 +89,10 @@
 	f, a := startOwner(t)
 	key, open := newKey(t), newKey(t)
 	expect(t, a.doReady(key, "deposit"), Ran, "")
-	eventually(t, "result recorded", func() bool { return f.store.count("once/lima/0/") == 3 })
+	eventually(t, "result recorded", func() bool { return f.store.entries() == 3 })
 	block := make(chan struct{})
 	t.Cleanup(func() { close(block) })
-	f.endpoint.after = func(context.Context, string) error { <-block; return nil }
+	f.endpoint.after = func(string) { <-block }
 	go a.do(open, "open")
 	eventually(t, "open operation sent", func() bool { return f.endpoint.executions("open") == 1 })
 	b := f.start("lima-2")
@@ -121,6 +121,7 @@
 		t.Fatal(err)
 	}
 	a.crash()
+	expect(t, b.do(unused, "unused"), Unknown, CodeIssuerGone)
 	f.start("lima-1")
 	expect(t, b.do(id, "deposit"), Unknown, CodeIssuerGone)
 	expect(t, b.do(unused, "unused"), Unknown, CodeIssuerGone)
@@ -141,7 +142,7 @@
 	if err := a.Stop(ctx); err != nil {
 		t.Fatal(err)
 	}
-	f.hub.leave(a.node)
+	f.hub.Remove(a.name)
 	for _, i := range []*instance{b, c} {
 		expect(t, i.do(used, "deposit"), Ran, CodeAnswerGone)
 		expect(t, i.do(used, "other"), NotRun, CodeReused)
@@ -150,7 +151,7 @@
 	if err := b.Stop(ctx); err != nil {
 		t.Fatal(err)
 	}
-	f.hub.leave(b.node)
+	f.hub.Remove(b.name)
 	expect(t, c.do(unused, "unused"), Ran, CodeAnswerGone)
 	expect(t, c.do(used, "deposit"), Ran, CodeAnswerGone)
 	if n := f.endpoint.executions("deposit") + f.endpoint.executions("unused"); n != 2 {
@@ -193,9 +194,9 @@
 	b := f.start("lima-2")
 	a.doReady(newKey(t), "warm-up")
 	key := newKey(t)
-	f.hub.hook(func(string, string, string) error { return peer.ErrNotSent }, nil)
+	f.hub.hook(func(context.Context, string, string, string) error { return peer.ErrNotSent }, nil)
 	expect(t, b.do(key, "deposit"), NotRun, CodeOwnerAway)
-	f.hub.hook(nil, func(string, string, string) error { return peer.ErrBroken })
+	f.hub.hook(nil, func(context.Context, string, string, string) error { return peer.ErrBroken })
 	expect(t, b.do(key, "deposit"), Unknown, CodeUnknown)
 	f.hub.hook(nil, nil)
 	expect(t, b.do(key, "deposit"), Ran, "")
@@ -215,7 +216,7 @@
 	}
 	f.advanceWall(27 * time.Hour)
 	expect(t, a.do(keyAt(t, f.wall()), "later"), Ran, "")
-	eventually(t, "old entries deleted", func() bool { return f.store.count("once/lima/0/") <= 4 })
+	eventually(t, "old entries deleted", func() bool { return f.store.entries() <= 4 })
 	expect(t, a.do(old, "deposit"), Unknown, CodeExpired)
 	f.advanceWall(-27 * time.Hour)
 	b := f.start("lima-2")
@@ -226,3 +227,41 @@
 		t.Fatalf("%d executions", n)
 	}
 }
+
+// Guards against bodies and answers that do not fit into one message between instances.
+func TestForwardLargeBodies(t *testing.T) {
+	f, a := startOwner(t)
+	b := f.start("lima-2")
+	a.doReady(newKey(t), "warm-up")
+	body := strings.Repeat("deposit ", 3*partBytes/8) + "end"
+	key := newKey(t)
+	o := b.do(key, body)
+	expect(t, o, Ran, "")
+	if want := body + " 1"; string(o.Answer.Body) != want {
+		t.Fatalf("answer of %d instead of %d bytes", len(o.Answer.Body), len(want))
+	}
+	expect(t, b.do(key, body), Ran, CodeAnswerGone)
+	expect(t, b.do(newKey(t), strings.Repeat("x", maxForwardedBody+1)), NotRun, CodeTooLarge)
+	if n := f.endpoint.executions(body); n != 1 {
+		t.Fatalf("%d executions", n)
+	}
+}
+
+// Guards against a part of an answer that counts as the whole.
+func TestAnswerCut(t *testing.T) {
+	f, a := startOwner(t)
+	b := f.start("lima-2")
+	a.doReady(newKey(t), "warm-up")
+	received := 0
+	f.hub.hook(nil, func(context.Context, string, string, string) error {
+		if received++; received == 2 {
+			return peer.ErrBroken
+		}
+		return nil
+	})
+	o := b.do(newKey(t), strings.Repeat("deposit ", 3*partBytes/8))
+	expect(t, o, Ran, CodeAnswerCut)
+	if o.Answer != nil || o.RetryAfter == 0 {
+		t.Fatalf("outcome %+v", o)
+	}
+}
--- a/internal/operations/slotlog.go
+++ b/internal/operations/slotlog.go
@@ -15,8 +15,8 @@
 	"dogwoodknot.example/dogwoodknot/internal/platform"
 )
 
-// listPage is the number of log entries read at once. An entry has up to 250 KB, usually under 10 KB.
-const listPage = 64
+// listPage is the number of log entries read at once. An entry has up to 50 KB, usually under 1 KB.
+const listPage = 256
 
 // logPrefix returns the prefix of a slot's log in the store.
 func logPrefix(region string, slot int) string {
@@ -28,39 +28,39 @@
 	return fmt.Sprintf("%s%020d", logPrefix(region, slot), sequence)
 }
 
-// reconcile opens the logs of gained slots and closes those of lost ones.
+// reconcile opens the logs of gained slots and drains those of lost ones.
 func (s *Service) reconcile() {
 	s.reconciling.Lock()
 	defer s.reconciling.Unlock()
 	owned := s.o.Slots.Owned()
-	gained, lost := s.compareSlots(owned)
-	for _, l := range lost {
-		s.step(l, atmostonce.Lost{})
-	}
-	for _, l := range gained {
-		s.step(l, atmostonce.Opened{})
+	for l, e := range s.compareSlots(owned) {
+		s.step(l, e)
 	}
 }
 
-func (s *Service) compareSlots(owned []int) (gained, lost []*slotLog) {
+// compareSlots returns an event for each log: opened, still owned, or lost.
+func (s *Service) compareSlots(owned []int) map[*slotLog]atmostonce.Event {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopping {
-		return nil, nil
+		return nil
+	}
+	events := map[*slotLog]atmostonce.Event{}
+	for slot, l := range s.logs {
+		if slices.Contains(owned, slot) {
+			events[l] = atmostonce.Resumed{}
+		} else {
+			events[l] = atmostonce.Drained{}
+		}
 	}
 	for _, slot := range owned {
 		if s.logs[slot] == nil {
 			l := s.newLog(slot)
 			s.logs[slot] = l
-			gained = append(gained, l)
-		}
-	}
-	for slot, l := range s.logs {
-		if !slices.Contains(owned, slot) {
-			lost = append(lost, l)
+			events[l] = atmostonce.Opened{}
 		}
 	}
-	return gained, lost
+	return events
 }
 
 func (s *Service) newLog(slot int) *slotLog {
@@ -68,6 +68,7 @@
 	o := s.o.Log
 	o.Incarnation = s.o.Network.Self().Incarnation
 	o.Term = s.term
+	o.Revision = s.revision
 	o.Answers = s.answers
 	o.Budget = s.budget
 	return &slotLog{slot: slot, core: atmostonce.NewLog(o), closed: make(chan struct{})}
@@ -77,6 +78,7 @@
 func (s *Service) step(l *slotLog, e atmostonce.Event) {
 	s.mu.Lock()
 	actions := l.core.Step(s.now(), e)
+	s.revision = max(s.revision, l.core.Revision())
 	senders := make([]*waiter, len(actions))
 	for i, a := range actions {
 		if send, ok := a.(atmostonce.Send); ok {
@@ -150,7 +152,7 @@
 	ctx, cancel := context.WithTimeout(s.base, s.o.StoreTimeout)
 	defer cancel()
 	absent := platform.IfAbsent
-	_, err = s.o.Store.Put(ctx, logKey(s.region(), l.slot, e.Sequence), value, platform.PutOptions{IfRevision: &absent})
+	w.Revision, err = s.o.Store.Put(ctx, logKey(s.region(), l.slot, e.Sequence), value, platform.PutOptions{IfRevision: &absent})
 	switch {
 	case err == nil:
 		w.Result = atmostonce.WriteDone
@@ -179,6 +181,7 @@
 			s.warn("read back log entry", zap.Int("slot", l.slot), zap.Error(err))
 		}
 		f.Token = e.Token
+		f.Revision = entry.Revision
 	}
 	return f
 }
@@ -209,7 +212,9 @@
 	if err != nil {
 		return atmostonce.Entry{}, errors.Wrap(err, "parse sequence")
 	}
-	return decodeEntry(sequence, row.Value, s.secrets)
+	e, err := decodeEntry(sequence, row.Value, s.secrets)
+	e.Revision = row.Revision
+	return e, err
 }
 
 func (s *Service) delete(l *slotLog, sequence uint64) atmostonce.Event {
