Answer connections beyond the limit before closing them

A caller beyond the limit saw a closed connection without a reason. It now gets 503 with Retry-After; the answer fits the empty buffer of a new connection, so that accepting does not block on it.

--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -8,11 +8,12 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"dogwoodknot.example/dogwoodknot/internal/operations"
 )
 
-// listener bounds the number of open connections. Further ones are closed at once, so that waiting connections don't pile up
+// listener bounds the number of open connections. Further ones are refused at once, so that waiting connections don't pile up
 // in the system.
 type listener struct {
 	net.Listener
@@ -34,11 +35,24 @@
 		case l.slots <- struct{}{}:
 			return &callerConn{Conn: conn, release: sync.OnceFunc(func() { <-l.slots })}, nil
 		default:
-			conn.Close()
+			refuseConn(conn)
 		}
 	}
 }
 
+// refuseConn answers a connection that is not served. The answer fits the empty send buffer of a new connection, so that
+// writing it does not block.
+func refuseConn(conn net.Conn) {
+	defer conn.Close()
+	if conn.SetDeadline(time.Now().Add(refuseTime)) != nil {
+		return
+	}
+	_, _ = conn.Write(plainRefusal(http.StatusServiceUnavailable)) // the caller sees a closed connection instead
+}
+
+// refuseTime limits the answer to a connection that is not served.
+const refuseTime = 100 * time.Millisecond
+
 // callerConn is a counted connection. It gives the refusals that net/http writes itself, such as those of a broken header,
 // the form of all others.
 type callerConn struct {
@@ -93,14 +107,20 @@
 
 // plainRefusal is a whole answer to a request that could not be read.
 func plainRefusal(status int) []byte {
-	code := "malformed_request"
-	if status == http.StatusRequestHeaderFieldsTooLarge {
-		code = "header_too_large"
-	}
 	text := http.StatusText(status)
-	body := refuse(status, code, "the request could not be read: "+text).body()
+	code, message := "malformed_request", "the request could not be read: "+text
 	var out bytes.Buffer
+	switch status {
+	case http.StatusRequestHeaderFieldsTooLarge:
+		code = "header_too_large"
+	case http.StatusServiceUnavailable:
+		code, message = "overloaded", "too many connections"
+	}
+	body := refuse(status, code, message).body()
 	out.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + text + "\r\nContent-Type: application/json\r\nConnection: close\r\n")
+	if status == http.StatusServiceUnavailable {
+		out.WriteString("Retry-After: 1\r\n")
+	}
 	out.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
 	out.WriteString(headerExecution + ": " + string(operations.NotRun) + "\r\n" + headerRequestID + ": " + newID() + "\r\n\r\n")
 	out.Write(body)
--- a/internal/gateway/robust_test.go
+++ b/internal/gateway/robust_test.go
@@ -364,3 +364,26 @@
 		t.Fatalf("forwarded for a foreign home: %s %v", ex, err)
 	}
 }
+
+// Guards against connections without bound, and against callers beyond it who wait without an answer.
+func TestConnectionsAreBounded(t *testing.T) {
+	in := start(t, "lima", testView(), func(o *Options, _ *dispatch.Options) { o.MaxConnections = 2 })
+	var held []net.Conn
+	for range 2 {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(in.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, conn)
+	}
+	got := in.raw(t, "")
+	if !strings.HasPrefix(got, "HTTP/1.1 503 ") || !strings.Contains(got, headerExecution+": not-run") || !strings.Contains(got, "Retry-After: 1") {
+		t.Fatalf("third connection: %q", got)
+	}
+	for _, conn := range held {
+		conn.Close()
+	}
+	eventually(t, "places are free again", func() bool {
+		return strings.HasPrefix(in.raw(t, "GET /v1/models HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"), "HTTP/1.1 401 ")
+	})
+}
