Hedge late calls of idempotent routes

A short call at a paused service waited for half of its deadline before another endpoint was asked. It is now also sent to a second endpoint after four mean answer times, out of the retry budget; the first whole answer counts, and the overtaken endpoint's failure count rises, so that it is ejected soon. Hedging after a fixed time was ruled out: services differ in speed by orders of magnitude.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -385,6 +385,40 @@
 	}
 }
 
+// Guards against short calls that wait for a paused service until their deadline, and against hedges that double the load of a
+// healthy one.
+func TestLateCallIsHedgedWithinTheBudget(t *testing.T) {
+	f := newFleet(t, 0, 3, standin.EngineOptions{}, nil)
+	do := func(n int) {
+		t.Helper()
+		for i := range n {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			begun := time.Now()
+			a, ex, err := f.Call(ctx, &ServiceCall{ID: "l" + strconv.Itoa(i), Service: "book", Method: "GET", Path: "/lot", Idempotent: true})
+			cancel()
+			if err != nil || ex != operations.Ran || a.Status != 200 || time.Since(begun) > time.Second {
+				t.Fatalf("call %d: %s %v after %v", i, ex, err, time.Since(begun))
+			}
+		}
+	}
+	do(100)
+	received := func() (n int64) {
+		for _, s := range f.services {
+			n += s.Executions().Received
+		}
+		return n
+	}
+	if n := received(); n > 110 {
+		t.Fatalf("%d requests for 100 calls", n)
+	}
+	f.services[1].Inject(standin.ServiceFault{Action: standin.ActionDropAnswer, Count: 1000})
+	do(60)
+	if n := received(); n > 200 {
+		t.Fatalf("%d requests for 160 calls", n)
+	}
+	f.services[1].ClearFaults()
+}
+
 // Guards against work for endpoints that leave: new, waiting, drawn by a cached prefix, or over an idle connection.
 func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
 	f := newFleet(t, 2, 0, standin.EngineOptions{BatchSlots: 2, TokenInterval: 5 * time.Millisecond}, nil)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -35,6 +35,7 @@
 	endpoints []*endpoint
 	queue     *fairqueue.Queue[*waiter]
 	drain     admission.DrainRate
+	pace      time.Duration // mean answer time of a plain service, 0 before the first
 }
 
 // Retry budget: one retry for ten requests, and a reserve so that a quiet instance can retry at all.
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -41,48 +40,64 @@
 	d.mu.Lock()
 	d.budget.Earn()
 	d.mu.Unlock()
-	ex := operations.NotRun
+	if c.Idempotent {
+		return d.callHedged(ctx, w, c)
+	}
+	return d.callOnce(ctx, w, c)
+}
+
+// callOnce sends a call to one endpoint after another until a byte of it may have been written.
+func (d *Dispatcher) callOnce(ctx context.Context, w *work, c *ServiceCall) (*operations.Answer, operations.Execution, error) {
 	var last error
 	for attempt := range d.opts.MaxAttempts {
 		if attempt > 0 && !d.spendRetry() {
 			break
 		}
-		l, err := d.acquire(ctx, servicePrefix+c.Service, w)
-		if err != nil {
-			return nil, ex, d.notPlaced(err, last, ex)
+		t := d.tryCall(ctx, w, c)
+		switch {
+		case t.err == nil:
+			return t.answer, operations.Ran, nil
+		case !t.placed:
+			return nil, operations.NotRun, d.notPlaced(t.err, last, operations.NotRun)
+		case t.sent:
+			if done := d.conclusive(ctx, t.err, operations.Unknown); done != nil {
+				return nil, operations.Unknown, done
+			}
+			return nil, operations.Unknown, failed(CodeTruncated, "the endpoint gave no complete answer: "+t.err.Error(), operations.Unknown)
 		}
-		attemptCtx, cancel := attemptTime(ctx, c, d.opts.MaxAttempts-attempt)
-		attemptCtx, end := startAttempt(attemptCtx, "dispatch.call", l.endpoint, c.ID)
-		answer, sent, err := d.callAt(attemptCtx, l, c)
-		end(err)
-		cancel()
-		if sent {
-			ex = operations.Unknown
+		if done := d.conclusive(ctx, t.err, operations.NotRun); done != nil {
+			return nil, operations.NotRun, done
 		}
-		if err == nil {
-			return answer, operations.Ran, nil
-		}
-		if done := d.conclusive(ctx, err, ex); done != nil {
-			return nil, ex, done
-		}
-		if sent && !c.Idempotent {
-			return nil, ex, failed(CodeTruncated, "the endpoint gave no complete answer: "+err.Error(), ex)
-		}
-		d.opts.Logger.Warn("attempt at service failed", zap.String("endpoint", l.endpoint.config.Name),
-			zap.String("request_id", c.ID), zap.Int("attempt", attempt), zap.Error(err))
-		w.avoid[l.endpoint] = true
-		last = err
+		last = t.err
 	}
-	return nil, ex, failed(CodeEndpointError, "no endpoint gave a complete answer: "+last.Error(), ex)
+	return nil, operations.NotRun, failed(CodeEndpointError, "no endpoint could be reached: "+last.Error(), operations.NotRun)
 }
 
-// attemptTime leaves time for another attempt if a call may be repeated, so that a paused endpoint does not use up all of it.
-func attemptTime(ctx context.Context, c *ServiceCall, left int) (context.Context, context.CancelFunc) {
-	deadline, ok := ctx.Deadline()
-	if !ok || !c.Idempotent || left <= 1 {
-		return context.WithCancel(ctx)
+// try is one attempt of a service call.
+type try struct {
+	answer *operations.Answer
+	placed bool // an endpoint was found
+	sent   bool // a byte of the request may have been written
+	err    error
+}
+
+// tryCall makes one attempt at the endpoint that suits best. It is avoided by the next one.
+func (d *Dispatcher) tryCall(ctx context.Context, w *work, c *ServiceCall) try {
+	l, err := d.acquire(ctx, servicePrefix+c.Service, w)
+	if err != nil {
+		return try{err: err}
+	}
+	d.mu.Lock()
+	w.avoid[l.endpoint] = true
+	d.mu.Unlock()
+	ctx, end := startAttempt(ctx, "dispatch.call", l.endpoint, c.ID)
+	answer, sent, err := d.callAt(ctx, l, c)
+	end(err)
+	if err != nil && !errors.Is(ctx.Err(), context.Canceled) {
+		d.opts.Logger.Warn("attempt at service failed", zap.String("endpoint", l.endpoint.config.Name),
+			zap.String("request_id", c.ID), zap.Error(err))
 	}
-	return context.WithTimeout(ctx, time.Until(deadline)/2)
+	return try{answer: answer, placed: true, sent: sent, err: err}
 }
 
 // callAt makes one attempt. sent says whether a byte of the request may have been written.
@@ -114,12 +129,15 @@
 	var unsent *unsentError
 	sent = !errors.As(err, &unsent)
 	if err != nil {
-		if !errors.Is(ctx.Err(), context.Canceled) {
+		// A call that a faster endpoint has answered meanwhile counts against the slower one.
+		if !errors.Is(ctx.Err(), context.Canceled) || errors.Is(context.Cause(ctx), errOvertaken) {
 			d.report(e, false, 0)
 		}
 		return nil, sent, err
 	}
-	d.report(e, true, d.opts.Clock.Now().Sub(begun).Seconds())
+	took := d.opts.Clock.Now().Sub(begun)
+	d.report(e, true, took.Seconds())
+	d.paced(l.pool, took)
 	return answer, true, nil
 }
 
