--- a/internal/members/fleet_test.go
+++ b/internal/members/fleet_test.go
@@ -107,7 +107,7 @@
 			PeerAddr: "10.11.12.13:17443", CallerAddr: "10.11.12.13:18080", OperatorURL: "10.11.12.13:18081",
 		},
 		Payload: func() members.Payload {
-			return members.Payload{Revision: 123456, Load: &wire.LoadSummary{QueuedTokens: 250_000, Running: 40, Waiting: 12, FreeSlots: 8}}
+			return members.Payload{Revision: 123456, Load: fleetLoad()}
 		},
 	})
 	if err != nil {
@@ -329,3 +329,12 @@
 	})
 	t.Logf("healed: no suspicion after %v", took)
 }
+
+// fleetLoad is the load of six models and two plain services, as the heartbeats of a large fleet carry it.
+func fleetLoad() *wire.LoadSummary {
+	summary := &wire.LoadSummary{}
+	for i := range 8 {
+		summary.Pools = append(summary.Pools, &wire.PoolLoad{Name: fmt.Sprintf("model-or-service-%d", i), Service: i >= 6, WaitMillis: 4321, Free: 321})
+	}
+	return summary
+}
