Count requests by route, status and execution, and let refused callers read why

The daemon's metrics had nothing of requests. Routes are counted by pattern and organisations are no tag, so that the number of series follows the configuration and not the callers.

TestConnectionsAreBounded failed once with a reset connection: the refused connection was closed with unread bytes, so the caller could lose the 503. Ruled out: a longer deadline (the reset comes from the close itself).

--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -229,6 +229,7 @@
 		Regions:    p.regions,
 		Clock:      d.clock,
 		Logger:     d.log,
+		Metrics:    d.metrics,
 		StopDelay:  d.settings.StopDelay,
 	})
 	return err
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -94,7 +94,7 @@
 	for _, s := range []string{"/deposits/1?a=b", "/deposits/%2e%2e?x=dk_1_2", "/%zz", "//a/../b?;&=&&%", "/deposits/a b"} {
 		f.Add(s)
 	}
-	in := &Gateway{opts: Options{Region: "lima", Source: &fakeSource{view: testView()}, Limiter: &fakeLimiter{}}.withDefaults()}
+	in := &Gateway{opts: Options{Region: "lima", Source: &fakeSource{view: testView()}, Limiter: &fakeLimiter{}}.withDefaults(), metrics: newRequestMetrics(nil)}
 	f.Fuzz(func(t *testing.T, raw string) {
 		u, err := url.ParseRequestURI(raw)
 		if err != nil || !strings.HasPrefix(raw, "/") {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,10 +18,11 @@
 
 // Gateway serves the callers of one instance, and requests forwarded by instances of other regions.
 type Gateway struct {
-	opts   Options
-	bodies *semaphore.Weighted // bytes of bodies held
-	routes atomic.Pointer[routeTable]
-	server *http.Server
+	opts    Options
+	bodies  *semaphore.Weighted // bytes of bodies held
+	routes  atomic.Pointer[routeTable]
+	metrics *requestMetrics
+	server  *http.Server
 
 	draining atomic.Bool
 	forwards inFlight // served for other regions
@@ -40,7 +41,7 @@
 		return nil, err
 	}
 	o = o.withDefaults()
-	g := &Gateway{opts: o, bodies: semaphore.NewWeighted(o.MaxBodyMemory), open: map[*call]struct{}{}}
+	g := &Gateway{opts: o, bodies: semaphore.NewWeighted(o.MaxBodyMemory), open: map[*call]struct{}{}, metrics: newRequestMetrics(o.Metrics)}
 	g.server = g.newServer()
 	g.unsubscribe = o.Source.Subscribe(g.applyView)
 	if o.Network != nil {
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,11 +18,12 @@
 // in the system.
 type listener struct {
 	net.Listener
-	slots chan struct{}
+	slots    chan struct{}
+	refusals chan struct{}
 }
 
 func newListener(l net.Listener, limit int) *listener {
-	return &listener{Listener: l, slots: make(chan struct{}, limit)}
+	return &listener{Listener: l, slots: make(chan struct{}, limit), refusals: make(chan struct{}, maxRefusals)}
 }
 
 // Accept returns the next connection within the limit.
@@ -35,23 +37,50 @@
 		case l.slots <- struct{}{}:
 			return &callerConn{Conn: conn, release: sync.OnceFunc(func() { <-l.slots })}, nil
 		default:
-			refuseConn(conn)
+			l.refuseConn(conn)
 		}
 	}
 }
 
 // refuseConn answers a connection that is not served. The answer fits the empty send buffer of a new connection, so that
 // writing it does not block.
-func refuseConn(conn net.Conn) {
-	defer conn.Close()
+func (l *listener) refuseConn(conn net.Conn) {
 	if conn.SetDeadline(time.Now().Add(refuseTime)) != nil {
+		conn.Close()
 		return
 	}
 	_, _ = conn.Write(plainRefusal(http.StatusServiceUnavailable)) // the caller sees a closed connection instead
+	select {
+	case l.refusals <- struct{}{}:
+		go func() {
+			defer func() { <-l.refusals }()
+			closeRead(conn)
+		}()
+	default:
+		conn.Close()
+	}
+}
+
+// closeRead ends a connection whose answer was written. Closing it with unread bytes would reset it, and the caller could
+// lose the answer; so what the caller sends is read until it closes, for a short time.
+func closeRead(conn net.Conn) {
+	defer conn.Close()
+	half, ok := conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	// The deadline ends the read of a caller that goes on sending.
+	_, _ = io.CopyN(io.Discard, conn, maxRefusedBytes)
 }
 
-// refuseTime limits the answer to a connection that is not served.
-const refuseTime = 100 * time.Millisecond
+const (
+	// refuseTime limits the answer to a connection that is not served.
+	refuseTime = 100 * time.Millisecond
+	// maxRefusals bounds the refused connections that are still being read. Further ones are closed at once.
+	maxRefusals = 64
+	// maxRefusedBytes bounds what is read of one.
+	maxRefusedBytes = 64 << 10
+)
 
 // callerConn is a counted connection. It gives the refusals that net/http writes itself, such as those of a broken header,
 // the form of all others.
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
@@ -70,6 +71,8 @@
 	Regions Regions
 	Clock   clock.Clock
 	Logger  *zap.Logger
+	// Metrics may be nil: nothing is counted then.
+	Metrics tally.Scope
 
 	// HeaderTimeout limits the time for a request's header.
 	HeaderTimeout time.Duration
--- a/internal/gateway/routes.go
+++ b/internal/gateway/routes.go
@@ -32,12 +32,14 @@
 func (g *Gateway) newTable(v configsync.View) *routeTable {
 	general := v.General()
 	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
-	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+	r.Use(g.metrics.middleware)
+	// The router runs no middleware for these two.
+	r.NotFoundHandler = g.metrics.middleware(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		refuseUnread(w, req, refuse(http.StatusNotFound, "unknown_route", "there is no such route"))
-	})
-	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+	}))
+	r.MethodNotAllowedHandler = g.metrics.middleware(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		refuseUnread(w, req, refuse(http.StatusMethodNotAllowed, "method_not_allowed", "the route does not take this method"))
-	})
+	}))
 	for kind, path := range modelPaths {
 		r.HandleFunc(path, g.modelHandler(kind)).Methods(http.MethodPost)
 	}
