Read the instance list once for each region, with its endpoints

A list of 990 rows (390 entries, 600 endpoints) is some 240 KB of JSON. Pollers of each data centre read it every 20 s at that size: too rarely for leaving endpoints, and 12 KB/s for each poller. Now one instance of the region reads it each second, chosen by rendezvous hashing of the interval's number, and pushes a newer version to the region; the interval grows where the reads would cost the region's instances more than 4 KB/s each. Updates carry the leaving endpoints, and EndpointLeaving tells them without a read by each instance. Periods of probes now grow from 50 instances on: heartbeats carry the load of eight pools, and 12 instances already sent 6.6 KB/s on average.

Ruled out: pollers elected for good, which pay for all; and independent random polls, whose gaps have no bound.

--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -71,7 +71,7 @@
 	return Params{
 		HomePeriod:        time.Second,
 		ForeignPeriod:     3 * time.Second,
-		ScaleFrom:         100,
+		ScaleFrom:         50,
 		ProbeTimeout:      600 * time.Millisecond,
 		FailuresToAsk:     2,
 		ReaskAfter:        5 * time.Second,
--- a/internal/core/membership/probers.go
+++ b/internal/core/membership/probers.go
@@ -226,7 +226,10 @@
 
 func (c *Core) isOther(x candidate) bool { return x.name != c.self.Name }
 
-// recipients returns the instances that a report goes to.
+// Recipients returns the instances that a message to a region goes to, or with an empty one to all: those of the own data
+// centre, and one of each other data centre, which passes it on.
+func (c *Core) Recipients(region string) (local, relays []string) { return c.recipients(region) }
+
 func (c *Core) recipients(scope string) (local, relays []string) {
 	p := poolsOf(c.candidates())
 	for at, list := range p.byDataCentre {
--- a/internal/members/fleet_test.go
+++ b/internal/members/fleet_test.go
@@ -14,6 +14,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/members"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/peer/peertest"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
 	"dogwoodknot.example/dogwoodknot/internal/platform/memory"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
@@ -94,6 +95,14 @@
 		}
 	}
 	slices.Sort(f.order)
+	for i := range len(f.order) * 600 / 390 {
+		row := platform.ListedInstance{
+			Name: fmt.Sprintf("runner-%d", i), Kind: platform.KindEndpoint, Region: "r1", DataCentre: "r1-a", State: platform.StateLive,
+		}
+		if err := f.list.Announce(t.Context(), row); err != nil {
+			t.Fatal(err)
+		}
+	}
 	return f
 }
 
@@ -187,7 +196,10 @@
 	for name, network := range f.networks {
 		before[name] = network.Traffic()
 	}
+	polls := f.list.Counts().Calls[memory.KindInstances]
 	time.Sleep(period)
+	polls = f.list.Counts().Calls[memory.KindInstances] - polls
+	f.t.Logf("reads of the list: %.2f/s in all", float64(polls)/period.Seconds())
 	var sent, received, calls []float64
 	for name, network := range f.networks {
 		now, was := network.Traffic(), before[name]
--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -20,11 +21,18 @@
 const (
 	// pollTimeout bounds a read of the list.
 	pollTimeout = 5 * time.Second
-	// pollJitter is the part of the interval by which polls vary.
-	pollJitter = 0.2
-	// staleIntervals is the age of the list, in poll intervals, from which an instance polls although it is no poller.
+	// pollSpread is the part of the interval by which polls come late, so that regions do not poll in step.
+	pollSpread = 0.1
+	// rowBytes is the size of a row of the list in JSON.
+	rowBytes = 240
+	// pollBudget is what polls may cost each instance in bytes per second on average: a fifth of the limit of all
+	// control traffic.
+	pollBudget = 4000
+	// staleIntervals is the age of the list, in poll intervals, from which an instance polls although others should.
 	staleIntervals = 3
-	// scaleBase is the number of instances up to which the poll interval does not grow.
+	// longestPollBackoff bounds the wait after failed polls.
+	longestPollBackoff = 30 * time.Second
+	// scaleBase is the number of instances up to which PollInterval does not grow.
 	scaleBase = 4
 	// announceTimeout bounds an announcement.
 	announceTimeout = 5 * time.Second
@@ -39,9 +47,11 @@
 	return time.Duration(float64(base) * math.Sqrt(math.Max(1, float64(n)/scaleBase)))
 }
 
-// PollerCount returns the number of pollers in a data centre with n instances: 1 up to 4, 3 at 26.
-func PollerCount(n int) int {
-	return max(1, int(math.Ceil(math.Sqrt(float64(n))/2)))
+// regionPollInterval returns the time between two polls of a region with the given number of instances. It grows where
+// a list with that many rows would cost them more than pollBudget.
+func regionPollInterval(base time.Duration, rows, instances int) time.Duration {
+	cost := float64(rows) * rowBytes / (pollBudget * float64(max(1, instances)))
+	return max(base, time.Duration(cost*float64(time.Second)))
 }
 
 // listAgeMillis returns the age of the list in force, at least 1, or 0 if it is unknown. It is called under mu.
@@ -60,31 +70,45 @@
 	}
 }
 
+// pollLoop polls when it is this instance's turn. Time is divided into intervals, and rendezvous hashing of the
+// interval's number gives the instance of the region that polls in it. Clocks that differ, or views, cost a poll too
+// many or too few.
 func (s *Service) pollLoop() {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	failures := newBackoff(s.options.PollBase/4, 4*s.options.PollBase)
+	failures := newBackoff(s.options.PollBase/4, longestPollBackoff)
+	wait := time.Duration(0)
 	for {
 		select {
-		case <-timer.C:
+		case <-time.After(wait):
 		case <-s.ctx.Done():
 			return
 		}
-		interval := PollInterval(s.options.PollBase, s.Snapshot().EntryCount)
-		wait := jittered(interval, pollJitter)
-		if s.shouldPoll(interval) {
-			if err := s.poll(); err != nil {
-				s.metrics.pollErrors.Inc(1)
-				s.log.Warn("instance list could not be read", zap.Error(err))
-				wait = max(wait/2, failures.NextBackOff())
-			} else {
-				failures.Reset()
-			}
+		interval := s.pollInterval()
+		now := time.Now()
+		turn := now.UnixNano() / int64(interval)
+		wait = time.Unix(0, (turn+1)*int64(interval)).Sub(now) + time.Duration(rand.Float64()*pollSpread*float64(interval))
+		if !s.shouldPoll(turn, interval) {
+			continue
+		}
+		if err := s.poll(); err != nil {
+			s.metrics.pollErrors.Inc(1)
+			s.log.Warn("instance list could not be read", zap.Error(err))
+			wait = failures.NextBackOff()
+		} else {
+			failures.Reset()
 		}
-		timer.Reset(wait)
 	}
 }
 
+func (s *Service) pollInterval() time.Duration {
+	instances := 0
+	for _, m := range s.Snapshot().InRegion(s.self.Region) {
+		if m.Status == membership.Live {
+			instances++
+		}
+	}
+	return regionPollInterval(s.options.PollBase, int(s.listRows.Load()), instances)
+}
+
 func newBackoff(initial, longest time.Duration) *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = initial
@@ -93,27 +117,17 @@
 	return b
 }
 
-func jittered(d time.Duration, part float64) time.Duration {
-	return time.Duration(float64(d) * (1 + part*(2*rand.Float64()-1)))
-}
-
-// shouldPoll reports whether this instance is a poller of its data centre, or has to poll because the list is old.
-func (s *Service) shouldPoll(interval time.Duration) bool {
+// shouldPoll reports whether it is this instance's turn, or the list is so old that the others seem to fail.
+func (s *Service) shouldPoll(turn int64, interval time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.polled || s.clock.Now().Sub(s.polledAt) > staleIntervals*interval {
 		return true
 	}
-	peers := 0
-	for _, m := range s.Snapshot().InRegion(s.self.Region) {
-		if m.DataCentre == s.self.DataCentre && m.Status == membership.Live {
-			peers++
-		}
-	}
-	return s.core.First("list/"+s.self.DataCentre, PollerCount(peers), true)
+	return s.core.First(fmt.Sprintf("list/%s/%d", s.self.Region, turn), 1, false)
 }
 
-// poll reads the list and pushes a newer version to the own data centre.
+// poll reads the list and pushes a newer version to the region.
 func (s *Service) poll() error {
 	s.metrics.polls.Inc(1)
 	ctx, cancel := context.WithTimeout(s.ctx, pollTimeout)
@@ -123,11 +137,17 @@
 	if err != nil {
 		return err
 	}
+	s.listRows.Store(int64(len(rows)))
 	var push *wire.ListUpdate
 	s.update(func(now clock.Instant, core *membership.Core) []membership.Action {
 		base, before := core.Version(), core.List()
-		if core.ApplyList(now, version, rows) && base > 0 {
-			push = EncodeListChange(base, before, version, core.List())
+		if core.ApplyList(now, version, rows) {
+			s.setLeavingEndpoints(leavingEndpoints(rows))
+			if base > 0 {
+				push = EncodeListChange(base, before, version, core.List())
+				push.LeavingEndpoints = s.endpointNames()
+				push.TotalRows = int64(len(rows))
+			}
 		}
 		if version >= base {
 			s.confirmList(started)
@@ -136,32 +156,40 @@
 	})
 	if push != nil {
 		push.AgeMillis = uint32(s.clock.Now().Sub(started).Milliseconds())
-		s.pushAll(s.dataCentrePeers(), &wire.MembersPush{List: push})
+		local, relays := s.regionPeers()
+		s.pushAll(local, &wire.MembersPush{List: push})
+		s.pushAll(relays, &wire.MembersPush{List: push, Relay: true})
 	}
 	return nil
 }
 
-func (s *Service) dataCentrePeers() []string {
-	var names []string
-	for _, m := range s.Snapshot().InRegion(s.self.Region) {
-		if m.DataCentre == s.self.DataCentre && !m.Self && m.Status != membership.Suspect {
-			names = append(names, m.Name)
-		}
-	}
-	return names
+// regionPeers returns the instances that a list goes to: those of the own data centre, and one of each other one of the
+// region.
+func (s *Service) regionPeers() (local, relays []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Recipients(s.self.Region)
 }
 
-// handlePush takes a step of the list and reports. A step that does not apply to the version in force is made up for by
-// an exchange with the sender.
+// handlePush takes a step of the list and reports, and passes a step on if the sender asks for it. A step that does not
+// apply to the version in force is made up for by an exchange with the sender.
 func (s *Service) handlePush(_ context.Context, from peer.Identity, req *wire.MembersPush) (proto.Message, error) {
-	missed := false
+	var missed, newer bool
 	s.update(func(now clock.Instant, core *membership.Core) []membership.Action {
+		before := core.Version()
 		missed = !s.applyUpdate(now, core, req.GetList())
+		newer = core.Version() > before
 		return core.Merge(now, decodeReports(req.GetReports()), req.GetRelay())
 	})
 	if missed {
 		s.startSync(from.Instance)
 	}
+	if newer && req.GetRelay() {
+		s.spawn(func() {
+			local, _ := s.regionPeers()
+			s.pushAll(local, &wire.MembersPush{List: req.GetList()})
+		})
+	}
 	return &wire.MembersPushed{ListVersion: s.Snapshot().Version}, nil
 }
 
@@ -179,6 +207,8 @@
 			before = core.List()
 		}
 		core.ApplyList(now, update.GetVersion(), applyChange(before, update))
+		s.setLeavingEndpoints(update.GetLeavingEndpoints())
+		s.listRows.Store(update.GetTotalRows())
 	}
 	s.confirmList(now.Add(-time.Duration(update.GetAgeMillis()) * time.Millisecond))
 	return true
@@ -225,6 +255,8 @@
 		if core.Version() > req.GetListVersion() {
 			resp.List = EncodeList(core.Version(), core.List())
 			resp.List.AgeMillis = s.listAgeMillis(now)
+			resp.List.LeavingEndpoints = s.endpointNames()
+			resp.List.TotalRows = s.listRows.Load()
 		}
 		resp.Reports = EncodeReports(core.Reports())
 		return core.Merge(now, decodeReports(req.GetReports()), true)
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -30,7 +30,9 @@
 	clock   clock.Clock
 	metrics *metrics
 
-	snapshot atomic.Pointer[membership.Snapshot]
+	snapshot  atomic.Pointer[membership.Snapshot]
+	endpoints atomic.Pointer[map[string]bool] // that the list shows as leaving
+	listRows  atomic.Int64                    // of the list in force, endpoints included
 
 	mu         sync.Mutex // guards the fields down to the blank line
 	core       *membership.Core
@@ -115,6 +117,7 @@
 		cancel:      cancel,
 	}
 	s.snapshot.Store(core.Snapshot())
+	s.endpoints.Store(&map[string]bool{})
 	s.network.Handle(serviceProbe, peer.Unary(s.handleProbe))
 	s.network.Handle(serviceAsk, peer.Unary(s.handleAsk))
 	s.network.Handle(servicePush, peer.Unary(s.handlePush))
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -15,6 +15,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/members"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/peer/peertest"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
 	"dogwoodknot.example/dogwoodknot/internal/platform/memory"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
@@ -291,3 +292,53 @@
 		f.eventually("the new instance is seen", f.everywhere("lima-3", membership.Live))
 	})
 }
+
+// Guards against a leaving endpoint that instances learn of late or not at all, and against a list that each instance
+// reads by itself.
+func TestLeavingEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.addFour()
+		ctx := context.Background()
+		row := platform.ListedInstance{Name: "runner-1", Kind: platform.KindEndpoint, Region: "lima", DataCentre: "lima-a", State: platform.StateLive}
+		announce := func(state platform.InstanceState) {
+			row.State = state
+			if err := f.list.Announce(ctx, row); err != nil {
+				t.Fatal(err)
+			}
+		}
+		seen := func(want bool) func() bool {
+			return func() bool {
+				for _, s := range f.services {
+					if s.EndpointLeaving("runner-1") != want {
+						return false
+					}
+				}
+				return true
+			}
+		}
+		announce(platform.StateLive)
+		time.Sleep(time.Second)
+		if !seen(false)() {
+			t.Error("live endpoint is taken for leaving")
+		}
+		announce(platform.StateLeaving)
+		start := time.Now()
+		f.eventually("leaving endpoint is known everywhere", seen(true))
+		if took := time.Since(start); took > time.Second {
+			t.Errorf("took %v with polls each 200 ms and a lag of 100 ms", took)
+		}
+		announce(platform.StateLive)
+		f.eventually("endpoint is back", seen(false))
+		if n := f.services["cusco-1"].Snapshot().EntryCount; n != 4 {
+			t.Errorf("entry count is %d with an endpoint in the list", n)
+		}
+		before := f.list.Counts().Calls[memory.KindInstances]
+		time.Sleep(10 * time.Second)
+		// lima is polled each 200 ms, the regions with one instance each 300 ms to keep to its budget: 117 times, with a
+		// margin for turns that two instances take.
+		if polls := f.list.Counts().Calls[memory.KindInstances] - before; polls > 130 || polls < 105 {
+			t.Errorf("%d polls in 10 s, want about 117", polls)
+		}
+	})
+}
--- a/internal/members/options.go
+++ b/internal/members/options.go
@@ -18,7 +18,7 @@
 
 // Defaults of Options.
 const (
-	defaultPollBase          = 2 * time.Second
+	defaultPollBase          = time.Second
 	defaultDirectoryInterval = 5 * time.Second
 )
 
@@ -41,8 +41,8 @@
 	Params  membership.Params
 	Entries membership.EntryParams
 
-	// PollBase is the interval of a poller with up to four listed instances. It grows with the square root of their
-	// number.
+	// PollBase is the interval in which one instance of each region reads the list. It grows where the list is large
+	// and the region small.
 	PollBase time.Duration
 	// DirectoryInterval is the shortest time between two publications.
 	DirectoryInterval time.Duration
