Bound the messages of configuration exchange

A message between instances has at most 4 MiB. Sets of withdrawn ids are compared range by range, so that instances with more than some 60,000 ids can still agree, and a push carries parts up to 1 MiB only. Parts of a broken fetch are kept for the next one.

--- a/internal/configsync/holder.go
+++ b/internal/configsync/holder.go
@@ -156,8 +156,11 @@
 	return h.parts[d]
 }
 
-// maxPushedParts bounds a push. A receiver fetches more parts than these itself.
-const maxPushedParts = 4
+// A push with more parts or bytes than these carries none; the receiver fetches them as a stream. A message has at most 4 MiB.
+const (
+	maxPushedParts = 4
+	maxPushedBytes = 1 << 20
+)
 
 // newestParts returns the parts that the last change added, if head is in force and they are few.
 func (h *holder) newestParts(head *configview.Head) []*wire.ConfigPart {
@@ -166,9 +169,14 @@
 	if h.state.View().Head() != head || len(h.newest) > maxPushedParts {
 		return nil
 	}
+	size := 0
 	parts := make([]*wire.ConfigPart, len(h.newest))
 	for i, d := range h.newest {
 		parts[i] = &wire.ConfigPart{Digest: string(d), Content: h.parts[d]}
+		size += len(h.parts[d])
+	}
+	if size > maxPushedBytes {
+		return nil
 	}
 	return parts
 }
--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -24,8 +24,9 @@
 	serviceWithdraw = "config.withdraw"
 )
 
-// pushParallelism bounds the calls that one push or withdrawal has open.
-const pushParallelism = 16
+// pushParallelism bounds the calls that one push or withdrawal has open. It covers all neighbours and the instances of other
+// data centres at 390 daemons, so that hung peers delay a withdrawal by one timeout only.
+const pushParallelism = 64
 
 // withdrawalsPerMessage bounds a message: ids have under 64 bytes.
 const withdrawalsPerMessage = 4096
@@ -231,10 +232,8 @@
 	}
 	if len(digests) > 0 {
 		more, err := s.fetchParts(ctx, name, &wire.ConfigFetch{Digests: digests})
-		if err != nil {
-			return err
-		}
-		if err := addParts(content, more); err != nil {
+		if err := errors.CombineErrors(err, addParts(content, more)); err != nil {
+			s.hold.keep(content)
 			return err
 		}
 	}
@@ -255,7 +254,7 @@
 	return nil
 }
 
-// fetchParts reads the answer of a fetch.
+// fetchParts reads the answer of a fetch. With an error it returns the parts that came before.
 func (s *Syncer) fetchParts(ctx context.Context, name string, req *wire.ConfigFetch) ([]*wire.ConfigPart, error) {
 	call, cancel := context.WithTimeout(ctx, s.opts.CallTimeout+time.Duration(len(req.Digests))*partTimeout)
 	defer cancel()
@@ -278,10 +277,10 @@
 			return parts, nil
 		}
 		if err != nil {
-			return nil, err
+			return parts, err
 		}
 		if len(parts) > len(req.Digests) {
-			return nil, errors.Newf("peer %s sends more parts than were asked for", name)
+			return parts, errors.Newf("peer %s sends more parts than were asked for", name)
 		}
 		parts = append(parts, p)
 	}
--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -243,12 +243,8 @@
 	}
 	parts, err := s.fetchParts(ctx, name, &wire.ConfigFetch{Digests: digests})
 	content := make(map[configview.Digest][]byte, len(parts))
-	if err == nil {
-		err = addParts(content, parts)
-	}
-	if err != nil {
-		s.opts.Log.Debug("no configuration from peer", zap.String("peer", name), zap.Error(err))
-		return missing, nil
+	if err := errors.CombineErrors(err, addParts(content, parts)); err != nil {
+		s.opts.Log.Debug("configuration from a peer is not complete", zap.String("peer", name), zap.Error(err))
 	}
 	s.hold.keep(content)
 	return s.hold.missing(head)
--- a/internal/configsync/sync_test.go
+++ b/internal/configsync/sync_test.go
@@ -316,3 +316,39 @@
 		t.Errorf("the second boot made %d reads: %v", reads, late.Ready())
 	}
 }
+
+// Guards against sets of withdrawn keys that are too large for one message and therefore never become equal.
+func TestManyWithdrawalsAreExchanged(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.start("lima-0", "lima"), f.start("lima-1", "lima")
+	f.waitFor(f.apply(100))
+	f.fabric.setCut("lima-0", true)
+	var forA, forB []string
+	for i := range 3 * withdrawalsPerMessage {
+		forA = append(forA, fmt.Sprintf("1-%06d", 2*i))
+		if i%5 == 0 {
+			forB = append(forB, fmt.Sprintf("1-%06d", 2*i+1))
+		}
+	}
+	a.hold.withdraw(forA)
+	b.hold.withdraw(forB)
+	f.fabric.setCut("lima-0", false)
+	eventually(t, "equal sets", func() bool {
+		return a.Snapshot().WithdrawnDigest() == b.Snapshot().WithdrawnDigest()
+	})
+	if n := len(a.Snapshot().Withdrawn()); n != len(forA)+len(forB) {
+		t.Errorf("%d ids, want %d", n, len(forA)+len(forB))
+	}
+}
+
+// Guards against ranges that leave out or repeat an id at their ends.
+func TestInRange(t *testing.T) {
+	ids := []string{"a", "b", "c", "d"}
+	for _, tc := range []struct{ after, until, want string }{
+		{"", "", "abcd"}, {"", "b", "ab"}, {"b", "", "cd"}, {"b", "c", "c"}, {"bb", "cc", "c"}, {"d", "", ""}, {"c", "b", ""}, {"", "0", ""},
+	} {
+		if got := strings.Join(inRange(ids, tc.after, tc.until), ""); got != tc.want {
+			t.Errorf("inRange(%q, %q) = %q, want %q", tc.after, tc.until, got, tc.want)
+		}
+	}
+}
--- a/internal/configsync/withdraw.go
+++ b/internal/configsync/withdraw.go
@@ -61,16 +61,28 @@
 	})
 }
 
-// exchangeWithdrawals sends the whole set to a peer and adds what the peer has more. A difference is rare: it follows a lost
-// message or a partition.
+// exchangeWithdrawals compares the whole set with a peer's, range by range, so that both hold the union. A difference is rare:
+// it follows a lost message or a partition. A peer that holds much more in one range sends a part; the next exchange goes on.
 func (s *Syncer) exchangeWithdrawals(ctx context.Context, name string) error {
-	req := &wire.ConfigWithdrawals{KeyIds: s.Snapshot().Withdrawn(), All: true}
-	resp := new(wire.ConfigWithdrawals)
-	if err := s.call(ctx, name, serviceWithdraw, req, resp); err != nil {
-		return err
+	ids := s.Snapshot().Withdrawn()
+	after := ""
+	for {
+		chunk := ids[:min(len(ids), withdrawalsPerMessage)]
+		ids = ids[len(chunk):]
+		req := &wire.ConfigWithdrawals{KeyIds: chunk, Compare: true, After: after}
+		if len(ids) > 0 {
+			after = chunk[len(chunk)-1]
+			req.Until = after
+		}
+		resp := new(wire.ConfigWithdrawals)
+		if err := s.call(ctx, name, serviceWithdraw, req, resp); err != nil {
+			return err
+		}
+		s.learn(resp.KeyIds, peer.Identity{Instance: name})
+		if len(ids) == 0 {
+			return nil
+		}
 	}
-	s.learn(resp.KeyIds, peer.Identity{Instance: name})
-	return nil
 }
 
 // learn adds ids that came from a peer. Ids from another data centre are passed on to the neighbours.
@@ -86,12 +98,30 @@
 func (s *Syncer) serveWithdraw(_ context.Context, from peer.Identity, req *wire.ConfigWithdrawals) (protoMessage, error) {
 	s.learn(req.KeyIds, from)
 	resp := new(wire.ConfigWithdrawals)
-	if req.All {
-		resp.KeyIds = without(s.Snapshot().Withdrawn(), req.KeyIds)
+	if req.Compare {
+		more := without(inRange(s.Snapshot().Withdrawn(), req.After, req.Until), req.KeyIds)
+		resp.KeyIds = more[:min(len(more), withdrawalsPerMessage)]
 	}
 	return resp, nil
 }
 
+// inRange returns the sorted ids above after and up to until, where an empty until is no bound.
+func inRange(ids []string, after, until string) []string {
+	from, _ := slices.BinarySearch(ids, after)
+	for from < len(ids) && ids[from] <= after {
+		from++
+	}
+	to := len(ids)
+	if until != "" {
+		at, found := slices.BinarySearch(ids, until)
+		to = at
+		if found {
+			to++
+		}
+	}
+	return ids[from:max(from, to)]
+}
+
 // without returns the ids that are not in known.
 func without(ids, known []string) []string {
 	set := make(map[string]struct{}, len(known))
