--- a/cmd/dogwoodctl/main.go
+++ b/cmd/dogwoodctl/main.go
@@ -28,6 +28,7 @@
 	Organisation organisationCmd `cmd:"" help:"Show organisations and their live use."`
 	Endpoints    endpointsCmd    `cmd:"" help:"List and drain endpoints."`
 	Status       statusCmd       `cmd:"" help:"Show the instances and the revision that each has in force."`
+	Orders       ordersCmd       `cmd:"" help:"Show who sends orders to the endpoints, and which changes wait."`
 	Slots        slotsCmd        `cmd:"" help:"Declare an instance dead, so that its slots can be used."`
 	Completion   completionCmd   `cmd:"" help:"Print a completion script for a shell."`
 }
--- a/cmd/dogwoodctl/main_test.go
+++ b/cmd/dogwoodctl/main_test.go
@@ -127,6 +127,13 @@
 	return []operator.Usage{{Name: "rosa", RateShare: 250, BurstShare: 1500, Level: 1000, UsedPerSecond: 125}}
 }
 
+func (i *testInstance) Orders() operator.Orders {
+	return operator.Orders{
+		Instance: i.status.Instance, Region: i.status.Region, Issuer: i.status.Incarnation == 101, Fencing: 42,
+		Blocked: []operator.BlockedLoad{{Endpoint: "taller-01", Model: "taller-lm", Reason: "it would take one of the last ready copies of the model"}},
+	}
+}
+
 func (i *testInstance) Withdraw(ctx context.Context, ids []string) error {
 	i.sync.Withdraw(ctx, ids)
 	return nil
--- a/cmd/dogwoodknot/main.go
+++ b/cmd/dogwoodknot/main.go
@@ -6,8 +6,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -67,29 +65,8 @@
 	if err := app.Err(); err != nil {
 		return err
 	}
-	stopReloads := reloadOnHangup(d)
 	app.Run()
-	stopReloads()
 	closeCtx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	return d.Close(closeCtx)
 }
-
-// reloadOnHangup reads the credentials again at each SIGHUP. The returned function ends that.
-func reloadOnHangup(d *daemon.Daemon) (stop func()) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	go func() {
-		for range hangups {
-			if err := d.ReloadCredentials(); err != nil {
-				d.Log().Error("credentials were not reloaded, the former ones stay in force", zap.Error(err))
-				continue
-			}
-			d.Log().Info("credentials reloaded")
-		}
-	}()
-	return func() {
-		signal.Stop(hangups)
-		close(hangups)
-	}
-}
--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -205,6 +205,19 @@
 	return out
 }
 
+// Orders returns what this instance knows of the orders of its region.
+func (b *backend) Orders() operator.Orders {
+	status := b.parts.orders.Status()
+	out := operator.Orders{
+		Instance: b.daemon.self.Instance, Region: b.daemon.self.Region, Issuer: status.Issuer, Fencing: status.Fencing,
+		Blocked: []operator.BlockedLoad{},
+	}
+	for _, blocked := range status.Blocked {
+		out.Blocked = append(out.Blocked, operator.BlockedLoad{Endpoint: blocked.Endpoint, Model: blocked.Model, Reason: blocked.Reason})
+	}
+	return out
+}
+
 // Withdraw stops keys here and relays them to the other instances.
 func (b *backend) Withdraw(ctx context.Context, keyIDs []string) error {
 	b.parts.syncer.Withdraw(ctx, keyIDs)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,6 +31,7 @@
 	hooks       Hooks
 	listeners   listeners
 	backend     *backend
+	stopReloads context.CancelFunc // of certificates
 
 	drainOnce sync.Once
 	drained   chan struct{}
@@ -165,16 +166,6 @@
 	d.drainOnce.Do(func() { close(d.drained) })
 }
 
-// ReloadCredentials reads the certificate, key and CAs again, from the files that the settings name, for all handshakes that
-// follow. On an error the former ones stay in force. Services must have been called.
-func (d *Daemon) ReloadCredentials() error {
-	pem, err := d.settings.credentials()
-	if err != nil {
-		return err
-	}
-	return d.backend.parts.transport.Reload(pem)
-}
-
 // Abort cuts all connections of callers and instances at once, as a crash would. Services must have been called.
 func (d *Daemon) Abort() {
 	_ = d.listeners.caller.Close()
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -275,7 +275,8 @@
 func (d *Daemon) services(p *parts) []kernel.Service {
 	list := []*part{
 		{name: nameTransport,
-			start: func(context.Context) error { p.transport.Start(); return nil }, stop: p.transport.Close},
+			start: func(context.Context) error { d.startTransport(p); return nil },
+			stop:  func(ctx context.Context) error { d.stopReloads(); return p.transport.Close(ctx) }},
 		{name: nameConfig, requires: []string{nameTransport}, start: p.syncer.Start, stop: p.syncer.Stop},
 		{name: nameMembers, requires: []string{nameConfig, nameDispatch},
 			start: func(ctx context.Context) error { p.members.Start(); p.endpoints.start(); return nil },
@@ -299,6 +300,14 @@
 	return out
 }
 
+// startTransport takes sessions, and new certificates at each SIGHUP.
+func (d *Daemon) startTransport(p *parts) {
+	p.transport.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stopReloads = cancel
+	go p.transport.ReloadOnHangup(ctx, d.settings.credentials)
+}
+
 func (d *Daemon) serve(g *gateway.Gateway) {
 	d.log.Info("serving callers", zap.String("addr", d.CallerAddr()), zap.String("region", d.self.Region))
 	go func() {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -45,10 +45,27 @@
 	UsedPerSecond float64 `json:"used_per_second"`
 }
 
+// Orders is what an instance knows of the orders to the endpoints of its region.
+type Orders struct {
+	Instance string        `json:"instance"`
+	Region   string        `json:"region"`
+	Issuer   bool          `json:"issuer"`            // this instance sends them
+	Fencing  int64         `json:"fencing,omitempty"` // number of its lease
+	Blocked  []BlockedLoad `json:"blocked"`
+}
+
+// BlockedLoad is a change to an endpoint that has to wait.
+type BlockedLoad struct {
+	Endpoint string `json:"endpoint"`
+	Model    string `json:"model"`
+	Reason   string `json:"reason"`
+}
+
 // Backend is the instance behind the port.
 type Backend interface {
 	Status() Status
 	Usage() []Usage
+	Orders() Orders
 	// Withdraw puts the withdrawal of keys in force here and relays it to the other instances.
 	Withdraw(ctx context.Context, keyIDs []string) error
 	// Drain starts the graceful shutdown of the instance and returns at once.
@@ -126,6 +143,7 @@
 	v1.Use(s.authenticate)
 	v1.HandleFunc("/status", s.status).Methods(http.MethodGet)
 	v1.HandleFunc("/usage", s.usage).Methods(http.MethodGet)
+	v1.HandleFunc("/orders", s.orders).Methods(http.MethodGet)
 	v1.HandleFunc("/withdrawals", s.withdraw).Methods(http.MethodPost)
 	v1.HandleFunc("/drain", s.drain).Methods(http.MethodPost)
 	return r
@@ -168,6 +186,10 @@
 	writeJSON(w, http.StatusOK, usageList{Organisations: s.opts.Backend.Usage()})
 }
 
+func (s *Server) orders(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.opts.Backend.Orders())
+}
+
 type withdrawals struct {
 	KeyIDs []string `json:"key_ids"`
 }
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -18,6 +18,7 @@
 
 func (b *backend) Status() Status { return b.status }
 func (b *backend) Usage() []Usage { return []Usage{{Name: "taller-quispe", RateShare: 10}} }
+func (b *backend) Orders() Orders { return Orders{Instance: "lima-1", Issuer: true} }
 func (b *backend) Drain()         { b.drained = true }
 func (b *backend) Withdraw(_ context.Context, ids []string) error {
 	b.withdrawn = append(b.withdrawn, ids...)
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -166,12 +166,12 @@
 	}
 	second.lease.firstSend = second.opts.Clock.Now() // the wait itself is tested in package orders
 	second.round(ctx)
-	if blocked := second.Blocked(); len(blocked) == 0 {
+	if blocked := second.Status().Blocked; len(blocked) == 0 {
 		t.Error("the swap went on with one other ready copy and a predecessor that may still send")
 	}
 	second.opts.Ended = func(instance string, incarnation uint64) bool { return instance == "lima-1" && incarnation == 1 }
 	second.round(ctx)
-	if blocked := second.Blocked(); len(blocked) != 1 {
+	if blocked := second.Status().Blocked; len(blocked) != 1 {
 		// One endpoint is being swapped now, the other waits for it.
 		t.Errorf("blocked after the predecessor's end: %+v", blocked)
 	}
--- a/internal/orderer/service.go
+++ b/internal/orderer/service.go
@@ -21,8 +21,8 @@
 	stop context.CancelFunc
 	done chan struct{}
 
-	mu      sync.Mutex
-	blocked []orders.Blocked
+	mu     sync.Mutex
+	status Status
 }
 
 // New returns a service that does nothing before Start.
@@ -55,11 +55,26 @@
 	return s.release(ctx)
 }
 
-// Blocked returns the changes that had to wait in the last round, with their reasons.
-func (s *Service) Blocked() []orders.Blocked {
+// Status is what an instance knows of the orders of its region.
+type Status struct {
+	Issuer  bool             // this instance sends them
+	Fencing int64            // number of its lease, 0 if it is not the issuer
+	Blocked []orders.Blocked // changes that had to wait in the last round
+}
+
+// Status returns the state after the last round.
+func (s *Service) Status() Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]orders.Blocked(nil), s.blocked...)
+	status := s.status
+	status.Blocked = append([]orders.Blocked(nil), status.Blocked...)
+	return status
+}
+
+func (s *Service) setStatus(status Status) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status = status
 }
 
 func (s *Service) loop(ctx context.Context) {
@@ -79,6 +94,7 @@
 // round holds the lease, reads all endpoints back and sends what is due.
 func (s *Service) round(ctx context.Context) {
 	if !s.hold(ctx) {
+		s.setStatus(Status{})
 		return
 	}
 	endpoints := s.endpoints()
@@ -90,9 +106,7 @@
 		return
 	}
 	out, blocked := s.issuer.Next(s.opts.Clock.Now())
-	s.mu.Lock()
-	s.blocked = blocked
-	s.mu.Unlock()
+	s.setStatus(Status{Issuer: true, Fencing: s.lease.fencing, Blocked: blocked})
 	s.opts.Metrics.Gauge("orders_blocked").Update(float64(len(blocked)))
 	addrs := addresses(endpoints)
 	for _, o := range out {
