Choose the relay among known instances, not connected ones

Sessions are kept open without a call up to 16 known peers only. Above that, each instance would have seen few or no connected neighbours, taken itself for the relay and watched the store: at 390 daemons some 260 calls/s instead of 10, with withdrawals and pushes that reach few. Options.Peers gives the known instances; suspected and leaving ones get pushes but are not chosen as relay.

--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,15 +51,28 @@
 	return relay
 }
 
-// neighbours returns the connected peers of this data centre.
-func (s *Syncer) neighbours() []string {
+// peers returns the known instances without this one.
+func (s *Syncer) peers() []Peer {
 	if s.opts.Network == nil {
 		return nil
 	}
-	self := s.opts.Network.Self()
+	self := s.opts.Network.Self().Instance
+	var list []Peer
+	if s.opts.Peers != nil {
+		list = s.opts.Peers()
+	} else {
+		for _, p := range s.opts.Network.Connected() {
+			list = append(list, Peer{Instance: p.Instance, DataCentre: p.DataCentre})
+		}
+	}
+	return slices.DeleteFunc(list, func(p Peer) bool { return p.Instance == self })
+}
+
+// neighbours returns the peers of this data centre.
+func (s *Syncer) neighbours() []string {
 	var names []string
-	for _, p := range s.opts.Network.Connected() {
-		if p.DataCentre == self.DataCentre && p.Instance != self.Instance {
+	for _, p := range s.peers() {
+		if p.DataCentre == s.opts.Network.Self().DataCentre {
 			names = append(names, p.Instance)
 		}
 	}
@@ -71,7 +85,13 @@
 		return ""
 	}
 	self := s.opts.Network.Self()
-	return relayOf(self.DataCentre, append(s.neighbours(), self.Instance))
+	candidates := []string{self.Instance}
+	for _, p := range s.peers() {
+		if p.DataCentre == self.DataCentre && !p.NoRelay {
+			candidates = append(candidates, p.Instance)
+		}
+	}
+	return relayOf(self.DataCentre, candidates)
 }
 
 func (s *Syncer) isRelay() bool {
@@ -114,8 +134,8 @@
 func (s *Syncer) exchangeAbroad(ctx context.Context) {
 	self := s.opts.Network.Self()
 	var others []string
-	for _, p := range s.opts.Network.Connected() {
-		if p.Instance != self.Instance && p.DataCentre != self.DataCentre {
+	for _, p := range s.peers() {
+		if p.DataCentre != self.DataCentre {
 			others = append(others, p.Instance)
 		}
 	}
--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -19,12 +19,22 @@
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
 
+// Peer is another instance.
+type Peer struct {
+	Instance   string
+	DataCentre string
+	// NoRelay keeps the instance from being chosen as relay: it is suspected to have failed, or leaving.
+	NoRelay bool
+}
+
 // Options of a Syncer.
 type Options struct {
 	Store   platform.Store
 	Network peer.Network // nil for an instance without peers
-	Clock   clock.Clock  // default clock.Boot
-	Log     *zap.Logger  // default none
+	// Peers returns the known instances. Default: those that Network has a session with, which are all in a small fleet only.
+	Peers func() []Peer
+	Clock clock.Clock // default clock.Boot
+	Log   *zap.Logger // default none
 	// ExchangePeriod is how often an instance compares its state with the relay and how often it polls the store
 	// while the relay is silent. Default 2 s: a lost push is then repaired in time for a change to be in force
 	// everywhere within 7 s.
@@ -154,9 +164,9 @@
 	if s.opts.Network == nil {
 		return
 	}
-	peers := s.opts.Network.Connected()
+	peers := s.peers()
 	if len(peers) == 0 {
-		s.setReason("store: " + storeErr.Error() + "; no peer is connected")
+		s.setReason("store: " + storeErr.Error() + "; no peer is known")
 		return
 	}
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
--- a/internal/configsync/sync_test.go
+++ b/internal/configsync/sync_test.go
@@ -352,3 +352,46 @@
 		}
 	}
 }
+
+// Guards against a fleet whose instances connect only when they call each other: each would take itself for the relay and watch
+// the store.
+func TestRelayAmongKnownPeers(t *testing.T) {
+	f := newFleet(t)
+	names := []string{"lima-0", "lima-1", "lima-2"}
+	known := func() []Peer {
+		list := []Peer{{Instance: "cusco-0", DataCentre: "cusco"}}
+		for _, name := range names {
+			list = append(list, Peer{Instance: name, DataCentre: "lima"})
+		}
+		return list
+	}
+	var syncers []*Syncer
+	for _, name := range names {
+		opts := f.options(name)
+		opts.Network, opts.Peers = f.fabric.network(name, "lima"), known // not joined, so connected to none
+		s, err := New(opts)
+		if err != nil {
+			t.Fatal(err)
+		}
+		syncers = append(syncers, s)
+	}
+	relay := syncers[0].relay()
+	for _, s := range syncers {
+		if s.relay() != relay || s.isRelay() != (s.opts.Network.Self().Instance == relay) {
+			t.Errorf("%s takes %s for the relay, others %s", s.opts.Network.Self().Instance, s.relay(), relay)
+		}
+	}
+	suspected := func() []Peer {
+		list := known()
+		for i := range list {
+			list[i].NoRelay = list[i].Instance == relay
+		}
+		return list
+	}
+	for _, s := range syncers {
+		s.opts.Peers = suspected
+		if self := s.opts.Network.Self().Instance; self != relay && s.relay() == relay {
+			t.Errorf("%s takes a suspected instance for the relay", self)
+		}
+	}
+}
--- a/internal/configsync/withdraw.go
+++ b/internal/configsync/withdraw.go
@@ -31,7 +31,7 @@
 	targets := s.neighbours()
 	self := s.opts.Network.Self()
 	others := make(map[string][]string)
-	for _, p := range s.opts.Network.Connected() {
+	for _, p := range s.peers() {
 		if p.DataCentre != self.DataCentre {
 			others[p.DataCentre] = append(others[p.DataCentre], p.Instance)
 		}
