--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -42,6 +42,25 @@
 	return out
 }
 
+// configPeers gives configsync the other instances. They are known as soon as the instance list was read.
+func configPeers(p *parts) []configsync.Peer {
+	if p.members == nil {
+		return nil
+	}
+	var out []configsync.Peer
+	for _, member := range p.members.Snapshot().Members {
+		if member.Self {
+			continue
+		}
+		out = append(out, configsync.Peer{
+			Instance:   member.Name,
+			DataCentre: member.DataCentre,
+			NoRelay:    member.Status != membership.Live,
+		})
+	}
+	return out
+}
+
 // lateRunner passes forwarded operations to the gateway, which is made after the operations it needs itself.
 type lateRunner struct{ parts *parts }
 
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -146,7 +146,13 @@
 }
 
 func (d *Daemon) makeConfig(p *parts) (err error) {
-	p.syncer, err = configsync.New(configsync.Options{Store: p.store, Network: p.transport, Clock: d.clock, Log: d.log})
+	p.syncer, err = configsync.New(configsync.Options{
+		Store:   p.store,
+		Network: p.transport,
+		Peers:   func() []configsync.Peer { return configPeers(p) },
+		Clock:   d.clock,
+		Log:     d.log,
+	})
 	return err
 }
 
