--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,6 +31,7 @@
 	hooks       Hooks
 	listeners   listeners
 	backend     *backend
+	stopReloads context.CancelFunc // of certificates
 
 	drainOnce sync.Once
 	drained   chan struct{}
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -140,7 +140,7 @@
 		Listener:    d.listeners.peer,
 		Dial:        d.hooks.DialPeer,
 		Logger:      d.log,
-		Scope:       d.metrics.SubScope("peer"),
+		Scope:       d.metrics,
 	})
 	return err
 }
@@ -169,7 +169,7 @@
 		Payload:   func() members.Payload { return payload(p.limits.AppliedRevision(), p.dispatch.Loads()) },
 		OnPayload: p.regions.received,
 		Logger:    d.log,
-		Scope:     d.metrics.SubScope("members"),
+		Scope:     d.metrics,
 	})
 	if err != nil {
 		return err
@@ -229,6 +229,7 @@
 		Regions:    p.regions,
 		Clock:      d.clock,
 		Logger:     d.log,
+		Metrics:    d.metrics,
 		StopDelay:  d.settings.StopDelay,
 	})
 	return err
@@ -244,7 +245,7 @@
 		Incarnation: d.self.Incarnation,
 		Ended:       ended(p),
 		Log:         d.log,
-		Metrics:     d.metrics.SubScope("orders"),
+		Metrics:     d.metrics,
 	}
 	if problems := o.Validate(); len(problems) > 0 {
 		return errors.Join(problems...)
@@ -274,7 +275,8 @@
 func (d *Daemon) services(p *parts) []kernel.Service {
 	list := []*part{
 		{name: nameTransport,
-			start: func(context.Context) error { p.transport.Start(); return nil }, stop: p.transport.Close},
+			start: func(context.Context) error { d.startTransport(p); return nil },
+			stop:  func(ctx context.Context) error { d.stopReloads(); return p.transport.Close(ctx) }},
 		{name: nameConfig, requires: []string{nameTransport}, start: p.syncer.Start, stop: p.syncer.Stop},
 		{name: nameMembers, requires: []string{nameConfig, nameDispatch},
 			start: func(ctx context.Context) error { p.members.Start(); p.endpoints.start(); return nil },
@@ -298,6 +300,14 @@
 	return out
 }
 
+// startTransport takes sessions, and new certificates at each SIGHUP.
+func (d *Daemon) startTransport(p *parts) {
+	p.transport.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stopReloads = cancel
+	go p.transport.ReloadOnHangup(ctx, d.settings.credentials)
+}
+
 func (d *Daemon) serve(g *gateway.Gateway) {
 	d.log.Info("serving callers", zap.String("addr", d.CallerAddr()), zap.String("region", d.self.Region))
 	go func() {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -35,6 +35,7 @@
 	endpoints []*endpoint
 	queue     *fairqueue.Queue[*waiter]
 	drain     admission.DrainRate
+	pace      time.Duration // mean answer time of a plain service, 0 before the first
 }
 
 // Retry budget: one retry for ten requests, and a reserve so that a quiet instance can retry at all.
@@ -231,15 +232,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.pools[name]
-	if p == nil {
-		return false
-	}
-	for _, e := range p.endpoints {
-		if d.takesWork(e) {
-			return true
-		}
-	}
-	return false
+	return p != nil && d.usable(p)
 }
 
 // spendRetry takes a retry from the budget.
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -3,24 +3,27 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"dogwoodknot.example/dogwoodknot/internal/operations"
 )
 
-// listener bounds the number of open connections. Further ones are closed at once, so that waiting connections don't pile up
+// listener bounds the number of open connections. Further ones are refused at once, so that waiting connections don't pile up
 // in the system.
 type listener struct {
 	net.Listener
-	slots chan struct{}
+	slots    chan struct{}
+	refusals chan struct{}
 }
 
 func newListener(l net.Listener, limit int) *listener {
-	return &listener{Listener: l, slots: make(chan struct{}, limit)}
+	return &listener{Listener: l, slots: make(chan struct{}, limit), refusals: make(chan struct{}, maxRefusals)}
 }
 
 // Accept returns the next connection within the limit.
@@ -34,11 +37,51 @@
 		case l.slots <- struct{}{}:
 			return &callerConn{Conn: conn, release: sync.OnceFunc(func() { <-l.slots })}, nil
 		default:
-			conn.Close()
+			l.refuseConn(conn)
 		}
 	}
 }
 
+// refuseConn answers a connection that is not served. The answer fits the empty send buffer of a new connection, so that
+// writing it does not block.
+func (l *listener) refuseConn(conn net.Conn) {
+	if conn.SetDeadline(time.Now().Add(refuseTime)) != nil {
+		conn.Close()
+		return
+	}
+	_, _ = conn.Write(plainRefusal(http.StatusServiceUnavailable)) // the caller sees a closed connection instead
+	select {
+	case l.refusals <- struct{}{}:
+		go func() {
+			defer func() { <-l.refusals }()
+			closeRead(conn)
+		}()
+	default:
+		conn.Close()
+	}
+}
+
+// closeRead ends a connection whose answer was written. Closing it with unread bytes would reset it, and the caller could
+// lose the answer; so what the caller sends is read until it closes, for a short time.
+func closeRead(conn net.Conn) {
+	defer conn.Close()
+	half, ok := conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	// The deadline ends the read of a caller that goes on sending.
+	_, _ = io.CopyN(io.Discard, conn, maxRefusedBytes)
+}
+
+const (
+	// refuseTime limits the answer to a connection that is not served.
+	refuseTime = 100 * time.Millisecond
+	// maxRefusals bounds the refused connections that are still being read. Further ones are closed at once.
+	maxRefusals = 64
+	// maxRefusedBytes bounds what is read of one.
+	maxRefusedBytes = 64 << 10
+)
+
 // callerConn is a counted connection. It gives the refusals that net/http writes itself, such as those of a broken header,
 // the form of all others.
 type callerConn struct {
@@ -93,14 +136,20 @@
 
 // plainRefusal is a whole answer to a request that could not be read.
 func plainRefusal(status int) []byte {
-	code := "malformed_request"
-	if status == http.StatusRequestHeaderFieldsTooLarge {
-		code = "header_too_large"
-	}
 	text := http.StatusText(status)
-	body := refuse(status, code, "the request could not be read: "+text).body()
+	code, message := "malformed_request", "the request could not be read: "+text
 	var out bytes.Buffer
+	switch status {
+	case http.StatusRequestHeaderFieldsTooLarge:
+		code = "header_too_large"
+	case http.StatusServiceUnavailable:
+		code, message = "overloaded", "too many connections"
+	}
+	body := refuse(status, code, message).body()
 	out.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + text + "\r\nContent-Type: application/json\r\nConnection: close\r\n")
+	if status == http.StatusServiceUnavailable {
+		out.WriteString("Retry-After: 1\r\n")
+	}
 	out.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
 	out.WriteString(headerExecution + ": " + string(operations.NotRun) + "\r\n" + headerRequestID + ": " + newID() + "\r\n\r\n")
 	out.Write(body)
