Put faults at every step of bookings and streams, here and forwarded

Two faults showed. Events that had arrived before a key was withdrawn were still passed on, and a cut stream could so end as whole; nothing is passed on after the end of the request now. A cancel begun while the dispatcher stopped was a data race with its wait; background work is begun only before the stop now.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -23,6 +23,7 @@
 	budget    *admission.RetryBudget
 	polling   map[*endpoint]context.CancelFunc
 	started   bool
+	stopped   bool // no background work is begun any more
 
 	ctx         context.Context // of background work, ends with Stop
 	stop        context.CancelFunc
@@ -80,13 +81,23 @@
 	for _, e := range d.endpoints {
 		d.poll(e)
 	}
-	d.background.Add(1)
-	go d.tick()
+	d.spawn(d.tick)
 }
 
-// Stop ends background work and closes idle connections. Requests must have ended before.
+// spawn runs f in the background, unless the dispatcher has stopped. The caller holds d.mu.
+func (d *Dispatcher) spawn(f func()) {
+	if !d.stopped {
+		d.background.Go(f)
+	}
+}
+
+// Stop ends background work and closes idle connections. Requests that still run are not ended, and engines are no longer told
+// of their cancels.
 func (d *Dispatcher) Stop() {
 	d.unsubscribe()
+	d.mu.Lock()
+	d.stopped = true
+	d.mu.Unlock()
 	d.stop()
 	d.background.Wait()
 	d.mu.Lock()
@@ -188,7 +199,6 @@
 const tickInterval = 200 * time.Millisecond
 
 func (d *Dispatcher) tick() {
-	defer d.background.Done()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -338,6 +338,9 @@
 		if string(data) == endOfStream {
 			return nil
 		}
+		if ctx.Err() != nil {
+			return &brokenError{stalledOr(ctx, context.Cause(ctx))} // what was buffered must not go out after a withdrawn key
+		}
 		out, err := c.Progress.Accept(data)
 		if err != nil {
 			return streamFault(err)
@@ -422,9 +425,9 @@
 	if errors.As(cause, &unsent) || errors.As(cause, &status) {
 		return
 	}
-	d.background.Add(1)
-	go func() {
-		defer d.background.Done()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.spawn(func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(d.ctx), cancelTimeout)
 		defer cancel()
 		req, err := d.engineRequest(ctx, e, http.MethodDelete, "/engine/v1/requests/"+url.PathEscape(id), id, nil)
@@ -437,7 +440,7 @@
 			return
 		}
 		resp.Body.Close()
-	}()
+	})
 }
 
 func (d *Dispatcher) engineRequest(ctx context.Context, e *endpoint, method, path, id string, body []byte) (*http.Request, error) {
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -29,12 +29,10 @@
 	}
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.polling[e] = cancel
-	d.background.Add(1)
-	go func() {
-		defer d.background.Done()
+	d.spawn(func() {
 		defer cancel()
 		d.pollLoop(ctx, e)
-	}()
+	})
 }
 
 // cachePolls is the number of load reports for each read of the cache events, which arrive late anyway.
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -188,6 +188,18 @@
 	links map[string]bool // false: the peer is not reached
 	opens int
 	cut   func(message []byte, n int) bool // breaks a stream before its nth message from the handler
+	live  []*fakeStream
+}
+
+// sever breaks all streams and lets no new ones be opened.
+func (b *fakeBus) sever() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	clear(b.links)
+	for _, s := range b.live {
+		s.breaks.Do(func() { close(s.broken) })
+		s.cancel()
+	}
 }
 
 func newBus() *fakeBus { return &fakeBus{nets: map[string]*fakeNet{}, links: map[string]bool{}} }
@@ -221,6 +233,9 @@
 	breaks := &sync.Once{}
 	caller := &fakeStream{ctx: ctx, out: there, in: back, bus: n.bus, broken: broken, breaks: breaks, cancel: cancel}
 	callee := &fakeStream{ctx: handlerCtx, out: back, in: there, bus: n.bus, broken: broken, breaks: breaks, callee: true}
+	n.bus.mu.Lock()
+	n.bus.live = append(n.bus.live, caller)
+	n.bus.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { caller.Close() })
 	go func() {
 		defer stop()
@@ -325,6 +340,10 @@
 	breaks  int  // number of streams to break
 	lost    bool // the engine forgets its requests, so that nothing can be resumed
 
+	// at is called before each step of a stream: 0 before the request is taken, i+1 after token i, and tokens+1 before the
+	// usage and the end mark. It returns false to break the connection, or panics.
+	at func(step int) bool
+
 	mu        sync.Mutex
 	seen      []seenRequest
 	cancelled []string
@@ -442,6 +461,12 @@
 		fmt.Fprintf(w, "data: "+strings.Replace(format, `{"id":"c"`, `{"id":"`+id+`"`, 1)+"\n\n", args...)
 		w.(http.Flusher).Flush()
 	}
+	step := func(n int) {
+		if e.at != nil && !e.at(n) {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	step(0)
 	for i := from; i < e.tokens; i++ {
 		if breakNow && i == e.breakAt {
 			panic(http.ErrAbortHandler)
@@ -451,10 +476,12 @@
 		}
 		if chat {
 			flush(`{"id":"c","object":"chat.completion.chunk","index_from":%d,"choices":[{"index":0,"delta":{"content":"w%d "},"finish_reason":null}]}`, i, i)
+			step(i + 1)
 			continue
 		}
 		flush(`{"id":"c","object":"text_completion","index_from":%d,"choices":[{"index":0,"text":"w%d ","finish_reason":null}]}`, i, i)
 	}
+	step(e.tokens + 1)
 	if chat {
 		flush(`{"id":"c","object":"chat.completion.chunk","index_from":%d,"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`, e.tokens)
 	} else {
@@ -566,6 +593,9 @@
 	return config.Endpoint{Name: name, Kind: config.KindService, Addr: s.addr(), Region: region, DataCentre: "dc", Service: "libro-pedidos"}
 }
 
+// noReports as the poll interval keeps load reports away, whose connections a test would have to tell from requests'.
+const noReports = time.Hour
+
 // start runs an instance of a region.
 func start(t *testing.T, region string, view *fakeView, change func(o *Options, d *dispatch.Options)) *instance {
 	t.Helper()
@@ -581,7 +611,9 @@
 		t.Fatal(err)
 	}
 	in.dispatcher = d
-	d.Start()
+	if do.PollInterval != noReports {
+		d.Start()
+	}
 	o.Dispatcher = d
 	if in.Gateway, err = New(o); err != nil {
 		t.Fatal(err)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -77,6 +77,9 @@
 		if err := s.Recv(&m); err != nil {
 			return nil, g.forwardError(c, err, executionOf(err))
 		}
+		if err := context.Cause(c.ctx); err != nil {
+			return nil, g.forwardError(c, err, operations.Unknown) // nothing goes out after a withdrawn key
+		}
 		var err error
 		switch part := m.Part.(type) {
 		case *wire.ForwardResponse_Head:
