Test keyed bookings through a whole deployment

The package's tests had no HTTP, no TLS sessions and no slot leases. Every body is executed once, repeats at the new owner are "ran".

Seen, not changed: the last instance of a region to stop has nobody to hand the records of issued ids to, and its stop reports that as an error.

--- a/internal/operations/matrix_test.go
+++ b/internal/operations/matrix_test.go
@@ -412,6 +412,7 @@
 
 // Guards against two executions and untrue outcomes of a keyed request, whichever fault comes at whichever step.
 func TestFaultMatrixKeyed(t *testing.T) {
+	t.Parallel()
 	m := faultmatrix.Matrix{
 		Condition: "a request with a caller's key runs at most once",
 		Note:      matrixNote,
@@ -424,6 +425,7 @@
 // Guards against two executions and untrue outcomes of a request with an issued id, whichever fault comes at whichever
 // step. The records of issued ids are not in the store.
 func TestFaultMatrixIssued(t *testing.T) {
+	t.Parallel()
 	m := faultmatrix.Matrix{
 		Condition: "a request with an issued id runs at most once",
 		Note:      matrixNote,
@@ -438,6 +440,7 @@
 
 // Guards against pairs of faults that break what each alone does not.
 func TestFaultMatrixTwoFaults(t *testing.T) {
+	t.Parallel()
 	const and = " and "
 	singles := []string{faultCrash, faultPause, faultCut, faultStoreOut, faultLost, faultDupOwner, faultDupOther, faultTakeover}
 	m := faultmatrix.Matrix{
--- /dev/null
+++ b/internal/operations/site_test.go
@@ -0,0 +1,172 @@
+package operations_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dogwoodknot.example/dogwoodknot/internal/config"
+	"dogwoodknot.example/dogwoodknot/internal/operations"
+	"dogwoodknot.example/dogwoodknot/internal/site"
+)
+
+// boundOrganisation is bound to arequipa.
+const boundOrganisation = "veletas-del-sur"
+
+// booking is an answer to a keyed request.
+type booking struct {
+	status    int
+	execution string
+	code      string
+	body      string
+}
+
+func post(ctx context.Context, t *testing.T, s *site.Site, at *site.Instance, path, organisation, key, body string) booking {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, at.URL()+path, bytes.NewBufferString(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+s.Keys[organisation])
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := s.Client(at.Place.Region).Do(req)
+	if err != nil {
+		return booking{execution: string(operations.Unknown), code: err.Error()}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return booking{execution: string(operations.Unknown), code: err.Error()}
+	}
+	var e struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	_ = json.Unmarshal(b, &e) // an answer of the service has other fields
+	return booking{resp.StatusCode, resp.Header.Get("Dogwoodknot-Execution"), e.Error.Code, string(b)}
+}
+
+// settle repeats a booking while it is advised.
+func settle(ctx context.Context, t *testing.T, s *site.Site, at *site.Instance, organisation, key, body string) booking {
+	t.Helper()
+	var b booking
+	for range 100 {
+		b = post(ctx, t, s, at, "/bookings", organisation, key, body)
+		if b.status != http.StatusServiceUnavailable && b.code != operations.CodeInProgress {
+			return b
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return b
+}
+
+// executions returns how often the services have executed a body.
+func executions(s *site.Site, body string) int64 {
+	sum := sha256.Sum256([]byte(body))
+	n := int64(0)
+	for _, svc := range s.Services {
+		n += svc.Service.Executions().ByBodyDigest[hex.EncodeToString(sum[:])]
+	}
+	return n
+}
+
+// withRecordsIn adds an organisation whose records are in the region to a deployment.
+func withRecordsIn(o site.Options, region string) (site.Options, string) {
+	general := &config.Config{}
+	for _, r := range o.Regions {
+		general.Regions = append(general.Regions, config.Region{Name: r.Name})
+	}
+	for i := 0; ; i++ {
+		org := config.Organisation{Name: fmt.Sprintf("taller-%d", i)}
+		if operations.RecordRegion(general, &org) == region {
+			o.Organisations = append(o.Organisations, site.Organisation{Name: org.Name, Rate: 1000, Burst: 10000})
+			return o, org.Name
+		}
+	}
+}
+
+// Guards against faults between the daemon's parts that the package's own tests cannot see: keys over HTTP at instances
+// of all regions, the stop of an instance that owns slots and has issued ids.
+func TestBookingsOfADeployment(t *testing.T) {
+	t.Parallel()
+	options, organisation := withRecordsIn(site.Veletas(), "lima")
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	s, err := site.Start(ctx, options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		// The last instance of a region has nobody to hand the record of the issued id to.
+		if err := s.Stop(ctx); err != nil && !strings.Contains(err.Error(), "no instance of region lima has taken the 1 operation records") {
+			t.Errorf("stop: %v", err)
+		}
+	}()
+	keys := map[string]string{} // by body
+	for i, at := range s.Instances {
+		body := `{"deposit":"` + at.Name + `"}`
+		keys[body] = uuid.Must(uuid.NewV7()).String()
+		if b := settle(ctx, t, s, at, organisation, keys[body], body); b.execution != "ran" || b.status != http.StatusOK {
+			t.Fatalf("%s: booking got %+v", at.Name, b)
+		}
+		other := s.Instances[(i+1)%len(s.Instances)]
+		if b := settle(ctx, t, s, other, organisation, keys[body], body); b.execution != "ran" || b.status != http.StatusOK {
+			t.Errorf("%s: repeat at %s got %+v", at.Name, other.Name, b)
+		}
+		third := s.Instances[(i+2)%len(s.Instances)]
+		if b := settle(ctx, t, s, third, organisation, keys[body], `{"deposit":"other"}`); b.status != http.StatusUnprocessableEntity {
+			t.Errorf("%s: other body at %s got %+v", at.Name, third.Name, b)
+		}
+	}
+	bound := `{"deposit":"bound"}`
+	keys[bound] = uuid.Must(uuid.NewV7()).String()
+	if b := settle(ctx, t, s, s.Instance("arequipa-1"), boundOrganisation, keys[bound], bound); b.execution != "ran" {
+		t.Errorf("booking of a bound organisation got %+v", b)
+	}
+	issued := post(ctx, t, s, s.Instance("lima-1"), "/v1/operations", organisation, "", "")
+	var id struct {
+		ID string `json:"id"`
+	}
+	if err := json.Unmarshal([]byte(issued.body), &id); err != nil || id.ID == "" {
+		t.Fatalf("issue got %+v", issued)
+	}
+	byID := `{"deposit":"by id"}`
+	keys[byID] = id.ID
+	for _, at := range s.Instances {
+		if b := settle(ctx, t, s, at, organisation, id.ID, byID); b.execution != "ran" {
+			t.Errorf("issued id at %s got %+v", at.Name, b)
+		}
+	}
+	if err := s.Instance("lima-1").Stop(ctx); err != nil {
+		t.Errorf("planned stop: %v", err)
+	}
+	for body, key := range keys {
+		if body == bound {
+			continue
+		}
+		if b := settle(ctx, t, s, s.Instance("lima-2"), organisation, key, body); b.execution != "ran" {
+			t.Errorf("%s after the planned stop got %+v", body, b)
+		}
+	}
+	for body := range keys {
+		if n := executions(s, body); n != 1 {
+			t.Errorf("%s was executed %d times", body, n)
+		}
+	}
+}
