Measure how the configuration, ledger, membership and records grow

Ruled out: a model of the parts, which would repeat the assumptions that the page is to check; peertest.Fabric, which needs a testing.TB, so that the command has a small in-memory network that encodes each message.

--- a/cmd/dogwood-load/main.go
+++ b/cmd/dogwood-load/main.go
@@ -12,9 +12,10 @@
 )
 
 type command struct {
-	Site  siteCommand  `cmd:"" help:"Run a whole deployment with stand-ins in this process under load and faults."`
-	Rates ratesCommand `cmd:"" help:"Measure wrongful refusals of the rate shares in virtual time."`
-	Run   runCommand   `cmd:"" help:"Send load to a running system."`
+	Site     siteCommand     `cmd:"" help:"Run a whole deployment with stand-ins in this process under load and faults."`
+	Rates    ratesCommand    `cmd:"" help:"Measure wrongful refusals of the rate shares in virtual time."`
+	Run      runCommand      `cmd:"" help:"Send load to a running system."`
+	Capacity capacityCommand `cmd:"" help:"Measure how state, messages and times grow with the size of the system."`
 }
 
 func main() {
