--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -82,29 +82,19 @@
 	return first
 }
 
-// usable lists the candidates with room: the healthy ones, else those that failed this very request. Ejected ones come in only
-// if there is nothing else, free or full: a dead endpoint always has room, and would otherwise take every request that
-// healthy ones let wait, and with it the retry budget.
+// usable lists the candidates with room. Those that failed the request or are ejected come in only if there are no others,
+// not if the others are merely full: an endpoint that fails at once always has room, and would drain the queue.
 func usable(cands []Candidate, force bool) []int {
-	open := func(c Candidate) bool { return force || c.Free() }
-	for _, accept := range []func(Candidate) bool{
-		func(c Candidate) bool { return !c.Ejected && !c.Avoid },
-		func(c Candidate) bool { return !c.Ejected },
-	} {
-		if out := indexes(cands, func(c Candidate) bool { return accept(c) && open(c) }); len(out) > 0 {
-			return out
-		}
-	}
-	if len(indexes(cands, func(c Candidate) bool { return !c.Ejected })) > 0 {
-		return nil
+	sound := false
+	for _, c := range cands {
+		sound = sound || !c.Ejected && !c.Avoid
 	}
-	return indexes(cands, open)
-}
-
-func indexes(cands []Candidate, accept func(Candidate) bool) []int {
 	var out []int
 	for i, c := range cands {
-		if accept(c) {
+		if sound && (c.Ejected || c.Avoid) {
+			continue
+		}
+		if force || c.Free() {
 			out = append(out, i)
 		}
 	}
