--- a/internal/experiment/capacity/ledger.go
+++ b/internal/experiment/capacity/ledger.go
@@ -251,7 +251,7 @@
 	batches := l.Rebalance(x.now, func(organisation string) []string {
 		var out []string
 		for _, slot := range l.Slots(x.now, organisation) {
-			if name := x.owners[slot]; name != x.names[i] {
+			if name := x.owners[slot.Slot]; name != x.names[i] {
 				out = append(out, name)
 			}
 		}
