Log errors by their message

A run under load wrote two to three kilobytes of stack trace beside each logged error, because the errors carry stacks and zap prints them as errorVerbose.

--- a/internal/observe/log.go
+++ b/internal/observe/log.go
@@ -39,7 +39,7 @@
 		return nil, errors.Newf("log format %q is not one of json, console, auto", format)
 	}
 	cfg.Level = zap.NewAtomicLevelAt(lvl)
-	return cfg.Build()
+	return cfg.Build(zap.WrapCore(func(c zapcore.Core) zapcore.Core { return plainErrors{c} }))
 }
 
 func useConsole(cfg *zap.Config) {
--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -7,7 +7,10 @@
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // Guards against metrics that are counted but never reach the operators' page.
@@ -55,3 +58,18 @@
 		t.Error("trace exporter file was accepted")
 	}
 }
+
+// Guards against stack traces of several kilobytes beside each logged error.
+func TestErrorsAreLoggedByTheirMessage(t *testing.T) {
+	inner, logs := observer.New(zap.InfoLevel)
+	log := zap.New(plainErrors{inner}).With(zap.Error(errors.New("first")))
+	log.Info("message", zap.NamedError("cause", errors.Wrap(errors.New("second"), "outer")), zap.Int("n", 3))
+	log.Debug("left out")
+	if logs.Len() != 1 {
+		t.Fatalf("%d entries", logs.Len())
+	}
+	fields := logs.All()[0].ContextMap()
+	if fields["error"] != "first" || fields["cause"] != "outer: second" || fields["n"] != int64(3) || len(fields) != 3 {
+		t.Errorf("fields are %v", fields)
+	}
+}
