Keep predecessors that a store with older data has forgotten

A random fault schedule got 5,417 of 5,000 tokens/s: an instance had claimed the slot of a paused one and waited for its confirmation; the store came back with a record from before, which named the same owner and no predecessor, and the slot was used. What the last read record named now stays a predecessor until a newer record is without it.

A record that another writer changed in the meantime no longer counts as resolved, and a slot with predecessors never counts as new.

Ran: the failing schedule, and the package twice with the race detector.

--- a/internal/limits/slots.go
+++ b/internal/limits/slots.go
@@ -245,16 +245,20 @@
 	return records, nil
 }
 
-// noteRecords updates what is known of the slots. An owner that a store with older data has forgotten is kept as a suspect.
+// noteRecords updates what is known of the slots. Owners and predecessors that a store with older data has
+// forgotten are kept as suspects.
 func (s *Service) noteRecords(records map[ratelimit.Slot]storedRecord, live map[string]bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for slot, before := range s.slots.known {
 		now, ok := records[slot]
-		wentBack := !ok || now.revision < before.revision
-		owner := before.Owner
-		if wentBack && owner != (Predecessor{}) && owner.Incarnation != now.Owner.Incarnation {
-			s.slots.suspects[slot] = append(s.slots.suspects[slot], owner)
+		if ok && now.revision >= before.revision {
+			continue
+		}
+		for _, p := range append(slices.Clone(before.Predecessors), before.Owner) {
+			if p != (Predecessor{}) && p.Incarnation != now.Owner.Incarnation {
+				s.slots.suspects[slot] = append(s.slots.suspects[slot], p)
+			}
 		}
 	}
 	s.slots.known, s.slots.live = records, live
@@ -391,18 +395,22 @@
 func (s *Service) reviewOwned(ctx context.Context, slot ratelimit.Slot, record storedRecord) error {
 	s.mu.Lock()
 	held := s.slots.held[slot]
-	if held == nil {
-		// A claim whose answer was lost, a handover through the store, or a store with older data: then the last known owner
-		// may still use the slot.
-		if forgotten := s.forgotten(slot, record.Predecessors); len(forgotten) > 0 {
-			s.mu.Unlock()
-			next := Record{s.identity(), append(slices.Clone(record.Predecessors), forgotten...)}
-			return s.writeRecord(ctx, slot, next, record.revision)
+	if forgotten := s.forgotten(slot, record.Predecessors); len(forgotten) > 0 && (held == nil || !held.usable) {
+		// The store has older data: those that it has forgotten may still use the slot.
+		if held != nil {
+			held.resolved, held.fresh = false, false
 		}
+		s.mu.Unlock()
+		next := Record{s.identity(), append(slices.Clone(record.Predecessors), forgotten...)}
+		return s.writeRecord(ctx, slot, next, record.revision)
+	}
+	if held == nil {
+		// A claim whose answer was lost, or a handover through the store.
 		held = &heldSlot{}
 		s.slots.held[slot] = held
 	}
 	held.revision = record.revision
+	held.fresh = held.fresh && len(record.Predecessors) == 0
 	for _, p := range record.Predecessors {
 		held.ended = append(withoutIncarnation(held.ended, p.Incarnation), p.Incarnation)
 	}
@@ -419,7 +427,11 @@
 		left = s.unresolved(ctx, slot, left)
 	}
 	if len(left) < len(record.Predecessors) || record.Owner != identity {
-		if err := s.writeRecord(ctx, slot, Record{identity, left}, record.revision); err != nil {
+		err := s.putRecord(ctx, slot, Record{identity, left}, record.revision)
+		if errors.Is(err, platform.ErrConflict) {
+			return nil // reviewed again with the next refresh
+		}
+		if err != nil {
 			return err
 		}
 	}
