Bound what waiting requests take from other instances' places

After a second of waiting a request went to an endpoint whose batch was full of other instances' work, up to a whole batch of its own. With many instances in a region each could so add a batch. It now does so only below the instance's share of the places; Sharers gives the number of instances.

Lagging reports cause the rest of the excess.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -549,6 +549,55 @@
 	running.Wait()
 }
 
+// Guards against an instance that keeps all places of the batches while another one's requests wait, and against instances that
+// fill batches without regard to each other.
+func TestInstancesShareFullBatches(t *testing.T) {
+	f := newFleet(t, 1, 0, standin.EngineOptions{BatchSlots: 4, TokenInterval: 4 * time.Millisecond}, func(o *Options) { o.ShortWait = time.Minute })
+	late, err := New(Options{Region: "lima", DataCentre: "dc", Source: f.source, PollInterval: 20 * time.Millisecond, Seed: 9, ShortWait: time.Minute})
+	if err != nil {
+		t.Fatal(err)
+	}
+	late.Start()
+	t.Cleanup(late.Stop)
+	other := &fleet{Dispatcher: late}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	flood := func(f *fleet, done *atomic.Int64) {
+		for range 12 {
+			running.Go(func() {
+				for ctx.Err() == nil {
+					if _, err := f.stream(ctx, call(60), nil); err == nil {
+						done.Add(1)
+					}
+				}
+			})
+		}
+	}
+	var early, second atomic.Int64
+	flood(f, &early)
+	time.Sleep(300 * time.Millisecond)
+	flood(other, &second)
+	time.Sleep(1500 * time.Millisecond)
+	early.Store(0)
+	second.Store(0)
+	depth := 0.0
+	const samples = 60
+	for range samples {
+		time.Sleep(25 * time.Millisecond)
+		waiting, inBatch := f.engines[0].Inside()
+		depth += float64(len(waiting)+len(inBatch)) / samples
+	}
+	cancel()
+	running.Wait()
+	a, b := early.Load(), second.Load()
+	if a == 0 || b == 0 || min(a, b)*4 < max(a, b) {
+		t.Errorf("the instances finished %d and %d requests in the same time", a, b)
+	}
+	if depth > 6.5 { // 8 if each instance counted its own work only
+		t.Errorf("%.1f requests on average at an engine with 4 places", depth)
+	}
+}
+
 // Guards against answers that an endpoint did not finish, and headers that must not reach callers.
 func TestPlainAnswersAreWhole(t *testing.T) {
 	f := newFleet(t, 2, 0, standin.EngineOptions{}, nil)
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -30,6 +30,8 @@
 	Logger     *zap.Logger
 	// States may be nil: no endpoint is then listed as leaving.
 	States EndpointStates
+	// Sharers returns the number of instances that send work to the region's endpoints, this one included. Nil: 2.
+	Sharers func() int
 	// Chooser picks endpoints. Nil: routing.DefaultPolicy.
 	Chooser routing.Chooser
 	// Seed starts the random source of the endpoint choice. 0 takes one from the system.
@@ -66,6 +68,7 @@
 	defaultLongWait      = 60 * time.Second
 	defaultMaxQueued     = 4096
 	defaultMaxAnswer     = 8 << 20
+	defaultSharers       = 2
 	defaultMaxAttempts   = 3
 )
 
@@ -93,6 +96,9 @@
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
+	if o.Sharers == nil {
+		o.Sharers = func() int { return defaultSharers }
+	}
 	if o.Chooser == nil {
 		o.Chooser = routing.DefaultPolicy
 	}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -43,10 +43,23 @@
 	prefill  float64 // prompt tokens that the endpoint was believed not to hold, 0 once they are done
 }
 
-// overflowAfter is the wait after which a request goes to an endpoint whose batch is full of other instances' work: their
-// reports lag, and without a limit a busy neighbour could keep this instance out for ever.
+// overflowAfter is the wait after which a request goes to an endpoint whose batch is full of other instances' work, as long as
+// this instance has less than its share of the places. An instance knows at once of the places that it frees itself, and of
+// the others' only with the next report, so that a busy neighbour could otherwise keep this one out for ever.
 const overflowAfter = time.Second
 
+// belowShare reports whether this instance has less than its share of the pool's places. The caller holds d.mu.
+func (d *Dispatcher) belowShare(p *pool) bool {
+	slots, own := 0, 0
+	for _, e := range p.endpoints {
+		if d.takesWork(e) {
+			slots += e.config.Slots
+			own += e.load.inFlight
+		}
+	}
+	return own < max(slots/max(d.opts.Sharers(), 1), 1)
+}
+
 // allowedWait is how long a request may wait: its class's limit, or less if its deadline is nearer.
 func (d *Dispatcher) allowedWait(ctx context.Context, class fairqueue.Class) time.Duration {
 	allowed := d.opts.ShortWait
@@ -160,7 +173,7 @@
 			break
 		}
 		wt := item.Value
-		l := d.place(p, wt.work, now, now.Sub(wt.since) > overflowAfter)
+		l := d.place(p, wt.work, now, now.Sub(wt.since) > overflowAfter && d.belowShare(p))
 		if l == nil {
 			break
 		}
