--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -146,7 +146,13 @@
 }
 
 func (d *Daemon) makeConfig(p *parts) (err error) {
-	p.syncer, err = configsync.New(configsync.Options{Store: p.store, Network: p.transport, Clock: d.clock, Log: d.log})
+	p.syncer, err = configsync.New(configsync.Options{
+		Store:   p.store,
+		Network: p.transport,
+		Peers:   func() []configsync.Peer { return configPeers(p) },
+		Clock:   d.clock,
+		Log:     d.log,
+	})
 	return err
 }
 
@@ -275,7 +281,8 @@
 func (d *Daemon) services(p *parts) []kernel.Service {
 	list := []*part{
 		{name: nameTransport,
-			start: func(context.Context) error { p.transport.Start(); return nil }, stop: p.transport.Close},
+			start: func(context.Context) error { d.startTransport(p); return nil },
+			stop:  func(ctx context.Context) error { d.stopReloads(); return p.transport.Close(ctx) }},
 		{name: nameConfig, requires: []string{nameTransport}, start: p.syncer.Start, stop: p.syncer.Stop},
 		{name: nameMembers, requires: []string{nameConfig, nameDispatch},
 			start: func(ctx context.Context) error { p.members.Start(); p.endpoints.start(); return nil },
@@ -299,6 +306,14 @@
 	return out
 }
 
+// startTransport takes sessions, and new certificates at each SIGHUP.
+func (d *Daemon) startTransport(p *parts) {
+	p.transport.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stopReloads = cancel
+	go p.transport.ReloadOnHangup(ctx, d.settings.credentials)
+}
+
 func (d *Daemon) serve(g *gateway.Gateway) {
 	d.log.Info("serving callers", zap.String("addr", d.CallerAddr()), zap.String("region", d.self.Region))
 	go func() {
