Read the revision under its lock in a test

TestNewOwnerSeesOlderStore read another instance's revision without the lock. No product code is concerned.

--- a/internal/operations/records_test.go
+++ b/internal/operations/records_test.go
@@ -173,8 +173,11 @@
 	for range 5 {
 		expect(t, a.do(newKey(t), "filler"), Ran, "")
 	}
+	a.mu.Lock()
+	seen := a.revision
+	a.mu.Unlock()
 	b.mu.Lock()
-	b.revision = a.revision // as after any work of its own with the store
+	b.revision = seen // as after any work of its own with the store
 	b.mu.Unlock()
 	a.crash()
 	f.store.Restore(snapshot)
