--- a/cmd/dogwoodctl/main.go
+++ b/cmd/dogwoodctl/main.go
@@ -23,10 +23,12 @@
 	Apply        applyCmd        `cmd:"" help:"Put files in force as a new revision."`
 	History      historyCmd      `cmd:"" help:"List the latest revisions."`
 	Rollback     rollbackCmd     `cmd:"" help:"Put the declarations of an earlier revision in force again."`
+	Prune        pruneCmd        `cmd:"" help:"Remove old revisions from the store."`
 	Key          keyCmd          `cmd:"" help:"Issue, withdraw and list callers' keys."`
 	Organisation organisationCmd `cmd:"" help:"Show organisations and their live use."`
 	Endpoints    endpointsCmd    `cmd:"" help:"List and drain endpoints."`
 	Status       statusCmd       `cmd:"" help:"Show the instances and the revision that each has in force."`
+	Orders       ordersCmd       `cmd:"" help:"Show who sends orders to the endpoints, and which changes wait."`
 	Slots        slotsCmd        `cmd:"" help:"Declare an instance dead, so that its slots can be used."`
 	Completion   completionCmd   `cmd:"" help:"Print a completion script for a shell."`
 }
--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,8 +25,9 @@
 	serviceWithdraw = "config.withdraw"
 )
 
-// pushParallelism bounds the calls that one push or withdrawal has open.
-const pushParallelism = 16
+// pushParallelism bounds the calls that one push or withdrawal has open. It covers all neighbours and the instances of other
+// data centres at 390 daemons, so that hung peers delay a withdrawal by one timeout only.
+const pushParallelism = 64
 
 // withdrawalsPerMessage bounds a message: ids have under 64 bytes.
 const withdrawalsPerMessage = 4096
@@ -49,15 +51,28 @@
 	return relay
 }
 
-// neighbours returns the connected peers of this data centre.
-func (s *Syncer) neighbours() []string {
+// peers returns the known instances without this one.
+func (s *Syncer) peers() []Peer {
 	if s.opts.Network == nil {
 		return nil
 	}
-	self := s.opts.Network.Self()
+	self := s.opts.Network.Self().Instance
+	var list []Peer
+	if s.opts.Peers != nil {
+		list = s.opts.Peers()
+	} else {
+		for _, p := range s.opts.Network.Connected() {
+			list = append(list, Peer{Instance: p.Instance, DataCentre: p.DataCentre})
+		}
+	}
+	return slices.DeleteFunc(list, func(p Peer) bool { return p.Instance == self })
+}
+
+// neighbours returns the peers of this data centre.
+func (s *Syncer) neighbours() []string {
 	var names []string
-	for _, p := range s.opts.Network.Connected() {
-		if p.DataCentre == self.DataCentre && p.Instance != self.Instance {
+	for _, p := range s.peers() {
+		if p.DataCentre == s.opts.Network.Self().DataCentre {
 			names = append(names, p.Instance)
 		}
 	}
@@ -70,7 +85,13 @@
 		return ""
 	}
 	self := s.opts.Network.Self()
-	return relayOf(self.DataCentre, append(s.neighbours(), self.Instance))
+	candidates := []string{self.Instance}
+	for _, p := range s.peers() {
+		if p.DataCentre == self.DataCentre && !p.NoRelay {
+			candidates = append(candidates, p.Instance)
+		}
+	}
+	return relayOf(self.DataCentre, candidates)
 }
 
 func (s *Syncer) isRelay() bool {
@@ -113,8 +134,8 @@
 func (s *Syncer) exchangeAbroad(ctx context.Context) {
 	self := s.opts.Network.Self()
 	var others []string
-	for _, p := range s.opts.Network.Connected() {
-		if p.Instance != self.Instance && p.DataCentre != self.DataCentre {
+	for _, p := range s.peers() {
+		if p.DataCentre != self.DataCentre {
 			others = append(others, p.Instance)
 		}
 	}
@@ -231,10 +252,8 @@
 	}
 	if len(digests) > 0 {
 		more, err := s.fetchParts(ctx, name, &wire.ConfigFetch{Digests: digests})
-		if err != nil {
-			return err
-		}
-		if err := addParts(content, more); err != nil {
+		if err := errors.CombineErrors(err, addParts(content, more)); err != nil {
+			s.hold.keep(content)
 			return err
 		}
 	}
@@ -255,7 +274,7 @@
 	return nil
 }
 
-// fetchParts reads the answer of a fetch.
+// fetchParts reads the answer of a fetch. With an error it returns the parts that came before.
 func (s *Syncer) fetchParts(ctx context.Context, name string, req *wire.ConfigFetch) ([]*wire.ConfigPart, error) {
 	call, cancel := context.WithTimeout(ctx, s.opts.CallTimeout+time.Duration(len(req.Digests))*partTimeout)
 	defer cancel()
@@ -278,10 +297,10 @@
 			return parts, nil
 		}
 		if err != nil {
-			return nil, err
+			return parts, err
 		}
 		if len(parts) > len(req.Digests) {
-			return nil, errors.Newf("peer %s sends more parts than were asked for", name)
+			return parts, errors.Newf("peer %s sends more parts than were asked for", name)
 		}
 		parts = append(parts, p)
 	}
--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -42,6 +42,25 @@
 	return out
 }
 
+// configPeers gives configsync the other instances. They are known as soon as the instance list was read.
+func configPeers(p *parts) []configsync.Peer {
+	if p.members == nil {
+		return nil
+	}
+	var out []configsync.Peer
+	for _, member := range p.members.Snapshot().Members {
+		if member.Self {
+			continue
+		}
+		out = append(out, configsync.Peer{
+			Instance:   member.Name,
+			DataCentre: member.DataCentre,
+			NoRelay:    member.Status != membership.Live,
+		})
+	}
+	return out
+}
+
 // lateRunner passes forwarded operations to the gateway, which is made after the operations it needs itself.
 type lateRunner struct{ parts *parts }
 
@@ -205,6 +224,19 @@
 	return out
 }
 
+// Orders returns what this instance knows of the orders of its region.
+func (b *backend) Orders() operator.Orders {
+	status := b.parts.orders.Status()
+	out := operator.Orders{
+		Instance: b.daemon.self.Instance, Region: b.daemon.self.Region, Issuer: status.Issuer, Fencing: status.Fencing,
+		Blocked: []operator.BlockedLoad{},
+	}
+	for _, blocked := range status.Blocked {
+		out.Blocked = append(out.Blocked, operator.BlockedLoad{Endpoint: blocked.Endpoint, Model: blocked.Model, Reason: blocked.Reason})
+	}
+	return out
+}
+
 // Withdraw stops keys here and relays them to the other instances.
 func (b *backend) Withdraw(ctx context.Context, keyIDs []string) error {
 	b.parts.syncer.Withdraw(ctx, keyIDs)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -260,6 +260,35 @@
 	}
 }
 
+// Guards against requests that stay with a paused engine, which keeps its connections, until the long limit for a first
+// token.
+func TestSilentEngineIsLeft(t *testing.T) {
+	f := newFleet(t, 2, 0, standin.EngineOptions{TokenInterval: 50 * time.Millisecond}, func(o *Options) {
+		o.FirstTimeout, o.StallTimeout, o.ReportTimeout = time.Minute, time.Minute, 300*time.Millisecond
+	})
+	var running sync.WaitGroup
+	for range 6 {
+		running.Go(func() {
+			begun := time.Now()
+			text, err := f.stream(context.Background(), call(10), nil)
+			if err != nil || text != standin.OutputText(prompt, 0, 10) {
+				t.Errorf("%q, %v", text, err)
+			}
+			if took := time.Since(begun); took > 8*time.Second {
+				t.Errorf("answered after %v", took)
+			}
+		})
+	}
+	time.Sleep(150 * time.Millisecond)
+	f.engines[0].SetFaults(standin.EngineFaults{Hang: true, HangCalls: true})
+	running.Wait()
+	begun := time.Now()
+	if _, err := f.stream(context.Background(), call(1), nil); err != nil || time.Since(begun) > time.Second {
+		t.Errorf("the next request: %v after %v", err, time.Since(begun))
+	}
+	f.engines[0].SetFaults(standin.EngineFaults{})
+}
+
 // Guards against a non-idempotent request that is executed twice, and against a wrong "not run".
 func TestNonIdempotentCallRunsAtMostOnce(t *testing.T) {
 	for _, c := range []struct {
@@ -356,6 +385,40 @@
 	}
 }
 
+// Guards against short calls that wait for a paused service until their deadline, and against hedges that double the load of a
+// healthy one.
+func TestLateCallIsHedgedWithinTheBudget(t *testing.T) {
+	f := newFleet(t, 0, 3, standin.EngineOptions{}, nil)
+	do := func(n int) {
+		t.Helper()
+		for i := range n {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			begun := time.Now()
+			a, ex, err := f.Call(ctx, &ServiceCall{ID: "l" + strconv.Itoa(i), Service: "book", Method: "GET", Path: "/lot", Idempotent: true})
+			cancel()
+			if err != nil || ex != operations.Ran || a.Status != 200 || time.Since(begun) > time.Second {
+				t.Fatalf("call %d: %s %v after %v", i, ex, err, time.Since(begun))
+			}
+		}
+	}
+	do(100)
+	received := func() (n int64) {
+		for _, s := range f.services {
+			n += s.Executions().Received
+		}
+		return n
+	}
+	if n := received(); n > 110 {
+		t.Fatalf("%d requests for 100 calls", n)
+	}
+	f.services[1].Inject(standin.ServiceFault{Action: standin.ActionDropAnswer, Count: 1000})
+	do(60)
+	if n := received(); n > 200 {
+		t.Fatalf("%d requests for 160 calls", n)
+	}
+	f.services[1].ClearFaults()
+}
+
 // Guards against work for endpoints that leave: new, waiting, drawn by a cached prefix, or over an idle connection.
 func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
 	f := newFleet(t, 2, 0, standin.EngineOptions{BatchSlots: 2, TokenInterval: 5 * time.Millisecond}, nil)
@@ -538,3 +601,64 @@
 		t.Fatalf("a repeated prompt went to %d engines, want 1", used)
 	}
 }
+
+// Guards against a request that goes out on a charge or key that has lapsed while its connection was made.
+func TestCheckRightBeforeTheFirstByte(t *testing.T) {
+	var lapsed atomic.Bool
+	f := newFleet(t, 1, 1, standin.EngineOptions{}, func(o *Options) {
+		o.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+			lapsed.Store(true)
+			return conn, err
+		}
+	})
+	f.source.set(f.endpoints[1]) // no load reports of an engine, whose connections would count too
+	check := func() error {
+		if lapsed.Load() {
+			return &Error{Status: 503, Code: "lapsed", Message: "lapsed", Execution: operations.NotRun}
+		}
+		return nil
+	}
+	for _, idempotent := range []bool{false, true} {
+		lapsed.Store(false)
+		_, ex, err := f.Call(context.Background(), &ServiceCall{ID: "1", Service: "book", Method: "POST", Path: "/", Idempotent: idempotent, BeforeSend: check})
+		var e *Error
+		if ex != operations.NotRun || !errors.As(err, &e) || e.Code != "lapsed" || e.Execution != operations.NotRun {
+			t.Errorf("idempotent %v: %s %v", idempotent, ex, err)
+		}
+	}
+	if n := f.services[0].Executions().Received; n != 0 {
+		t.Errorf("%d requests were sent", n)
+	}
+}
+
+// Guards against requests that wait for endpoints that will take none of them.
+func TestWaitingRequestsAreRefusedWhenTheLastEndpointLeaves(t *testing.T) {
+	f := newFleet(t, 1, 0, standin.EngineOptions{BatchSlots: 1, TokenInterval: 20 * time.Millisecond}, nil)
+	var running sync.WaitGroup
+	running.Go(func() {
+		if _, err := f.stream(context.Background(), call(20), nil); err != nil {
+			t.Errorf("request in flight: %v", err)
+		}
+	})
+	time.Sleep(50 * time.Millisecond)
+	refused := make(chan error, 1)
+	running.Go(func() {
+		_, err := f.stream(context.Background(), call(20), nil)
+		refused <- err
+	})
+	time.Sleep(50 * time.Millisecond)
+	drained := append([]config.Endpoint(nil), f.endpoints...)
+	drained[0].Drain = true
+	f.source.set(drained...)
+	select {
+	case err := <-refused:
+		var e *Error
+		if !errors.As(err, &e) || e.Execution != operations.NotRun || e.RetryAfter == 0 {
+			t.Errorf("refused with %v", err)
+		}
+	case <-time.After(time.Second):
+		t.Error("the request still waits")
+	}
+	running.Wait()
+}
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -50,6 +50,8 @@
 	prefix         *routing.PrefixCache
 	sequence       int64 // of the last cache event
 	gone           bool  // no longer configured
+	silent         int   // load reports in a row that did not come
+	attempts       map[*attemptWatch]struct{}
 }
 
 // ownWork is this instance's work at an endpoint. A report lags, so that it may still count work that has ended since; the
@@ -88,7 +90,7 @@
 		base:   "http://" + c.Addr,
 		pooled: newTransport(o, false),
 		single: newTransport(o, true),
-		load:   load{prefix: routing.NewPrefixCache(blocks)},
+		load:   load{prefix: routing.NewPrefixCache(blocks), attempts: map[*attemptWatch]struct{}{}},
 	}
 }
 
@@ -120,14 +122,21 @@
 	}
 }
 
-// countedConn knows whether a byte may have left through it.
+// countedConn knows whether a byte may have left through it, and checks right before the first byte of a request whether the
+// request may still be sent.
 type countedConn struct {
 	net.Conn
 	written atomic.Bool
+	check   atomic.Pointer[func() error]
 }
 
 // Write marks the connection before it writes: a failed write may have sent a part.
 func (c *countedConn) Write(p []byte) (int, error) {
+	if check := c.check.Swap(nil); check != nil {
+		if err := (*check)(); err != nil {
+			return 0, err
+		}
+	}
 	c.written.Store(true)
 	return c.Conn.Write(p)
 }
