--- a/internal/operations/records_test.go
+++ b/internal/operations/records_test.go
@@ -174,10 +174,10 @@
 		expect(t, a.do(newKey(t), "filler"), Ran, "")
 	}
 	a.mu.Lock()
-	revision := a.revision
+	seen := a.revision
 	a.mu.Unlock()
 	b.mu.Lock()
-	b.revision = revision // as after any work of its own with the store
+	b.revision = seen // as after any work of its own with the store
 	b.mu.Unlock()
 	a.crash()
 	f.store.Restore(snapshot)
