--- a/internal/core/routing/health.go
+++ b/internal/core/routing/health.go
@@ -61,6 +61,12 @@
 	h.until = now.Add(wait)
 }
 
+// Silent records that the endpoint has not answered for a while, which ejects it at once.
+func (h *Health) Silent(now clock.Instant) {
+	h.failures = failuresToEject - 1
+	h.Failed(now)
+}
+
 // Failures is the number of failures in a row, 0 once the last lies so far back that the endpoint is worth a try again.
 func (h *Health) Failures(now clock.Instant) int {
 	if h.failures > 0 && now.Sub(h.failedAt) > maxEjection {
@@ -69,6 +75,9 @@
 	return h.failures
 }
 
+// Probing reports whether the endpoint was ejected and has not answered since: it then gets one request at a time.
+func (h *Health) Probing() bool { return h.ejections > 0 && h.failures >= failuresToEject-1 }
+
 // Ejected tells for each endpoint of a group whether it is left out, never more than MaxEjected of them. Those whose
 // ejection lasts longest stay out.
 func Ejected(group []*Health, now clock.Instant) []bool {
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -29,12 +29,10 @@
 	}
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.polling[e] = cancel
-	d.background.Add(1)
-	go func() {
-		defer d.background.Done()
+	d.spawn(func() {
 		defer cancel()
 		d.pollLoop(ctx, e)
-	}()
+	})
 }
 
 // cachePolls is the number of load reports for each read of the cache events, which arrive late anyway.
@@ -69,7 +67,10 @@
 	d.mu.Unlock()
 	var r loadReport
 	if err := d.get(ctx, e, "/engine/v1/load", &r); err != nil {
-		return // an endpoint that gives no report is judged by its answers; its old report expires
+		if ctx.Err() == nil {
+			d.unreported(e)
+		}
+		return // the old report expires
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -77,8 +78,10 @@
 	e.load.last = e.load.own()
 	e.load.foreign = max(r.Running+r.Waiting-own.requests, 0)
 	e.load.foreignTokens = max(r.QueuedTokens-own.tokens, 0)
+	e.load.reportedTotal = r.Running + r.Waiting
 	e.load.reportedAt = d.opts.Clock.Now()
 	e.load.reported = true
+	e.load.silent = 0
 	for _, p := range d.pools {
 		if p.queue.Len() > 0 {
 			d.pump(p)
@@ -142,20 +145,17 @@
 	return out
 }
 
-// Limits of a report.
-const (
-	reportTimeout = time.Second
-	maxReport     = 1 << 20
-)
+// maxReport bounds a report in bytes.
+const maxReport = 1 << 20
 
 func (d *Dispatcher) get(ctx context.Context, e *endpoint, path string, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	ctx, cancel := context.WithTimeout(ctx, d.opts.ReportTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.base+path, nil)
 	if err != nil {
 		return err
 	}
-	resp, err := d.send(e.pooled, req)
+	resp, err := d.send(e.pooled, req, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/routes.go
+++ b/internal/gateway/routes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"net/url"
 	"strings"
@@ -31,12 +32,14 @@
 func (g *Gateway) newTable(v configsync.View) *routeTable {
 	general := v.General()
 	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
-	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+	r.Use(g.metrics.middleware)
+	// The router runs no middleware for these two.
+	r.NotFoundHandler = g.metrics.middleware(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		refuseUnread(w, req, refuse(http.StatusNotFound, "unknown_route", "there is no such route"))
-	})
-	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+	}))
+	r.MethodNotAllowedHandler = g.metrics.middleware(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		refuseUnread(w, req, refuse(http.StatusMethodNotAllowed, "method_not_allowed", "the route does not take this method"))
-	})
+	}))
 	for kind, path := range modelPaths {
 		r.HandleFunc(path, g.modelHandler(kind)).Methods(http.MethodPost)
 	}
@@ -89,11 +92,24 @@
 		if strings.Contains(decoded, "dk_") || (credentialNames[strings.ToLower(name)] && len(decoded) >= minCredential) {
 			continue
 		}
-		kept = append(kept, part)
+		kept = append(kept, escapeUnsafe(part))
 	}
 	return strings.Join(kept, "&")
 }
 
+// escapeUnsafe encodes the bytes that may not stand in a request line. Others stay as the caller wrote them.
+func escapeUnsafe(part string) string {
+	var out strings.Builder
+	for i := range len(part) {
+		if c := part[i]; c <= ' ' || c >= 0x7f {
+			fmt.Fprintf(&out, "%%%02X", c)
+			continue
+		}
+		out.WriteByte(part[i])
+	}
+	return out.String()
+}
+
 // minCredential is the length from which the value of a parameter such as "token" counts as a credential.
 const minCredential = 16
 
--- a/internal/limits/service.go
+++ b/internal/limits/service.go
@@ -84,6 +84,7 @@
 	s.configure(opts.Config.View())
 	opts.Network.Handle(serviceBorrow, peer.Unary(s.handleBorrow))
 	opts.Network.Handle(serviceDrop, peer.Unary(s.handleDrop))
+	opts.Network.Handle(serviceHeld, peer.Unary(s.handleHeld))
 	opts.Network.Handle(serviceHandover, peer.Unary(s.handleHandover))
 	return s, nil
 }
@@ -307,6 +308,9 @@
 			holders = answer.Holders
 		}
 		s.perform(ask.Organisation, s.puller.Answered(now, ask.Organisation, giver, holders))
+		if excess, ok := s.ledger.Excess(now, ask.Organisation, giver); ok && err == nil {
+			s.send(giver, []ratelimit.Ask{excess})
+		}
 	}
 }
 
--- a/internal/operations/service.go
+++ b/internal/operations/service.go
@@ -30,6 +30,7 @@
 	stopped  bool
 	logs     map[int]*slotLog
 	term     uint32
+	revision int64 // highest revision seen in the store
 	nextID   atmostonce.AttemptID
 	issued   map[uint64]*atmostonce.Issued // by incarnation, this one and adopted ones
 	number   uint64                        // of the last issued id
@@ -116,6 +117,7 @@
 		digest:       atmostonce.Digest(req.Organisation, req.Method, req.Path, "", req.BodyDigest[:]),
 		run:          run,
 		forward:      req.Forwardable,
+		stay:         req.StayInRegion,
 	}
 	if key.Issued != nil {
 		return s.doIssued(ctx, c)
@@ -130,6 +132,7 @@
 	digest       [32]byte
 	run          RunFunc
 	forward      *ForwardedRequest
+	stay         bool // in this region
 }
 
 // Issue returns a new id that only this instance may run.
@@ -184,6 +187,9 @@
 	if refused != nil {
 		return *refused
 	}
+	if c.stay && p.region != s.region() {
+		return otherRegion()
+	}
 	owner, ok := s.o.Slots.Owner(p.region, p.slot)
 	if !ok {
 		return notRun(http.StatusServiceUnavailable, CodeOwnerUnknown, "the key has no owner at present", retrySoon)
@@ -191,7 +197,16 @@
 	if owner == s.o.Network.Self().Instance {
 		return s.runKeyed(ctx, c, p)
 	}
-	return s.forward(ctx, c, owner)
+	o := s.forward(ctx, c, owner)
+	if o.Code == codeUnlisted {
+		o.Code = CodeOwnerAway
+	}
+	return o
+}
+
+func otherRegion() Outcome {
+	return notRun(http.StatusConflict, CodeOtherRegion,
+		"the key is recorded in another region, which the request must not reach; use an id from POST /v1/operations", 0)
 }
 
 // runKeyed runs a request at this instance if it owns the key's slot.
@@ -202,6 +217,9 @@
 	if p.region != s.o.Network.Self().Region || l == nil {
 		return outcomeOf(atmostonce.Reply{Execution: atmostonce.NotRun, Reason: atmostonce.ReasonMoved})
 	}
+	if ctx.Err() != nil {
+		return cancelledOutcome(atmostonce.NotRun)
+	}
 	id, w := s.wait(ctx, c.run)
 	if w == nil {
 		return stoppingOutcome()
@@ -263,7 +281,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	answer, execution, err := w.run(ctx)
+	answer, execution, err := s.guard(ctx, w.run)
 	f := atmostonce.Finished{ID: id, Execution: atmostonce.Unknown, Answer: ended{answer, err}}
 	switch {
 	case execution == NotRun:
@@ -275,6 +293,17 @@
 	finish(f)
 }
 
+// guard calls a run and turns a panic into an error, since the request may have been sent before it.
+func (s *Service) guard(ctx context.Context, run RunFunc) (answer *Answer, x Execution, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.o.Logger.Error("run of an operation panicked", zap.Any("panic", p), zap.Stack("stack"))
+			answer, x, err = nil, Unknown, errors.New("the run ended abnormally")
+		}
+	}()
+	return run(ctx)
+}
+
 // spawn runs f on a goroutine that Stop waits for.
 func (s *Service) spawn(f func()) {
 	s.mu.Lock()
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -36,7 +36,7 @@
 	log     *zap.Logger
 	metrics *metrics
 
-	handlers map[string]Handler
+	handlers map[string]*served
 	started  atomic.Bool
 
 	ctx     context.Context // ends when calls in flight are cut
@@ -55,6 +55,12 @@
 
 var _ Network = (*Transport)(nil)
 
+// served is a registered service.
+type served struct {
+	handler Handler
+	slots   chan struct{} // of calls being served
+}
+
 // remote is what is known of one peer.
 type remote struct {
 	name    string
@@ -88,7 +94,7 @@
 		self:     options.Self,
 		log:      options.Logger.Named("peer"),
 		metrics:  newMetrics(options.Scope),
-		handlers: map[string]Handler{},
+		handlers: map[string]*served{},
 		ctx:      ctx,
 		cancel:   cancel,
 		inbound:  make(chan struct{}, options.MaxInboundStreams),
@@ -109,7 +115,7 @@
 	if _, taken := t.handlers[service]; taken || service == drainService {
 		panic("peer: service is registered twice: " + service)
 	}
-	t.handlers[service] = h
+	t.handlers[service] = &served{handler: h, slots: make(chan struct{}, t.options.MaxServiceStreams)}
 }
 
 // Start accepts connections until Close.
@@ -135,9 +141,12 @@
 	return nil
 }
 
-// Close stops accepting, lets the calls in flight finish until ctx ends, and closes all sessions.
+// Close stops accepting, lets the calls in flight finish until ctx ends, and closes all sessions. Further calls of
+// Close do nothing.
 func (t *Transport) Close(ctx context.Context) error {
-	t.closing.Store(true)
+	if t.closing.Swap(true) {
+		return nil
+	}
 	err := t.options.Listener.Close()
 	for _, s := range t.allSessions() {
 		t.retire(s, true)
@@ -495,7 +504,7 @@
 	t.spawn(func() {
 		if _, err := former.mux.Ping(); err != nil {
 			// Calls in flight on it may still get their answers; the keepalive ends it if it is dead.
-			t.retire(former, false)
+			t.retire(former, true)
 			return
 		}
 		if former.usable() {
@@ -504,7 +513,8 @@
 	})
 }
 
-// retire starts no more calls on the session and closes it once its calls have ended.
+// retire starts no more calls on the session and closes it once its calls have ended. ask is false if the peer has
+// retired it first.
 func (t *Transport) retire(s *session, ask bool) {
 	if s.retired.Swap(true) {
 		return
