Adapt the capacity measurement to reads of the list by region

The measurement states the interval of a mean region instead. Its probe time is one period between regions at 390 daemons now, since periods grow from 50 on.

-race: capacity, rates, members, peer, site passed.

--- a/internal/experiment/capacity/membership.go
+++ b/internal/experiment/capacity/membership.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	probeTime = 9 * time.Second // three periods of the probes between regions
+	probeTime = 9 * time.Second // three periods of the probes between regions in a small fleet, one at 390 daemons
 	// probeTick is twice the tick of internal/members: the probes of a fleet at each tick take most of the run.
 	probeTick = 100 * time.Millisecond
 )
@@ -73,9 +73,8 @@
 		return err
 	}
 	s.fact("heartbeat with the load of 6 models and 2 services", float64(proto.Size(heartbeat())), "bytes")
-	s.fact("poll interval of a poller", members.PollInterval(2*time.Second, o.Daemons).Seconds(), "s")
-	s.fact("pollers of a data centre, mean", float64(members.PollerCount(o.Daemons/len(regionWeights)/dataCentresPerRegion)), "pollers")
-	s.fact("endpoint list interval of each daemon", members.PollInterval(time.Second, o.Daemons).Seconds(), "s")
+	perRegion := o.Daemons / len(regionWeights)
+	s.fact("interval of the reads of the list in a mean region", members.RegionPollInterval(time.Second, o.Daemons+o.Endpoints, perRegion).Seconds(), "s")
 	return nil
 }
 
--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -32,8 +32,6 @@
 	staleIntervals = 3
 	// longestPollBackoff bounds the wait after failed polls.
 	longestPollBackoff = 30 * time.Second
-	// scaleBase is the number of instances up to which PollInterval does not grow.
-	scaleBase = 4
 	// announceTimeout bounds an announcement.
 	announceTimeout = 5 * time.Second
 	// announceRepeat is the wait before the own row is announced again if the list does not show it.
@@ -42,14 +40,9 @@
 	announceCheck = time.Second
 )
 
-// PollInterval returns the time between two polls of one poller in a fleet of n instances.
-func PollInterval(base time.Duration, n int) time.Duration {
-	return time.Duration(float64(base) * math.Sqrt(math.Max(1, float64(n)/scaleBase)))
-}
-
-// regionPollInterval returns the time between two polls of a region with the given number of instances. It grows where
+// RegionPollInterval returns the time between two polls of a region with the given number of instances. It grows where
 // a list with that many rows would cost them more than pollBudget.
-func regionPollInterval(base time.Duration, rows, instances int) time.Duration {
+func RegionPollInterval(base time.Duration, rows, instances int) time.Duration {
 	cost := float64(rows) * rowBytes / (pollBudget * float64(max(1, instances)))
 	return max(base, time.Duration(cost*float64(time.Second)))
 }
@@ -106,7 +99,7 @@
 			instances++
 		}
 	}
-	return regionPollInterval(s.options.PollBase, int(s.listRows.Load()), instances)
+	return RegionPollInterval(s.options.PollBase, int(s.listRows.Load()), instances)
 }
 
 func newBackoff(initial, longest time.Duration) *backoff.ExponentialBackOff {
