--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -8,6 +8,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/config"
 	"dogwoodknot.example/dogwoodknot/internal/configsync"
 	"dogwoodknot.example/dogwoodknot/internal/core/membership"
+	"dogwoodknot.example/dogwoodknot/internal/dispatch"
 	"dogwoodknot.example/dogwoodknot/internal/gateway"
 	"dogwoodknot.example/dogwoodknot/internal/limits"
 	"dogwoodknot.example/dogwoodknot/internal/members"
@@ -113,9 +114,11 @@
 	}
 }
 
-// endpointStates tells which endpoints the platform lists as leaving.
+// endpointStates tells dispatch which endpoints the platform lists as leaving.
 type endpointStates struct{ members *members.Service }
 
+var _ dispatch.EndpointStates = endpointStates{}
+
 // Leaving reports whether the endpoint is listed as leaving.
 func (s endpointStates) Leaving(name string) bool { return s.members.EndpointLeaving(name) }
 
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -81,7 +81,6 @@
 	orders    *orderer.Service
 	operator  *operator.Server
 	regions   *regionLoads
-	endpoints endpointStates
 }
 
 // Services makes the components and returns them as services, in no order. It is called once.
@@ -181,7 +180,6 @@
 		return err
 	}
 	p.regions.snapshot = p.members.Snapshot
-	p.endpoints = endpointStates{p.members}
 	return nil
 }
 
@@ -206,7 +204,7 @@
 		Source:     p.syncer,
 		Clock:      d.clock,
 		Logger:     d.log,
-		States:     p.endpoints,
+		States:     endpointStates{p.members},
 		Dial:       d.hooks.DialEndpoint,
 		Chooser:    d.hooks.Chooser,
 	})
