Use no instance that is out of reach from here alone

regionLoads took any instance whose status is live, also one that this instance cannot reach while others do, or that nobody else could be asked about, as in a region with one instance. Member.Usable excludes both; entries and directory go by Status, since callers have ways of their own.

Ruled out: making such a member suspect. The instance could then publish a directory that lacks instances only it cannot reach.

The bound of targets in other regions is 64: the smallest region of the large deployment needs 25 a daemon on average.

--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -79,7 +79,7 @@
 		DataCentreProbers: 3,
 		RegionProbers:     2,
 		ForeignHelpers:    3,
-		MaxForeignTargets: 32,
+		MaxForeignTargets: 64,
 	}
 }
 
--- a/internal/core/membership/probe.go
+++ b/internal/core/membership/probe.go
@@ -19,6 +19,9 @@
 	if m.role == roleForeign {
 		period = c.params.ForeignPeriod
 	}
+	if m.suspect(c.self.Region) {
+		return period // its return should be noticed soon
+	}
 	scale := math.Sqrt(float64(len(c.members)+1) / float64(c.params.ScaleFrom))
 	return time.Duration(float64(period) * max(1, scale))
 }
--- a/internal/core/membership/snapshot.go
+++ b/internal/core/membership/snapshot.go
@@ -19,6 +19,10 @@
 	Self      bool
 }
 
+// Usable reports whether this instance should send requests to the member: it is live and not known to be out of reach
+// from here. Entries for callers go by Status alone, since callers have ways of their own.
+func (m Member) Usable() bool { return m.Status == Live && !m.Unreached }
+
 // Snapshot is an immutable view. Its methods need no lock.
 type Snapshot struct {
 	Version int64 // of the list, 0 before the first
--- a/internal/daemon/regions.go
+++ b/internal/daemon/regions.go
@@ -124,10 +124,10 @@
 	return out
 }
 
-// usable reports whether requests may be sent to an instance: it is neither leaving nor suspected.
+// usable reports whether requests may be sent to an instance: it is neither leaving nor suspected nor out of reach.
 func (r *regionLoads) usable(id peer.Identity) bool {
 	m, known := r.snapshot().Member(id.Instance)
-	return known && m.Incarnation == id.Incarnation && m.Status == membership.Live
+	return known && m.Incarnation == id.Incarnation && m.Usable()
 }
 
 func (r *regionLoads) latency(region string) time.Duration {
--- a/internal/members/fleet_test.go
+++ b/internal/members/fleet_test.go
@@ -296,6 +296,8 @@
 	f.fabric.Heal(cutFrom, cutTo)
 
 	f.cutRegions(t, refused)
+	f.cutDataCentre(t)
+	f.isolateRegion(t)
 }
 
 // cutRegions cuts one region's way to another one, in one direction: only these two may suspect each other.
@@ -342,6 +344,59 @@
 	t.Logf("healed: no suspicion after %v", took)
 }
 
+// cutDataCentre cuts the data centre of the last instance off from all others, as when its switch fails.
+func (f *virtualFleet) cutDataCentre(t *testing.T) {
+	dataCentreOf := func(name string) string { return name[:strings.LastIndex(name, "-")] }
+	lost := dataCentreOf(f.order[len(f.order)-1])
+	f.isolate(t, "data centre "+lost, func(name string) bool { return dataCentreOf(name) == lost }, false)
+}
+
+// isolateRegion cuts a region off from all others. It must know that too, or it sends its requests into the cut.
+func (f *virtualFleet) isolateRegion(t *testing.T) {
+	regionOf := func(name string) string { return name[:strings.Index(name, "-")] }
+	lost := regionOf(f.order[len(f.order)-1])
+	f.isolate(t, "region "+lost, func(name string) bool { return regionOf(name) == lost }, true)
+}
+
+// isolate cuts some instances off from all others and heals the cut. With bothWays, those inside must not use those
+// outside either.
+func (f *virtualFleet) isolate(t *testing.T, what string, inside func(string) bool, bothWays bool) {
+	const limit = 20 * time.Second
+	each := func(change func(a, b string)) {
+		for a := range f.services {
+			for b := range f.services {
+				if inside(a) && !inside(b) {
+					change(a, b)
+				}
+			}
+		}
+	}
+	outside := func(name string) bool { return !inside(name) }
+	whole := func(of, except func(string) bool, want bool) func() bool {
+		return func() bool {
+			for at, s := range f.services {
+				for _, m := range s.Snapshot().Members {
+					if runs := f.services[m.Name] != nil; runs && of(m.Name) && !except(at) && m.Usable() != want {
+						return false
+					}
+				}
+			}
+			return true
+		}
+	}
+	each(f.fabric.Cut)
+	took := f.until(what+" is not used anywhere else", limit, whole(inside, inside, false))
+	t.Logf("%s lost: not used anywhere else after %v", what, took)
+	if bothWays {
+		took += f.until("no other is used in "+what, limit, whole(outside, outside, false))
+		t.Logf("no other is used in %s after %v", what, took)
+	}
+	each(f.fabric.Heal)
+	took = f.until(what+" is live everywhere else", limit, whole(inside, inside, true))
+	took += f.until("all others are live in "+what, limit, whole(outside, outside, true))
+	t.Logf("%s is back: all are live after %v", what, took)
+}
+
 // fleetLoad is the load of six models and two plain services, as the heartbeats of a large fleet carry it.
 func fleetLoad() *wire.LoadSummary {
 	summary := &wire.LoadSummary{}
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -33,3 +33,24 @@
 		})
 	})
 }
+
+// BenchmarkStream measures one stream of 64 KiB messages over loopback.
+func BenchmarkStream(b *testing.B) {
+	authority := peertest.NewAuthority(b)
+	caller, server := startNode(b, authority, "a", nil), startNode(b, authority, "b", nil)
+	link(caller, server)
+	s, err := caller.Open(context.Background(), "b", "flood")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	if err := s.Send(wrapperspb.Int64(1 << 40)); err != nil {
+		b.Fatal(err)
+	}
+	b.SetBytes(64 << 10)
+	for b.Loop() {
+		if err := s.Recv(&wrapperspb.BytesValue{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/peer/faults_test.go
+++ b/internal/peer/faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -488,3 +489,32 @@
 		t.Error("close waits although no call is in flight")
 	}
 }
+
+// Guards against connections that say nothing, or something else than TLS, and hold up those of other instances.
+func TestForeignConnections(t *testing.T) {
+	authority := peertest.NewAuthority(t)
+	a, b := startNode(t, authority, "a", nil), startNode(t, authority, "b", nil)
+	for i := range 30 {
+		conn, err := net.Dial("tcp", b.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if i%2 == 0 {
+			if _, err := conn.Write([]byte("GET / HTTP/1.1\r\nHost: b\r\n\r\n")); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	link(a, b)
+	start := time.Now()
+	if _, err := a.echo(within(t, 3*time.Second), "b", "x"); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(start); took > time.Second {
+		t.Errorf("call took %v", took)
+	}
+	if got := b.Connected(); len(got) != 1 || got[0].Instance != "a" {
+		t.Errorf("b is connected with %v", got)
+	}
+}
