--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -90,6 +90,9 @@
 			continue
 		}
 		if err := s.poll(); err != nil {
+			if s.ctx.Err() != nil {
+				return
+			}
 			s.metrics.pollErrors.Inc(1)
 			s.log.Warn("instance list could not be read", zap.Error(err))
 			wait = failures.NextBackOff()
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -9,11 +9,15 @@
 	"strings"
 	"testing"
 	"time"
+
+	"go.opentelemetry.io/otel"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 )
 
 func start(t *testing.T, o Options) (*Site, context.Context) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	t.Cleanup(cancel)
 	s, err := Start(ctx, o)
 	if err != nil {
@@ -99,3 +103,51 @@
 		t.Errorf("entries are %+v", body.Entries)
 	}
 }
+
+// Guards against a hop without a span, or with one that is not part of the request's trace: a request at a region whose
+// runners are dead passes through the gateway there, a session, and an endpoint of another region.
+func TestEveryHopHasASpanOfTheRequestsTrace(t *testing.T) {
+	recorder := tracetest.NewSpanRecorder()
+	provider := sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(recorder))
+	former := otel.GetTracerProvider()
+	otel.SetTracerProvider(provider)
+	t.Cleanup(func() { otel.SetTracerProvider(former) })
+	s, ctx := start(t, Veletas())
+	for _, r := range s.Runners {
+		if r.Place.Region == "cusco" {
+			r.Kill()
+		}
+	}
+	const traceID = "4bf92f3577b34da6a3ce929d0e0e4736"
+	body := `{"model":"taller-lm","max_tokens":4,"messages":[{"role":"user","content":"a vane"}]}`
+	req := request(ctx, t, "POST", s.Instance("cusco-1").URL()+"/v1/chat/completions", s.Keys["taller-quispe"], body)
+	req.Header.Set("Traceparent", "00-"+traceID+"-00f067aa0ba902b7-01")
+	resp, err := s.Client("cusco").Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("status %d", resp.StatusCode)
+	}
+	// Both ends of the session have a span, and each attempt at an endpoint, the failed local ones included.
+	want := map[string]int{"gateway.request": 1, "peer forward": 2, "dispatch.plain": 2}
+	seen := map[string]int{}
+	err = s.Await(ctx, "the spans of the request to end", func() bool {
+		clear(seen)
+		for _, span := range recorder.Ended() {
+			if span.SpanContext().TraceID().String() == traceID {
+				seen[span.Name()]++
+			}
+		}
+		for name, n := range want {
+			if seen[name] < n {
+				return false
+			}
+		}
+		return true
+	})
+	if err != nil {
+		t.Errorf("%v: spans of the trace are %v", err, seen)
+	}
+}
