Test the operators' command against daemons, and announce the operators' port

The first run showed that a daemon which listens for operators on port 0 announced port 0, so that no instance could be asked. The daemon now opens that socket first, as it does for callers and peers, and announces its address.

--- a/cmd/dogwoodctl/main_test.go
+++ b/cmd/dogwoodctl/main_test.go
@@ -39,8 +39,8 @@
 	})
 }
 
-// site is the platform and the instances of one script.
-type site struct {
+// testSite is the platform and the instances of one script.
+type testSite struct {
 	store     *standin.Store
 	list      *standin.InstanceList
 	storeURL  string
@@ -55,7 +55,7 @@
 type siteKey struct{}
 
 func setup(env *testscript.Env) error {
-	s := &site{
+	s := &testSite{
 		store:     standin.NewStore(memory.StoreOptions{}),
 		list:      standin.NewInstanceList(memory.InstanceListOptions{}),
 		instances: make(map[string]*testInstance),
@@ -85,9 +85,9 @@
 	return nil
 }
 
-func siteOf(ts *testscript.TestScript) *site { return ts.Value(siteKey{}).(*site) }
+func siteOf(ts *testscript.TestScript) *testSite { return ts.Value(siteKey{}).(*testSite) }
 
-func (s *site) interceptHead(next http.Handler) http.Handler {
+func (s *testSite) interceptHead(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPut && strings.HasSuffix(r.URL.Path, "config/head") {
 			s.mu.Lock()
@@ -148,7 +148,7 @@
 }
 
 // start starts an instance. Its incarnation is the number of instances before it plus 101.
-func (s *site) start(name, region string) error {
+func (s *testSite) start(name, region string) error {
 	kv, err := platform.NewStoreClient(platform.ClientOptions{URL: s.storeURL})
 	if err != nil {
 		return err
@@ -176,7 +176,7 @@
 	})
 }
 
-func (s *site) stopAll() {
+func (s *testSite) stopAll() {
 	for _, i := range s.instances {
 		i.stop()
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,10 +57,10 @@
 
 // listeners are the sockets of an instance. They are opened first, so that the addresses are known to all services.
 type listeners struct {
-	caller, peer net.Listener
+	caller, peer, operator net.Listener
 }
 
-// New checks the settings and opens the sockets for callers and peers. The services are made by Services.
+// New checks the settings and opens the sockets for callers, peers and operators. The services are made by Services.
 func New(settings Settings, hooks Hooks) (*Daemon, error) {
 	if problems := settings.Validate(); len(problems) > 0 {
 		return nil, errors.Join(problems...)
@@ -136,7 +136,11 @@
 	if err != nil {
 		return errors.CombineErrors(errors.Wrap(err, "listen for peers"), caller.Close())
 	}
-	d.listeners = listeners{caller: caller, peer: peers}
+	operators, err := net.Listen("tcp", d.settings.OperatorAddr)
+	if err != nil {
+		return errors.Join(errors.Wrap(err, "listen for operators"), caller.Close(), peers.Close())
+	}
+	d.listeners = listeners{caller: caller, peer: peers, operator: operators}
 	return nil
 }
 
@@ -150,6 +154,11 @@
 	return or(d.settings.AdvertisePeerAddr, d.listeners.peer.Addr().String())
 }
 
+// OperatorAddr returns the address that operators are told to use.
+func (d *Daemon) OperatorAddr() string {
+	return or(d.settings.AdvertiseOperatorAddr, d.listeners.operator.Addr().String())
+}
+
 // Identity returns the instance's name, place and incarnation.
 func (d *Daemon) Identity() peer.Identity { return d.self }
 
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -170,7 +170,7 @@
 			Incarnation: d.self.Incarnation,
 			CallerAddr:  d.CallerAddr(),
 			PeerAddr:    d.PeerAddr(),
-			OperatorURL: or(d.settings.AdvertiseOperatorAddr, d.settings.OperatorAddr),
+			OperatorURL: d.OperatorAddr(),
 		},
 		Payload:   func() members.Payload { return payload(p.limits.AppliedRevision(), p.dispatch.Loads()) },
 		OnPayload: p.regions.received,
@@ -263,11 +263,12 @@
 func (d *Daemon) makeOperator(p *parts) error {
 	d.backend = &backend{daemon: d, parts: p}
 	o := operator.Options{
-		Addr:    d.settings.OperatorAddr,
-		Token:   d.settings.OperatorToken,
-		Backend: d.backend,
-		Metrics: d.metrics.Handler,
-		Log:     d.log,
+		Addr:     d.settings.OperatorAddr,
+		Listener: d.listeners.operator,
+		Token:    d.settings.OperatorToken,
+		Backend:  d.backend,
+		Metrics:  d.metrics.Handler,
+		Log:      d.log,
 	}
 	if problems := o.Validate(); len(problems) > 0 {
 		return errors.Join(problems...)
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -74,11 +74,13 @@
 
 // Options are the settings of a Server.
 type Options struct {
-	Addr    string // ip:port to listen on
-	Token   string // bearer token for /v1; empty: none is asked for
-	Backend Backend
-	Metrics http.Handler
-	Log     *zap.Logger
+	Addr string // ip:port to listen on
+	// Listener replaces the one that Start opens at Addr, for a process that must know its address before.
+	Listener net.Listener
+	Token    string // bearer token for /v1; empty: none is asked for
+	Backend  Backend
+	Metrics  http.Handler
+	Log      *zap.Logger
 }
 
 // Validate returns every problem of the options.
@@ -114,10 +116,13 @@
 
 // Start listens and serves until Stop.
 func (s *Server) Start(ctx context.Context) error {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", s.opts.Addr)
-	if err != nil {
-		return errors.Wrap(err, "listen on the operators' port")
+	l := s.opts.Listener
+	if l == nil {
+		var lc net.ListenConfig
+		var err error
+		if l, err = lc.Listen(ctx, "tcp", s.opts.Addr); err != nil {
+			return errors.Wrap(err, "listen on the operators' port")
+		}
 	}
 	s.addr = l.Addr()
 	go func() {
