Ask the region who holds slots before the first claim is used, and bound rebalancing

A random fault schedule got 5,833 of 5,000 tokens/s: the store came back with older data while the slots' owner was paused, and an instance that started then read the old records, whose owners were dead, and used the slots. A new instance cannot know that records are old. Until every listed instance of its region has told which slots it holds, it now uses no slot that it has claimed; from then on it notices older data itself. An owner that is unreachable and no longer listed stays a gap if the store loses data at the same time.

Rebalancing asked for every organisation that is short. At 149 bytes an exchange some hundred of them exceed the 21 KB/s of a daemon, so the emptiest come first, up to 40 asks a second; waiting requests ask as before.

--- a/internal/core/ratelimit/entitlement_test.go
+++ b/internal/core/ratelimit/entitlement_test.go
@@ -152,3 +152,23 @@
 		t.Fatal("a holder in debt lent tokens")
 	}
 }
+
+// Rebalancing of many organisations stays within its share of the control traffic and serves the emptiest first.
+func TestRebalancingIsBounded(t *testing.T) {
+	l, now := owner("a-1")
+	for i, name := range names(500) {
+		l.Offer(now, name, 500)
+		if _, ok := l.Admit(now, name, float64(500+i/2)); !ok {
+			t.Fatal("a full account refused")
+		}
+	}
+	batches := l.Rebalance(now, func(string) []string { return []string{"b-1", "c-1"} })
+	if len(batches["b-1"]) != DefaultAsksPerSecond/2 || len(batches["c-1"]) != DefaultAsksPerSecond/2 {
+		t.Fatalf("%d and %d asks", len(batches["b-1"]), len(batches["c-1"]))
+	}
+	for _, ask := range batches["b-1"] {
+		if ask.Level > 800-500-480/2 {
+			t.Fatalf("asks for %s with a level of %v before emptier ones", ask.Organisation, ask.Level)
+		}
+	}
+}
--- a/internal/core/ratelimit/ledger.go
+++ b/internal/core/ratelimit/ledger.go
@@ -13,6 +13,9 @@
 	DefaultTerm = 10 * time.Second
 	// DefaultMargin is added to the giver's count of a term. Crystal clocks drift by up to 200 ppm, which is 2 ms in a term.
 	DefaultMargin = 20 * time.Millisecond
+	// DefaultAsksPerSecond keeps rebalancing at about 12 KB/s in and out of the 21 KB/s that a daemon may use: an exchange
+	// is 149 bytes, and a holder is asked as often as it asks.
+	DefaultAsksPerSecond = 40
 	// demandWindow is the time constant of the moving average of offered tokens.
 	demandWindow = 30 * time.Second
 	// lateExpiry is how late an expired loan may be noticed before charges that it may have paid for become invalid.
@@ -27,6 +30,8 @@
 	Self   string        // name of this holder
 	Term   time.Duration // of loans, default DefaultTerm
 	Margin time.Duration // for clock-rate drift, default DefaultMargin
+	// AsksPerSecond bounds the asks for more that no request waits for. Default DefaultAsksPerSecond.
+	AsksPerSecond int
 	// FirstLoan is the first loan id. Ids must not repeat for a receiver that outlives this holder, so an adapter
 	// passes a random number.
 	FirstLoan uint64
@@ -107,6 +112,9 @@
 	if opts.Margin == 0 {
 		opts.Margin = DefaultMargin
 	}
+	if opts.AsksPerSecond == 0 {
+		opts.AsksPerSecond = DefaultAsksPerSecond
+	}
 	return &Ledger{
 		opts:     opts,
 		slots:    map[Slot]slotState{},
--- a/internal/core/ratelimit/loan.go
+++ b/internal/core/ratelimit/loan.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -404,21 +405,44 @@
 }
 
 // Rebalance returns the asks of this second by giver: extensions and returns of loans that end soon, and requests for more
-// where the demand exceeds the share. owners gives the holders of the organisation's slots without this one.
+// where the demand exceeds the share, the emptiest first, up to AsksPerSecond. owners gives the holders of the organisation's slots without this one.
 func (l *Ledger) Rebalance(now clock.Instant, owners func(organisation string) []string) map[string][]Ask {
 	out := map[string][]Ask{}
+	var short []shortAccount
 	for name, a := range l.accounts {
 		a.advance(now)
-		l.rebalance(now, name, a, owners, out)
+		if a.needsMore(a.demandAt(now)) {
+			short = append(short, shortAccount{name, part(a.level, a.share().Burst)})
+			continue
+		}
+		if len(a.taken) > 0 {
+			l.rebalance(now, name, a, nil, out)
+		}
+	}
+	slices.SortFunc(short, func(a, b shortAccount) int {
+		return cmp.Or(cmp.Compare(a.filled, b.filled), cmp.Compare(a.name, b.name))
+	})
+	left := l.opts.AsksPerSecond
+	for _, x := range short {
+		var givers []string
+		if left > 0 {
+			givers = owners(x.name)
+			left -= len(givers)
+		}
+		l.rebalance(now, x.name, l.accounts[x.name], givers, out)
 	}
 	return out
 }
 
-func (l *Ledger) rebalance(now clock.Instant, name string, a *account, owners func(string) []string, out map[string][]Ask) {
+// shortAccount is an organisation that needs more.
+type shortAccount struct {
+	name   string
+	filled float64 // level by burst share
+}
+
+// rebalance returns an organisation's asks: about its loans, and for more from the givers.
+func (l *Ledger) rebalance(now clock.Instant, name string, a *account, givers []string, out map[string][]Ask) {
 	demand := a.demandAt(now)
-	if len(a.taken) == 0 && !a.needsMore(demand) {
-		return
-	}
 	byGiver := map[string]*Ask{}
 	ask := func(giver string) *Ask {
 		if byGiver[giver] == nil {
@@ -450,11 +474,8 @@
 			i++
 		}
 	}
-	if a.needsMore(demand) {
-		givers := owners(name)
-		for _, giver := range givers {
-			ask(giver).Fanout = len(givers)
-		}
+	for _, giver := range givers {
+		ask(giver).Fanout = len(givers)
 	}
 	for giver, x := range byGiver {
 		x.Level, x.Share, x.Demand = a.level, a.share(), demand
--- a/internal/limits/fake_test.go
+++ b/internal/limits/fake_test.go
@@ -170,6 +170,12 @@
 	l.rows = append(l.rows, platform.ListedInstance{Name: id.Instance, Region: id.Region, Incarnation: id.Incarnation})
 }
 
+func (l *fakeList) has(incarnation uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.ContainsFunc(l.rows, func(r platform.ListedInstance) bool { return r.Incarnation == incarnation })
+}
+
 func (l *fakeList) remove(incarnation uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -214,7 +220,7 @@
 func (p peersOf) Peers() []Peer {
 	var out []Peer
 	for name, id := range p.f.ids {
-		if name != p.self {
+		if name != p.self && p.f.list.has(id.Incarnation) {
 			out = append(out, Peer{Name: name, Region: id.Region, Incarnation: id.Incarnation})
 		}
 	}
@@ -266,6 +272,16 @@
 	return s
 }
 
+// stop ends an instance as planned.
+func (f *fleet) stop(name string) error {
+	s := f.crash(name)
+	f.net.setCut(name, false)
+	err := s.Stop(context.Background())
+	f.net.setCut(name, true)
+	f.list.remove(s.self.Incarnation)
+	return err
+}
+
 // pause stops an instance without its knowledge; resume goes on with it.
 func (f *fleet) pause(name string) { f.paused[name] = f.crash(name) }
 
--- a/internal/limits/service_test.go
+++ b/internal/limits/service_test.go
@@ -217,11 +217,9 @@
 		f.start("lima-1", "lima-2")
 		f.run(15)
 		f.store.SetFaults(memory.Faults{Down: storeDown})
-		s := f.services["lima-1"]
-		if err := s.Stop(context.Background()); err != nil {
+		if err := f.stop("lima-1"); err != nil {
 			t.Fatal(err)
 		}
-		f.crash("lima-1")
 		if rate, burst, level := f.totals("acme"); !near(rate, 2000) || !near(burst, 20000) || !near(level, 20000) {
 			t.Fatalf("store down %v: rate %v burst %v level %v after the handover", storeDown, rate, burst, level)
 		}
@@ -241,10 +239,9 @@
 	f.start("lima-1", "lima-2", "lima-3")
 	f.run(15)
 	f.net.loseNext[serviceHandover] = 1
-	if err := f.services["lima-1"].Stop(context.Background()); err != nil {
+	if err := f.stop("lima-1"); err != nil {
 		t.Fatal(err)
 	}
-	f.crash("lima-1")
 	for range 30 {
 		f.check("acme", 3000, 30000)
 		f.run(1)
--- a/internal/limits/slots.go
+++ b/internal/limits/slots.go
@@ -77,13 +77,16 @@
 
 // slotTable is what this instance knows of the slots.
 type slotTable struct {
-	held      map[ratelimit.Slot]*heldSlot
-	ownerOf   map[ratelimit.Slot]Predecessor
-	spoken    map[ratelimit.Slot][]uint64      // incarnations whose use has ended here, by slot
-	known     map[ratelimit.Slot]storedRecord  // as last read
-	live      map[string]bool                  // holder keys, as last read
-	gave      map[ratelimit.Slot]Predecessor   // to whom slots were passed on whose records still name this instance
-	suspects  map[ratelimit.Slot][]Predecessor // owners that the store has forgotten
+	held     map[ratelimit.Slot]*heldSlot
+	ownerOf  map[ratelimit.Slot]Predecessor
+	spoken   map[ratelimit.Slot][]uint64      // incarnations whose use has ended here, by slot
+	known    map[ratelimit.Slot]storedRecord  // as last read
+	live     map[string]bool                  // holder keys, as last read
+	gave     map[ratelimit.Slot]Predecessor   // to whom slots were passed on whose records still name this instance
+	suspects map[ratelimit.Slot][]Predecessor // owners that the store has forgotten
+	// vouched says that every listed instance of the region has told which slots it holds since the records were first read.
+	// From then on this instance itself notices a store with older data.
+	vouched   bool
 	lease     platform.LeaseID
 	listed    int64                            // version of the instance list that had this incarnation
 	unclaimed map[ratelimit.Slot]clock.Instant // since when a slot was seen without a live owner
@@ -111,6 +114,14 @@
 	return out
 }
 
+// suspect notes an incarnation that may use a slot although the record does not name it.
+func (t *slotTable) suspect(slot ratelimit.Slot, p Predecessor) {
+	same := func(o Predecessor) bool { return o.Incarnation == p.Incarnation }
+	if !slices.ContainsFunc(t.suspects[slot], same) {
+		t.suspects[slot] = append(t.suspects[slot], p)
+	}
+}
+
 // renewInterval grows with the square root of the fleet, so that the store's calls do too.
 func (s *Service) renewInterval() time.Duration {
 	n := float64(len(s.opts.Peers.Peers()) + 1)
@@ -122,7 +133,11 @@
 	interval := s.renewInterval()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.slots.unclaimed) > 0 || len(s.slots.ownerOf) == 0 {
+	short := len(s.slots.unclaimed) > 0 || len(s.slots.ownerOf) == 0
+	for _, held := range s.slots.held {
+		short = short || !held.resolved
+	}
+	if short {
 		return interval / 3
 	}
 	return interval
@@ -166,6 +181,7 @@
 		live[e.Key] = true
 	}
 	s.noteRecords(records, live)
+	s.vouch(ctx, records)
 	errs := []error{s.restoreRecords(ctx, records)}
 	for slot, record := range records {
 		if slot.Region == s.self.Region {
@@ -257,7 +273,7 @@
 		}
 		for _, p := range append(slices.Clone(before.Predecessors), before.Owner) {
 			if p != (Predecessor{}) && p.Incarnation != now.Owner.Incarnation {
-				s.slots.suspects[slot] = append(s.slots.suspects[slot], p)
+				s.slots.suspect(slot, p)
 			}
 		}
 	}
@@ -444,7 +460,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !held.resolved {
+	if !held.resolved && s.slots.vouched {
 		held.resolved = true
 		held.minRevision = revision
 		held.readyAt = s.opts.Clock.Now()
@@ -594,37 +610,58 @@
 	return &wire.DropResponse{Dropped: true}, nil
 }
 
-// heldElsewhere asks the instances of the region which slots they hold. It is asked only for slots without a record, which are
-// new, or forgotten by a store with older data.
-func (s *Service) heldElsewhere(ctx context.Context) map[ratelimit.Slot]bool {
+// askHeld asks the instances of the region which slots they hold. complete is false if one did not answer.
+func (s *Service) askHeld(ctx context.Context) (held map[ratelimit.Slot]Predecessor, complete bool) {
 	ctx, cancel := context.WithTimeout(ctx, s.opts.CrossRegionTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	out := map[ratelimit.Slot]bool{}
+	held, complete = map[ratelimit.Slot]Predecessor{}, true
 	for _, p := range s.opts.Peers.Peers() {
 		if p.Region != s.self.Region {
 			continue
 		}
 		wg.Go(func() {
 			resp := &wire.HeldResponse{}
-			if err := s.opts.Network.Call(ctx, p.Name, serviceHeld, &wire.HeldRequest{}, resp); err != nil {
-				return
-			}
+			err := s.opts.Network.Call(ctx, p.Name, serviceHeld, &wire.HeldRequest{}, resp)
 			mu.Lock()
 			defer mu.Unlock()
+			if err != nil || resp.GetIncarnation() != p.Incarnation {
+				complete = false
+				return
+			}
 			for _, slot := range resp.GetSlots() {
-				out[slotFromWire(slot)] = true
+				held[slotFromWire(slot)] = Predecessor{Name: p.Name, Incarnation: p.Incarnation}
 			}
 		})
 	}
 	wg.Wait()
-	return out
+	return held, complete
+}
+
+// vouch compares the records that this instance reads first with what the region's instances hold: it cannot know whether the
+// store has come back with older data before. Until all have answered it uses no slot that it has claimed.
+func (s *Service) vouch(ctx context.Context, records map[ratelimit.Slot]storedRecord) {
+	s.mu.Lock()
+	vouched := s.slots.vouched
+	s.mu.Unlock()
+	if vouched {
+		return
+	}
+	held, complete := s.askHeld(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for slot, p := range held {
+		if records[slot].Owner.Incarnation != p.Incarnation {
+			s.slots.suspect(slot, p)
+		}
+	}
+	s.slots.vouched = complete
 }
 
 // handleHeld lists the slots that this instance owns.
 func (s *Service) handleHeld(context.Context, peer.Identity, *wire.HeldRequest) (proto.Message, error) {
-	resp := &wire.HeldResponse{}
+	resp := &wire.HeldResponse{Incarnation: s.self.Incarnation}
 	for slot := range s.heldSlots() {
 		resp.Slots = append(resp.Slots, slotToWire(slot))
 	}
@@ -647,8 +684,10 @@
 		}
 	}
 	fair := (slots + inRegion - 1) / inRegion
-	elsewhere := func() map[ratelimit.Slot]bool { return s.heldElsewhere(ctx) }
-	elsewhere = sync.OnceValue(elsewhere)
+	elsewhere := sync.OnceValue(func() map[ratelimit.Slot]Predecessor {
+		held, _ := s.askHeld(ctx)
+		return held
+	})
 	now := s.opts.Clock.Now()
 	var errs []error
 	for index := range slots {
@@ -670,7 +709,7 @@
 		if !free || stopping || (held >= fair && now.Sub(since) < s.renewInterval()) {
 			continue
 		}
-		if !exists && elsewhere()[slot] {
+		if !exists && elsewhere()[slot] != (Predecessor{}) {
 			continue // its owner restores the record
 		}
 		errs = append(errs, s.claim(ctx, slot, record, exists))
--- a/internal/limits/slots_test.go
+++ b/internal/limits/slots_test.go
@@ -40,10 +40,9 @@
 	f.start("lima-1", "lima-2")
 	f.run(15)
 	early := f.store.Snapshot()
-	if err := f.services["lima-1"].Stop(context.Background()); err != nil {
+	if err := f.stop("lima-1"); err != nil {
 		t.Fatal(err)
 	}
-	f.crash("lima-1")
 	f.run(15)
 	f.afterEach = func() { f.check("acme", 3000, 30000) }
 	for _, snapshot := range []memory.Snapshot{early, empty} {
@@ -98,10 +97,7 @@
 				}
 			case 4:
 				if name := pick(running()); name != "" {
-					ctx, cancel := context.WithCancel(context.Background())
-					_ = f.services[name].Stop(ctx) // fails while the store is down
-					cancel()
-					f.crash(name)
+					_ = f.stop(name) // fails while the store is down
 				}
 			case 9:
 				snapshots = append(snapshots, f.store.Snapshot())
