--- a/internal/members/fleet_test.go
+++ b/internal/members/fleet_test.go
@@ -14,6 +14,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/members"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/peer/peertest"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
 	"dogwoodknot.example/dogwoodknot/internal/platform/memory"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
@@ -94,6 +95,14 @@
 		}
 	}
 	slices.Sort(f.order)
+	for i := range len(f.order) * 600 / 390 {
+		row := platform.ListedInstance{
+			Name: fmt.Sprintf("runner-%d", i), Kind: platform.KindEndpoint, Region: "r1", DataCentre: "r1-a", State: platform.StateLive,
+		}
+		if err := f.list.Announce(t.Context(), row); err != nil {
+			t.Fatal(err)
+		}
+	}
 	return f
 }
 
@@ -107,7 +116,7 @@
 			PeerAddr: "10.11.12.13:17443", CallerAddr: "10.11.12.13:18080", OperatorURL: "10.11.12.13:18081",
 		},
 		Payload: func() members.Payload {
-			return members.Payload{Revision: 123456, Load: sixModels()}
+			return members.Payload{Revision: 123456, Load: fleetLoad()}
 		},
 	})
 	if err != nil {
@@ -118,15 +127,6 @@
 	f.order = append(f.order, name)
 }
 
-// sixModels is the load summary of the large deployment: 6 models and a plain service.
-func sixModels() *wire.LoadSummary {
-	load := &wire.LoadSummary{Pools: []*wire.PoolLoad{{Name: "libro-pedidos", Service: true}}}
-	for i := range 6 {
-		load.Pools = append(load.Pools, &wire.PoolLoad{Name: fmt.Sprintf("taller-lm-%d", i), WaitMillis: 1200, Free: 300})
-	}
-	return load
-}
-
 // all reports whether the condition holds for the status of a target at all instances but the excepted ones.
 func (f *virtualFleet) all(target string, want membership.State, except func(string) bool) bool {
 	for name, s := range f.services {
@@ -196,7 +196,10 @@
 	for name, network := range f.networks {
 		before[name] = network.Traffic()
 	}
+	polls := f.list.Counts().Calls[memory.KindInstances]
 	time.Sleep(period)
+	polls = f.list.Counts().Calls[memory.KindInstances] - polls
+	f.t.Logf("reads of the list: %.2f/s in all", float64(polls)/period.Seconds())
 	var sent, received, calls []float64
 	for name, network := range f.networks {
 		now, was := network.Traffic(), before[name]
@@ -338,3 +341,12 @@
 	})
 	t.Logf("healed: no suspicion after %v", took)
 }
+
+// fleetLoad is the load of six models and two plain services, as the heartbeats of a large fleet carry it.
+func fleetLoad() *wire.LoadSummary {
+	summary := &wire.LoadSummary{}
+	for i := range 8 {
+		summary.Pools = append(summary.Pools, &wire.PoolLoad{Name: fmt.Sprintf("model-or-service-%d", i), Service: i >= 6, WaitMillis: 4321, Free: 321})
+	}
+	return summary
+}
