Refuse requests that hold anyone's valid key

Only the caller's own secret was searched for, so another caller's key in a body or query reached the endpoint. Texts of the form of a key are now checked against the view, in the same encodings. A key run together with other letters on its right is still not recognised unless it is the caller's own.

--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"strings"
 	"testing"
+	"time"
 
 	"dogwoodknot.example/dogwoodknot/internal/config"
 )
@@ -115,3 +116,18 @@
 		}
 	})
 }
+
+// Guards against a body whose search for keys takes time that grows with the square of its size.
+func TestSearchForKeysIsLinear(t *testing.T) {
+	body := []byte(strings.Repeat("dk_", 1<<20))
+	begun := time.Now()
+	if containsKey(body, testView()) {
+		t.Fatal("found a key")
+	}
+	if took := time.Since(begun); took > 2*time.Second {
+		t.Fatalf("3 MB took %v", took)
+	}
+	if !containsKey([]byte(strings.Repeat("dk_ ", 1000)+workshopKey), testView()) {
+		t.Fatal("the key at the end was not found")
+	}
+}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -74,7 +74,7 @@
 	}, nil
 }
 
-// checkSecret refuses a request that would pass the caller's secret on.
+// checkSecret refuses a request that would pass the caller's secret on, or another caller's key.
 func (c *call) checkSecret(r *http.Request, body []byte) *apiError {
 	parts := [][]byte{
 		body, []byte(r.URL.EscapedPath()), []byte(r.URL.RawQuery), []byte(r.Header.Get("Content-Type")),
@@ -84,6 +84,9 @@
 		if containsSecret(p, c.secret) {
 			return refuse(http.StatusBadRequest, "secret_in_request", "the request contains the secret of its own key")
 		}
+		if containsKey(p, c.view) {
+			return refuse(http.StatusBadRequest, "secret_in_request", "the request contains a key")
+		}
 	}
 	return nil
 }
--- a/internal/gateway/secret.go
+++ b/internal/gateway/secret.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"unicode/utf8"
+
+	"dogwoodknot.example/dogwoodknot/internal/configsync"
 )
 
 // secretRounds is the number of nested encodings that are looked through, such as a percent-encoded string in JSON in JSON.
@@ -14,21 +16,58 @@
 	if secret == "" {
 		return false
 	}
-	return searchSecret(data, []byte(secret), secretRounds)
+	return anyDecoding(data, secretRounds, func(b []byte) bool { return bytes.Contains(b, []byte(secret)) })
+}
+
+// containsKey reports whether data holds a key that is valid in the view, whoever's it is, in the same encodings.
+func containsKey(data []byte, v configsync.View) bool {
+	return anyDecoding(data, secretRounds, func(b []byte) bool { return holdsKey(b, v) })
+}
+
+var keyPrefix = []byte("dk_")
+
+// maxKeyBytes is the length above which a text is no key. Without it, a body of prefixes alone would be read once for each.
+const maxKeyBytes = 256
+
+// holdsKey checks each text that has the form of a key.
+func holdsKey(data []byte, v configsync.View) bool {
+	for {
+		i := bytes.Index(data, keyPrefix)
+		if i < 0 {
+			return false
+		}
+		end := i
+		for end < len(data) && keyByte(data[end]) {
+			end++
+		}
+		if end-i > maxKeyBytes {
+			data = data[end:]
+			continue
+		}
+		if _, _, status := v.Authenticate(string(data[i:end])); status == configsync.KeyValid {
+			return true
+		}
+		data = data[i+len(keyPrefix):]
+	}
+}
+
+func keyByte(c byte) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '_' || c == '-'
 }
 
-func searchSecret(data, secret []byte, rounds int) bool {
-	if bytes.Contains(data, secret) {
+// anyDecoding reports whether found is true of data or of one of its decodings.
+func anyDecoding(data []byte, rounds int, found func([]byte) bool) bool {
+	if found(data) {
 		return true
 	}
 	if rounds == 0 {
 		return false
 	}
-	if decoded, changed := decodePercent(data); changed && searchSecret(decoded, secret, rounds-1) {
+	if decoded, changed := decodePercent(data); changed && anyDecoding(decoded, rounds-1, found) {
 		return true
 	}
 	decoded, changed := decodeEscapes(data)
-	return changed && searchSecret(decoded, secret, rounds-1)
+	return changed && anyDecoding(decoded, rounds-1, found)
 }
 
 // decodePercent replaces each valid percent-encoded byte and leaves all else.
