Count attempts, retries, refusals and waiting requests in dispatch

The retry budget, shedding and missed load reports could be seen in logs only. The daemon passes the scope and the number of instances that share the region's endpoints.

--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -245,3 +245,14 @@
 
 // Drain asks for the planned stop.
 func (b *backend) Drain() { b.daemon.drain() }
+
+// entriesOf counts the instances of a region that are not gone, the own one included.
+func entriesOf(s *membership.Snapshot, region string) int {
+	n := 0
+	for _, m := range s.Members {
+		if m.Region == region && m.Status != membership.Gone {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -209,6 +209,8 @@
 		States:     p.endpoints,
 		Dial:       d.hooks.DialEndpoint,
 		Chooser:    d.hooks.Chooser,
+		Metrics:    d.metrics.SubScope("dispatch"),
+		Sharers:    func() int { return entriesOf(p.members.Snapshot(), d.self.Region) },
 	})
 	return err
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -14,7 +14,8 @@
 
 // Dispatcher sends requests to the endpoints of its region.
 type Dispatcher struct {
-	opts Options
+	opts    Options
+	metrics metrics
 
 	mu        sync.Mutex
 	rng       *rand.Rand
@@ -60,6 +61,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	d := &Dispatcher{
 		opts:      o,
+		metrics:   newMetrics(o.Metrics),
 		rng:       rand.New(rand.NewPCG(o.Seed, 0)),
 		endpoints: map[string]*endpoint{},
 		pools:     map[string]*pool{},
@@ -219,9 +221,12 @@
 			e.closeIdle()
 		}
 	}
+	queued := 0
 	for _, p := range d.pools {
 		d.pump(p)
+		queued += p.queue.Len()
 	}
+	d.metrics.queued.Update(float64(queued))
 }
 
 // takesWork reports whether new work may go to an endpoint. The caller holds d.mu.
@@ -249,5 +254,10 @@
 func (d *Dispatcher) spendRetry() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.budget.Spend()
+	if !d.budget.Spend() {
+		d.metrics.denied.Inc(1)
+		return false
+	}
+	d.metrics.retries.Inc(1)
+	return true
 }
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -259,6 +259,7 @@
 		if err == nil || !resumable(ctx, err) || !d.spendRetry() {
 			break
 		}
+		d.metrics.resumes.Inc(1)
 		from, joinErr := c.Progress.resume()
 		if joinErr != nil {
 			err = &finalError{joinErr}
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
@@ -28,6 +29,8 @@
 	Source     configsync.Source
 	Clock      clock.Clock
 	Logger     *zap.Logger
+	// Metrics may be nil: nothing is counted then.
+	Metrics tally.Scope
 	// States may be nil: no endpoint is then listed as leaving.
 	States EndpointStates
 	// Sharers returns the number of instances that send work to the region's endpoints, this one included. Nil: 2.
@@ -96,6 +99,9 @@
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
+	if o.Metrics == nil {
+		o.Metrics = tally.NoopScope
+	}
 	if o.Sharers == nil {
 		o.Sharers = func() int { return defaultSharers }
 	}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -113,6 +113,7 @@
 	}
 	wait, known := d.wait(p, w, now)
 	if dec := admission.Decide(wait, known, allowed); !dec.Admit {
+		d.metrics.shed.Inc(1)
 		return overloaded("the request would wait longer than it may", dec.RetryAfter)
 	}
 	return nil
@@ -134,6 +135,7 @@
 	case g := <-wt.ready:
 		return g.result()
 	case <-timer.C:
+		d.metrics.shed.Inc(1)
 		err = overloaded("no endpoint was free in time", time.Second)
 	case <-ctx.Done():
 		err = context.Cause(ctx)
@@ -231,6 +233,7 @@
 		return nil
 	}
 	e := open[i]
+	d.metrics.attempts.Inc(1)
 	e.load.inFlight++
 	e.load.inFlightTokens += w.tokens
 	prefill := max(w.prompt-cands[i].CachedTokens, 0)
@@ -311,6 +314,7 @@
 		e.load.health.Succeeded(pace)
 		return
 	}
+	d.metrics.failures.Inc(1)
 	e.load.health.Failed(d.opts.Clock.Now())
 }
 
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -47,6 +47,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.opts.Clock.Now()
+	d.metrics.silent.Inc(1)
 	e.load.silent++
 	if e.load.silent < silentReports {
 		return
