Let the daemon's services find each other by name

The daemon wired its parts through one struct, so the kernel only ordered starts and stops. Each part is now a service that the kernel provisions and that others look up by its dotted name; callbacks look up late, which also breaks the cycle between members, dispatch and limits. A service whose requirement could not be provisioned is left out instead of failing on it (test in package kernel).

--- a/cmd/dogwoodknot/main.go
+++ b/cmd/dogwoodknot/main.go
@@ -36,10 +36,6 @@
 	if err != nil {
 		return err
 	}
-	services, err := d.Services()
-	if err != nil {
-		return err
-	}
 	options := []fx.Option{
 		fx.Supply(d.Log()),
 		fx.WithLogger(func(log *zap.Logger) fxevent.Logger {
@@ -58,7 +54,7 @@
 			}()
 		}),
 	}
-	for _, s := range services {
+	for _, s := range d.Services() {
 		options = append(options, kernel.Supply(s))
 	}
 	app := fx.New(options...)
--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -2,18 +2,16 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
-	"dogwoodknot.example/dogwoodknot/internal/config"
 	"dogwoodknot.example/dogwoodknot/internal/configsync"
 	"dogwoodknot.example/dogwoodknot/internal/core/membership"
 	"dogwoodknot.example/dogwoodknot/internal/dispatch"
 	"dogwoodknot.example/dogwoodknot/internal/gateway"
+	"dogwoodknot.example/dogwoodknot/internal/kernel"
 	"dogwoodknot.example/dogwoodknot/internal/limits"
 	"dogwoodknot.example/dogwoodknot/internal/members"
 	"dogwoodknot.example/dogwoodknot/internal/operations"
-	"dogwoodknot.example/dogwoodknot/internal/operator"
 )
 
 // memberPeers gives limits the other instances.
@@ -39,12 +37,9 @@
 }
 
 // configPeers gives configsync the other instances. They are known as soon as the instance list was read.
-func configPeers(p *parts) []configsync.Peer {
-	if p.members == nil {
-		return nil
-	}
+func configPeers(m *members.Service) []configsync.Peer {
 	var out []configsync.Peer
-	for _, member := range p.members.Snapshot().Members {
+	for _, member := range m.Snapshot().Members {
 		if member.Self {
 			continue
 		}
@@ -58,13 +53,13 @@
 }
 
 // lateRunner passes forwarded operations to the gateway, which is made after the operations it needs itself.
-type lateRunner struct{ parts *parts }
+type lateRunner struct{ registry *kernel.Registry }
 
 var _ operations.Runner = lateRunner{}
 
 // RunForwarded runs an operation that another instance has forwarded.
 func (r lateRunner) RunForwarded(ctx context.Context, organisation string, req *operations.ForwardedRequest) (*operations.Answer, operations.Execution, error) {
-	return r.parts.gateway.RunForwarded(ctx, organisation, req)
+	return find[*gateway.Gateway](r.registry, nameGateway).RunForwarded(ctx, organisation, req)
 }
 
 // entryRanking answers which instances an organisation's callers should use.
@@ -104,12 +99,12 @@
 }
 
 // ended returns whether an incarnation is known to have ended: only if the platform's removals are final.
-func ended(p *parts) func(string, uint64) bool {
+func ended(source configsync.Source, m *members.Service) func(string, uint64) bool {
 	return func(instance string, incarnation uint64) bool {
-		if !p.syncer.View().General().Platform.RemovalFinal {
+		if !source.View().General().Platform.RemovalFinal {
 			return false
 		}
-		state, known := p.members.Snapshot().StateOf(membership.Ref{Instance: instance, Incarnation: incarnation})
+		state, known := m.Snapshot().StateOf(membership.Ref{Instance: instance, Incarnation: incarnation})
 		return known && state == membership.Gone
 	}
 }
@@ -122,73 +117,6 @@
 // Leaving reports whether the endpoint is listed as leaving.
 func (s endpointStates) Leaving(name string) bool { return s.members.EndpointLeaving(name) }
 
-// backend is the instance behind the operators' port.
-type backend struct {
-	daemon *Daemon
-	parts  *parts
-}
-
-var _ operator.Backend = (*backend)(nil)
-
-// Status returns what the instance says of itself.
-func (b *backend) Status() operator.Status {
-	self := b.daemon.self
-	s := operator.Status{
-		Instance:    self.Instance,
-		Region:      self.Region,
-		DataCentre:  self.DataCentre,
-		Incarnation: self.Incarnation,
-		Revision:    b.parts.syncer.View().Revision(),
-		Slots:       b.parts.limits.Owned(),
-		Ready:       true,
-	}
-	for _, id := range b.parts.transport.Connected() {
-		s.Peers = append(s.Peers, id.Instance)
-	}
-	sort.Strings(s.Peers)
-	if err := b.parts.syncer.Ready(); err != nil {
-		s.Ready, s.Reason = false, err.Error()
-	}
-	if !b.parts.gateway.Ready() || b.daemon.leaving.Load() {
-		s.Ready, s.Reason = false, or(s.Reason, "instance is stopping")
-	}
-	return s
-}
-
-// Usage returns the organisations that have used their rate here.
-func (b *backend) Usage() []operator.Usage {
-	var out []operator.Usage
-	b.parts.syncer.View().Organisations(func(o *config.Organisation) bool {
-		if u, ok := b.parts.limits.Usage(o.Name); ok {
-			out = append(out, operator.Usage{Name: o.Name, RateShare: u.Rate, BurstShare: u.Burst, Level: u.Level, UsedPerSecond: u.Demand})
-		}
-		return true
-	})
-	return out
-}
-
-// Orders returns what this instance knows of the orders of its region.
-func (b *backend) Orders() operator.Orders {
-	status := b.parts.orders.Status()
-	out := operator.Orders{
-		Instance: b.daemon.self.Instance, Region: b.daemon.self.Region, Issuer: status.Issuer, Fencing: status.Fencing,
-		Blocked: []operator.BlockedLoad{},
-	}
-	for _, blocked := range status.Blocked {
-		out.Blocked = append(out.Blocked, operator.BlockedLoad{Endpoint: blocked.Endpoint, Model: blocked.Model, Reason: blocked.Reason})
-	}
-	return out
-}
-
-// Withdraw stops keys here and relays them to the other instances.
-func (b *backend) Withdraw(ctx context.Context, keyIDs []string) error {
-	b.parts.syncer.Withdraw(ctx, keyIDs)
-	return nil
-}
-
-// Drain asks for the planned stop.
-func (b *backend) Drain() { b.daemon.drain() }
-
 // entriesOf counts the instances of a region that are not gone, the own one included.
 func entriesOf(s *membership.Snapshot, region string) int {
 	n := 0
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,7 +31,6 @@
 	hooks       Hooks
 	listeners   listeners
 	backend     *backend
-	stopReloads context.CancelFunc // of certificates
 
 	drainOnce sync.Once
 	drained   chan struct{}
@@ -60,7 +59,7 @@
 	caller, peer, operator net.Listener
 }
 
-// New checks the settings and opens the sockets for callers, peers and operators. The services are made by Services.
+// New checks the settings and opens the sockets for callers, peers and operators. The kernel makes the services.
 func New(settings Settings, hooks Hooks) (*Daemon, error) {
 	if problems := settings.Validate(); len(problems) > 0 {
 		return nil, errors.Join(problems...)
@@ -162,7 +161,7 @@
 // Identity returns the instance's name, place and incarnation.
 func (d *Daemon) Identity() peer.Identity { return d.self }
 
-// Status returns what the instance says of itself. Services must have been called.
+// Status returns what the instance says of itself. The kernel must have been made.
 func (d *Daemon) Status() operator.Status { return d.backend.Status() }
 
 // Log returns the daemon's logger.
@@ -175,12 +174,12 @@
 	d.drainOnce.Do(func() { close(d.drained) })
 }
 
-// Abort cuts all connections of callers and instances at once, as a crash would. Services must have been called.
+// Abort cuts all connections of callers and instances at once, as a crash would. The kernel must have been made.
 func (d *Daemon) Abort() {
 	_ = d.listeners.caller.Close()
 	_ = d.listeners.peer.Close()
 	// Errors have nobody left to tell.
-	_ = d.backend.parts.gateway.Close()
+	_ = d.backend.gateway().Close()
 }
 
 // Close flushes metrics and spans. The kernel must have stopped.
@@ -191,11 +190,7 @@
 // Kernel returns the kernel of the daemon's services, for a process that holds several instances.
 func (d *Daemon) Kernel() (*kernel.Kernel, error) {
 	registry := kernel.NewRegistry()
-	services, err := d.Services()
-	if err != nil {
-		return nil, err
-	}
-	for _, s := range services {
+	for _, s := range d.Services() {
 		if err := registry.Register(s); err != nil {
 			return nil, err
 		}
--- a/internal/daemon/regions.go
+++ b/internal/daemon/regions.go
@@ -48,8 +48,8 @@
 
 var _ gateway.Regions = (*regionLoads)(nil)
 
-func newRegionLoads(c clock.Clock, region string) *regionLoads {
-	return &regionLoads{clock: c, region: region, last: make(map[string]heard), oneWay: make(map[string]time.Duration)}
+func newRegionLoads(c clock.Clock, region string, snapshot func() *membership.Snapshot) *regionLoads {
+	return &regionLoads{clock: c, region: region, snapshot: snapshot, last: make(map[string]heard), oneWay: make(map[string]time.Duration)}
 }
 
 func (r *regionLoads) received(from peer.Identity, p members.Payload) {
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -22,118 +22,87 @@
 	"dogwoodknot.example/dogwoodknot/internal/platform"
 )
 
-// Names of the services.
-const (
-	nameTransport  = "peer.transport"
-	nameConfig     = "config.sync"
-	nameMembers    = "members"
-	nameLimits     = "limits"
-	nameDispatch   = "dispatch"
-	nameOperations = "operations"
-	nameGateway    = "gateway.http"
-	nameOrders     = "orders"
-	nameOperator   = "operator.http"
-)
-
-// part adapts a component to the kernel: its name, what it needs, and how it starts and stops.
-type part struct {
-	name     string
-	requires []string
-	start    func(context.Context) error
-	stop     func(context.Context) error
+// Services returns the services of the instance, in no order. The kernel makes their components.
+//
+// What each requires also gives the order of a planned stop, which is the reverse of the start: the gateway finishes its
+// callers first, then records and shares are handed over, and the sessions to other instances end last.
+func (d *Daemon) Services() []kernel.Service {
+	return []kernel.Service{
+		d.storeService(), d.listService(), d.directoryService(), d.transportService(), d.configService(), d.regionsService(),
+		d.membersService(), d.limitsService(), d.dispatchService(), d.operationsService(), d.gatewayService(),
+		d.ordersService(), d.operatorService(),
+	}
 }
 
-var (
-	_ kernel.Requirer = (*part)(nil)
-	_ kernel.Starter  = (*part)(nil)
-	_ kernel.Stopper  = (*part)(nil)
-)
-
-func (p *part) Name() string       { return p.name }
-func (p *part) Requires() []string { return p.requires }
+// platformConns is the number of idle connections kept to each of the platform's services: a watch, a lease renewal and
+// a few writes at once.
+const platformConns = 8
 
-func (p *part) Start(ctx context.Context) error {
-	if p.start == nil {
-		return nil
-	}
-	return p.start(ctx)
+func (d *Daemon) platformClient(url string) platform.ClientOptions {
+	transport := &http.Transport{MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute, DialContext: d.hooks.DialPlatform}
+	return platform.ClientOptions{URL: url, Transport: transport}
 }
 
-func (p *part) Stop(ctx context.Context) error {
-	if p.stop == nil {
-		return nil
+func (d *Daemon) storeService() kernel.Service {
+	return &service[platform.Store]{
+		name: nameStore,
+		build: func(*kernel.Registry) (platform.Store, error) {
+			return platform.NewStoreClient(d.platformClient(d.settings.Store))
+		},
 	}
-	return p.stop(ctx)
 }
 
-// parts are the components of an instance.
-type parts struct {
-	store     platform.Store
-	list      platform.InstanceList
-	directory platform.Directory
-	transport *peer.Transport
-	syncer    *configsync.Syncer
-	members   *members.Service
-	limits    *limits.Service
-	dispatch  *dispatch.Dispatcher
-	ops       *operations.Service
-	gateway   *gateway.Gateway
-	orders    *orderer.Service
-	operator  *operator.Server
-	regions   *regionLoads
+func (d *Daemon) listService() kernel.Service {
+	return &service[platform.InstanceList]{
+		name: nameList,
+		build: func(*kernel.Registry) (platform.InstanceList, error) {
+			return platform.NewInstanceListClient(d.platformClient(d.settings.List))
+		},
+	}
 }
 
-// Services makes the components and returns them as services, in no order. It is called once.
-func (d *Daemon) Services() ([]kernel.Service, error) {
-	p := &parts{}
-	steps := []func(*parts) error{
-		d.makePlatform, d.makeTransport, d.makeConfig, d.makeMembers, d.makeLimits, d.makeDispatch, d.makeOperations,
-		d.makeGateway, d.makeOrders, d.makeOperator,
-	}
-	for _, step := range steps {
-		if err := step(p); err != nil {
-			return nil, err
-		}
+// directoryService has a nil component if the settings name no directory.
+func (d *Daemon) directoryService() kernel.Service {
+	return &service[platform.Directory]{
+		name: nameDirectory,
+		build: func(*kernel.Registry) (platform.Directory, error) {
+			if d.settings.Directory == "" {
+				return nil, nil
+			}
+			return platform.NewDirectoryClient(d.platformClient(d.settings.Directory))
+		},
 	}
-	return d.services(p), nil
 }
 
-func (d *Daemon) makePlatform(p *parts) error {
-	client := func(url string) platform.ClientOptions {
-		transport := &http.Transport{MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute, DialContext: d.hooks.DialPlatform}
-		return platform.ClientOptions{URL: url, Transport: transport}
-	}
-	store, storeErr := platform.NewStoreClient(client(d.settings.Store))
-	list, listErr := platform.NewInstanceListClient(client(d.settings.List))
-	if err := errors.Join(storeErr, listErr); err != nil {
-		return err
-	}
-	p.store, p.list = store, list
-	if d.settings.Directory == "" {
-		return nil
-	}
-	directory, err := platform.NewDirectoryClient(client(d.settings.Directory))
-	if err != nil {
-		return err
+func (d *Daemon) transportService() kernel.Service {
+	var stopReloads context.CancelFunc
+	return &service[*peer.Transport]{
+		name:  nameTransport,
+		build: func(*kernel.Registry) (*peer.Transport, error) { return d.newTransport() },
+		start: func(_ context.Context, t *peer.Transport) error {
+			t.Start()
+			var ctx context.Context
+			ctx, stopReloads = context.WithCancel(context.Background())
+			go t.ReloadOnHangup(ctx, d.settings.credentials)
+			return nil
+		},
+		stop: func(ctx context.Context, t *peer.Transport) error {
+			stopReloads()
+			return t.Close(ctx)
+		},
 	}
-	p.directory = directory
-	return nil
 }
 
-// platformConns is the number of idle connections kept to each of the platform's services: a watch, a lease renewal and
-// a few writes at once.
-const platformConns = 8
-
-func (d *Daemon) makeTransport(p *parts) error {
+func (d *Daemon) newTransport() (*peer.Transport, error) {
 	pem, err := d.settings.credentials()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	credentials, err := peer.NewCredentials(pem)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	p.transport, err = peer.New(peer.Options{
+	return peer.New(peer.Options{
 		Self:        d.self,
 		Credentials: credentials,
 		Listener:    d.listeners.peer,
@@ -141,178 +110,210 @@
 		Logger:      d.log,
 		Scope:       d.metrics,
 	})
-	return err
 }
 
-func (d *Daemon) makeConfig(p *parts) (err error) {
-	p.syncer, err = configsync.New(configsync.Options{
-		Store:   p.store,
-		Network: p.transport,
-		Peers:   func() []configsync.Peer { return configPeers(p) },
-		Clock:   d.clock,
-		Log:     d.log,
-	})
-	return err
+func (d *Daemon) configService() kernel.Service {
+	return &service[*configsync.Syncer]{
+		name:     nameConfig,
+		requires: []string{nameStore, nameTransport},
+		build: func(r *kernel.Registry) (*configsync.Syncer, error) {
+			return configsync.New(configsync.Options{
+				Store:   find[platform.Store](r, nameStore),
+				Network: find[*peer.Transport](r, nameTransport),
+				Peers:   func() []configsync.Peer { return configPeers(find[*members.Service](r, nameMembers)) },
+				Clock:   d.clock,
+				Log:     d.log,
+			})
+		},
+		start: func(ctx context.Context, s *configsync.Syncer) error { return s.Start(ctx) },
+		stop:  func(ctx context.Context, s *configsync.Syncer) error { return s.Stop(ctx) },
+	}
 }
 
-func (d *Daemon) makeMembers(p *parts) (err error) {
-	p.regions = newRegionLoads(d.clock, d.self.Region)
-	p.members, err = members.New(members.Options{
-		Network:   p.transport,
-		List:      p.list,
-		Directory: p.directory,
-		Clock:     d.clock,
-		Self: membership.Row{
-			Name:        d.self.Instance,
-			Region:      d.self.Region,
-			DataCentre:  d.self.DataCentre,
-			Incarnation: d.self.Incarnation,
-			CallerAddr:  d.CallerAddr(),
-			PeerAddr:    d.PeerAddr(),
-			OperatorURL: d.OperatorAddr(),
+func (d *Daemon) regionsService() kernel.Service {
+	return &service[*regionLoads]{
+		name: nameRegions,
+		build: func(r *kernel.Registry) (*regionLoads, error) {
+			snapshot := func() *membership.Snapshot { return find[*members.Service](r, nameMembers).Snapshot() }
+			return newRegionLoads(d.clock, d.self.Region, snapshot), nil
 		},
-		Payload:   func() members.Payload { return payload(p.limits.AppliedRevision(), p.dispatch.Loads()) },
-		OnPayload: p.regions.received,
-		Logger:    d.log,
-		Scope:     d.metrics,
-	})
-	if err != nil {
-		return err
 	}
-	p.regions.snapshot = p.members.Snapshot
-	return nil
 }
 
-func (d *Daemon) makeLimits(p *parts) (err error) {
-	p.limits, err = limits.New(limits.Options{
-		Network:   p.transport,
-		Store:     p.store,
-		Clock:     d.clock,
-		Config:    p.syncer,
-		Peers:     memberPeers{p.members},
-		Instances: p.list,
-		Reported:  p.regions.reported,
-		Log:       d.log,
-	})
-	return err
+func (d *Daemon) membersService() kernel.Service {
+	return &service[*members.Service]{
+		name:     nameMembers,
+		requires: []string{nameList, nameDirectory, nameTransport, nameConfig, nameRegions},
+		build: func(r *kernel.Registry) (*members.Service, error) {
+			return members.New(members.Options{
+				Network:   find[*peer.Transport](r, nameTransport),
+				List:      find[platform.InstanceList](r, nameList),
+				Directory: find[platform.Directory](r, nameDirectory),
+				Clock:     d.clock,
+				Self:      d.row(),
+				Payload: func() members.Payload {
+					return payload(find[*limits.Service](r, nameLimits).AppliedRevision(), find[*dispatch.Dispatcher](r, nameDispatch).Loads())
+				},
+				OnPayload: find[*regionLoads](r, nameRegions).received,
+				Logger:    d.log,
+				Scope:     d.metrics,
+			})
+		},
+		start: plain((*members.Service).Start),
+		stop:  plain((*members.Service).Close),
+	}
 }
 
-func (d *Daemon) makeDispatch(p *parts) (err error) {
-	p.dispatch, err = dispatch.New(dispatch.Options{
-		Region:     d.self.Region,
-		DataCentre: d.self.DataCentre,
-		Source:     p.syncer,
-		Clock:      d.clock,
-		Logger:     d.log,
-		States:     endpointStates{p.members},
-		Dial:       d.hooks.DialEndpoint,
-		Chooser:    d.hooks.Chooser,
-		Metrics:    d.metrics.SubScope("dispatch"),
-		Sharers:    func() int { return entriesOf(p.members.Snapshot(), d.self.Region) },
-	})
-	return err
+// row is how the instance announces itself.
+func (d *Daemon) row() membership.Row {
+	return membership.Row{
+		Name:        d.self.Instance,
+		Region:      d.self.Region,
+		DataCentre:  d.self.DataCentre,
+		Incarnation: d.self.Incarnation,
+		CallerAddr:  d.CallerAddr(),
+		PeerAddr:    d.PeerAddr(),
+		OperatorURL: d.OperatorAddr(),
+	}
 }
 
-func (d *Daemon) makeOperations(p *parts) (err error) {
-	o := operations.DefaultOptions()
-	o.Network, o.Store, o.Slots, o.Config, o.Clock = p.transport, p.store, p.limits, p.syncer, d.clock
-	o.Runner = lateRunner{p}
-	o.Secrets = d.settings.secrets()
-	o.Logger = d.log
-	p.ops, err = operations.New(o)
-	return err
+func (d *Daemon) limitsService() kernel.Service {
+	return &service[*limits.Service]{
+		name:     nameLimits,
+		requires: []string{nameStore, nameList, nameTransport, nameConfig, nameRegions, nameMembers},
+		build: func(r *kernel.Registry) (*limits.Service, error) {
+			return limits.New(limits.Options{
+				Network:   find[*peer.Transport](r, nameTransport),
+				Store:     find[platform.Store](r, nameStore),
+				Clock:     d.clock,
+				Config:    find[*configsync.Syncer](r, nameConfig),
+				Peers:     memberPeers{find[*members.Service](r, nameMembers)},
+				Instances: find[platform.InstanceList](r, nameList),
+				Reported:  find[*regionLoads](r, nameRegions).reported,
+				Log:       d.log,
+			})
+		},
+		start: func(ctx context.Context, s *limits.Service) error { return s.Start(ctx) },
+		stop:  func(ctx context.Context, s *limits.Service) error { return s.Stop(ctx) },
+	}
 }
 
-func (d *Daemon) makeGateway(p *parts) (err error) {
-	p.gateway, err = gateway.New(gateway.Options{
-		Region:     d.self.Region,
-		Source:     p.syncer,
-		Limiter:    p.limits,
-		Dispatcher: p.dispatch,
-		Operations: p.ops,
-		Network:    p.transport,
-		Entries:    entryRanking{p.members, p.syncer},
-		Regions:    p.regions,
-		Clock:      d.clock,
-		Logger:     d.log,
-		Metrics:    d.metrics,
-		StopDelay:  d.settings.StopDelay,
-	})
-	return err
+func (d *Daemon) dispatchService() kernel.Service {
+	return &service[*dispatch.Dispatcher]{
+		name:     nameDispatch,
+		requires: []string{nameConfig, nameMembers},
+		build: func(r *kernel.Registry) (*dispatch.Dispatcher, error) {
+			m := find[*members.Service](r, nameMembers)
+			return dispatch.New(dispatch.Options{
+				Region:     d.self.Region,
+				DataCentre: d.self.DataCentre,
+				Source:     find[*configsync.Syncer](r, nameConfig),
+				Clock:      d.clock,
+				Logger:     d.log,
+				States:     endpointStates{m},
+				Dial:       d.hooks.DialEndpoint,
+				Chooser:    d.hooks.Chooser,
+				Metrics:    d.metrics.SubScope("dispatch"),
+				Sharers:    func() int { return entriesOf(m.Snapshot(), d.self.Region) },
+			})
+		},
+		start: plain((*dispatch.Dispatcher).Start),
+		stop:  plain((*dispatch.Dispatcher).Stop),
+	}
 }
 
-func (d *Daemon) makeOrders(p *parts) error {
-	o := orderer.Options{
-		Store:       p.store,
-		Source:      p.syncer,
-		Clock:       d.clock,
-		Region:      d.self.Region,
-		Instance:    d.self.Instance,
-		Incarnation: d.self.Incarnation,
-		Ended:       ended(p),
-		Log:         d.log,
-		Metrics:     d.metrics,
-	}
-	if problems := o.Validate(); len(problems) > 0 {
-		return errors.Join(problems...)
+func (d *Daemon) operationsService() kernel.Service {
+	return &service[*operations.Service]{
+		name:     nameOperations,
+		requires: []string{nameStore, nameTransport, nameConfig, nameLimits, nameDispatch},
+		build: func(r *kernel.Registry) (*operations.Service, error) {
+			o := operations.DefaultOptions()
+			o.Network = find[*peer.Transport](r, nameTransport)
+			o.Store = find[platform.Store](r, nameStore)
+			o.Slots = find[*limits.Service](r, nameLimits)
+			o.Config = find[*configsync.Syncer](r, nameConfig)
+			o.Runner = lateRunner{r}
+			o.Clock = d.clock
+			o.Secrets = d.settings.secrets()
+			o.Logger = d.log
+			return operations.New(o)
+		},
+		start: plain((*operations.Service).Start),
+		stop:  func(ctx context.Context, s *operations.Service) error { return s.Stop(ctx) },
 	}
-	p.orders = orderer.New(o)
-	return nil
 }
 
-func (d *Daemon) makeOperator(p *parts) error {
-	d.backend = &backend{daemon: d, parts: p}
-	o := operator.Options{
-		Addr:     d.settings.OperatorAddr,
-		Listener: d.listeners.operator,
-		Token:    d.settings.OperatorToken,
-		Backend:  d.backend,
-		Metrics:  d.metrics.Handler,
-		Log:      d.log,
-	}
-	if problems := o.Validate(); len(problems) > 0 {
-		return errors.Join(problems...)
+func (d *Daemon) gatewayService() kernel.Service {
+	return &service[*gateway.Gateway]{
+		name: nameGateway,
+		requires: []string{
+			nameTransport, nameConfig, nameRegions, nameMembers, nameLimits, nameDispatch, nameOperations, nameOperator,
+		},
+		build: func(r *kernel.Registry) (*gateway.Gateway, error) {
+			source := find[*configsync.Syncer](r, nameConfig)
+			return gateway.New(gateway.Options{
+				Region:     d.self.Region,
+				Source:     source,
+				Limiter:    find[*limits.Service](r, nameLimits),
+				Dispatcher: find[*dispatch.Dispatcher](r, nameDispatch),
+				Operations: find[*operations.Service](r, nameOperations),
+				Network:    find[*peer.Transport](r, nameTransport),
+				Entries:    entryRanking{find[*members.Service](r, nameMembers), source},
+				Regions:    find[*regionLoads](r, nameRegions),
+				Clock:      d.clock,
+				Logger:     d.log,
+				Metrics:    d.metrics,
+				StopDelay:  d.settings.StopDelay,
+			})
+		},
+		start: plain(d.serve),
+		stop:  d.stopGateway,
 	}
-	p.operator = operator.NewServer(o)
-	return nil
 }
 
-// services gives the parts their order. Stops run in reverse: the gateway finishes its callers first, then records and
-// shares are handed over, and the sessions to other instances end last.
-func (d *Daemon) services(p *parts) []kernel.Service {
-	list := []*part{
-		{name: nameTransport,
-			start: func(context.Context) error { d.startTransport(p); return nil },
-			stop:  func(ctx context.Context) error { d.stopReloads(); return p.transport.Close(ctx) }},
-		{name: nameConfig, requires: []string{nameTransport}, start: p.syncer.Start, stop: p.syncer.Stop},
-		{name: nameMembers, requires: []string{nameConfig, nameDispatch},
-			start: func(ctx context.Context) error { p.members.Start(); return nil },
-			stop:  func(context.Context) error { p.members.Close(); return nil }},
-		{name: nameLimits, requires: []string{nameMembers}, start: p.limits.Start, stop: p.limits.Stop},
-		{name: nameDispatch, requires: []string{nameConfig},
-			start: func(context.Context) error { p.dispatch.Start(); return nil },
-			stop:  func(context.Context) error { p.dispatch.Stop(); return nil }},
-		{name: nameOperations, requires: []string{nameLimits, nameDispatch},
-			start: func(context.Context) error { p.ops.Start(); return nil }, stop: p.ops.Stop},
-		{name: nameOrders, requires: []string{nameMembers}, start: p.orders.Start, stop: p.orders.Stop},
-		{name: nameOperator, requires: []string{nameLimits}, start: p.operator.Start, stop: p.operator.Stop},
-		{name: nameGateway, requires: []string{nameOperations, nameOperator},
-			start: func(context.Context) error { d.serve(p.gateway); return nil },
-			stop:  func(ctx context.Context) error { return d.stopGateway(ctx, p) }},
-	}
-	out := make([]kernel.Service, len(list))
-	for i, s := range list {
-		out[i] = s
+func (d *Daemon) ordersService() kernel.Service {
+	return &service[*orderer.Service]{
+		name:     nameOrders,
+		requires: []string{nameStore, nameConfig, nameMembers},
+		build: func(r *kernel.Registry) (*orderer.Service, error) {
+			source := find[*configsync.Syncer](r, nameConfig)
+			o := orderer.Options{
+				Store:       find[platform.Store](r, nameStore),
+				Source:      source,
+				Clock:       d.clock,
+				Region:      d.self.Region,
+				Instance:    d.self.Instance,
+				Incarnation: d.self.Incarnation,
+				Ended:       ended(source, find[*members.Service](r, nameMembers)),
+				Log:         d.log,
+				Metrics:     d.metrics,
+			}
+			return orderer.New(o), errors.Join(o.Validate()...)
+		},
+		start: func(ctx context.Context, s *orderer.Service) error { return s.Start(ctx) },
+		stop:  func(ctx context.Context, s *orderer.Service) error { return s.Stop(ctx) },
 	}
-	return out
 }
 
-// startTransport takes sessions, and new certificates at each SIGHUP.
-func (d *Daemon) startTransport(p *parts) {
-	p.transport.Start()
-	ctx, cancel := context.WithCancel(context.Background())
-	d.stopReloads = cancel
-	go p.transport.ReloadOnHangup(ctx, d.settings.credentials)
+func (d *Daemon) operatorService() kernel.Service {
+	return &service[*operator.Server]{
+		name:     nameOperator,
+		requires: []string{nameTransport, nameConfig, nameLimits, nameOrders},
+		build: func(r *kernel.Registry) (*operator.Server, error) {
+			d.backend = &backend{daemon: d, registry: r}
+			o := operator.Options{
+				Addr:     d.settings.OperatorAddr,
+				Listener: d.listeners.operator,
+				Token:    d.settings.OperatorToken,
+				Backend:  d.backend,
+				Metrics:  d.metrics.Handler,
+				Log:      d.log,
+			}
+			return operator.NewServer(o), errors.Join(o.Validate()...)
+		},
+		start: func(ctx context.Context, s *operator.Server) error { return s.Start(ctx) },
+		stop:  func(ctx context.Context, s *operator.Server) error { return s.Stop(ctx) },
+	}
 }
 
 func (d *Daemon) serve(g *gateway.Gateway) {
@@ -324,18 +325,18 @@
 	}()
 }
 
+// leaveTimeout bounds the announcement of a planned stop to the platform.
+const leaveTimeout = 2 * time.Second
+
 // stopGateway tells callers and instances first, then waits for the requests in flight.
-func (d *Daemon) stopGateway(ctx context.Context, p *parts) error {
+func (d *Daemon) stopGateway(ctx context.Context, g *gateway.Gateway) error {
 	d.leaving.Store(true)
-	p.gateway.Drain()
+	g.Drain()
 	announceCtx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	if err := p.members.Leave(announceCtx); err != nil {
+	if err := find[*members.Service](d.backend.registry, nameMembers).Leave(announceCtx); err != nil {
 		// The list may be out; heartbeats still tell the other instances.
 		d.log.Warn("platform's list was not told of the planned stop", zap.Error(err))
 	}
-	return p.gateway.Shutdown(ctx)
+	return g.Shutdown(ctx)
 }
-
-// leaveTimeout bounds the announcement of a planned stop to the platform.
-const leaveTimeout = 2 * time.Second
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"strings"
 
@@ -34,15 +35,20 @@
 	return k, nil
 }
 
-// prepare provisions and validates every service, even after a problem, so that all are reported together.
+// prepare provisions and validates every service, even after a problem, so that all are reported together. A service that
+// requires one that failed is left out, since it could only repeat the problem.
 func (k *Kernel) prepare() []error {
 	var problems []error
+	failed := make(map[string]bool)
 	for _, s := range k.order {
-		if p, ok := s.(Provisioner); ok {
-			if err := p.Provision(k.registry); err != nil {
-				problems = append(problems, errors.Wrapf(err, "%s: provision", s.Name()))
-				continue
-			}
+		if slices.ContainsFunc(requirements(s), func(name string) bool { return failed[name] }) {
+			failed[s.Name()] = true
+			continue
+		}
+		if err := k.provision(s); err != nil {
+			failed[s.Name()] = true
+			problems = append(problems, errors.Wrapf(err, "%s: provision", s.Name()))
+			continue
 		}
 		if v, ok := s.(Validator); ok {
 			for _, err := range v.Validate() {
@@ -53,6 +59,13 @@
 	return problems
 }
 
+func (k *Kernel) provision(s Service) error {
+	if p, ok := s.(Provisioner); ok {
+		return p.Provision(k.registry)
+	}
+	return nil
+}
+
 // Start starts the services in order. If one fails, those already started are stopped.
 func (k *Kernel) Start(ctx context.Context) error {
 	for _, s := range k.order {
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -12,17 +12,22 @@
 )
 
 type fake struct {
-	name     string
-	requires []string
-	invalid  []error
-	startErr error
-	journal  *[]string
+	name         string
+	requires     []string
+	invalid      []error
+	provisionErr error
+	startErr     error
+	journal      *[]string
 }
 
 func (f *fake) Name() string       { return f.name }
 func (f *fake) Requires() []string { return f.requires }
 func (f *fake) Validate() []error  { return f.invalid }
 
+func (f *fake) Provision(*Registry) error {
+	return f.provisionErr
+}
+
 func (f *fake) Start(context.Context) error {
 	if f.startErr == nil {
 		*f.journal = append(*f.journal, "start "+f.name)
@@ -142,3 +147,20 @@
 		t.Error("a malformed name was accepted")
 	}
 }
+
+// Guards against a panic or a misleading second problem in a service whose requirement could not be provisioned.
+func TestServicesOfFailedOnesAreLeftOut(t *testing.T) {
+	var journal []string
+	_, err := New(registry(t,
+		&fake{name: "a", provisionErr: errors.New("no certificate"), journal: &journal},
+		&fake{name: "b", requires: []string{"a"}, provisionErr: errors.New("a is missing"), journal: &journal},
+		&fake{name: "c", requires: []string{"b"}, invalid: []error{errors.New("b is missing")}, journal: &journal},
+		&fake{name: "d", invalid: []error{errors.New("port is 0")}, journal: &journal},
+	), zap.NewNop())
+	if err == nil || !strings.Contains(err.Error(), "no certificate") || !strings.Contains(err.Error(), "port is 0") {
+		t.Fatalf("error is %v", err)
+	}
+	if strings.Contains(err.Error(), "is missing") {
+		t.Errorf("problems of services that require the failed one are reported: %v", err)
+	}
+}
