Ask borrowers for tokens, and look at the peers again on shortage

It now asks its borrowers too, on shortage and when rebalancing. They are read again before a request waits.

--- a/internal/core/ratelimit/loan.go
+++ b/internal/core/ratelimit/loan.go
@@ -124,9 +124,9 @@
 		l.takeReturn(a, from, r)
 	}
 	answer.Extended = l.extend(now, a, from, ask.Extend)
-	for _, x := range a.given {
-		if x.other != from && !slices.Contains(answer.Holders, x.other) {
-			answer.Holders = append(answer.Holders, x.other)
+	for _, other := range a.borrowers() {
+		if other != from {
+			answer.Holders = append(answer.Holders, other)
 		}
 	}
 	if ask.Fanout == 0 {
@@ -427,6 +427,11 @@
 		var givers []string
 		if left > 0 {
 			givers = owners(x.name)
+			for _, other := range l.accounts[x.name].borrowers() {
+				if !slices.Contains(givers, other) {
+					givers = append(givers, other)
+				}
+			}
 			left -= len(givers)
 		}
 		l.rebalance(now, x.name, l.accounts[x.name], givers, out)
@@ -483,6 +488,25 @@
 	}
 }
 
+// Borrowers returns the holders that this one has lent an organisation's share to. They may have tokens when this one has
+// none, even if they own no slot.
+func (l *Ledger) Borrowers(organisation string) []string {
+	if a := l.accounts[organisation]; a != nil {
+		return a.borrowers()
+	}
+	return nil
+}
+
+func (a *account) borrowers() []string {
+	var out []string
+	for _, x := range a.given {
+		if !slices.Contains(out, x.other) {
+			out = append(out, x.other)
+		}
+	}
+	return out
+}
+
 // givers returns the holders that this one has taken loans from.
 func (a *account) givers() []string {
 	var out []string
--- a/internal/core/ratelimit/pull.go
+++ b/internal/core/ratelimit/pull.go
@@ -185,15 +185,15 @@
 	}
 }
 
-// owners returns the holders of the organisation's slots in this region, or in the others.
+// owners returns the holders of the organisation's slots in this region, or in the others, and those that have loans from here.
 func (p *Puller) owners(now clock.Instant, organisation string, inRegion bool, x *pull) []string {
 	var names []string
-	for _, x := range p.ledger.Slots(now, organisation) {
-		if (x.Slot.Region == p.opts.Region) == inRegion {
-			names = append(names, p.fleet.Owner(x.Slot))
+	for _, slot := range p.ledger.Slots(now, organisation) {
+		if (slot.Slot.Region == p.opts.Region) == inRegion {
+			names = append(names, p.fleet.Owner(slot.Slot))
 		}
 	}
-	return p.pick(names, inRegion, x)
+	return p.pick(append(names, p.ledger.Borrowers(organisation)...), inRegion, x)
 }
 
 // pick returns the holders of this region, or of the others, that answer and were not asked in the round, and marks them.
--- a/internal/limits/service.go
+++ b/internal/limits/service.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
@@ -190,7 +191,11 @@
 
 // Admit takes tokens for a request.
 func (s *Service) Admit(ctx context.Context, organisation string, tokens int64) (Charge, error) {
-	w, charge, err := s.admitOrQueue(ctx, organisation, float64(tokens))
+	w, charge, err := s.admitOrQueue(ctx, organisation, float64(tokens), false)
+	if errors.Is(err, errShort) {
+		s.notePeers() // a peer may have come since the last second
+		w, charge, err = s.admitOrQueue(ctx, organisation, float64(tokens), true)
+	}
 	if w == nil {
 		return charge, err
 	}
@@ -203,19 +208,26 @@
 	return Charge{}, ctx.Err()
 }
 
-// admitOrQueue admits from this holder's own tokens, refuses, or queues the request for a pull.
-func (s *Service) admitOrQueue(ctx context.Context, organisation string, tokens float64) (*waiter, Charge, error) {
+// errShort reports that a request would have to wait for tokens of other instances.
+var errShort = errors.New("tokens are short")
+
+// admitOrQueue admits from this holder's own tokens, refuses, or queues the request for a pull. If queue is false it reports
+// errShort instead of queueing.
+func (s *Service) admitOrQueue(ctx context.Context, organisation string, tokens float64, queue bool) (*waiter, Charge, error) {
 	now := s.opts.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if tokens < 0 || !s.ledger.Offer(now, organisation, tokens) {
+	if !queue && (tokens < 0 || !s.ledger.Offer(now, organisation, tokens)) {
 		return nil, Charge{}, &RefusedError{organisation, maxRetryAfter, "organisation is not declared"}
 	}
 	if id, ok := s.ledger.Admit(now, organisation, tokens); ok {
 		return nil, Charge{ID: id, Organisation: organisation, Tokens: int64(tokens)}, nil
 	}
+	if !queue {
+		return nil, Charge{}, errShort
+	}
 	declared := s.conf.view.Organisation(organisation)
-	if tokens > declared.Burst {
+	if declared == nil || tokens > declared.Burst {
 		return nil, Charge{}, &RefusedError{organisation, maxRetryAfter, "request is larger than the burst"}
 	}
 	if s.stopping {
--- a/internal/limits/service_test.go
+++ b/internal/limits/service_test.go
@@ -77,6 +77,32 @@
 	f.check("acme", 3000, 30000)
 }
 
+// An instance without a slot serves by borrowing at once, and the owner that has lent everything gets it back on shortage.
+func TestInstanceWithoutSlot(t *testing.T) {
+	f := newFleet(t, view(1, []config.Region{{Name: "lima", Slots: 1}}, acme(3000, 30000)))
+	f.start("lima-1")
+	f.run(15)
+	f.start("lima-2")
+	owner, other := f.services["lima-1"], f.services["lima-2"]
+	if err := other.refresh(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		if _, err := other.Admit(context.Background(), "acme", 8000); err != nil {
+			t.Fatalf("instance without a slot: %v", err)
+		}
+		f.run(3)
+		f.check("acme", 3000, 30000)
+	}
+	if u, _ := owner.Usage("acme"); u.Given.Rate == 0 {
+		t.Fatal("no rate was lent to the instance with all the demand")
+	}
+	if _, err := owner.Admit(context.Background(), "acme", 12000); err != nil {
+		t.Fatalf("owner that has lent its share: %v", err)
+	}
+	f.check("acme", 3000, 30000)
+}
+
 // A request whose deadline has no room for another region is refused without asking there.
 func TestNoRoomForOtherRegions(t *testing.T) {
 	f := newFleet(t, view(1, twoRegions(), acme(300, 3000)))
