--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -37,21 +37,20 @@
 
 // load is what is known of an endpoint's work. It is guarded by Dispatcher.mu.
 type load struct {
-	inFlight       int
-	inFlightTokens float64
-	pending        float64 // own prompt tokens that the endpoint has not worked through
-	foreign        int     // requests of other instances, as reported
-	foreignTokens  float64 // their waiting tokens
-	last           ownWork // at the last report
-	reportedAt     clock.Instant
-	reportedTotal  int // requests in the last report, whoever sent them
-	reported       bool
-	health         routing.Health
-	prefix         *routing.PrefixCache
-	sequence       int64 // of the last cache event
-	gone           bool  // no longer configured
-	silent         int   // load reports in a row that did not come
-	attempts       map[*attemptWatch]struct{}
+	inFlight      int
+	pending       float64 // own prompt tokens that the endpoint has not worked through
+	foreign       int     // requests of other instances, as reported
+	foreignTokens float64 // their waiting tokens
+	last          ownWork // at the last report
+	reportedAt    clock.Instant
+	reportedTotal int // requests in the last report, whoever sent them
+	reported      bool
+	health        routing.Health
+	prefix        *routing.PrefixCache
+	sequence      int64 // of the last cache event
+	gone          bool  // no longer configured
+	silent        int   // load reports in a row that did not come
+	attempts      map[*attemptWatch]struct{}
 }
 
 // ownWork is this instance's work at an endpoint. A report lags, so that it may still count work that has ended since; the
--- a/internal/dispatch/errors.go
+++ b/internal/dispatch/errors.go
@@ -28,7 +28,6 @@
 	CodeEndpointError = "endpoint_failed"
 	CodeTruncated     = "answer_incomplete"
 	CodeTimeout       = "deadline_exceeded"
-	CodeCancelled     = "cancelled"
 )
 
 func overloaded(message string, after time.Duration) *Error {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -235,7 +235,6 @@
 	e := open[i]
 	d.metrics.attempts.Inc(1)
 	e.load.inFlight++
-	e.load.inFlightTokens += w.tokens
 	prefill := max(w.prompt-cands[i].CachedTokens, 0)
 	e.load.pending += prefill
 	e.load.prefix.Stored(w.blocks, now)
@@ -298,7 +297,6 @@
 	defer d.mu.Unlock()
 	l.dropPrefill()
 	l.endpoint.load.inFlight--
-	l.endpoint.load.inFlightTokens -= l.tokens
 	for _, p := range d.pools {
 		if p.queue.Len() > 0 {
 			d.pump(p)
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -39,6 +39,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*countedConn); ok {
 			got.Store(c)
+			c.check.Store(nil) // of an earlier request that was never written
 			if check != nil {
 				c.check.Store(&gate)
 			}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -83,11 +83,11 @@
 		var err error
 		switch part := m.Part.(type) {
 		case *wire.ForwardResponse_Head:
-			err = call1(sink.head, part.Head)
+			err = deliver(sink.head, part.Head)
 		case *wire.ForwardResponse_Body:
-			err = call1(sink.body, part.Body)
+			err = deliver(sink.body, part.Body)
 		case *wire.ForwardResponse_Event:
-			err = call1(sink.event, part.Event)
+			err = deliver(sink.event, part.Event)
 		case *wire.ForwardResponse_End:
 			if part.End.Code != "" {
 				return nil, endError(part.End)
@@ -115,7 +115,7 @@
 
 var errUnexpectedPart = errors.New("the peer's answer has another form than the request asks for")
 
-func call1[T any](f func(T) error, v T) error {
+func deliver[T any](f func(T) error, v T) error {
 	if f == nil {
 		return errUnexpectedPart
 	}
