--- a/internal/experiment/capacity/capacity_test.go
+++ b/internal/experiment/capacity/capacity_test.go
@@ -23,6 +23,7 @@
 func TestSections(t *testing.T) {
 	for _, name := range SectionNames() {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel() // most sections wait for periods of a daemon
 			r, err := Run(t.Context(), smallOptions(name))
 			if err != nil {
 				t.Fatal(err)
--- a/internal/experiment/capacity/measure.go
+++ b/internal/experiment/capacity/measure.go
@@ -61,6 +61,12 @@
 	return out
 }
 
+// threeSizes returns a quarter, half and all of a size, for experiments that take seconds at each.
+func threeSizes(full int) []int {
+	s := sizes(full)
+	return s[len(s)-3:]
+}
+
 // points pairs sizes with values.
 func points(at []int, values []float64) []Point {
 	out := make([]Point, len(at))
