--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -81,7 +81,6 @@
 	orders    *orderer.Service
 	operator  *operator.Server
 	regions   *regionLoads
-	endpoints *endpointStates
 }
 
 // Services makes the components and returns them as services, in no order. It is called once.
@@ -170,7 +169,7 @@
 			Incarnation: d.self.Incarnation,
 			CallerAddr:  d.CallerAddr(),
 			PeerAddr:    d.PeerAddr(),
-			OperatorURL: or(d.settings.AdvertiseOperatorAddr, d.settings.OperatorAddr),
+			OperatorURL: d.OperatorAddr(),
 		},
 		Payload:   func() members.Payload { return payload(p.limits.AppliedRevision(), p.dispatch.Loads()) },
 		OnPayload: p.regions.received,
@@ -181,7 +180,6 @@
 		return err
 	}
 	p.regions.snapshot = p.members.Snapshot
-	p.endpoints = newEndpointStates(p.list, p.members, d.log)
 	return nil
 }
 
@@ -206,9 +204,11 @@
 		Source:     p.syncer,
 		Clock:      d.clock,
 		Logger:     d.log,
-		States:     p.endpoints,
+		States:     endpointStates{p.members},
 		Dial:       d.hooks.DialEndpoint,
 		Chooser:    d.hooks.Chooser,
+		Metrics:    d.metrics.SubScope("dispatch"),
+		Sharers:    func() int { return entriesOf(p.members.Snapshot(), d.self.Region) },
 	})
 	return err
 }
@@ -263,11 +263,12 @@
 func (d *Daemon) makeOperator(p *parts) error {
 	d.backend = &backend{daemon: d, parts: p}
 	o := operator.Options{
-		Addr:    d.settings.OperatorAddr,
-		Token:   d.settings.OperatorToken,
-		Backend: d.backend,
-		Metrics: d.metrics.Handler,
-		Log:     d.log,
+		Addr:     d.settings.OperatorAddr,
+		Listener: d.listeners.operator,
+		Token:    d.settings.OperatorToken,
+		Backend:  d.backend,
+		Metrics:  d.metrics.Handler,
+		Log:      d.log,
 	}
 	if problems := o.Validate(); len(problems) > 0 {
 		return errors.Join(problems...)
@@ -285,8 +286,8 @@
 			stop:  func(ctx context.Context) error { d.stopReloads(); return p.transport.Close(ctx) }},
 		{name: nameConfig, requires: []string{nameTransport}, start: p.syncer.Start, stop: p.syncer.Stop},
 		{name: nameMembers, requires: []string{nameConfig, nameDispatch},
-			start: func(ctx context.Context) error { p.members.Start(); p.endpoints.start(); return nil },
-			stop:  func(context.Context) error { p.endpoints.stop(); p.members.Close(); return nil }},
+			start: func(ctx context.Context) error { p.members.Start(); return nil },
+			stop:  func(context.Context) error { p.members.Close(); return nil }},
 		{name: nameLimits, requires: []string{nameMembers}, start: p.limits.Start, stop: p.limits.Stop},
 		{name: nameDispatch, requires: []string{nameConfig},
 			start: func(context.Context) error { p.dispatch.Start(); return nil },
--- a/internal/limits/fake_test.go
+++ b/internal/limits/fake_test.go
@@ -26,6 +26,7 @@
 	cut      map[string]bool // instances that nobody reaches and that reach nobody
 	loseNext map[string]int  // by service: calls that run and lose their answer
 	calls    map[string]int  // by service
+	gate     chan struct{}   // calls wait until it is closed, if not nil
 }
 
 type fakeMember struct {
@@ -63,6 +64,7 @@
 	target := m.net.members[to]
 	cut := m.net.cut[to] || m.net.cut[m.self.Instance]
 	m.net.calls[service]++
+	gate := m.net.gate
 	lose := m.net.loseNext[service] > 0
 	if lose {
 		m.net.loseNext[service]--
@@ -74,6 +76,9 @@
 	if cut {
 		return peer.ErrNotSent
 	}
+	if gate != nil {
+		<-gate
+	}
 	s := &fakeStream{req: req, resp: resp}
 	if lose {
 		s.resp = resp.ProtoReflect().New().Interface()
@@ -165,6 +170,12 @@
 	l.rows = append(l.rows, platform.ListedInstance{Name: id.Instance, Region: id.Region, Incarnation: id.Incarnation})
 }
 
+func (l *fakeList) has(incarnation uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.ContainsFunc(l.rows, func(r platform.ListedInstance) bool { return r.Incarnation == incarnation })
+}
+
 func (l *fakeList) remove(incarnation uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -209,7 +220,7 @@
 func (p peersOf) Peers() []Peer {
 	var out []Peer
 	for name, id := range p.f.ids {
-		if name != p.self {
+		if name != p.self && p.f.list.has(id.Incarnation) {
 			out = append(out, Peer{Name: name, Region: id.Region, Incarnation: id.Incarnation})
 		}
 	}
@@ -261,6 +272,16 @@
 	return s
 }
 
+// stop ends an instance as planned.
+func (f *fleet) stop(name string) error {
+	s := f.crash(name)
+	f.net.setCut(name, false)
+	err := s.Stop(context.Background())
+	f.net.setCut(name, true)
+	f.list.remove(s.self.Incarnation)
+	return err
+}
+
 // pause stops an instance without its knowledge; resume goes on with it.
 func (f *fleet) pause(name string) { f.paused[name] = f.crash(name) }
 
@@ -362,6 +383,18 @@
 
 func sortedNames(m map[string]*Service) []string { return slices.Sorted(mapsKeys(m)) }
 
+func (n *fakeNetwork) setGate(gate chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.gate = gate
+}
+
+func (n *fakeNetwork) count(service string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.calls[service]
+}
+
 // loseAnswers makes the next calls of a service run without an answer.
 func (n *fakeNetwork) loseAnswers(service string, calls int) {
 	n.mu.Lock()
--- a/internal/limits/slots_test.go
+++ b/internal/limits/slots_test.go
@@ -40,10 +40,9 @@
 	f.start("lima-1", "lima-2")
 	f.run(15)
 	early := f.store.Snapshot()
-	if err := f.services["lima-1"].Stop(context.Background()); err != nil {
+	if err := f.stop("lima-1"); err != nil {
 		t.Fatal(err)
 	}
-	f.crash("lima-1")
 	f.run(15)
 	f.afterEach = func() { f.check("acme", 3000, 30000) }
 	for _, snapshot := range []memory.Snapshot{early, empty} {
@@ -98,10 +97,7 @@
 				}
 			case 4:
 				if name := pick(running()); name != "" {
-					ctx, cancel := context.WithCancel(context.Background())
-					_ = f.services[name].Stop(ctx) // fails while the store is down
-					cancel()
-					f.crash(name)
+					_ = f.stop(name) // fails while the store is down
 				}
 			case 9:
 				snapshots = append(snapshots, f.store.Snapshot())
@@ -128,3 +124,45 @@
 		f.stopAll()
 	})
 }
+
+// An instance that has passed a slot on does not take it up again from an older record while the new owner may use it.
+func TestPassedOnSlotWithOlderData(t *testing.T) {
+	f := newFleet(t, view(1, []config.Region{{Name: "lima", Slots: 2}}, acme(2000, 20000)))
+	f.start("lima-1")
+	f.run(15)
+	before := f.store.Snapshot()
+	f.start("lima-2")
+	f.run(5)
+	if n := len(f.services["lima-2"].Owned()); n != 1 {
+		t.Fatalf("the later instance owns %d slots", n)
+	}
+	f.pause("lima-2")
+	f.store.Restore(before)
+	f.afterEach = func() { f.check("acme", 2000, 20000) }
+	f.run(40)
+	f.resume("lima-2")
+	f.run(30)
+	if rate, _, _ := f.totals("acme"); !near(rate, 2000) {
+		t.Fatalf("rate %v after the new owner came back", rate)
+	}
+}
+
+// A slot whose record could not be written is not lost: the giver goes on with it, or the heir gets it later.
+func TestPassingOnWithLostWrites(t *testing.T) {
+	for _, faults := range []memory.Faults{{DropWrites: 1}, {DropAnswers: 1}} {
+		f := newFleet(t, view(1, []config.Region{{Name: "lima", Slots: 2}}, acme(2000, 20000)))
+		f.start("lima-1")
+		f.run(15)
+		f.start("lima-2")
+		f.services["lima-2"].tick()
+		if err := f.services["lima-2"].refresh(context.Background()); err != nil { // takes a lease and claims nothing
+			t.Fatal(err)
+		}
+		f.store.SetFaults(faults)
+		f.afterEach = func() { f.check("acme", 2000, 20000) }
+		f.run(40)
+		if rate, _, _ := f.totals("acme"); !near(rate, 2000) {
+			t.Fatalf("%+v: rate %v", faults, rate)
+		}
+	}
+}
