Let a few candidates a round look for the issuer's lease

Cause: each instance without the lease read the issuer's key each second, 390 reads/s of the store's 2,000 at 390 instances, linear in the fleet; a whole fleet that starts at once granted a lease each. Now four of a region's candidates look in a round on average, chosen at random, and one in ten as long as the instance list was not read. Up to four instances in a region nothing changes.

Ruled out: a longer period for all, which delays a takeover in small regions; the first few in rendezvous order, of which all may have failed with a data centre while the list still shows them.

Conclusion: a free lease is found within a round or two, tested with 2, 40 and 200 candidates; the calls no longer grow with the fleet.

--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -122,6 +122,20 @@
 // Leaving reports whether the endpoint is listed as leaving.
 func (s endpointStates) Leaving(name string) bool { return s.members.EndpointLeaving(name) }
 
+// orderCandidates returns the number of live instances of a region, 0 before the list was read.
+func orderCandidates(snapshot *membership.Snapshot, region string) int {
+	if snapshot.Version == 0 {
+		return 0
+	}
+	n := 0
+	for _, m := range snapshot.Members {
+		if m.Region == region && m.Status == membership.Live {
+			n++
+		}
+	}
+	return n
+}
+
 // backend is the instance behind the operators' port.
 type backend struct {
 	daemon *Daemon
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -250,6 +250,7 @@
 		Instance:    d.self.Instance,
 		Incarnation: d.self.Incarnation,
 		Ended:       ended(p),
+		Candidates:  func() int { return orderCandidates(p.members.Snapshot(), d.self.Region) },
 		Log:         d.log,
 		Metrics:     d.metrics,
 	}
--- a/internal/experiment/capacity/ordering.go
+++ b/internal/experiment/capacity/ordering.go
@@ -72,7 +72,7 @@
 	for i := range daemons {
 		service := orderer.New(orderer.Options{
 			Store: store, Source: view, Clock: clock.Boot{}, Region: regionName(0), Instance: rows[i].Name, Incarnation: rows[i].Incarnation,
-			Client: &http.Client{Transport: transport}, Log: zap.NewNop(), Metrics: tally.NoopScope,
+			Candidates: func() int { return daemons }, Client: &http.Client{Transport: transport}, Log: zap.NewNop(), Metrics: tally.NoopScope,
 		})
 		if err := service.Start(ctx); err != nil {
 			return r, err
--- a/internal/orderer/lease.go
+++ b/internal/orderer/lease.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -43,6 +44,7 @@
 	}
 	var err error
 	switch {
+	case s.lease == nil && !bids(s.opts.Candidates()):
 	case s.lease == nil:
 		err = s.acquire(ctx)
 	case !now.Before(s.lease.renewAt):
@@ -54,6 +56,15 @@
 	return s.lease != nil
 }
 
+// bids reports whether one of n candidates looks for the lease in this round. The choice is random, so that a lapsed lease is
+// found within a round or two whoever has failed.
+func bids(n int) bool {
+	if n <= 0 {
+		n = unknownCandidates
+	}
+	return n <= bidsPerRound || rand.IntN(n) < bidsPerRound
+}
+
 func (s *Service) acquire(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/internal/orderer/options.go
+++ b/internal/orderer/options.go
@@ -27,6 +27,11 @@
 	generationBlock = 100
 	maxStateBytes   = 1 << 20
 	maxLoadsDefault = 2
+	// bidsPerRound is how many candidates of a region look for the lease in a round, on average. With one look of each, the
+	// store's calls would grow with the fleet: 390 reads/s of 2,000 at 390 instances.
+	bidsPerRound = 4
+	// unknownCandidates is taken for their number before the instance list was read, as when a whole fleet starts at once.
+	unknownCandidates = 40
 )
 
 // Options are the settings of a Service.
@@ -38,12 +43,15 @@
 	Instance    string
 	Incarnation uint64
 	// Ended reports whether an incarnation is known to have ended for good. Nil: never known.
-	Ended    func(instance string, incarnation uint64) bool
-	Client   *http.Client  // towards endpoints; nil: a client without redirects
-	Period   time.Duration // between rounds; 0: DefaultPeriod
-	MaxLoads int           // loads under way at once; 0: 2
-	Log      *zap.Logger
-	Metrics  tally.Scope
+	Ended func(instance string, incarnation uint64) bool
+	// Candidates returns the number of instances of the region that may hold the lease, this one included, 0 if it is not
+	// known yet. Nil: this is the only one.
+	Candidates func() int
+	Client     *http.Client  // towards endpoints; nil: a client without redirects
+	Period     time.Duration // between rounds; 0: DefaultPeriod
+	MaxLoads   int           // loads under way at once; 0: 2
+	Log        *zap.Logger
+	Metrics    tally.Scope
 }
 
 // Validate returns every problem of the options.
@@ -71,6 +79,9 @@
 	if o.Ended == nil {
 		o.Ended = func(string, uint64) bool { return false }
 	}
+	if o.Candidates == nil {
+		o.Candidates = func() int { return 1 }
+	}
 	if o.Client == nil {
 		o.Client = &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	}
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -176,3 +177,55 @@
 		t.Errorf("blocked after the predecessor's end: %+v", blocked)
 	}
 }
+
+// Guards against candidates whose looks for the lease grow with the fleet, and against a lapsed lease that nobody looks for.
+func TestCandidatesLookInTurns(t *testing.T) {
+	const rounds = 50
+	for _, n := range []int{2, 40, 200} {
+		store := memory.NewStore(memory.StoreOptions{Clock: clock.Boot{}})
+		source, _ := fleet(t, 0, false, "1")
+		var services []*Service
+		for i := range n {
+			s := newService(t, store, source, fmt.Sprintf("lima-%d", i), uint64(i+1))
+			s.opts.Candidates = func() int { return n }
+			services = append(services, s)
+		}
+		issuer := -1
+		for took := 0; issuer < 0; took++ {
+			for i, s := range services {
+				if s.hold(t.Context()) {
+					issuer = i
+					break
+				}
+			}
+			if took > 20 {
+				t.Fatalf("%d candidates: nobody took a free lease in %d rounds", n, took)
+			}
+		}
+		before := store.Counts().Calls[memory.KindGet]
+		for range rounds {
+			for i, s := range services {
+				if i != issuer && s.hold(t.Context()) {
+					t.Fatal("two issuers at once")
+				}
+			}
+		}
+		perRound := float64(store.Counts().Calls[memory.KindGet]-before) / rounds
+		if perRound > 1.5*bidsPerRound {
+			t.Errorf("%d candidates look %.1f times a round", n, perRound)
+		}
+	}
+}
+
+// Guards against a whole fleet that looks at once when it starts and no instance has read the list.
+func TestUnknownNumberOfCandidates(t *testing.T) {
+	looks := 0
+	for range 4000 {
+		if bids(0) {
+			looks++
+		}
+	}
+	if part := float64(looks) / 4000; part < 0.05 || part > 0.2 {
+		t.Errorf("%.2f of the candidates look in a round", part)
+	}
+}
