Read few endpoints back while no order is due

Cause: the issuer of a region read the state of each of its endpoints each second. At the 261 engines of the largest region that is 87 KB/s of a daemon's 21 KB/s for control, although nothing changes most of the time. Now a quiet issuer reads a thirtieth of them a round, eight at least, and those that it has never reached. As soon as a read-back, an order under way or a new target shows a change, it reads all each round, so that every decision still rests on read-backs of at most 5 s.

Ruled out: a longer period alone, which would leave read-backs older than orders.MaxObservationAge when a change is due; reading only the endpoint that changes, because the ready copies of the others decide.

Regions of up to eight endpoints are read as before.

Conclusion: the issuer stays under its limit while quiet. During a change it takes 87 KB/s at one daemon of the largest region for its duration.

--- a/internal/core/orders/orders.go
+++ b/internal/core/orders/orders.go
@@ -181,6 +181,26 @@
 // Generation returns the highest generation given out, for the intent record.
 func (s *Issuer) Generation() int64 { return s.generation }
 
+// Quiet reports whether nothing is under way and each endpoint that was read back has its target, as of its last read-back of any
+// age. A decision that changes an endpoint needs fresh read-backs of all.
+func (s *Issuer) Quiet() bool {
+	if s.term == nil || len(s.sent) > 0 {
+		return false
+	}
+	for name, seen := range s.observed {
+		if target, wanted := s.targets[name]; wanted && s.change(target, seen.models) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Known reports whether an endpoint was ever read back.
+func (s *Issuer) Known(endpoint string) bool {
+	_, ok := s.observed[endpoint]
+	return ok
+}
+
 // MaySend reports whether an order may leave now. The caller checks it right before the first byte, since the process may have been paused
 // after Next.
 func (s *Issuer) MaySend(o Order, now clock.Instant) bool {
--- a/internal/orderer/options.go
+++ b/internal/orderer/options.go
@@ -27,6 +27,10 @@
 	generationBlock = 100
 	maxStateBytes   = 1 << 20
 	maxLoadsDefault = 2
+	// A state takes 330 bytes with its headers. While nothing is to be changed, a region's endpoints are read over quietRounds,
+	// minQuietReads of them a round at least: 3 KB/s at 261 endpoints, where reading all takes 87 KB/s of a daemon's 21.
+	quietRounds   = 30
+	minQuietReads = 8
 	// bidsPerRound is how many candidates of a region look for the lease in a round, on average. With one look of each, the
 	// store's calls would grow with the fleet: 390 reads/s of 2,000 at 390 instances.
 	bidsPerRound = 4
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -12,6 +12,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/config"
 	"dogwoodknot.example/dogwoodknot/internal/configsync"
+	"dogwoodknot.example/dogwoodknot/internal/core/orders"
 	"dogwoodknot.example/dogwoodknot/internal/platform/memory"
 	"dogwoodknot.example/dogwoodknot/internal/standin"
 )
@@ -229,3 +230,66 @@
 		t.Errorf("%.2f of the candidates look in a round", part)
 	}
 }
+
+// stateReads counts the read-backs by address, without passing them on.
+type stateReads map[string]int
+
+func (r stateReads) endpoints(n int) []config.Endpoint {
+	var out []config.Endpoint
+	for i := range n {
+		out = append(out, config.Endpoint{Name: fmt.Sprintf("taller-lm-%03d", i), Models: []string{"taller-lm"}})
+	}
+	return out
+}
+
+// Guards against control traffic that grows with the endpoints while nothing changes, against an endpoint that is never read, and
+// against a change that is decided on read-backs of some endpoints only.
+func TestReadsWhileNothingChanges(t *testing.T) {
+	const n = 261 // engines of the largest region in two years
+	source, _ := fleet(t, 0, false, "1")
+	s := newService(t, memory.NewStore(memory.StoreOptions{Clock: clock.Boot{}}), source, "lima-1", 1)
+	if !s.hold(t.Context()) {
+		t.Fatal("instance did not become the issuer")
+	}
+	reads := stateReads{}
+	endpoints := reads.endpoints(n)
+	round := func(version string) int {
+		source.general.Models[0].Version = version
+		s.issuer.SetTargets(targets(&source.general, endpoints))
+		s.issuer.Acquired(s.term(), 0)
+		due := s.dueReads(endpoints)
+		for _, e := range due {
+			reads[e.Name]++
+			state := orders.ModelState{Target: orders.Target{Version: "1"}, Ready: true}
+			s.issuer.Observed(e.Name, map[string]orders.ModelState{"taller-lm": state}, s.opts.Clock.Now())
+		}
+		return len(due)
+	}
+	if due := round("1"); due != n {
+		t.Errorf("%d of %d unknown endpoints are read", due, n)
+	}
+	clear(reads)
+	for range quietRounds {
+		if due := round("1"); due > 9 {
+			t.Fatalf("%d endpoints are read in a round without a change", due)
+		}
+	}
+	if len(reads) != n {
+		t.Errorf("%d of %d endpoints were read in %d rounds", len(reads), n, quietRounds)
+	}
+	if due := round("2"); due != n {
+		t.Errorf("%d of %d endpoints are read for a change", due, n)
+	}
+}
+
+// Guards against a small region that is read less often than before: its traffic is small anyway.
+func TestSmallRegionIsReadEachRound(t *testing.T) {
+	source, _ := fleet(t, 0, false, "1")
+	s := newService(t, memory.NewStore(memory.StoreOptions{Clock: clock.Boot{}}), source, "lima-1", 1)
+	endpoints := stateReads{}.endpoints(minQuietReads)
+	for range 3 {
+		if due := s.dueReads(endpoints); len(due) != len(endpoints) {
+			t.Errorf("%d of %d endpoints are read", len(due), len(endpoints))
+		}
+	}
+}
--- a/internal/orderer/service.go
+++ b/internal/orderer/service.go
@@ -16,7 +16,9 @@
 	opts   Options
 	issuer *orders.Issuer // owned by the loop
 	lease  *lease         // owned by the loop
-	client endpointClient
+	// nextRead is the index of the endpoint at which the next quiet round starts to read. Owned by the loop.
+	nextRead int
+	client   endpointClient
 
 	stop context.CancelFunc
 	done chan struct{}
@@ -91,7 +93,7 @@
 	}
 }
 
-// round holds the lease, reads all endpoints back and sends what is due.
+// round holds the lease, reads endpoints back and sends what is due.
 func (s *Service) round(ctx context.Context) {
 	if !s.hold(ctx) {
 		s.setStatus(Status{})
@@ -100,7 +102,7 @@
 	endpoints := s.endpoints()
 	s.issuer.SetTargets(targets(s.opts.Source.View().General(), endpoints))
 	s.issuer.Acquired(s.term(), s.lease.predecessor.Generation)
-	s.readBack(ctx, endpoints)
+	s.readBack(ctx, s.dueReads(endpoints))
 	if err := s.reserve(ctx); err != nil {
 		s.opts.Log.Warn("orders wait: generations could not be recorded", zap.Error(err))
 		return
@@ -123,7 +125,26 @@
 	}
 }
 
-// readBack asks all endpoints for their state at once. An endpoint that doesn't answer keeps its old observation, which ages.
+// dueReads returns the endpoints to read back in this round: all while something is to be changed, else the unknown ones and a
+// few others in turn.
+func (s *Service) dueReads(endpoints []config.Endpoint) []config.Endpoint {
+	turn := max(minQuietReads, (len(endpoints)+quietRounds-1)/quietRounds)
+	if !s.issuer.Quiet() || turn >= len(endpoints) {
+		return endpoints
+	}
+	var due []config.Endpoint
+	from := s.nextRead
+	s.nextRead = (from + turn) % len(endpoints)
+	for i, e := range endpoints {
+		inTurn := (i-from+len(endpoints))%len(endpoints) < turn
+		if inTurn || !s.issuer.Known(e.Name) {
+			due = append(due, e)
+		}
+	}
+	return due
+}
+
+// readBack asks endpoints for their state at once. An endpoint that doesn't answer keeps its old observation, which ages.
 func (s *Service) readBack(ctx context.Context, endpoints []config.Endpoint) {
 	type result struct {
 		name   string
