--- a/internal/experiment/capacity/capacity.go
+++ b/internal/experiment/capacity/capacity.go
@@ -81,6 +81,7 @@
 	{"records", measureRecords},
 	{"slots", measureSlots},
 	{"relay", measureRelay},
+	{"restart", measureRestart},
 	{"sessions", measureWire},
 	{"polling", measurePolling},
 	{"orders", measureOrders},
