--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -39,8 +39,10 @@
 	// while the relay is silent. Default 2 s: a lost push is then repaired in time for a change to be in force
 	// everywhere within 7 s.
 	ExchangePeriod time.Duration
-	// CallTimeout bounds a call to a peer or the store, other than a watch. Default 1.5 s.
+	// CallTimeout bounds a call to a peer. Default 1.5 s.
 	CallTimeout time.Duration
+	// StoreTimeout bounds a call to the store, other than a watch. Default 3 s: a store that is slow still serves.
+	StoreTimeout time.Duration
 	// WatchPeriod is how long one watch waits. Default 3 s: a connection to the store that has gone silent looks like
 	// a watch without news, and must be noticed within the 7 s. At 15 data centres this makes 10 reads/s.
 	WatchPeriod time.Duration
@@ -52,7 +54,7 @@
 	if o.Store == nil {
 		err = errors.CombineErrors(err, errors.New("configsync: Store is missing"))
 	}
-	if o.ExchangePeriod < 0 || o.CallTimeout < 0 || o.WatchPeriod < 0 {
+	if o.ExchangePeriod < 0 || o.CallTimeout < 0 || o.StoreTimeout < 0 || o.WatchPeriod < 0 {
 		err = errors.CombineErrors(err, errors.New("configsync: periods must not be negative"))
 	}
 	return err
@@ -71,6 +73,9 @@
 	if o.CallTimeout == 0 {
 		o.CallTimeout = 1500 * time.Millisecond
 	}
+	if o.StoreTimeout == 0 {
+		o.StoreTimeout = 3 * time.Second
+	}
 	if o.WatchPeriod == 0 {
 		o.WatchPeriod = 3 * time.Second
 	}
@@ -187,7 +192,7 @@
 
 // poll reads the head from the store and brings it in force if it is higher.
 func (s *Syncer) poll(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+	call, cancel := context.WithTimeout(ctx, s.opts.StoreTimeout)
 	defer cancel()
 	head, at, err := s.store.Head(call)
 	if err != nil {
@@ -229,7 +234,7 @@
 			return err
 		}
 	}
-	call, cancel := context.WithTimeout(ctx, s.opts.CallTimeout+time.Duration(len(missing))*partTimeout)
+	call, cancel := context.WithTimeout(ctx, s.opts.StoreTimeout+time.Duration(len(missing))*partTimeout)
 	defer cancel()
 	content, err := s.store.Content(call, head, missing)
 	if err != nil {
--- a/internal/configsync/sync_test.go
+++ b/internal/configsync/sync_test.go
@@ -12,6 +12,7 @@
 
 	"dogwoodknot.example/dogwoodknot/internal/config"
 	"dogwoodknot.example/dogwoodknot/internal/configstore"
+	"dogwoodknot.example/dogwoodknot/internal/platform/memory"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -48,6 +49,7 @@
 		Store:          &client{f.kv, name},
 		ExchangePeriod: f.exchange,
 		CallTimeout:    f.timeout,
+		StoreTimeout:   f.timeout,
 		WatchPeriod:    f.watch,
 	}
 }
@@ -395,3 +397,16 @@
 		}
 	}
 }
+
+// Guards against a store that is slow for long and therefore taken for silent: changes must still come into force.
+func TestSlowStore(t *testing.T) {
+	f := newFleet(t)
+	f.exchange, f.timeout, f.watch = 0, 0, 0 // the periods of a daemon
+	f.apply(100)
+	f.startMany("lima", 2)
+	f.kv.SetFaults(memory.Faults{Latency: 2 * time.Second})
+	revision := f.apply(200) // several slow calls itself
+	start := time.Now()
+	f.waitFor(revision)
+	t.Logf("in force after %s with calls of 2 s", time.Since(start).Round(time.Millisecond))
+}
