Measure wrongful refusals with a holder that owns no slot

All holders of the experiment owned a slot, which hid that an owner did not ask its borrowers. The scenario no-slot gives both slots of a region to one of its two holders, with even load.

--- a/internal/experiment/rates/rates.go
+++ b/internal/experiment/rates/rates.go
@@ -25,10 +25,11 @@
 	StoreOut     Scenario = "store-out"      // the store is out for ten minutes with a moving peak
 	FiveTimes    Scenario = "five-times"     // five times the rate is sent, evenly
 	FiveTimesOne Scenario = "five-times-one" // five times the rate is sent to one instance
+	NoSlot       Scenario = "no-slot"        // the same load at each holder; one owns both slots of its region, another none
 )
 
 // Scenarios lists all scenarios.
-var Scenarios = []Scenario{Even, OneInstance, MovingPeak, InstanceLost, RegionCut, StoreOut, FiveTimes, FiveTimesOne}
+var Scenarios = []Scenario{Even, OneInstance, MovingPeak, InstanceLost, RegionCut, StoreOut, FiveTimes, FiveTimesOne, NoSlot}
 
 // Options of a run.
 type Options struct {
--- a/internal/experiment/rates/rates_test.go
+++ b/internal/experiment/rates/rates_test.go
@@ -10,7 +10,7 @@
 // At 60% of the rate no skew may cost an organisation its requests, and no window may ever admit more than rate and burst.
 func TestWrongfulRefusalsAtSixtyPercent(t *testing.T) {
 	limits := map[Scenario]float64{
-		Even: 0.001, OneInstance: 0.001, MovingPeak: 0.001, StoreOut: 0.001, InstanceLost: 0.01,
+		Even: 0.001, NoSlot: 0.001, OneInstance: 0.001, MovingPeak: 0.001, StoreOut: 0.001, InstanceLost: 0.01,
 	}
 	for scenario, limit := range limits {
 		r := Run(Options{Seed: 1, Scenario: scenario, Load: 0.6, Duration: 20 * time.Minute})
--- a/internal/experiment/rates/simulation.go
+++ b/internal/experiment/rates/simulation.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 	"time"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
@@ -105,7 +106,6 @@
 
 func newSimulation(o Options) *simulation {
 	s := &simulation{o: o, places: places, byName: map[string]*node{}}
-	slots := []ratelimit.Slot{{Region: "lima", Index: 0}, {Region: "lima", Index: 1}, {Region: "arequipa"}, {Region: "cusco"}}
 	for i, place := range places {
 		n := &node{sim: s, place: place, waiting: map[uint64]int{}, failed: map[string]failure{}}
 		n.ledger = ratelimit.New(ratelimit.Options{Self: place.name, FirstLoan: uint64(i) << 40})
@@ -114,11 +114,13 @@
 			InRegionTimeout: 50 * time.Millisecond, CrossRegionTimeout: 400 * time.Millisecond,
 		}, n.ledger, n)
 		n.ledger.Configure(s.instant(), configuration{o})
-		n.ledger.GainSlot(s.instant(), slots[i])
 		s.nodes = append(s.nodes, n)
 		s.byName[place.name] = n
 		s.at(time.Duration(i+1)*170*time.Millisecond, n.tick)
 	}
+	for _, slot := range []ratelimit.Slot{{Region: "lima", Index: 0}, {Region: "lima", Index: 1}, {Region: "arequipa"}, {Region: "cusco"}} {
+		s.byName[s.owner(slot)].ledger.GainSlot(s.instant(), slot)
+	}
 	return s
 }
 
@@ -169,14 +171,20 @@
 	s.result.OverRate = math.Max(s.result.OverRate, s.spent-s.o.Burst)
 }
 
-// Owner implements ratelimit.Fleet. The table of owners stays as it is while the store is out.
-func (n *node) Owner(slot ratelimit.Slot) string {
-	if slot.Region == "lima" {
-		return []string{"lima-1", "lima-2"}[slot.Index]
+// owner returns the holder of a slot. It stays as it is while the store is out.
+func (s *simulation) owner(slot ratelimit.Slot) string {
+	if slot.Region != "lima" {
+		return slot.Region + "-1"
+	}
+	if slot.Index == 1 && s.o.Scenario != NoSlot {
+		return "lima-2"
 	}
-	return slot.Region + "-1"
+	return "lima-1"
 }
 
+// Owner implements ratelimit.Fleet.
+func (n *node) Owner(slot ratelimit.Slot) string { return n.sim.owner(slot) }
+
 // Region implements ratelimit.Fleet.
 func (n *node) Region(name string) (string, bool) {
 	other := n.sim.byName[name]
@@ -298,15 +306,7 @@
 	if s.lost(n) {
 		return
 	}
-	batches := n.ledger.Rebalance(s.instant(), func(string) []string {
-		var out []string
-		for _, p := range s.places {
-			if p.name != n.place.name {
-				out = append(out, p.name)
-			}
-		}
-		return out
-	})
+	batches := n.ledger.Rebalance(s.instant(), n.owners)
 	n.ledger.Sweep(s.instant())
 	for _, p := range s.places {
 		if asks := batches[p.name]; len(asks) > 0 {
@@ -315,3 +315,14 @@
 	}
 	s.at(s.now+time.Second, n.tick)
 }
+
+// owners returns the other owners of the organisation's slots.
+func (n *node) owners(organisation string) []string {
+	var out []string
+	for _, x := range n.ledger.Slots(n.sim.instant(), organisation) {
+		if name := n.sim.owner(x.Slot); name != n.place.name && !slices.Contains(out, name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
