--- a/cmd/dogwoodctl/main_test.go
+++ b/cmd/dogwoodctl/main_test.go
@@ -39,8 +39,8 @@
 	})
 }
 
-// site is the platform and the instances of one script.
-type site struct {
+// testSite is the platform and the instances of one script.
+type testSite struct {
 	store     *standin.Store
 	list      *standin.InstanceList
 	storeURL  string
@@ -55,7 +55,7 @@
 type siteKey struct{}
 
 func setup(env *testscript.Env) error {
-	s := &site{
+	s := &testSite{
 		store:     standin.NewStore(memory.StoreOptions{}),
 		list:      standin.NewInstanceList(memory.InstanceListOptions{}),
 		instances: make(map[string]*testInstance),
@@ -85,9 +85,9 @@
 	return nil
 }
 
-func siteOf(ts *testscript.TestScript) *site { return ts.Value(siteKey{}).(*site) }
+func siteOf(ts *testscript.TestScript) *testSite { return ts.Value(siteKey{}).(*testSite) }
 
-func (s *site) interceptHead(next http.Handler) http.Handler {
+func (s *testSite) interceptHead(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPut && strings.HasSuffix(r.URL.Path, "config/head") {
 			s.mu.Lock()
@@ -148,7 +148,7 @@
 }
 
 // start starts an instance. Its incarnation is the number of instances before it plus 101.
-func (s *site) start(name, region string) error {
+func (s *testSite) start(name, region string) error {
 	kv, err := platform.NewStoreClient(platform.ClientOptions{URL: s.storeURL})
 	if err != nil {
 		return err
@@ -176,7 +176,7 @@
 	})
 }
 
-func (s *site) stopAll() {
+func (s *testSite) stopAll() {
 	for _, i := range s.instances {
 		i.stop()
 	}
@@ -285,3 +285,38 @@
 		t.Errorf("after %s: %v", time.Since(start), err)
 	}
 }
+
+// Guards against previous entitlements that are dropped while an owner of a slot, which the instance list may no longer show, can
+// still apply them.
+func TestInForceCoversSlotOwners(t *testing.T) {
+	kv := memory.NewStore(memory.StoreOptions{})
+	a := newApp(t.Context(), &settings{}, nil, &bytes.Buffer{}, &bytes.Buffer{})
+	record := func(value string) {
+		if _, err := kv.Put(t.Context(), "slots/lima/0", []byte(value), platform.PutOptions{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	reports := []report{{Incarnation: 1, Revision: 7}, {Incarnation: 2, Revision: 5}}
+	for _, tc := range []struct {
+		name, record string
+		want         int64
+	}{
+		{"owner is listed", `{"owner":{"name":"lima-1","incarnation":1}}`, 5},
+		{"slot is free", `{"owner":{"name":"","incarnation":0}}`, 5},
+		{"owner is not listed", `{"owner":{"name":"lima-9","incarnation":9}}`, 0},
+		{"predecessor is not listed", `{"owner":{"name":"lima-1","incarnation":1},"predecessors":[{"name":"lima-9","incarnation":9}]}`, 0},
+		{"record cannot be read", `[]`, 0},
+	} {
+		record(tc.record)
+		if got := a.inForce(kv, reports); got != tc.want {
+			t.Errorf("%s: revision %d, want %d", tc.name, got, tc.want)
+		}
+	}
+	record(`{"owner":{"name":"lima-1","incarnation":1}}`)
+	if got := a.inForce(kv, append(reports, report{Failure: "gone"})); got != 0 {
+		t.Errorf("revision %d with an instance that was not asked", got)
+	}
+	if got := a.inForce(kv, nil); got != 0 {
+		t.Errorf("revision %d without instances", got)
+	}
+}
