--- a/internal/limits/fake_test.go
+++ b/internal/limits/fake_test.go
@@ -401,3 +401,5 @@
 	defer n.mu.Unlock()
 	n.loseNext[service] = calls
 }
+
+func containsText(err error, text string) bool { return strings.Contains(err.Error(), text) }
