End the loops of a limiter before its slots are handed over

A refresh that ran during Stop could claim a slot after the handover; the process then ended as its owner, and the slot's rate stayed at 0 until the end of the incarnation was certain.

Ran: the package 3 times with the race detector.

--- a/internal/limits/service.go
+++ b/internal/limits/service.go
@@ -46,9 +46,13 @@
 	ownership ownership
 	stopping  bool
 
-	cancel func() // ends the loops
+	cancel func() // ends the messages to other instances
 	ctx    context.Context
 	wg     sync.WaitGroup
+
+	endLoops func()
+	loopCtx  context.Context
+	loops    sync.WaitGroup
 }
 
 var _ Limiter = (*Service)(nil)
@@ -82,6 +86,7 @@
 		InRegionTimeout: opts.InRegionTimeout, CrossRegionTimeout: opts.CrossRegionTimeout,
 	}, s.ledger, fleetView{s})
 	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.loopCtx, s.endLoops = context.WithCancel(s.ctx)
 	s.configure(opts.Config.View())
 	opts.Network.Handle(serviceBorrow, peer.Unary(s.handleBorrow))
 	opts.Network.Handle(serviceDrop, peer.Unary(s.handleDrop))
@@ -94,15 +99,15 @@
 func (s *Service) Start(context.Context) error {
 	unsubscribe := s.opts.Config.Subscribe(s.configure)
 	s.configure(s.opts.Config.View())
-	context.AfterFunc(s.ctx, unsubscribe)
+	context.AfterFunc(s.loopCtx, unsubscribe)
 	s.loop(func() time.Duration {
 		s.tick()
 		return tickPeriod
 	})
 	s.loop(func() time.Duration {
-		ctx, cancel := context.WithTimeout(s.ctx, s.renewInterval())
+		ctx, cancel := context.WithTimeout(s.loopCtx, s.renewInterval())
 		defer cancel()
-		if err := s.refresh(ctx); err != nil && s.ctx.Err() == nil {
+		if err := s.refresh(ctx); err != nil && s.loopCtx.Err() == nil {
 			s.opts.Log.Warn("slots could not be refreshed", zap.Error(err))
 		}
 		return s.refreshDelay()
@@ -112,13 +117,13 @@
 
 // loop runs f again after the duration that it returns, until the service ends.
 func (s *Service) loop(f func() time.Duration) {
-	s.wg.Add(1)
+	s.loops.Add(1)
 	go func() {
-		defer s.wg.Done()
+		defer s.loops.Done()
 		for {
 			timer := time.NewTimer(f())
 			select {
-			case <-s.ctx.Done():
+			case <-s.loopCtx.Done():
 				timer.Stop()
 				return
 			case <-timer.C:
@@ -129,8 +134,11 @@
 
 // Stop hands the slots over to another instance of the region and ends the service. Requests have ended before.
 func (s *Service) Stop(ctx context.Context) error {
+	// No claim may be under way when the slots are handed over.
+	s.endLoops()
+	s.loops.Wait()
 	err := s.handOver(ctx)
-	s.mu.Lock() // send adds to the group only with the lock held or from one of the loops
+	s.mu.Lock() // send adds to the group only with the lock held, once the loops have ended
 	s.cancel()
 	s.mu.Unlock()
 	s.wg.Wait()
