--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -127,3 +127,17 @@
 	}
 	return n
 }
+
+// orderCandidates returns the number of live instances of a region, 0 before the list was read.
+func orderCandidates(snapshot *membership.Snapshot, region string) int {
+	if snapshot.Version == 0 {
+		return 0
+	}
+	n := 0
+	for _, m := range snapshot.Members {
+		if m.Region == region && m.Status == membership.Live {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -277,6 +277,7 @@
 		requires: []string{nameStore, nameConfig, nameMembers},
 		build: func(r *kernel.Registry) (*orderer.Service, error) {
 			source := find[*configsync.Syncer](r, nameConfig)
+			m := find[*members.Service](r, nameMembers)
 			o := orderer.Options{
 				Store:       find[platform.Store](r, nameStore),
 				Source:      source,
@@ -284,7 +285,8 @@
 				Region:      d.self.Region,
 				Instance:    d.self.Instance,
 				Incarnation: d.self.Incarnation,
-				Ended:       ended(source, find[*members.Service](r, nameMembers)),
+				Ended:       ended(source, m),
+				Candidates:  func() int { return orderCandidates(m.Snapshot(), d.self.Region) },
 				Log:         d.log,
 				Metrics:     d.metrics,
 			}
