Let a caller read the refusal of a large request

A unary call whose request exceeds the stream's window waited for its deadline if the peer refused it: the refusing side closed without reading, the window never opened, and the caller read the answer only after its request. The call then failed as broken instead of overloaded or unknown. The serving side now drops the rest of the request for up to 5 s after its answer, if the caller has not sent its last frame.

Ruled out: reading the answer beside the write on the calling side, which takes another goroutine for each call.

--- a/internal/peer/faults_test.go
+++ b/internal/peer/faults_test.go
@@ -518,3 +518,44 @@
 		t.Errorf("b is connected with %v", got)
 	}
 }
+
+// Guards against a refusal that a caller does not read because it is still sending a request beyond the window.
+func TestRefusalOfLargeRequest(t *testing.T) {
+	authority := peertest.NewAuthority(t)
+	a := startNode(t, authority, "a", nil)
+	cases := []struct {
+		name, service, want string
+		total               int  // calls that the peer serves at once
+		held                bool // a call of "hold" is being served
+	}{
+		{"unknown service", "absent", peer.CodeUnknownService, 10, false},
+		{"limit of the service", "hold", peer.CodeOverloaded, 10, true},
+		{"limit in total", "echo", peer.CodeOverloaded, 1, true},
+	}
+	for i, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := startNode(t, authority, fmt.Sprint("b", i), func(o *peer.Options) { o.MaxInboundStreams, o.MaxServiceStreams = c.total, 1 })
+			link(a, b)
+			name := b.Self().Instance
+			ctx := within(t, 10*time.Second)
+			if c.held {
+				s, err := a.Open(ctx, name, "hold")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer s.Close()
+				if err := s.Recv(&wrapperspb.StringValue{}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			start := time.Now()
+			err := a.Call(ctx, name, c.service, wrapperspb.Bytes(make([]byte, 3<<20)), &wrapperspb.StringValue{})
+			if code := codeOf(err); code != c.want {
+				t.Errorf("got %v, want code %q", err, c.want)
+			}
+			if took := time.Since(start); took > 4*time.Second {
+				t.Errorf("refusal took %v", took)
+			}
+		})
+	}
+}
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -27,6 +27,9 @@
 	readAhead = 4
 	// maxRefusals bounds the refusals being written at once; streams beyond are closed without a reason.
 	maxRefusals = 64
+	// lingerTimeout bounds how long the rest of a request is read and dropped after the answer. The caller reads the
+	// answer only when its request is written, which needs the window of the stream.
+	lingerTimeout = 5 * time.Second
 	// maxErrorText bounds the message of a handler's error in bytes.
 	maxErrorText = 1 << 10
 )
@@ -87,6 +90,14 @@
 	defer closeQuietly(mux)
 	_ = mux.SetDeadline(time.Now().Add(headerTimeout))
 	t.writeError(mux, errOverloaded)
+	linger(mux)
+}
+
+// linger drops what the caller still sends until it closes the stream.
+func linger(mux *yamux.Stream) {
+	_ = mux.SetReadDeadline(time.Now().Add(lingerTimeout))
+	// Any error ends the stream, as does the end of the input.
+	_, _ = io.Copy(io.Discard, mux)
 }
 
 // writeError ends the stream with an error. It is best effort: without it, the caller sees a broken stream.
@@ -114,6 +125,7 @@
 	header, size, err := t.readHeader(mux)
 	if err != nil {
 		t.writeError(mux, NewError(CodeBadHeader, err.Error()))
+		linger(mux)
 		return
 	}
 	if header.GetService() == drainService {
@@ -123,6 +135,7 @@
 	service := t.handlers[header.GetService()]
 	if service == nil {
 		t.writeError(mux, NewError(CodeUnknownService, "service "+header.GetService()+" is not registered"))
+		linger(mux)
 		return
 	}
 	select {
@@ -130,6 +143,7 @@
 		defer func() { <-service.slots }()
 	default:
 		t.writeError(mux, errOverloaded)
+		linger(mux)
 		return
 	}
 	counters := t.metrics.service(header.GetService())
@@ -159,6 +173,9 @@
 	cancel()
 	stream.unblock()
 	reading.Wait()
+	if !stream.complete {
+		linger(mux)
+	}
 }
 
 // withTimeout adds a timeout to ctx and returns a cancel function for both.
@@ -210,6 +227,8 @@
 	metrics *serviceMetrics
 	frames  chan inFrame
 
+	complete bool // the caller has sent its last frame; written by read
+
 	recvMu sync.Mutex
 	over   error // guarded by recvMu
 
@@ -227,6 +246,7 @@
 		kind, payload, err := readFrame(s.mux, s.limit)
 		if err == nil {
 			s.metrics.received(len(payload) + frameOverhead)
+			s.complete = s.complete || kind == frameEnd
 		}
 		select {
 		case s.frames <- inFrame{kind: kind, payload: payload, err: err}:
