--- a/internal/daemon/regions.go
+++ b/internal/daemon/regions.go
@@ -48,8 +48,8 @@
 
 var _ gateway.Regions = (*regionLoads)(nil)
 
-func newRegionLoads(c clock.Clock, region string) *regionLoads {
-	return &regionLoads{clock: c, region: region, last: make(map[string]heard), oneWay: make(map[string]time.Duration)}
+func newRegionLoads(c clock.Clock, region string, snapshot func() *membership.Snapshot) *regionLoads {
+	return &regionLoads{clock: c, region: region, snapshot: snapshot, last: make(map[string]heard), oneWay: make(map[string]time.Duration)}
 }
 
 func (r *regionLoads) received(from peer.Identity, p members.Payload) {
@@ -124,10 +124,10 @@
 	return out
 }
 
-// usable reports whether requests may be sent to an instance: it is neither leaving nor suspected.
+// usable reports whether requests may be sent to an instance: it is neither leaving nor suspected nor out of reach.
 func (r *regionLoads) usable(id peer.Identity) bool {
 	m, known := r.snapshot().Member(id.Instance)
-	return known && m.Incarnation == id.Incarnation && m.Status == membership.Live
+	return known && m.Incarnation == id.Incarnation && m.Usable()
 }
 
 func (r *regionLoads) latency(region string) time.Duration {
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
@@ -28,8 +29,12 @@
 	Source     configsync.Source
 	Clock      clock.Clock
 	Logger     *zap.Logger
+	// Metrics may be nil: nothing is counted then.
+	Metrics tally.Scope
 	// States may be nil: no endpoint is then listed as leaving.
 	States EndpointStates
+	// Sharers returns the number of instances that send work to the region's endpoints, this one included. Nil: 2.
+	Sharers func() int
 	// Chooser picks endpoints. Nil: routing.DefaultPolicy.
 	Chooser routing.Chooser
 	// Seed starts the random source of the endpoint choice. 0 takes one from the system.
@@ -66,6 +71,7 @@
 	defaultLongWait      = 60 * time.Second
 	defaultMaxQueued     = 4096
 	defaultMaxAnswer     = 8 << 20
+	defaultSharers       = 2
 	defaultMaxAttempts   = 3
 )
 
@@ -93,6 +99,12 @@
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
+	if o.Metrics == nil {
+		o.Metrics = tally.NoopScope
+	}
+	if o.Sharers == nil {
+		o.Sharers = func() int { return defaultSharers }
+	}
 	if o.Chooser == nil {
 		o.Chooser = routing.DefaultPolicy
 	}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -43,10 +43,23 @@
 	prefill  float64 // prompt tokens that the endpoint was believed not to hold, 0 once they are done
 }
 
-// overflowAfter is the wait after which a request goes to an endpoint whose batch is full of other instances' work: their
-// reports lag, and without a limit a busy neighbour could keep this instance out for ever.
+// overflowAfter is the wait after which a request goes to an endpoint whose batch is full of other instances' work, as long as
+// this instance has less than its share of the places. An instance knows at once of the places that it frees itself, and of
+// the others' only with the next report, so that a busy neighbour could otherwise keep this one out for ever.
 const overflowAfter = time.Second
 
+// belowShare reports whether this instance has less than its share of the pool's places. The caller holds d.mu.
+func (d *Dispatcher) belowShare(p *pool) bool {
+	slots, own := 0, 0
+	for _, e := range p.endpoints {
+		if d.takesWork(e) {
+			slots += e.config.Slots
+			own += e.load.inFlight
+		}
+	}
+	return own < max(slots/max(d.opts.Sharers(), 1), 1)
+}
+
 // allowedWait is how long a request may wait: its class's limit, or less if its deadline is nearer.
 func (d *Dispatcher) allowedWait(ctx context.Context, class fairqueue.Class) time.Duration {
 	allowed := d.opts.ShortWait
@@ -100,6 +113,7 @@
 	}
 	wait, known := d.wait(p, w, now)
 	if dec := admission.Decide(wait, known, allowed); !dec.Admit {
+		d.metrics.shed.Inc(1)
 		return overloaded("the request would wait longer than it may", dec.RetryAfter)
 	}
 	return nil
@@ -121,6 +135,7 @@
 	case g := <-wt.ready:
 		return g.result()
 	case <-timer.C:
+		d.metrics.shed.Inc(1)
 		err = overloaded("no endpoint was free in time", time.Second)
 	case <-ctx.Done():
 		err = context.Cause(ctx)
@@ -160,7 +175,7 @@
 			break
 		}
 		wt := item.Value
-		l := d.place(p, wt.work, now, now.Sub(wt.since) > overflowAfter)
+		l := d.place(p, wt.work, now, now.Sub(wt.since) > overflowAfter && d.belowShare(p))
 		if l == nil {
 			break
 		}
@@ -218,8 +233,8 @@
 		return nil
 	}
 	e := open[i]
+	d.metrics.attempts.Inc(1)
 	e.load.inFlight++
-	e.load.inFlightTokens += w.tokens
 	prefill := max(w.prompt-cands[i].CachedTokens, 0)
 	e.load.pending += prefill
 	e.load.prefix.Stored(w.blocks, now)
@@ -282,7 +297,6 @@
 	defer d.mu.Unlock()
 	l.dropPrefill()
 	l.endpoint.load.inFlight--
-	l.endpoint.load.inFlightTokens -= l.tokens
 	for _, p := range d.pools {
 		if p.queue.Len() > 0 {
 			d.pump(p)
@@ -298,6 +312,7 @@
 		e.load.health.Succeeded(pace)
 		return
 	}
+	d.metrics.failures.Inc(1)
 	e.load.health.Failed(d.opts.Clock.Now())
 }
 
