--- a/internal/experiment/capacity/records.go
+++ b/internal/experiment/capacity/records.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/config"
@@ -158,7 +159,7 @@
 func measureGroupCommit(ctx context.Context, during time.Duration, s *Section) error {
 	var byRate, perOperation, bySlots []Point
 	for _, rate := range []int{20, 100, 400, 1600} {
-		c, err := offerOperations(ctx, 1, rate, during)
+		c, err := offerOperations(ctx, 1, rate, during, 0)
 		if err != nil {
 			return err
 		}
@@ -166,21 +167,44 @@
 		perOperation = append(perOperation, Point{c.operations, c.bytes / c.operations})
 	}
 	for _, slots := range []int{1, 4, 16, 64} {
-		c, err := offerOperations(ctx, slots, 400, during)
+		c, err := offerOperations(ctx, slots, 400, during, 0)
 		if err != nil {
 			return err
 		}
 		bySlots = append(bySlots, Point{float64(slots), c.writes / c.operations})
 	}
+	sparse, err := measureSparse(ctx, during)
+	if err != nil {
+		return err
+	}
 	return errors.Join(
+		s.add("writes of an operation over 64 slots with its result", "writes", "operation/s", sparse...),
 		s.add("store writes of one slot", "writes/s", "operation/s", byRate...),
 		s.add("store bytes of an operation by rate", "bytes", "operation/s", perOperation...),
 		s.add("writes of an operation at 400 operations/s", "writes", "slot", bySlots...),
 	)
 }
 
-// offerOperations sends keyed operations at a fixed rate, whatever the answers take.
-func offerOperations(ctx context.Context, slots, rate int, during time.Duration) (commits, error) {
+// resultTime is longer than a result waits for the next claim of its slot.
+const resultTime = 2500 * time.Millisecond
+
+// measureSparse offers so few operations that most results find no later claim to share a write with. The rates run together.
+func measureSparse(ctx context.Context, during time.Duration) ([]Point, error) {
+	rates := []int{20, 80, 320}
+	out := make([]Point, len(rates))
+	group, ctx := errgroup.WithContext(ctx)
+	for i, rate := range rates {
+		group.Go(func() error {
+			c, err := offerOperations(ctx, 64, rate, 2*during, resultTime)
+			out[i] = Point{c.operations, c.writes / c.operations}
+			return err
+		})
+	}
+	return out, group.Wait()
+}
+
+// offerOperations sends keyed operations at a fixed rate, whatever the answers take, and counts the writes until a time after.
+func offerOperations(ctx context.Context, slots, rate int, during, after time.Duration) (commits, error) {
 	cfg := &config.Config{
 		Regions:       []config.Region{{Name: regionName(0), DataCentres: []string{"a"}, Slots: slots}},
 		Organisations: []config.Organisation{{Name: organisationName(1), Rate: 1e6, Burst: 1e6}},
@@ -211,6 +235,9 @@
 	if err != nil {
 		return commits{}, err
 	}
+	if err := pause(ctx, after); err != nil {
+		return commits{}, err
+	}
 	return commits{
 		operations: float64(done) / elapsed.Seconds(),
 		writes:     float64(store.Counts().Calls[memory.KindPut]-writes) / elapsed.Seconds(),
--- a/internal/experiment/capacity/relay.go
+++ b/internal/experiment/capacity/relay.go
@@ -26,6 +26,7 @@
 // measureRelay runs the syncers of a whole fleet, which know each other from the instance list.
 func measureRelay(ctx context.Context, o Options, s *Section) error {
 	at := threeSizes(o.Daemons)
+	stateBytes := 0.0
 	var watches, reads, spread, pushes, states []float64
 	for _, n := range at {
 		f, err := newRelayFleet(ctx, n)
@@ -39,7 +40,9 @@
 		}
 		watches, reads, spread = append(watches, r.watches), append(reads, r.reads), append(spread, r.spread)
 		pushes, states = append(pushes, r.pushes), append(states, r.states)
+		stateBytes = r.stateBytes
 	}
+	s.fact("encoded messages of a state exchange", stateBytes, "bytes")
 	return errors.Join(
 		s.add("watches held by the fleet", "watches", "daemon", points(at, watches)...),
 		s.add("store reads of the fleet without a change", "reads/s", "daemon", points(at, reads)...),
@@ -70,7 +73,7 @@
 	syncers []*configsync.Syncer
 }
 
-type relayRun struct{ watches, reads, spread, pushes, states float64 }
+type relayRun struct{ watches, reads, spread, pushes, states, stateBytes float64 }
 
 func newRelayFleet(ctx context.Context, n int) (*relayFleet, error) {
 	rows := rowsOf(n)
@@ -114,6 +117,8 @@
 	}
 	r.reads = (f.reads() - before) / quiet.Seconds()
 	r.states = float64(f.fabric.total("config.state").calls-states) / quiet.Seconds()
+	exchanged := f.fabric.total("config.state")
+	r.stateBytes = float64(exchanged.bytes) / float64(exchanged.calls)
 	r.watches = float64(f.kv.waiting.Load())
 	pushes := f.fabric.total("config.push").calls
 	for range relayChanges {
