--- a/internal/experiment/serving/run.go
+++ b/internal/experiment/serving/run.go
@@ -28,6 +28,7 @@
 type Result struct {
 	Options       Options
 	Streams       []*load.Row
+	Regions       []*load.Row // by stream and caller's region
 	Organisations []*load.Row
 	// Executions counts the bookings that the plain services executed, Doubled those executed more than once.
 	Executions, Doubled int64
@@ -86,7 +87,7 @@
 }
 
 func summarise(o Options, s *site.Site, results []load.Result) *Result {
-	r := &Result{Options: o, Streams: load.Summarise(results, load.ByStream), Organisations: load.Summarise(results, load.ByOrganisation)}
+	r := &Result{Options: o, Streams: load.Summarise(results, load.ByStream), Regions: load.Summarise(results, load.ByStreamAndRegion), Organisations: load.Summarise(results, load.ByOrganisation)}
 	for _, row := range r.Streams {
 		if row.Name == "booking" {
 			r.Bookings = row
@@ -139,6 +140,10 @@
 		return err
 	}
 	fmt.Fprintln(w)
+	if err := load.WriteTable(w, "stream and region", r.Regions); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
 	if err := load.WriteTable(w, "organisation", r.Organisations); err != nil {
 		return err
 	}
--- a/internal/load/summary.go
+++ b/internal/load/summary.go
@@ -66,6 +66,9 @@
 // ByOrganisation groups by organisation.
 func ByOrganisation(r Result) string { return r.Stream.Organisation }
 
+// ByStreamAndRegion groups by the streams' names and the callers' regions.
+func ByStreamAndRegion(r Result) string { return r.Stream.Name + " " + r.Stream.Region }
+
 // Summarise adds results up into rows, ordered by name.
 func Summarise(results []Result, group Group) []*Row {
 	rows := make(map[string]*Row)
