Tell the instances of a region what each has sent to the endpoints

Cause: a load report is up to 750 ms old, and a long prompt is worked through in 250 ms, so each instance kept choosing engines that the other had just loaded.

Instances of a region now send each other their own work at the endpoints, 25 times a second with one neighbour and only what changed; with more than six neighbours they don't, since the messages would be older than the reports. A silent neighbour is believed for 1.5 s, then the reports count again.

--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -141,3 +141,21 @@
 	}
 	return n
 }
+
+// neighbours returns the other instances of the own region that may be sending work to its endpoints, suspected and leaving
+// ones included.
+func neighbours(s *membership.Snapshot) []string {
+	region := ""
+	for _, m := range s.Members {
+		if m.Self {
+			region = m.Region
+		}
+	}
+	var out []string
+	for _, m := range s.Members {
+		if m.Region == region && !m.Self && m.Status != membership.Gone {
+			out = append(out, m.Name)
+		}
+	}
+	return out
+}
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -201,7 +201,7 @@
 func (d *Daemon) dispatchService() kernel.Service {
 	return &service[*dispatch.Dispatcher]{
 		name:     nameDispatch,
-		requires: []string{nameConfig, nameMembers},
+		requires: []string{nameTransport, nameConfig, nameMembers},
 		build: func(r *kernel.Registry) (*dispatch.Dispatcher, error) {
 			m := find[*members.Service](r, nameMembers)
 			return dispatch.New(dispatch.Options{
@@ -213,6 +213,8 @@
 				States:     endpointStates{m},
 				Dial:       d.hooks.DialEndpoint,
 				Chooser:    d.hooks.Chooser,
+				Network:    find[*peer.Transport](r, nameTransport),
+				Neighbours: func() []string { return neighbours(m.Snapshot()) },
 				Metrics:    d.metrics.SubScope("dispatch"),
 				Sharers:    func() int { return entriesOf(m.Snapshot(), d.self.Region) },
 			})
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -10,6 +10,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/configsync"
 	"dogwoodknot.example/dogwoodknot/internal/core/admission"
 	"dogwoodknot.example/dogwoodknot/internal/core/fairqueue"
+	"dogwoodknot.example/dogwoodknot/internal/peer"
 )
 
 // Dispatcher sends requests to the endpoints of its region.
@@ -23,6 +24,7 @@
 	pools     map[string]*pool // by model, or by service with servicePrefix
 	budget    *admission.RetryBudget
 	polling   map[*endpoint]context.CancelFunc
+	shared    sharing
 	started   bool
 	stopped   bool // no background work is begun any more
 
@@ -49,7 +51,8 @@
 // servicePrefix keeps pools of services apart from those of models; no model name holds a zero byte.
 const servicePrefix = "\x00"
 
-// New returns a dispatcher for the endpoints of the options' region.
+// New returns a dispatcher for the endpoints of the options' region. It registers the service of its region's instances, so it must be
+// called before the network starts.
 func New(o Options) (*Dispatcher, error) {
 	if err := o.Validate(); err != nil {
 		return nil, err
@@ -67,11 +70,15 @@
 		pools:     map[string]*pool{},
 		budget:    admission.NewRetryBudget(retryRatio, retryBurst),
 		polling:   map[*endpoint]context.CancelFunc{},
+		shared:    newSharing(),
 		ctx:       ctx,
 		stop:      stop,
 	}
 	d.apply(o.Source.View())
 	d.unsubscribe = o.Source.Subscribe(d.apply)
+	if o.Network != nil {
+		o.Network.Handle(workService, peer.Unary(d.handleWork))
+	}
 	return d, nil
 }
 
@@ -84,6 +91,9 @@
 		d.poll(e)
 	}
 	d.spawn(d.tick)
+	if d.opts.Network != nil {
+		d.spawn(d.shareLoop)
+	}
 }
 
 // spawn runs f in the background, unless the dispatcher has stopped. The caller holds d.mu.
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -49,6 +49,7 @@
 	prefix        *routing.PrefixCache
 	sequence      int64 // of the last cache event
 	gone          bool  // no longer configured
+	changed       bool  // own work has changed since the neighbours were told
 	silent        int   // load reports in a row that did not come
 	attempts      map[*attemptWatch]struct{}
 }
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -14,6 +14,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/configsync"
 	"dogwoodknot.example/dogwoodknot/internal/core/routing"
+	"dogwoodknot.example/dogwoodknot/internal/peer"
 )
 
 // EndpointStates tells which endpoints the platform is about to take away.
@@ -35,6 +36,10 @@
 	States EndpointStates
 	// Sharers returns the number of instances that send work to the region's endpoints, this one included. Nil: 2.
 	Sharers func() int
+	// Network carries the work sent to endpoints to the other instances of the region. Nil: they know it from reports only.
+	Network peer.Network
+	// Neighbours returns the live other instances of the region. Required with Network.
+	Neighbours func() []string
 	// Chooser picks endpoints. Nil: routing.DefaultPolicy.
 	Chooser routing.Chooser
 	// Seed starts the random source of the endpoint choice. 0 takes one from the system.
@@ -81,6 +86,9 @@
 	if o.Region == "" {
 		found = append(found, errors.New("dispatch: region is not set"))
 	}
+	if o.Network != nil && o.Neighbours == nil {
+		found = append(found, errors.New("dispatch: neighbours are not set"))
+	}
 	if o.Source == nil {
 		found = append(found, errors.New("dispatch: source of the configuration is not set"))
 	}
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -82,11 +82,7 @@
 	e.load.reportedAt = d.opts.Clock.Now()
 	e.load.reported = true
 	e.load.silent = 0
-	for _, p := range d.pools {
-		if p.queue.Len() > 0 {
-			d.pump(p)
-		}
-	}
+	d.pumpAll()
 }
 
 type cacheReport struct {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -235,6 +235,7 @@
 	e := open[i]
 	d.metrics.attempts.Inc(1)
 	e.load.inFlight++
+	e.load.changed = true
 	prefill := max(w.prompt-cands[i].CachedTokens, 0)
 	e.load.pending += prefill
 	e.load.prefix.Stored(w.blocks, now)
@@ -250,6 +251,9 @@
 
 // dropPrefill takes the prompt out of the work waiting at the endpoint. The caller holds d.mu.
 func (l *lease) dropPrefill() {
+	if l.prefill != 0 {
+		l.endpoint.load.changed = true
+	}
 	l.endpoint.load.pending -= l.prefill
 	l.prefill = 0
 }
@@ -258,13 +262,14 @@
 const otherDataCentre = 16
 
 func (d *Dispatcher) candidate(e *endpoint, w *work, now clock.Instant, overflow bool) routing.Candidate {
+	foreign := d.foreign(e, now)
 	c := routing.Candidate{
 		Name:         e.config.Name,
 		Slots:        e.config.Slots,
 		InFlight:     e.load.inFlight,
-		Foreign:      e.load.foreignNow(now),
+		Foreign:      foreign.requests,
 		Reported:     e.load.reportedTotal,
-		QueuedTokens: e.load.foreignTokens + e.load.pending,
+		QueuedTokens: foreign.tokens + e.load.pending,
 		CachedTokens: e.load.prefix.Cached(w.blocks, now),
 		Failures:     e.load.health.Failures(now),
 		Avoid:        w.avoid[e],
@@ -297,6 +302,12 @@
 	defer d.mu.Unlock()
 	l.dropPrefill()
 	l.endpoint.load.inFlight--
+	l.endpoint.load.changed = true
+	d.pumpAll()
+}
+
+// pumpAll gives free places to waiting requests of all pools. The caller holds d.mu.
+func (d *Dispatcher) pumpAll() {
 	for _, p := range d.pools {
 		if p.queue.Len() > 0 {
 			d.pump(p)
@@ -347,7 +358,7 @@
 		free := 0
 		for _, e := range p.endpoints {
 			if d.takesWork(e) {
-				free += max(e.config.Slots-e.load.inFlight-e.load.foreignNow(now), 0)
+				free += max(e.config.Slots-e.load.inFlight-d.foreign(e, now).requests, 0)
 			}
 		}
 		// The class that is served last gives the longest wait, which another region should count with.
--- /dev/null
+++ b/internal/dispatch/share.go
@@ -0,0 +1,193 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/peer"
+	"dogwoodknot.example/dogwoodknot/internal/wire"
+)
+
+// Instances of a region tell each other what they have sent to the endpoints. A load report is up to three quarters of a
+// second old, while a long prompt is worked through in a quarter: by reports alone, two instances keep sending short
+// requests to endpoints that the other has just given a long prompt, and both see free places that are taken.
+const (
+	workService = "dispatch.work"
+	// sharePeriod is the time between two messages to a neighbour, multiplied by their number. With one neighbour it makes
+	// 25 messages a second of about 100 bytes.
+	sharePeriod = 40 * time.Millisecond
+	// maxNeighbours is the number of neighbours up to which work is shared. Above it the messages would be older than the
+	// reports, and the region has more endpoints to choose from.
+	maxNeighbours = 6
+	// fullPeriod is the time between two messages with all endpoints, which also show that an idle instance is there.
+	fullPeriod = 500 * time.Millisecond
+	// sharedFor is how long a neighbour's last message is believed.
+	sharedFor = 1500 * time.Millisecond
+	// shareTimeout bounds a message. A neighbour gets no other one meanwhile.
+	shareTimeout = time.Second
+)
+
+// sharing is what instances of the region have told each other. It is guarded by Dispatcher.mu.
+type sharing struct {
+	neighbours []string
+	heard      map[string]*neighbourWork
+	sequence   uint64
+	fullAt     clock.Instant
+	busy       map[string]bool // neighbours with a message on its way
+	missed     map[string]bool // neighbours whose last message failed or was left out
+}
+
+// neighbourWork is what a neighbour has at the endpoints.
+type neighbourWork struct {
+	incarnation uint64
+	sequence    uint64
+	at          clock.Instant
+	work        map[string]ownWork
+}
+
+func newSharing() sharing {
+	return sharing{heard: map[string]*neighbourWork{}, busy: map[string]bool{}, missed: map[string]bool{}}
+}
+
+// shareLoop tells the neighbours of changes until the dispatcher stops.
+func (d *Dispatcher) shareLoop() {
+	timer := time.NewTimer(sharePeriod)
+	defer timer.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-timer.C:
+		}
+		neighbours := d.opts.Neighbours()
+		d.share(neighbours)
+		timer.Reset(sharePeriod * time.Duration(max(len(neighbours), 1)))
+	}
+}
+
+// share sends what has changed to all neighbours that have answered the message before.
+func (d *Dispatcher) share(neighbours []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.shared.neighbours = neighbours
+	if len(neighbours) == 0 || len(neighbours) > maxNeighbours {
+		return
+	}
+	now := d.opts.Clock.Now()
+	full := now.Sub(d.shared.fullAt) >= fullPeriod
+	change := d.changedWork(full)
+	if !full && len(change.Endpoints) == 0 && len(d.shared.missed) == 0 {
+		return
+	}
+	if full {
+		d.shared.fullAt = now
+	}
+	d.shared.sequence++
+	change.Sequence = d.shared.sequence
+	for _, name := range neighbours {
+		if d.shared.busy[name] {
+			d.shared.missed[name] = true
+			continue
+		}
+		m := change
+		if d.shared.missed[name] && !full {
+			m = d.allWork()
+			m.Sequence = change.Sequence
+		}
+		delete(d.shared.missed, name)
+		d.shared.busy[name] = true
+		d.spawn(func() { d.tell(name, m) })
+	}
+}
+
+// changedWork lists the endpoints whose work has changed since the last message, or all that have work.
+func (d *Dispatcher) changedWork(full bool) *wire.SentWork {
+	m := &wire.SentWork{Full: full}
+	for _, e := range d.endpoints {
+		if (full && e.load.inFlight > 0) || (!full && e.load.changed) {
+			m.Endpoints = append(m.Endpoints, e.sentWork())
+		}
+		e.load.changed = false
+	}
+	return m
+}
+
+func (d *Dispatcher) allWork() *wire.SentWork {
+	m := &wire.SentWork{Full: true}
+	for _, e := range d.endpoints {
+		if e.load.inFlight > 0 {
+			m.Endpoints = append(m.Endpoints, e.sentWork())
+		}
+	}
+	return m
+}
+
+func (e *endpoint) sentWork() *wire.EndpointWork {
+	return &wire.EndpointWork{Name: e.config.Name, Requests: uint32(e.load.inFlight), PendingTokens: uint32(max(e.load.pending, 0))}
+}
+
+func (d *Dispatcher) tell(name string, m *wire.SentWork) {
+	ctx, cancel := context.WithTimeout(d.ctx, shareTimeout)
+	defer cancel()
+	err := d.opts.Network.Call(ctx, name, workService, m, &wire.SentWorkSeen{})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.shared.busy, name)
+	if err != nil {
+		d.shared.missed[name] = true // the reports take its place until it answers again
+	}
+}
+
+// handleWork takes a neighbour's message over. Messages of another region or out of order are left out.
+func (d *Dispatcher) handleWork(_ context.Context, from peer.Identity, m *wire.SentWork) (proto.Message, error) {
+	if from.Region != d.opts.Region {
+		return &wire.SentWorkSeen{}, nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.shared.heard[from.Instance]
+	if n == nil || n.incarnation != from.Incarnation {
+		n = &neighbourWork{incarnation: from.Incarnation, work: map[string]ownWork{}}
+		d.shared.heard[from.Instance] = n
+	}
+	if m.GetSequence() <= n.sequence {
+		return &wire.SentWorkSeen{}, nil
+	}
+	n.sequence, n.at = m.GetSequence(), d.opts.Clock.Now()
+	if m.GetFull() {
+		clear(n.work)
+	}
+	for _, w := range m.GetEndpoints() {
+		n.work[w.GetName()] = ownWork{requests: int(w.GetRequests()), tokens: float64(w.GetPendingTokens())}
+	}
+	d.pumpAll()
+	return &wire.SentWorkSeen{}, nil
+}
+
+// foreign returns the other instances' work at an endpoint: what they have told, or if one of them is silent what the
+// endpoint has reported. The caller holds d.mu.
+func (d *Dispatcher) foreign(e *endpoint, now clock.Instant) ownWork {
+	if told, ok := d.told(e.config.Name, now); ok {
+		return told
+	}
+	return ownWork{requests: e.load.foreignNow(now), tokens: e.load.foreignTokens}
+}
+
+func (d *Dispatcher) told(endpoint string, now clock.Instant) (ownWork, bool) {
+	if len(d.shared.neighbours) == 0 || len(d.shared.neighbours) > maxNeighbours {
+		return ownWork{}, false
+	}
+	var sum ownWork
+	for _, name := range d.shared.neighbours {
+		n := d.shared.heard[name]
+		if n == nil || now.Sub(n.at) > sharedFor {
+			return ownWork{}, false
+		}
+		sum.requests += n.work[endpoint].requests
+		sum.tokens += n.work[endpoint].tokens
+	}
+	return sum, true
+}
