Let a cut-off region be noticed within a few probes

At 390 instances, an isolated region of 15 was used elsewhere for up to 12 to 13 s after the cut. As its instances were suspected one after the other, those left counted it as too small to have probers of its own; outside instances became probers of its home scope, and the change of role dropped their open questions, which were repeated after 5 s. And each target waited for its own probe period of 8.4 s. The size of a region now counts its suspected instances, a question outlasts a change of role, and the first suspicion in another region brings the probes of the rest forward, at most once in 5 s.

Ruled out: shorter periods between regions. They cost all the time.

TestQuestionOutlastsOtherSuspicions fails if suspicions make a region smaller.

--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -208,8 +208,9 @@
 	goneOrder  []Ref
 	superseded map[Ref]int64 // replaced by a newer process of that name; value: list version at that time
 
-	targets    []*member     // that this instance probes, in order of their names
-	nextExpiry clock.Instant // of unlisted members
+	targets    []*member                // that this instance probes, in order of their names
+	nextExpiry clock.Instant            // of unlisted members
+	hurried    map[string]clock.Instant // when the probes of a region were last brought forward
 
 	changed    bool   // the sets of probers are out of date
 	generation uint64 // counts the changes of the view
@@ -234,6 +235,7 @@
 		listed:     map[Ref]Row{},
 		gone:       map[Ref]bool{},
 		superseded: map[Ref]int64{},
+		hurried:    map[string]clock.Instant{},
 	}, nil
 }
 
--- a/internal/core/membership/membership_test.go
+++ b/internal/core/membership/membership_test.go
@@ -432,6 +432,58 @@
 	}
 }
 
+// Guards against a question that is dropped, and a region that is taken for too small to judge its own instances, because
+// others of that region are suspected meanwhile.
+func TestQuestionOutlastsOtherSuspicions(t *testing.T) {
+	core := newCore(t)
+	rows := []membership.Row{row("self", 1), row("b", 2), row("c", 3)}
+	for i := range 20 {
+		far := row(fmt.Sprintf("far%d", i), uint64(10+i))
+		far.Region, far.DataCentre = "r1", "d1"
+		rows = append(rows, far)
+	}
+	core.ApplyList(0, 1, rows)
+	var ask *membership.Ask
+	now := clock.Instant(0)
+	for ; ask == nil && now < clock.Instant(20*time.Second); now = now.Add(50 * time.Millisecond) {
+		for _, action := range core.Tick(now) {
+			p := action.(membership.Probe)
+			var answer *membership.Answer
+			if p.Target.Instance == "b" || p.Target.Instance == "c" {
+				answer = &membership.Answer{Incarnation: p.Target.Incarnation}
+			}
+			for _, next := range core.ProbeResult(now, p, answer) {
+				if a, isAsk := next.(membership.Ask); isAsk {
+					ask = &a
+				}
+			}
+		}
+	}
+	if ask == nil {
+		t.Fatal("no question was asked")
+	}
+	var reports []membership.Report
+	for _, far := range rows[3:] {
+		if far.Name != ask.Target.Instance {
+			reports = append(reports, membership.Report{Scope: "r0", Target: ref(far), Counter: 1})
+		}
+	}
+	core.Merge(now, reports, false)
+	core.Tick(now)
+	for _, helper := range ask.Peers {
+		for _, action := range core.AskResult(now, ask.Target, helper, membership.Unreached) {
+			for _, r := range action.(membership.Publish).Reports {
+				if r.Scope != "r0" {
+					t.Errorf("report %+v speaks for the home scope of another region", r)
+				}
+			}
+		}
+	}
+	if m, _ := core.Snapshot().Member(ask.Target.Instance); m.Status != membership.Suspect {
+		t.Errorf("%s is %v after all asked have not reached it", m.Name, m.Status)
+	}
+}
+
 // Guards against merges that depend on the order or the number of deliveries.
 func TestReportsMergeInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/internal/core/membership/probe.go
+++ b/internal/core/membership/probe.go
@@ -19,7 +19,7 @@
 	if m.role == roleForeign {
 		period = c.params.ForeignPeriod
 	}
-	if m.suspect(c.self.Region) {
+	if m.suspect(c.self.Region) || m.unreached {
 		return period // its return should be noticed soon
 	}
 	scale := math.Sqrt(float64(len(c.members)+1) / float64(c.params.ScaleFrom))
@@ -192,11 +192,29 @@
 	case m.row.Region != c.self.Region && ask.ownRegion.confirms():
 		m.own++
 		c.touch()
+		c.hurry(now, m.row.Region)
 		return c.publish([]Report{c.ownReport(m)})
 	}
 	return nil
 }
 
+// hurry brings forward the probes of another region's instances after one of them was suspected: the way to all of them
+// may have been cut. It does so at most once in ReaskAfter, to bound the traffic.
+func (c *Core) hurry(now clock.Instant, region string) {
+	if last, done := c.hurried[region]; done && now.Sub(last) < c.params.ReaskAfter {
+		return
+	}
+	c.hurried[region] = now
+	for _, m := range c.targets {
+		if m.role != roleForeign || m.row.Region != region {
+			continue
+		}
+		if next := now.Add(c.spread(c.params.HomePeriod)); next.Before(m.nextProbe) {
+			m.nextProbe = next
+		}
+	}
+}
+
 // Asked reports whether this instance knows the target. If so, the adapter probes it now, passes the outcome to
 // ProbeResult and replies with it. An earlier answer would not do: the target may have failed since.
 func (c *Core) Asked(target Ref) bool {
--- a/internal/core/membership/probers.go
+++ b/internal/core/membership/probers.go
@@ -77,22 +77,32 @@
 	all          []candidate
 	byRegion     map[string][]candidate
 	byDataCentre map[place][]candidate
+	population   map[string]int // instances of a region, the unusable ones included
 }
 
 type place struct{ region, dataCentre string }
 
-func poolsOf(all []candidate) pools {
-	p := pools{all: all, byRegion: map[string][]candidate{}, byDataCentre: map[place][]candidate{}}
-	for _, c := range all {
-		p.byRegion[c.region] = append(p.byRegion[c.region], c)
-		at := place{c.region, c.dataCentre}
-		p.byDataCentre[at] = append(p.byDataCentre[at], c)
+func (c *Core) pools() pools {
+	p := pools{
+		all:          c.candidates(),
+		byRegion:     map[string][]candidate{},
+		byDataCentre: map[place][]candidate{},
+		population:   map[string]int{c.self.Region: 1},
+	}
+	for _, x := range p.all {
+		p.byRegion[x.region] = append(p.byRegion[x.region], x)
+		at := place{x.region, x.dataCentre}
+		p.byDataCentre[at] = append(p.byDataCentre[at], x)
+	}
+	for _, m := range c.members {
+		p.population[m.row.Region]++
 	}
 	return p
 }
 
 // homeProbers returns the probers of a target's home scope: some of its data centre, some of the rest of its region,
-// and instances of other regions only as far as the region is too small.
+// and instances of other regions only as far as the region is too small. Suspected instances do not make it smaller: a
+// region that is cut off still judges its own.
 func (c *Core) homeProbers(p pools, target Row, key uint64) []candidate {
 	want := c.params.DataCentreProbers + c.params.RegionProbers
 	others := func(x candidate) bool { return x.name != target.Name }
@@ -103,7 +113,7 @@
 	fromRegion := min(len(region), c.params.RegionProbers)
 	chosen := top(key, near, min(len(near), want-fromRegion, max(c.params.DataCentreProbers, want-len(region))))
 	chosen = append(chosen, top(key, region, want-len(chosen))...)
-	if missing := want - len(chosen); missing > 0 {
+	if missing := want - (p.population[target.Region] - 1); missing > 0 {
 		far := filter(p.all, func(x candidate) bool { return others(x) && x.region != target.Region })
 		chosen = append(chosen, top(key, far, missing)...)
 	}
@@ -126,7 +136,7 @@
 
 // assignRoles decides which members this instance probes.
 func (c *Core) assignRoles(now clock.Instant) {
-	p := poolsOf(c.candidates())
+	p := c.pools()
 	foreign := 0
 	c.targets = c.targets[:0]
 	for _, name := range c.names() {
@@ -154,14 +164,14 @@
 }
 
 func (c *Core) setRole(now clock.Instant, m *member, next role) {
-	if m.role == next {
-		return
-	}
+	former := m.role
 	m.role = next
-	m.failures = 0
-	m.ask = nil
-	c.setUnreached(m, false)
-	if next != roleNone {
+	switch {
+	case next == roleNone:
+		m.failures = 0
+		m.ask = nil
+		c.setUnreached(m, false)
+	case former == roleNone:
 		// A random start spreads the probes over the period.
 		m.nextProbe = now.Add(c.spread(c.period(m)))
 	}
@@ -179,7 +189,7 @@
 // helpers returns the instances to ask about a target: for the home scope its other probers, and for the own region's
 // scope some of the region. Further ones see to it that a cut between two places is not taken for a failure.
 func (c *Core) helpers(m *member) []string {
-	p := poolsOf(c.candidates())
+	p := c.pools()
 	suits := func(x candidate) bool { return c.isOther(x) && x.name != m.row.Name }
 	var chosen []candidate
 	add := func(list []candidate, n int) {
@@ -231,7 +241,7 @@
 func (c *Core) Recipients(region string) (local, relays []string) { return c.recipients(region) }
 
 func (c *Core) recipients(scope string) (local, relays []string) {
-	p := poolsOf(c.candidates())
+	p := c.pools()
 	for at, list := range p.byDataCentre {
 		if at == (place{c.self.Region, c.self.DataCentre}) {
 			for _, x := range filter(list, c.isOther) {
@@ -252,7 +262,7 @@
 // First reports whether this instance is among the n first for a key, of all usable instances of its region or, with
 // dataCentre, of its data centre.
 func (c *Core) First(key string, n int, dataCentre bool) bool {
-	p := poolsOf(c.candidates())
+	p := c.pools()
 	pool := p.byRegion[c.self.Region]
 	if dataCentre {
 		pool = p.byDataCentre[place{c.self.Region, c.self.DataCentre}]
--- a/internal/core/membership/report.go
+++ b/internal/core/membership/report.go
@@ -51,6 +51,9 @@
 		}
 		c.touch()
 		news = append(news, r)
+		if r.Scope != "" && odd(r.Counter) {
+			c.hurry(now, m.row.Region)
+		}
 		if m.suspect(c.self.Region) {
 			m.nextProbe = now
 		}
--- a/internal/members/fleet_test.go
+++ b/internal/members/fleet_test.go
@@ -362,6 +362,7 @@
 // outside either.
 func (f *virtualFleet) isolate(t *testing.T, what string, inside func(string) bool, bothWays bool) {
 	const limit = 20 * time.Second
+	time.Sleep(limit) // the fault before leaves no trace
 	each := func(change func(a, b string)) {
 		for a := range f.services {
 			for b := range f.services {
