Wait for settled deployments in the integration tests, and list a slot that nobody holds

The tests' readiness counted slots over all instances, so that the store's data was kept before one instance had given a slot to another. Instances now count as ready with one slot each, and the fault has a test of its own that brings it about in order, TestSlotsAfterStoreWithOlderData.

--- a/internal/integration/configuration_test.go
+++ b/internal/integration/configuration_test.go
@@ -1,17 +1,24 @@
 package integration
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"dogwoodknot.example/dogwoodknot/internal/configstore"
+	"dogwoodknot.example/dogwoodknot/internal/limits"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
 )
 
+// renewal is the time between two looks of an instance at the slots, with four instances.
+const renewal = 3 * time.Second
+
 var changeOfTest = configstore.Change{Author: "integration test"}
 
 // apply runs the operators' command on a configuration in which the weight of an organisation is changed.
@@ -68,6 +75,9 @@
 func TestConfigurationInForceNeverReverts(t *testing.T) {
 	d := running(t)
 	first := d.inForce(t, 0)
+	if !poll(readyWithin, func() bool { return d.slotsRecorded(t) }) {
+		t.Fatalf("records of slots are not those of their owners: %s", d.slotRecords())
+	}
 	d.must(t, d.post(d.store().url()+"/standin/v1/snapshots/old", "{}"))
 
 	type result struct {
@@ -108,3 +118,98 @@
 	}
 	d.inForce(t, second)
 }
+
+// slotsRecorded returns whether the store names the instances that hold the slots as their owners, with no predecessor.
+func (d *deployment) slotsRecorded(t *testing.T) bool {
+	t.Helper()
+	var out platform.EntriesJSON
+	if err := d.getJSON(d.store().url()+"/v1/kv?prefix=slots/", &out); err != nil {
+		t.Fatal(err)
+	}
+	recorded := 0
+	for _, e := range out.Entries {
+		var r limits.Record
+		if err := json.Unmarshal(e.Value, &r); err != nil {
+			t.Fatal(err)
+		}
+		for _, i := range d.instances {
+			s, err := d.status(i)
+			if err != nil || s.Incarnation != r.Owner.Incarnation || len(r.Predecessors) > 0 {
+				continue
+			}
+			for _, index := range s.Slots {
+				if e.Key == fmt.Sprintf("slots/%s/%d", i.at.region, index) {
+					recorded++
+				}
+			}
+		}
+	}
+	return recorded == len(d.instances)
+}
+
+// Guards against a slot that nobody uses any more, with its share of rates and its records, after the store has come back with
+// data from before one instance gave the slot to another. The giver reads the older data first.
+func TestSlotsAfterStoreWithOlderData(t *testing.T) {
+	d := running(t)
+	giver, taker := d.instance("lima-1"), d.instance("lima-2")
+	t.Cleanup(func() {
+		if t.Failed() {
+			d.kill(giver.process) // a new incarnation claims the slot, so that other tests can run
+			d.must(t, d.dropFromList(giver))
+		}
+	})
+	d.kill(taker.process)
+	d.must(t, d.dropFromList(taker))
+	ownsBoth := func() bool {
+		s, err := d.status(giver)
+		return err == nil && len(s.Slots) == 2 && !d.hasPredecessors(t)
+	}
+	if !poll(readyWithin, ownsBoth) {
+		t.Fatalf("%s has not claimed the slots of the killed instance: %s", giver.name, d.slotRecords())
+	}
+	d.must(t, d.network.acceptAll())
+	d.must(t, d.startInstance(taker))
+	holds := func() bool {
+		return strings.Contains(d.holders(), fmt.Sprintf("%s/%016x", taker.name, d.incarnation(taker)))
+	}
+	if !poll(readyWithin, holds) {
+		t.Fatalf("%s takes no lease", taker.name)
+	}
+	d.must(t, d.post(d.store().url()+"/standin/v1/snapshots/before", "{}"))
+	if !ownsBoth() {
+		t.Fatal("the slot was given before the data was kept")
+	}
+	if err := d.awaitReady(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(renewal + time.Second) // both have read the record of the slot that was given
+	d.must(t, taker.signal(syscall.SIGSTOP))
+	d.must(t, d.post(d.store().url()+"/standin/v1/snapshots/before/restore", "{}"))
+	time.Sleep(renewal + time.Second)
+	// Further writes bring the store's revisions above those that the taker knows from before.
+	for range 10 {
+		if _, _, err := d.config.IssueKey(t.Context(), "general", changeOfTest); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d.must(t, taker.signal(syscall.SIGCONT))
+	time.Sleep(2 * renewal) // both have seen that the record has changed
+	if err := d.awaitReady(); err != nil {
+		t.Error(err)
+	}
+}
+
+// incarnation returns an instance's incarnation, or 0 while it does not answer.
+func (d *deployment) incarnation(i *instance) uint64 {
+	s, err := d.status(i)
+	if err != nil {
+		return 0
+	}
+	return s.Incarnation
+}
+
+// hasPredecessors returns whether a slot's record names a former owner that may still use it.
+func (d *deployment) hasPredecessors(t *testing.T) bool {
+	t.Helper()
+	return strings.Contains(d.slotRecords(), `"predecessors"`)
+}
