--- a/internal/experiment/capacity/records.go
+++ b/internal/experiment/capacity/records.go
@@ -186,7 +186,7 @@
 }
 
 // resultTime is longer than a result waits for the next claim of its slot.
-const resultTime = 2500 * time.Millisecond
+var resultTime = atmostonce.DefaultLogOptions().ResultDelay + 500*time.Millisecond
 
 // measureSparse offers so few operations that most results find no later claim to share a write with. The rates run together.
 func measureSparse(ctx context.Context, during time.Duration) ([]Point, error) {
