Reconsider the region of a request while it waits

Cause: the region was chosen once, on arrival, when the wait still looked short. Ruled out: a higher part of crossings on arrival, which moves short work that would not gain.

A waiting request now repeats the choice every 250 ms and leaves the queue when another region saves more than the crossing costs.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -711,3 +711,38 @@
 	}
 	running.Wait()
 }
+
+// Guards against a request that waits in a full region although another one would serve it sooner, and against one that
+// leaves the queue and is sent all the same.
+func TestWaitingRequestMayLeaveForAnotherRegion(t *testing.T) {
+	f := newFleet(t, 1, 0, standin.EngineOptions{BatchSlots: 1, TokenInterval: 5 * time.Millisecond, OutputTokens: 2000}, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	first := make(chan error, 1)
+	begun := make(chan struct{})
+	go func() {
+		_, err := f.stream(ctx, call(2000), func(n int) {
+			if n == 1 {
+				close(begun)
+			}
+		})
+		first <- err
+	}()
+	<-begun
+	asked := 0
+	c := call(5)
+	c.Reconsider = func() bool { asked++; return asked == 2 }
+	_, err := f.stream(context.Background(), c, nil)
+	var e *Error
+	if !errors.As(err, &e) || e.Code != CodeLeftQueue || execution(t, err) != operations.NotRun {
+		t.Fatalf("waiting request ended with %v", err)
+	}
+	f.mu.Lock()
+	waiting := f.pools["m"].queue.Len()
+	f.mu.Unlock()
+	if received := f.engines[0].Counts().Received; waiting != 0 || received != 1 {
+		t.Errorf("%d requests wait and %d were sent", waiting, received)
+	}
+	cancel()
+	<-first
+}
--- a/internal/dispatch/errors.go
+++ b/internal/dispatch/errors.go
@@ -28,8 +28,16 @@
 	CodeEndpointError = "endpoint_failed"
 	CodeTruncated     = "answer_incomplete"
 	CodeTimeout       = "deadline_exceeded"
+	// CodeLeftQueue is returned only to a caller that has set ModelCall.Reconsider.
+	CodeLeftQueue = "left_queue"
 )
 
+// errLeftQueue ends the wait of a request that goes to another region instead.
+var errLeftQueue = &Error{
+	Status: http.StatusServiceUnavailable, Code: CodeLeftQueue, Message: "the request goes to another region", RetryAfter: time.Second,
+	Execution: operations.NotRun,
+}
+
 func overloaded(message string, after time.Duration) *Error {
 	return &Error{
 		Status: http.StatusServiceUnavailable, Code: CodeOverloaded, Message: message, RetryAfter: after,
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -33,6 +33,9 @@
 	Class        fairqueue.Class
 	// BeforeSend is called right before the first byte of each attempt; its error ends the call as not sent.
 	BeforeSend func() error
+	// Reconsider is called while the request waits for an endpoint. If it returns true, the call ends with CodeLeftQueue and nothing
+	// has been sent. Nil: the request waits on.
+	Reconsider func() bool
 	// NoLocal says that the endpoints here have failed the request: another region is not asked for mere relief then.
 	NoLocal bool
 	// Progress is what the caller of a stream has received, from earlier attempts elsewhere too.
@@ -55,7 +58,7 @@
 	return &work{
 		organisation: c.Organisation, weight: c.Weight, class: c.Class, blocks: c.Blocks,
 		prompt: float64(c.PromptTokens), tokens: float64(c.PromptTokens + c.MaxTokens),
-		avoid: map[*endpoint]bool{},
+		avoid: map[*endpoint]bool{}, reconsider: c.Reconsider,
 	}
 }
 
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -20,8 +20,13 @@
 	tokens       float64 // prompt and expected output
 	blocks       []uint64
 	avoid        map[*endpoint]bool // endpoints that failed this request
+	reconsider   func() bool        // see ModelCall.Reconsider
 }
 
+// reconsiderPeriod is the time between two decisions of a waiting request whether to go to another region. A crossing costs
+// at least 160 ms, so that a shorter period would not pay.
+const reconsiderPeriod = 250 * time.Millisecond
+
 // waiter is a request in the queue. Exactly one value is sent on ready.
 type waiter struct {
 	work  *work
@@ -128,17 +133,9 @@
 
 func (d *Dispatcher) await(ctx context.Context, p *pool, item *fairqueue.Item[*waiter]) (*lease, error) {
 	wt := item.Value
-	timer := time.NewTimer(wt.limit)
-	defer timer.Stop()
-	var err error
-	select {
-	case g := <-wt.ready:
+	g, err := d.awaitGrant(ctx, wt)
+	if err == nil {
 		return g.result()
-	case <-timer.C:
-		d.metrics.shed.Inc(1)
-		err = overloaded("no endpoint was free in time", time.Second)
-	case <-ctx.Done():
-		err = context.Cause(ctx)
 	}
 	d.mu.Lock()
 	waiting := p.queue.Remove(item)
@@ -156,6 +153,29 @@
 	return nil, err
 }
 
+// awaitGrant waits for a place until the limit, the end of the context, or the decision to go to another region.
+func (d *Dispatcher) awaitGrant(ctx context.Context, wt *waiter) (grant, error) {
+	limit := time.NewTimer(wt.limit)
+	defer limit.Stop()
+	again := time.NewTicker(reconsiderPeriod)
+	defer again.Stop()
+	for {
+		select {
+		case g := <-wt.ready:
+			return g, nil
+		case <-limit.C:
+			d.metrics.shed.Inc(1)
+			return grant{}, overloaded("no endpoint was free in time", time.Second)
+		case <-ctx.Done():
+			return grant{}, context.Cause(ctx)
+		case <-again.C:
+			if wt.work.reconsider != nil && wt.work.reconsider() {
+				return grant{}, errLeftQueue
+			}
+		}
+	}
+}
+
 func (g grant) result() (*lease, error) {
 	if g.err != nil {
 		return nil, g.err
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -255,12 +255,20 @@
 	w.Header().Set(headerServedRegion, g.opts.Region)
 	remote, found := g.chooseRegion(c, mc)
 	if !found {
+		// While the request waits, the choice is made again: the wait may turn out longer than another region's.
+		mc.Reconsider = func() bool {
+			remote, found = g.chooseRegion(c, mc)
+			return found
+		}
 		err := here()
-		if remote, found = g.failOver(c, mc, err); !found {
-			return err
+		mc.Reconsider = nil
+		if !isLeftQueue(err) {
+			if remote, found = g.failOver(c, mc, err); !found {
+				return err
+			}
+			w.Header().Set(headerServedRegion, remote.Region)
+			return withExecution(there(remote), err)
 		}
-		w.Header().Set(headerServedRegion, remote.Region)
-		return withExecution(there(remote), err)
 	}
 	w.Header().Set(headerServedRegion, remote.Region)
 	err := there(remote)
@@ -271,6 +279,8 @@
 	return withExecution(here(), err)
 }
 
+func isLeftQueue(err error) bool { return err != nil && asAPIError(err).Code == dispatch.CodeLeftQueue }
+
 // failOver returns the region to try after the local endpoints have failed. A refusal for load is not a failure: the other
 // region is chosen for relief beforehand, or not at all.
 func (g *Gateway) failOver(c *call, mc *dispatch.ModelCall, err error) (routing.RegionLoad, bool) {
