Claim slots in an order of the instance's own

Cause: a starting instance claimed free slots from index 0 on. When a whole region starts at once, all compete for the same slot, lose, and go on to the next, so that the writes grow with the square of the instances. The store takes several hundred writes/s; meanwhile no slot is used, all rates stand at 0 and caller-keyed operations are refused. Each instance now goes through the slots in the order of a hash of its name and the index: fixed for an instance, so that schedules repeat.

Steady calls are the same.

--- a/internal/limits/slots.go
+++ b/internal/limits/slots.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -11,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
@@ -690,7 +692,7 @@
 	})
 	now := s.opts.Clock.Now()
 	var errs []error
-	for index := range slots {
+	for _, index := range claimOrder(s.self.Instance, slots) {
 		slot := ratelimit.Slot{Region: s.self.Region, Index: index}
 		record, exists := records[slot]
 		s.mu.Lock()
@@ -723,6 +725,19 @@
 	return s.conf.regions
 }
 
+// claimOrder returns the indexes of a region's slots in an order of the instance's own. If all claimed from the first one on, a
+// whole fleet that starts at once would write as many claims as the square of its instances, nearly all in vain.
+func claimOrder(instance string, slots int) []int {
+	order := make([]int, slots)
+	hashes := make([]uint64, slots)
+	for i := range order {
+		order[i] = i
+		hashes[i] = xxhash.Sum64String(instance + "\x00" + strconv.Itoa(i))
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(hashes[a], hashes[b]) })
+	return order
+}
+
 // claim makes this instance the owner of a slot. The former owner stays a predecessor until its use has surely ended.
 func (s *Service) claim(ctx context.Context, slot ratelimit.Slot, record storedRecord, exists bool) error {
 	next := Record{Owner: s.identity(), Predecessors: slices.Clone(record.Predecessors)}
