Keep a log's timers from piling up, and count its store calls

Each tick forgot all requested wakes, so that the next step asked again for those that were still due: every tick left one more timer for the end of the hour, and none of them ever went away. A benchmark in virtual time found it by not ending; at 0.8 operations a second a slot would have collected thousands of timers an hour. The log now remembers its requested wakes, the earliest last, and forgets only those that have passed. A wake that comes late or not at all holds back no later one.

--- a/internal/core/atmostonce/bench_test.go
+++ b/internal/core/atmostonce/bench_test.go
@@ -3,9 +3,12 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"testing"
 	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 )
 
 func benchLog(records int) (*Log, Time) {
@@ -130,3 +133,92 @@
 		})
 	}
 }
+
+// BenchmarkStoreCalls counts the store calls of a slot in virtual time: operations come at random with a mean rate for
+// 30 hours, the store answers in 3 ms and each run takes 50 ms. Deletions are those of the last 4 hours, when the
+// retention has ended for the first entries.
+func BenchmarkStoreCalls(b *testing.B) {
+	for _, rate := range []float64{0.1, 0.8, 8} {
+		b.Run(fmt.Sprintf("rate=%v", rate), func(b *testing.B) {
+			var c callCounts
+			for b.Loop() {
+				c = countCalls(rate, 30*time.Hour)
+			}
+			b.ReportMetric(float64(c.puts)/float64(c.operations), "puts/operation")
+			b.ReportMetric(float64(c.lateDeletes)/float64(c.lateOperations), "deletes/operation")
+			b.ReportMetric(float64(c.entries), "entries")
+		})
+	}
+}
+
+type callCounts struct {
+	operations, puts            int
+	lateOperations, lateDeletes int
+	entries                     int
+}
+
+// timed is an event that a Log gets at an instant.
+type timed struct {
+	at    clock.Instant
+	event Event
+}
+
+// countCalls runs a slot with random operations and returns its store calls.
+func countCalls(rate float64, length time.Duration) callCounts {
+	l, start := benchLog(1 << 40)
+	rnd := rand.New(rand.NewPCG(1, 4))
+	var c callCounts
+	var pending []timed // few at any time, in no order
+	now := start
+	end := start.Boot.Add(length)
+	late := end.Add(-4 * time.Hour)
+	nextArrival := start.Boot
+	step := func(e Event) {
+		for _, a := range l.Step(now, e) {
+			switch a := a.(type) {
+			case Put:
+				c.puts++
+				w := Written{Token: a.Entry.Token, Result: WriteDone, Revision: int64(c.puts) + 1}
+				pending = append(pending, timed{now.Boot.Add(3 * time.Millisecond), w})
+			case Delete:
+				if now.Boot > late {
+					c.lateDeletes++
+				}
+				pending = append(pending, timed{now.Boot.Add(3 * time.Millisecond), Deleted{Sequence: a.Sequence}})
+			case Send:
+				pending = append(pending, timed{now.Boot.Add(50 * time.Millisecond), Finished{ID: a.ID, Execution: Ran}})
+			case Wake:
+				pending = append(pending, timed{a.At, Ticked(a)})
+			}
+		}
+	}
+	for now.Boot < end {
+		first := -1
+		for i, p := range pending {
+			if first < 0 || p.at < pending[first].at {
+				first = i
+			}
+		}
+		if first >= 0 && pending[first].at <= nextArrival {
+			p := pending[first]
+			pending[first] = pending[len(pending)-1]
+			pending = pending[:len(pending)-1]
+			now = at(start, max(now.Boot, p.at))
+			step(p.event)
+			continue
+		}
+		now = at(start, nextArrival)
+		c.operations++
+		if now.Boot > late {
+			c.lateOperations++
+		}
+		step(Attempted{ID: AttemptID(c.operations), Idents: []Ident{benchIdent(c.operations)}, KeyTime: now.Wall})
+		nextArrival = now.Boot.Add(time.Duration(rnd.ExpFloat64() / rate * float64(time.Second)))
+	}
+	c.entries = len(l.entries) + len(l.doomed)
+	return c
+}
+
+func at(start Time, boot clock.Instant) Time {
+	return Time{Boot: boot, Wall: start.Wall + boot.Sub(start.Boot).Milliseconds()}
+}
--- a/internal/core/atmostonce/log.go
+++ b/internal/core/atmostonce/log.go
@@ -145,8 +145,10 @@
 	listAt       clock.Instant // time of the next List after a failed one, 0 for none
 	// refuseUntil is the time up to which new attempts are refused at once after a failed write.
 	refuseUntil clock.Instant
-	wake        clock.Instant // earliest requested Wake that has not come yet
-	out         []Action
+	// wakes are the requested times of Wake that have not come yet, the earliest last.
+	wakes    []clock.Instant
+	nextHour clock.Instant // of the next look for records past the retention
+	out      []Action
 }
 
 // NewLog returns a log that takes no attempts before its takeover has finished.
@@ -169,6 +171,7 @@
 // Step takes an event and returns the actions that follow from it.
 func (l *Log) Step(now Time, ev Event) []Action {
 	l.out = nil
+	l.woken(now.Boot) // a wake that comes late must not hold back the next one
 	switch e := ev.(type) {
 	case Opened:
 		if l.phase == phaseNew {
@@ -193,7 +196,7 @@
 	case Resumed:
 		l.draining = false
 	case Ticked:
-		l.wake = 0
+		l.woken(e.At)
 	}
 	l.advance(now)
 	return l.out
@@ -201,14 +204,22 @@
 
 func (l *Log) emit(a Action) { l.out = append(l.out, a) }
 
+// wakeAt asks for Ticked unless it is already due at that instant or earlier.
 func (l *Log) wakeAt(at clock.Instant) {
-	if l.wake != 0 && l.wake <= at {
+	if n := len(l.wakes); n > 0 && l.wakes[n-1] <= at {
 		return
 	}
-	l.wake = at
+	l.wakes = append(l.wakes, at)
 	l.emit(Wake{at})
 }
 
+// woken forgets the wakes up to an instant. Later ones stay requested.
+func (l *Log) woken(at clock.Instant) {
+	for n := len(l.wakes); n > 0 && l.wakes[n-1] <= at; n-- {
+		l.wakes = l.wakes[:n-1]
+	}
+}
+
 func (l *Log) reply(o *op, e Execution, r Reason, answer any) {
 	if o.replied {
 		return
@@ -437,7 +448,10 @@
 // raiseHorizon forgets the records of hours past the retention.
 func (l *Log) raiseHorizon(now Time) {
 	h := horizonAt(now.Wall)
-	l.wakeAt(now.Boot.Add(time.Duration(hourMillis-now.Wall%hourMillis) * time.Millisecond))
+	if now.Boot >= l.nextHour {
+		l.nextHour = now.Boot.Add(time.Duration(hourMillis-now.Wall%hourMillis) * time.Millisecond)
+	}
+	l.wakeAt(l.nextHour)
 	if h <= l.checkedHorizon || h <= l.horizon {
 		return
 	}
--- a/internal/core/atmostonce/types.go
+++ b/internal/core/atmostonce/types.go
@@ -176,7 +176,7 @@
 		Failed   bool
 	}
 	// Ticked says that the time of a Wake action has come.
-	Ticked struct{}
+	Ticked struct{ At clock.Instant }
 	// Drained says that the slot was lost or that the instance stops. New attempts are refused, those under way end, and
 	// Closed follows once all results are recorded. Another owner's seal closes the log earlier.
 	Drained struct{}
--- a/internal/operations/slotlog.go
+++ b/internal/operations/slotlog.go
@@ -117,7 +117,7 @@
 
 func (s *Service) wake(l *slotLog, a atmostonce.Wake) {
 	time.AfterFunc(a.At.Sub(s.o.Clock.Now()), func() {
-		s.spawn(func() { s.step(l, atmostonce.Ticked{}) })
+		s.spawn(func() { s.step(l, atmostonce.Ticked(a)) })
 	})
 }
 
