--- a/internal/experiment/capacity/fabric.go
+++ b/internal/experiment/capacity/fabric.go
@@ -46,6 +46,13 @@
 	f.counts[service] = c
 }
 
+// total returns a copy of the counts of a service.
+func (f *fabric) total(service string) traffic {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.counts[service]
+}
+
 // network is the network of one instance of a fabric.
 type network struct {
 	fabric   *fabric
--- a/internal/limits/service.go
+++ b/internal/limits/service.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
@@ -45,9 +46,13 @@
 	ownership ownership
 	stopping  bool
 
-	cancel func() // ends the loops
+	cancel func() // ends the messages to other instances
 	ctx    context.Context
 	wg     sync.WaitGroup
+
+	endLoops func()
+	loopCtx  context.Context
+	loops    sync.WaitGroup
 }
 
 var _ Limiter = (*Service)(nil)
@@ -81,6 +86,7 @@
 		InRegionTimeout: opts.InRegionTimeout, CrossRegionTimeout: opts.CrossRegionTimeout,
 	}, s.ledger, fleetView{s})
 	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.loopCtx, s.endLoops = context.WithCancel(s.ctx)
 	s.configure(opts.Config.View())
 	opts.Network.Handle(serviceBorrow, peer.Unary(s.handleBorrow))
 	opts.Network.Handle(serviceDrop, peer.Unary(s.handleDrop))
@@ -93,15 +99,15 @@
 func (s *Service) Start(context.Context) error {
 	unsubscribe := s.opts.Config.Subscribe(s.configure)
 	s.configure(s.opts.Config.View())
-	context.AfterFunc(s.ctx, unsubscribe)
+	context.AfterFunc(s.loopCtx, unsubscribe)
 	s.loop(func() time.Duration {
 		s.tick()
 		return tickPeriod
 	})
 	s.loop(func() time.Duration {
-		ctx, cancel := context.WithTimeout(s.ctx, s.renewInterval())
+		ctx, cancel := context.WithTimeout(s.loopCtx, s.renewInterval())
 		defer cancel()
-		if err := s.refresh(ctx); err != nil && s.ctx.Err() == nil {
+		if err := s.refresh(ctx); err != nil && s.loopCtx.Err() == nil {
 			s.opts.Log.Warn("slots could not be refreshed", zap.Error(err))
 		}
 		return s.refreshDelay()
@@ -111,13 +117,13 @@
 
 // loop runs f again after the duration that it returns, until the service ends.
 func (s *Service) loop(f func() time.Duration) {
-	s.wg.Add(1)
+	s.loops.Add(1)
 	go func() {
-		defer s.wg.Done()
+		defer s.loops.Done()
 		for {
 			timer := time.NewTimer(f())
 			select {
-			case <-s.ctx.Done():
+			case <-s.loopCtx.Done():
 				timer.Stop()
 				return
 			case <-timer.C:
@@ -128,8 +134,11 @@
 
 // Stop hands the slots over to another instance of the region and ends the service. Requests have ended before.
 func (s *Service) Stop(ctx context.Context) error {
+	// No claim may be under way when the slots are handed over.
+	s.endLoops()
+	s.loops.Wait()
 	err := s.handOver(ctx)
-	s.mu.Lock() // send adds to the group only with the lock held or from one of the loops
+	s.mu.Lock() // send adds to the group only with the lock held, once the loops have ended
 	s.cancel()
 	s.mu.Unlock()
 	s.wg.Wait()
@@ -190,7 +199,11 @@
 
 // Admit takes tokens for a request.
 func (s *Service) Admit(ctx context.Context, organisation string, tokens int64) (Charge, error) {
-	w, charge, err := s.admitOrQueue(ctx, organisation, float64(tokens))
+	w, charge, err := s.admitOrQueue(ctx, organisation, float64(tokens), false)
+	if errors.Is(err, errShort) {
+		s.notePeers() // a peer may have come since the last second
+		w, charge, err = s.admitOrQueue(ctx, organisation, float64(tokens), true)
+	}
 	if w == nil {
 		return charge, err
 	}
@@ -203,19 +216,26 @@
 	return Charge{}, ctx.Err()
 }
 
-// admitOrQueue admits from this holder's own tokens, refuses, or queues the request for a pull.
-func (s *Service) admitOrQueue(ctx context.Context, organisation string, tokens float64) (*waiter, Charge, error) {
+// errShort reports that a request would have to wait for tokens of other instances.
+var errShort = errors.New("tokens are short")
+
+// admitOrQueue admits from this holder's own tokens, refuses, or queues the request for a pull. If queue is false it reports
+// errShort instead of queueing.
+func (s *Service) admitOrQueue(ctx context.Context, organisation string, tokens float64, queue bool) (*waiter, Charge, error) {
 	now := s.opts.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if tokens < 0 || !s.ledger.Offer(now, organisation, tokens) {
+	if !queue && (tokens < 0 || !s.ledger.Offer(now, organisation, tokens)) {
 		return nil, Charge{}, &RefusedError{organisation, maxRetryAfter, "organisation is not declared"}
 	}
 	if id, ok := s.ledger.Admit(now, organisation, tokens); ok {
 		return nil, Charge{ID: id, Organisation: organisation, Tokens: int64(tokens)}, nil
 	}
+	if !queue {
+		return nil, Charge{}, errShort
+	}
 	declared := s.conf.view.Organisation(organisation)
-	if tokens > declared.Burst {
+	if declared == nil || tokens > declared.Burst {
 		return nil, Charge{}, &RefusedError{organisation, maxRetryAfter, "request is larger than the burst"}
 	}
 	if s.stopping {
