Fail plain services over to another region, and keep home-bound keys in theirs

Lookups must return, but a region has one plain service, and with it dead every call there was refused although other regions could serve. A call is now sent to another region once if the local endpoints fail and either nothing was sent or the route is idempotent; a first attempt that may have run keeps the execution at unknown. TestPlainServiceFailsOverToAnotherRegion: lookup and booking served elsewhere, one execution.

A keyed request of a home-bound service was refused at every instance but the key's owner; it now goes to the owner if that is in the same region. Regions without slots own no records, so they are left out of the choice.

--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -126,10 +126,9 @@
 		Organisation: c.org.Name, Key: key, Method: sc.Method, Path: sc.Path,
 		BodyDigest: operations.Digest(c.org.Name, sc.Method, sc.Path, sc.ContentType, sc.Body),
 	}
-	if !c.homeBound { // else the owner of the key may be in another region
-		req.Forwardable = &operations.ForwardedRequest{
-			Route: route.Name, Method: sc.Method, Path: sc.Path, ContentType: sc.ContentType, Body: sc.Body,
-		}
+	req.StayInRegion = c.homeBound
+	req.Forwardable = &operations.ForwardedRequest{
+		Route: route.Name, Method: sc.Method, Path: sc.Path, ContentType: sc.ContentType, Body: sc.Body,
 	}
 	// The record must get its result even if the caller leaves, so the run has the deadline but not the caller's end.
 	out := g.opts.Operations.Do(c.ctx, req, func(context.Context) (*operations.Answer, operations.Execution, error) {
@@ -150,11 +149,16 @@
 	return e
 }
 
-// runService sends a request to a plain service of this region, or of another one if this region has none.
+// runService sends a request to a plain service of this region, or of another one if this region has none or its endpoints fail.
 func (g *Gateway) runService(w http.ResponseWriter, c *call, route *config.Route, sc *dispatch.ServiceCall) (*operations.Answer, operations.Execution, error) {
 	w.Header().Set(headerServedRegion, g.opts.Region)
-	if g.opts.Dispatcher.ServesService(sc.Service) || !c.cross || g.opts.Regions == nil || g.opts.Network == nil {
-		return g.opts.Dispatcher.Call(c.ctx, sc)
+	earlier := operations.NotRun
+	if g.opts.Dispatcher.ServesService(sc.Service) || !g.mayCross(c) {
+		a, ex, err := g.opts.Dispatcher.Call(c.ctx, sc)
+		if err == nil || !g.mayCross(c) || !failsOver(route, ex, err) {
+			return a, ex, err
+		}
+		earlier = ex
 	}
 	remotes := g.opts.Regions.Service(sc.Service)
 	i := routing.ChooseRegion(0, false, remotes, newRand())
@@ -162,7 +166,29 @@
 		return g.opts.Dispatcher.Call(c.ctx, sc)
 	}
 	w.Header().Set(headerServedRegion, remotes[i].Region)
-	return g.forwardService(c, remotes[i].Instance, route.Name, sc)
+	a, ex, err := g.forwardService(c, remotes[i].Instance, route.Name, sc)
+	if err != nil && ex == operations.NotRun {
+		ex = earlier // the first attempt may have run
+	}
+	return a, ex, err
+}
+
+// mayCross reports whether a request may go to another region now.
+func (g *Gateway) mayCross(c *call) bool {
+	return c.cross && c.ctx.Err() == nil && g.opts.Regions != nil && g.opts.Network != nil
+}
+
+// failsOver reports whether a call that local endpoints have failed may be sent to another region: nothing was sent, or it may
+// run twice. A refusal for load is not a failure of the endpoints.
+func failsOver(route *config.Route, ex operations.Execution, err error) bool {
+	if ex != operations.NotRun && !route.Idempotent {
+		return false
+	}
+	switch asAPIError(err).Code {
+	case dispatch.CodeNoEndpoint, dispatch.CodeEndpointError, dispatch.CodeTruncated:
+		return true
+	}
+	return false
 }
 
 // RunForwarded runs a keyed request for another instance whose caller's request this instance owns the record of. That
--- a/internal/operations/owner.go
+++ b/internal/operations/owner.go
@@ -28,6 +28,9 @@
 	}
 	best, region := uint64(0), ""
 	for _, r := range general.Regions {
+		if r.Slots == 0 {
+			continue // its instances own no records
+		}
 		if h := hash("records-region", org.Name, r.Name); region == "" || h > best {
 			best, region = h, r.Name
 		}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -70,6 +70,9 @@
 	listener *standin.Listener
 }
 
+// Kill ends the service's port and its connections.
+func (s *Service) Kill() { s.listener.Kill() }
+
 // Instance is an entry instance of the process.
 type Instance struct {
 	Name   string
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -13,6 +13,8 @@
 	"go.opentelemetry.io/otel"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
+	"dogwoodknot.example/dogwoodknot/internal/standin"
 )
 
 func start(t *testing.T, o Options) (*Site, context.Context) {
@@ -151,3 +153,33 @@
 		t.Errorf("%v: spans of the trace are %v", err, seen)
 	}
 }
+
+// Guards against lookups that must return and don't, because the region's only plain service has died; and against a booking
+// that is refused although nothing was sent and another region could run it.
+func TestPlainServiceFailsOverToAnotherRegion(t *testing.T) {
+	s, ctx := start(t, Veletas())
+	for _, e := range s.Services {
+		if e.Place.Region == "cusco" {
+			e.Kill()
+		}
+	}
+	i, client, key := s.Instance("cusco-1"), s.Client("cusco"), s.Keys["taller-quispe"]
+	for _, r := range []struct{ method, path, body string }{{"GET", "/lookup/7", ""}, {"POST", "/bookings", `{"deposit":7}`}} {
+		resp, err := client.Do(request(ctx, t, r.method, i.URL()+r.path, key, r.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK || resp.Header.Get("Dogwoodknot-Served-Region") == "cusco" || resp.Header.Get("Dogwoodknot-Execution") != "ran" {
+			t.Errorf("%s %s: status %d, served in %q, execution %q", r.method, r.path, resp.StatusCode,
+				resp.Header.Get("Dogwoodknot-Served-Region"), resp.Header.Get("Dogwoodknot-Execution"))
+		}
+	}
+	executions := int64(0)
+	for _, e := range s.Services {
+		executions += e.Service.Executions().ByBodyDigest[standin.BodyDigest([]byte(`{"deposit":7}`))]
+	}
+	if executions != 1 {
+		t.Errorf("booking was executed %d times", executions)
+	}
+}
