Forget suspects of a slot once they are recorded

Cause: the owner wrote a forgotten owner as predecessor, that one confirmed its end by taking itself out, and the owner, which still suspected it, wrote it again. Ruled out: clearing suspects when the record is read back, since the other side may be faster than the next refresh. A suspect is dropped when its record is written; the written revision is kept, so a store that goes back once more makes it a suspect again.

--- a/internal/limits/slots.go
+++ b/internal/limits/slots.go
@@ -369,6 +369,29 @@
 	return s.confirmDropped(ctx, slot, record)
 }
 
+// recordForgotten names the owners that the store has forgotten as predecessors. They are suspects no longer once that is written:
+// one that then takes itself out of the record has ended its use, and must not be written again. If the store goes back
+// once more, the record that was written is newer than the one read, and they become suspects again.
+func (s *Service) recordForgotten(ctx context.Context, slot ratelimit.Slot, record storedRecord, forgotten []Predecessor) error {
+	next := Record{s.identity(), append(slices.Clone(record.Predecessors), forgotten...)}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return err
+	}
+	revision, err := s.opts.Store.Put(ctx, slotKey(slot), value, platform.PutOptions{IfRevision: &record.revision})
+	if errors.Is(err, platform.ErrConflict) {
+		return nil // the next refresh reads what the other writer left
+	}
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slots.known[slot] = storedRecord{Record: next, revision: revision}
+	delete(s.slots.suspects, slot)
+	return nil
+}
+
 // confirmDropped takes the incarnations whose use has ended here out of the predecessors.
 func (s *Service) confirmDropped(ctx context.Context, slot ratelimit.Slot, record storedRecord) error {
 	s.mu.Lock()
@@ -419,8 +442,7 @@
 			held.resolved, held.fresh = false, false
 		}
 		s.mu.Unlock()
-		next := Record{s.identity(), append(slices.Clone(record.Predecessors), forgotten...)}
-		return s.writeRecord(ctx, slot, next, record.revision)
+		return s.recordForgotten(ctx, slot, record, forgotten)
 	}
 	if held == nil {
 		// A claim whose answer was lost, or a handover through the store.
