--- a/internal/limits/handover.go
+++ b/internal/limits/handover.go
@@ -172,7 +172,7 @@
 	delete(s.slots.held, slot)
 	s.slots.gave[slot] = next
 	s.mu.Unlock()
-	err := s.putRecord(ctx, slot, Record{Owner: next}, record.revision)
+	_, err := s.putRecord(ctx, slot, Record{Owner: next}, record.revision)
 	if errors.Is(err, platform.ErrUnavailable) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/internal/limits/slots.go
+++ b/internal/limits/slots.go
@@ -300,7 +300,7 @@
 			continue
 		}
 		delete(records, slot) // read again with the next refresh
-		if err := s.putRecord(ctx, slot, Record{Owner: s.identity()}, record.revision); err != nil {
+		if _, err := s.putRecord(ctx, slot, Record{Owner: s.identity()}, record.revision); err != nil {
 			errs = append(errs, err)
 			continue
 		}
@@ -329,21 +329,20 @@
 
 // writeRecord replaces a record. revision 0 creates it.
 func (s *Service) writeRecord(ctx context.Context, slot ratelimit.Slot, r Record, revision int64) error {
-	err := s.putRecord(ctx, slot, r, revision)
+	_, err := s.putRecord(ctx, slot, r, revision)
 	if errors.Is(err, platform.ErrConflict) {
 		return nil // the next refresh reads what the other writer left
 	}
 	return err
 }
 
-// putRecord is writeRecord with an error if another writer was first.
-func (s *Service) putRecord(ctx context.Context, slot ratelimit.Slot, r Record, revision int64) error {
+// putRecord is writeRecord with the revision that was written, and an error if another writer was first.
+func (s *Service) putRecord(ctx context.Context, slot ratelimit.Slot, r Record, revision int64) (written int64, err error) {
 	value, err := json.Marshal(r)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	_, err = s.opts.Store.Put(ctx, slotKey(slot), value, platform.PutOptions{IfRevision: &revision})
-	return err
+	return s.opts.Store.Put(ctx, slotKey(slot), value, platform.PutOptions{IfRevision: &revision})
 }
 
 // reviewSlot compares a record with what this instance holds.
@@ -374,11 +373,7 @@
 // once more, the record that was written is newer than the one read, and they become suspects again.
 func (s *Service) recordForgotten(ctx context.Context, slot ratelimit.Slot, record storedRecord, forgotten []Predecessor) error {
 	next := Record{s.identity(), append(slices.Clone(record.Predecessors), forgotten...)}
-	value, err := json.Marshal(next)
-	if err != nil {
-		return err
-	}
-	revision, err := s.opts.Store.Put(ctx, slotKey(slot), value, platform.PutOptions{IfRevision: &record.revision})
+	revision, err := s.putRecord(ctx, slot, next, record.revision)
 	if errors.Is(err, platform.ErrConflict) {
 		return nil // the next refresh reads what the other writer left
 	}
@@ -467,7 +462,7 @@
 		left = s.unresolved(ctx, slot, left)
 	}
 	if len(left) < len(record.Predecessors) || record.Owner != identity {
-		err := s.putRecord(ctx, slot, Record{identity, left}, record.revision)
+		_, err := s.putRecord(ctx, slot, Record{identity, left}, record.revision)
 		if errors.Is(err, platform.ErrConflict) {
 			return nil // reviewed again with the next refresh
 		}
