Look at a paused owner's slot before the owner goes on

TestBookingsOnceUnderFaults failed once with "the fault was not in place" for the paused owner: the check looked at the slots after the owner had gone on, and by then the two instances may have shared the slots evenly again. It now looks at the end of the pause; the condition, two slots at lima-2, is the same.

--- a/internal/integration/storm_test.go
+++ b/internal/integration/storm_test.go
@@ -222,6 +222,7 @@
 		}
 		return n
 	}
+	otherSlotClaimed := false
 	return []stormFault{
 		{
 			name: "store down", during: 2 * time.Second, lossless: true,
@@ -298,12 +299,14 @@
 		{
 			name: "owner paused beyond its lease", during: leaseLapses,
 			start: func(t *testing.T, d *deployment) { d.must(t, owner(d).signal(syscall.SIGSTOP)) },
-			end:   func(t *testing.T, d *deployment) { d.must(t, owner(d).signal(syscall.SIGCONT)) },
-			inPlace: func(t *testing.T, d *deployment) bool {
+			end: func(t *testing.T, d *deployment) {
+				// Looked at before the owner goes on, since slots are shared evenly again soon after.
 				s, err := d.status(d.instance("lima-2"))
 				d.must(t, err)
-				return len(s.Slots) == 2 // it has claimed the other slot of its region
+				otherSlotClaimed = len(s.Slots) == 2
+				d.must(t, owner(d).signal(syscall.SIGCONT))
 			},
+			inPlace: func(*testing.T, *deployment) bool { return otherSlotClaimed },
 		},
 		{
 			name: "owner killed", during: leaseLapses,
