Wait in the demo until the stopped instance's slots have a new owner

The last scene said that the slots were handed over and showed one of two: the other is claimed with the next refresh, up to a renewal interval later.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -254,10 +254,19 @@
 	if err := <-stopped; err != nil {
 		return err
 	}
-	d.say("%s has stopped; its slots are handed over: lima-1 owns %v", entry.Name, d.site.Instance("lima-1").Daemon.Status().Slots)
+	slots := func() []int { return d.site.Instance("lima-1").Daemon.Status().Slots }
+	handOver, cancel := context.WithTimeout(ctx, handOverTime)
+	defer cancel()
+	if err := d.site.Await(handOver, "lima-1 to own the slots of "+entry.Name, func() bool { return len(slots()) == 2 }); err != nil {
+		return err
+	}
+	d.say("%s has stopped and handed its slots over: lima-1 owns %v", entry.Name, slots())
 	return r.check(prompt, 64)
 }
 
+// handOverTime is three renewal intervals: a slot that its owner has left is seen with the next refresh of the records.
+const handOverTime = 10 * time.Second
+
 func (d *demo) totals() {
 	fmt.Fprintf(d.out, "\n== totals\n")
 	received, tokens := int64(0), int64(0)
