Use cmp.Or and the pieces that stood twice

No behaviour, bound or test is changed.

Left as they are: the send halves of both ends of a peer stream, and the readers of event streams in demo and load, which keep different things.

--- a/cmd/dogwoodctl/app.go
+++ b/cmd/dogwoodctl/app.go
@@ -133,6 +133,15 @@
 	return a.configurationsIn(kv), nil
 }
 
+// latest reads the configuration in the store.
+func (a *app) latest() (*configstore.Snapshot, error) {
+	s, err := a.configurations()
+	if err != nil {
+		return nil, err
+	}
+	return s.Latest(a.ctx)
+}
+
 func (a *app) configurationsIn(kv platform.Store) *configstore.Store {
 	return configstore.New(kv, configstore.Options{RetryFor: a.RetryFor, RecordRegion: operations.RecordRegion})
 }
--- a/cmd/dogwoodctl/fleet_cmds.go
+++ b/cmd/dogwoodctl/fleet_cmds.go
@@ -197,11 +197,7 @@
 }
 
 func (c *organisationListCmd) declared(a *app, rows map[string]*organisationRow) error {
-	s, err := a.configurations()
-	if err != nil {
-		return err
-	}
-	snapshot, err := s.Latest(a.ctx)
+	snapshot, err := a.latest()
 	if err != nil {
 		return err
 	}
@@ -288,11 +284,7 @@
 
 // Run lists endpoints.
 func (c *endpointsListCmd) Run(a *app) error {
-	s, err := a.configurations()
-	if err != nil {
-		return err
-	}
-	snapshot, err := s.Latest(a.ctx)
+	snapshot, err := a.latest()
 	if err != nil {
 		return err
 	}
--- a/cmd/dogwoodctl/key.go
+++ b/cmd/dogwoodctl/key.go
@@ -234,11 +234,7 @@
 
 // Run lists keys.
 func (c *keyListCmd) Run(a *app) error {
-	s, err := a.configurations()
-	if err != nil {
-		return err
-	}
-	snapshot, err := s.Latest(a.ctx)
+	snapshot, err := a.latest()
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -117,43 +117,26 @@
 // Leaving reports whether the endpoint is listed as leaving.
 func (s endpointStates) Leaving(name string) bool { return s.members.EndpointLeaving(name) }
 
-// entriesOf counts the instances of a region that are not gone, the own one included.
-func entriesOf(s *membership.Snapshot, region string) int {
-	n := 0
-	for _, m := range s.Members {
-		if m.Region == region && m.Status != membership.Gone {
-			n++
-		}
-	}
-	return n
-}
-
 // orderCandidates returns the number of live instances of a region, 0 before the list was read.
 func orderCandidates(snapshot *membership.Snapshot, region string) int {
 	if snapshot.Version == 0 {
 		return 0
 	}
 	n := 0
-	for _, m := range snapshot.Members {
-		if m.Region == region && m.Status == membership.Live {
+	for _, m := range snapshot.InRegion(region) {
+		if m.Status == membership.Live {
 			n++
 		}
 	}
 	return n
 }
 
-// neighbours returns the other instances of the own region that may be sending work to its endpoints, suspected and leaving
-// ones included.
-func neighbours(s *membership.Snapshot) []string {
-	region := ""
-	for _, m := range s.Members {
-		if m.Self {
-			region = m.Region
-		}
-	}
+// neighbours returns the other instances of a region that may be sending work to its endpoints, suspected and leaving ones
+// included.
+func neighbours(snapshot *membership.Snapshot, region string) []string {
 	var out []string
-	for _, m := range s.Members {
-		if m.Region == region && !m.Self && m.Status != membership.Gone {
+	for _, m := range snapshot.InRegion(region) {
+		if !m.Self {
 			out = append(out, m.Name)
 		}
 	}
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"sort"
 
@@ -48,7 +49,7 @@
 		s.Ready, s.Reason = false, err.Error()
 	}
 	if !b.gateway().Ready() || b.daemon.leaving.Load() {
-		s.Ready, s.Reason = false, or(s.Reason, "instance is stopping")
+		s.Ready, s.Reason = false, cmp.Or(s.Reason, "instance is stopping")
 	}
 	return s
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -145,17 +146,17 @@
 
 // CallerAddr returns the address that callers are told to use.
 func (d *Daemon) CallerAddr() string {
-	return or(d.settings.AdvertiseCallerAddr, d.listeners.caller.Addr().String())
+	return cmp.Or(d.settings.AdvertiseCallerAddr, d.listeners.caller.Addr().String())
 }
 
 // PeerAddr returns the address that other instances are told to use.
 func (d *Daemon) PeerAddr() string {
-	return or(d.settings.AdvertisePeerAddr, d.listeners.peer.Addr().String())
+	return cmp.Or(d.settings.AdvertisePeerAddr, d.listeners.peer.Addr().String())
 }
 
 // OperatorAddr returns the address that operators are told to use.
 func (d *Daemon) OperatorAddr() string {
-	return or(d.settings.AdvertiseOperatorAddr, d.listeners.operator.Addr().String())
+	return cmp.Or(d.settings.AdvertiseOperatorAddr, d.listeners.operator.Addr().String())
 }
 
 // Identity returns the instance's name, place and incarnation.
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -214,9 +214,9 @@
 				Dial:       d.hooks.DialEndpoint,
 				Chooser:    d.hooks.Chooser,
 				Network:    find[*peer.Transport](r, nameTransport),
-				Neighbours: func() []string { return neighbours(m.Snapshot()) },
+				Neighbours: func() []string { return neighbours(m.Snapshot(), d.self.Region) },
 				Metrics:    d.metrics.SubScope("dispatch"),
-				Sharers:    func() int { return entriesOf(m.Snapshot(), d.self.Region) },
+				Sharers:    func() int { return len(m.Snapshot().InRegion(d.self.Region)) },
 			})
 		},
 		start: plain((*dispatch.Dispatcher).Start),
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -109,11 +109,3 @@
 	host, port, err := net.SplitHostPort(addr)
 	return err == nil && net.ParseIP(host) != nil && port != ""
 }
-
-// or returns the first text that is not empty.
-func or(text, otherwise string) string {
-	if text != "" {
-		return text
-	}
-	return otherwise
-}
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -3,6 +3,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -116,23 +117,15 @@
 	if o.Chooser == nil {
 		o.Chooser = routing.DefaultPolicy
 	}
-	o.PollInterval = either(o.PollInterval, defaultPollInterval)
-	o.ReportTimeout = either(o.ReportTimeout, defaultReportTimeout)
-	o.DialTimeout = either(o.DialTimeout, defaultDialTimeout)
-	o.FirstTimeout = either(o.FirstTimeout, defaultFirstTimeout)
-	o.StallTimeout = either(o.StallTimeout, defaultStallTimeout)
-	o.ShortWait = either(o.ShortWait, defaultShortWait)
-	o.LongWait = either(o.LongWait, defaultLongWait)
-	o.MaxQueued = either(o.MaxQueued, defaultMaxQueued)
-	o.MaxAnswer = either(o.MaxAnswer, defaultMaxAnswer)
-	o.MaxAttempts = either(o.MaxAttempts, defaultMaxAttempts)
+	o.PollInterval = cmp.Or(o.PollInterval, defaultPollInterval)
+	o.ReportTimeout = cmp.Or(o.ReportTimeout, defaultReportTimeout)
+	o.DialTimeout = cmp.Or(o.DialTimeout, defaultDialTimeout)
+	o.FirstTimeout = cmp.Or(o.FirstTimeout, defaultFirstTimeout)
+	o.StallTimeout = cmp.Or(o.StallTimeout, defaultStallTimeout)
+	o.ShortWait = cmp.Or(o.ShortWait, defaultShortWait)
+	o.LongWait = cmp.Or(o.LongWait, defaultLongWait)
+	o.MaxQueued = cmp.Or(o.MaxQueued, defaultMaxQueued)
+	o.MaxAnswer = cmp.Or(o.MaxAnswer, defaultMaxAnswer)
+	o.MaxAttempts = cmp.Or(o.MaxAttempts, defaultMaxAttempts)
 	return o
 }
-
-func either[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -78,12 +78,12 @@
 	}
 	now := d.opts.Clock.Now()
 	full := now.Sub(d.shared.fullAt) >= fullPeriod
-	change := d.changedWork(full)
-	if !full && len(change.Endpoints) == 0 && len(d.shared.missed) == 0 {
-		return
-	}
+	change := d.changedWork()
 	if full {
 		d.shared.fullAt = now
+		change = d.allWork()
+	} else if len(change.Endpoints) == 0 && len(d.shared.missed) == 0 {
+		return
 	}
 	d.shared.sequence++
 	change.Sequence = d.shared.sequence
@@ -103,11 +103,11 @@
 	}
 }
 
-// changedWork lists the endpoints whose work has changed since the last message, or all that have work.
-func (d *Dispatcher) changedWork(full bool) *wire.SentWork {
-	m := &wire.SentWork{Full: full}
+// changedWork lists the endpoints whose work has changed since the last message.
+func (d *Dispatcher) changedWork() *wire.SentWork {
+	m := &wire.SentWork{}
 	for _, e := range d.endpoints {
-		if (full && e.load.inFlight > 0) || (!full && e.load.changed) {
+		if e.load.changed {
 			m.Endpoints = append(m.Endpoints, e.sentWork())
 		}
 		e.load.changed = false
@@ -115,6 +115,7 @@
 	return m
 }
 
+// allWork lists all endpoints that have work.
 func (d *Dispatcher) allWork() *wire.SentWork {
 	m := &wire.SentWork{Full: true}
 	for _, e := range d.endpoints {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -239,7 +240,7 @@
 	if err != nil {
 		e := asAPIError(err)
 		end = &wire.ForwardEnd{
-			Execution: string(e.Execution), Status: int32(e.Status), Code: either(e.Code, "failed"), Message: e.Message,
+			Execution: string(e.Execution), Status: int32(e.Status), Code: cmp.Or(e.Code, "failed"), Message: e.Message,
 			RetryAfterNanos: int64(e.RetryAfter),
 		}
 	}
@@ -300,7 +301,7 @@
 		}
 		service := findService(v.General(), route.Service)
 		c.homeBound, open = service != nil && service.HomeBound, route.Open
-		limit, deadline = either(route.BodyLimit, g.opts.MaxServiceBody), either(route.Deadline, g.opts.ServiceDeadline)
+		limit, deadline = cmp.Or(route.BodyLimit, g.opts.MaxServiceBody), cmp.Or(route.Deadline, g.opts.ServiceDeadline)
 	}
 	if !open {
 		c.org = v.Organisation(head.Organisation)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
@@ -120,7 +121,7 @@
 }
 
 func classOf(m *config.Model, promptTokens int64) fairqueue.Class {
-	if promptTokens >= int64(either(m.LongPromptTokens, defaultLongPrompt)) {
+	if promptTokens >= int64(cmp.Or(m.LongPromptTokens, defaultLongPrompt)) {
 		return fairqueue.Long
 	}
 	return fairqueue.Short
@@ -281,15 +282,19 @@
 
 func isLeftQueue(err error) bool { return err != nil && asAPIError(err).Code == dispatch.CodeLeftQueue }
 
-// failOver returns the region to try after the local endpoints have failed. A refusal for load is not a failure: the other
+// endpointsFailed reports whether the local endpoints have failed a request. A refusal for load is not a failure: the other
 // region is chosen for relief beforehand, or not at all.
-func (g *Gateway) failOver(c *call, mc *dispatch.ModelCall, err error) (routing.RegionLoad, bool) {
-	if err == nil || !g.mayCross(c) {
-		return routing.RegionLoad{}, false
-	}
+func endpointsFailed(err error) bool {
 	switch asAPIError(err).Code {
 	case dispatch.CodeNoEndpoint, dispatch.CodeEndpointError, dispatch.CodeTruncated:
-	default:
+		return true
+	}
+	return false
+}
+
+// failOver returns the region to try after the local endpoints have failed.
+func (g *Gateway) failOver(c *call, mc *dispatch.ModelCall, err error) (routing.RegionLoad, bool) {
+	if err == nil || !g.mayCross(c) || !endpointsFailed(err) {
 		return routing.RegionLoad{}, false
 	}
 	remotes := g.opts.Regions.Model(mc.Model)
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -151,30 +152,22 @@
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
-	o.HeaderTimeout = either(o.HeaderTimeout, defaultHeaderTimeout)
-	o.BodyTimeout = either(o.BodyTimeout, defaultBodyTimeout)
-	o.BodyRate = either(o.BodyRate, defaultBodyRate)
-	o.WriteTimeout = either(o.WriteTimeout, defaultWriteTimeout)
-	o.IdleTimeout = either(o.IdleTimeout, defaultIdleTimeout)
-	o.ModelDeadline = either(o.ModelDeadline, defaultModelDeadline)
-	o.ServiceDeadline = either(o.ServiceDeadline, defaultServiceDeadline)
-	o.MaxHeader = either(o.MaxHeader, defaultMaxHeader)
-	o.MaxModelBody = either(o.MaxModelBody, defaultMaxModelBody)
-	o.MaxServiceBody = either(o.MaxServiceBody, defaultMaxServiceBody)
-	o.MaxBodyMemory = either(o.MaxBodyMemory, defaultMaxBodyMemory)
-	o.MaxConnections = either(o.MaxConnections, defaultMaxConnections)
-	o.StopDelay = either(o.StopDelay, defaultStopDelay)
+	o.HeaderTimeout = cmp.Or(o.HeaderTimeout, defaultHeaderTimeout)
+	o.BodyTimeout = cmp.Or(o.BodyTimeout, defaultBodyTimeout)
+	o.BodyRate = cmp.Or(o.BodyRate, defaultBodyRate)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, defaultWriteTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, defaultIdleTimeout)
+	o.ModelDeadline = cmp.Or(o.ModelDeadline, defaultModelDeadline)
+	o.ServiceDeadline = cmp.Or(o.ServiceDeadline, defaultServiceDeadline)
+	o.MaxHeader = cmp.Or(o.MaxHeader, defaultMaxHeader)
+	o.MaxModelBody = cmp.Or(o.MaxModelBody, defaultMaxModelBody)
+	o.MaxServiceBody = cmp.Or(o.MaxServiceBody, defaultMaxServiceBody)
+	o.MaxBodyMemory = cmp.Or(o.MaxBodyMemory, defaultMaxBodyMemory)
+	o.MaxConnections = cmp.Or(o.MaxConnections, defaultMaxConnections)
+	o.StopDelay = cmp.Or(o.StopDelay, defaultStopDelay)
 	return o
 }
 
-func either[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
-
 // findModel returns a declared model, or nil.
 func findModel(c *config.Config, name string) *config.Model {
 	for i := range c.Models {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -260,7 +261,7 @@
 			strconv.FormatInt(r.PromptTokens, 10)+" tokens, the model takes "+strconv.FormatInt(context, 10))
 	}
 	if r.MaxTokens == 0 {
-		r.MaxTokens = int64(either(m.DefaultMaxTokens, fallbackMaxTokens))
+		r.MaxTokens = int64(cmp.Or(m.DefaultMaxTokens, fallbackMaxTokens))
 		if context > 0 {
 			r.MaxTokens = min(r.MaxTokens, context-r.PromptTokens)
 		}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -27,7 +28,7 @@
 			refuseUnread(w, r, err)
 			return
 		}
-		body, release, err := g.readBody(w, r, either(route.BodyLimit, g.opts.MaxServiceBody))
+		body, release, err := g.readBody(w, r, cmp.Or(route.BodyLimit, g.opts.MaxServiceBody))
 		if err != nil {
 			refuseUnread(w, r, err)
 			return
@@ -37,7 +38,7 @@
 			err.writeTo(w)
 			return
 		}
-		end, err := c.begin(r.Context(), either(route.Deadline, g.opts.ServiceDeadline))
+		end, err := c.begin(r.Context(), cmp.Or(route.Deadline, g.opts.ServiceDeadline))
 		if err != nil {
 			err.writeTo(w)
 			return
@@ -87,7 +88,7 @@
 	if keyed && g.opts.Operations == nil {
 		return refuse(http.StatusServiceUnavailable, "operations_unavailable", "idempotency keys are not served here").after(time.Second)
 	}
-	tokens := either(route.Tokens, 1)
+	tokens := cmp.Or(route.Tokens, 1)
 	if err := c.admit(tokens); err != nil {
 		return err
 	}
@@ -132,7 +133,7 @@
 	}
 	// The record must get its result even if the caller leaves, so the run has the deadline but not the caller's end.
 	out := g.opts.Operations.Do(c.ctx, req, func(context.Context) (*operations.Answer, operations.Execution, error) {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), either(route.Deadline, g.opts.ServiceDeadline))
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), cmp.Or(route.Deadline, g.opts.ServiceDeadline))
 		defer cancel()
 		return g.opts.Dispatcher.Call(ctx, sc)
 	})
@@ -144,7 +145,7 @@
 		g.writeAnswer(w, out.Answer, out.Execution)
 		return nil
 	}
-	e := refuse(either(out.Status, http.StatusServiceUnavailable), out.Code, out.Message).after(out.RetryAfter)
+	e := refuse(cmp.Or(out.Status, http.StatusServiceUnavailable), out.Code, out.Message).after(out.RetryAfter)
 	e.Execution = out.Execution
 	return e
 }
@@ -179,16 +180,9 @@
 }
 
 // failsOver reports whether a call that local endpoints have failed may be sent to another region: nothing was sent, or it may
-// run twice. A refusal for load is not a failure of the endpoints.
+// run twice.
 func failsOver(route *config.Route, ex operations.Execution, err error) bool {
-	if ex != operations.NotRun && !route.Idempotent {
-		return false
-	}
-	switch asAPIError(err).Code {
-	case dispatch.CodeNoEndpoint, dispatch.CodeEndpointError, dispatch.CodeTruncated:
-		return true
-	}
-	return false
+	return (ex == operations.NotRun || route.Idempotent) && endpointsFailed(err)
 }
 
 // RunForwarded runs a keyed request for another instance whose caller's request this instance owns the record of. That
@@ -204,7 +198,7 @@
 	if err := c.permitted(v); err != nil {
 		return nil, operations.NotRun, &err.failure
 	}
-	end, err := c.begin(ctx, either(route.Deadline, g.opts.ServiceDeadline))
+	end, err := c.begin(ctx, cmp.Or(route.Deadline, g.opts.ServiceDeadline))
 	if err != nil {
 		return nil, operations.NotRun, &err.failure
 	}
--- a/internal/limits/options.go
+++ b/internal/limits/options.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -78,16 +79,11 @@
 }
 
 func (o Options) withDefaults() Options {
-	set := func(d *time.Duration, value time.Duration) {
-		if *d == 0 {
-			*d = value
-		}
-	}
-	set(&o.InRegionTimeout, 50*time.Millisecond)
-	set(&o.CrossRegionTimeout, 400*time.Millisecond)
-	set(&o.CrossRegionRoom, 250*time.Millisecond)
-	set(&o.RenewBase, 3*time.Second)
-	set(&o.Term, ratelimit.DefaultTerm)
+	o.InRegionTimeout = cmp.Or(o.InRegionTimeout, 50*time.Millisecond)
+	o.CrossRegionTimeout = cmp.Or(o.CrossRegionTimeout, 400*time.Millisecond)
+	o.CrossRegionRoom = cmp.Or(o.CrossRegionRoom, 250*time.Millisecond)
+	o.RenewBase = cmp.Or(o.RenewBase, 3*time.Second)
+	o.Term = cmp.Or(o.Term, ratelimit.DefaultTerm)
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
--- a/internal/members/options.go
+++ b/internal/members/options.go
@@ -3,6 +3,7 @@
 package members
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -82,18 +83,11 @@
 	return errors.Join(findings...)
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func (o *Options) fill() {
-	setDefault(&o.Params, membership.DefaultParams())
-	setDefault(&o.Entries, membership.DefaultEntryParams())
-	setDefault(&o.PollBase, defaultPollBase)
-	setDefault(&o.DirectoryInterval, defaultDirectoryInterval)
+	o.Params = cmp.Or(o.Params, membership.DefaultParams())
+	o.Entries = cmp.Or(o.Entries, membership.DefaultEntryParams())
+	o.PollBase = cmp.Or(o.PollBase, defaultPollBase)
+	o.DirectoryInterval = cmp.Or(o.DirectoryInterval, defaultDirectoryInterval)
 	if o.Clock == nil {
 		o.Clock = clock.Boot{}
 	}
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -92,26 +93,19 @@
 	return errors.Join(findings...)
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func (o *Options) fill() {
-	setDefault(&o.MaxMessageBytes, defaultMaxMessageBytes)
-	setDefault(&o.MaxSessions, defaultMaxSessions)
-	setDefault(&o.MaxInboundStreams, defaultMaxInboundStreams)
-	setDefault(&o.MaxServiceStreams, min(defaultMaxServiceStreams, o.MaxInboundStreams))
-	setDefault(&o.EagerPeers, defaultEagerPeers)
-	setDefault(&o.DialTimeout, defaultDialTimeout)
-	setDefault(&o.KeepAlive, defaultKeepAlive)
-	setDefault(&o.WriteTimeout, defaultWriteTimeout)
-	setDefault(&o.IdleTimeout, defaultIdleTimeout)
-	setDefault(&o.DrainTimeout, defaultDrainTimeout)
-	setDefault(&o.BackoffInitial, defaultBackoffInitial)
-	setDefault(&o.BackoffMax, defaultBackoffMax)
+	o.MaxMessageBytes = cmp.Or(o.MaxMessageBytes, defaultMaxMessageBytes)
+	o.MaxSessions = cmp.Or(o.MaxSessions, defaultMaxSessions)
+	o.MaxInboundStreams = cmp.Or(o.MaxInboundStreams, defaultMaxInboundStreams)
+	o.MaxServiceStreams = cmp.Or(o.MaxServiceStreams, min(defaultMaxServiceStreams, o.MaxInboundStreams))
+	o.EagerPeers = cmp.Or(o.EagerPeers, defaultEagerPeers)
+	o.DialTimeout = cmp.Or(o.DialTimeout, defaultDialTimeout)
+	o.KeepAlive = cmp.Or(o.KeepAlive, defaultKeepAlive)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, defaultWriteTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, defaultIdleTimeout)
+	o.DrainTimeout = cmp.Or(o.DrainTimeout, defaultDrainTimeout)
+	o.BackoffInitial = cmp.Or(o.BackoffInitial, defaultBackoffInitial)
+	o.BackoffMax = cmp.Or(o.BackoffMax, defaultBackoffMax)
 	if o.Dial == nil {
 		o.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -109,24 +110,17 @@
 }
 
 func (o EngineOptions) withDefaults() EngineOptions {
-	setDefault(&o.BatchSlots, DefaultBatchSlots)
-	setDefault(&o.PrefillRate, DefaultPrefillRate)
-	setDefault(&o.TokenInterval, DefaultTokenInterval)
-	setDefault(&o.OutputTokens, DefaultOutputTokens)
-	setDefault(&o.CacheBlocks, DefaultCacheBlocks)
-	setDefault(&o.LoadBytesPerSecond, DefaultLoadBytesPerSec)
-	setDefault(&o.ResumeWindow, DefaultResumeWindow)
-	setDefault(&o.KeepFinished, DefaultKeepFinished)
+	o.BatchSlots = cmp.Or(o.BatchSlots, DefaultBatchSlots)
+	o.PrefillRate = cmp.Or(o.PrefillRate, DefaultPrefillRate)
+	o.TokenInterval = cmp.Or(o.TokenInterval, DefaultTokenInterval)
+	o.OutputTokens = cmp.Or(o.OutputTokens, DefaultOutputTokens)
+	o.CacheBlocks = cmp.Or(o.CacheBlocks, DefaultCacheBlocks)
+	o.LoadBytesPerSecond = cmp.Or(o.LoadBytesPerSecond, DefaultLoadBytesPerSec)
+	o.ResumeWindow = cmp.Or(o.ResumeWindow, DefaultResumeWindow)
+	o.KeepFinished = cmp.Or(o.KeepFinished, DefaultKeepFinished)
 	return o
 }
 
-func setDefault[T comparable](v *T, byDefault T) {
-	var zero T
-	if *v == zero {
-		*v = byDefault
-	}
-}
-
 // EngineCounts are the requests of an engine since its start.
 type EngineCounts struct {
 	Received     int64 `json:"received"`
