Wait in the records section until the logs are taken over

Cause: the section waited for the store's list calls plus a fixed pause, not for the end of the takeover; on a busy machine the first operations came while a log was still read and were refused as not run (operation_owner_starting). Ruled out: lost writes and expired deadlines, which the error now names by code. Conclusion: operations.Service.LogsReady counts the logs that are taken over, and the section waits for it.

--- a/internal/experiment/capacity/records.go
+++ b/internal/experiment/capacity/records.go
@@ -185,6 +185,9 @@
 	)
 }
 
+// takeoverTimeout bounds the wait for the logs, whose takeover needs three store calls each.
+const takeoverTimeout = 30 * time.Second
+
 // resultTime is longer than a result waits for the next claim of its slot.
 var resultTime = atmostonce.DefaultLogOptions().ResultDelay + 500*time.Millisecond
 
@@ -227,7 +230,7 @@
 	}
 	service.Start()
 	defer func() { _ = service.Stop(context.WithoutCancel(ctx)) }()
-	if err := waitForLogs(ctx, store, slots); err != nil {
+	if err := waitForLogs(ctx, service, slots); err != nil {
 		return commits{}, err
 	}
 	writes, bytes := store.Counts().Calls[memory.KindPut], store.written.Load()
@@ -253,20 +256,15 @@
 	return nil, operations.NotRun, errors.New("no operation is forwarded here")
 }
 
-// waitForLogs waits until the seals of all logs are written and read back.
-func waitForLogs(ctx context.Context, store *countingStore, slots int) error {
-	deadline := time.Now().Add(5 * time.Second)
-	for store.Counts().Calls[memory.KindList] < 2*int64(slots) {
-		if time.Now().After(deadline) {
-			return errors.New("the logs were not taken over within 5 s")
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(5 * time.Millisecond):
+// waitForLogs waits until the logs of all slots are taken over.
+func waitForLogs(ctx context.Context, service *operations.Service, slots int) error {
+	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
+	defer cancel()
+	for service.LogsReady() < slots {
+		if err := pause(ctx, 5*time.Millisecond); err != nil {
+			return errors.Wrapf(err, "%d of %d logs are taken over", service.LogsReady(), slots)
 		}
 	}
-	time.Sleep(4 * storeLatency)
 	return nil
 }
 
@@ -277,6 +275,7 @@
 		return &operations.Answer{Status: 200, Body: []byte("{}")}, operations.Ran, nil
 	}
 	var ran atomic.Int64
+	var refusal atomic.Pointer[operations.Outcome]
 	var wg sync.WaitGroup
 	start := time.Now()
 	total := int(float64(rate) * during.Seconds())
@@ -292,13 +291,15 @@
 			o := service.Do(ctx, operations.Request{Organisation: organisationName(1), Key: id.String(), Method: "POST", Path: "/deposits"}, run)
 			if o.Execution == operations.Ran {
 				ran.Add(1)
+			} else {
+				refusal.Store(&o)
 			}
 		})
 	}
 	wg.Wait()
 	elapsed = time.Since(start)
-	if ran.Load() < int64(total) {
-		return 0, 0, errors.Newf("%d of %d operations ran", ran.Load(), total)
+	if o := refusal.Load(); o != nil {
+		return 0, 0, errors.Newf("%d of %d operations ran; one ended as %q: %s: %s", ran.Load(), total, o.Execution, o.Code, o.Message)
 	}
 	return ran.Load(), elapsed, nil
 }
--- a/internal/operations/service.go
+++ b/internal/operations/service.go
@@ -51,6 +51,7 @@
 type slotLog struct {
 	slot   int
 	core   *atmostonce.Log
+	ready  bool // the records are read
 	closed chan struct{}
 }
 
--- a/internal/operations/slotlog.go
+++ b/internal/operations/slotlog.go
@@ -109,6 +109,9 @@
 	case atmostonce.Wake:
 		s.wake(l, a)
 	case atmostonce.Ready:
+		s.mu.Lock()
+		l.ready = true
+		s.mu.Unlock()
 		s.o.Logger.Info("operation log taken over", zap.Int("slot", l.slot))
 	case atmostonce.Closed:
 		s.closeLog(l)
@@ -121,6 +124,19 @@
 	})
 }
 
+// LogsReady returns the number of owned slots whose records are read, so that their operations are taken.
+func (s *Service) LogsReady() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, l := range s.logs {
+		if l.ready {
+			n++
+		}
+	}
+	return n
+}
+
 // closeLog forgets a closed log. If the slot is still owned, it is taken over again after a pause.
 func (s *Service) closeLog(l *slotLog) {
 	s.mu.Lock()
