Split the slots of internal/limits into files by concern

The same 50 functions and types now stand in slots.go (table), records.go, claims.go, refresh.go and predecessors.go. No line of code changed; the list of declarations is equal before and after.

--- /dev/null
+++ b/internal/limits/refresh.go
@@ -0,0 +1,270 @@
+package limits
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/ratelimit"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
+)
+
+// renewInterval grows with the square root of the fleet, so that the store's calls do too.
+func (s *Service) renewInterval() time.Duration {
+	n := float64(len(s.opts.Peers.Peers()) + 1)
+	return time.Duration(float64(s.opts.RenewBase) * math.Max(1, math.Sqrt(n/4)))
+}
+
+// refreshDelay is the renewal interval, or a short time while slots of the region have no owner.
+func (s *Service) refreshDelay() time.Duration {
+	interval := s.renewInterval()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	short := len(s.slots.unclaimed) > 0 || len(s.slots.ownerOf) == 0
+	for _, held := range s.slots.held {
+		short = short || !held.resolved
+	}
+	if short {
+		return interval / 3
+	}
+	return interval
+}
+
+// refresh renews the lease, reads the slots' records, gives up lost slots, resolves predecessors and claims free slots.
+func (s *Service) refresh(ctx context.Context) error {
+	defer s.notifyOwned()
+	if err := s.keepLease(ctx); err != nil {
+		return errors.Wrap(err, "renew the lease of slots")
+	}
+	records, err := s.readRecords(ctx)
+	if err != nil {
+		return errors.Wrap(err, "read the records of slots")
+	}
+	alive, err := listAll(ctx, s.opts.Store, holderPrefix)
+	if err != nil {
+		return errors.Wrap(err, "read the holders of slots")
+	}
+	s.readInstanceList(ctx)
+	live := map[string]bool{}
+	for _, e := range alive {
+		live[e.Key] = true
+	}
+	s.noteRecords(records, live)
+	s.vouch(ctx, records)
+	errs := []error{s.restoreRecords(ctx, records)}
+	for slot, record := range records {
+		if slot.Region == s.self.Region {
+			errs = append(errs, s.reviewSlot(ctx, slot, record))
+		}
+	}
+	errs = append(errs, s.claimFree(ctx, records, live), s.shareSlots(ctx))
+	s.mu.Lock()
+	s.useReadySlots(s.opts.Clock.Now())
+	s.mu.Unlock()
+	return errors.Join(errs...)
+}
+
+// keepLease renews the lease, or takes a new one with the holder key.
+func (s *Service) keepLease(ctx context.Context) error {
+	s.mu.Lock()
+	lease := s.slots.lease
+	s.mu.Unlock()
+	if lease != 0 {
+		err := s.opts.Store.Renew(ctx, lease)
+		if !errors.Is(err, platform.ErrLeaseLost) {
+			return err
+		}
+	}
+	lease, err := s.opts.Store.Grant(ctx, leaseIntervals*s.renewInterval())
+	if err != nil {
+		return err
+	}
+	key := holderKey(s.self.Instance, s.self.Incarnation)
+	if _, err := s.opts.Store.Put(ctx, key, []byte("{}"), platform.PutOptions{Lease: lease}); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.slots.lease = lease
+	s.mu.Unlock()
+	return nil
+}
+
+// reviewSlot compares a record with what this instance holds.
+func (s *Service) reviewSlot(ctx context.Context, slot ratelimit.Slot, record storedRecord) error {
+	s.mu.Lock()
+	held := s.slots.held[slot]
+	heir, gave := s.slots.gave[slot]
+	s.mu.Unlock()
+	if record.Owner.Incarnation == s.self.Incarnation {
+		if gave {
+			return s.writeRecord(ctx, slot, Record{heir, record.Predecessors}, record.revision)
+		}
+		return s.reviewOwned(ctx, slot, record)
+	}
+	s.mu.Lock()
+	mine := held != nil && slices.Contains(held.speaksFor, record.Owner.Incarnation)
+	s.mu.Unlock()
+	if mine {
+		// Handed over here while the store could not be written.
+		return s.writeRecord(ctx, slot, Record{Owner: s.identity()}, record.revision)
+	}
+	s.dropSlot(slot)
+	return s.confirmDropped(ctx, slot, record)
+}
+
+// dropSlot ends the use of a slot here.
+func (s *Service) dropSlot(slot ratelimit.Slot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.slots.held[slot]
+	if held == nil {
+		return
+	}
+	s.ledger.LoseSlot(s.opts.Clock.Now(), slot)
+	s.slots.spoken[slot] = append(s.slots.spoken[slot], held.speaksFor...)
+	delete(s.slots.held, slot)
+	s.opts.Log.Info("slot was lost", zap.String("slot", slotKey(slot)))
+}
+
+// reviewOwned resolves the predecessors of a slot whose record names this instance.
+func (s *Service) reviewOwned(ctx context.Context, slot ratelimit.Slot, record storedRecord) error {
+	s.mu.Lock()
+	held := s.slots.held[slot]
+	if forgotten := s.forgotten(slot, record.Predecessors); len(forgotten) > 0 && (held == nil || !held.usable) {
+		// The store has older data: those that it has forgotten may still use the slot.
+		if held != nil {
+			held.resolved, held.fresh = false, false
+		}
+		s.mu.Unlock()
+		return s.recordForgotten(ctx, slot, record, forgotten)
+	}
+	if held == nil {
+		// A claim whose answer was lost, or a handover through the store.
+		held = &heldSlot{}
+		s.slots.held[slot] = held
+	}
+	held.revision = record.revision
+	held.fresh = held.fresh && len(record.Predecessors) == 0
+	for _, p := range record.Predecessors {
+		held.ended = append(withoutIncarnation(held.ended, p.Incarnation), p.Incarnation)
+	}
+	s.slots.spoken[slot] = append(s.slots.spoken[slot], held.speaksFor...)
+	held.speaksFor = nil
+	delete(s.slots.suspects, slot)
+	usable, fresh, identity := held.usable, held.fresh, Predecessor{s.self.Instance, s.self.Incarnation, s.slots.listed}
+	s.mu.Unlock()
+	if usable && len(record.Predecessors) == 0 && record.Owner == identity {
+		return nil
+	}
+	left := record.Predecessors
+	if len(left) > 0 {
+		left = s.unresolved(ctx, slot, left)
+	}
+	if len(left) < len(record.Predecessors) || record.Owner != identity {
+		_, err := s.putRecord(ctx, slot, Record{identity, left}, record.revision)
+		if errors.Is(err, platform.ErrConflict) {
+			return nil // reviewed again with the next refresh
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if len(left) > 0 || usable {
+		return nil
+	}
+	revision, err := s.headRevision(ctx)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !held.resolved && s.slots.vouched {
+		held.resolved = true
+		held.minRevision = revision
+		held.readyAt = s.opts.Clock.Now()
+		if !fresh {
+			held.readyAt = held.readyAt.Add(s.ledger.QuietTime())
+		}
+	}
+	return nil
+}
+
+// headRevision reads the revision of the configuration in the store, 0 if there is none.
+func (s *Service) headRevision(ctx context.Context) (int64, error) {
+	entry, err := s.opts.Store.Get(ctx, headKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	var head struct {
+		Revision int64 `json:"revision"`
+	}
+	if err := json.Unmarshal(entry.Value, &head); err != nil {
+		return 0, errors.Wrapf(err, "read %s", headKey)
+	}
+	return head.Revision, nil
+}
+
+// settledRevision is the revision that the owners of all slots have reported. A slot without a known owner counts as 0.
+func (s *Service) settledRevision() int64 {
+	if s.opts.Reported == nil {
+		return 0
+	}
+	lowest := s.conf.Revision()
+	for _, region := range s.conf.regions {
+		for index := range region.Slots {
+			owner := s.slots.ownerOf[ratelimit.Slot{Region: region.Name, Index: index}]
+			revision, known := int64(0), false
+			if owner.Incarnation == s.self.Incarnation {
+				revision, known = s.appliedRevision(), true
+			} else if owner.Name != "" {
+				revision, known = s.opts.Reported(owner.Name, owner.Incarnation)
+			}
+			if !known {
+				return 0
+			}
+			lowest = min(lowest, revision)
+		}
+	}
+	return lowest
+}
+
+// useReadySlots starts the use of slots whose predecessors and their loans have ended.
+func (s *Service) useReadySlots(now clock.Instant) {
+	for slot, held := range s.slots.held {
+		if held.resolved && !held.usable && now >= held.readyAt && s.conf.Revision() >= held.minRevision {
+			held.usable = true
+			s.ledger.GainSlot(now, slot)
+			s.opts.Log.Info("slot is in use", zap.String("slot", slotKey(slot)))
+		}
+	}
+}
+
+// readInstanceList notes the first version of the list that has this incarnation.
+func (s *Service) readInstanceList(ctx context.Context) {
+	s.mu.Lock()
+	listed := s.slots.listed
+	s.mu.Unlock()
+	if listed != 0 || s.opts.Instances == nil {
+		return
+	}
+	rows, version, err := s.opts.Instances.Instances(ctx)
+	if err != nil {
+		return
+	}
+	for _, r := range rows {
+		if r.Name == s.self.Instance && r.Incarnation == s.self.Incarnation {
+			s.mu.Lock()
+			s.slots.listed = version
+			s.mu.Unlock()
+		}
+	}
+}
