Know a slot's record after writing it

Cause: an owner rewrites its records when the instance list first has it, and may pass a slot on in the same refresh. The second write expected the revision read at the start of the refresh, got 409, and the slot stayed out of use: the owner had dropped it, and the heir took it for a handover through the store and waited for the quiet time of 10 s. After a start of all instances this made requests within the rate get 429, and a planned stop within that time found no slot in use to hand over, so TestPlannedStopUnderLoad failed. Ruled out: a claim by another instance (the store's revision was the owner's own write). Conclusion: putRecord notes what it has written, and a slot whose record could not be changed is taken back at once: a refused write names no heir, and another writer waits for this instance's confirmation.

--- a/internal/limits/handover.go
+++ b/internal/limits/handover.go
@@ -172,14 +172,15 @@
 	delete(s.slots.held, slot)
 	s.slots.gave[slot] = next
 	s.mu.Unlock()
-	_, err := s.putRecord(ctx, slot, Record{Owner: next}, record.revision)
-	if errors.Is(err, platform.ErrUnavailable) {
+	err := s.putRecord(ctx, slot, Record{Owner: next}, record.revision)
+	if errors.IsAny(err, platform.ErrUnavailable, platform.ErrConflict) {
+		// The record does not name the heir. Another writer, if there is one, waits until this instance confirms the end of its use.
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.ledger.TakeOver(s.opts.Clock.Now(), []ratelimit.HandedSlot{handed}, accounts)
 		s.slots.held[slot] = held
 		delete(s.slots.gave, slot)
-		return true, err
+		return true, errors.Wrapf(err, "give %s to %s", slotKey(slot), heir.Name)
 	}
 	if err != nil {
 		return true, err // the next refresh finds out who owns the slot
--- a/internal/limits/records.go
+++ b/internal/limits/records.go
@@ -148,7 +148,7 @@
 			continue
 		}
 		delete(records, slot) // read again with the next refresh
-		if _, err := s.putRecord(ctx, slot, Record{Owner: s.identity()}, record.revision); err != nil {
+		if err := s.putRecord(ctx, slot, Record{Owner: s.identity()}, record.revision); err != nil {
 			errs = append(errs, err)
 			continue
 		}
@@ -166,20 +166,28 @@
 
 // writeRecord replaces a record. revision 0 creates it.
 func (s *Service) writeRecord(ctx context.Context, slot ratelimit.Slot, r Record, revision int64) error {
-	_, err := s.putRecord(ctx, slot, r, revision)
+	err := s.putRecord(ctx, slot, r, revision)
 	if errors.Is(err, platform.ErrConflict) {
 		return nil // the next refresh reads what the other writer left
 	}
 	return err
 }
 
-// putRecord is writeRecord with the revision that was written, and an error if another writer was first.
-func (s *Service) putRecord(ctx context.Context, slot ratelimit.Slot, r Record, revision int64) (written int64, err error) {
+// putRecord is writeRecord with an error if another writer was first. The written record is known from then on: a second
+// write in the same refresh must expect its revision.
+func (s *Service) putRecord(ctx context.Context, slot ratelimit.Slot, r Record, revision int64) error {
 	value, err := json.Marshal(r)
 	if err != nil {
-		return 0, err
+		return err
+	}
+	written, err := s.opts.Store.Put(ctx, slotKey(slot), value, platform.PutOptions{IfRevision: &revision})
+	if err != nil {
+		return err
 	}
-	return s.opts.Store.Put(ctx, slotKey(slot), value, platform.PutOptions{IfRevision: &revision})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slots.known[slot] = storedRecord{Record: r, revision: written}
+	return nil
 }
 
 // recordForgotten names the owners that the store has forgotten as predecessors. They are suspects no longer once that is written:
@@ -187,7 +195,7 @@
 // once more, the record that was written is newer than the one read, and they become suspects again.
 func (s *Service) recordForgotten(ctx context.Context, slot ratelimit.Slot, record storedRecord, forgotten []Predecessor) error {
 	next := Record{s.identity(), append(slices.Clone(record.Predecessors), forgotten...)}
-	revision, err := s.putRecord(ctx, slot, next, record.revision)
+	err := s.putRecord(ctx, slot, next, record.revision)
 	if errors.Is(err, platform.ErrConflict) {
 		return nil // the next refresh reads what the other writer left
 	}
@@ -196,7 +204,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.slots.known[slot] = storedRecord{Record: next, revision: revision}
 	delete(s.slots.suspects, slot)
 	return nil
 }
--- a/internal/limits/refresh.go
+++ b/internal/limits/refresh.go
@@ -167,7 +167,7 @@
 		left = s.unresolved(ctx, slot, left)
 	}
 	if len(left) < len(record.Predecessors) || record.Owner != identity {
-		_, err := s.putRecord(ctx, slot, Record{identity, left}, record.revision)
+		err := s.putRecord(ctx, slot, Record{identity, left}, record.revision)
 		if errors.Is(err, platform.ErrConflict) {
 			return nil // reviewed again with the next refresh
 		}
--- a/internal/limits/slots_test.go
+++ b/internal/limits/slots_test.go
@@ -33,6 +33,27 @@
 	}
 }
 
+// Guards against a slot that nobody uses for a quiet time because its owner rewrites the record, with the version of the list
+// that has it, and passes the slot on in the same refresh.
+func TestSlotPassedOnAfterItsRecordWasRewritten(t *testing.T) {
+	f := newFleet(t, view(1, []config.Region{{Name: "lima", Slots: 4}}, acme(4000, 40000)))
+	f.start("lima-1")
+	f.list.remove(f.ids["lima-1"].Incarnation)
+	f.run(30)
+	f.start("lima-2")
+	f.run(1) // lima-1 has not seen lima-2 yet
+	f.list.add(f.ids["lima-1"])
+	for range 3 {
+		f.run(1)
+		if rate, _, _ := f.totals("acme"); !near(rate, 4000) {
+			t.Fatalf("rate %v after slots were passed on", rate)
+		}
+	}
+	if n := len(f.services["lima-2"].Owned()); n != 2 {
+		t.Fatalf("the later instance owns %d of 4 slots", n)
+	}
+}
+
 // A store that comes back with older data makes nobody use a slot that another instance still uses.
 func TestStoreWithOlderData(t *testing.T) {
 	f := newFleet(t, view(1, []config.Region{{Name: "lima", Slots: 3}}, acme(3000, 30000)))
