Compare held-back bytes with the count before the own cut

The counters of held-back bytes add up over the deployment that tests share, so that the check of a cut in TestResidency, TestIsolatedRegionServes and the cuts of TestBookingsOnceUnderFaults could be met by an earlier test. Each now compares with the count right before its own cut. The cuts of TestNotRunIsTrue and TestRateOverAllInstances had no check and get one.

--- a/internal/integration/network_test.go
+++ b/internal/integration/network_test.go
@@ -99,6 +99,19 @@
 	return n.links[name]
 }
 
+// heldBack returns a function that reports whether the link has held bytes back since the call of heldBack. The counts add up over
+// all tests of the deployment, so that a count alone may come from an earlier cut.
+func (l *link) heldBack() func() bool {
+	before := l.held.Load()
+	return func() bool { return l.held.Load() > before }
+}
+
+// heldBetween is heldBack for both directions between two processes.
+func (n *network) heldBetween(a, b string) func() bool {
+	forth, back := n.link(a, b).heldBack(), n.link(b, a).heldBack()
+	return func() bool { return forth() || back() }
+}
+
 // cut stops both directions between two processes.
 func (n *network) cut(a, b string) {
 	n.link(a, b).cut()
--- a/internal/integration/rate_test.go
+++ b/internal/integration/rate_test.go
@@ -79,6 +79,7 @@
 	d.must(t, paused.signal(syscall.SIGSTOP))
 	time.Sleep(2 * time.Second)
 	d.must(t, paused.signal(syscall.SIGCONT))
+	heldBack := d.network.heldBetween(apart.name, "lima-1")
 	for _, i := range d.instances {
 		if i != apart {
 			d.network.cut(apart.name, i.name)
@@ -87,6 +88,9 @@
 	d.must(t, d.network.acceptAll())
 	d.must(t, d.startInstance(killed))
 	time.Sleep(3 * time.Second)
+	if !heldBack() {
+		t.Error("the cut was not in place")
+	}
 	d.network.heal()
 	d.must(t, apart.signal(syscall.SIGSTOP))
 	time.Sleep(leaseLapses) // the slots of the paused and the killed instance lapse and come back
--- a/internal/integration/secrecy_test.go
+++ b/internal/integration/secrecy_test.go
@@ -96,14 +96,12 @@
 	}
 	round("all well", true)
 	inHome := d.instance("arequipa-1")
+	heldBack := d.network.heldBetween(inHome.name, "lima-1")
 	for _, i := range d.instances {
 		if i != inHome {
 			d.network.cut(inHome.name, i.name)
 		}
 	}
-	heldBack := func() bool {
-		return d.network.link(inHome.name, "lima-1").held.Load()+d.network.link("lima-1", inHome.name).held.Load() > 0
-	}
 	if !poll(inForceWithin, heldBack) { // heartbeats
 		t.Error("the partition is not in place")
 	}
@@ -130,6 +128,15 @@
 		}
 	}
 	round("home without engines", false)
+	// A request that went to another region and was refused there would have left the home all the same.
+	large := strings.Repeat(marker+" ", 3000) // 93 kB
+	before := d.carriedBetweenInstances()
+	if s := d.chatOnce(inHome, key, large, 4, nil); s.whole {
+		t.Errorf("large chat answered although the home has no engine: served in %q", s.region)
+	}
+	if n := d.carriedBetweenInstances() - before; n > int64(len(large))/2 {
+		t.Errorf("%d bytes went between instances for a request of %d bytes that must stay in the home", n, len(large))
+	}
 
 	foreign, control := 0, 0
 	for _, e := range d.endpoints() {
--- a/internal/integration/serving_test.go
+++ b/internal/integration/serving_test.go
@@ -53,8 +53,12 @@
 	}
 	frozen := d.standin("service-arequipa")
 	d.must(t, frozen.signal(syscall.SIGSTOP))
+	heldBack := d.network.heldBetween("cusco-1", "service-cusco")
 	d.network.cut("cusco-1", "service-cusco")
 	time.Sleep(time.Second)
+	if !heldBack() {
+		t.Error("the cut was not in place")
+	}
 	d.must(t, frozen.signal(syscall.SIGCONT))
 	d.network.heal()
 	for _, s := range d.services {
@@ -165,22 +169,25 @@
 	}
 }
 
+// carriedBetweenInstances returns the bytes that have gone between instances.
+func (d *deployment) carriedBetweenInstances() int64 {
+	n := int64(0)
+	for _, from := range d.instances {
+		for _, to := range d.instances {
+			if from != to {
+				n += d.network.link(from.name, to.name).carried.Load()
+			}
+		}
+	}
+	return n
+}
+
 // Point 2. Guards against a request that goes round between regions or instances when no region can serve it. Each crossing
 // would carry its large body again.
 func TestNoLoops(t *testing.T) {
 	d := running(t)
 	prompt := strings.Repeat("a long design dossier ", 4000) // 88 kB
-	carried := func() int64 {
-		n := int64(0)
-		for _, from := range d.instances {
-			for _, to := range d.instances {
-				if from != to {
-					n += d.network.link(from.name, to.name).carried.Load()
-				}
-			}
-		}
-		return n
-	}
+	carried := d.carriedBetweenInstances
 	control := func(region string) {
 		for _, e := range d.engines {
 			if e.region == region {
@@ -222,6 +229,7 @@
 func TestIsolatedRegionServes(t *testing.T) {
 	d := running(t)
 	isolated := d.instance("arequipa-1")
+	heldBack := d.network.link(isolated.name, storeName).heldBack()
 	for _, i := range d.instances {
 		if i != isolated {
 			d.network.cut(isolated.name, i.name)
@@ -255,7 +263,7 @@
 	if s, err := d.status(isolated); err != nil || len(s.Slots) != 1 {
 		t.Errorf("status of the isolated instance: %+v, %v", s, err)
 	}
-	if d.network.link(isolated.name, storeName).held.Load() == 0 {
+	if !heldBack() {
 		t.Error("the cut was not in place")
 	}
 	d.network.heal()
--- a/internal/integration/storm_test.go
+++ b/internal/integration/storm_test.go
@@ -206,6 +206,25 @@
 // look at the slots, which it takes every 3 s.
 const leaseLapses = 15 * time.Second
 
+// breakingActions are the service's faults that break a connection, each for breaksPerAction requests.
+var breakingActions = []string{"break_before", "break_after", "truncate_answer"}
+
+const breaksPerAction = 2
+
+// faultsLeft returns how many requests a plain service will still apply its faults to.
+func (d *deployment) faultsLeft(t *testing.T, s *standinProcess) int {
+	t.Helper()
+	var out struct{ Faults []standin.ServiceFault }
+	if err := d.getJSON(s.url()+"/standin/v1/faults", &out); err != nil {
+		t.Fatal(err)
+	}
+	left := 0
+	for _, f := range out.Faults {
+		left += f.Count
+	}
+	return left
+}
+
 func stormFaults() []stormFault {
 	owner := func(d *deployment) *instance { return d.instance("lima-1") }
 	nothing := func(*testing.T, *deployment) {}
@@ -223,6 +242,10 @@
 		return n
 	}
 	otherSlotClaimed := false
+	// heldBack is set right before each cut, since the counts of earlier cuts remain.
+	var heldBack func() bool
+	held := func(*testing.T, *deployment) bool { return heldBack() }
+	faultsTaken := 0
 	return []stormFault{
 		{
 			name: "store down", during: 2 * time.Second, lossless: true,
@@ -255,46 +278,51 @@
 		},
 		{
 			name: "owner cut off from the store", during: 3 * time.Second, lossless: true,
-			start: func(_ *testing.T, d *deployment) { d.network.cut(owner(d).name, storeName) },
-			end:   func(_ *testing.T, d *deployment) { d.network.heal() },
-			inPlace: func(_ *testing.T, d *deployment) bool {
-				return d.network.link(owner(d).name, storeName).held.Load() > 0
+			start: func(_ *testing.T, d *deployment) {
+				heldBack = d.network.link(owner(d).name, storeName).heldBack()
+				d.network.cut(owner(d).name, storeName)
 			},
+			end:     func(_ *testing.T, d *deployment) { d.network.heal() },
+			inPlace: held,
 		},
 		{
 			name: "store hears the owner, but its answers are cut", during: 3 * time.Second, lossless: true,
-			start: func(_ *testing.T, d *deployment) { d.network.link(storeName, owner(d).name).cut() },
-			end:   func(_ *testing.T, d *deployment) { d.network.heal() },
-			inPlace: func(_ *testing.T, d *deployment) bool {
-				return d.network.link(storeName, owner(d).name).held.Load() > 0
+			start: func(_ *testing.T, d *deployment) {
+				heldBack = d.network.link(storeName, owner(d).name).heldBack()
+				d.network.link(storeName, owner(d).name).cut()
 			},
+			end:     func(_ *testing.T, d *deployment) { d.network.heal() },
+			inPlace: held,
 		},
 		{
 			name: "owner cut off from its peers", during: 3 * time.Second,
 			start: func(_ *testing.T, d *deployment) {
+				heldBack = d.network.heldBetween(owner(d).name, "cusco-1")
 				for _, i := range d.instances {
 					if i != owner(d) {
 						d.network.cut(owner(d).name, i.name)
 					}
 				}
 			},
-			end: func(_ *testing.T, d *deployment) { d.network.heal() },
-			inPlace: func(_ *testing.T, d *deployment) bool {
-				return d.network.link("cusco-1", owner(d).name).held.Load()+d.network.link(owner(d).name, "cusco-1").held.Load() > 0
-			},
+			end:     func(_ *testing.T, d *deployment) { d.network.heal() },
+			inPlace: held,
 		},
 		{
 			name: "service breaks connections", during: time.Second,
 			start: func(t *testing.T, d *deployment) {
-				for _, action := range []string{"break_before", "break_after", "truncate_answer"} {
-					fault := fmt.Sprintf(`{"action":%q,"count":2,"delay_ms":30}`, action)
+				for _, action := range breakingActions {
+					fault := fmt.Sprintf(`{"action":%q,"count":%d,"delay_ms":30}`, action, breaksPerAction)
 					d.must(t, d.post(d.standin("service-lima").url()+"/standin/v1/faults", fault))
 				}
 			},
 			end: func(t *testing.T, d *deployment) {
+				faultsTaken = len(breakingActions)*breaksPerAction - d.faultsLeft(t, d.standin("service-lima"))
 				d.must(t, d.call(http.MethodDelete, d.standin("service-lima").url()+"/standin/v1/faults", ""))
 			},
-			inPlace: func(*testing.T, *deployment) bool { return true }, // shown by TestNotRunIsTrue
+			inPlace: func(t *testing.T, _ *deployment) bool {
+				t.Logf("%d connections broken", faultsTaken)
+				return faultsTaken > 0
+			},
 		},
 		{
 			name: "owner paused beyond its lease", during: leaseLapses,
