--- a/cmd/dogwoodctl/fleet_cmds.go
+++ b/cmd/dogwoodctl/fleet_cmds.go
@@ -297,8 +297,11 @@
 		if e.Kind == config.KindService {
 			serves = e.Service
 		}
-		if e.Drain {
+		switch {
+		case e.Drain:
 			state = "drain"
+		case snapshot.General.DataCentreDrained(e.DataCentre):
+			state = "data centre drain"
 		}
 		rows = append(rows, []string{e.Name, string(e.Kind), e.Addr, e.Region, e.DataCentre, serves, state})
 	}
@@ -330,16 +333,57 @@
 	if err != nil {
 		return err
 	}
-	s := a.configurationsIn(kv)
-	r, err := s.SetDrain(a.ctx, c.Name, !c.Undo, a.change(kv, c.Note))
+	r, err := a.configurationsIn(kv).SetDrain(a.ctx, c.Name, !c.Undo, a.change(kv, c.Note))
 	if err != nil {
 		return err
 	}
+	return a.reportDrain(r, c.waitFlags)
+}
+
+func (a *app) reportDrain(r *configstore.Result, w waitFlags) error {
 	if len(r.Changes) == 0 && !a.json() {
 		a.printf("nothing to change in revision %d\n", r.Head.Revision)
 		return nil
 	}
-	return a.reportWritten(r, c.waitFlags)
+	return a.reportWritten(r, w)
+}
+
+type dataCentreCmd struct {
+	Drain dataCentreDrainCmd `cmd:"" help:"Stop new work to a data centre."`
+}
+
+type dataCentreDrainCmd struct {
+	Name string `arg:"" help:"Data centre to drain."`
+	Undo bool   `help:"Send new work again."`
+	waitFlags
+	Note string `help:"Why, for the history." placeholder:"TEXT"`
+}
+
+// Help gives examples.
+func (dataCentreDrainCmd) Help() string {
+	return `Writes a new revision in which the endpoints of the data centre take no new work and its entry instances are left out of
+the entries; requests in flight finish. Instances there go on serving callers that still come, at other data centres'
+endpoints. Declare the data centre in "drain_data_centres" of its region too if it shall last: the next apply puts the files
+in force.
+
+Examples:
+
+    dogwoodctl data-centre drain lima-a --wait
+
+    dogwoodctl data-centre drain lima-a --undo`
+}
+
+// Run drains a data centre.
+func (c *dataCentreDrainCmd) Run(a *app) error {
+	kv, err := a.kv()
+	if err != nil {
+		return err
+	}
+	r, err := a.configurationsIn(kv).SetDataCentreDrain(a.ctx, c.Name, !c.Undo, a.change(kv, c.Note))
+	if err != nil {
+		return err
+	}
+	return a.reportDrain(r, c.waitFlags)
 }
 
 type slotsCmd struct {
--- a/cmd/dogwoodctl/main.go
+++ b/cmd/dogwoodctl/main.go
@@ -27,6 +27,7 @@
 	Key          keyCmd          `cmd:"" help:"Issue, withdraw and list callers' keys."`
 	Organisation organisationCmd `cmd:"" help:"Show organisations and their live use."`
 	Endpoints    endpointsCmd    `cmd:"" help:"List and drain endpoints."`
+	DataCentre   dataCentreCmd   `cmd:"" help:"Drain data centres."`
 	Status       statusCmd       `cmd:"" help:"Show the instances and the revision that each has in force."`
 	Orders       ordersCmd       `cmd:"" help:"Show who sends orders to the endpoints, and which changes wait."`
 	Slots        slotsCmd        `cmd:"" help:"Declare an instance dead, so that its slots can be used."`
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -120,6 +120,12 @@
 			}
 			k.dataCentres[dc] = r.Name
 		}
+		k.checkRepeated("data centre", r.DrainDataCentres, "regions", i, "drain_data_centres")
+		for j, dc := range r.DrainDataCentres {
+			if !slices.Contains(r.DataCentres, dc) {
+				k.fault(path("regions", i, "drain_data_centres", j), "data centre %q is not in region %q", dc, r.Name)
+			}
+		}
 	}
 	if len(k.cfg.Regions) == 0 {
 		k.fault(path("regions"), "no region is declared")
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -5,7 +5,10 @@
 // unit of a number, and "key" is the field that identifies the items of a list when an overlay is merged.
 package config
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 //go:generate go run ./gendoc
 
@@ -33,6 +36,9 @@
 	Name string `yaml:"name" json:"name" required:"true"`
 	// DataCentres of the region. A data centre belongs to one region.
 	DataCentres []string `yaml:"data_centres" json:"data_centres" required:"true"`
+	// DrainDataCentres are those of the data centres whose endpoints get no new work and whose entry instances are left out
+	// of the entries.
+	DrainDataCentres []string `yaml:"drain_data_centres,omitempty" json:"drain_data_centres,omitempty"`
 	// Slots is the number of slots that the region's rate shares are divided into: the largest number of entry
 	// instances that can hold shares at once. It cannot be changed once applied. A region with 0 slots has endpoints only.
 	Slots int `yaml:"slots" json:"slots" required:"true"`
@@ -137,6 +143,19 @@
 	Drain bool `yaml:"drain,omitempty" json:"drain,omitempty"`
 }
 
+// Drained reports whether an endpoint gets no new work, by its own declaration or by that of its data centre.
+func (c *Config) Drained(e *Endpoint) bool { return e.Drain || c.DataCentreDrained(e.DataCentre) }
+
+// DataCentreDrained reports whether a data centre is declared to take no new work.
+func (c *Config) DataCentreDrained(name string) bool {
+	for i := range c.Regions {
+		if slices.Contains(c.Regions[i].DrainDataCentres, name) {
+			return true
+		}
+	}
+	return false
+}
+
 // Service is a plain service beside the engines.
 type Service struct {
 	// Name of the service.
--- a/internal/configstore/general.go
+++ b/internal/configstore/general.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -12,6 +13,16 @@
 // SetDrain starts or ends the drain of an endpoint as a new revision. It reads and writes no shard. A later Apply of files that
 // say otherwise replaces it.
 func (s *Store) SetDrain(ctx context.Context, endpoint string, drain bool, change Change) (*Result, error) {
+	return s.editGeneral(ctx, change, func(general *config.Config) error { return drainEndpoint(general, endpoint, drain) })
+}
+
+// SetDataCentreDrain starts or ends the drain of a data centre, as SetDrain does that of an endpoint.
+func (s *Store) SetDataCentreDrain(ctx context.Context, dataCentre string, drain bool, change Change) (*Result, error) {
+	return s.editGeneral(ctx, change, func(general *config.Config) error { return drainDataCentre(general, dataCentre, drain) })
+}
+
+// editGeneral writes a revision whose general part edit has changed, or none if it changes nothing.
+func (s *Store) editGeneral(ctx context.Context, change Change, edit func(general *config.Config) error) (*Result, error) {
 	for range maxAttempts {
 		head, at, err := s.Head(ctx)
 		if err != nil {
@@ -29,7 +40,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := drainEndpoint(general, endpoint, drain); err != nil {
+		if err := edit(general); err != nil {
 			return nil, err
 		}
 		changes := config.Diff(old, general)
@@ -62,3 +73,19 @@
 	}
 	return errors.Newf("endpoint %q is not in the configuration in force", name)
 }
+
+func drainDataCentre(general *config.Config, name string, drain bool) error {
+	for i := range general.Regions {
+		r := &general.Regions[i]
+		if !slices.Contains(r.DataCentres, name) {
+			continue
+		}
+		r.DrainDataCentres = slices.DeleteFunc(r.DrainDataCentres, func(dc string) bool { return dc == name })
+		if drain {
+			r.DrainDataCentres = append(r.DrainDataCentres, name)
+			slices.Sort(r.DrainDataCentres)
+		}
+		return nil
+	}
+	return errors.Newf("data centre %q is not in the configuration in force", name)
+}
--- a/internal/core/membership/entries.go
+++ b/internal/core/membership/entries.go
@@ -50,15 +50,21 @@
 type Entries struct {
 	Members  []Member
 	ValidFor time.Duration
+	// LastResort says that the members are leaving or in a drained data centre, as there are no others.
+	LastResort bool
 }
 
 // RankEntries returns the entries of an organisation in a region. rate is its rate in tokens per second. Live
 // instances come in rendezvous order of the organisation. Suspect ones follow only if there are too few live ones, and
-// leaving ones only if there is no other.
-func RankEntries(s *Snapshot, region, organisation string, rate float64, p EntryParams, random *rand.Rand) Entries {
+// leaving ones and those of drained data centres only if there is no other. drained may be nil.
+func RankEntries(s *Snapshot, region, organisation string, rate float64, drained func(dataCentre string) bool, p EntryParams, random *rand.Rand) Entries {
 	byState := map[State][]Member{}
 	for _, m := range s.InRegion(region) {
-		byState[m.Status] = append(byState[m.Status], m)
+		state := m.Status
+		if drained != nil && drained(m.DataCentre) {
+			state = Leaving
+		}
+		byState[state] = append(byState[state], m)
 	}
 	key := xxhash.Sum64String(organisation)
 	for _, list := range byState {
@@ -69,11 +75,12 @@
 	want := p.count(rate)
 	chosen := firstN(byState[Live], want)
 	chosen = append(chosen, firstN(byState[Suspect], want-len(chosen))...)
-	if len(chosen) == 0 {
+	lastResort := len(chosen) == 0
+	if lastResort {
 		chosen = firstN(byState[Leaving], want)
 	}
 	shortened := float64(p.Validity) * (1 - p.Jitter*random.Float64())
-	return Entries{Members: chosen, ValidFor: time.Duration(shortened)}
+	return Entries{Members: chosen, ValidFor: time.Duration(shortened), LastResort: lastResort}
 }
 
 func (p EntryParams) count(rate float64) int {
--- a/internal/core/membership/membership_test.go
+++ b/internal/core/membership/membership_test.go
@@ -547,7 +547,7 @@
 			rt.Fatal(err)
 		}
 		core.ApplyList(0, 1, rows)
-		entries := membership.RankEntries(core.Snapshot(), "r0", "acme", rate, p, random)
+		entries := membership.RankEntries(core.Snapshot(), "r0", "acme", rate, nil, p, random)
 		live := 0
 		for _, row := range rows {
 			if row.State == platform.StateLive {
@@ -568,7 +568,7 @@
 		}
 		// One instance less: the others keep their order.
 		core.ApplyList(0, 2, rows[:n-1])
-		fewer := membership.RankEntries(core.Snapshot(), "r0", "acme", rate, p, random)
+		fewer := membership.RankEntries(core.Snapshot(), "r0", "acme", rate, nil, p, random)
 		kept := slices.DeleteFunc(slices.Clone(entries.Members), func(m membership.Member) bool { return m.Name == rows[n-1].Name && n > 1 })
 		for i := range min(len(kept), len(fewer.Members)) {
 			if kept[i].Name != fewer.Members[i].Name {
@@ -577,3 +577,41 @@
 		}
 	})
 }
+
+// Guards against callers that are sent to a drained data centre although there is another, and against no entries at all where
+// there is none.
+func TestRankEntriesOfDrainedDataCentres(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 3))
+	var rows []membership.Row
+	for i := range 6 {
+		rows = append(rows, membership.Row{
+			Name: fmt.Sprintf("i%d", i), Kind: platform.KindEntry, Region: "r0", DataCentre: fmt.Sprintf("d%d", i%2),
+			Incarnation: uint64(i + 1), PeerAddr: "x", State: platform.StateLive,
+		})
+	}
+	core, err := membership.New(rows[0], membership.DefaultParams(), random)
+	if err != nil {
+		t.Fatal(err)
+	}
+	core.ApplyList(0, 1, rows)
+	for _, c := range []struct {
+		drained    []string
+		allowed    []string
+		lastResort bool
+	}{
+		{nil, []string{"d0", "d1"}, false},
+		{[]string{"d0"}, []string{"d1"}, false},
+		{[]string{"d0", "d1"}, []string{"d0", "d1"}, true},
+	} {
+		drained := func(dataCentre string) bool { return slices.Contains(c.drained, dataCentre) }
+		entries := membership.RankEntries(core.Snapshot(), "r0", "acme", 0, drained, membership.DefaultEntryParams(), random)
+		if len(entries.Members) != 2 || entries.LastResort != c.lastResort {
+			t.Errorf("drained %v: %d entries, last resort %v", c.drained, len(entries.Members), entries.LastResort)
+		}
+		for _, m := range entries.Members {
+			if !slices.Contains(c.allowed, m.DataCentre) {
+				t.Errorf("drained %v: entry %s is in %s", c.drained, m.Name, m.DataCentre)
+			}
+		}
+	}
+}
--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -84,7 +84,7 @@
 			regions = append(regions, r.Name)
 		}
 	}
-	var out []gateway.Entry
+	var out, lastResort []gateway.Entry
 	valid := time.Duration(0)
 	for _, r := range regions {
 		ranked := e.members.Entries(r, organisation, rate)
@@ -92,9 +92,17 @@
 			valid = ranked.ValidFor
 		}
 		for _, m := range ranked.Members {
-			out = append(out, gateway.Entry{Name: m.Name, Region: m.Region, DataCentre: m.DataCentre, CallerAddr: m.CallerAddr})
+			entry := gateway.Entry{Name: m.Name, Region: m.Region, DataCentre: m.DataCentre, CallerAddr: m.CallerAddr}
+			if ranked.LastResort {
+				lastResort = append(lastResort, entry)
+			} else {
+				out = append(out, entry)
+			}
 		}
 	}
+	if len(out) == 0 {
+		out = lastResort
+	}
 	return out, valid
 }
 
@@ -109,6 +117,11 @@
 	}
 }
 
+// drained returns whether a data centre is declared to take no new work in the view in force.
+func drained(source configsync.Source) func(dataCentre string) bool {
+	return func(dataCentre string) bool { return source.View().General().DataCentreDrained(dataCentre) }
+}
+
 // endpointStates tells dispatch which endpoints the platform lists as leaving.
 type endpointStates struct{ members *members.Service }
 
--- a/internal/daemon/regions.go
+++ b/internal/daemon/regions.go
@@ -32,6 +32,7 @@
 	clock    clock.Clock
 	region   string
 	snapshot func() *membership.Snapshot
+	drained  func(dataCentre string) bool
 
 	mu     sync.Mutex
 	last   map[string]heard         // by instance
@@ -48,8 +49,8 @@
 
 var _ gateway.Regions = (*regionLoads)(nil)
 
-func newRegionLoads(c clock.Clock, region string, snapshot func() *membership.Snapshot) *regionLoads {
-	return &regionLoads{clock: c, region: region, snapshot: snapshot, last: make(map[string]heard), oneWay: make(map[string]time.Duration)}
+func newRegionLoads(c clock.Clock, region string, snapshot func() *membership.Snapshot, drained func(dataCentre string) bool) *regionLoads {
+	return &regionLoads{clock: c, region: region, snapshot: snapshot, drained: drained, last: make(map[string]heard), oneWay: make(map[string]time.Duration)}
 }
 
 func (r *regionLoads) received(from peer.Identity, p members.Payload) {
@@ -124,10 +125,11 @@
 	return out
 }
 
-// usable reports whether requests may be sent to an instance: it is neither leaving nor suspected nor out of reach.
+// usable reports whether requests may be sent to an instance: it is neither leaving nor suspected nor out of reach, and its
+// data centre is not drained.
 func (r *regionLoads) usable(id peer.Identity) bool {
 	m, known := r.snapshot().Member(id.Instance)
-	return known && m.Incarnation == id.Incarnation && m.Usable()
+	return known && m.Incarnation == id.Incarnation && m.Usable() && !r.drained(m.DataCentre)
 }
 
 func (r *regionLoads) latency(region string) time.Duration {
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -135,7 +135,8 @@
 		name: nameRegions,
 		build: func(r *kernel.Registry) (*regionLoads, error) {
 			snapshot := func() *membership.Snapshot { return find[*members.Service](r, nameMembers).Snapshot() }
-			return newRegionLoads(d.clock, d.self.Region, snapshot), nil
+			inDrained := func(dataCentre string) bool { return drained(find[*configsync.Syncer](r, nameConfig))(dataCentre) }
+			return newRegionLoads(d.clock, d.self.Region, snapshot, inDrained), nil
 		},
 	}
 }
@@ -155,6 +156,7 @@
 					return payload(find[*limits.Service](r, nameLimits).AppliedRevision(), find[*dispatch.Dispatcher](r, nameDispatch).Loads())
 				},
 				OnPayload: find[*regionLoads](r, nameRegions).received,
+				Drained:   drained(find[*configsync.Syncer](r, nameConfig)),
 				Logger:    d.log,
 				Scope:     d.metrics,
 			})
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -55,8 +55,12 @@
 }
 
 func (s *fakeSource) set(endpoints ...config.Endpoint) {
+	s.setGeneral(&config.Config{Endpoints: endpoints})
+}
+
+func (s *fakeSource) setGeneral(general *config.Config) {
 	s.mu.Lock()
-	s.view = fakeView{general: &config.Config{Endpoints: endpoints}}
+	s.view = fakeView{general: general}
 	v, subs := s.view, s.subs
 	s.mu.Unlock()
 	for _, f := range subs {
@@ -746,3 +750,20 @@
 	cancel()
 	<-first
 }
+
+// Guards against work that other regions send to a pool whose data centre is drained, and against one that stays drained.
+func TestDrainedDataCentreIsNotOffered(t *testing.T) {
+	f := newFleet(t, 1, 1, standin.EngineOptions{}, nil)
+	if n := len(f.Loads()); n != 2 {
+		t.Fatalf("%d pools before the drain", n)
+	}
+	region := config.Region{Name: "lima", DataCentres: []string{"dc"}, DrainDataCentres: []string{"dc"}}
+	f.source.setGeneral(&config.Config{Regions: []config.Region{region}, Endpoints: f.endpoints})
+	if n := len(f.Loads()); n != 0 || f.Serves("m") || f.ServesService("book") {
+		t.Errorf("%d pools while drained, serves %v %v", n, f.Serves("m"), f.ServesService("book"))
+	}
+	f.source.set(f.endpoints...)
+	if n := len(f.Loads()); n != 2 || !f.Serves("m") || !f.ServesService("book") {
+		t.Errorf("%d pools after the drain, serves %v %v", n, f.Serves("m"), f.ServesService("book"))
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -130,6 +130,7 @@
 		if c.Region != d.opts.Region {
 			continue
 		}
+		c.Drain = general.Drained(&c)
 		current[c.Name] = d.adopt(c, blocks)
 	}
 	for name, old := range d.endpoints {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -375,6 +375,9 @@
 	now := d.opts.Clock.Now()
 	out := make([]PoolLoad, 0, len(d.pools))
 	for name, p := range d.pools {
+		if !d.usable(p) {
+			continue // other regions would send work here that is then declined
+		}
 		free := 0
 		for _, e := range p.endpoints {
 			if d.takesWork(e) {
--- a/internal/experiment/capacity/membership.go
+++ b/internal/experiment/capacity/membership.go
@@ -199,7 +199,7 @@
 	snapshot := core.Snapshot()
 	random := rand.New(rand.NewPCG(1, 1))
 	costs.entries = costOf(func() {
-		membership.RankEntries(snapshot, regionName(0), "organisation-00001", smallRate, membership.DefaultEntryParams(), random)
+		membership.RankEntries(snapshot, regionName(0), "organisation-00001", smallRate, nil, membership.DefaultEntryParams(), random)
 	}).nanos
 	return costs, nil
 }
--- a/internal/integration/deployment_test.go
+++ b/internal/integration/deployment_test.go
@@ -285,7 +285,7 @@
 	return nil
 }
 
-// base returns the declarations. drained endpoints get no new work.
+// base returns the declarations.
 func (d *deployment) base() string {
 	var b strings.Builder
 	b.WriteString("regions:\n")
@@ -310,8 +310,12 @@
 	}
 	b.WriteString("endpoints:\n")
 	for _, e := range d.engines {
-		fmt.Fprintf(&b, "  - {name: %s, kind: engine, addr: \"%s\", region: %s, data_centre: %s-a, models: [%s], checks_fencing: true}\n",
-			e.name, e.proxyAddr(), e.region, e.region, modelName)
+		dataCentre := e.region + "-a"
+		if e.name == "engine-lima-2" {
+			dataCentre = "lima-b" // serves the region while lima-a is drained
+		}
+		fmt.Fprintf(&b, "  - {name: %s, kind: engine, addr: \"%s\", region: %s, data_centre: %s, models: [%s], checks_fencing: true}\n",
+			e.name, e.proxyAddr(), e.region, dataCentre, modelName)
 	}
 	for _, s := range d.services {
 		fmt.Fprintf(&b, "  - {name: %s, kind: service, addr: \"%s\", region: %s, data_centre: %s-a, service: %s}\n",
--- a/internal/members/directory.go
+++ b/internal/members/directory.go
@@ -74,7 +74,7 @@
 // publishEntries publishes the live instances if they differ from what the directory holds, and returns what it holds
 // then.
 func (s *Service) publishEntries(known []platform.DirectoryEntry) ([]platform.DirectoryEntry, error) {
-	entries := directoryEntries(s.Snapshot(), s.self.Region)
+	entries := directoryEntries(s.Snapshot(), s.self.Region, s.options.Drained)
 	if len(entries) == 0 || slices.Equal(entries, known) {
 		return known, nil
 	}
@@ -87,12 +87,13 @@
 	return entries, nil
 }
 
-// directoryEntries returns the live instances of a region, or the suspect ones if none is live.
-func directoryEntries(snapshot *membership.Snapshot, region string) []platform.DirectoryEntry {
+// directoryEntries returns the live instances of a region, or the suspect ones if none is live. Those of drained data centres
+// are left out; drained may be nil.
+func directoryEntries(snapshot *membership.Snapshot, region string, drained func(dataCentre string) bool) []platform.DirectoryEntry {
 	for _, state := range []membership.State{membership.Live, membership.Suspect} {
 		var entries []platform.DirectoryEntry
 		for _, m := range snapshot.InRegion(region) {
-			if m.Status == state && m.CallerAddr != "" {
+			if m.Status == state && m.CallerAddr != "" && (drained == nil || !drained(m.DataCentre)) {
 				entries = append(entries, platform.DirectoryEntry{
 					Name: m.Name, Region: m.Region, DataCentre: m.DataCentre, CallerAddr: m.CallerAddr,
 				})
--- a/internal/members/options.go
+++ b/internal/members/options.go
@@ -41,6 +41,8 @@
 
 	Params  membership.Params
 	Entries membership.EntryParams
+	// Drained reports whether a data centre takes no new callers; nil: none is drained. It must not block.
+	Drained func(dataCentre string) bool
 
 	// PollBase is the interval in which one instance of each region reads the list. It grows where the list is large
 	// and the region small.
--- a/internal/mutation/entries.go
+++ b/internal/mutation/entries.go
@@ -85,7 +85,7 @@
 	{
 		Condition: 6, Mechanism: "a pushed withdrawal is relayed to other data centres",
 		File:     "internal/configsync/withdraw.go",
-		Original: `if p.DataCentre != self.DataCentre {`, Replacement: `if false {`,
+		Original: `if p.DataCentre != self.DataCentre {`, Replacement: `if p.DataCentre != self.DataCentre && false {`,
 		Package: integration, Run: "^TestWithdrawnKeys$",
 	},
 	{
@@ -154,6 +154,24 @@
 		Original: `return d.opts.States == nil || !d.opts.States.Leaving(e.config.Name)`, Replacement: `return true`,
 		Package: integration, Run: "^TestLeavingEndpointGetsNoNewWork$",
 	},
+	{
+		Condition: 11, Mechanism: "an endpoint that operators drain gets no work",
+		File:     "internal/dispatch/dispatcher.go",
+		Original: `if e.load.gone || e.config.Drain {`, Replacement: `if e.load.gone {`,
+		Package: integration, Run: "^TestDrainedEndpointGetsNoNewWork$",
+	},
+	{
+		Condition: 11, Mechanism: "the endpoints of a drained data centre get no work",
+		File:     "internal/dispatch/dispatcher.go",
+		Original: `c.Drain = general.Drained(&c)`, Replacement: ``,
+		Package: integration, Run: "^TestDrainedDataCentreGetsNoNewWork$",
+	},
+	{
+		Condition: 11, Mechanism: "the instances of a drained data centre leave the entries",
+		File:     "internal/core/membership/entries.go",
+		Original: `if drained != nil && drained(m.DataCentre) {`, Replacement: `if false {`,
+		Package: integration, Run: "^TestDrainedDataCentreGetsNoNewWork$",
+	},
 	{
 		Condition: 12, Mechanism: "a stop waits for the requests in flight",
 		File:     "internal/gateway/server.go",
--- a/internal/orderer/service.go
+++ b/internal/orderer/service.go
@@ -192,8 +192,9 @@
 // endpoints returns the engines of this region.
 func (s *Service) endpoints() []config.Endpoint {
 	var out []config.Endpoint
-	for _, e := range s.opts.Source.View().General().Endpoints {
-		if e.Kind == config.KindEngine && e.Region == s.opts.Region && !e.Drain {
+	general := s.opts.Source.View().General()
+	for _, e := range general.Endpoints {
+		if e.Kind == config.KindEngine && e.Region == s.opts.Region && !general.Drained(&e) {
 			out = append(out, e)
 		}
 	}
