List steps without tests on the page of fault matrices

docs/FAULTS.md showed only matrices that have tests, so that handovers, loans, orders, drains, stops, configuration and withdrawals looked as if there were nothing to prove. A declared list names their steps and faults; cells without a test's result read "not proved", and the page gives the sum.

--- a/internal/faultmatrix/cmd/main.go
+++ b/internal/faultmatrix/cmd/main.go
@@ -29,5 +29,5 @@
 	if len(files) == 0 {
 		return errors.Newf("%s holds no fault matrix; run the tests with %s set to it", o.Dir, faultmatrix.DirVariable)
 	}
-	return errors.Wrap(os.WriteFile(o.Out, []byte(faultmatrix.Page(files)), 0o644), "write page")
+	return errors.Wrap(os.WriteFile(o.Out, []byte(faultmatrix.Page(faultmatrix.WithGaps(files, faultmatrix.Gaps()))), 0o644), "write page")
 }
--- a/internal/faultmatrix/page.go
+++ b/internal/faultmatrix/page.go
@@ -32,12 +32,25 @@
 		}
 		merge(merged, f)
 	}
+	return sorted(merged), nil
+}
+
+// WithGaps adds the cells of gaps to the results of tests.
+func WithGaps(files, gaps []File) []File {
+	merged := map[string]*File{}
+	for _, f := range append(append([]File{}, files...), gaps...) {
+		merge(merged, f)
+	}
+	return sorted(merged)
+}
+
+func sorted(merged map[string]*File) []File {
 	out := make([]File, 0, len(merged))
 	for _, f := range merged {
 		out = append(out, *f)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Matrix.Condition < out[j].Matrix.Condition })
-	return out, nil
+	return out
 }
 
 func merge(merged map[string]*File, f File) {
@@ -89,13 +102,29 @@
 func Page(files []File) string {
 	var b strings.Builder
 	b.WriteString("# Faults\n\nGenerated from test results by `go run ./internal/faultmatrix/cmd`; do not edit.\n\n")
-	b.WriteString("A cell holds if the condition held when the fault came while a request was at the step. \"Not proved\" means\nthat no test covers the cell.\n")
+	b.WriteString("A cell holds if the condition held when the fault came while a request was at the step. \"Not proved\" means\nthat no test covers the cell. Matrices without tests are declared in internal/faultmatrix/gaps.go; their notes name the tests that\n" +
+		"cover a condition in another way.\n")
+	b.WriteString(total(files))
 	for _, f := range files {
 		f.section(&b)
 	}
 	return b.String()
 }
 
+// total returns the sum over all matrices as a paragraph.
+func total(files []File) string {
+	counts, cells := map[string]int{}, 0
+	for _, f := range files {
+		for _, step := range f.Matrix.Steps {
+			for _, fault := range f.Matrix.Faults {
+				counts[f.result(step, fault)]++
+				cells++
+			}
+		}
+	}
+	return fmt.Sprintf("\nAll matrices: %d cells, %d held, %d failed, %d not proved.\n", cells, counts[Held], counts[Failed], counts[NotProved])
+}
+
 func (f File) section(b *strings.Builder) {
 	fmt.Fprintf(b, "\n## %s\n", f.Matrix.Condition)
 	if f.Matrix.Note != "" {
