--- a/internal/mutation/cmd/main.go
+++ b/internal/mutation/cmd/main.go
@@ -45,7 +45,7 @@
 		}
 	}
 	r := mutation.Runner{Root: o.Root, Timeout: o.Timeout}
-	baselines := &baselines{runner: r, done: map[string]func() mutation.Outcome{}}
+	baselines := &baselines{runner: r, done: map[string]func() mutation.Result{}}
 	errs := make([]error, len(rows))
 	var tests sync.WaitGroup
 	places := make(chan struct{}, max(o.Parallel, 1))
@@ -55,7 +55,7 @@
 			defer func() { <-places }()
 			row := &rows[i]
 			if o.Baseline {
-				row.Baseline = baselines.outcome(ctx, row.Entry)
+				row.Baseline = baselines.result(ctx, row.Entry)
 			}
 			row.Result, errs[i] = r.Mutant(ctx, row.Entry)
 			report(row, o.Verbose)
@@ -72,6 +72,13 @@
 // report prints a row as soon as it is known, on standard error.
 func report(row *mutation.Row, verbose bool) {
 	fmt.Fprintf(os.Stderr, "%2d %s: %s (%.0f s) %s\n", row.Condition, row.Mechanism, row.Verdict(), row.Result.Took.Seconds(), row.Result.Detail)
+	if b := row.Baseline.Outcome; b != "" && b != mutation.Passed {
+		fmt.Fprintf(os.Stderr, "   unchanged source: %s: %s\n", b, row.Baseline.Detail)
+		if verbose {
+			fmt.Fprintln(os.Stderr, row.Baseline.Output)
+		}
+		return
+	}
 	if verbose && !row.Proved() {
 		fmt.Fprintln(os.Stderr, row.Result.Output)
 	}
@@ -94,14 +101,14 @@
 type baselines struct {
 	runner mutation.Runner
 	mu     sync.Mutex
-	done   map[string]func() mutation.Outcome
+	done   map[string]func() mutation.Result
 }
 
-func (b *baselines) outcome(ctx context.Context, e mutation.Entry) mutation.Outcome {
+func (b *baselines) result(ctx context.Context, e mutation.Entry) mutation.Result {
 	b.mu.Lock()
 	key := e.Package + " " + e.Run
 	if b.done[key] == nil {
-		b.done[key] = sync.OnceValue(func() mutation.Outcome { return b.runner.Baseline(ctx, e).Outcome })
+		b.done[key] = sync.OnceValue(func() mutation.Result { return b.runner.Baseline(ctx, e) })
 	}
 	f := b.done[key]
 	b.mu.Unlock()
--- a/internal/mutation/entries.go
+++ b/internal/mutation/entries.go
@@ -178,6 +178,18 @@
 		Original: `err := g.server.Shutdown(ctx)`, Replacement: `err := g.server.Close()`,
 		Package: integration, Run: "^TestPlannedStopUnderLoad$",
 	},
+	{
+		Condition: 12, Mechanism: "a stop waits for callers' requests in flight (in one process)",
+		File:     "internal/gateway/server.go",
+		Original: `err := g.server.Shutdown(ctx)`, Replacement: `err := g.server.Close()`,
+		Package: "./internal/gateway", Run: "^TestShutdownCutsNothing$",
+	},
+	{
+		Condition: 12, Mechanism: "a stop waits for forwarded requests in flight (in one process)",
+		File:     "internal/gateway/server.go",
+		Original: `if waitErr := g.forwards.wait(ctx); err == nil {`, Replacement: `if waitErr := error(nil); err == nil {`,
+		Package: "./internal/gateway", Run: "^TestShutdownCutsNothing$",
+	},
 	{
 		Condition: 13, Mechanism: "only a higher revision is accepted",
 		File:     "internal/core/configview/state.go",
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -103,7 +103,7 @@
 	}{
 		{Passed, Failed, true}, {"", Failed, true}, {Failed, Failed, false}, {Invalid, Failed, false}, {Passed, Passed, false}, {Passed, Invalid, false},
 	} {
-		r := Row{Baseline: c.baseline, Result: Result{Outcome: c.outcome}}
+		r := Row{Baseline: Result{Outcome: c.baseline}, Result: Result{Outcome: c.outcome}}
 		if r.Proved() != c.proved || c.proved != strings.HasPrefix(r.Verdict(), "fails") {
 			t.Errorf("unchanged %q, switched off %q: %s", c.baseline, c.outcome, r.Verdict())
 		}
--- a/internal/mutation/table.go
+++ b/internal/mutation/table.go
@@ -8,14 +8,14 @@
 // Row is an entry with the results of its test.
 type Row struct {
 	Entry
-	// Baseline is the outcome on the unchanged source; empty if it was not run.
-	Baseline Outcome
+	// Baseline is the result on the unchanged source; its outcome is empty if it was not run.
+	Baseline Result
 	Result   Result
 }
 
 // Proved reports whether the test fails without the mechanism, and with it does not.
 func (r Row) Proved() bool {
-	return r.Result.Outcome == Failed && (r.Baseline == Passed || r.Baseline == "")
+	return r.Result.Outcome == Failed && (r.Baseline.Outcome == Passed || r.Baseline.Outcome == "")
 }
 
 // Verdict is the text for the table.
@@ -26,8 +26,8 @@
 	case r.Result.Outcome == Passed:
 		return "NOT PROVED: the test passes"
 	case !r.Proved():
-		return "error: unchanged source: " + string(r.Baseline)
-	case r.Baseline == "":
+		return "error: on the unchanged source too: " + string(r.Baseline.Outcome)
+	case r.Baseline.Outcome == "":
 		return "fails; unchanged source not run"
 	}
 	return "fails"
