--- a/internal/integration/drain_test.go
+++ b/internal/integration/drain_test.go
@@ -179,6 +179,31 @@
 	}
 }
 
+// Point 11. Guards against callers that are left without service where the only data centre of a region is drained, and
+// against entries that still name its instance.
+func TestDrainedRegionIsServedElsewhere(t *testing.T) {
+	d := running(t)
+	alone := d.instance("cusco-1")
+	d.drain(t, "data-centre", "drain", alone.at.dataCentre)
+	const prompt, body = "no endpoint in cusco", `{"drained":"cusco"}`
+	s := d.chat(alone, d.keys["general"], prompt, 8, nil)
+	s.wantWhole(t, prompt, 8)
+	if s.region == alone.at.region {
+		t.Errorf("chat was served in %s", s.region)
+	}
+	if a := d.book(alone, "general", "", body); a.execution != "ran" || a.region == alone.at.region {
+		t.Errorf("booking: %+v", a)
+	}
+	if n := d.executions(t, body); n != 1 {
+		t.Errorf("booking was executed %d times", n)
+	}
+	for _, i := range d.instances {
+		if names := d.entries(t, i); slices.Contains(names, alone.name) || len(names) < 3 {
+			t.Errorf("entries that %s names: %v", i.name, names)
+		}
+	}
+}
+
 // received returns the requests that have reached a plain service.
 func (d *deployment) received(t *testing.T, s *standinProcess) int64 {
 	t.Helper()
--- a/internal/mutation/entries.go
+++ b/internal/mutation/entries.go
@@ -172,6 +172,12 @@
 		Original: `if drained != nil && drained(m.DataCentre) {`, Replacement: `if false {`,
 		Package: integration, Run: "^TestDrainedDataCentreGetsNoNewWork$",
 	},
+	{
+		Condition: 11, Mechanism: "entries of all regions leave out a region that is drained",
+		File:     "internal/daemon/adapters.go",
+		Original: `if ranked.LastResort {`, Replacement: `if false {`,
+		Package: integration, Run: "^TestDrainedRegionIsServedElsewhere$",
+	},
 	{
 		Condition: 12, Mechanism: "a stop waits for the requests in flight",
 		File:     "internal/gateway/server.go",
