Wait for the owner's log before the booking whose owner is killed

The test now waits until the owner of the key's records takes another booking, and says what was refused if its own is. The strictness of its own checks is unchanged.

--- a/internal/integration/once_test.go
+++ b/internal/integration/once_test.go
@@ -34,6 +34,7 @@
 func TestBookingOnceOwnerKilled(t *testing.T) {
 	d := running(t)
 	key, body := newKey(t), `{"deposit":"killed owner"}`
+	d.awaitBookings(t, d.instance("cusco-1"), key)
 	// The service executes after the owner has died.
 	for _, s := range d.services {
 		if err := d.post(s.url()+"/standin/v1/faults", `{"action":"drop_answer","path":"/bookings"}`); err != nil {
@@ -43,7 +44,12 @@
 	first := make(chan answer, 1)
 	go func() { first <- d.book(d.instance("cusco-1"), "booker", key, body) }()
 	if !poll(callWithin, func() bool { return d.executions(t, body) == 1 }) {
-		t.Fatal("booking does not reach the service")
+		select {
+		case a := <-first:
+			t.Fatalf("booking does not reach the service: %+v", a)
+		default:
+			t.Fatal("booking does not reach the service")
+		}
 	}
 	owner := d.recordOwner(t, key)
 	d.kill(owner.process)
@@ -75,6 +81,24 @@
 	}
 }
 
+// awaitBookings waits until the owner of a key's records takes bookings from an instance. An instance that has just got a slot
+// starts with no tokens, and the log of a slot must be read before its first booking: until then bookings are refused "not run".
+func (d *deployment) awaitBookings(t *testing.T, at *instance, key string) {
+	t.Helper()
+	var last answer
+	taken := poll(readyWithin, func() bool {
+		other := newKey(t)
+		for operations.RecordSlot(regions[0].instances, "booker", other) != operations.RecordSlot(regions[0].instances, "booker", key) {
+			other = newKey(t)
+		}
+		last = d.book(at, "booker", other, fmt.Sprintf(`{"await":%q}`, other))
+		return last.execution == "ran"
+	})
+	if !taken {
+		t.Fatalf("%s takes no bookings: %+v", at.name, last)
+	}
+}
+
 // recordOwner returns the instance that owns the records of a key of the organisation booker.
 func (d *deployment) recordOwner(t *testing.T, key string) *instance {
 	t.Helper()
