Switch off relay and exchange of withdrawals together

With the relay to other data centres off, TestWithdrawnKeys passed: the exchange of states brings the withdrawal within the 7 s as well. The two are one mechanism to the condition, so that the entry switches both off.

--- a/internal/mutation/entries.go
+++ b/internal/mutation/entries.go
@@ -83,10 +83,12 @@
 		Package: integration, Run: "^TestWithdrawnKeys$",
 	},
 	{
-		Condition: 6, Mechanism: "a pushed withdrawal is relayed to other data centres",
-		File:     "internal/configsync/withdraw.go",
-		Original: `if p.DataCentre != self.DataCentre {`, Replacement: `if p.DataCentre != self.DataCentre && false {`,
-		Package: integration, Run: "^TestWithdrawnKeys$",
+		// Without the relay alone the exchange of states brings a withdrawal in time, and the test passes.
+		Condition: 6, Mechanism: "instances learn of pushed withdrawals from one another, by relay or exchange",
+		File:        "internal/configsync/withdraw.go",
+		Original:    "func (s *Syncer) learn(ids []string, from peer.Identity) {\n",
+		Replacement: "func (s *Syncer) learn(ids []string, from peer.Identity) {\n\tids = nil\n",
+		Package:     integration, Run: "^TestWithdrawnKeys$",
 	},
 	{
 		Condition: 7, Mechanism: "rate and burst are divided among slots",
