Let requests wait for accrual within half of their deadline

A request that had asked all holders twice was refused at once, however soon the rate brought its tokens. In a region that is cut off it was refused after 0 s, because there is nobody to ask.

Now a request waits up to half of the time to its deadline, at most 5 s, if the rate of the holders that answer can bring its tokens and those of the requests before it in time; else it is refused as soon as they have answered. Without a deadline it does not wait. Rounds of waiting requests are 50 to 300 ms apart.

The experiment's tests now include the region cut at 60% and twice as strict a limit at 90%.

--- a/internal/core/ratelimit/pull.go
+++ b/internal/core/ratelimit/pull.go
@@ -65,6 +65,14 @@
 // asks at the same time.
 const maxRounds = 2
 
+const (
+	// maxPause is the time between the rounds of requests that wait for accrual. At 150 ms the requests of an organisation
+	// that sends five times its rate lost a further 2% of the tokens in transit.
+	maxPause = 300 * time.Millisecond
+	// minPause bounds the messages of requests that lack few tokens.
+	minPause = 50 * time.Millisecond
+)
+
 // stage is a step of a round.
 type stage int
 
@@ -73,6 +81,7 @@
 	stageNamed          // holders of the region that the answers named
 	stageCrossRegion
 	stageEnd
+	stagePause // between two rounds
 )
 
 // pull is the exchange of one organisation.
@@ -91,6 +100,7 @@
 	tokens      float64
 	crossRegion bool
 	rounds      int
+	until       clock.Instant // end of its patience
 }
 
 // NewPuller returns a puller for a ledger.
@@ -99,7 +109,11 @@
 }
 
 // Wait queues a request that the ledger did not admit. crossRegion says that its deadline leaves room for other regions.
-func (p *Puller) Wait(now clock.Instant, organisation string, tokens float64, crossRegion bool) (id uint64, do Actions) {
+// patience is how long it may wait for tokens that no holder has yet; a request that would wait longer is refused as soon as the
+// holders have answered.
+func (p *Puller) Wait(
+	now clock.Instant, organisation string, tokens float64, crossRegion bool, patience time.Duration,
+) (id uint64, do Actions) {
 	p.next++
 	id = p.next
 	x := p.pulls[organisation]
@@ -107,7 +121,7 @@
 		x = &pull{stage: stageEnd}
 		p.pulls[organisation] = x
 	}
-	x.waiters = append(x.waiters, waiter{id: id, tokens: tokens, crossRegion: crossRegion})
+	x.waiters = append(x.waiters, waiter{id: id, tokens: tokens, crossRegion: crossRegion, until: now.Add(patience)})
 	if len(x.waiters) == 1 {
 		p.proceed(now, organisation, x, &do)
 	}
@@ -163,6 +177,10 @@
 		if len(x.pending) > 0 {
 			return
 		}
+		if x.stage == stagePause {
+			x.batch = 0
+			continue
+		}
 		x.stage++
 		switch x.stage {
 		case stageNamed:
@@ -174,15 +192,67 @@
 				p.ask(now, organisation, x, far, p.opts.CrossRegionTimeout, do)
 			}
 		default:
-			for i := range x.waiters {
-				if x.waiters[i].id <= x.batch {
-					x.waiters[i].rounds++
-				}
-			}
-			p.refuse(now, organisation, x, do, func(w waiter) bool { return w.rounds >= maxRounds })
-			x.batch = 0
+			p.endRound(now, organisation, x, do)
+		}
+	}
+}
+
+// endRound refuses the requests that have asked often enough and would wait too long for accrual. It pauses before the next round
+// if all others wait for accrual.
+func (p *Puller) endRound(now clock.Instant, organisation string, x *pull, do *Actions) {
+	for i := range x.waiters {
+		if x.waiters[i].id <= x.batch {
+			x.waiters[i].rounds++
+		}
+	}
+	a := p.ledger.account(now, organisation)
+	if a == nil {
+		p.refuse(now, organisation, x, do, func(waiter) bool { return true })
+		x.batch = 0
+		return
+	}
+	rate, ahead, asking := p.reachableRate(a), -a.level, false
+	p.refuse(now, organisation, x, do, func(w waiter) bool {
+		if w.rounds >= maxRounds && (w.until <= now || ahead+w.tokens > rate*w.until.Sub(now).Seconds()) {
+			return true
+		}
+		ahead += w.tokens
+		asking = asking || w.rounds < maxRounds
+		return false
+	})
+	if asking || len(x.waiters) == 0 || x.waiters[0].id > x.batch {
+		x.batch = 0
+		return
+	}
+	x.stage, x.pending = stagePause, map[string]bool{p.opts.Self: true}
+	p.next++
+	x.timer = p.next
+	do.Timers = append(do.Timers, Timer{x.timer, p.pause(a, x)})
+}
+
+// pause returns the time in which the smallest request gets its tokens from this holder's rate, within minPause and maxPause.
+func (p *Puller) pause(a *account, x *pull) time.Duration {
+	smallest := math.Inf(1)
+	for _, w := range x.waiters {
+		smallest = math.Min(smallest, w.tokens)
+	}
+	seconds := math.Max(0, smallest-a.level) / a.share().Rate
+	if !(seconds < maxPause.Seconds()) { // also without a rate
+		return maxPause
+	}
+	return max(minPause, time.Duration(seconds*float64(time.Second)))
+}
+
+// reachableRate returns the rate (tokens/s) of this holder and of the slots whose owners answer: what waiting requests can expect.
+func (p *Puller) reachableRate(a *account) float64 {
+	rate := 0.0
+	for _, x := range a.entitled {
+		owner := p.fleet.Owner(x.Slot)
+		if _, ok := p.fleet.Region(owner); ok || owner == p.opts.Self {
+			rate += x.Share.Rate
 		}
 	}
+	return math.Max(rate, a.share().Rate)
 }
 
 // owners returns the holders of the organisation's slots in this region, or in the others, and those that have loans from here.
--- a/internal/experiment/rates/rates.go
+++ b/internal/experiment/rates/rates.go
@@ -10,6 +10,8 @@
 	"slices"
 	"text/tabwriter"
 	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/limits"
 )
 
 // Scenario is a pattern of load and faults.
@@ -41,6 +43,8 @@
 	Burst    float64       // tokens, default 40,000
 	// Deadline is the time that callers give a request. Default 10 s, which leaves room for other regions.
 	Deadline time.Duration
+	// MaxPatience bounds the time that a request waits for accrual. Default limits.DefaultPatience; negative: none.
+	MaxPatience time.Duration
 }
 
 const (
@@ -103,6 +107,9 @@
 	if o.Deadline == 0 {
 		o.Deadline = 10 * time.Second
 	}
+	if o.MaxPatience == 0 {
+		o.MaxPatience = limits.DefaultPatience
+	}
 	if o.Scenario == FiveTimes || o.Scenario == FiveTimesOne {
 		o.Load = 5
 	}
@@ -183,6 +190,9 @@
 	return t >= warmUp && (o.Scenario != InstanceLost || t >= o.faultAt()+lostGrace)
 }
 
+// patience is the time that a request may wait for accrual, as package limits sets it.
+func (o Options) patience() time.Duration { return min(o.Deadline/2, o.MaxPatience) }
+
 func (o Options) faultAt() time.Duration { return time.Duration(float64(o.Duration) * faultAfter) }
 
 // bucket is an ideal token bucket.
--- a/internal/experiment/rates/rates_test.go
+++ b/internal/experiment/rates/rates_test.go
@@ -10,7 +10,8 @@
 // At 60% of the rate no skew may cost an organisation its requests, and no window may ever admit more than rate and burst.
 func TestWrongfulRefusalsAtSixtyPercent(t *testing.T) {
 	limits := map[Scenario]float64{
-		Even: 0.001, NoSlot: 0.001, OneInstance: 0.001, MovingPeak: 0.001, StoreOut: 0.001, InstanceLost: 0.01,
+		Even: 0.001, NoSlot: 0.001, OneInstance: 0.001, MovingPeak: 0.001, StoreOut: 0.001, RegionCut: 0.001,
+		InstanceLost: 0.01,
 	}
 	for scenario, limit := range limits {
 		r := Run(Options{Seed: 1, Scenario: scenario, Load: 0.6, Duration: 20 * time.Minute})
@@ -27,7 +28,7 @@
 func TestWrongfulRefusalsAtNinetyPercent(t *testing.T) {
 	for _, scenario := range []Scenario{Even, OneInstance, MovingPeak} {
 		r := Run(Options{Seed: 1, Scenario: scenario, Load: 0.9, Duration: 20 * time.Minute})
-		if r.WrongfulShare() > 0.006 || r.WrongfulShare() > r.StaticShare()/5 {
+		if r.WrongfulShare() > 0.003 || r.WrongfulShare() > r.StaticShare()/5 {
 			t.Errorf("%s: %.3f%% wrongful refusals, static shares %.3f%%", scenario, 100*r.WrongfulShare(), 100*r.StaticShare())
 		}
 		if r.OverRate > 1e-6 {
--- a/internal/experiment/rates/simulation.go
+++ b/internal/experiment/rates/simulation.go
@@ -205,7 +205,7 @@
 	}
 	s.outcomes[i].asked = true
 	// The outcomes of a pull that ends at once come with the call that returns the id.
-	id, do := n.puller.Wait(s.instant(), organisation, r.charge, s.o.Deadline >= 250*time.Millisecond)
+	id, do := n.puller.Wait(s.instant(), organisation, r.charge, s.o.Deadline >= 250*time.Millisecond, s.o.patience())
 	n.waiting[id] = i
 	n.perform(do)
 }
--- a/internal/limits/options.go
+++ b/internal/limits/options.go
@@ -14,6 +14,10 @@
 	"dogwoodknot.example/dogwoodknot/internal/platform"
 )
 
+// DefaultPatience bounds the wait of a request for tokens that no instance has yet. In the experiment of package rates, 0, 2, 3
+// and 5 s gave 0.30, 0.19, 0.18 and 0.15% wrongful refusals with even traffic at 90% of the rate.
+const DefaultPatience = 5 * time.Second
+
 // Peer is another entry instance.
 type Peer struct {
 	Name        string
@@ -48,6 +52,9 @@
 	// CrossRegionRoom is the remaining time that a request needs for other regions to be asked. Default 250 ms: a round
 	// trip of 160 ms and time to run.
 	CrossRegionRoom time.Duration
+	// MaxPatience bounds the time that a request waits for tokens that no instance has yet; it waits for at most half of the
+	// time to its deadline, and not at all without a deadline. Default DefaultPatience.
+	MaxPatience time.Duration
 	// RenewBase is the renewal interval at four instances. Default 3 s.
 	RenewBase time.Duration
 	// Term of a loan. Default ratelimit.DefaultTerm.
@@ -69,7 +76,7 @@
 	require(o.Peers != nil, "Peers")
 	for name, d := range map[string]time.Duration{
 		"InRegionTimeout": o.InRegionTimeout, "CrossRegionTimeout": o.CrossRegionTimeout,
-		"CrossRegionRoom": o.CrossRegionRoom, "RenewBase": o.RenewBase, "Term": o.Term,
+		"CrossRegionRoom": o.CrossRegionRoom, "MaxPatience": o.MaxPatience, "RenewBase": o.RenewBase, "Term": o.Term,
 	} {
 		if d < 0 {
 			errs = append(errs, errors.Newf("limits: option %s is negative: %s", name, d))
@@ -82,6 +89,7 @@
 	o.InRegionTimeout = cmp.Or(o.InRegionTimeout, 50*time.Millisecond)
 	o.CrossRegionTimeout = cmp.Or(o.CrossRegionTimeout, 400*time.Millisecond)
 	o.CrossRegionRoom = cmp.Or(o.CrossRegionRoom, 250*time.Millisecond)
+	o.MaxPatience = cmp.Or(o.MaxPatience, DefaultPatience)
 	o.RenewBase = cmp.Or(o.RenewBase, 3*time.Second)
 	o.Term = cmp.Or(o.Term, ratelimit.DefaultTerm)
 	if o.Log == nil {
--- a/internal/limits/pull.go
+++ b/internal/limits/pull.go
@@ -47,9 +47,9 @@
 }
 
 // enqueue lets a request wait for tokens of other instances.
-func (s *Service) enqueue(organisation string, tokens float64, crossRegion bool) *waiter {
+func (s *Service) enqueue(organisation string, tokens float64, crossRegion bool, patience time.Duration) *waiter {
 	w := &waiter{tokens: tokens, result: make(chan result, 1)}
-	id, do := s.puller.Wait(s.opts.Clock.Now(), organisation, tokens, crossRegion)
+	id, do := s.puller.Wait(s.opts.Clock.Now(), organisation, tokens, crossRegion, patience)
 	w.id = id
 	s.waiters[id] = w
 	s.perform(organisation, do)
--- a/internal/limits/service.go
+++ b/internal/limits/service.go
@@ -241,7 +241,7 @@
 	if s.stopping {
 		return nil, Charge{}, &RefusedError{organisation, minRetryAfter, "instance is stopping"}
 	}
-	return s.enqueue(organisation, tokens, s.roomForCrossRegion(ctx)), Charge{}, nil
+	return s.enqueue(organisation, tokens, s.roomForCrossRegion(ctx), s.patience(ctx)), Charge{}, nil
 }
 
 // roomForCrossRegion reports whether the deadline lets the request wait for another region.
@@ -250,6 +250,15 @@
 	return !ok || time.Until(deadline) >= s.opts.CrossRegionRoom
 }
 
+// patience is the time that the request may wait for tokens that no instance has yet.
+func (s *Service) patience(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return min(time.Until(deadline)/2, s.opts.MaxPatience)
+}
+
 // refusal explains a shortage. The advice is the time in which the whole rate brings the missing tokens.
 func (s *Service) refusal(organisation string, missing float64) *RefusedError {
 	wait := maxRetryAfter
