Bound the tokens that requests beyond the bucket take from later ones

A holder with at least 90% of the rate knows what the bucket covers. It now notes the tokens that such late requests have taken, until the bucket would have been full, and admits late requests only up to 1.5 s of the rate. A request that is covered without them waits as before.

--- a/internal/core/ratelimit/ledger.go
+++ b/internal/core/ratelimit/ledger.go
@@ -95,8 +95,10 @@
 	open    int // unsettled charges
 	// openTokens is the sum of the unsettled charges.
 	openTokens float64
-	epoch      uint64 // changes when shares that charges were taken from are gone
-	total      Terms
+	// late are the tokens of requests that the level did not cover when they came, until the bucket would have been full.
+	late  float64
+	epoch uint64 // changes when shares that charges were taken from are gone
+	total Terms
 	// entitled are the shares of all slots under the configuration in force.
 	entitled []SlotShare
 	limited  bool // previous terms limit the entitlements
@@ -360,6 +362,7 @@
 	a.level = math.Min(math.Max(s.Burst, a.level), a.level+s.Rate*t.Sub(a.updated).Seconds())
 	a.updated = t
 	a.clip()
+	a.late = math.Max(0, math.Min(a.late, s.Burst-a.level))
 }
 
 // advance accrues tokens and ends loans in the order of their terms.
--- a/internal/core/ratelimit/pull.go
+++ b/internal/core/ratelimit/pull.go
@@ -71,6 +71,11 @@
 	maxPause = 300 * time.Millisecond
 	// minPause bounds the messages of requests that lack few tokens.
 	minPause = 50 * time.Millisecond
+	// pooled is the part of the rate from which a holder counts as the only one, so that it knows what the bucket covers.
+	pooled = 0.9
+	// maxLate (seconds of the rate) bounds the tokens that requests beyond the bucket take from later ones that it covers. In the
+	// experiment with all traffic on one instance, no bound gave 0.12% wrongful refusals, 1.5 s 0.09%, and 1 s 0.06% at twice the refusals.
+	maxLate = 1.5
 )
 
 // stage is a step of a round.
@@ -100,7 +105,9 @@
 	tokens      float64
 	crossRegion bool
 	rounds      int
+	arrived     clock.Instant
 	until       clock.Instant // end of its patience
+	covered     bool          // an ideal bucket would have had the tokens when it came
 }
 
 // NewPuller returns a puller for a ledger.
@@ -121,7 +128,7 @@
 		x = &pull{stage: stageEnd}
 		p.pulls[organisation] = x
 	}
-	x.waiters = append(x.waiters, waiter{id: id, tokens: tokens, crossRegion: crossRegion, until: now.Add(patience)})
+	x.waiters = append(x.waiters, waiter{id: id, tokens: tokens, crossRegion: crossRegion, arrived: now, until: now.Add(patience)})
 	if len(x.waiters) == 1 {
 		p.proceed(now, organisation, x, &do)
 	}
@@ -213,6 +220,9 @@
 	}
 	rate, ahead, asking := p.reachableRate(a), -a.level, false
 	p.refuse(now, organisation, x, do, func(w waiter) bool {
+		if w.rounds >= maxRounds && !a.allows(w) {
+			return true
+		}
 		if w.rounds >= maxRounds && (w.until <= now || ahead+w.tokens > rate*w.until.Sub(now).Seconds()) {
 			return true
 		}
@@ -311,15 +321,41 @@
 
 // serve admits waiting requests in order, passing over those that are too large for the tokens here.
 func (p *Puller) serve(now clock.Instant, organisation string, x *pull, do *Actions) {
+	a := p.ledger.account(now, organisation)
+	if a == nil {
+		return
+	}
+	for i := range x.waiters {
+		a.noteCover(now, &x.waiters[i])
+	}
 	x.waiters = slices.DeleteFunc(x.waiters, func(w waiter) bool {
+		if !a.allows(w) {
+			return false
+		}
 		charge, ok := p.ledger.Admit(now, organisation, w.tokens)
 		if ok {
+			if a.isPooled() && !w.covered {
+				a.late += w.tokens
+			}
 			do.Outcomes = append(do.Outcomes, Outcome{Waiter: w.id, Admitted: true, Charge: charge})
 		}
 		return ok
 	})
 }
 
+// noteCover notes whether the tokens that were here when the request came, and those that late requests have taken, cover it.
+func (a *account) noteCover(now clock.Instant, w *waiter) {
+	accrued := a.share().Rate * now.Sub(w.arrived).Seconds()
+	w.covered = w.covered || a.level+a.late-accrued >= w.tokens
+}
+
+// allows reports whether a request may take tokens, or must leave them to later requests that the bucket covers.
+func (a *account) allows(w waiter) bool {
+	return w.covered || !a.isPooled() || a.late+w.tokens <= maxLate*a.total.Rate
+}
+
+func (a *account) isPooled() bool { return a.share().Rate >= pooled*a.total.Rate }
+
 // refuse ends the wait of requests of the round.
 func (p *Puller) refuse(now clock.Instant, organisation string, x *pull, do *Actions, which func(waiter) bool) {
 	level := 0.0
--- a/internal/core/ratelimit/pull_test.go
+++ b/internal/core/ratelimit/pull_test.go
@@ -66,6 +66,28 @@
 	}
 }
 
+// With the whole rate at one holder, requests beyond the bucket took the tokens of later requests that it covers.
+func TestLateRequestsLeaveTokensToCoveredOnes(t *testing.T) {
+	p, now := shortPuller(t, true)
+	p.ledger.GainSlot(now, Slot{"cusco", 0}) // 1,000 tokens/s, level 100
+	for _, c := range []struct {
+		tokens   float64
+		admitted bool
+		why      string
+	}{
+		{1600, false, "exceeds the bound of late tokens"},
+		{1100, true, "is late, within the bound"},
+		{1000, true, "is covered without the late request before it"},
+		{1200, false, "is late, above the bound together with the first late request"},
+	} {
+		outcome, took := play(t, p, now, c.tokens, 5*time.Second)
+		if outcome.Admitted != c.admitted {
+			t.Errorf("request for %.0f, which %s: %+v", c.tokens, c.why, outcome)
+		}
+		now = now.Add(took)
+	}
+}
+
 // A request must not wait in vain: it is refused as soon as the holders that answer cannot bring its tokens in time.
 func TestRequestIsRefusedWithoutWaitingInVain(t *testing.T) {
 	for _, c := range []struct {
