Space the rounds of waiting requests evenly unless one holder has the rate

Now they ask every 300 ms; only a holder that has at least 90% of the rate comes back when its own rate has brought the tokens.

--- a/internal/core/ratelimit/pull.go
+++ b/internal/core/ratelimit/pull.go
@@ -66,8 +66,8 @@
 const maxRounds = 2
 
 const (
-	// maxPause is the time between the rounds of requests that wait for accrual. At 150 ms the requests of an organisation
-	// that sends five times its rate lost a further 2% of the tokens in transit.
+	// maxPause is the time between the rounds of requests that wait for accrual. 500 ms lost fewer tokens at five times the rate
+	// (2 instead of 4%), but gave 0.16 instead of 0.14% wrongful refusals with even traffic at 90%.
 	maxPause = 300 * time.Millisecond
 	// minPause bounds the messages of requests that lack few tokens.
 	minPause = 50 * time.Millisecond
@@ -240,14 +240,15 @@
 	do.Timers = append(do.Timers, Timer{x.timer, p.pause(a, x)})
 }
 
-// pause returns the time in which the smallest request gets its tokens from this holder's rate, within minPause and maxPause.
+// pause returns the time to the next round: at the only holder of the rate that in which the smallest request gets its tokens. At
+// others earlier rounds take tokens from each other: they lost 1% of the tokens at five times the rate.
 func (p *Puller) pause(a *account, x *pull) time.Duration {
 	smallest := math.Inf(1)
 	for _, w := range x.waiters {
 		smallest = math.Min(smallest, w.tokens)
 	}
 	seconds := math.Max(0, smallest-a.level) / a.share().Rate
-	if !(seconds < maxPause.Seconds()) { // also without a rate
+	if !a.isPooled() || !(seconds < maxPause.Seconds()) { // also without a rate
 		return maxPause
 	}
 	return max(minPause, time.Duration(seconds*float64(time.Second)))
