Let a holder that reaches no other come back when its rate has brought the tokens

In a region that is cut off a request waited 1.8 s for tokens that came after 1.6 s. The pause now depends on the part of the rate that can be reached, not of the whole.

--- a/internal/core/ratelimit/pull.go
+++ b/internal/core/ratelimit/pull.go
@@ -240,15 +240,15 @@
 	do.Timers = append(do.Timers, Timer{x.timer, p.pause(a, x)})
 }
 
-// pause returns the time to the next round: at the only holder of the rate that in which the smallest request gets its tokens. At
-// others earlier rounds take tokens from each other: they lost 1% of the tokens at five times the rate.
+// pause returns the time to the next round: at the only holder of the rate that can be reached, the time in which the smallest
+// request gets its tokens. At others earlier rounds take tokens from each other: they lost 1% of the tokens at five times the rate.
 func (p *Puller) pause(a *account, x *pull) time.Duration {
 	smallest := math.Inf(1)
 	for _, w := range x.waiters {
 		smallest = math.Min(smallest, w.tokens)
 	}
 	seconds := math.Max(0, smallest-a.level) / a.share().Rate
-	if !a.isPooled() || !(seconds < maxPause.Seconds()) { // also without a rate
+	if a.share().Rate < pooled*p.reachableRate(a) || !(seconds < maxPause.Seconds()) { // also without a rate
 		return maxPause
 	}
 	return max(minPause, time.Duration(seconds*float64(time.Second)))
