Count control traffic by kind and direction

Cause: the limit of 21 KB/s for control was held against sums of computed parts only; no daemon could say what it spends.

A sessionMeter attributes each yamux frame, with its TLS record, to the service of its stream. Load reports and cache events have a transport of their own per endpoint, so that their bytes are apart from requests; store, list, directory and orders count at their connections. Records of keyed operations have a store client of their own. The load tool prints KB/s of each instance under load and in the five seconds before it.

Ruled out: counting message lengths plus a constant for the framing, since a unary call and a message of a stream differ by a factor of three.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/observe"
 	"dogwoodknot.example/dogwoodknot/internal/operator"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
+	"dogwoodknot.example/dogwoodknot/internal/traffic"
 )
 
 // Daemon is an entry instance. Its parts are services of the kernel.
@@ -27,6 +28,7 @@
 	self        peer.Identity
 	log         *zap.Logger
 	metrics     *observe.Metrics
+	traffic     *traffic.Meter
 	stopTracing func(context.Context) error
 	clock       clock.Clock
 	hooks       Hooks
@@ -124,6 +126,9 @@
 	}
 	d.stopTracing = stop
 	d.metrics, err = observe.NewMetrics("dogwoodknot", map[string]string{"region": d.self.Region, "data_centre": d.self.DataCentre})
+	if err == nil {
+		d.traffic = traffic.NewMeter(d.metrics)
+	}
 	return err
 }
 
@@ -165,6 +170,9 @@
 // Status returns what the instance says of itself. The kernel must have been made.
 func (d *Daemon) Status() operator.Status { return d.backend.Status() }
 
+// ControlTraffic returns the bytes of control traffic by kind since the start.
+func (d *Daemon) ControlTraffic() map[string]traffic.Bytes { return d.traffic.Control() }
+
 // Log returns the daemon's logger.
 func (d *Daemon) Log() *zap.Logger { return d.log }
 
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -20,6 +20,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/orderer"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/platform"
+	"dogwoodknot.example/dogwoodknot/internal/traffic"
 )
 
 // Services returns the services of the instance, in no order. The kernel makes their components.
@@ -38,16 +39,23 @@
 // a few writes at once.
 const platformConns = 8
 
-func (d *Daemon) platformClient(url string) platform.ClientOptions {
-	transport := &http.Transport{MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute, DialContext: d.hooks.DialPlatform}
+// platformClient returns the options of a client whose bytes are counted as the kind.
+func (d *Daemon) platformClient(url, kind string) platform.ClientOptions {
+	dial := traffic.Dial(d.hooks.DialPlatform, d.counter(kind))
+	transport := &http.Transport{MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute, DialContext: dial}
 	return platform.ClientOptions{URL: url, Transport: transport}
 }
 
+func (d *Daemon) counter(kind string) func() *traffic.Counter {
+	counter := d.traffic.Kind(kind)
+	return func() *traffic.Counter { return counter }
+}
+
 func (d *Daemon) storeService() kernel.Service {
 	return &service[platform.Store]{
 		name: nameStore,
 		build: func(*kernel.Registry) (platform.Store, error) {
-			return platform.NewStoreClient(d.platformClient(d.settings.Store))
+			return platform.NewStoreClient(d.platformClient(d.settings.Store, traffic.Store))
 		},
 	}
 }
@@ -56,7 +64,7 @@
 	return &service[platform.InstanceList]{
 		name: nameList,
 		build: func(*kernel.Registry) (platform.InstanceList, error) {
-			return platform.NewInstanceListClient(d.platformClient(d.settings.List))
+			return platform.NewInstanceListClient(d.platformClient(d.settings.List, traffic.InstanceList))
 		},
 	}
 }
@@ -69,7 +77,7 @@
 			if d.settings.Directory == "" {
 				return nil, nil
 			}
-			return platform.NewDirectoryClient(d.platformClient(d.settings.Directory))
+			return platform.NewDirectoryClient(d.platformClient(d.settings.Directory, traffic.Directory))
 		},
 	}
 }
@@ -109,6 +117,7 @@
 		Dial:        d.hooks.DialPeer,
 		Logger:      d.log,
 		Scope:       d.metrics,
+		Traffic:     d.traffic,
 	})
 }
 
@@ -216,6 +225,7 @@
 				Network:    find[*peer.Transport](r, nameTransport),
 				Neighbours: func() []string { return neighbours(m.Snapshot(), d.self.Region) },
 				Metrics:    d.metrics.SubScope("dispatch"),
+				Traffic:    d.traffic,
 				Sharers:    func() int { return len(m.Snapshot().InRegion(d.self.Region)) },
 			})
 		},
@@ -231,7 +241,11 @@
 		build: func(r *kernel.Registry) (*operations.Service, error) {
 			o := operations.DefaultOptions()
 			o.Network = find[*peer.Transport](r, nameTransport)
-			o.Store = find[platform.Store](r, nameStore)
+			records, err := platform.NewStoreClient(d.platformClient(d.settings.Store, traffic.StoreRecords))
+			if err != nil {
+				return nil, err
+			}
+			o.Store = records
 			o.Slots = find[*limits.Service](r, nameLimits)
 			o.Config = find[*configsync.Syncer](r, nameConfig)
 			o.Runner = lateRunner{r}
@@ -289,6 +303,7 @@
 				Incarnation: d.self.Incarnation,
 				Ended:       ended(source, m),
 				Candidates:  func() int { return orderCandidates(m.Snapshot(), d.self.Region) },
+				Client:      d.orderClient(),
 				Log:         d.log,
 				Metrics:     d.metrics,
 			}
@@ -299,6 +314,15 @@
 	}
 }
 
+// orderClient returns the client towards endpoints for orders and their state. It follows no redirect, which would send an
+// order again.
+func (d *Daemon) orderClient() *http.Client {
+	return &http.Client{
+		Transport:     &http.Transport{IdleConnTimeout: time.Minute, DialContext: traffic.Dial(nil, d.counter(traffic.EndpointOrders))},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 func (d *Daemon) operatorService() kernel.Service {
 	return &service[*operator.Server]{
 		name:     nameOperator,
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -10,6 +10,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/config"
 	"dogwoodknot.example/dogwoodknot/internal/core/routing"
+	"dogwoodknot.example/dogwoodknot/internal/traffic"
 )
 
 // Prefix blocks remembered for all endpoints together and for one. A block takes 116 bytes, so that 64k take 7.8 MB: with
@@ -30,8 +31,10 @@
 	config config.Endpoint
 	base   string // http://ip:port
 
-	pooled *http.Transport // for requests that may be repeated, resumed or polled
-	single *http.Transport // a new connection for each request, see noRetry
+	pooled *http.Transport                 // for requests that may be repeated or resumed
+	report *http.Transport                 // for load reports and cache events, whose bytes are counted
+	kind   atomic.Pointer[traffic.Counter] // of the report under way; reports of an endpoint follow each other
+	single *http.Transport                 // a new connection for each request, see noRetry
 
 	load load
 }
@@ -86,13 +89,19 @@
 }
 
 func newEndpoint(c config.Endpoint, o Options, blocks int) *endpoint {
-	return &endpoint{
+	e := &endpoint{
 		config: withSlots(c),
 		base:   "http://" + c.Addr,
 		pooled: newTransport(o, false),
 		single: newTransport(o, true),
 		load:   load{prefix: routing.NewPrefixCache(blocks), attempts: map[*attemptWatch]struct{}{}},
 	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: o.DialTimeout}).DialContext
+	}
+	o.Dial = traffic.Dial(o.Dial, e.kind.Load)
+	e.report = newTransport(o, false)
+	return e
 }
 
 // maxResponseHeader bounds the header of an endpoint's answer in bytes.
@@ -146,4 +155,5 @@
 func (e *endpoint) closeIdle() {
 	e.pooled.CloseIdleConnections()
 	e.single.CloseIdleConnections()
+	e.report.CloseIdleConnections()
 }
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -16,6 +16,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/configsync"
 	"dogwoodknot.example/dogwoodknot/internal/core/routing"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
+	"dogwoodknot.example/dogwoodknot/internal/traffic"
 )
 
 // EndpointStates tells which endpoints the platform is about to take away.
@@ -33,6 +34,8 @@
 	Logger     *zap.Logger
 	// Metrics may be nil: nothing is counted then.
 	Metrics tally.Scope
+	// Traffic counts the bytes of load reports and cache events. Nil: they are not counted.
+	Traffic *traffic.Meter
 	// States may be nil: no endpoint is then listed as leaving.
 	States EndpointStates
 	// Sharers returns the number of instances that send work to the region's endpoints, this one included. Nil: 2.
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dogwoodknot.example/dogwoodknot/internal/config"
+	"dogwoodknot.example/dogwoodknot/internal/traffic"
 )
 
 // pollSpacing bounds the load reports of all endpoints together to about 30 a second: a report takes about 600 bytes with
@@ -78,6 +79,7 @@
 	before := e.load.own()
 	d.mu.Unlock()
 	var r loadReport
+	e.kind.Store(d.opts.Traffic.Kind(traffic.EndpointReports))
 	if err := d.get(ctx, e, "/engine/v1/load", &r); err != nil {
 		if ctx.Err() == nil {
 			d.unreported(e)
@@ -111,6 +113,7 @@
 	after := e.load.sequence
 	d.mu.Unlock()
 	var r cacheReport
+	e.kind.Store(d.opts.Traffic.Kind(traffic.CacheEvents))
 	if err := d.get(ctx, e, "/engine/v1/cache-events?after="+strconv.FormatInt(after, 10), &r); err != nil {
 		return
 	}
@@ -163,7 +166,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := d.send(e.pooled, req, nil)
+	resp, err := d.send(e.report, req, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/experiment/serving/run.go
+++ b/internal/experiment/serving/run.go
@@ -35,6 +35,8 @@
 	Bookings            *load.Row
 	// HeapBytes is the live heap of the whole process at the end: instances, stand-ins and load generator.
 	HeapBytes uint64
+	// Control is the control traffic of the whole run and of a pause without callers before it.
+	Control, Rest []ControlRow
 }
 
 // Run brings the deployment up, plays the workload and the fault, and sums the answers up.
@@ -48,9 +50,14 @@
 		return nil, err
 	}
 	defer stop(s)
+	rest, err := controlAtRest(ctx, s)
+	if err != nil {
+		return nil, err
+	}
 	w := workload(prepared, o.Scenario, s.Keys, o.Seed, o.Duration)
 	callers := newCallers(s)
 	fault := make(chan error, 1)
+	before := readControl(s)
 	results, err := load.Run(ctx, w, load.Options{
 		Entries: callers.entries,
 		Client:  callers.client,
@@ -59,10 +66,13 @@
 	if err != nil {
 		return nil, err
 	}
+	peak := readControl(s).since(before)
 	if err := <-fault; err != nil {
 		return nil, err
 	}
-	return summarise(o, s, results), nil
+	r := summarise(o, s, results)
+	r.Control, r.Rest = peak, rest
+	return r, nil
 }
 
 func inject(ctx context.Context, o Options, s *site.Site) error {
@@ -151,6 +161,9 @@
 		fmt.Fprintf(w, "\nbookings: %d sent, %d answered as run, %d not run, %d unknown; %d executions, %d of them doubled\n", r.Bookings.Sent, r.Bookings.Whole,
 			r.Bookings.Refused, r.Bookings.Unknown+r.Bookings.NoAnswer, r.Executions, r.Doubled)
 	}
+	if err := r.writeControl(w); err != nil {
+		return err
+	}
 	name, p99, ratio := r.Worst()
 	_, err := fmt.Fprintf(w, "\nworst-served organisation: %s, first token p99 %v, %.2f times the median organisation's; heap of the process %d MiB\n",
 		name, p99.Round(100*time.Microsecond), ratio, r.HeapBytes>>20)
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -199,6 +199,7 @@
 		return notSent(peer, s.service, err)
 	}
 	s.mux = mux
+	s.session.meter.name(mux.StreamID(), s.metrics.traffic)
 	s.stop = context.AfterFunc(s.ctx, s.abort)
 	if !phase.CompareAndSwap(phaseOpening, phaseWriting) {
 		return notSent(peer, s.service, s.ctx.Err())
--- a/internal/peer/coalesce.go
+++ b/internal/peer/coalesce.go
@@ -22,12 +22,14 @@
 // yamux writes from one goroutine, so there is no lock.
 type coalescingConn struct {
 	net.Conn
+	meter     *sessionMeter
 	pending   []byte
 	awaitBody bool // the last pending bytes are the header of a data frame
 }
 
 // Write holds back the frames that are joined with the next write.
 func (c *coalescingConn) Write(b []byte) (int, error) {
+	c.meter.outgoing.parse(b)
 	if !c.awaitBody && len(b) == yamuxHeaderBytes {
 		c.awaitBody = startsData(b)
 		if c.awaitBody || opensStream(b) {
@@ -47,6 +49,13 @@
 	return len(b), nil
 }
 
+// Read counts what was read.
+func (c *coalescingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.meter.incoming.parse(b[:n])
+	return n, err
+}
+
 func startsData(header []byte) bool {
 	return header[yamuxTypeOffset] == yamuxTypeData &&
 		binary.BigEndian.Uint32(header[yamuxLengthOffset:]) > 0
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -3,8 +3,11 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/uber-go/tally/v4"
+
+	"dogwoodknot.example/dogwoodknot/internal/traffic"
 )
 
 // metrics count the traffic between instances. Bytes of connections include TLS, but not TCP and IP headers.
@@ -16,6 +19,7 @@
 	dialErrors    tally.Counter
 	refused       tally.Counter // inbound connections that failed the handshake or a limit
 	sessions      tally.Gauge
+	traffic       *traffic.Meter
 	byService     sync.Map // service name -> *serviceMetrics
 }
 
@@ -25,12 +29,14 @@
 	messagesReceived tally.Counter
 	bytesSent        tally.Counter
 	bytesReceived    tally.Counter
+	traffic          *traffic.Counter
 }
 
-func newMetrics(scope tally.Scope) *metrics {
+func newMetrics(scope tally.Scope, meter *traffic.Meter) *metrics {
 	scope = scope.SubScope("peer")
 	return &metrics{
 		scope:         scope,
+		traffic:       meter,
 		bytesSent:     scope.Counter("bytes_sent"),
 		bytesReceived: scope.Counter("bytes_received"),
 		dials:         scope.Counter("dials"),
@@ -51,6 +57,7 @@
 		messagesReceived: scope.Counter("messages_received"),
 		bytesSent:        scope.Counter("message_bytes_sent"),
 		bytesReceived:    scope.Counter("message_bytes_received"),
+		traffic:          m.traffic.Kind(name),
 	})
 	return made.(*serviceMetrics)
 }
@@ -68,17 +75,20 @@
 // countedConn counts the bytes of a connection below TLS.
 type countedConn struct {
 	net.Conn
-	metrics *metrics
+	metrics        *metrics
+	sent, received atomic.Int64
 }
 
-func (c countedConn) Read(b []byte) (int, error) {
+func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.metrics.bytesReceived.Inc(int64(n))
+	c.received.Add(int64(n))
 	return n, err
 }
 
-func (c countedConn) Write(b []byte) (int, error) {
+func (c *countedConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.metrics.bytesSent.Inc(int64(n))
+	c.sent.Add(int64(n))
 	return n, err
 }
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -11,6 +11,8 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/traffic"
 )
 
 // Defaults of Options.
@@ -59,7 +61,9 @@
 
 	Logger *zap.Logger
 	Scope  tally.Scope
-	Tracer trace.Tracer
+	// Traffic counts the bytes of each service with their framing. Nil: they are not counted.
+	Traffic *traffic.Meter
+	Tracer  trace.Tracer
 }
 
 // Validate returns all findings joined.
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -59,6 +59,7 @@
 		case refusals <- struct{}{}:
 			t.spawnStream(s, mux, refusals, t.refuse)
 		default:
+			s.meter.name(mux.StreamID(), s.meter.other)
 			closeQuietly(mux)
 			s.release()
 		}
@@ -86,7 +87,8 @@
 
 var errOverloaded = NewError(CodeOverloaded, "too many calls at once; the call was not run")
 
-func (t *Transport) refuse(_ *session, mux *yamux.Stream) {
+func (t *Transport) refuse(s *session, mux *yamux.Stream) {
+	s.meter.name(mux.StreamID(), s.meter.other)
 	defer closeQuietly(mux)
 	_ = mux.SetDeadline(time.Now().Add(headerTimeout))
 	t.writeError(mux, errOverloaded)
@@ -124,16 +126,19 @@
 	defer closeQuietly(mux)
 	header, size, err := t.readHeader(mux)
 	if err != nil {
+		s.meter.name(mux.StreamID(), s.meter.other)
 		t.writeError(mux, NewError(CodeBadHeader, err.Error()))
 		linger(mux)
 		return
 	}
 	if header.GetService() == drainService {
+		s.meter.name(mux.StreamID(), s.meter.other)
 		t.serveDrain(s, mux)
 		return
 	}
 	service := t.handlers[header.GetService()]
 	if service == nil {
+		s.meter.name(mux.StreamID(), s.meter.other)
 		t.writeError(mux, NewError(CodeUnknownService, "service "+header.GetService()+" is not registered"))
 		linger(mux)
 		return
@@ -142,12 +147,14 @@
 	case service.slots <- struct{}{}:
 		defer func() { <-service.slots }()
 	default:
+		s.meter.name(mux.StreamID(), s.meter.other)
 		t.writeError(mux, errOverloaded)
 		linger(mux)
 		return
 	}
 	counters := t.metrics.service(header.GetService())
 	counters.received(size)
+	s.meter.name(mux.StreamID(), counters.traffic)
 
 	ctx, cancel := context.WithCancel(t.ctx)
 	if timeout := header.GetTimeoutNanos(); timeout > 0 {
@@ -370,6 +377,7 @@
 	if err != nil {
 		return
 	}
+	s.meter.name(mux.StreamID(), s.meter.other)
 	defer closeQuietly(mux)
 	deadline, _ := ctx.Deadline()
 	_ = mux.SetDeadline(deadline)
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -41,6 +41,7 @@
 type session struct {
 	transport    *Transport
 	mux          *yamux.Session
+	meter        *sessionMeter
 	peer         Identity
 	dialled      bool // by this instance
 	certificates []*x509.Certificate
@@ -139,7 +140,12 @@
 		StreamCloseTimeout:     streamCloseTimeout,
 		LogOutput:              logWriter{t.log.With(zap.String("peer", id.Instance))},
 	}
-	wrapped := &coalescingConn{Conn: conn}
+	meter := newSessionMeter(t.options.Traffic)
+	if raw, ok := conn.NetConn().(*countedConn); ok {
+		meter.other.Sent(int(raw.sent.Load()))
+		meter.other.Received(int(raw.received.Load()))
+	}
+	wrapped := &coalescingConn{Conn: conn, meter: meter}
 	start := yamux.Server
 	if dialled {
 		start = yamux.Client
@@ -151,6 +157,7 @@
 	s := &session{
 		transport:    t,
 		mux:          mux,
+		meter:        meter,
 		peer:         id,
 		dialled:      dialled,
 		certificates: conn.ConnectionState().PeerCertificates,
--- a/internal/peer/traffic_test.go
+++ b/internal/peer/traffic_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"math"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/peer/peertest"
+	"dogwoodknot.example/dogwoodknot/internal/traffic"
 )
 
 // countingConn counts writes and bytes in both directions.
@@ -74,3 +78,50 @@
 		t.Error("a call costs more than the estimate of control traffic assumes")
 	}
 }
+
+// Guards against control traffic that the meter misses or counts for another service.
+func TestMeterCountsAllBytes(t *testing.T) {
+	const calls, large = 200, 100 << 10
+	authority := peertest.NewAuthority(t)
+	counts := &connCounts{}
+	meters := map[string]*traffic.Meter{"a": traffic.NewMeter(tally.NoopScope), "b": traffic.NewMeter(tally.NoopScope)}
+	a := startNode(t, authority, "a", func(o *peer.Options) {
+		o.Traffic = meters["a"]
+		o.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+			return countingConn{conn, counts}, err
+		}
+	})
+	b := startNode(t, authority, "b", func(o *peer.Options) { o.Traffic = meters["b"] })
+	link(a, b)
+	ctx := within(t, 10*time.Second)
+	for range calls {
+		if _, err := a.echo(ctx, "b", ""); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := a.echo(ctx, "b", strings.Repeat("x", large)); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Call(ctx, "b", "fail", wrapperspb.String(""), &wrapperspb.StringValue{}); err == nil {
+		t.Fatal("the call of a failing service succeeded")
+	}
+	time.Sleep(50 * time.Millisecond)
+	for name, m := range meters {
+		sent, received := counts.sent.Load(), counts.received.Load()
+		if name == "b" {
+			sent, received = received, sent
+		}
+		var sum traffic.Bytes
+		for _, k := range m.Control() {
+			sum.Sent += k.Sent
+			sum.Received += k.Received
+		}
+		if off := math.Abs(float64(sum.Sent-sent)) + math.Abs(float64(sum.Received-received)); off > 0.01*float64(sent+received) {
+			t.Errorf("%s counted %+v, its connection carried %d and %d bytes", name, sum, sent, received)
+		}
+		if echo, fail := m.Control()["echo"], m.Control()["fail"]; echo.Sent+echo.Received < 2*large || fail.Sent == 0 || fail.Sent > 500 {
+			t.Errorf("%s counted %+v for echo, %+v for fail", name, echo, fail)
+		}
+	}
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -93,7 +93,7 @@
 		options:  options,
 		self:     options.Self,
 		log:      options.Logger.Named("peer"),
-		metrics:  newMetrics(options.Scope),
+		metrics:  newMetrics(options.Scope, options.Traffic),
 		handlers: map[string]*served{},
 		ctx:      ctx,
 		cancel:   cancel,
@@ -403,7 +403,7 @@
 	defer cancel()
 	raw, err := t.options.Dial(ctx, addr)
 	if err == nil {
-		conn := tls.Client(countedConn{raw, t.metrics}, t.options.Credentials.clientConfig())
+		conn := tls.Client(&countedConn{Conn: raw, metrics: t.metrics}, t.options.Credentials.clientConfig())
 		err = t.establish(ctx, conn, name)
 	}
 	if err != nil {
@@ -459,7 +459,7 @@
 func (t *Transport) accept(raw net.Conn) {
 	ctx, cancel := context.WithTimeout(t.ctx, t.options.DialTimeout)
 	defer cancel()
-	conn := tls.Server(countedConn{raw, t.metrics}, t.options.Credentials.serverConfig())
+	conn := tls.Server(&countedConn{Conn: raw, metrics: t.metrics}, t.options.Credentials.serverConfig())
 	if err := t.establish(ctx, conn, ""); err != nil {
 		t.metrics.refused.Inc(1)
 		t.log.Info("connection refused", zap.Stringer("addr", raw.RemoteAddr()), zap.Error(err))
