Bring control traffic of two-instance regions under 21 KB/s

Cause: two instances of a region spent 29.1 to 30.4 KB/s at the peak: dispatch.work 11 to 12, as 50 unary calls a second of 240 bytes each way whose framing was larger than their content; load reports 6.5 to 7.8.

Work goes through one stream to each neighbour, renewed each 5 s, so that a message takes 39 bytes beyond its content; the period stays 40 ms. While all neighbours tell their work, a report shows only that the endpoint answers, and is read half as often; an endpoint that has missed one is asked at the full rate. pollSpacing is 60 ms, the first report comes after a random delay, reports have no User-Agent. A unary handler's response and its end are one write. Cache events keep a time of their own, since reading them with every second report made them 1.4 s old.

Ruled out: sending work each 60 to 100 ms or above a threshold of tokens; the streams alone leave 3 to 6 KB/s of room.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -10,7 +10,6 @@
 	"dogwoodknot.example/dogwoodknot/internal/configsync"
 	"dogwoodknot.example/dogwoodknot/internal/core/admission"
 	"dogwoodknot.example/dogwoodknot/internal/core/fairqueue"
-	"dogwoodknot.example/dogwoodknot/internal/peer"
 )
 
 // Dispatcher sends requests to the endpoints of its region.
@@ -77,7 +76,7 @@
 	d.apply(o.Source.View())
 	d.unsubscribe = o.Source.Subscribe(d.apply)
 	if o.Network != nil {
-		o.Network.Handle(workService, peer.Unary(d.handleWork))
+		o.Network.Handle(workService, d.receiveWork)
 	}
 	return d, nil
 }
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -4,25 +4,47 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/config"
 	"dogwoodknot.example/dogwoodknot/internal/traffic"
 )
 
-// pollSpacing bounds the load reports of all endpoints together to about 30 a second: a report takes about 600 bytes with
-// its headers, and control traffic must stay below 21 KB/s.
-const pollSpacing = 33 * time.Millisecond
+// pollSpacing bounds the load reports of all endpoints together to about 17 a second: a report takes about 300 bytes with
+// its headers, 5 KB/s of the 21 KB/s that control may take.
+const pollSpacing = 60 * time.Millisecond
 
-// pollInterval is the time between two reports of an endpoint.
+// toldPolls is how many intervals pass between two reports of an endpoint while all neighbours tell their work at it: the
+// report then shows only that the endpoint answers.
+const toldPolls = 2
+
+// pollInterval is the time between two reports of an endpoint of which nothing else is known.
 func (d *Dispatcher) pollInterval() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.basePollInterval()
+}
+
+// basePollInterval is pollInterval for callers that hold d.mu.
+func (d *Dispatcher) basePollInterval() time.Duration {
 	return max(d.opts.PollInterval, time.Duration(len(d.endpoints))*pollSpacing)
 }
 
+// nextPoll is the time until the next report of an endpoint. One that has not answered is asked again soon.
+func (d *Dispatcher) nextPoll(e *endpoint) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	interval := d.basePollInterval()
+	if _, told := d.told(e.config.Name, d.opts.Clock.Now()); told && e.load.silent == 0 {
+		return toldPolls * interval
+	}
+	return interval
+}
+
 // poll begins to read the reports of an engine. The caller holds d.mu.
 func (d *Dispatcher) poll(e *endpoint) {
 	if e.config.Kind == config.KindService || d.polling[e] != nil {
@@ -36,8 +58,12 @@
 	})
 }
 
-// cachePolls is the number of load reports for each read of the cache events, which arrive late anyway.
-const cachePolls = 4
+// Cache events are read less often than reports, since they arrive late anyway. cacheSpacing bounds the reads of all endpoints
+// together to about 8 a second.
+const (
+	cacheInterval = time.Second
+	cacheSpacing  = 130 * time.Millisecond
+)
 
 // maxCacheEndpoints is the number of endpoints up to which cache events are read. Each daemon of a region would read all of them:
 // at 261 engines that is 435 KB/s, computed from 24.6 bytes an event, of the 21 KB/s that control may take. Own dispatches
@@ -52,22 +78,39 @@
 }
 
 func (d *Dispatcher) pollLoop(ctx context.Context, e *endpoint) {
-	timer := time.NewTimer(0)
+	// Without the random delay, a daemon would read all its engines in the same instant.
+	timer := time.NewTimer(rand.N(d.pollInterval()))
 	defer timer.Stop()
-	for n := 0; ; n++ {
+	var loadAt, cacheAt clock.Instant // of the next reads
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
 		}
-		d.pollLoad(ctx, e)
-		if n%cachePolls == 0 && d.readsCacheEvents() {
-			d.pollCache(ctx, e)
+		if now := d.opts.Clock.Now(); !now.Before(loadAt) {
+			d.pollLoad(ctx, e)
+			loadAt = now.Add(d.nextPoll(e))
 		}
-		timer.Reset(d.pollInterval())
+		next := loadAt
+		if d.readsCacheEvents() {
+			if now := d.opts.Clock.Now(); !now.Before(cacheAt) {
+				d.pollCache(ctx, e)
+				cacheAt = now.Add(d.nextCacheRead())
+			}
+			next = min(loadAt, cacheAt)
+		}
+		timer.Reset(next.Sub(d.opts.Clock.Now()))
 	}
 }
 
+// nextCacheRead is the time between two reads of an endpoint's cache events.
+func (d *Dispatcher) nextCacheRead() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(cacheInterval, d.opts.PollInterval, time.Duration(len(d.endpoints))*cacheSpacing)
+}
+
 type loadReport struct {
 	Running      int     `json:"running"`
 	Waiting      int     `json:"waiting"`
@@ -166,6 +209,7 @@
 	if err != nil {
 		return err
 	}
+	req.Header["User-Agent"] = nil // the default takes 32 bytes of each report
 	resp, err := d.send(e.report, req, nil)
 	if err != nil {
 		return err
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
-	"google.golang.org/protobuf/proto"
+	"github.com/cockroachdb/errors"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
@@ -16,8 +17,8 @@
 // requests to endpoints that the other has just given a long prompt, and both see free places that are taken.
 const (
 	workService = "dispatch.work"
-	// sharePeriod is the time between two messages to a neighbour, multiplied by their number. With one neighbour it makes
-	// 25 messages a second of about 100 bytes.
+	// sharePeriod is the time between two messages to a neighbour, multiplied by their number. It makes at most 25 messages a
+	// second of about 100 bytes out and as many in, 5 KB/s whatever the number of neighbours.
 	sharePeriod = 40 * time.Millisecond
 	// maxNeighbours is the number of neighbours up to which work is shared. Above it the messages would be older than the
 	// reports, and the region has more endpoints to choose from.
@@ -26,8 +27,11 @@
 	fullPeriod = 500 * time.Millisecond
 	// sharedFor is how long a neighbour's last message is believed.
 	sharedFor = 1500 * time.Millisecond
-	// shareTimeout bounds a message. A neighbour gets no other one meanwhile.
+	// shareTimeout bounds the opening of a stream and, beyond streamFor, a message. A neighbour gets no other one meanwhile.
 	shareTimeout = time.Second
+	// streamFor is how long a stream of messages is used. A message of a stream takes 39 bytes beyond its content, a call of
+	// its own 250. A session that is to end waits for its streams, and a planned stop must not wait long.
+	streamFor = 5 * time.Second
 )
 
 // sharing is what instances of the region have told each other. It is guarded by Dispatcher.mu.
@@ -38,6 +42,14 @@
 	fullAt     clock.Instant
 	busy       map[string]bool // neighbours with a message on its way
 	missed     map[string]bool // neighbours whose last message failed or was left out
+	streams    map[string]*workStream
+}
+
+// workStream carries the messages to a neighbour.
+type workStream struct {
+	peer.Stream
+	opened clock.Instant
+	cancel context.CancelFunc
 }
 
 // neighbourWork is what a neighbour has at the endpoints.
@@ -49,7 +61,7 @@
 }
 
 func newSharing() sharing {
-	return sharing{heard: map[string]*neighbourWork{}, busy: map[string]bool{}, missed: map[string]bool{}}
+	return sharing{heard: map[string]*neighbourWork{}, busy: map[string]bool{}, missed: map[string]bool{}, streams: map[string]*workStream{}}
 }
 
 // shareLoop tells the neighbours of changes until the dispatcher stops.
@@ -131,9 +143,12 @@
 }
 
 func (d *Dispatcher) tell(name string, m *wire.SentWork) {
-	ctx, cancel := context.WithTimeout(d.ctx, shareTimeout)
-	defer cancel()
-	err := d.opts.Network.Call(ctx, name, workService, m, &wire.SentWorkSeen{})
+	s, err := d.workStream(name)
+	if err == nil {
+		if err = s.Send(m); err != nil {
+			s.cancel()
+		}
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.shared.busy, name)
@@ -142,10 +157,75 @@
 	}
 }
 
+// workStream returns the stream to a neighbour. Only the holder of busy[name] calls it.
+func (d *Dispatcher) workStream(name string) (*workStream, error) {
+	now := d.opts.Clock.Now()
+	d.mu.Lock()
+	s := d.shared.streams[name]
+	d.mu.Unlock()
+	if s != nil && now.Sub(s.opened) < streamFor {
+		return s, nil
+	}
+	if s != nil {
+		d.forgetStream(name, s)
+		// The neighbour ends the stream when it has read all; a failure means that it has ended already.
+		_ = s.CloseSend()
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, streamFor+shareTimeout)
+	opening := time.AfterFunc(shareTimeout, cancel)
+	stream, err := d.opts.Network.Open(ctx, name, workService)
+	if err != nil || !opening.Stop() {
+		cancel()
+		if err == nil {
+			err = errors.CombineErrors(context.DeadlineExceeded, stream.Close())
+		}
+		return nil, err
+	}
+	s = &workStream{Stream: stream, opened: now, cancel: cancel}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.shared.streams[name] = s
+	d.spawn(func() { d.awaitEnd(name, s) })
+	return s, nil
+}
+
+// awaitEnd closes a stream when the neighbour has ended it, its session broke or its time is over.
+func (d *Dispatcher) awaitEnd(name string, s *workStream) {
+	// The neighbour sends no message, so that any result is the end.
+	_ = s.Recv(&wire.SentWorkSeen{})
+	d.forgetStream(name, s)
+	s.cancel()
+	_ = s.Close()
+}
+
+func (d *Dispatcher) forgetStream(name string, s *workStream) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.shared.streams[name] == s {
+		delete(d.shared.streams, name)
+	}
+}
+
+// receiveWork takes the messages of a neighbour's stream until it ends or the dispatcher stops.
+func (d *Dispatcher) receiveWork(_ context.Context, from peer.Identity, s peer.Stream) error {
+	stop := context.AfterFunc(d.ctx, func() { _ = s.Close() })
+	defer stop()
+	for {
+		m := &wire.SentWork{}
+		if err := s.Recv(m); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}
+		d.handleWork(from, m)
+	}
+}
+
 // handleWork takes a neighbour's message over. Messages of another region or out of order are left out.
-func (d *Dispatcher) handleWork(_ context.Context, from peer.Identity, m *wire.SentWork) (proto.Message, error) {
+func (d *Dispatcher) handleWork(from peer.Identity, m *wire.SentWork) {
 	if from.Region != d.opts.Region {
-		return &wire.SentWorkSeen{}, nil
+		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -155,7 +235,7 @@
 		d.shared.heard[from.Instance] = n
 	}
 	if m.GetSequence() <= n.sequence {
-		return &wire.SentWorkSeen{}, nil
+		return
 	}
 	n.sequence, n.at = m.GetSequence(), d.opts.Clock.Now()
 	if m.GetFull() {
@@ -165,7 +245,6 @@
 		n.work[w.GetName()] = ownWork{requests: int(w.GetRequests()), tokens: float64(w.GetPendingTokens())}
 	}
 	d.pumpAll()
-	return &wire.SentWorkSeen{}, nil
 }
 
 // foreign returns the other instances' work at an endpoint: what they have told, or if one of them is silent what the
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -74,6 +74,9 @@
 	Connected() []Identity
 }
 
+// lastSender is a stream that can send its last message together with the end.
+type lastSender interface{ sendLast(proto.Message) error }
+
 // Unary adapts a function with one request and one response to a Handler.
 func Unary[Req any, PReq interface {
 	*Req
@@ -88,6 +91,9 @@
 		if err != nil {
 			return err
 		}
+		if last, ok := s.(lastSender); ok {
+			return last.sendLast(resp)
+		}
 		return s.Send(resp)
 	}
 }
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -243,7 +243,10 @@
 	ended  bool // guarded by sendMu
 }
 
-var _ Stream = (*serverStream)(nil)
+var (
+	_ Stream     = (*serverStream)(nil)
+	_ lastSender = (*serverStream)(nil)
+)
 
 // read passes frames on until the caller closes the stream, and then ends the handler's context.
 func (s *serverStream) read(cancel context.CancelFunc) {
@@ -302,6 +305,28 @@
 	return nil
 }
 
+// sendLast writes the only response of a call and its end at once, which saves a frame and a TLS record.
+func (s *serverStream) sendLast(m proto.Message) error {
+	s.sendMu.Lock()
+	defer s.sendMu.Unlock()
+	if s.ended {
+		return errors.New("message after CloseSend")
+	}
+	frames, err := appendFrame(nil, frameMessage, m, s.limit)
+	if err == nil {
+		frames, err = appendFrame(frames, frameEnd, nil, s.limit)
+	}
+	if err != nil {
+		return err
+	}
+	if _, err := writeAll(s.mux, frames); err != nil {
+		return s.broken(err)
+	}
+	s.ended = true
+	s.metrics.sent(len(frames))
+	return nil
+}
+
 func (s *serverStream) broken(err error) error {
 	if ctxErr := s.ctx.Err(); ctxErr != nil {
 		err = ctxErr
