Report what users measure in every scenario of the load tool

The tool printed latencies and counts of each scenario but neither the cost, the wrongful refusals, the goodput against the fair share nor why requests failed, and no line compared a figure with its target.

Cost is the time of engine steps with work in the batch, for a thousand output tokens of complete answers, so that repeated prefill and abandoned work count. The stand-in engine counts its busy time and computed prompt tokens for it.

A lost instance was ended by a stop that ran out of time, so it could still hand over and send last messages. Its own connections are now cut first and no new ones are made, as for a crashed process.

--- a/cmd/dogwood-load/commands.go
+++ b/cmd/dogwood-load/commands.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/url"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,13 +20,15 @@
 // siteCommand runs scenarios on a deployment.
 type siteCommand struct {
 	Site     string        `help:"veletas or urmarol." enum:"veletas,urmarol" default:"veletas"`
-	Scenario []string      `help:"Scenarios to run. Default: all."`
+	Scenario []string      `help:"Scenarios to run, or all." default:"all"`
 	Baseline bool          `help:"Also run the baselines of the choice of endpoints."`
 	Seed     uint64        `help:"Seed of arrivals and prompts." default:"1"`
-	Duration time.Duration `help:"Length of a run." default:"20s"`
+	Duration time.Duration `help:"Length of the counted part of a run." default:"20s"`
+	WarmUp   time.Duration `help:"Load before the counted part." default:"8s"`
+	Detail   bool          `help:"Also print each run's tables by region and organisation."`
 }
 
-// Run plays the scenarios one after the other.
+// Run plays the scenarios one after the other and prints one table.
 func (c *siteCommand) Run(ctx context.Context) error {
 	options := site.Veletas()
 	if c.Site == "urmarol" {
@@ -39,22 +43,31 @@
 	if c.Baseline {
 		policies = serving.Policies
 	}
+	var results []*serving.Result
+	started := time.Now()
 	for _, s := range scenarios {
 		for _, p := range policies {
-			r, err := serving.Run(ctx, serving.Options{Site: options, Scenario: s, Policy: p, Seed: c.Seed, Duration: c.Duration})
+			r, err := serving.Run(ctx, serving.Options{Site: options, Scenario: s, Policy: p, Seed: c.Seed, Duration: c.Duration, WarmUp: c.WarmUp})
 			if err != nil {
-				return errors.Wrapf(err, "%s, %s", s.Name, p.Name)
+				// The runs that are complete are worth their time.
+				return errors.CombineErrors(errors.Wrapf(err, "%s, %s", s.Name, p.Name), serving.WriteTable(os.Stdout, results))
+			}
+			fmt.Fprintf(os.Stderr, "%v: %s, %s, done\n", time.Since(started).Round(time.Second), s.Name, p.Name)
+			results = append(results, r)
+			if !c.Detail {
+				continue
 			}
 			if err := r.Write(os.Stdout); err != nil {
 				return err
 			}
 		}
 	}
-	return nil
+	fmt.Printf("%s, seed %d, %v after %v of warm-up\n\n", options.Name, c.Seed, c.Duration, c.WarmUp)
+	return serving.WriteTable(os.Stdout, results)
 }
 
 func (c *siteCommand) scenarios() ([]serving.Scenario, error) {
-	if len(c.Scenario) == 0 {
+	if slices.Contains(c.Scenario, "all") {
 		return serving.Scenarios, nil
 	}
 	var out []serving.Scenario
--- a/internal/experiment/serving/scenario.go
+++ b/internal/experiment/serving/scenario.go
@@ -20,16 +20,18 @@
 	Load float64
 	// Greedy multiplies the offered work of the first organisation.
 	Greedy float64
-	// Fault is injected after a third of the run. Nil: none.
+	// Peak and LosesInstance choose the targets that hold.
+	Peak, LosesInstance bool
+	// Fault is injected after a third of the counted time. Nil: none.
 	Fault func(ctx context.Context, s *site.Site) error
 }
 
 // Scenarios in the order of the report.
 var Scenarios = []Scenario{
 	{Name: "calm", Load: 0.3, Greedy: 1},
-	{Name: "peak", Load: 0.8, Greedy: 1},
+	{Name: "peak", Load: 0.8, Greedy: 1, Peak: true},
 	{Name: "five-fold sender", Load: 0.4, Greedy: 5},
-	{Name: "instance lost", Load: 0.4, Greedy: 1, Fault: loseInstance},
+	{Name: "instance lost", Load: 0.4, Greedy: 1, LosesInstance: true, Fault: loseInstance},
 	{Name: "region cut off", Load: 0.4, Greedy: 1, Fault: cutRegion},
 	{Name: "runners of a region lost", Load: 0.4, Greedy: 1, Fault: loseRunners},
 	{Name: "store lost", Load: 0.4, Greedy: 1, Fault: loseStore},
@@ -83,9 +85,11 @@
 	Chooser routing.Chooser // nil: the product's
 }
 
+const policyRandom = "random"
+
 // Policies in the order of the report: the product's first.
 var Policies = []Policy{
 	{Name: "policy"},
-	{Name: "random", Chooser: routing.Random{}},
+	{Name: policyRandom, Chooser: routing.Random{}},
 	{Name: "least reported", Chooser: routing.LeastReported{}},
 }
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -24,6 +25,8 @@
 type Result struct {
 	Stream       *Stream
 	At           time.Duration // arrival
+	Entry        string        // base URL of the entry tried last
+	PromptTokens int           // of Chat
 	Status       int           // 0: no answer
 	Execution    string
 	ServedRegion string
@@ -36,12 +39,40 @@
 	Err          error
 }
 
+// Failure says why a request has no complete answer, in few words, so that equal causes are counted together. It is empty for
+// a complete answer with a status of success.
+func (r Result) Failure() string {
+	switch {
+	case r.Whole:
+		return ""
+	case r.Status == 0:
+		return "no answer: " + connectionFailure(r.Err)
+	case r.Status == http.StatusOK && r.Code != "":
+		return "answer ended by " + r.Code
+	case r.Status == http.StatusOK:
+		return "answer cut short"
+	case r.Execution == "":
+		return fmt.Sprintf("%d %s", r.Status, r.Code)
+	}
+	return fmt.Sprintf("%d %s, %s", r.Status, r.Code, r.Execution)
+}
+
+func connectionFailure(err error) string {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return "timeout"
+	case isDialError(err):
+		return "not connected"
+	}
+	return "connection lost"
+}
+
 // maxLineBytes bounds a line of an event stream.
 const maxLineBytes = 1 << 20
 
 // send performs one request at an entry and waits for its whole answer.
 func send(ctx context.Context, client *http.Client, base string, a Arrival, start time.Time) Result {
-	r := Result{Stream: a.Stream, At: a.At}
+	r := Result{Stream: a.Stream, At: a.At, Entry: base, PromptTokens: a.PromptTokens}
 	req, err := newRequest(ctx, base, a)
 	if err != nil {
 		r.Err = err
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"reflect"
@@ -88,3 +89,20 @@
 		t.Error("a run of millions of requests was accepted")
 	}
 }
+
+// Guards against failures of one cause that are counted as several, and against complete answers that count as failures.
+func TestFailureNamesTheCause(t *testing.T) {
+	for want, r := range map[string]Result{
+		"":                                 {Status: 200, Whole: true},
+		"answer cut short":                 {Status: 200},
+		"answer ended by overloaded":       {Status: 200, Code: "overloaded"},
+		"429 rate_limit_exceeded, not-run": {Status: 429, Code: "rate_limit_exceeded", Execution: "not-run"},
+		"no answer: timeout":               {Err: fmt.Errorf("post: %w", context.DeadlineExceeded)},
+		"no answer: not connected":         {Err: &net.OpError{Op: "dial", Err: io.EOF}},
+		"no answer: connection lost":       {Err: io.ErrUnexpectedEOF},
+	} {
+		if got := r.Failure(); got != want {
+			t.Errorf("%+v: got %q, want %q", r, got, want)
+		}
+	}
+}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -22,6 +23,8 @@
 	Entries Entries
 	// Client returns the client of a stream's callers, for injected latency. Nil: one client for all.
 	Client func(s *Stream) *http.Client
+	// Timeout is how long a caller waits for its whole answer. 0: two minutes.
+	Timeout time.Duration
 	// OnStart is called with the time at which the schedule starts.
 	OnStart func(time.Time)
 }
@@ -44,6 +47,7 @@
 		client = func(*Stream) *http.Client { return shared }
 	}
 	schedule := w.Schedule()
+	timeout := cmp.Or(o.Timeout, requestTimeout)
 	results := make([]Result, len(schedule))
 	start := time.Now()
 	if o.OnStart != nil {
@@ -58,7 +62,7 @@
 			return results[:i], err
 		}
 		inFlight.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+			ctx, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
 			results[i] = sendToFirst(ctx, client(a.Stream), o.Entries(a.Stream, a.Number), a, due)
 		})
--- a/internal/load/summary.go
+++ b/internal/load/summary.go
@@ -92,6 +92,9 @@
 	return out
 }
 
+// EmptyRow returns a row without requests.
+func EmptyRow(name string) *Row { return newRow(name) }
+
 func newRow(name string) *Row {
 	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxLatencyMicros, significant) }
 	return &Row{Name: name, first: h(), gaps: h(), total: h()}
--- a/internal/site/options.go
+++ b/internal/site/options.go
@@ -26,6 +26,8 @@
 	RemovalFinal  bool
 	LogLevel      string
 	StopDelay     time.Duration
+	// Direct leaves out the relay that delays and cuts the instances' connections, which costs time and 84 KiB a connection.
+	Direct bool
 	// Chooser replaces the choice of endpoints. Nil: the product's.
 	Chooser routing.Chooser
 }
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -58,6 +58,9 @@
 	batchSlots int
 }
 
+// URL returns the base URL of the runner.
+func (r *Runner) URL() string { return r.listener.URL() }
+
 // Kill ends the runner and its connections.
 func (r *Runner) Kill() { r.Engine.Die(); r.listener.Kill() }
 
@@ -80,6 +83,7 @@
 	Daemon *daemon.Daemon
 
 	kernel  *kernel.Kernel
+	conns   *processConns
 	stopped bool
 }
 
@@ -95,9 +99,10 @@
 	return errors.CombineErrors(i.kernel.Stop(ctx), i.Daemon.Close(ctx))
 }
 
-// Kill ends the instance without a planned stop: its callers' connections and sessions are cut at once. The process of the
-// other instances goes on, so unlike a real crash its goroutines still end in order.
+// Kill ends the instance without a planned stop: all its connections are cut at once and it makes no new ones, so that nothing
+// of its end is told to anyone. Its goroutines still end in order, unlike those of a crashed process.
 func (i *Instance) Kill(ctx context.Context) error {
+	i.conns.crash()
 	i.Daemon.Abort()
 	return i.Stop(ctx)
 }
@@ -225,7 +230,12 @@
 	if err != nil {
 		return nil, err
 	}
-	dial := s.Links.Dialer(place)
+	dialer := s.Links.Dialer(place)
+	if s.opts.Direct {
+		dialer = (&net.Dialer{}).DialContext
+	}
+	conns := newProcessConns(dialer)
+	dial := conns.dial
 	d, err := daemon.New(settings, daemon.Hooks{
 		Log:          s.log,
 		DialPeer:     func(ctx context.Context, addr string) (net.Conn, error) { return dial(ctx, "tcp", addr) },
@@ -245,7 +255,7 @@
 	if err := k.Start(ctx); err != nil {
 		return nil, err
 	}
-	instance := &Instance{Name: name, Place: place, Daemon: d, kernel: k}
+	instance := &Instance{Name: name, Place: place, Daemon: d, kernel: k, conns: conns}
 	s.Instances = append(s.Instances, instance)
 	return instance, nil
 }
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -183,3 +183,29 @@
 		t.Errorf("booking was executed %d times", executions)
 	}
 }
+
+// Guards against a simulated crash that still tells others of its end: a crashed process neither hands over its slots nor sends
+// a last message.
+func TestKilledInstanceTellsNobody(t *testing.T) {
+	s, ctx := start(t, Veletas())
+	i := s.Instance("lima-2")
+	conns := i.conns
+	short, cancel := context.WithTimeout(ctx, time.Millisecond)
+	defer cancel()
+	_ = i.Kill(short) // runs out of time
+	if conn, err := conns.dial(ctx, "tcp", s.Runners[0].listener.Addr()); err == nil {
+		conn.Close()
+		t.Error("a crashed instance can make a connection")
+	}
+	conns.mu.Lock()
+	open := len(conns.open)
+	conns.mu.Unlock()
+	if open != 0 {
+		t.Errorf("%d connections of a crashed instance are open", open)
+	}
+	for _, other := range s.Instances {
+		if m := other.Daemon.Status(); other != i && !m.Ready {
+			t.Errorf("%s is not ready after the crash of another", other.Name)
+		}
+	}
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -134,7 +134,11 @@
 	OutputTokens int64 `json:"output_tokens"`
 	PromptTokens int64 `json:"prompt_tokens"`
 	CachedTokens int64 `json:"cached_tokens"`
-	MaxBatch     int   `json:"max_batch"` // deepest batch so far
+	// PrefilledTokens are the prompt tokens that were computed, for requests without an answer too.
+	PrefilledTokens int64 `json:"prefilled_tokens"`
+	// BusyNanos is the time of the steps with work in the batch, in nanoseconds.
+	BusyNanos int64 `json:"busy_nanos"`
+	MaxBatch  int   `json:"max_batch"` // deepest batch so far
 }
 
 // Engine is a model engine with continuous batching.
--- a/internal/standin/engine_batch.go
+++ b/internal/standin/engine_batch.go
@@ -152,7 +152,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
+	e.counts.BusyNanos += int64(step)
 	budget := step.Seconds() * e.opts.PrefillRate / max(1, e.faults.SlowFactor)
+	prefilled := 0.0
 	for _, g := range e.running {
 		if g.prefillLeft > 0 {
 			// Rounding of the step to nanoseconds must not leave a rest that costs another step.
@@ -160,6 +162,7 @@
 			used := min(budget, g.prefillLeft)
 			budget -= used
 			g.prefillLeft -= used
+			prefilled += used
 			if g.prefillLeft > rounding {
 				continue
 			}
@@ -168,6 +171,7 @@
 		}
 		e.produce(g, now)
 	}
+	e.counts.PrefilledTokens += int64(prefilled + 0.5)
 	e.running = slices.DeleteFunc(e.running, (*generation).done)
 	e.recordLoad(now)
 }
