Measure how the callers of a lost instance spread

dogwood-load spread ranks the entries of 34,000 organisations before and after one of 4, 12 or 390 instances is lost.

RankEntries hashed both names in each comparison. Ranks are unchanged.

--- a/cmd/dogwood-load/main.go
+++ b/cmd/dogwood-load/main.go
@@ -16,6 +16,7 @@
 	Rates    ratesCommand    `cmd:"" help:"Measure wrongful refusals of the rate shares in virtual time."`
 	Run      runCommand      `cmd:"" help:"Send load to a running system."`
 	Capacity capacityCommand `cmd:"" help:"Measure how state, messages and times grow with the size of the system."`
+	Spread   spreadCommand   `cmd:"" help:"Measure how the callers of a lost instance spread over the others."`
 }
 
 func main() {
--- a/internal/core/membership/entries.go
+++ b/internal/core/membership/entries.go
@@ -56,15 +56,15 @@
 // instances come in rendezvous order of the organisation. Suspect ones follow only if there are too few live ones, and
 // leaving ones only if there is no other.
 func RankEntries(s *Snapshot, region, organisation string, rate float64, p EntryParams, random *rand.Rand) Entries {
-	byState := map[State][]Member{}
-	for _, m := range s.InRegion(region) {
-		byState[m.Status] = append(byState[m.Status], m)
-	}
+	byState := map[State][]ranked{}
 	key := xxhash.Sum64String(organisation)
+	for i := range s.Members {
+		if m := &s.Members[i]; m.Region == region {
+			byState[m.Status] = append(byState[m.Status], ranked{m, score(key, xxhash.Sum64String(m.Name))})
+		}
+	}
 	for _, list := range byState {
-		slices.SortFunc(list, func(a, b Member) int {
-			return cmp.Compare(score(key, xxhash.Sum64String(b.Name)), score(key, xxhash.Sum64String(a.Name)))
-		})
+		slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
 	}
 	want := p.count(rate)
 	chosen := firstN(byState[Live], want)
@@ -83,6 +83,16 @@
 	return p.MinEntries + int(min(math.Floor(rate/p.RatePerEntry), math.MaxInt16))
 }
 
-func firstN(list []Member, n int) []Member {
-	return slices.Clone(list[:max(0, min(n, len(list)))])
+// ranked is a member with its score for an organisation.
+type ranked struct {
+	member *Member
+	score  uint64
+}
+
+func firstN(list []ranked, n int) []Member {
+	var out []Member
+	for _, r := range list[:max(0, min(n, len(list)))] {
+		out = append(out, *r.member)
+	}
+	return out
 }
