Measure the time and memory that an entry instance adds

The target of 1 ms a hop was known as processor time only. dogwood-load hops sends the same small request to the engine stand-in directly, through one instance, and through two in different regions, over loopback without the relay that injects delays: one at a time over the paths in turn, then open-loop. It checks the region that served each answer, holds requests at an engine that hangs for the memory, and says whether the target is met.

--- a/cmd/dogwood-load/main.go
+++ b/cmd/dogwood-load/main.go
@@ -17,6 +17,7 @@
 	Run      runCommand      `cmd:"" help:"Send load to a running system."`
 	Capacity capacityCommand `cmd:"" help:"Measure how state, messages and times grow with the size of the system."`
 	Spread   spreadCommand   `cmd:"" help:"Measure how the callers of a lost instance spread over the others."`
+	Hops     hopsCommand     `cmd:"" help:"Measure the time and memory that an entry instance adds to a request."`
 }
 
 func main() {
