Spend the retry budget on failing over to another region

A request that failed at the local endpoints was tried in another region without limit, and one that failed there was tried here again, so that a region that is down doubled the load elsewhere. Both now spend a retry of the instance's budget (one for ten requests, 20 saved up). A plain service that failed here while no other region had it was called here a second time outside the budget; that call is gone.

A budget alone would refuse nine in ten requests of a region whose runners are all lost. Such a pool now counts as down: every endpoint is ejected and, if it is an engine, gives no load reports. Requests then go to another region as their first attempt. The heartbeats leave the pool out, where it used to look idle to the other regions. An engine's first report ends this, whatever is left of its ejection, so that returning capacity is used at once, one request at a time for each engine until it has answered.

Test: of 50 requests whose endpoints fail without being ejected all were sent to the other region before, now 25 at most.

--- a/internal/core/routing/health.go
+++ b/internal/core/routing/health.go
@@ -78,6 +78,9 @@
 // Probing reports whether the endpoint was ejected and has not answered since: it then gets one request at a time.
 func (h *Health) Probing() bool { return h.ejections > 0 && h.failures >= failuresToEject-1 }
 
+// Out reports whether the endpoint is ejected.
+func (h *Health) Out(now clock.Instant) bool { return now.Before(h.until) }
+
 // Ejected tells for each endpoint of a group whether it is left out, never more than MaxEjected of them. Those whose
 // ejection lasts longest stay out.
 func Ejected(group []*Health, now clock.Instant) []bool {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -746,3 +746,36 @@
 	cancel()
 	<-first
 }
+
+// Guards against a region whose engines are all dead and that looks idle to the others, so that they send it work; and against
+// one that stays out of use after its engines are back, for as long as their ejections last.
+func TestDeadPoolIsNotOffered(t *testing.T) {
+	f := newFleet(t, 2, 0, standin.EngineOptions{BatchSlots: 4}, nil)
+	if !f.Serves("m") || len(f.Loads()) != 1 {
+		t.Fatal("a healthy pool is not offered")
+	}
+	f.engines[0].Die()
+	for range 6 { // more failures in a row than an ejection takes
+		if _, err := f.stream(t.Context(), call(2), nil); err != nil {
+			t.Fatalf("one of two engines is left: %v", err)
+		}
+	}
+	if !f.Serves("m") {
+		t.Error("a pool with a live engine is not offered")
+	}
+	f.engines[1].Die()
+	for range 6 {
+		if _, err := f.stream(t.Context(), call(2), nil); err == nil {
+			t.Fatal("dead engines gave an answer")
+		}
+	}
+	waitFor(t, "the dead pool to be left out", 5*time.Second, func() bool { return !f.Serves("m") && len(f.Loads()) == 0 })
+	for _, e := range f.engines {
+		e.Revive()
+	}
+	waitFor(t, "the revived pool to be offered", 500*time.Millisecond, func() bool { return f.Serves("m") && len(f.Loads()) == 1 })
+	waitFor(t, "an answer of the revived pool", 5*time.Second, func() bool {
+		_, err := f.stream(t.Context(), call(2), nil)
+		return err == nil
+	})
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/config"
 	"dogwoodknot.example/dogwoodknot/internal/configsync"
 	"dogwoodknot.example/dogwoodknot/internal/core/admission"
@@ -247,19 +248,46 @@
 	return d.opts.States == nil || !d.opts.States.Leaving(e.config.Name)
 }
 
-// Serves reports whether an endpoint of this region takes new work of the model.
+// Serves reports whether an endpoint of this region takes new work of the model and is not down.
 func (d *Dispatcher) Serves(model string) bool { return d.serves(model) }
 
-// ServesService reports whether an endpoint of this region takes new work of the plain service.
+// ServesService reports whether an endpoint of this region takes new work of the plain service and is not down.
 func (d *Dispatcher) ServesService(service string) bool { return d.serves(servicePrefix + service) }
 
 func (d *Dispatcher) serves(name string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.pools[name]
-	return p != nil && d.usable(p)
+	return p != nil && d.sound(p, d.opts.Clock.Now())
 }
 
+// sound reports whether an endpoint of the pool takes new work and is not down. The caller holds d.mu.
+func (d *Dispatcher) sound(p *pool, now clock.Instant) bool {
+	for _, e := range p.endpoints {
+		if d.takesWork(e) && !e.down(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// down reports whether an endpoint has failed and does not seem to be back. An engine is back with its next load report, even if
+// its ejection lasts longer; a plain service gives no reports. The caller holds Dispatcher.mu.
+func (e *endpoint) down(now clock.Instant) bool {
+	return e.load.health.Out(now) && (e.load.silent > 0 || e.config.Kind == config.KindService)
+}
+
+// EarnRetry records a request whose first attempt is made in another region.
+func (d *Dispatcher) EarnRetry() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget.Earn()
+}
+
+// SpendRetry takes a retry from the budget of this instance, for an attempt in another region or after one there. It returns
+// false if there is none.
+func (d *Dispatcher) SpendRetry() bool { return d.spendRetry() }
+
 // spendRetry takes a retry from the budget.
 func (d *Dispatcher) spendRetry() bool {
 	d.mu.Lock()
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -368,13 +368,17 @@
 	Free    int           // places in batches
 }
 
-// Loads returns the load of every model and service that this region serves, in no order.
+// Loads returns the load of every model and service that this region serves, in no order. A pool whose endpoints are all down
+// is left out: without work it would look idle to the other regions.
 func (d *Dispatcher) Loads() []PoolLoad {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.opts.Clock.Now()
 	out := make([]PoolLoad, 0, len(d.pools))
 	for name, p := range d.pools {
+		if !d.sound(p, now) {
+			continue
+		}
 		free := 0
 		for _, e := range p.endpoints {
 			if d.takesWork(e) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/url"
@@ -295,4 +296,49 @@
 	}
 }
 
+// failingHere is a dispatcher whose endpoints fail every request without ever being ejected.
+type failingHere struct{ *dispatch.Dispatcher }
+
+func (failingHere) Serves(string) bool        { return true }
+func (failingHere) ServesService(string) bool { return true }
+
+var errFailingHere = &dispatch.Error{Status: 503, Code: dispatch.CodeEndpointError, Message: "no endpoint could be reached", RetryAfter: time.Second, Execution: operations.NotRun}
+
+func (f failingHere) Plain(context.Context, *dispatch.ModelCall) (*operations.Answer, dispatch.Usage, error) {
+	f.EarnRetry()
+	return nil, dispatch.Usage{}, errFailingHere
+}
+
+func (f failingHere) Call(context.Context, *dispatch.ServiceCall) (*operations.Answer, operations.Execution, error) {
+	f.EarnRetry()
+	return nil, operations.NotRun, errFailingHere
+}
+
+// Guards against a region whose endpoints fail and that sends its whole load to another one a second time: only as many requests
+// are tried there as the retry budget allows, 20 and one in ten.
+func TestFailoverSpendsTheRetryBudget(t *testing.T) {
+	const requests, most = 50, 20 + 5
+	for name, path := range map[string]string{"model": "/v1/chat/completions", "service": "/deposits/7"} {
+		e, s := newEngine(t), newService(t)
+		lima, _, _ := twoRegions(t, e, s)
+		lima.Gateway.opts.Dispatcher = failingHere{lima.dispatcher}
+		body := "{}"
+		if name == "model" {
+			body = chat(false, "")
+		}
+		answered := 0
+		for range requests {
+			a := lima.do(t, "POST", path, workshopKey, body)
+			if a.status == 200 {
+				answered++
+				continue
+			}
+			a.refused(t, 503, dispatch.CodeEndpointError, operations.NotRun)
+		}
+		if answered == 0 || answered > most || len(e.requests())+len(s.executions()) != answered {
+			t.Errorf("%s: %d requests were answered by the other region, want 1 to %d; it got %d", name, answered, most, len(e.requests())+len(s.executions()))
+		}
+	}
+}
+
 var _ http.Handler = (*Gateway)(nil)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -255,7 +255,9 @@
 func (g *Gateway) runSomewhere(w http.ResponseWriter, c *call, mc *dispatch.ModelCall, here func() error, there func(routing.RegionLoad) error) error {
 	w.Header().Set(headerServedRegion, g.opts.Region)
 	remote, found := g.chooseRegion(c, mc)
-	if !found {
+	if found {
+		g.opts.Dispatcher.EarnRetry()
+	} else {
 		// While the request waits, the choice is made again: the wait may turn out longer than another region's.
 		mc.Reconsider = func() bool {
 			remote, found = g.chooseRegion(c, mc)
@@ -292,7 +294,7 @@
 	return false
 }
 
-// failOver returns the region to try after the local endpoints have failed.
+// failOver returns the region to try after the local endpoints have failed, as far as the retry budget allows.
 func (g *Gateway) failOver(c *call, mc *dispatch.ModelCall, err error) (routing.RegionLoad, bool) {
 	if err == nil || !g.mayCross(c) || !endpointsFailed(err) {
 		return routing.RegionLoad{}, false
@@ -302,17 +304,20 @@
 	if i < 0 {
 		return routing.RegionLoad{}, false
 	}
+	if !g.opts.Dispatcher.SpendRetry() {
+		return routing.RegionLoad{}, false
+	}
 	mc.NoLocal = true
 	return remotes[i], true
 }
 
-// fallBack reports whether a request that failed in another region is to be tried here.
+// fallBack reports whether a request that failed in another region is to be tried here. It spends a retry.
 func (g *Gateway) fallBack(c *call, mc *dispatch.ModelCall, err error) bool {
 	if c.ctx.Err() != nil || !g.opts.Dispatcher.Serves(mc.Model) {
 		return false
 	}
 	e := asAPIError(err)
-	return e.Status >= http.StatusInternalServerError
+	return e.Status >= http.StatusInternalServerError && g.opts.Dispatcher.SpendRetry()
 }
 
 // withExecution keeps a request that may have run elsewhere from being reported as not run.
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -52,6 +52,8 @@
 	Call(ctx context.Context, c *dispatch.ServiceCall) (*operations.Answer, operations.Execution, error)
 	Serves(model string) bool
 	ServesService(service string) bool
+	EarnRetry()
+	SpendRetry() bool
 	Wait(model, organisation string, weight float64, class fairqueue.Class, tokens float64) time.Duration
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -150,21 +150,28 @@
 	return e
 }
 
-// runService sends a request to a plain service of this region, or of another one if this region has none or its endpoints fail.
+// runService sends a request to a plain service of this region, or of another one if this region has none that works. A second attempt
+// elsewhere spends a retry.
 func (g *Gateway) runService(w http.ResponseWriter, c *call, route *config.Route, sc *dispatch.ServiceCall) (*operations.Answer, operations.Execution, error) {
 	w.Header().Set(headerServedRegion, g.opts.Region)
-	earlier := operations.NotRun
-	if g.opts.Dispatcher.ServesService(sc.Service) || !g.mayCross(c) {
-		a, ex, err := g.opts.Dispatcher.Call(c.ctx, sc)
-		if err == nil || !g.mayCross(c) || !failsOver(route, ex, err) {
-			return a, ex, err
+	earlier, local := operations.NotRun, g.opts.Dispatcher.ServesService(sc.Service) || !g.mayCross(c)
+	var answer *operations.Answer
+	var failure error
+	if local {
+		answer, earlier, failure = g.opts.Dispatcher.Call(c.ctx, sc)
+		if failure == nil || !g.mayCross(c) || !failsOver(route, earlier, failure) {
+			return answer, earlier, failure
 		}
-		earlier = ex
 	}
 	remotes := g.opts.Regions.Service(sc.Service)
 	i := routing.ChooseRegion(0, false, remotes, newRand())
-	if i < 0 {
+	switch {
+	case local && (i < 0 || !g.opts.Dispatcher.SpendRetry()):
+		return answer, earlier, failure
+	case i < 0:
 		return g.opts.Dispatcher.Call(c.ctx, sc)
+	case !local:
+		g.opts.Dispatcher.EarnRetry()
 	}
 	w.Header().Set(headerServedRegion, remotes[i].Region)
 	a, ex, err := g.forwardService(c, remotes[i].Instance, route.Name, sc)
