Keep the retry budget for the requests in flight when all engines are lost

A request that may go to another region is no longer tried again here while all engines of its model are ejected. The reserve grows to three retries for each place in a batch that is this instance's share: a resume, a retry and another region.

--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -110,6 +110,12 @@
 	return &RetryBudget{Ratio: ratio, Burst: burst, tokens: burst}
 }
 
+// Resize changes the number of retries that can be saved up. What a larger budget can hold in addition is there at once.
+func (b *RetryBudget) Resize(burst float64) {
+	b.tokens = min(b.tokens+max(burst-b.Burst, 0), burst)
+	b.Burst = burst
+}
+
 // Earn records a first attempt.
 func (b *RetryBudget) Earn() { b.tokens = min(b.tokens+b.Ratio, b.Burst) }
 
--- a/internal/core/admission/admission_test.go
+++ b/internal/core/admission/admission_test.go
@@ -52,3 +52,28 @@
 		t.Fatalf("%d retries for 1000 requests, want about 105", retries)
 	}
 }
+
+// Guards against a budget that changes of the configuration fill again and again, or leave above its size.
+func TestResizedBudget(t *testing.T) {
+	spend := func(b *RetryBudget) (n int) {
+		for b.Spend() {
+			n++
+		}
+		return n
+	}
+	b := NewRetryBudget(0.1, 3)
+	b.Resize(5)
+	if n := spend(b); n != 5 {
+		t.Errorf("%d retries after growing to 5", n)
+	}
+	b.Resize(5)
+	b.Resize(2)
+	if n := spend(b); n != 0 {
+		t.Errorf("%d retries of a spent budget", n)
+	}
+	full := NewRetryBudget(0.1, 5)
+	full.Resize(2)
+	if n := spend(full); n != 2 {
+		t.Errorf("%d retries after shrinking to 2", n)
+	}
+}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -779,3 +779,38 @@
 		return err == nil
 	})
 }
+
+// Guards against retries at dead engines that use up the budget: the streams in flight need it to go to another region.
+func TestLostEnginesLeaveTheBudgetForAnotherRegion(t *testing.T) {
+	const streams = 16
+	f := newFleet(t, 2, 0, standin.EngineOptions{BatchSlots: streams / 2, TokenInterval: 10 * time.Millisecond}, func(o *Options) {
+		o.Sharers = func() int { return 1 }
+	})
+	var begun atomic.Int32
+	var running sync.WaitGroup
+	for range streams {
+		running.Go(func() {
+			c := call(500)
+			c.Elsewhere = true
+			if _, err := f.stream(t.Context(), c, func(n int) {
+				if n == 1 {
+					begun.Add(1)
+				}
+			}); err == nil {
+				t.Error("a dead engine gave a whole answer")
+			}
+		})
+	}
+	waitFor(t, "all streams to begin", 5*time.Second, func() bool { return begun.Load() == streams })
+	for _, e := range f.engines {
+		e.Die()
+	}
+	running.Wait()
+	left := 0
+	for f.SpendRetry() {
+		left++
+	}
+	if left < streams {
+		t.Errorf("%d retries are left for %d streams", left, streams)
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -47,8 +47,22 @@
 const (
 	retryRatio = 0.1
 	retryBurst = 20
+	// retriesPerPlace is the reserve for each place in a batch that is this instance's share: the requests in flight when all
+	// engines are lost need a resume, a retry here and one in another region.
+	retriesPerPlace = 3
 )
 
+// retryReserve returns the retries that may be saved up. The caller holds d.mu.
+func (d *Dispatcher) retryReserve() float64 {
+	places := 0
+	for _, e := range d.endpoints {
+		if e.config.Kind != config.KindService {
+			places += e.config.Slots
+		}
+	}
+	return max(retryBurst, retriesPerPlace*float64(places)/float64(max(d.opts.Sharers(), 1)))
+}
+
 // servicePrefix keeps pools of services apart from those of models; no model name holds a zero byte.
 const servicePrefix = "\x00"
 
@@ -139,6 +153,7 @@
 		}
 	}
 	d.endpoints = current
+	d.budget.Resize(d.retryReserve())
 	d.group(general)
 	for _, p := range d.pools {
 		d.pump(p)
@@ -271,6 +286,23 @@
 	return false
 }
 
+// allOut reports whether every endpoint of the model is ejected.
+func (d *Dispatcher) allOut(model string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.opts.Clock.Now()
+	p := d.pools[model]
+	if p == nil {
+		return true
+	}
+	for _, e := range p.endpoints {
+		if d.takesWork(e) && !e.load.health.Out(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // down reports whether an endpoint has failed and does not seem to be back. An engine is back with its next load report, even if
 // its ejection lasts longer; a plain service gives no reports. The caller holds Dispatcher.mu.
 func (e *endpoint) down(now clock.Instant) bool {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -36,6 +36,9 @@
 	// Reconsider is called while the request waits for an endpoint. If it returns true, the call ends with CodeLeftQueue and nothing
 	// has been sent. Nil: the request waits on.
 	Reconsider func() bool
+	// Elsewhere says that another region may be tried after the endpoints here: none of these is then tried again while all are
+	// ejected.
+	Elsewhere bool
 	// NoLocal says that the endpoints here have failed the request: another region is not asked for mere relief then.
 	NoLocal bool
 	// Progress is what the caller of a stream has received, from earlier attempts elsewhere too.
@@ -154,7 +157,7 @@
 	ex := operations.NotRun
 	var last error
 	for attempt := range d.opts.MaxAttempts {
-		if attempt > 0 && !d.spendRetry() {
+		if attempt > 0 && (c.Elsewhere && d.allOut(c.Model) || !d.spendRetry()) {
 			break
 		}
 		l, err := d.acquire(ctx, c.Model, w)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -263,6 +263,7 @@
 			remote, found = g.chooseRegion(c, mc)
 			return found
 		}
+		mc.Elsewhere = g.mayCross(c) && len(g.opts.Regions.Model(mc.Model)) > 0
 		err := here()
 		mc.Reconsider = nil
 		if !isLeftQueue(err) {
