Add the return of lost runners to the scenarios

A scenario could only lose parts. "runners lost and back" starts the runners of the lost region again after two thirds of the counted time, with empty caches.

--- a/internal/experiment/serving/measure.go
+++ b/internal/experiment/serving/measure.go
@@ -130,8 +130,9 @@
 		out = append(out, Target{"wrongful refusals under 0.1%", fmt.Sprintf("%.2f%%", 100*p), p < maxWrongful})
 	}
 	if r.Options.Scenario.Greedy > 1 {
-		_, _, ratio := r.Worst()
-		out = append(out, Target{"worst organisation's p99 within 1.3 of the median's", fmt.Sprintf("%.2f", ratio), ratio <= maxWorst})
+		name, _, ratio := r.Worst()
+		seen := fmt.Sprintf("%.2f, %s with %d first tokens", ratio, name, r.answered(name))
+		out = append(out, Target{"worst organisation's p99 within 1.3 of the median's", seen, ratio <= maxWorst})
 	}
 	if r.Options.Scenario.Peak && random != nil {
 		for _, stream := range []string{"long", "short"} {
@@ -143,6 +144,16 @@
 	return out
 }
 
+// answered tells how much an organisation's p99 rests on: below 100 first tokens it is the slowest of them.
+func (r *Result) answered(organisation string) int {
+	for _, row := range r.Organisations {
+		if row.Name == organisation {
+			return row.Answered()
+		}
+	}
+	return 0
+}
+
 func (r *Result) stream(name string) *load.Row {
 	for _, row := range r.Streams {
 		if row.Name == name {
--- a/internal/experiment/serving/run.go
+++ b/internal/experiment/serving/run.go
@@ -92,13 +92,26 @@
 	if o.Scenario.Fault == nil {
 		return nil
 	}
-	timer := time.NewTimer(o.faultAt())
+	if err := wait(ctx, o.faultAt()); err != nil {
+		return err
+	}
+	if err := o.Scenario.Fault(ctx, s); err != nil || o.Scenario.Return == nil {
+		return err
+	}
+	if err := wait(ctx, o.Duration/3); err != nil {
+		return err
+	}
+	return o.Scenario.Return(s)
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-timer.C:
-		return o.Scenario.Fault(ctx, s)
+		return nil
 	}
 }
 
--- a/internal/experiment/serving/scenario.go
+++ b/internal/experiment/serving/scenario.go
@@ -24,6 +24,8 @@
 	Peak, LosesInstance bool
 	// Fault is injected after a third of the counted time. Nil: none.
 	Fault func(ctx context.Context, s *site.Site) error
+	// Return ends the fault after two thirds of the counted time. Nil: it lasts.
+	Return func(s *site.Site) error
 }
 
 // Scenarios in the order of the report.
@@ -34,6 +36,7 @@
 	{Name: "instance lost", Load: 0.4, Greedy: 1, LosesInstance: true, Fault: loseInstance},
 	{Name: "region cut off", Load: 0.4, Greedy: 1, Fault: cutRegion},
 	{Name: "runners of a region lost", Load: 0.4, Greedy: 1, Fault: loseRunners},
+	{Name: "runners lost and back", Load: 0.4, Greedy: 1, Fault: loseRunners, Return: returnRunners},
 	{Name: "store lost", Load: 0.4, Greedy: 1, Fault: loseStore},
 }
 
@@ -74,6 +77,16 @@
 	return nil
 }
 
+// returnRunners starts the lost runners again, with empty caches.
+func returnRunners(s *site.Site) error {
+	for _, r := range s.Runners {
+		if err := r.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func loseStore(_ context.Context, s *site.Site) error {
 	s.Store.Twin().SetFaults(memory.Faults{Down: true})
 	return nil
--- a/internal/load/summary.go
+++ b/internal/load/summary.go
@@ -43,6 +43,9 @@
 // FirstToken returns the time to the first token.
 func (r *Row) FirstToken() Quantile { return quantile(r.first) }
 
+// Answered is the number of requests with a first token.
+func (r *Row) Answered() int { return int(r.first.TotalCount()) }
+
 // BetweenTokens returns the time between tokens.
 func (r *Row) BetweenTokens() Quantile { return quantile(r.gaps) }
 
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -64,6 +64,9 @@
 // Kill ends the runner and its connections.
 func (r *Runner) Kill() { r.Engine.Die(); r.listener.Kill() }
 
+// Start starts a killed runner again, at the same address and with an empty cache. It does nothing to a running one.
+func (r *Runner) Start() error { r.Engine.Revive(); return r.listener.Start() }
+
 // Service is a stand-in plain service.
 type Service struct {
 	Name    string
