--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/config"
 	"dogwoodknot.example/dogwoodknot/internal/configsync"
 	"dogwoodknot.example/dogwoodknot/internal/core/admission"
@@ -45,8 +46,22 @@
 const (
 	retryRatio = 0.1
 	retryBurst = 20
+	// retriesPerPlace is the reserve for each place in a batch that is this instance's share: the requests in flight when all
+	// engines are lost need a resume, a retry here and one in another region.
+	retriesPerPlace = 3
 )
 
+// retryReserve returns the retries that may be saved up. The caller holds d.mu.
+func (d *Dispatcher) retryReserve() float64 {
+	places := 0
+	for _, e := range d.endpoints {
+		if e.config.Kind != config.KindService {
+			places += e.config.Slots
+		}
+	}
+	return max(retryBurst, retriesPerPlace*float64(places)/float64(max(d.opts.Sharers(), 1)))
+}
+
 // servicePrefix keeps pools of services apart from those of models; no model name holds a zero byte.
 const servicePrefix = "\x00"
 
@@ -138,6 +153,7 @@
 		}
 	}
 	d.endpoints = current
+	d.budget.Resize(d.retryReserve())
 	d.group(general)
 	for _, p := range d.pools {
 		d.pump(p)
@@ -247,19 +263,63 @@
 	return d.opts.States == nil || !d.opts.States.Leaving(e.config.Name)
 }
 
-// Serves reports whether an endpoint of this region takes new work of the model.
+// Serves reports whether an endpoint of this region takes new work of the model and is not down.
 func (d *Dispatcher) Serves(model string) bool { return d.serves(model) }
 
-// ServesService reports whether an endpoint of this region takes new work of the plain service.
+// ServesService reports whether an endpoint of this region takes new work of the plain service and is not down.
 func (d *Dispatcher) ServesService(service string) bool { return d.serves(servicePrefix + service) }
 
 func (d *Dispatcher) serves(name string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.pools[name]
-	return p != nil && d.usable(p)
+	return p != nil && d.sound(p, d.opts.Clock.Now())
 }
 
+// sound reports whether an endpoint of the pool takes new work and is not down. The caller holds d.mu.
+func (d *Dispatcher) sound(p *pool, now clock.Instant) bool {
+	for _, e := range p.endpoints {
+		if d.takesWork(e) && !e.down(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// allOut reports whether every endpoint of the model is ejected.
+func (d *Dispatcher) allOut(model string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.opts.Clock.Now()
+	p := d.pools[model]
+	if p == nil {
+		return true
+	}
+	for _, e := range p.endpoints {
+		if d.takesWork(e) && !e.load.health.Out(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// down reports whether an endpoint has failed and does not seem to be back. An engine is back with its next load report, even if
+// its ejection lasts longer; a plain service gives no reports. The caller holds Dispatcher.mu.
+func (e *endpoint) down(now clock.Instant) bool {
+	return e.load.health.Out(now) && (e.load.silent > 0 || e.config.Kind == config.KindService)
+}
+
+// EarnRetry records a request whose first attempt is made in another region.
+func (d *Dispatcher) EarnRetry() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget.Earn()
+}
+
+// SpendRetry takes a retry from the budget of this instance, for an attempt in another region or after one there. It returns
+// false if there is none.
+func (d *Dispatcher) SpendRetry() bool { return d.spendRetry() }
+
 // spendRetry takes a retry from the budget.
 func (d *Dispatcher) spendRetry() bool {
 	d.mu.Lock()
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -368,14 +368,15 @@
 	Free    int           // places in batches
 }
 
-// Loads returns the load of every model and service that this region serves, in no order.
+// Loads returns the load of every model and service that this region serves, in no order. A pool whose endpoints are all down
+// is left out: without work it would look idle to the other regions.
 func (d *Dispatcher) Loads() []PoolLoad {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.opts.Clock.Now()
 	out := make([]PoolLoad, 0, len(d.pools))
 	for name, p := range d.pools {
-		if !d.usable(p) {
+		if !d.usable(p) || !d.sound(p, now) {
 			continue // other regions would send work here that is then declined
 		}
 		free := 0
