Settle replaced entitlements by the records of slots

Cause: a slot is limited to the minimum of its current and previous entitlements until all slot owners have reported the revision in heartbeats. An instance exchanges heartbeats with about 18 others, so above some 15 instances the condition was never met.

The record of a slot now carries the revision that all have applied who may use the slot or loans from it. A claim keeps the smaller of the record's revision and the claimant's own. A new owner also needs the highest revision of its region's instances, since the store's head may be older data.

Ruled out: heartbeats as a second path. A heartbeat from before a handover says nothing of the loans that came with the slot, and small fleets settle within seconds without it. A revision written before the slot is in use: loans of the predecessor may still run (a test shows it).

Also mended: an instance that takes over a slot with loans above the shares of its newer view no longer counts the view as applied.

Before: never.

--- a/internal/daemon/regions.go
+++ b/internal/daemon/regions.go
@@ -40,10 +40,9 @@
 
 // heard is the payload of an instance and when it came.
 type heard struct {
-	from     peer.Identity
-	at       clock.Instant
-	revision int64
-	pools    []*wire.PoolLoad
+	from  peer.Identity
+	at    clock.Instant
+	pools []*wire.PoolLoad
 }
 
 var _ gateway.Regions = (*regionLoads)(nil)
@@ -56,7 +55,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	r.last[from.Instance] = heard{from: from, at: now, revision: p.Revision, pools: p.Load.GetPools()}
+	r.last[from.Instance] = heard{from: from, at: now, pools: p.Load.GetPools()}
 	if shortest, ok := r.oneWay[from.Region]; p.RoundTrip > 0 && (!ok || p.RoundTrip/2 < shortest) {
 		r.oneWay[from.Region] = p.RoundTrip / 2
 	}
@@ -79,17 +78,6 @@
 	return members.Payload{Revision: revision, Load: summary}
 }
 
-// reported returns the configuration revision that an incarnation has reported as applied, false if it has reported none.
-func (r *regionLoads) reported(instance string, incarnation uint64) (revision int64, ok bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	h, ok := r.last[instance]
-	if !ok || h.from.Incarnation != incarnation {
-		return 0, false
-	}
-	return h.revision, true
-}
-
 // Model returns the regions that serve a model.
 func (r *regionLoads) Model(name string) []routing.RegionLoad { return r.loads(name, false) }
 
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -180,7 +180,7 @@
 func (d *Daemon) limitsService() kernel.Service {
 	return &service[*limits.Service]{
 		name:     nameLimits,
-		requires: []string{nameStore, nameList, nameTransport, nameConfig, nameRegions, nameMembers},
+		requires: []string{nameStore, nameList, nameTransport, nameConfig, nameMembers},
 		build: func(r *kernel.Registry) (*limits.Service, error) {
 			return limits.New(limits.Options{
 				Network:   find[*peer.Transport](r, nameTransport),
@@ -189,7 +189,6 @@
 				Config:    find[*configsync.Syncer](r, nameConfig),
 				Peers:     memberPeers{find[*members.Service](r, nameMembers)},
 				Instances: find[platform.InstanceList](r, nameList),
-				Reported:  find[*regionLoads](r, nameRegions).reported,
 				Log:       d.log,
 			})
 		},
--- a/internal/experiment/capacity/slots.go
+++ b/internal/experiment/capacity/slots.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/configsync"
 	"dogwoodknot.example/dogwoodknot/internal/limits"
 	"dogwoodknot.example/dogwoodknot/internal/platform"
 	"dogwoodknot.example/dogwoodknot/internal/platform/memory"
@@ -59,7 +60,7 @@
 	last := len(at) - 1
 	s.fact("store calls of the fleet", steady[last]*float64(at[last])/renewal(at[last]).Seconds(), "calls/s")
 	s.fact("lists read by a daemon", listBytes[last]/renewal(at[last]).Seconds(), "bytes/s")
-	return nil
+	return measureSettling(ctx, o, s)
 }
 
 // renewal is the interval of limits.Options.RenewBase at a number of daemons.
@@ -106,25 +107,8 @@
 	}
 	f := &slotFleet{store: &listingStore{Store: memory.NewStore(memory.StoreOptions{})}}
 	f.store.SetFaults(memory.Faults{Latency: slotLatency})
-	fabric := newFabric()
-	rows := rowsOf(n)
-	for i, row := range rows {
-		var peers fixedPeers
-		for j, other := range rows {
-			if j != i {
-				peers = append(peers, limits.Peer{Name: other.Name, Region: other.Region, Incarnation: other.Incarnation})
-			}
-		}
-		service, err := limits.New(limits.Options{
-			Network: fabric.add(identityOf(row)), Store: f.store, Clock: clock.Boot{}, Config: view, Peers: peers,
-			RenewBase: time.Duration(float64(slotInterval) / max(1, math.Sqrt(float64(n)/4))),
-		})
-		if err != nil {
-			return nil, err
-		}
-		f.services = append(f.services, service)
-	}
-	return f, nil
+	f.services, err = limitsOf(n, f.store, view, time.Duration(float64(slotInterval)/max(1, math.Sqrt(float64(n)/4))))
+	return f, err
 }
 
 // slotRun is what a fleet has cost.
@@ -187,18 +171,44 @@
 	}
 }
 
-// stop ends all services at once. None takes slots over, since all are stopping.
 func (f *slotFleet) stop(ctx context.Context) {
 	f.store.SetFaults(memory.Faults{})
+	stopServices(ctx, f.services)
+}
+
+// stopServices ends all services at once. None takes slots over, since all are stopping.
+func stopServices(ctx context.Context, services []*limits.Service) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 5*time.Second)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, s := range f.services {
+	for _, s := range services {
 		wg.Go(func() { _ = s.Stop(ctx) })
 	}
 	wg.Wait()
 }
 
+// limitsOf returns the limits services of a fleet. base is the renewal interval at four instances, 0 for the default.
+func limitsOf(n int, store platform.Store, source configsync.Source, base time.Duration) ([]*limits.Service, error) {
+	fabric, rows := newFabric(), rowsOf(n)
+	var services []*limits.Service
+	for i, row := range rows {
+		var peers fixedPeers
+		for j, other := range rows {
+			if j != i {
+				peers = append(peers, limits.Peer{Name: other.Name, Region: other.Region, Incarnation: other.Incarnation})
+			}
+		}
+		service, err := limits.New(limits.Options{
+			Network: fabric.add(identityOf(row)), Store: store, Clock: clock.Boot{}, Config: source, Peers: peers, RenewBase: base,
+		})
+		if err != nil {
+			return nil, err
+		}
+		services = append(services, service)
+	}
+	return services, nil
+}
+
 func pause(ctx context.Context, d time.Duration) error {
 	select {
 	case <-ctx.Done():
--- a/internal/limits/claims.go
+++ b/internal/limits/claims.go
@@ -32,7 +32,7 @@
 	}
 	fair := (slots + inRegion - 1) / inRegion
 	elsewhere := sync.OnceValue(func() map[ratelimit.Slot]Predecessor {
-		held, _ := s.askHeld(ctx)
+		held, _, _ := s.askHeld(ctx)
 		return held
 	})
 	now := s.opts.Clock.Now()
@@ -87,6 +87,10 @@
 func (s *Service) claim(ctx context.Context, slot ratelimit.Slot, record storedRecord, exists bool) error {
 	next := Record{Owner: s.identity(), Predecessors: slices.Clone(record.Predecessors)}
 	s.mu.Lock()
+	if len(s.slots.suspects[slot]) == 0 {
+		// What holds for the predecessors goes on to hold only as far as this instance has applied it too.
+		next.Applied = min(record.Applied, s.applied)
+	}
 	before := append([]Predecessor{record.Owner}, s.slots.suspects[slot]...)
 	s.mu.Unlock()
 	for _, p := range before {
@@ -108,6 +112,7 @@
 	s.mu.Lock()
 	s.slots.held[slot] = &heldSlot{fresh: !exists && len(next.Predecessors) == 0}
 	s.slots.ownerOf[slot] = next.Owner
+	s.slots.known[slot] = storedRecord{next, revision}
 	delete(s.slots.unclaimed, slot)
 	delete(s.slots.gave, slot)
 	s.mu.Unlock()
--- a/internal/limits/fake_test.go
+++ b/internal/limits/fake_test.go
@@ -122,6 +122,14 @@
 	return v.orgs[name]
 }
 
+func (v *fakeView) Organisations(f func(*config.Organisation) bool) {
+	for _, o := range v.orgs {
+		if !f(o) {
+			return
+		}
+	}
+}
+
 type fakeSource struct {
 	mu   sync.Mutex
 	view configsync.View
@@ -185,20 +193,19 @@
 
 // fleet is a set of services that a test drives step by step.
 type fleet struct {
-	t          testing.TB
-	clock      *clock.Manual
-	store      *memory.Store
-	net        *fakeNetwork
-	source     *fakeSource
-	sources    map[string]*fakeSource // of single instances, else source
-	list       *fakeList
-	services   map[string]*Service
-	ids        map[string]peer.Identity
-	next       uint64
-	paused     map[string]*Service
-	all        []*Service
-	afterEach  func()           // called after each instance's turn
-	heartbeats map[uint64]int64 // applied revision by incarnation
+	t         testing.TB
+	clock     *clock.Manual
+	store     *memory.Store
+	net       *fakeNetwork
+	source    *fakeSource
+	sources   map[string]*fakeSource // of single instances, else source
+	list      *fakeList
+	services  map[string]*Service
+	ids       map[string]peer.Identity
+	next      uint64
+	paused    map[string]*Service
+	all       []*Service
+	afterEach func() // called after each instance's turn
 }
 
 func newFleet(t testing.TB, v *fakeView) *fleet {
@@ -207,7 +214,7 @@
 	return &fleet{
 		t: t, clock: c, store: memory.NewStore(memory.StoreOptions{Clock: c}), net: newFakeNetwork(), source: &fakeSource{view: v}, list: &fakeList{},
 		services: map[string]*Service{}, sources: map[string]*fakeSource{}, ids: map[string]peer.Identity{}, next: 100,
-		heartbeats: map[uint64]int64{}, paused: map[string]*Service{},
+		paused: map[string]*Service{},
 	}
 }
 
@@ -243,7 +250,6 @@
 		s, err := New(Options{
 			Network: f.net.join(f.ids[name]), Store: f.store, Clock: f.clock, Config: f.sources[name], Peers: peersOf{f, name},
 			Instances: f.list, CrossRegionRoom: 20 * time.Millisecond, CrossRegionTimeout: 200 * time.Millisecond,
-			Reported: f.reported,
 		})
 		if err != nil {
 			f.t.Fatal(err)
@@ -258,12 +264,6 @@
 	}
 }
 
-// reported is what heartbeats have brought of an instance's applied revision.
-func (f *fleet) reported(name string, incarnation uint64) (int64, bool) {
-	revision, ok := f.heartbeats[incarnation]
-	return revision, ok
-}
-
 // crash removes an instance without notice.
 func (f *fleet) crash(name string) *Service {
 	s := f.services[name]
@@ -299,6 +299,7 @@
 		for _, name := range slices.Sorted(mapsKeys(f.services)) {
 			f.services[name].tick()
 			_ = f.services[name].refresh(context.Background()) // fails while the store is down
+			_, _ = f.services[name].settle(context.Background())
 			if f.afterEach != nil {
 				for _, s := range f.services {
 					f.settle(s)
@@ -309,9 +310,6 @@
 		for _, s := range f.services {
 			f.settle(s)
 		}
-		for _, s := range f.services {
-			f.heartbeats[s.self.Incarnation] = s.AppliedRevision()
-		}
 	}
 }
 
--- a/internal/limits/handover.go
+++ b/internal/limits/handover.go
@@ -200,9 +200,10 @@
 		if r.Owner.Incarnation != s.self.Incarnation {
 			continue
 		}
-		next := Record{Predecessors: r.Predecessors}
+		next := Record{Predecessors: r.Predecessors, Applied: r.Applied}
 		if target != nil && slices.ContainsFunc(offered, func(x ratelimit.HandedSlot) bool { return x.Slot == slot }) {
 			next.Owner = Predecessor{Name: target.Name, Incarnation: target.Incarnation}
+			next.Applied = 0 // the target writes what it has applied
 		}
 		errs = append(errs, s.writeRecord(ctx, slot, next, r.revision))
 	}
@@ -263,7 +264,11 @@
 		s.slots.ownerOf[x.Slot] = Predecessor{s.self.Instance, s.self.Incarnation, s.slots.listed}
 		delete(s.slots.gave, x.Slot)
 	}
-	s.ledger.TakeOver(s.opts.Clock.Now(), slots, handedFromWire(req.GetAccounts()))
+	now := s.opts.Clock.Now()
+	s.ledger.TakeOver(now, slots, handedFromWire(req.GetAccounts()))
+	if !s.ledger.Applied(now) {
+		s.applied = 0 // loans that came with the slots exceed the shares of the view in force here
+	}
 	return &wire.HandoverResponse{Accepted: true}, nil
 }
 
--- a/internal/limits/options.go
+++ b/internal/limits/options.go
@@ -36,10 +36,7 @@
 	Peers   Peers
 	// Instances is the platform's list. It settles slots of ended instances where removal from it is final. May be nil.
 	Instances platform.InstanceList
-	// Reported returns the revision that an incarnation has last reported with AppliedRevision, as heartbeats carry it, and
-	// false if it has reported none. Nil: previous terms count as long as they are declared.
-	Reported func(instance string, incarnation uint64) (revision int64, ok bool)
-	Log      *zap.Logger // nil: no log
+	Log       *zap.Logger // nil: no log
 
 	// InRegionTimeout bounds the wait for a loan from the same region. Default 50 ms.
 	InRegionTimeout time.Duration
--- a/internal/limits/predecessors.go
+++ b/internal/limits/predecessors.go
@@ -66,8 +66,9 @@
 	return &wire.DropResponse{Dropped: true}, nil
 }
 
-// askHeld asks the instances of the region which slots they hold. complete is false if one did not answer.
-func (s *Service) askHeld(ctx context.Context) (held map[ratelimit.Slot]Predecessor, complete bool) {
+// askHeld asks the instances of the region which slots they hold. revision is the highest configuration revision in force
+// among them. complete is false if one did not answer.
+func (s *Service) askHeld(ctx context.Context) (held map[ratelimit.Slot]Predecessor, revision int64, complete bool) {
 	ctx, cancel := context.WithTimeout(ctx, s.opts.CrossRegionTimeout)
 	defer cancel()
 	var mu sync.Mutex
@@ -86,13 +87,14 @@
 				complete = false
 				return
 			}
+			revision = max(revision, resp.GetRevision())
 			for _, slot := range resp.GetSlots() {
 				held[slotFromWire(slot)] = Predecessor{Name: p.Name, Incarnation: p.Incarnation}
 			}
 		})
 	}
 	wg.Wait()
-	return held, complete
+	return held, revision, complete
 }
 
 // vouch compares the records that this instance reads first with what the region's instances hold: it cannot know whether the
@@ -104,7 +106,7 @@
 	if vouched {
 		return
 	}
-	held, complete := s.askHeld(ctx)
+	held, revision, complete := s.askHeld(ctx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for slot, p := range held {
@@ -113,11 +115,12 @@
 		}
 	}
 	s.slots.vouched = complete
+	s.slots.vouchedRevision = max(s.slots.vouchedRevision, revision)
 }
 
 // handleHeld lists the slots that this instance owns.
 func (s *Service) handleHeld(context.Context, peer.Identity, *wire.HeldRequest) (proto.Message, error) {
-	resp := &wire.HeldResponse{Incarnation: s.self.Incarnation}
+	resp := &wire.HeldResponse{Incarnation: s.self.Incarnation, Revision: s.opts.Config.View().Revision()}
 	for slot := range s.heldSlots() {
 		resp.Slots = append(resp.Slots, slotToWire(slot))
 	}
--- a/internal/limits/records.go
+++ b/internal/limits/records.go
@@ -44,6 +44,9 @@
 type Record struct {
 	Owner        Predecessor   `json:"owner"` // the zero value for a slot that was given up
 	Predecessors []Predecessor `json:"predecessors,omitempty"`
+	// Applied is a configuration revision that all have applied who may use the slot or loans from it, 0 if none is known.
+	// It is written only for revisions that replace entitlements, so that it may be lower than what is in force.
+	Applied int64 `json:"applied,omitempty"`
 }
 
 // storedRecord is a record as it was read.
@@ -128,6 +131,7 @@
 		}
 	}
 	s.slots.known, s.slots.live = records, live
+	s.noteSettled()
 	clear(s.slots.ownerOf)
 	for slot, r := range records {
 		s.slots.ownerOf[slot] = r.Owner
@@ -148,7 +152,8 @@
 			continue
 		}
 		delete(records, slot) // read again with the next refresh
-		if _, err := s.putRecord(ctx, slot, Record{Owner: s.identity()}, record.revision); err != nil {
+		next := Record{Owner: s.identity(), Applied: s.AppliedRevision()}
+		if _, err := s.putRecord(ctx, slot, next, record.revision); err != nil {
 			errs = append(errs, err)
 			continue
 		}
@@ -186,7 +191,7 @@
 // one that then takes itself out of the record has ended its use, and must not be written again. If the store goes back
 // once more, the record that was written is newer than the one read, and they become suspects again.
 func (s *Service) recordForgotten(ctx context.Context, slot ratelimit.Slot, record storedRecord, forgotten []Predecessor) error {
-	next := Record{s.identity(), append(slices.Clone(record.Predecessors), forgotten...)}
+	next := Record{Owner: s.identity(), Predecessors: append(slices.Clone(record.Predecessors), forgotten...)}
 	revision, err := s.putRecord(ctx, slot, next, record.revision)
 	if errors.Is(err, platform.ErrConflict) {
 		return nil // the next refresh reads what the other writer left
@@ -210,7 +215,7 @@
 	if len(left) == len(record.Predecessors) {
 		return nil
 	}
-	return s.writeRecord(ctx, slot, Record{record.Owner, left}, record.revision)
+	return s.writeRecord(ctx, slot, Record{record.Owner, left, record.Applied}, record.revision)
 }
 
 func withoutIncarnation(in []uint64, incarnation uint64) []uint64 {
@@ -247,7 +252,7 @@
 	}
 	var errs []error
 	for slot, r := range records {
-		next := Record{r.Owner, withoutIncarnations(r.Predecessors, []uint64{incarnation})}
+		next := Record{r.Owner, withoutIncarnations(r.Predecessors, []uint64{incarnation}), r.Applied}
 		if r.Owner.Incarnation == incarnation {
 			next.Owner = Predecessor{}
 		}
--- a/internal/limits/refresh.go
+++ b/internal/limits/refresh.go
@@ -38,6 +38,8 @@
 
 // refresh renews the lease, reads the slots' records, gives up lost slots, resolves predecessors and claims free slots.
 func (s *Service) refresh(ctx context.Context) error {
+	s.refreshing.Lock()
+	defer s.refreshing.Unlock()
 	defer s.notifyOwned()
 	if err := s.keepLease(ctx); err != nil {
 		return errors.Wrap(err, "renew the lease of slots")
@@ -103,7 +105,7 @@
 	s.mu.Unlock()
 	if record.Owner.Incarnation == s.self.Incarnation {
 		if gave {
-			return s.writeRecord(ctx, slot, Record{heir, record.Predecessors}, record.revision)
+			return s.writeRecord(ctx, slot, Record{Owner: heir, Predecessors: record.Predecessors}, record.revision)
 		}
 		return s.reviewOwned(ctx, slot, record)
 	}
@@ -112,7 +114,7 @@
 	s.mu.Unlock()
 	if mine {
 		// Handed over here while the store could not be written.
-		return s.writeRecord(ctx, slot, Record{Owner: s.identity()}, record.revision)
+		return s.writeRecord(ctx, slot, Record{Owner: s.identity(), Applied: s.AppliedRevision()}, record.revision)
 	}
 	s.dropSlot(slot)
 	return s.confirmDropped(ctx, slot, record)
@@ -167,13 +169,21 @@
 		left = s.unresolved(ctx, slot, left)
 	}
 	if len(left) < len(record.Predecessors) || record.Owner != identity {
-		_, err := s.putRecord(ctx, slot, Record{identity, left}, record.revision)
+		applied := s.AppliedRevision()
+		if !usable || len(left) > 0 {
+			applied = min(record.Applied, applied)
+		}
+		next := Record{identity, left, applied}
+		revision, err := s.putRecord(ctx, slot, next, record.revision)
 		if errors.Is(err, platform.ErrConflict) {
 			return nil // reviewed again with the next refresh
 		}
 		if err != nil {
 			return err
 		}
+		s.mu.Lock()
+		s.slots.known[slot] = storedRecord{next, revision}
+		s.mu.Unlock()
 	}
 	if len(left) > 0 || usable {
 		return nil
@@ -186,7 +196,7 @@
 	defer s.mu.Unlock()
 	if !held.resolved && s.slots.vouched {
 		held.resolved = true
-		held.minRevision = revision
+		held.minRevision = max(revision, s.slots.vouchedRevision)
 		held.readyAt = s.opts.Clock.Now()
 		if !fresh {
 			held.readyAt = held.readyAt.Add(s.ledger.QuietTime())
@@ -213,30 +223,6 @@
 	return head.Revision, nil
 }
 
-// settledRevision is the revision that the owners of all slots have reported. A slot without a known owner counts as 0.
-func (s *Service) settledRevision() int64 {
-	if s.opts.Reported == nil {
-		return 0
-	}
-	lowest := s.conf.Revision()
-	for _, region := range s.conf.regions {
-		for index := range region.Slots {
-			owner := s.slots.ownerOf[ratelimit.Slot{Region: region.Name, Index: index}]
-			revision, known := int64(0), false
-			if owner.Incarnation == s.self.Incarnation {
-				revision, known = s.appliedRevision(), true
-			} else if owner.Name != "" {
-				revision, known = s.opts.Reported(owner.Name, owner.Incarnation)
-			}
-			if !known {
-				return 0
-			}
-			lowest = min(lowest, revision)
-		}
-	}
-	return lowest
-}
-
 // useReadySlots starts the use of slots whose predecessors and their loans have ended.
 func (s *Service) useReadySlots(now clock.Instant) {
 	for slot, held := range s.slots.held {
--- a/internal/limits/service.go
+++ b/internal/limits/service.go
@@ -34,6 +34,9 @@
 	opts Options
 	self peer.Identity
 
+	// refreshing is held by the one that reads and writes the records of slots. It is taken before mu.
+	refreshing sync.Mutex
+
 	mu        sync.Mutex
 	ledger    *ratelimit.Ledger
 	puller    *ratelimit.Puller
@@ -43,6 +46,7 @@
 	slots     slotTable
 	conf      *configuration
 	applied   int64 // revision that AppliedRevision returns
+	settling  settling
 	ownership ownership
 	stopping  bool
 
@@ -112,6 +116,15 @@
 		}
 		return s.refreshDelay()
 	})
+	s.loop(func() time.Duration {
+		ctx, cancel := context.WithTimeout(s.loopCtx, s.renewInterval())
+		defer cancel()
+		next, err := s.settle(ctx)
+		if err != nil && s.loopCtx.Err() == nil {
+			s.opts.Log.Warn("applied revision could not be exchanged", zap.Error(err))
+		}
+		return next
+	})
 	return nil
 }
 
@@ -153,14 +166,10 @@
 }
 
 func (s *Service) applyView(view configsync.View) {
-	reported := int64(0)
-	if s.conf != nil {
-		reported = s.settledRevision()
-	}
-	if s.conf != nil && s.conf.view == view && s.conf.reported == reported {
+	if s.conf != nil && s.conf.view == view && s.conf.settled == s.settling.settled {
 		return
 	}
-	s.conf = newConfiguration(view, reported)
+	s.conf = newConfiguration(s.conf, view, s.settling.settled)
 	s.ledger.Configure(s.opts.Clock.Now(), s.conf)
 	s.noteApplied()
 }
@@ -172,20 +181,11 @@
 	}
 }
 
-// AppliedRevision is the revision to report to other instances: everything that it lowers is lowered here. It is 0 while a
-// predecessor of a slot may still use it under an older revision.
+// AppliedRevision is the revision that this instance has applied: everything that it lowers is lowered here, loans given
+// before included. 0 before the first.
 func (s *Service) AppliedRevision() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.appliedRevision()
-}
-
-func (s *Service) appliedRevision() int64 {
-	for _, held := range s.slots.held {
-		if !held.usable {
-			return 0
-		}
-	}
 	s.noteApplied()
 	return s.applied
 }
--- a/internal/limits/slots.go
+++ b/internal/limits/slots.go
@@ -35,7 +35,11 @@
 	suspects map[ratelimit.Slot][]Predecessor // owners that the store has forgotten
 	// vouched says that every listed instance of the region has told which slots it holds since the records were first read.
 	// From then on this instance itself notices a store with older data.
-	vouched   bool
+	vouched bool
+	// vouchedRevision is the highest configuration revision that they had in force. The head of a store with older data may
+	// be lower.
+	vouchedRevision int64
+
 	lease     platform.LeaseID
 	listed    int64                            // version of the instance list that had this incarnation
 	unclaimed map[ratelimit.Slot]clock.Instant // since when a slot was seen without a live owner
