Wait for the revision that is in force in all parts of an instance

Loans given under a higher entitlement may still run for 10 s then, and a slot may wait for the loans of a predecessor, so that previous entitlements could be dropped too early.

Heartbeats carried the limits' applied revision in a field documented as the configuration in force. Gap repair never used it: config sync compares its own state with the relay, by the revision of the view, which is right.

The heartbeat of the capacity sections lost the field as well; the figures of CAPACITY.md, 646 B, are from before and were not measured again.

--- a/cmd/dogwoodctl/apply.go
+++ b/cmd/dogwoodctl/apply.go
@@ -49,19 +49,19 @@
 	return c
 }
 
-// inForce returns the lowest revision that is in force at every listed instance and every owner of a slot, or 0 if one of them
-// cannot be asked. An owner that is no longer listed may still be running.
+// inForce returns the lowest revision that is in force in all parts of every listed instance and every owner of a slot, or 0 if
+// one of them cannot be asked or a slot waits for the end of a predecessor. An owner that is no longer listed may still be running.
 func (a *app) inForce(kv platform.Store, reports []report) int64 {
 	lowest := int64(0)
 	byIncarnation := make(map[uint64]int64)
 	for i, r := range reports {
-		if !r.reached() {
+		if !r.reached() || len(r.Waiting) > 0 {
 			return 0
 		}
-		if i == 0 || r.Revision < lowest {
-			lowest = r.Revision
+		if i == 0 || r.Applied < lowest {
+			lowest = r.Applied
 		}
-		byIncarnation[r.Incarnation] = r.Revision
+		byIncarnation[r.Incarnation] = r.Applied
 	}
 	owners, err := slotOwners(a.ctx, kv)
 	if err != nil {
@@ -164,7 +164,7 @@
 	return waitErr
 }
 
-// waitInForce waits until every listed instance has the revision, and prints a progress line on each change.
+// waitInForce waits until the revision is in force in all parts of every listed instance, and prints a progress line on each change.
 func (a *app) waitInForce(revision int64, timeout time.Duration) (progress, error) {
 	ctx, cancel := context.WithTimeout(a.ctx, timeout)
 	defer cancel()
@@ -199,7 +199,7 @@
 func progressOf(reports []report, revision int64) progress {
 	p := progress{Instances: len(reports)}
 	for _, r := range reports {
-		if r.reached() && r.Revision >= revision {
+		if r.reached() && r.Applied >= revision {
 			p.Reached++
 		} else {
 			p.Lagging = append(p.Lagging, r.Name)
--- a/cmd/dogwoodctl/fleet.go
+++ b/cmd/dogwoodctl/fleet.go
@@ -35,9 +35,11 @@
 	instance
 	Incarnation uint64 `json:"incarnation,string,omitempty"`
 	Revision    int64  `json:"revision"`
+	Applied     int64  `json:"applied"` // in force in all parts of the instance
 	Ready       bool   `json:"ready"`
 	Reason      string `json:"reason,omitempty"`
 	Slots       []int  `json:"slots,omitempty"`
+	Waiting     []int  `json:"waiting,omitempty"` // slots that a predecessor may still use
 	Failure     string `json:"unreachable,omitempty"`
 }
 
@@ -157,6 +159,7 @@
 		return r
 	}
 	r.Name, r.Region, r.DataCentre = s.Instance, s.Region, s.DataCentre
-	r.Incarnation, r.Revision, r.Ready, r.Reason, r.Slots = s.Incarnation, s.Revision, s.Ready, s.Reason, s.Slots
+	r.Incarnation, r.Revision, r.Applied = s.Incarnation, s.Revision, s.Applied
+	r.Ready, r.Reason, r.Slots, r.Waiting = s.Ready, s.Reason, s.Slots, s.Waiting
 	return r
 }
--- a/cmd/dogwoodctl/fleet_cmds.go
+++ b/cmd/dogwoodctl/fleet_cmds.go
@@ -94,6 +94,8 @@
 		return "behind the store"
 	case r.Revision > storeRevision && storeRevision > 0:
 		return "above the store, which was restored from older data"
+	case r.Applied < r.Revision:
+		return "applying, loans under revision " + strconv.FormatInt(r.Applied, 10) + " still run"
 	case r.Leaving:
 		return "leaving"
 	}
@@ -113,7 +115,7 @@
 	bad := 0
 	for i := range out.Instances {
 		r := &out.Instances[i]
-		if !r.reached() || !r.Ready || out.StoreRevision > 0 && r.Revision != out.StoreRevision {
+		if !r.reached() || !r.Ready || out.StoreRevision > 0 && (r.Revision != out.StoreRevision || r.Applied != r.Revision) {
 			bad++
 		}
 	}
--- a/cmd/dogwoodctl/main_test.go
+++ b/cmd/dogwoodctl/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -9,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -108,6 +110,8 @@
 	sync   *configsync.Syncer
 	kv     *platform.StoreClient
 	port   *operator.Server
+	// applied bounds the applied revision, if not 0.
+	applied atomic.Int64
 }
 
 var _ operator.Backend = (*testInstance)(nil)
@@ -115,6 +119,7 @@
 func (i *testInstance) Status() operator.Status {
 	st := i.status
 	st.Revision = i.sync.View().Revision()
+	st.Applied = min(st.Revision, cmp.Or(i.applied.Load(), st.Revision))
 	if err := i.sync.Ready(); err != nil {
 		st.Reason = err.Error()
 	} else {
@@ -186,12 +191,16 @@
 func cmdInstance(ts *testscript.TestScript, neg bool, args []string) {
 	s := siteOf(ts)
 	if neg || len(args) < 2 {
-		ts.Fatalf("usage: instance start NAME REGION | instance stop NAME")
+		ts.Fatalf("usage: instance start NAME REGION | instance stop NAME | instance applied NAME REVISION")
 	}
 	switch args[0] {
 	case "start":
 		ts.Check(s.start(args[1], args[2]))
 		ts.Setenv("DOGWOODKNOT_OPERATOR_TOKEN", "t0ken")
+	case "applied": // 0: whatever is in force
+		n, err := strconv.ParseInt(args[2], 10, 64)
+		ts.Check(err)
+		s.instances[args[1]].applied.Store(n)
 	case "stop":
 		s.instances[args[1]].stop()
 		delete(s.instances, args[1])
@@ -263,7 +272,7 @@
 		t.Error("no instances count as done")
 	}
 	for i := range 9 {
-		reports = append(reports, report{instance: instance{Name: fmt.Sprintf("i-%d", i)}, Revision: int64(i)})
+		reports = append(reports, report{instance: instance{Name: fmt.Sprintf("i-%d", i)}, Revision: 9, Applied: int64(i)})
 	}
 	p := progressOf(reports, 8)
 	if want := "in force on 1 of 9 instances, waiting for i-0, i-1, i-2, i-3, i-4 and 3 more"; p.String() != want {
@@ -296,7 +305,7 @@
 			t.Fatal(err)
 		}
 	}
-	reports := []report{{Incarnation: 1, Revision: 7}, {Incarnation: 2, Revision: 5}}
+	reports := []report{{Incarnation: 1, Revision: 9, Applied: 7}, {Incarnation: 2, Revision: 9, Applied: 5}}
 	for _, tc := range []struct {
 		name, record string
 		want         int64
@@ -316,6 +325,9 @@
 	if got := a.inForce(kv, append(reports, report{Failure: "gone"})); got != 0 {
 		t.Errorf("revision %d with an instance that was not asked", got)
 	}
+	if got := a.inForce(kv, append(reports, report{Incarnation: 3, Revision: 9, Applied: 9, Waiting: []int{0}})); got != 0 {
+		t.Errorf("revision %d while loans of a predecessor may run", got)
+	}
 	if got := a.inForce(kv, nil); got != 0 {
 		t.Errorf("revision %d without instances", got)
 	}
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -38,7 +38,9 @@
 		DataCentre:  self.DataCentre,
 		Incarnation: self.Incarnation,
 		Revision:    b.config().View().Revision(),
+		Applied:     b.limits().AppliedRevision(),
 		Slots:       b.limits().Owned(),
+		Waiting:     b.limits().Waiting(),
 		Ready:       true,
 	}
 	for _, id := range find[*peer.Transport](b.registry, nameTransport).Connected() {
--- a/internal/daemon/regions.go
+++ b/internal/daemon/regions.go
@@ -67,7 +67,7 @@
 }
 
 // payload returns what this instance's heartbeats carry.
-func payload(revision int64, loads []dispatch.PoolLoad) members.Payload {
+func payload(loads []dispatch.PoolLoad) members.Payload {
 	summary := &wire.LoadSummary{}
 	for _, l := range loads {
 		summary.Pools = append(summary.Pools, &wire.PoolLoad{
@@ -75,7 +75,7 @@
 		})
 	}
 	slices.SortFunc(summary.Pools, func(a, b *wire.PoolLoad) int { return strings.Compare(a.Name, b.Name) })
-	return members.Payload{Revision: revision, Load: summary}
+	return members.Payload{Load: summary}
 }
 
 // Model returns the regions that serve a model.
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -152,7 +152,7 @@
 				Clock:     d.clock,
 				Self:      d.row(),
 				Payload: func() members.Payload {
-					return payload(find[*limits.Service](r, nameLimits).AppliedRevision(), find[*dispatch.Dispatcher](r, nameDispatch).Loads())
+					return payload(find[*dispatch.Dispatcher](r, nameDispatch).Loads())
 				},
 				OnPayload: find[*regionLoads](r, nameRegions).received,
 				Logger:    d.log,
--- a/internal/experiment/capacity/membership.go
+++ b/internal/experiment/capacity/membership.go
@@ -81,7 +81,7 @@
 // heartbeat is a heartbeat as daemons send it.
 func heartbeat() *wire.Heartbeat {
 	hb := &wire.Heartbeat{
-		Incarnation: 1 << 62, ListVersion: 100_000, ListAgeMillis: 12_345, HomeDigest: 1 << 62, RegionDigest: 1 << 62, Revision: 300_000,
+		Incarnation: 1 << 62, ListVersion: 100_000, ListAgeMillis: 12_345, HomeDigest: 1 << 62, RegionDigest: 1 << 62,
 		Load: &wire.LoadSummary{},
 	}
 	for i := range modelCount {
--- a/internal/limits/owners.go
+++ b/internal/limits/owners.go
@@ -32,6 +32,21 @@
 	return out
 }
 
+// Waiting returns the slots among them, in order, that a predecessor or loans of it may still use. This instance uses none of
+// their rate.
+func (s *Service) Waiting() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []int
+	for slot, held := range s.slots.held {
+		if !held.usable {
+			out = append(out, slot.Index)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Owner returns the instance that owned a slot when the store was last read, or false if there was none.
 func (s *Service) Owner(region string, slot int) (instance string, ok bool) {
 	s.mu.Lock()
--- a/internal/members/fleet_test.go
+++ b/internal/members/fleet_test.go
@@ -116,7 +116,7 @@
 			PeerAddr: "10.11.12.13:17443", CallerAddr: "10.11.12.13:18080", OperatorURL: "10.11.12.13:18081",
 		},
 		Payload: func() members.Payload {
-			return members.Payload{Revision: 123456, Load: fleetLoad()}
+			return members.Payload{Load: fleetLoad()}
 		},
 	})
 	if err != nil {
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -38,7 +38,7 @@
 	list      *memory.InstanceList
 	directory *memory.Directory
 	services  map[string]*members.Service
-	revisions atomic.Int64 // payloads received with revision 42
+	payloads  atomic.Int64 // received
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -81,11 +81,11 @@
 		},
 		Clock: virtualClock{}, Params: fastParams(), PollBase: 200 * time.Millisecond, DirectoryInterval: 200 * time.Millisecond,
 		Payload: func() members.Payload {
-			return members.Payload{Revision: 42, Load: &wire.LoadSummary{Pools: []*wire.PoolLoad{{Name: "taller-lm", Free: 3}}}}
+			return members.Payload{Load: &wire.LoadSummary{Pools: []*wire.PoolLoad{{Name: "taller-lm", Free: 3}}}}
 		},
 		OnPayload: func(_ peer.Identity, p members.Payload) {
-			if p.Revision == 42 && p.Load.GetPools()[0].GetFree() == 3 {
-				f.revisions.Add(1)
+			if p.Load.GetPools()[0].GetName() == "taller-lm" && p.Load.GetPools()[0].GetFree() == 3 {
+				f.payloads.Add(1)
 			}
 		},
 	})
@@ -165,7 +165,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		f.addFour()
-		f.eventually("payloads arrive", func() bool { return f.revisions.Load() > 8 })
+		f.eventually("payloads arrive", func() bool { return f.payloads.Load() > 8 })
 		self, found := f.services["lima-1"].Snapshot().Member("lima-1")
 		if !found || !self.Self || !self.Listed {
 			t.Errorf("own row: %+v, %v", self, found)
--- a/internal/members/options.go
+++ b/internal/members/options.go
@@ -25,8 +25,7 @@
 
 // Payload is what an instance's heartbeats carry for other packages.
 type Payload struct {
-	Revision int64 // configuration in force
-	Load     *wire.LoadSummary
+	Load *wire.LoadSummary
 	// RoundTrip is the time of the probe that brought the payload, 0 if the other side sent the probe.
 	RoundTrip time.Duration
 }
--- a/internal/members/probe.go
+++ b/internal/members/probe.go
@@ -50,7 +50,6 @@
 		ListAgeMillis: s.listAgeMillis(now),
 		HomeDigest:    home,
 		RegionDigest:  own,
-		Revision:      payload.Revision,
 		Load:          payload.Load,
 	}
 	if self, _ := s.Snapshot().Member(s.self.Name); !self.Listed {
@@ -61,7 +60,7 @@
 
 // receive takes a heartbeat of another instance.
 func (s *Service) receive(from peer.Identity, hb *wire.Heartbeat, roundTrip time.Duration) {
-	s.options.OnPayload(from, Payload{Revision: hb.GetRevision(), Load: hb.GetLoad(), RoundTrip: roundTrip})
+	s.options.OnPayload(from, Payload{Load: hb.GetLoad(), RoundTrip: roundTrip})
 	if s.shouldSync(from, hb) {
 		s.spawn(func() { s.sync(from.Instance) })
 	}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -25,15 +25,19 @@
 
 // Status is what an instance says of itself.
 type Status struct {
-	Instance    string   `json:"instance"`
-	Region      string   `json:"region"`
-	DataCentre  string   `json:"data_centre"`
-	Incarnation uint64   `json:"incarnation,string"`
-	Revision    int64    `json:"revision"`
-	Ready       bool     `json:"ready"`
-	Reason      string   `json:"reason,omitempty"` // why it is not ready
-	Slots       []int    `json:"slots"`
-	Peers       []string `json:"peers"` // connected instances
+	Instance    string `json:"instance"`
+	Region      string `json:"region"`
+	DataCentre  string `json:"data_centre"`
+	Incarnation uint64 `json:"incarnation,string"`
+	Revision    int64  `json:"revision"` // of the view in force
+	// Applied is the revision that is in force in all parts: no loan of an organisation's rate exceeds its entitlements.
+	Applied int64  `json:"applied"`
+	Ready   bool   `json:"ready"`
+	Reason  string `json:"reason,omitempty"` // why it is not ready
+	Slots   []int  `json:"slots"`
+	// Waiting are the slots that a predecessor, or loans of it, may still use. This instance uses none of their rate.
+	Waiting []int    `json:"waiting,omitempty"`
+	Peers   []string `json:"peers"` // connected instances
 }
 
 // Usage is the live use of an organisation at one instance.
