Answer ids of ended issuers without Retry-After, and stop the last instance cleanly

operation_issuer_gone says that the request never runs again, but carried Retry-After if the issuer was not listed, because a new issuer may not be listed yet. The id carries its issue time: younger than a minute it gets operation_issuer_unknown with Retry-After, older operation_issuer_gone without.

The last instance of a region returned an error from its planned stop, and so a failing exit status, if it held records of issued ids. Nothing is left for it to do, and nothing runs twice: it now warns with the number of records and what repeats are answered, and ends with status 0. Ruled out: silence, since callers lose their answers; an error, since a supervisor would take a complete stop for a failure. An instance that is connected and has not taken the records is still an error.

--- a/internal/operations/forward.go
+++ b/internal/operations/forward.go
@@ -314,8 +314,10 @@
 	case codeNotHolder:
 		return issuerGone()
 	case codeUnlisted:
-		// A new issuer may not be listed yet, therefore a repeat is advised.
-		o = issuerGone()
+		if s.o.Wall().Sub(time.UnixMilli(id.GetIssuedAtMillis())) >= issuerListed {
+			return issuerGone()
+		}
+		o = unknown(http.StatusConflict, CodeIssuerUnknown, "the instance that issued the id is not known here; the request may have run")
 		o.RetryAfter = retrySoon
 	}
 	return o
--- a/internal/operations/handover.go
+++ b/internal/operations/handover.go
@@ -52,11 +52,12 @@
 
 // handOver tries one heir after the other until one has taken the records or may have.
 func (s *Service) handOver(ctx context.Context, incarnation uint64, h atmostonce.Handover) error {
-	self := s.o.Network.Self()
+	self, asked := s.o.Network.Self(), false
 	for _, to := range s.o.Network.Connected() {
 		if to.Region != self.Region || to.Instance == self.Instance {
 			continue
 		}
+		asked = true
 		err := s.handOverTo(ctx, to, incarnation, h)
 		// A second heir is asked only if the first certainly has no records: two heirs would both run an unused id.
 		if err == nil || !errors.Is(err, errRefused) {
@@ -67,6 +68,12 @@
 	if len(h.Records) == 0 {
 		return nil // only unused ids are lost: they are answered "unknown" and never run
 	}
+	if !asked {
+		// Nothing is left to be done, so that the stop is complete.
+		s.warn("last instance of its region stops: repeats of requests with ids that it issued are answered operation_issuer_gone and never run",
+			zap.String("region", self.Region), zap.Int("records", len(h.Records)))
+		return nil
+	}
 	return errors.Newf("no instance of region %s has taken the %d operation records", self.Region, len(h.Records))
 }
 
--- a/internal/operations/outcome.go
+++ b/internal/operations/outcome.go
@@ -24,6 +24,7 @@
 	CodeOwnerUnknown  = "operation_owner_unknown"
 	CodeOwnerAway     = "operation_owner_unreachable"
 	CodeIssuerGone    = "operation_issuer_gone"
+	CodeIssuerUnknown = "operation_issuer_unknown"
 	CodeFull          = "operation_records_full"
 	CodeCancelled     = "operation_cancelled"
 	CodeStopping      = "operation_instance_stopping"
@@ -44,6 +45,10 @@
 	retryFull  = 30 * time.Second // records leave memory by the hour
 )
 
+// issuerListed is the age of an issued id from which its issuer has surely become known to the other instances, however late
+// the platform's list shows it.
+const issuerListed = time.Minute
+
 func notRun(status int, code, message string, retry time.Duration) Outcome {
 	return Outcome{Execution: NotRun, Status: status, Code: code, Message: message, RetryAfter: retry}
 }
