Serve declined requests here without a retry of the budget

A request that another region declines for relief has cost nothing there, but its attempt here spent a retry since the budget covers the ways between regions. Only an attempt after one that may have run elsewhere spends a retry now.

Test: with the budget empty and another region that declines all it is sent, the first declined request was refused before; all 40 are served now.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"dogwoodknot.example/dogwoodknot/internal/core/fairqueue"
 	"dogwoodknot.example/dogwoodknot/internal/core/routing"
 	"dogwoodknot.example/dogwoodknot/internal/dispatch"
 	"dogwoodknot.example/dogwoodknot/internal/limits"
@@ -341,4 +342,32 @@
 	}
 }
 
+// busyHere is a dispatcher that expects a long wait, so that half of its requests go to another region.
+type busyHere struct{ *dispatch.Dispatcher }
+
+func (busyHere) Wait(string, string, float64, fairqueue.Class, float64) time.Duration {
+	return time.Hour
+}
+
+// Guards against requests that are refused because another region declined them: they have cost nothing, and with the retry
+// budget spent they would be lost although the endpoints here can serve them.
+func TestDeclinedRequestsNeedNoRetryBudget(t *testing.T) {
+	e, s := newEngine(t), newService(t)
+	lima, cusco, bus := twoRegions(t, e, s)
+	cusco.source.change(func(v *fakeView) { v.general.Endpoints = nil })
+	lima.source.change(func(v *fakeView) { v.general.Endpoints = append(v.general.Endpoints, engineAt(e, "near", "lima")) })
+	lima.Gateway.opts.Dispatcher = busyHere{lima.dispatcher}
+	for lima.dispatcher.SpendRetry() {
+	}
+	const requests = 40
+	for range requests {
+		if a := lima.do(t, "POST", "/v1/chat/completions", workshopKey, chat(false, "")); a.status != 200 {
+			t.Fatalf("%d %s", a.status, a.body)
+		}
+	}
+	if bus.opens == 0 || len(e.requests()) != requests {
+		t.Errorf("%d requests were declined, %d ran", bus.opens, len(e.requests()))
+	}
+}
+
 var _ http.Handler = (*Gateway)(nil)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -312,13 +312,18 @@
 	return remotes[i], true
 }
 
-// fallBack reports whether a request that failed in another region is to be tried here. It spends a retry.
+// fallBack reports whether a request that failed in another region is to be tried here. One that may have run
+// spends a retry.
 func (g *Gateway) fallBack(c *call, mc *dispatch.ModelCall, err error) bool {
 	if c.ctx.Err() != nil || !g.opts.Dispatcher.Serves(mc.Model) {
 		return false
 	}
 	e := asAPIError(err)
-	return e.Status >= http.StatusInternalServerError && g.opts.Dispatcher.SpendRetry()
+	if e.Status < http.StatusInternalServerError {
+		return false
+	}
+	// A request that the other region declined has cost nothing yet.
+	return e.Execution == operations.NotRun || g.opts.Dispatcher.SpendRetry()
 }
 
 // withExecution keeps a request that may have run elsewhere from being reported as not run.
