--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,7 +11,6 @@
 	"dogwoodknot.example/dogwoodknot/internal/configsync"
 	"dogwoodknot.example/dogwoodknot/internal/core/admission"
 	"dogwoodknot.example/dogwoodknot/internal/core/fairqueue"
-	"dogwoodknot.example/dogwoodknot/internal/peer"
 )
 
 // Dispatcher sends requests to the endpoints of its region.
@@ -92,7 +91,7 @@
 	d.apply(o.Source.View())
 	d.unsubscribe = o.Source.Subscribe(d.apply)
 	if o.Network != nil {
-		o.Network.Handle(workService, peer.Unary(d.handleWork))
+		o.Network.Handle(workService, d.receiveWork)
 	}
 	return d, nil
 }
@@ -145,6 +144,7 @@
 		if c.Region != d.opts.Region {
 			continue
 		}
+		c.Drain = general.Drained(&c)
 		current[c.Name] = d.adopt(c, blocks)
 	}
 	for name, old := range d.endpoints {
--- a/internal/experiment/serving/run.go
+++ b/internal/experiment/serving/run.go
@@ -46,6 +46,8 @@
 	WarmUpLimited int
 	// HeapBytes is the live heap of the whole process at the end: instances, stand-ins and load generator.
 	HeapBytes uint64
+	// Control is the control traffic of the whole run and of a pause without callers before it.
+	Control, Rest []ControlRow
 }
 
 // patience is how long a caller waits for its whole answer.
@@ -63,9 +65,14 @@
 		return nil, err
 	}
 	defer stop(s)
+	rest, err := controlAtRest(ctx, s)
+	if err != nil {
+		return nil, err
+	}
 	w := workload(prepared, o.Scenario, s.Keys, o.Seed, o.WarmUp+o.Duration)
 	callers := newCallers(s)
 	fault := make(chan error, 1)
+	control := readControl(s)
 	var filled time.Duration
 	before := make(chan standin.EngineCounts, 1)
 	results, err := load.Run(ctx, w, load.Options{
@@ -81,11 +88,14 @@
 	if err != nil {
 		return nil, err
 	}
+	peak := readControl(s).since(control)
 	if err := <-fault; err != nil {
 		return nil, err
 	}
 	o.Site = prepared
-	return summarise(o, s, results, <-before, filled), nil
+	r := summarise(o, s, results, <-before, filled)
+	r.Control, r.Rest = peak, rest
+	return r, nil
 }
 
 func inject(ctx context.Context, o Options, s *site.Site) error {
@@ -221,6 +231,9 @@
 		fmt.Fprintf(w, "\nbookings: %d sent, %d answered as run, %d not run, %d unknown; with the warm-up %d sent, %d executions, %d of them doubled\n", r.Bookings.Sent, r.Bookings.Whole,
 			r.Bookings.Refused, r.Bookings.Unknown+r.Bookings.NoAnswer, r.BookingsSent, r.Executions, r.Doubled)
 	}
+	if err := r.writeControl(w); err != nil {
+		return err
+	}
 	name, p99, ratio := r.Worst()
 	_, err := fmt.Fprintf(w, "\nworst-served organisation: %s, first token p99 %v, %.2f times the median organisation's; heap of the process %d MiB\n",
 		name, p99.Round(100*time.Microsecond), ratio, r.HeapBytes>>20)
--- a/internal/experiment/spread/spread.go
+++ b/internal/experiment/spread/spread.go
@@ -95,7 +95,7 @@
 }
 
 func rank(s *membership.Snapshot, organisation string, rate float64, rng *rand.Rand) []string {
-	entries := membership.RankEntries(s, region, organisation, rate, membership.DefaultEntryParams(), rng)
+	entries := membership.RankEntries(s, region, organisation, rate, nil, membership.DefaultEntryParams(), rng)
 	names := make([]string, len(entries.Members))
 	for i, m := range entries.Members {
 		names[i] = m.Name
