--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -201,6 +201,8 @@
 				Peers:     memberPeers{find[*members.Service](r, nameMembers)},
 				Instances: find[platform.InstanceList](r, nameList),
 				Log:       d.log,
+
+				MaxPatience: d.settings.RateWait,
 			})
 		},
 		start: func(ctx context.Context, s *limits.Service) error { return s.Start(ctx) },
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -46,6 +46,7 @@
 	Trace      string  `help:"Where spans go: none, otlp (address from OTEL_EXPORTER_OTLP_*) or stdout." default:"none" enum:"none,otlp,stdout" env:"DOGWOODKNOT_TRACE"`
 	TraceRatio float64 `help:"Part of the requests without a sampled parent that are traced, 0 to 1." default:"0.01" env:"DOGWOODKNOT_TRACE_RATIO"`
 
+	RateWait    time.Duration `help:"Longest wait of a request for tokens that its organisation's rate has not brought yet." default:"5s" env:"DOGWOODKNOT_RATE_WAIT"`
 	StopDelay   time.Duration `help:"Time between the end of readiness and the end of listening at a planned stop." default:"5s" env:"DOGWOODKNOT_STOP_DELAY"`
 	StopTimeout time.Duration `help:"Longest planned stop; requests still in flight are cut then." default:"15m" env:"DOGWOODKNOT_STOP_TIMEOUT"`
 }
@@ -75,6 +76,7 @@
 		check(len(secret) >= minSecretBytes, "cluster secret %d has %d bytes, fewer than %d", i+1, len(secret), minSecretBytes)
 	}
 	check(s.TraceRatio >= 0 && s.TraceRatio <= 1, "--trace-ratio %v is not between 0 and 1", s.TraceRatio)
+	check(s.RateWait >= 0, "--rate-wait %s is negative", s.RateWait)
 	check(s.StopDelay >= 0 && s.StopTimeout > 0, "stop delay and timeout must be positive")
 	return problems
 }
