--- a/internal/core/ratelimit/pull.go
+++ b/internal/core/ratelimit/pull.go
@@ -65,6 +65,19 @@
 // asks at the same time.
 const maxRounds = 2
 
+const (
+	// maxPause is the time between the rounds of requests that wait for accrual. 500 ms lost fewer tokens at five times the rate
+	// (2 instead of 4%), but gave 0.16 instead of 0.14% wrongful refusals with even traffic at 90%.
+	maxPause = 300 * time.Millisecond
+	// minPause bounds the messages of requests that lack few tokens.
+	minPause = 50 * time.Millisecond
+	// pooled is the part of the rate from which a holder counts as the only one, so that it knows what the bucket covers.
+	pooled = 0.9
+	// maxLate (seconds of the rate) bounds the tokens that requests beyond the bucket take from later ones that it covers. In the
+	// experiment with all traffic on one instance, no bound gave 0.12% wrongful refusals, 1.5 s 0.09%, and 1 s 0.06% at twice the refusals.
+	maxLate = 1.5
+)
+
 // stage is a step of a round.
 type stage int
 
@@ -73,6 +86,7 @@
 	stageNamed          // holders of the region that the answers named
 	stageCrossRegion
 	stageEnd
+	stagePause // between two rounds
 )
 
 // pull is the exchange of one organisation.
@@ -91,6 +105,9 @@
 	tokens      float64
 	crossRegion bool
 	rounds      int
+	arrived     clock.Instant
+	until       clock.Instant // end of its patience
+	covered     bool          // an ideal bucket would have had the tokens when it came
 }
 
 // NewPuller returns a puller for a ledger.
@@ -99,7 +116,11 @@
 }
 
 // Wait queues a request that the ledger did not admit. crossRegion says that its deadline leaves room for other regions.
-func (p *Puller) Wait(now clock.Instant, organisation string, tokens float64, crossRegion bool) (id uint64, do Actions) {
+// patience is how long it may wait for tokens that no holder has yet; a request that would wait longer is refused as soon as the
+// holders have answered.
+func (p *Puller) Wait(
+	now clock.Instant, organisation string, tokens float64, crossRegion bool, patience time.Duration,
+) (id uint64, do Actions) {
 	p.next++
 	id = p.next
 	x := p.pulls[organisation]
@@ -107,7 +128,7 @@
 		x = &pull{stage: stageEnd}
 		p.pulls[organisation] = x
 	}
-	x.waiters = append(x.waiters, waiter{id: id, tokens: tokens, crossRegion: crossRegion})
+	x.waiters = append(x.waiters, waiter{id: id, tokens: tokens, crossRegion: crossRegion, arrived: now, until: now.Add(patience)})
 	if len(x.waiters) == 1 {
 		p.proceed(now, organisation, x, &do)
 	}
@@ -163,6 +184,10 @@
 		if len(x.pending) > 0 {
 			return
 		}
+		if x.stage == stagePause {
+			x.batch = 0
+			continue
+		}
 		x.stage++
 		switch x.stage {
 		case stageNamed:
@@ -174,15 +199,71 @@
 				p.ask(now, organisation, x, far, p.opts.CrossRegionTimeout, do)
 			}
 		default:
-			for i := range x.waiters {
-				if x.waiters[i].id <= x.batch {
-					x.waiters[i].rounds++
-				}
-			}
-			p.refuse(now, organisation, x, do, func(w waiter) bool { return w.rounds >= maxRounds })
-			x.batch = 0
+			p.endRound(now, organisation, x, do)
+		}
+	}
+}
+
+// endRound refuses the requests that have asked often enough and would wait too long for accrual. It pauses before the next round
+// if all others wait for accrual.
+func (p *Puller) endRound(now clock.Instant, organisation string, x *pull, do *Actions) {
+	for i := range x.waiters {
+		if x.waiters[i].id <= x.batch {
+			x.waiters[i].rounds++
 		}
 	}
+	a := p.ledger.account(now, organisation)
+	if a == nil {
+		p.refuse(now, organisation, x, do, func(waiter) bool { return true })
+		x.batch = 0
+		return
+	}
+	rate, ahead, asking := p.reachableRate(a), -a.level, false
+	p.refuse(now, organisation, x, do, func(w waiter) bool {
+		if w.rounds >= maxRounds && !a.allows(w) {
+			return true
+		}
+		if w.rounds >= maxRounds && (w.until <= now || ahead+w.tokens > rate*w.until.Sub(now).Seconds()) {
+			return true
+		}
+		ahead += w.tokens
+		asking = asking || w.rounds < maxRounds
+		return false
+	})
+	if asking || len(x.waiters) == 0 || x.waiters[0].id > x.batch {
+		x.batch = 0
+		return
+	}
+	x.stage, x.pending = stagePause, map[string]bool{p.opts.Self: true}
+	p.next++
+	x.timer = p.next
+	do.Timers = append(do.Timers, Timer{x.timer, p.pause(a, x)})
+}
+
+// pause returns the time to the next round: at the only holder of the rate that can be reached, the time in which the smallest
+// request gets its tokens. At others earlier rounds take tokens from each other: they lost 1% of the tokens at five times the rate.
+func (p *Puller) pause(a *account, x *pull) time.Duration {
+	smallest := math.Inf(1)
+	for _, w := range x.waiters {
+		smallest = math.Min(smallest, w.tokens)
+	}
+	seconds := math.Max(0, smallest-a.level) / a.share().Rate
+	if a.share().Rate < pooled*p.reachableRate(a) || !(seconds < maxPause.Seconds()) { // also without a rate
+		return maxPause
+	}
+	return max(minPause, time.Duration(seconds*float64(time.Second)))
+}
+
+// reachableRate returns the rate (tokens/s) of this holder and of the slots whose owners answer: what waiting requests can expect.
+func (p *Puller) reachableRate(a *account) float64 {
+	rate := 0.0
+	for _, x := range a.entitled {
+		owner := p.fleet.Owner(x.Slot)
+		if _, ok := p.fleet.Region(owner); ok || owner == p.opts.Self {
+			rate += x.Share.Rate
+		}
+	}
+	return math.Max(rate, a.share().Rate)
 }
 
 // owners returns the holders of the organisation's slots in this region, or in the others, and those that have loans from here.
@@ -241,15 +322,41 @@
 
 // serve admits waiting requests in order, passing over those that are too large for the tokens here.
 func (p *Puller) serve(now clock.Instant, organisation string, x *pull, do *Actions) {
+	a := p.ledger.account(now, organisation)
+	if a == nil {
+		return
+	}
+	for i := range x.waiters {
+		a.noteCover(now, &x.waiters[i])
+	}
 	x.waiters = slices.DeleteFunc(x.waiters, func(w waiter) bool {
+		if !a.allows(w) {
+			return false
+		}
 		charge, ok := p.ledger.Admit(now, organisation, w.tokens)
 		if ok {
+			if a.isPooled() && !w.covered {
+				a.late += w.tokens
+			}
 			do.Outcomes = append(do.Outcomes, Outcome{Waiter: w.id, Admitted: true, Charge: charge})
 		}
 		return ok
 	})
 }
 
+// noteCover notes whether the tokens that were here when the request came, and those that late requests have taken, cover it.
+func (a *account) noteCover(now clock.Instant, w *waiter) {
+	accrued := a.share().Rate * now.Sub(w.arrived).Seconds()
+	w.covered = w.covered || a.level+a.late-accrued >= w.tokens
+}
+
+// allows reports whether a request may take tokens, or must leave them to later requests that the bucket covers.
+func (a *account) allows(w waiter) bool {
+	return w.covered || !a.isPooled() || a.late+w.tokens <= maxLate*a.total.Rate
+}
+
+func (a *account) isPooled() bool { return a.share().Rate >= pooled*a.total.Rate }
+
 // refuse ends the wait of requests of the round.
 func (p *Puller) refuse(now clock.Instant, organisation string, x *pull, do *Actions, which func(waiter) bool) {
 	level := 0.0
