--- a/internal/experiment/rates/rates_test.go
+++ b/internal/experiment/rates/rates_test.go
@@ -24,11 +24,21 @@
 	}
 }
 
-// At 90% the target of 0.1% is not met; this guards against falling back further.
+// Guards against a wrongful refusal in a thousand at 90% of the rate, the users' target, whatever the skew.
 func TestWrongfulRefusalsAtNinetyPercent(t *testing.T) {
 	for _, scenario := range []Scenario{Even, OneInstance, MovingPeak} {
 		r := Run(Options{Seed: 1, Scenario: scenario, Load: 0.9, Duration: 20 * time.Minute})
-		if r.WrongfulShare() > 0.003 || r.WrongfulShare() > r.StaticShare()/5 {
+		if r.WrongfulShare() > 0.001 {
+			t.Errorf("%s: %.3f%% wrongful refusals, want at most 0.1%%", scenario, 100*r.WrongfulShare())
+		}
+	}
+}
+
+// Guards against shares that are little better than static quarters at 90% of the rate, and against more than rate and burst.
+func TestNinetyPercentAgainstStaticShares(t *testing.T) {
+	for _, scenario := range []Scenario{Even, OneInstance, MovingPeak} {
+		r := Run(Options{Seed: 1, Scenario: scenario, Load: 0.9, Duration: 20 * time.Minute})
+		if r.WrongfulShare() > r.StaticShare()/5 {
 			t.Errorf("%s: %.3f%% wrongful refusals, static shares %.3f%%", scenario, 100*r.WrongfulShare(), 100*r.StaticShare())
 		}
 		if r.OverRate > 1e-6 {
