Read server-sent events with one reader

The dispatcher, the load client, the demo and two tests each had a reader of their own, with different bounds on a line (64 KiB or 1 MiB). The dispatcher's reader moves to internal/sse with its own table test; the chat events on top of it are load.ChatEvents, which the demo and the integration tests share.

An event that the end of the stream cuts is dropped in all of them; the callers that read line by line reported it as invalid JSON. Such an answer has no end mark and still counts as cut short.

Keeping the reader in internal/dispatch was ruled out: the load tool and the stand-ins would depend on the dispatcher.

--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -1,7 +1,6 @@
 package demo
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodknot.example/dogwoodknot/internal/load"
 	"dogwoodknot.example/dogwoodknot/internal/site"
 	"dogwoodknot.example/dogwoodknot/internal/standin"
 )
@@ -32,18 +32,6 @@
 	total     time.Duration
 }
 
-type chunk struct {
-	Choices []struct {
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-	} `json:"choices"`
-	Error *struct {
-		Code    string `json:"code"`
-		Message string `json:"message"`
-	} `json:"error"`
-}
-
 // check compares the text with what the stand-in engines give for the prompt.
 func (r *streamResult) check(prompt string, tokens int) error {
 	want := standin.OutputText(standin.ChatPrompt("user", prompt), 0, tokens)
@@ -79,40 +67,31 @@
 }
 
 func (r *streamResult) read(body io.Reader, started time.Time, onToken func(int)) {
-	lines := bufio.NewScanner(body)
-	for lines.Scan() {
-		data, ok := strings.CutPrefix(lines.Text(), "data: ")
-		if !ok {
-			continue
-		}
-		if data == "[DONE]" {
-			r.whole = true
+	for event, err := range load.ChatEvents(body) {
+		if err != nil {
+			r.failure = err.Error()
 			return
 		}
-		var c chunk
-		if err := json.Unmarshal([]byte(data), &c); err != nil {
-			r.failure = err.Error()
+		if event.Done {
+			r.whole = true
 			return
 		}
-		if c.Error != nil {
-			r.failure = c.Error.Code + ": " + c.Error.Message
+		if event.Error != nil {
+			r.failure = event.Error.Code + ": " + event.Error.Message
 			return
 		}
-		if len(c.Choices) == 0 || c.Choices[0].Delta.Content == "" {
+		if event.Content == "" {
 			continue
 		}
 		if r.tokens == 0 {
 			r.first = time.Since(started)
 		}
-		r.text.WriteString(c.Choices[0].Delta.Content)
+		r.text.WriteString(event.Content)
 		r.tokens++
 		if onToken != nil {
 			onToken(r.tokens)
 		}
 	}
-	if err := lines.Err(); err != nil {
-		r.failure = err.Error()
-	}
 }
 
 func (d *demo) report(r *streamResult) {
@@ -160,7 +139,7 @@
 
 // readFailure returns the code and message of an error body.
 func readFailure(body io.Reader) string {
-	var c chunk
+	var c load.ErrorBody
 	if err := json.NewDecoder(io.LimitReader(body, maxAnswerBytes)).Decode(&c); err != nil || c.Error == nil {
 		return "no error body"
 	}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -16,6 +16,7 @@
 
 	"dogwoodknot.example/dogwoodknot/internal/core/fairqueue"
 	"dogwoodknot.example/dogwoodknot/internal/operations"
+	"dogwoodknot.example/dogwoodknot/internal/sse"
 )
 
 // ModelCall is a request to a model engine. Engines have no lasting effect, so it may be repeated.
@@ -336,9 +337,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return readStatus(resp)
 	}
-	events := newEventReader(resp.Body)
+	events := sse.NewReader(resp.Body)
 	for {
-		data, err := events.next()
+		data, err := events.Next()
 		if err != nil {
 			return &brokenError{stalledOr(ctx, err)}
 		}
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -9,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -67,8 +65,8 @@
 	return "connection lost"
 }
 
-// maxLineBytes bounds a line of an event stream.
-const maxLineBytes = 1 << 20
+// maxBodyBytes bounds a body that is not an event stream.
+const maxBodyBytes = 1 << 20
 
 // send performs one request at an entry and waits for its whole answer.
 func send(ctx context.Context, client *http.Client, base string, a Arrival, start time.Time) Result {
@@ -151,31 +149,24 @@
 
 // readEvents reads a server-sent event stream up to its end mark.
 func readEvents(body io.Reader, start time.Time, r *Result) {
-	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
 	var last time.Time
-	for lines.Scan() {
-		data, ok := strings.CutPrefix(lines.Text(), "data: ")
-		if !ok {
-			continue
-		}
-		if data == "[DONE]" {
-			r.Whole = true
+	for event, err := range ChatEvents(body) {
+		if err != nil {
+			r.Err = err
 			return
 		}
-		var event chunk
-		if err := json.Unmarshal([]byte(data), &event); err != nil {
-			r.Err = err
+		if event.Done {
+			r.Whole = true
 			return
 		}
 		if event.Error != nil {
 			r.Code = event.Error.Code
 			return
 		}
-		if event.Usage != nil {
-			r.Tokens = event.Usage.CompletionTokens
+		if event.OutputTokens > 0 {
+			r.Tokens = event.OutputTokens
 		}
-		if len(event.Choices) == 0 || event.Choices[0].Delta.Content == "" {
+		if event.Content == "" {
 			continue
 		}
 		now := time.Now()
@@ -186,37 +177,18 @@
 		}
 		last = now
 	}
-	r.Err = lines.Err()
-}
-
-type chunk struct {
-	Choices []struct {
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-	} `json:"choices"`
-	Usage *struct {
-		CompletionTokens int `json:"completion_tokens"`
-	} `json:"usage"`
-	Error *errorBody `json:"error"`
-}
-
-type errorBody struct {
-	Code string `json:"code"`
 }
 
 func readBody(body io.Reader, r *Result) {
-	data, err := io.ReadAll(io.LimitReader(body, maxLineBytes))
+	data, err := io.ReadAll(io.LimitReader(body, maxBodyBytes))
 	if err != nil {
 		r.Err = err
 		return
 	}
 	r.Whole = r.Status/100 == 2
-	var failure struct {
-		Error errorBody `json:"error"`
-	}
+	var failure ErrorBody
 	// A body that isn't JSON simply has no code.
-	if json.Unmarshal(data, &failure) == nil {
+	if json.Unmarshal(data, &failure) == nil && failure.Error != nil {
 		r.Code = failure.Error.Code
 	}
 }
--- a/internal/dispatch/sse.go
+++ b/internal/sse/sse.go
@@ -1,4 +1,5 @@
-package dispatch
+// Package sse reads streams of server-sent events (WHATWG HTML, section 9.2).
+package sse
 
 import (
 	"bufio"
@@ -8,21 +9,23 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxEvent bounds one event of a stream in bytes.
+// maxEvent bounds the lines and the data of one event in bytes.
 const maxEvent = 1 << 20
 
-var errEventTooLarge = errors.New("event of the endpoint is too large")
+// ErrTooLarge reports an event above 1 MiB.
+var ErrTooLarge = errors.New("server-sent event is too large")
 
-// eventReader reads the data of server-sent events.
-type eventReader struct {
+// Reader reads the data of events; their names and ids are ignored.
+type Reader struct {
 	r *bufio.Reader
 }
 
-func newEventReader(r io.Reader) *eventReader { return &eventReader{r: bufio.NewReader(r)} }
+// NewReader returns a Reader of a response body.
+func NewReader(r io.Reader) *Reader { return &Reader{r: bufio.NewReader(r)} }
 
-// next returns the data of the next event. It returns io.EOF, or another error of the connection, if the stream ends without
-// one; data of an event that the stream's end has cut is dropped.
-func (e *eventReader) next() ([]byte, error) {
+// Next returns the data of the next event. It returns io.EOF, ErrTooLarge or another error of the connection if the stream ends
+// without one; data of an event that the stream's end has cut is dropped.
+func (e *Reader) Next() ([]byte, error) {
 	var data []byte
 	seen := false
 	for {
@@ -46,19 +49,19 @@
 		data = append(data, bytes.TrimPrefix(value, []byte(" "))...)
 		seen = true
 		if len(data) > maxEvent {
-			return nil, errEventTooLarge
+			return nil, ErrTooLarge
 		}
 	}
 }
 
 // line reads a line without its end.
-func (e *eventReader) line() ([]byte, error) {
+func (e *Reader) line() ([]byte, error) {
 	var out []byte
 	for {
 		part, err := e.r.ReadSlice('\n')
 		out = append(out, part...)
 		if len(out) > maxEvent {
-			return nil, errEventTooLarge
+			return nil, ErrTooLarge
 		}
 		if err == nil {
 			return bytes.TrimRight(out, "\r\n"), nil
--- a/internal/standin/engine_stream.go
+++ b/internal/standin/engine_stream.go
@@ -73,20 +73,20 @@
 	return out
 }
 
-// sse writes events of a stream.
-type sse struct {
+// eventWriter writes server-sent events.
+type eventWriter struct {
 	w    io.Writer
 	ctrl *http.ResponseController
 }
 
-func startSSE(w http.ResponseWriter) sse {
+func startSSE(w http.ResponseWriter) eventWriter {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-store")
 	w.WriteHeader(http.StatusOK)
-	return sse{w: w, ctrl: http.NewResponseController(w)}
+	return eventWriter{w: w, ctrl: http.NewResponseController(w)}
 }
 
-func (s sse) event(v any) error {
+func (s eventWriter) event(v any) error {
 	data, err := json.Marshal(v)
 	if err != nil {
 		return err
@@ -94,7 +94,7 @@
 	return s.data(data)
 }
 
-func (s sse) data(data []byte) error {
+func (s eventWriter) data(data []byte) error {
 	if _, err := s.w.Write(append(append([]byte("data: "), data...), '\n', '\n')); err != nil {
 		return err
 	}
@@ -141,7 +141,7 @@
 	}
 }
 
-func (e *Engine) finishStream(out sse, g *generation, p progress) {
+func (e *Engine) finishStream(out eventWriter, g *generation, p progress) {
 	if out.event(g.chunk(p.produced, p.produced, p.finish)) != nil {
 		return
 	}
