--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -143,12 +143,17 @@
 // Twin returns the weight store behind the handler.
 func (s *WeightStore) Twin() *memory.WeightStore { return s.twin }
 
-func (s *WeightStore) size(w http.ResponseWriter, r *http.Request) {
-	model, ok := pathVar(w, r, "model")
-	if !ok {
-		return
+// weightsPath returns the model and version of a path. It writes the refusal itself.
+func weightsPath(w http.ResponseWriter, r *http.Request) (model, version string, ok bool) {
+	if model, ok = pathVar(w, r, "model"); !ok {
+		return "", "", false
 	}
-	version, ok := pathVar(w, r, "version")
+	version, ok = pathVar(w, r, "version")
+	return model, version, ok
+}
+
+func (s *WeightStore) size(w http.ResponseWriter, r *http.Request) {
+	model, version, ok := weightsPath(w, r)
 	if !ok {
 		return
 	}
@@ -159,11 +164,7 @@
 }
 
 func (s *WeightStore) setSize(w http.ResponseWriter, r *http.Request) {
-	model, ok := pathVar(w, r, "model")
-	if !ok {
-		return
-	}
-	version, ok := pathVar(w, r, "version")
+	model, version, ok := weightsPath(w, r)
 	if !ok {
 		return
 	}
