Share the sending half of a peer stream

The calling and the serving side had the same state and the same steps; they differ only in what a failed write leads to, which is now passed in. An interface for the error was ruled out, since each side has one.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,12 +45,8 @@
 	session *session
 	mux     *yamux.Stream
 	service string
-	limit   int
-	metrics *serviceMetrics
 	span    trace.Span
-
-	sendMu sync.Mutex
-	ended  bool // the own side has sent its last frame; guarded by sendMu
+	sender
 
 	finished atomic.Pointer[error] // outcome of the receiving side
 	stop     func() bool           // ends the watch on ctx
@@ -114,8 +109,8 @@
 			return nil, notSent(instance, service, err)
 		}
 		s := &clientStream{
-			ctx: ctx, session: on, service: service, limit: t.options.MaxMessageBytes,
-			metrics: counters, span: span, ended: req != nil,
+			ctx: ctx, session: on, service: service, span: span,
+			sender: sender{limit: t.options.MaxMessageBytes, metrics: counters, ended: req != nil},
 		}
 		if err = t.begin(s, opening); err == nil {
 			counters.sent(len(opening))
@@ -264,25 +259,10 @@
 }
 
 func (s *clientStream) send(kind frameKind, m proto.Message) error {
-	s.sendMu.Lock()
-	defer s.sendMu.Unlock()
-	if s.ended {
-		if kind == frameEnd {
-			return nil
-		}
-		return errors.New("message after CloseSend")
-	}
-	frame, err := appendFrame(nil, kind, m, s.limit)
-	if err != nil {
-		return err
-	}
-	if _, err := writeAll(s.mux, frame); err != nil {
+	return s.sender.send(s.mux, kind, m, func(err error) error {
 		s.session.closeIfStalled(err)
 		return s.fail(err)
-	}
-	s.ended = kind == frameEnd
-	s.metrics.sent(len(frame))
-	return nil
+	})
 }
 
 // Recv reads the next message.
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -163,11 +163,10 @@
 	defer cancel()
 	ctx, span := t.startSpan(withTraceparent(ctx, header.GetTraceparent()), header.GetService(), s.peer.Instance, trace.SpanKindServer)
 	stream := &serverStream{
-		ctx:     ctx,
-		mux:     mux,
-		limit:   t.options.MaxMessageBytes,
-		metrics: counters,
-		frames:  make(chan inFrame, readAhead),
+		ctx:    ctx,
+		mux:    mux,
+		frames: make(chan inFrame, readAhead),
+		sender: sender{limit: t.options.MaxMessageBytes, metrics: counters},
 	}
 	stop := context.AfterFunc(ctx, stream.unblock)
 	var reading sync.WaitGroup
@@ -228,19 +227,15 @@
 
 // serverStream is the serving side of a stream.
 type serverStream struct {
-	ctx     context.Context
-	mux     *yamux.Stream
-	limit   int
-	metrics *serviceMetrics
-	frames  chan inFrame
+	ctx    context.Context
+	mux    *yamux.Stream
+	frames chan inFrame
+	sender
 
 	complete bool // the caller has sent its last frame; written by read
 
 	recvMu sync.Mutex
 	over   error // guarded by recvMu
-
-	sendMu sync.Mutex
-	ended  bool // guarded by sendMu
 }
 
 var (
@@ -285,24 +280,7 @@
 }
 
 func (s *serverStream) send(kind frameKind, m proto.Message) error {
-	s.sendMu.Lock()
-	defer s.sendMu.Unlock()
-	if s.ended {
-		if kind == frameEnd {
-			return nil
-		}
-		return errors.New("message after CloseSend")
-	}
-	frame, err := appendFrame(nil, kind, m, s.limit)
-	if err != nil {
-		return err
-	}
-	if _, err := writeAll(s.mux, frame); err != nil {
-		return s.broken(err)
-	}
-	s.ended = kind == frameEnd
-	s.metrics.sent(len(frame))
-	return nil
+	return s.sender.send(s.mux, kind, m, s.broken)
 }
 
 // sendLast writes the only response of a call and its end at once, which saves a frame and a TLS record.
