Make the time of rest before a deployment run an option

The control traffic without callers was always counted for 5 s, also in the script of dogwood-load, which only checks that the run is complete. Dropping the count from short runs was ruled out: the script also runs its tables.

--- a/cmd/dogwood-load/commands.go
+++ b/cmd/dogwood-load/commands.go
@@ -25,6 +25,7 @@
 	Seed     uint64        `help:"Seed of arrivals and prompts." default:"1"`
 	Duration time.Duration `help:"Length of the counted part of a run." default:"20s"`
 	WarmUp   time.Duration `help:"Load before the counted part." default:"8s"`
+	Rest     time.Duration `help:"How long control traffic is counted before the load." default:"5s"`
 	Detail   bool          `help:"Also print each run's tables by region and organisation."`
 }
 
@@ -47,7 +48,7 @@
 	started := time.Now()
 	for _, s := range scenarios {
 		for _, p := range policies {
-			r, err := serving.Run(ctx, serving.Options{Site: options, Scenario: s, Policy: p, Seed: c.Seed, Duration: c.Duration, WarmUp: c.WarmUp})
+			r, err := serving.Run(ctx, serving.Options{Site: options, Scenario: s, Policy: p, Seed: c.Seed, Duration: c.Duration, WarmUp: c.WarmUp, Rest: c.Rest})
 			if err != nil {
 				// The runs that are complete are worth their time.
 				return errors.CombineErrors(errors.Wrapf(err, "%s, %s", s.Name, p.Name), serving.WriteTable(os.Stdout, results))
--- a/internal/experiment/serving/run.go
+++ b/internal/experiment/serving/run.go
@@ -25,6 +25,8 @@
 	// WarmUp is the time before it, under the same load: slots start at level 0, caches are cold and nothing has been measured
 	// that estimates rest on.
 	WarmUp time.Duration
+	// Rest is how long the control traffic without callers is counted before the warm-up.
+	Rest time.Duration
 }
 
 // Result is what the callers saw.
@@ -58,6 +60,9 @@
 	if o.Duration <= 0 {
 		return nil, errors.New("duration must be positive")
 	}
+	if o.Rest <= 0 {
+		return nil, errors.New("time of rest must be positive")
+	}
 	prepared := prepare(o.Site, o.Scenario, o.Policy)
 	begun := time.Now()
 	s, err := site.Start(ctx, prepared)
@@ -65,7 +70,7 @@
 		return nil, err
 	}
 	defer stop(s)
-	rest, err := controlAtRest(ctx, s)
+	rest, err := controlAtRest(ctx, s, o.Rest)
 	if err != nil {
 		return nil, err
 	}
