--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -162,7 +162,7 @@
 				Clock:     d.clock,
 				Self:      d.row(),
 				Payload: func() members.Payload {
-					return payload(find[*limits.Service](r, nameLimits).AppliedRevision(), find[*dispatch.Dispatcher](r, nameDispatch).Loads())
+					return payload(find[*dispatch.Dispatcher](r, nameDispatch).Loads())
 				},
 				OnPayload: find[*regionLoads](r, nameRegions).received,
 				Drained:   drained(find[*configsync.Syncer](r, nameConfig)),
@@ -191,7 +191,7 @@
 func (d *Daemon) limitsService() kernel.Service {
 	return &service[*limits.Service]{
 		name:     nameLimits,
-		requires: []string{nameStore, nameList, nameTransport, nameConfig, nameRegions, nameMembers},
+		requires: []string{nameStore, nameList, nameTransport, nameConfig, nameMembers},
 		build: func(r *kernel.Registry) (*limits.Service, error) {
 			return limits.New(limits.Options{
 				Network:   find[*peer.Transport](r, nameTransport),
@@ -200,8 +200,9 @@
 				Config:    find[*configsync.Syncer](r, nameConfig),
 				Peers:     memberPeers{find[*members.Service](r, nameMembers)},
 				Instances: find[platform.InstanceList](r, nameList),
-				Reported:  find[*regionLoads](r, nameRegions).reported,
 				Log:       d.log,
+
+				MaxPatience: d.settings.RateWait,
 			})
 		},
 		start: func(ctx context.Context, s *limits.Service) error { return s.Start(ctx) },
--- a/internal/limits/handover.go
+++ b/internal/limits/handover.go
@@ -180,6 +180,9 @@
 		s.ledger.TakeOver(s.opts.Clock.Now(), []ratelimit.HandedSlot{handed}, accounts)
 		s.slots.held[slot] = held
 		delete(s.slots.gave, slot)
+		if errors.Is(err, platform.ErrConflict) {
+			return true, nil // the next refresh reads what the other writer left
+		}
 		return true, errors.Wrapf(err, "give %s to %s", slotKey(slot), heir.Name)
 	}
 	if err != nil {
@@ -201,9 +204,10 @@
 		if r.Owner.Incarnation != s.self.Incarnation {
 			continue
 		}
-		next := Record{Predecessors: r.Predecessors}
+		next := Record{Predecessors: r.Predecessors, Applied: r.Applied}
 		if target != nil && slices.ContainsFunc(offered, func(x ratelimit.HandedSlot) bool { return x.Slot == slot }) {
 			next.Owner = Predecessor{Name: target.Name, Incarnation: target.Incarnation}
+			next.Applied = 0 // the target writes what it has applied
 		}
 		errs = append(errs, s.writeRecord(ctx, slot, next, r.revision))
 	}
@@ -264,7 +268,11 @@
 		s.slots.ownerOf[x.Slot] = Predecessor{s.self.Instance, s.self.Incarnation, s.slots.listed}
 		delete(s.slots.gave, x.Slot)
 	}
-	s.ledger.TakeOver(s.opts.Clock.Now(), slots, handedFromWire(req.GetAccounts()))
+	now := s.opts.Clock.Now()
+	s.ledger.TakeOver(now, slots, handedFromWire(req.GetAccounts()))
+	if !s.ledger.Applied(now) {
+		s.applied = 0 // loans that came with the slots exceed the shares of the view in force here
+	}
 	return &wire.HandoverResponse{Accepted: true}, nil
 }
 
--- a/internal/operations/site_test.go
+++ b/internal/operations/site_test.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -118,8 +117,8 @@
 		t.Fatal(err)
 	}
 	defer func() {
-		// The last instance of a region has nobody to hand the record of the issued id to.
-		if err := s.Stop(ctx); err != nil && !strings.Contains(err.Error(), "no instance of region lima has taken the 1 operation records") {
+		// The last instance of a region has nobody to hand the record of the issued id to, which is no fault of its stop.
+		if err := s.Stop(ctx); err != nil {
 			t.Errorf("stop: %v", err)
 		}
 	}()
@@ -178,8 +177,7 @@
 	}
 }
 
-// Guards against a second execution after the connections of the owner of keys were cut. A kill of an instance of one
-// process still releases its slots, so that this is not the lapse of a lease.
+// Guards against a second execution after the owner of keys was killed, before and after its lease lapses.
 func TestKilledOwnerOfADeployment(t *testing.T) {
 	t.Parallel()
 	options, organisation := withRecordsIn(site.Veletas(), "lima")
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -107,9 +107,15 @@
 func (i *Instance) Kill(ctx context.Context) error {
 	i.conns.crash()
 	i.Daemon.Abort()
+	ctx, cancel := context.WithTimeout(ctx, killTimeout)
+	defer cancel()
 	return i.Stop(ctx)
 }
 
+// killTimeout bounds the end of a killed instance, whose services would try to reach the store and the other instances for as
+// long as they may.
+const killTimeout = 2 * time.Second
+
 // Start brings a deployment up: platform, endpoints, configuration, keys, instances. It returns when every instance is ready.
 func Start(ctx context.Context, o Options) (*Site, error) {
 	log, err := observe.NewLogger(observe.FormatConsole, o.LogLevel)
