Share the wait that ends with a context

Six packages had a function of their own that waits for a duration or the end of a context; clock.Sleep replaces them. The waits of the in-memory platform stay, since they return no error of a context that has ended already when there is nothing to wait for.

--- a/internal/experiment/capacity/dispatching.go
+++ b/internal/experiment/capacity/dispatching.go
@@ -105,11 +105,11 @@
 // waitForLoads waits until the load reports were read a number of times and the answers have arrived.
 func waitForLoads(ctx context.Context, e *fakeEndpoint, reads int) error {
 	for e.loads.Load() < int64(reads) {
-		if err := pause(ctx, 2*time.Millisecond); err != nil {
+		if err := clock.Sleep(ctx, 2*time.Millisecond); err != nil {
 			return err
 		}
 	}
-	return pause(ctx, 50*time.Millisecond)
+	return clock.Sleep(ctx, 50*time.Millisecond)
 }
 
 // measurePrefix measures what is remembered of the endpoints' cached prefixes.
--- a/internal/experiment/capacity/ordering.go
+++ b/internal/experiment/capacity/ordering.go
@@ -79,11 +79,11 @@
 		}
 		defer func() { _ = service.Stop(context.WithoutCancel(ctx)) }()
 	}
-	if err := pause(ctx, orderer.DefaultPeriod/2); err != nil {
+	if err := clock.Sleep(ctx, orderer.DefaultPeriod/2); err != nil {
 		return r, err
 	}
 	before, states, bytes, cpu, start := storeCalls(store), endpoint.states.Load(), counts.total(), cpuTime(), time.Now()
-	if err := pause(ctx, during); err != nil {
+	if err := clock.Sleep(ctx, during); err != nil {
 		return r, err
 	}
 	seconds := time.Since(start).Seconds()
--- a/internal/experiment/capacity/records.go
+++ b/internal/experiment/capacity/records.go
@@ -238,7 +238,7 @@
 	if err != nil {
 		return commits{}, err
 	}
-	if err := pause(ctx, after); err != nil {
+	if err := clock.Sleep(ctx, after); err != nil {
 		return commits{}, err
 	}
 	return commits{
@@ -261,7 +261,7 @@
 	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
 	defer cancel()
 	for service.LogsReady() < slots {
-		if err := pause(ctx, 5*time.Millisecond); err != nil {
+		if err := clock.Sleep(ctx, 5*time.Millisecond); err != nil {
 			return errors.Wrapf(err, "%d of %d logs are taken over", service.LogsReady(), slots)
 		}
 	}
--- a/internal/experiment/capacity/relay.go
+++ b/internal/experiment/capacity/relay.go
@@ -109,11 +109,11 @@
 		return r, err
 	}
 	const quiet = 4 * time.Second // longer than a watch
-	if err := pause(ctx, quiet/2); err != nil {
+	if err := clock.Sleep(ctx, quiet/2); err != nil {
 		return r, err
 	}
 	before, states := f.reads(), f.fabric.total("config.state").calls
-	if err := pause(ctx, quiet); err != nil {
+	if err := clock.Sleep(ctx, quiet); err != nil {
 		return r, err
 	}
 	r.reads = (f.reads() - before) / quiet.Seconds()
@@ -160,7 +160,7 @@
 		if time.Since(start) > bound {
 			return 0, errors.Newf("%d daemons lack revision %d after %s", behind, revision, bound)
 		}
-		if err := pause(ctx, 5*time.Millisecond); err != nil {
+		if err := clock.Sleep(ctx, 5*time.Millisecond); err != nil {
 			return 0, err
 		}
 	}
--- a/internal/experiment/capacity/requests.go
+++ b/internal/experiment/capacity/requests.go
@@ -135,7 +135,7 @@
 		if u, ok := l.Usage(organisationName(0)); ok && u.Level > enough {
 			return nil
 		}
-		if err := pause(ctx, 5*time.Millisecond); err != nil {
+		if err := clock.Sleep(ctx, 5*time.Millisecond); err != nil {
 			return err
 		}
 	}
--- a/internal/experiment/capacity/settling.go
+++ b/internal/experiment/capacity/settling.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/config"
 	"dogwoodknot.example/dogwoodknot/internal/configstore"
 	"dogwoodknot.example/dogwoodknot/internal/configsync"
@@ -83,7 +84,7 @@
 	if _, err := waitForShares(ctx, services, before.Revision()); err != nil {
 		return r, errors.Wrap(err, "start")
 	}
-	if err := pause(ctx, 2*time.Second); err != nil { // the last claims are read
+	if err := clock.Sleep(ctx, 2*time.Second); err != nil { // the last claims are read
 		return r, err
 	}
 	store.reset()
@@ -133,7 +134,7 @@
 func waitForShares(ctx context.Context, services []*limits.Service, revision int64) (time.Duration, error) {
 	start := time.Now()
 	for {
-		if err := pause(ctx, settlePoll); err != nil {
+		if err := clock.Sleep(ctx, settlePoll); err != nil {
 			return 0, err
 		}
 		sum, applied := 0.0, true
--- a/internal/experiment/capacity/slots.go
+++ b/internal/experiment/capacity/slots.go
@@ -126,12 +126,12 @@
 	}
 	r.startCalls, r.startWrites = f.calls()
 	// The first refresh after the claims starts the use of the slots.
-	if err := pause(ctx, 2*slotInterval); err != nil {
+	if err := clock.Sleep(ctx, 2*slotInterval); err != nil {
 		return r, err
 	}
 	calls, _ := f.calls()
 	listed := f.store.listed.Load()
-	if err := pause(ctx, slotIntervals*slotInterval); err != nil {
+	if err := clock.Sleep(ctx, slotIntervals*slotInterval); err != nil {
 		return r, err
 	}
 	after, _ := f.calls()
@@ -165,7 +165,7 @@
 		if time.Now().After(deadline) {
 			return errors.Newf("%d of %d slots are owned after %s", owned, len(f.services), slotStart)
 		}
-		if err := pause(ctx, 5*time.Millisecond); err != nil {
+		if err := clock.Sleep(ctx, 5*time.Millisecond); err != nil {
 			return err
 		}
 	}
@@ -208,12 +208,3 @@
 	}
 	return services, nil
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
--- a/internal/experiment/capacity/wire.go
+++ b/internal/experiment/capacity/wire.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/peer/certs"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
@@ -117,7 +118,7 @@
 			return wireCost{}, err
 		}
 	}
-	if err := pause(ctx, 20*time.Millisecond); err != nil { // the last bytes of the closing stream
+	if err := clock.Sleep(ctx, 20*time.Millisecond); err != nil { // the last bytes of the closing stream
 		return wireCost{}, err
 	}
 	return wireCost{(counts.total() - before) / wireCalls, float64((cpuTime() - cpu).Nanoseconds()) / wireCalls}, nil
--- a/internal/experiment/hops/hops.go
+++ b/internal/experiment/hops/hops.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/site"
 	"dogwoodknot.example/dogwoodknot/internal/standin"
 )
@@ -126,7 +127,7 @@
 		for done := 0; done < warm; {
 			if _, err := p.send(ctx, c); err == nil {
 				done++
-			} else if !sleep(ctx, 20*time.Millisecond) {
+			} else if clock.Sleep(ctx, 20*time.Millisecond) != nil {
 				return errors.Wrapf(err, "%s", p.Name)
 			}
 		}
@@ -134,17 +135,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 const servedRegionHeader = "Dogwoodknot-Served-Region"
 
 const requestBody = `{"model":"` + model + `","messages":[{"role":"user","content":"Where is roll 7?"}],"max_tokens":1}`
@@ -212,7 +202,7 @@
 	due := time.Now()
 	for i := range o.Requests * len(paths) {
 		due = due.Add(time.Duration(rng.ExpFloat64() / o.PerSecond * float64(time.Second)))
-		if !sleep(ctx, time.Until(due)) {
+		if clock.Sleep(ctx, time.Until(due)) != nil {
 			return ctx.Err()
 		}
 		p, at := paths[i%len(paths)], due
@@ -238,7 +228,7 @@
 	defer cancel()
 	// The rests of the path before have to be gone: connections, and requests that the engine keeps for resumes.
 	c.CloseIdleConnections()
-	if !sleep(ctx, settleTime) {
+	if clock.Sleep(ctx, settleTime) != nil {
 		return ctx.Err()
 	}
 	before := memory()
@@ -258,7 +248,7 @@
 		})
 	}
 	for engine.Counts().Received < received+int64(n) {
-		if !sleep(ctx, time.Millisecond) {
+		if clock.Sleep(ctx, time.Millisecond) != nil {
 			return errors.Newf("%s: %d of %d requests have reached the engine", p.Name, engine.Counts().Received-received, n)
 		}
 	}
--- a/internal/experiment/serving/control.go
+++ b/internal/experiment/serving/control.go
@@ -8,6 +8,7 @@
 	"text/tabwriter"
 	"time"
 
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/site"
 	"dogwoodknot.example/dogwoodknot/internal/traffic"
 )
@@ -61,7 +62,7 @@
 // controlAtRest counts the traffic of the deployment before its load for d.
 func controlAtRest(ctx context.Context, s *site.Site, d time.Duration) ([]ControlRow, error) {
 	before := readControl(s)
-	if err := wait(ctx, d); err != nil {
+	if err := clock.Sleep(ctx, d); err != nil {
 		return nil, err
 	}
 	return readControl(s).since(before), nil
--- a/internal/experiment/serving/run.go
+++ b/internal/experiment/serving/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/load"
 	"dogwoodknot.example/dogwoodknot/internal/site"
 	"dogwoodknot.example/dogwoodknot/internal/standin"
@@ -107,29 +108,18 @@
 	if o.Scenario.Fault == nil {
 		return nil
 	}
-	if err := wait(ctx, o.faultAt()); err != nil {
+	if err := clock.Sleep(ctx, o.faultAt()); err != nil {
 		return err
 	}
 	if err := o.Scenario.Fault(ctx, s); err != nil || o.Scenario.Return == nil {
 		return err
 	}
-	if err := wait(ctx, o.Duration/3); err != nil {
+	if err := clock.Sleep(ctx, o.Duration/3); err != nil {
 		return err
 	}
 	return o.Scenario.Return(s)
 }
 
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 func (o Options) faultAt() time.Duration { return o.WarmUp + o.Duration/3 }
 
 func stop(s *site.Site) {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 )
 
 // Limits of a run.
@@ -57,7 +59,7 @@
 	defer inFlight.Wait()
 	for i, a := range schedule {
 		due := start.Add(a.At)
-		if err := sleepUntil(ctx, due); err != nil {
+		if err := clock.Sleep(ctx, time.Until(due)); err != nil {
 			inFlight.Wait()
 			return results[:i], err
 		}
@@ -96,18 +98,3 @@
 	}
 	return false
 }
-
-func sleepUntil(ctx context.Context, t time.Time) error {
-	d := time.Until(t)
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/site/link.go
+++ b/internal/site/link.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 )
 
 // Place is where one end of a connection is.
@@ -119,7 +121,7 @@
 			return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
 		}
 		delay := n.delay(from, to)
-		if err := sleep(ctx, 2*delay); err != nil {
+		if err := clock.Sleep(ctx, 2*delay); err != nil {
 			return nil, &net.OpError{Op: "dial", Net: network, Err: err}
 		}
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
@@ -130,20 +132,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	if d == 0 {
-		return nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // relayedConn is the near end of a relayed connection, with the addresses of the far one.
 type relayedConn struct {
 	net.Conn
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -317,7 +317,7 @@
 // Await waits for a condition. The error says what was waited for.
 func (s *Site) Await(ctx context.Context, what string, condition func() bool) error {
 	for !condition() {
-		if err := sleep(ctx, pollPeriod); err != nil {
+		if err := clock.Sleep(ctx, pollPeriod); err != nil {
 			return errors.Wrapf(err, "wait for %s", what)
 		}
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -242,18 +241,3 @@
 	default:
 	}
 }
-
-// pause waits and reports false if ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/standin/engine_batch.go
+++ b/internal/standin/engine_batch.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 )
 
 // Finish reasons of a generation.
@@ -91,7 +93,7 @@
 		if late := time.Since(due); late > step {
 			due = time.Now()
 		}
-		if !pause(e.ctx, time.Until(due)) {
+		if clock.Sleep(e.ctx, time.Until(due)) != nil {
 			return
 		}
 		e.endStep(step)
--- a/internal/standin/engine_orders.go
+++ b/internal/standin/engine_orders.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/platform"
 )
 
@@ -284,7 +285,7 @@
 	if err != nil {
 		return // the version does not exist, or another order came: the model stays unready
 	}
-	if !pause(ctx, time.Duration(float64(size)/e.opts.LoadBytesPerSecond*float64(time.Second))) {
+	if clock.Sleep(ctx, time.Duration(float64(size)/e.opts.LoadBytesPerSecond*float64(time.Second))) != nil {
 		return
 	}
 	e.mu.Lock()
@@ -310,7 +311,7 @@
 		if err == nil || errors.Is(err, platform.ErrNotFound) {
 			return size, err
 		}
-		if !pause(ctx, wait) {
+		if clock.Sleep(ctx, wait) != nil {
 			return 0, ctx.Err()
 		}
 	}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 )
 
 // HeaderRequestID names a request to an endpoint.
@@ -166,7 +168,7 @@
 	}
 	fault := s.receive(id, r.URL.Path)
 	// A client that goes away does not stop a request that the service has already read.
-	if !s.pause(s.opts.Delay + time.Duration(fault.DelayMillis)*time.Millisecond) {
+	if clock.Sleep(s.ctx, s.opts.Delay+time.Duration(fault.DelayMillis)*time.Millisecond) != nil {
 		breakConnection()
 	}
 	switch fault.Action {
@@ -230,21 +232,6 @@
 	return ServiceAnswer{RequestID: id, Executions: s.executions.ByRequestID[id], BodyDigest: digest}
 }
 
-// pause waits and reports false if the service is closed before the end of the wait.
-func (s *Service) pause(d time.Duration) bool {
-	if d <= 0 {
-		return s.ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-s.ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (s *Service) postFault(w http.ResponseWriter, r *http.Request) {
 	var in ServiceFault
 	if !readJSON(w, r, &in) {
