--- a/internal/operations/site_test.go
+++ b/internal/operations/site_test.go
@@ -105,23 +105,30 @@
 	}
 }
 
-// Guards against faults between the daemon's parts that the package's own tests cannot see: keys over HTTP at instances
-// of all regions, the stop of an instance that owns slots and has issued ids.
-func TestBookingsOfADeployment(t *testing.T) {
-	t.Parallel()
+// startVeletas starts a deployment with an organisation whose records are in lima. The deployment and ctx end with the test.
+func startVeletas(t *testing.T) (ctx context.Context, s *site.Site, organisation string) {
+	t.Helper()
 	options, organisation := withRecordsIn(site.Veletas(), "lima")
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
+	t.Cleanup(cancel)
 	s, err := site.Start(ctx, options)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() {
-		// The last instance of a region has nobody to hand the record of the issued id to, which is no fault of its stop.
+	t.Cleanup(func() {
+		// The last instance of a region has nobody to hand the record of an issued id to, which is no fault of its stop.
 		if err := s.Stop(ctx); err != nil {
 			t.Errorf("stop: %v", err)
 		}
-	}()
+	})
+	return ctx, s, organisation
+}
+
+// Guards against faults between the daemon's parts that the package's own tests cannot see: keys over HTTP at instances
+// of all regions, the stop of an instance that owns slots and has issued ids.
+func TestBookingsOfADeployment(t *testing.T) {
+	t.Parallel()
+	ctx, s, organisation := startVeletas(t)
 	keys := map[string]string{} // by body
 	for i, at := range s.Instances {
 		body := `{"deposit":"` + at.Name + `"}`
@@ -180,18 +187,7 @@
 // Guards against a second execution after the owner of keys was killed, before and after its lease lapses.
 func TestKilledOwnerOfADeployment(t *testing.T) {
 	t.Parallel()
-	options, organisation := withRecordsIn(site.Veletas(), "lima")
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
-	s, err := site.Start(ctx, options)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() {
-		if err := s.Stop(ctx); err != nil {
-			t.Errorf("stop: %v", err)
-		}
-	}()
+	ctx, s, organisation := startVeletas(t)
 	keys := map[string]string{} // by body
 	for i := range 8 {
 		body := fmt.Sprintf(`{"deposit":%d}`, i)
