--- a/cmd/dogwood-load/commands.go
+++ b/cmd/dogwood-load/commands.go
@@ -25,7 +25,7 @@
 	Seed     uint64        `help:"Seed of arrivals and prompts." default:"1"`
 	Duration time.Duration `help:"Length of the counted part of a run." default:"20s"`
 	WarmUp   time.Duration `help:"Load before the counted part." default:"8s"`
-	Detail   bool          `help:"Also print each run's tables by region and organisation."`
+	Detail   bool          `help:"Also print each run's tables by region and organisation, and its control traffic by kind."`
 }
 
 // Run plays the scenarios one after the other and prints one table.
@@ -63,7 +63,7 @@
 		}
 	}
 	fmt.Printf("%s, seed %d, %v after %v of warm-up\n\n", options.Name, c.Seed, c.Duration, c.WarmUp)
-	return serving.WriteTable(os.Stdout, results)
+	return errors.CombineErrors(serving.WriteTable(os.Stdout, results), serving.WriteControl(os.Stdout, results))
 }
 
 func (c *siteCommand) scenarios() ([]serving.Scenario, error) {
--- a/internal/experiment/serving/control.go
+++ b/internal/experiment/serving/control.go
@@ -1,9 +1,11 @@
 package serving
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sort"
 	"text/tabwriter"
 	"time"
@@ -84,6 +86,25 @@
 	return nil
 }
 
+// WriteControl prints the instance with the most control traffic of each run.
+func WriteControl(w io.Writer, results []*Result) error {
+	for _, r := range results {
+		load, rest := highest(r.Control), highest(r.Rest)
+		_, err := fmt.Fprintf(w, "%s, %s: control traffic at most %.1f KB/s under load (%s), %.1f at rest (%s), limit %.0f\n", r.Options.Scenario.Name,
+			r.Options.Policy.Name, load.total()/1000, load.Instance, rest.total()/1000, rest.Instance, controlLimit/1000.0)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r ControlRow) total() float64 { return r.Sent + r.Received }
+
+func highest(rows []ControlRow) ControlRow {
+	return slices.MaxFunc(rows, func(a, b ControlRow) int { return cmp.Compare(a.total(), b.total()) })
+}
+
 func writeControlTable(w io.Writer, rows []ControlRow) error {
 	seen := map[string]bool{}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
@@ -112,10 +133,10 @@
 	fmt.Fprint(t, "sum (sent + received)")
 	for _, row := range rows {
 		over := ""
-		if row.Sent+row.Received > controlLimit {
+		if row.total() > controlLimit {
 			over = " OVER"
 		}
-		fmt.Fprintf(t, "\t%.2f (%.2f + %.2f)%s", (row.Sent+row.Received)/1000, row.Sent/1000, row.Received/1000, over)
+		fmt.Fprintf(t, "\t%.2f (%.2f + %.2f)%s", row.total()/1000, row.Sent/1000, row.Received/1000, over)
 	}
 	fmt.Fprintln(t)
 	return t.Flush()
