Wait in the planned-stop test until the slots are in use

Cause of a failure after other tests of the shared deployment ("slots were not handed over", seen once): the stopping instance's slot still waited for the end of a predecessor that an earlier test had killed, so there was nothing to hand over and the slot went back to the store. Ruled out: a slot lost on the way, since the stopping instance had not used it. The check after the stop is unchanged; the test now first wants both slots in use, which status reports since "waiting".

--- a/internal/integration/serving_test.go
+++ b/internal/integration/serving_test.go
@@ -305,6 +305,14 @@
 func TestPlannedStopUnderLoad(t *testing.T) {
 	d := running(t)
 	stopping := d.instance("lima-2")
+	// A slot that a predecessor of an earlier test may still use has nothing to hand over.
+	inUse := func(i *instance) bool {
+		s, err := d.status(i)
+		return err == nil && len(s.Slots) == 1 && len(s.Waiting) == 0
+	}
+	if !poll(readyWithin, func() bool { return inUse(stopping) && inUse(d.instance("lima-1")) }) {
+		t.Error("slots are not in use before the stop")
+	}
 	const streams, tokens = 6, 400
 	var callers sync.WaitGroup
 	var inFlight, ended atomic.Int64
