--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 )
 
 // connections notes since when each open connection has been without a request.
@@ -49,7 +51,6 @@
 // told its caller that the connection ends with it, so the caller's next request may already be on its way; it is
 // served, and its answer tells.
 func (c *connections) waitIdle(ctx context.Context, d time.Duration) {
-	for !c.idle(time.Now(), d) && ctx.Err() == nil {
-		pause(ctx, idlePoll)
+	for !c.idle(time.Now(), d) && clock.Sleep(ctx, idlePoll) == nil {
 	}
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -5,9 +5,10 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 )
 
 func (g *Gateway) newServer() *http.Server {
@@ -44,7 +45,7 @@
 // of them unless ctx ends first.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	g.Drain()
-	pause(ctx, g.opts.StopDelay)
+	_ = clock.Sleep(ctx, g.opts.StopDelay) // the rest of the stop goes on if ctx ends
 	if l := g.listening.Load(); l != nil {
 		l.stop()
 	}
@@ -60,13 +61,6 @@
 	return err
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // Close ends all callers' connections at once.
 func (g *Gateway) Close() error {
 	g.unsubscribe()
--- a/internal/members/directory.go
+++ b/internal/members/directory.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/membership"
 	"dogwoodknot.example/dogwoodknot/internal/platform"
 )
@@ -48,9 +49,7 @@
 		} else {
 			checked = time.Time{}
 		}
-		select {
-		case <-time.After(wait):
-		case <-s.ctx.Done():
+		if clock.Sleep(s.ctx, wait) != nil {
 			return
 		}
 	}
--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -70,9 +70,7 @@
 	failures := newBackoff(s.options.PollBase/4, longestPollBackoff)
 	wait := time.Duration(0)
 	for {
-		select {
-		case <-time.After(wait):
-		case <-s.ctx.Done():
+		if clock.Sleep(s.ctx, wait) != nil {
 			return
 		}
 		interval := s.pollInterval()
@@ -298,9 +296,7 @@
 				failures.Reset()
 			}
 		}
-		select {
-		case <-time.After(wait):
-		case <-s.ctx.Done():
+		if clock.Sleep(s.ctx, wait) != nil {
 			return
 		}
 	}
