--- a/internal/limits/refresh.go
+++ b/internal/limits/refresh.go
@@ -136,31 +136,11 @@
 
 // reviewOwned resolves the predecessors of a slot whose record names this instance.
 func (s *Service) reviewOwned(ctx context.Context, slot ratelimit.Slot, record storedRecord) error {
-	s.mu.Lock()
-	held := s.slots.held[slot]
-	if forgotten := s.forgotten(slot, record.Predecessors); len(forgotten) > 0 && (held == nil || !held.usable) {
-		// The store has older data: those that it has forgotten may still use the slot.
-		if held != nil {
-			held.resolved, held.fresh = false, false
-		}
-		s.mu.Unlock()
+	held, usable, forgotten := s.noteOwned(slot, record)
+	if len(forgotten) > 0 {
 		return s.recordForgotten(ctx, slot, record, forgotten)
 	}
-	if held == nil {
-		// A claim whose answer was lost, or a handover through the store.
-		held = &heldSlot{}
-		s.slots.held[slot] = held
-	}
-	held.revision = record.revision
-	held.fresh = held.fresh && len(record.Predecessors) == 0
-	for _, p := range record.Predecessors {
-		held.ended = append(withoutIncarnation(held.ended, p.Incarnation), p.Incarnation)
-	}
-	s.slots.spoken[slot] = append(s.slots.spoken[slot], held.speaksFor...)
-	held.speaksFor = nil
-	delete(s.slots.suspects, slot)
-	usable, fresh, identity := held.usable, held.fresh, Predecessor{s.self.Instance, s.self.Incarnation, s.slots.listed}
-	s.mu.Unlock()
+	identity := s.identity()
 	if usable && len(record.Predecessors) == 0 && record.Owner == identity {
 		return nil
 	}
@@ -173,8 +153,7 @@
 		if !usable || len(left) > 0 {
 			applied = min(record.Applied, applied)
 		}
-		next := Record{identity, left, applied}
-		err := s.putRecord(ctx, slot, next, record.revision)
+		err := s.putRecord(ctx, slot, Record{identity, left, applied}, record.revision)
 		if errors.Is(err, platform.ErrConflict) {
 			return nil // reviewed again with the next refresh
 		}
@@ -185,19 +164,54 @@
 	if len(left) > 0 || usable {
 		return nil
 	}
+	return s.resolve(ctx, held)
+}
+
+// noteOwned notes what the record of an own slot says. forgotten are owners that a store with older data has forgotten as
+// predecessors and that may still use the slot; then nothing else is noted.
+func (s *Service) noteOwned(slot ratelimit.Slot, record storedRecord) (held *heldSlot, usable bool, forgotten []Predecessor) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held = s.slots.held[slot]
+	if forgotten = s.forgotten(slot, record.Predecessors); len(forgotten) > 0 && (held == nil || !held.usable) {
+		if held != nil {
+			held.resolved, held.fresh = false, false
+		}
+		return held, false, forgotten
+	}
+	if held == nil {
+		// A claim whose answer was lost, or a handover through the store.
+		held = &heldSlot{}
+		s.slots.held[slot] = held
+	}
+	held.revision = record.revision
+	held.fresh = held.fresh && len(record.Predecessors) == 0
+	for _, p := range record.Predecessors {
+		held.ended = append(withoutIncarnation(held.ended, p.Incarnation), p.Incarnation)
+	}
+	s.slots.spoken[slot] = append(s.slots.spoken[slot], held.speaksFor...)
+	held.speaksFor = nil
+	delete(s.slots.suspects, slot)
+	return held, held.usable, nil
+}
+
+// resolve notes that no predecessor uses a slot any more, and when it may be used here: at once if it is fresh, else when the
+// loans of its predecessors have ended.
+func (s *Service) resolve(ctx context.Context, held *heldSlot) error {
 	revision, err := s.headRevision(ctx)
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !held.resolved && s.slots.vouched {
-		held.resolved = true
-		held.minRevision = max(revision, s.slots.vouchedRevision)
-		held.readyAt = s.opts.Clock.Now()
-		if !fresh {
-			held.readyAt = held.readyAt.Add(s.ledger.QuietTime())
-		}
+	if held.resolved || !s.slots.vouched {
+		return nil
+	}
+	held.resolved = true
+	held.minRevision = max(revision, s.slots.vouchedRevision)
+	held.readyAt = s.opts.Clock.Now()
+	if !held.fresh {
+		held.readyAt = held.readyAt.Add(s.ledger.QuietTime())
 	}
 	return nil
 }
