Call the pieces that stood twice

Found while reading the whole change again: - the capacity tool had its own copy of the encoding of asks and answers, so that its byte counts could drift from what is sent; it calls limits.AskToWire and AnswerToWire now; - the loop that builds a configuration change again after a lost race, the compression of parts, the start of a keyed and of an issued operation, and the two handlers of an engine's orders stood twice each; - the readiness of an operation log was kept beside the log's own state (Log.Open); - Loads asked for a usable pool before a sound one, which is always usable. Ruled out: the in-memory networks of the capacity tool and of some tests, which differ in what they count and cut from internal/peer/peertest; and constructors and option checks that are alike in form only.

--- a/internal/configstore/general.go
+++ b/internal/configstore/general.go
@@ -23,7 +23,7 @@
 
 // editGeneral writes a revision whose general part edit has changed, or none if it changes nothing.
 func (s *Store) editGeneral(ctx context.Context, change Change, edit func(general *config.Config) error) (*Result, error) {
-	for range maxAttempts {
+	return rebuild(func() (*Result, error) {
 		head, at, err := s.Head(ctx)
 		if err != nil {
 			return nil, err
@@ -53,15 +53,11 @@
 			return nil, errors.Wrap(err, "encode the general part")
 		}
 		h.General = configview.DigestOf(value)
-		err = s.commit(ctx, at, h, map[configview.Digest][]byte{h.General: value})
-		if err == nil {
-			return &Result{Head: h, Changes: changes}, nil
-		}
-		if !errors.Is(err, errLost) {
+		if err := s.commit(ctx, at, h, map[configview.Digest][]byte{h.General: value}); err != nil {
 			return nil, err
 		}
-	}
-	return nil, errors.Newf("the head changed %d times while this change was built", maxAttempts)
+		return &Result{Head: h, Changes: changes}, nil
+	})
 }
 
 func drainEndpoint(general *config.Config, name string, drain bool) error {
--- a/internal/configstore/keys.go
+++ b/internal/configstore/keys.go
@@ -87,7 +87,7 @@
 // with any other change.
 func (s *Store) changeShards(ctx context.Context, shards map[int][]string, change Change,
 	f func(*configview.Head, *configview.Shard, []string) (bool, error)) (*Result, error) {
-	for range maxAttempts {
+	return rebuild(func() (*Result, error) {
 		head, at, err := s.Head(ctx)
 		if err != nil {
 			return nil, err
@@ -113,12 +113,19 @@
 			return &Result{Head: head}, nil
 		}
 		dropKnown(head, h, content)
-		err = s.commit(ctx, at, h, content)
-		if err == nil {
-			return &Result{Head: h}, nil
+		if err := s.commit(ctx, at, h, content); err != nil {
+			return nil, err
 		}
+		return &Result{Head: h}, nil
+	})
+}
+
+// rebuild builds and commits a change again after a lost race.
+func rebuild(change func() (*Result, error)) (*Result, error) {
+	for range maxAttempts {
+		result, err := change()
 		if !errors.Is(err, errLost) {
-			return nil, err
+			return result, err
 		}
 	}
 	return nil, errors.Newf("the head changed %d times while this change was built", maxAttempts)
--- a/internal/configsync/holder.go
+++ b/internal/configsync/holder.go
@@ -60,12 +60,17 @@
 	return absent, nil
 }
 
-// keep stores content of a head that is not complete yet.
-func (h *holder) keep(content map[configview.Digest][]byte) {
-	compressed := make(map[configview.Digest][]byte, len(content))
+func compressAll(content map[configview.Digest][]byte) map[configview.Digest][]byte {
+	out := make(map[configview.Digest][]byte, len(content))
 	for d, c := range content {
-		compressed[d] = compress(c)
+		out[d] = compress(c)
 	}
+	return out
+}
+
+// keep stores content of a head that is not complete yet.
+func (h *holder) keep(content map[configview.Digest][]byte) {
+	compressed := compressAll(content)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for d, part := range compressed {
@@ -75,10 +80,7 @@
 
 // accept puts a higher revision in force. content holds what missing has named, uncompressed.
 func (h *holder) accept(head *configview.Head, content map[configview.Digest][]byte) error {
-	compressed := make(map[configview.Digest][]byte, len(content))
-	for d, c := range content {
-		compressed[d] = compress(c)
-	}
+	compressed := compressAll(content)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for d, part := range h.stash {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -376,7 +376,7 @@
 	now := d.opts.Clock.Now()
 	out := make([]PoolLoad, 0, len(d.pools))
 	for name, p := range d.pools {
-		if !d.usable(p) || !d.sound(p, now) {
+		if !d.sound(p, now) {
 			continue // other regions would send work here that is then declined
 		}
 		free := 0
--- a/internal/experiment/capacity/ledger.go
+++ b/internal/experiment/capacity/ledger.go
@@ -10,6 +10,7 @@
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/ratelimit"
+	"dogwoodknot.example/dogwoodknot/internal/limits"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
 
@@ -263,50 +264,17 @@
 	}
 }
 
-// call carries one borrow call, encoded as internal/limits does.
+// call carries one borrow call, encoded by package limits.
 func (x *exchange) call(from int, giver string, asks []ratelimit.Ask) {
 	g := x.ledgers[x.index[giver]]
 	req, resp := &wire.BorrowRequest{}, &wire.BorrowResponse{}
 	for _, a := range asks {
 		answer := g.Grant(x.now, x.names[from], a)
 		x.ledgers[from].Accept(x.now, x.now, giver, a.Organisation, answer)
-		req.Asks = append(req.Asks, wireAsk(a))
-		resp.Answers = append(resp.Answers, wireAnswer(answer))
+		req.Asks = append(req.Asks, limits.AskToWire(a))
+		resp.Answers = append(resp.Answers, limits.AnswerToWire(answer))
 	}
 	x.messages++
 	x.asks += len(asks)
 	x.bytes += proto.Size(req) + proto.Size(resp)
 }
-
-func wireShare(s ratelimit.Share) *wire.RateShare {
-	if s == (ratelimit.Share{}) {
-		return nil
-	}
-	return &wire.RateShare{Rate: s.Rate, Burst: s.Burst}
-}
-
-func wireReturns(in []ratelimit.Return) []*wire.LoanReturn {
-	var out []*wire.LoanReturn
-	for _, r := range in {
-		out = append(out, &wire.LoanReturn{Id: r.ID, Tokens: r.Tokens, Left: wireShare(r.Left)})
-	}
-	return out
-}
-
-func wireAsk(a ratelimit.Ask) *wire.LoanAsk {
-	return &wire.LoanAsk{
-		Organisation: a.Organisation, Need: a.Need, Level: a.Level, Share: wireShare(a.Share), Demand: a.Demand,
-		Fanout: uint32(a.Fanout), Extend: a.Extend, Returns: wireReturns(a.Returns),
-	}
-}
-
-func wireAnswer(a ratelimit.Answer) *wire.LoanAnswer {
-	out := &wire.LoanAnswer{Returns: wireReturns(a.Returns), Holders: a.Holders}
-	if a.Loan != nil {
-		out.Loan = &wire.Loan{Id: a.Loan.ID, Share: wireShare(a.Loan.Share), Tokens: a.Loan.Tokens, TermNanos: int64(a.Loan.Term)}
-	}
-	if e := a.Extended; e != nil {
-		out.Extended = &wire.LoanExtension{Ids: e.IDs, Id: e.ID, TermNanos: int64(e.Term)}
-	}
-	return out
-}
--- a/internal/limits/bench_test.go
+++ b/internal/limits/bench_test.go
@@ -77,11 +77,11 @@
 	b.ReportAllocs()
 	size := 0
 	for range b.N {
-		request, err := proto.Marshal(&wire.BorrowRequest{Asks: []*wire.LoanAsk{askToWire(ask)}})
+		request, err := proto.Marshal(&wire.BorrowRequest{Asks: []*wire.LoanAsk{AskToWire(ask)}})
 		if err != nil {
 			b.Fatal(err)
 		}
-		response, err := proto.Marshal(&wire.BorrowResponse{Answers: []*wire.LoanAnswer{answerToWire(answer)}})
+		response, err := proto.Marshal(&wire.BorrowResponse{Answers: []*wire.LoanAnswer{AnswerToWire(answer)}})
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/limits/messages.go
+++ b/internal/limits/messages.go
@@ -51,7 +51,8 @@
 	return out
 }
 
-func askToWire(a ratelimit.Ask) *wire.LoanAsk {
+// AskToWire encodes an ask of a borrow call.
+func AskToWire(a ratelimit.Ask) *wire.LoanAsk {
 	return &wire.LoanAsk{
 		Organisation: a.Organisation, Need: a.Need, Level: a.Level, Share: shareToWire(a.Share),
 		Demand: a.Demand, Fanout: uint32(a.Fanout), Extend: a.Extend, Returns: returnsToWire(a.Returns),
@@ -65,7 +66,8 @@
 	}
 }
 
-func answerToWire(a ratelimit.Answer) *wire.LoanAnswer {
+// AnswerToWire encodes the answer to an ask.
+func AnswerToWire(a ratelimit.Answer) *wire.LoanAnswer {
 	out := &wire.LoanAnswer{Returns: returnsToWire(a.Returns), Holders: a.Holders}
 	if a.Loan != nil {
 		out.Loan = &wire.Loan{
--- a/internal/limits/service.go
+++ b/internal/limits/service.go
@@ -319,7 +319,7 @@
 	defer cancel()
 	req := &wire.BorrowRequest{}
 	for _, a := range asks {
-		req.Asks = append(req.Asks, askToWire(a))
+		req.Asks = append(req.Asks, AskToWire(a))
 	}
 	asked := s.opts.Clock.Now()
 	resp := &wire.BorrowResponse{}
@@ -362,7 +362,7 @@
 	now := s.opts.Clock.Now()
 	for _, a := range req.GetAsks() {
 		answer := s.ledger.Grant(now, from.Instance, askFromWire(a))
-		resp.Answers = append(resp.Answers, answerToWire(answer))
+		resp.Answers = append(resp.Answers, AnswerToWire(answer))
 	}
 	return resp, nil
 }
--- a/internal/operations/forward.go
+++ b/internal/operations/forward.go
@@ -254,12 +254,9 @@
 	if !s.holds(c.key.Issued.GetIncarnation()) {
 		return notRun(http.StatusServiceUnavailable, codeNotHolder, "the instance does not hold the records of this id", retrySoon)
 	}
-	if ctx.Err() != nil {
-		return cancelledOutcome(atmostonce.NotRun)
-	}
-	id, w := s.wait(ctx, c.run)
-	if w == nil {
-		return stoppingOutcome()
+	id, w, refused := s.begin(ctx, c.run)
+	if refused != nil {
+		return *refused
 	}
 	s.mu.Lock()
 	issuer := s.issued[c.key.Issued.GetIncarnation()]
--- a/internal/operations/service.go
+++ b/internal/operations/service.go
@@ -51,7 +51,6 @@
 type slotLog struct {
 	slot   int
 	core   *atmostonce.Log
-	ready  bool // the records are read
 	closed chan struct{}
 }
 
@@ -219,12 +218,9 @@
 	if p.region != s.o.Network.Self().Region || l == nil {
 		return outcomeOf(atmostonce.Reply{Execution: atmostonce.NotRun, Reason: atmostonce.ReasonMoved})
 	}
-	if ctx.Err() != nil {
-		return cancelledOutcome(atmostonce.NotRun)
-	}
-	id, w := s.wait(ctx, c.run)
-	if w == nil {
-		return stoppingOutcome()
+	id, w, refused := s.begin(ctx, c.run)
+	if refused != nil {
+		return *refused
 	}
 	e := atmostonce.Attempted{ID: id, Idents: s.secrets.Idents(c.organisation, c.key.Canonical, c.digest), KeyTime: c.key.Time}
 	if d, ok := ctx.Deadline(); ok {
@@ -234,21 +230,22 @@
 	return s.await(ctx, w, func() { s.step(l, atmostonce.Cancelled{ID: id}) })
 }
 
-func stoppingOutcome() Outcome {
-	return notRun(http.StatusServiceUnavailable, CodeStopping, "the instance is stopping", retrySoon)
-}
-
-// wait registers a call. It returns nil if the service is stopping.
-func (s *Service) wait(ctx context.Context, run RunFunc) (atmostonce.AttemptID, *waiter) {
+// begin registers a call, unless its caller has left or the service is stopping.
+func (s *Service) begin(ctx context.Context, run RunFunc) (id atmostonce.AttemptID, w *waiter, refused *Outcome) {
+	if ctx.Err() != nil {
+		o := cancelledOutcome(atmostonce.NotRun)
+		return 0, nil, &o
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopping {
-		return 0, nil
+		o := notRun(http.StatusServiceUnavailable, CodeStopping, "the instance is stopping", retrySoon)
+		return 0, nil, &o
 	}
 	s.nextID++
-	w := &waiter{ctx: ctx, run: run, reply: make(chan atmostonce.Reply, 1)}
+	w = &waiter{ctx: ctx, run: run, reply: make(chan atmostonce.Reply, 1)}
 	s.waiters[s.nextID] = w
-	return s.nextID, w
+	return s.nextID, w, nil
 }
 
 // await returns the outcome of a call. cancelRun makes the core reply at once.
--- a/internal/operations/slotlog.go
+++ b/internal/operations/slotlog.go
@@ -109,9 +109,6 @@
 	case atmostonce.Wake:
 		s.wake(l, a)
 	case atmostonce.Ready:
-		s.mu.Lock()
-		l.ready = true
-		s.mu.Unlock()
 		s.o.Logger.Info("operation log taken over", zap.Int("slot", l.slot))
 	case atmostonce.Closed:
 		s.closeLog(l)
@@ -130,7 +127,7 @@
 	defer s.mu.Unlock()
 	n := 0
 	for _, l := range s.logs {
-		if l.ready {
+		if l.core.Open() {
 			n++
 		}
 	}
--- a/internal/standin/engine_orders.go
+++ b/internal/standin/engine_orders.go
@@ -158,19 +158,9 @@
 		writeError(w, http.StatusBadRequest, "no_version", "the order has no version")
 		return
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.dead {
-		breakConnection() // the engine has died since it let the call in
-	}
-	refused := e.checkOrder(model, in)
-	if refused == nil && e.orders.taken(model, in) {
-		refused = reusedGeneration
-	}
-	e.answerOrder(w, OrderRecord{Order: in, Model: model}, refused)
-	if refused == nil {
-		e.apply(model, in)
-	}
+	e.takeOrder(w, OrderRecord{Order: in, Model: model},
+		func() bool { return e.orders.taken(model, in) },
+		func() { e.apply(model, in) })
 }
 
 func (e *Engine) deleteOrder(w http.ResponseWriter, r *http.Request) {
@@ -188,20 +178,32 @@
 		return
 	}
 	in := Order{Generation: generation, Fencing: fencing}
+	e.takeOrder(w, OrderRecord{Order: in, Model: model, Unload: true},
+		func() bool {
+			m := e.orders.models[model]
+			return m != nil && m.Generation == generation && generation > 0
+		},
+		func() {
+			e.stopLoading(model)
+			delete(e.orders.models, model)
+			e.orders.unloaded[model] = generation
+		})
+}
+
+// takeOrder answers an order and follows it if it is not refused. reused reports whether its generation stands for another order.
+func (e *Engine) takeOrder(w http.ResponseWriter, order OrderRecord, reused func() bool, follow func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.dead {
 		breakConnection() // the engine has died since it let the call in
 	}
-	refused := e.checkOrder(model, in)
-	if m := e.orders.models[model]; refused == nil && m != nil && m.Generation == in.Generation && m.Generation > 0 {
+	refused := e.checkOrder(order.Model, order.Order)
+	if refused == nil && reused() {
 		refused = reusedGeneration
 	}
-	e.answerOrder(w, OrderRecord{Order: in, Model: model, Unload: true}, refused)
+	e.answerOrder(w, order, refused)
 	if refused == nil {
-		e.stopLoading(model)
-		delete(e.orders.models, model)
-		e.orders.unloaded[model] = generation
+		follow()
 	}
 }
 
