Serve requests here whose link to another region broke

The region then did not serve it although its own engines could. Requests that another region fails for another reason still spend a retry.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -123,6 +123,9 @@
 	return f(v)
 }
 
+// codeRegionUnreachable says that the link to another region broke before a request was answered.
+const codeRegionUnreachable = "region_unreachable"
+
 // forwardError describes a failed exchange with a peer.
 func (g *Gateway) forwardError(c *call, err error, ex operations.Execution) error {
 	var e *dispatch.Error
@@ -136,7 +139,7 @@
 		status = http.StatusServiceUnavailable
 	}
 	return &dispatch.Error{
-		Status: status, Code: "region_unreachable", Message: "the other region gave no complete answer", RetryAfter: time.Second,
+		Status: status, Code: codeRegionUnreachable, Message: "the other region gave no complete answer", RetryAfter: time.Second,
 		Execution: ex,
 	}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -370,4 +370,27 @@
 	}
 }
 
+// Guards against an isolated region that refuses requests which were on their way to another one when the link was cut: with the
+// retry budget spent by an outage before, nothing would be left to serve them here.
+func TestCutLinkNeedsNoRetryBudget(t *testing.T) {
+	e, near := newEngine(t), newEngine(t)
+	lima, _, bus := twoRegions(t, e, newService(t))
+	lima.source.change(func(v *fakeView) { v.general.Endpoints = append(v.general.Endpoints, engineAt(near, "near", "lima")) })
+	lima.Gateway.opts.Dispatcher = busyHere{lima.dispatcher}
+	for lima.dispatcher.SpendRetry() {
+	}
+	bus.mu.Lock()
+	bus.cut = func(_ []byte, n int) bool { return n == 1 }
+	bus.mu.Unlock()
+	const requests = 20 // in which fewer than two retries are earned
+	for range requests {
+		if a := lima.do(t, "POST", "/v1/chat/completions", workshopKey, chat(false, "")); a.status != 200 {
+			t.Errorf("%d %s", a.status, a.body)
+		}
+	}
+	if n := len(near.requests()); bus.opens == 0 || n != requests {
+		t.Errorf("%d requests went to the other region, %d ran here", bus.opens, n)
+	}
+}
+
 var _ http.Handler = (*Gateway)(nil)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -313,7 +313,7 @@
 }
 
 // fallBack reports whether a request that failed in another region is to be tried here. One that may have run
-// spends a retry.
+// spends a retry, unless the link broke: a region that is cut off must serve what was on its way, and sends no more there.
 func (g *Gateway) fallBack(c *call, mc *dispatch.ModelCall, err error) bool {
 	if c.ctx.Err() != nil || !g.opts.Dispatcher.Serves(mc.Model) {
 		return false
@@ -323,7 +323,7 @@
 		return false
 	}
 	// A request that the other region declined has cost nothing yet.
-	return e.Execution == operations.NotRun || g.opts.Dispatcher.SpendRetry()
+	return e.Execution == operations.NotRun || e.Code == codeRegionUnreachable || g.opts.Dispatcher.SpendRetry()
 }
 
 // withExecution keeps a request that may have run elsewhere from being reported as not run.
