--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,318 @@
+// Package catalog models what an operator declares for a platform that lists its endpoints itself: routes, services,
+// organisations and limits. A Configuration is immutable once it has been made by New.
+package catalog
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind tells which requests of a route may be repeated.
+type Kind int
+
+// Kinds of routes.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = iota
+	// NonIdempotent requests run at most once.
+	NonIdempotent
+	// Stream requests are answered by server-sent events; they run at most once unless the route is resumable.
+	Stream
+)
+
+// String returns the name used in logs.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case NonIdempotent:
+		return "non-idempotent"
+	case Stream:
+		return "stream"
+	}
+	return fmt.Sprintf("kind(%d)", int(k))
+}
+
+// Target is a service that serves part of a route.
+type Target struct {
+	Service string
+	Weight  float64 // relative to the route's other targets
+}
+
+// Route declares where the requests of a host and path prefix go.
+type Route struct {
+	Name        string
+	Host        string
+	Prefix      string // begins and ends with a slash
+	Kind        Kind
+	Timeout     time.Duration // longest time a request may be kept waiting
+	Objective   time.Duration // latency, or time to the first event of a stream, that counts as on time
+	Pause       time.Duration // longest pause between events that counts as on time
+	Priority    int           // 0 is the most urgent
+	Targets     []Target
+	MaxAttempts int      // endpoints to which one request may be sent
+	Public      bool     // needs no key
+	Sticky      bool     // requests share prompt prefixes
+	Resumable   bool     // a stream may go on at another endpoint
+	Homes       []string // regions that may serve it; empty: all
+}
+
+// Repeatable reports whether a request may be sent to another endpoint although the first one may have run it.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
+}
+
+// Service returns the service for a request. Requests with the same id get the same service.
+func (r *Route) Service(requestID string) string {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	total := 0.0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	h := fnv.New64a()
+	h.Write([]byte(requestID))
+	at := float64(mix(h.Sum64())>>11) / (1 << 53) * total
+	for _, t := range r.Targets {
+		if at < t.Weight {
+			return t.Service
+		}
+		at -= t.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// mix spreads a hash over all bits (the finaliser of MurmurHash3).
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	Slots    int     // requests in a batch
+	KVTokens float64 // memory for prompts and answers, in tokens
+	// EventTokens is the number of output tokens that one event of a stream holds; 1 if it is not declared.
+	EventTokens float64
+}
+
+// Service is a set of endpoints of the same kind.
+type Service struct {
+	Name       string
+	HealthPath string
+	MaxConns   int           // connections that an endpoint accepts from all instances together
+	ColdFor    time.Duration // after a start
+	ColdRate   float64       // requests/s that a cold endpoint bears; 0: it needs no care
+	Engine     *Engine       // nil for a plain service
+}
+
+// Organisation is a customer with its keys and its fleet-wide rate.
+type Organisation struct {
+	Name        string
+	Keys        []string
+	Priority    int  // takes precedence over the route's; valid if HasPriority
+	HasPriority bool // false: the route's priority counts
+	CountTokens bool // rate and burst count tokens; otherwise requests
+	PlainTokens float64
+	Rate        float64 // per second; 0: no limit
+	Burst       float64
+	Homes       []string // regions that may serve it; empty: all
+}
+
+// Cost returns what a request takes from the organisation's rate. tokens is 0 for a request that declares none.
+func (o *Organisation) Cost(tokens float64) float64 {
+	switch {
+	case !o.CountTokens:
+		return 1
+	case tokens > 0:
+		return tokens
+	}
+	return o.PlainTokens
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Configuration is a version of the operator's declarations.
+type Configuration struct {
+	Version       int64
+	Limits        Limits
+	routes        map[string][]*Route // by host, longest prefix first
+	services      map[string]*Service
+	organisations map[string]*Organisation
+	keys          map[[sha256.Size]byte]*Organisation
+}
+
+// Declaration is the content of a configuration before it is checked.
+type Declaration struct {
+	Version       int64
+	Routes        []*Route
+	Services      []*Service
+	Organisations []*Organisation
+	Limits        Limits
+}
+
+// New checks a declaration. The error lists all findings with their place; the configuration is nil then.
+func New(d Declaration) (*Configuration, error) {
+	c := &Configuration{
+		Version:       d.Version,
+		Limits:        d.Limits,
+		routes:        make(map[string][]*Route),
+		services:      make(map[string]*Service),
+		organisations: make(map[string]*Organisation),
+		keys:          make(map[[sha256.Size]byte]*Organisation),
+	}
+	var findings []error
+	report := func(err error) {
+		if err != nil {
+			findings = append(findings, err)
+		}
+	}
+	for i, s := range d.Services {
+		report(errors.Wrapf(c.addService(s), "services[%d] %q", i, s.Name))
+	}
+	for i, r := range d.Routes {
+		report(errors.Wrapf(c.addRoute(r), "routes[%d] %q", i, r.Name))
+	}
+	for i, o := range d.Organisations {
+		report(errors.Wrapf(c.addOrganisation(o), "organisations[%d] %q", i, o.Name))
+	}
+	if len(findings) > 0 {
+		return nil, errors.Join(findings...)
+	}
+	for _, routes := range c.routes {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return c, nil
+}
+
+func (c *Configuration) addService(s *Service) error {
+	if s.Name == "" {
+		return errors.New("name is empty")
+	}
+	if c.services[s.Name] != nil {
+		return errors.New("name is used twice")
+	}
+	if !finite(s.ColdRate) {
+		return errors.Newf("cold rate %v is not a number of 0 or more", s.ColdRate)
+	}
+	if s.Engine != nil && (s.Engine.Slots <= 0 || s.Engine.KVTokens <= 0) {
+		return errors.New("an engine needs slots and memory above 0")
+	}
+	c.services[s.Name] = s
+	return nil
+}
+
+func (c *Configuration) addRoute(r *Route) error {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return errors.Newf("prefix %q does not begin and end with a slash", r.Prefix)
+	}
+	if len(r.Targets) == 0 {
+		return errors.New("no service is named")
+	}
+	for _, t := range r.Targets {
+		if c.services[t.Service] == nil {
+			return errors.Newf("service %q is not declared", t.Service)
+		}
+		if !finite(t.Weight) {
+			return errors.Newf("weight %v of service %q is not a number of 0 or more", t.Weight, t.Service)
+		}
+	}
+	host := canonicalHost(r.Host)
+	c.routes[host] = append(c.routes[host], r)
+	return nil
+}
+
+func (c *Configuration) addOrganisation(o *Organisation) error {
+	if o.Name == "" {
+		return errors.New("name is empty")
+	}
+	if c.organisations[o.Name] != nil {
+		return errors.New("name is used twice")
+	}
+	if !finite(o.Rate) || !finite(o.Burst) || !finite(o.PlainTokens) {
+		return errors.New("rate, burst and plain tokens must be numbers of 0 or more")
+	}
+	c.organisations[o.Name] = o
+	for _, key := range o.Keys {
+		digest := sha256.Sum256([]byte(key))
+		if other := c.keys[digest]; other != nil {
+			return errors.Newf("a key is held by organisation %q too", other.Name)
+		}
+		c.keys[digest] = o
+	}
+	return nil
+}
+
+// finite reports whether x is a number of 0 or more.
+func finite(x float64) bool { return x >= 0 && !math.IsInf(x, 1) }
+
+// Match returns the route with the longest prefix of the path, or nil.
+func (c *Configuration) Match(host, path string) *Route {
+	for _, r := range c.routes[canonicalHost(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// canonicalHost drops the port and the case of a host name.
+func canonicalHost(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// Service returns a declared service, or nil.
+func (c *Configuration) Service(name string) *Service { return c.services[name] }
+
+// Organisation returns a declared organisation, or nil.
+func (c *Configuration) Organisation(name string) *Organisation { return c.organisations[name] }
+
+// Organisations calls f for each organisation, in no order.
+func (c *Configuration) Organisations(f func(*Organisation)) {
+	for _, o := range c.organisations {
+		f(o)
+	}
+}
+
+// Holder returns the organisation that holds a key, or nil. The lookup is by digest, so its time tells nothing of the key.
+func (c *Configuration) Holder(key string) *Organisation {
+	return c.keys[sha256.Sum256([]byte(key))]
+}
+
+// HomesOf returns the regions that may handle a request of the route for the organisation (nil on a public route). bound
+// is false if all may. If both have homes, only common ones remain, possibly none.
+func HomesOf(r *Route, o *Organisation) (regions []string, bound bool) {
+	if o == nil || len(o.Homes) == 0 {
+		return r.Homes, len(r.Homes) > 0
+	}
+	if len(r.Homes) == 0 {
+		return o.Homes, true
+	}
+	for _, home := range r.Homes {
+		if slices.Contains(o.Homes, home) {
+			regions = append(regions, home)
+		}
+	}
+	return regions, true
+}
--- /dev/null
+++ b/internal/catalog/endpoint.go
@@ -0,0 +1,22 @@
+package catalog
+
+import "dogwoodknot.example/dogwoodknot/internal/clock"
+
+// Incarnation names one start of an endpoint. An endpoint that starts again may keep its id, but not the time of its start.
+type Incarnation struct {
+	ID   string
+	Born int64 // Unix milliseconds, as the endpoint says
+}
+
+// Endpoint is a process that runs requests of a service, as it describes itself.
+type Endpoint struct {
+	Incarnation
+	Service    string
+	Addr       string // ip:port
+	DataCentre string
+	Slots      int
+	Draining   bool          // takes no new work
+	ColdUntil  clock.Instant // 0: it is not cold
+	// EndsAt is when the endpoint is taken away whatever it is doing. 0: that is not known.
+	EndsAt clock.Instant
+}
--- /dev/null
+++ b/internal/core/fleetquota/fleetquota.go
@@ -0,0 +1,250 @@
+// Package fleetquota holds organisations to their fleet-wide rate and burst where all instances tell each other what they
+// have admitted. It is pure and not safe for concurrent use.
+//
+// Each instance keeps one token bucket an organisation for the whole fleet and takes from it what it admits itself and what
+// the others report. Reports are some hundred milliseconds old, so a sudden excess passes by that much, within the allowance
+// that comes with the rate. An instance that goes silent is taken to go on using the part of the rate that it used before,
+// until it is known to have ended; an instance that hears nobody keeps to its own part in the same way. So both sides of a cut
+// together stay within the rate without an exchange.
+package fleetquota
+
+import (
+	"math"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+)
+
+const (
+	// silentAfter is the age of a report after which its sender counts as silent: several periods of reports and a
+	// wide-area round trip.
+	silentAfter = time.Second
+	// demandWindow is the time over which an instance's part of an organisation's use is averaged: long against bursts of
+	// single requests, short against the daily peaks that move between regions.
+	demandWindow = 4 * time.Second
+	// evenPart is the part of the rate that is divided evenly among instances whatever they used, so that callers who move
+	// during a cut find something there.
+	evenPart = 0.15
+	// startLevel is the part of the burst that a new instance starts with. Its predecessor may just have spent the burst.
+	startLevel = 0.25
+)
+
+// Terms are an organisation's rate and burst. A rate of 0 means no limit.
+type Terms struct {
+	Rate  float64 // per second
+	Burst float64
+}
+
+// Ledger is the state of all organisations at one instance.
+type Ledger struct {
+	terms map[string]Terms
+	all   map[string]*account
+	peers map[string]*peer
+	own   map[string]float64 // admitted here since the start
+	// refunds are costs that were given back and are not yet set off against own, whose values never shrink.
+	refunds map[string]float64
+}
+
+type account struct {
+	level   float64
+	updated clock.Instant
+	use     average            // of this instance
+	peers   map[string]peerUse // by instance
+}
+
+type peerUse struct {
+	incarnation uint64
+	total       float64
+	use         average
+}
+
+type peer struct {
+	incarnation uint64
+	heard       clock.Instant
+}
+
+// average is a moving average of a use per second.
+type average struct {
+	rate float64
+	at   clock.Instant
+}
+
+func (a *average) add(now clock.Instant, amount float64) {
+	a.rate = a.value(now) + amount/demandWindow.Seconds()
+	a.at = now
+}
+
+func (a *average) value(now clock.Instant) float64 {
+	if a.rate == 0 {
+		return 0
+	}
+	return a.rate * math.Exp(-now.Sub(a.at).Seconds()/demandWindow.Seconds())
+}
+
+// New returns a ledger without organisations.
+func New() *Ledger {
+	return &Ledger{terms: map[string]Terms{}, all: map[string]*account{}, peers: map[string]*peer{}, own: map[string]float64{}, refunds: map[string]float64{}}
+}
+
+// SetTerms replaces the terms of all organisations. Levels above a new burst are lowered at once.
+func (l *Ledger) SetTerms(now clock.Instant, terms map[string]Terms) {
+	for name, a := range l.all {
+		l.accrue(now, name, a)
+		t, known := terms[name]
+		if !known {
+			delete(l.all, name)
+			continue
+		}
+		a.level = math.Min(a.level, t.Burst)
+	}
+	l.terms = terms
+}
+
+// SetPeers tells which other incarnations may be admitting requests. One that is left out is known to have ended.
+func (l *Ledger) SetPeers(now clock.Instant, incarnations map[string]uint64) {
+	for name, a := range l.all {
+		l.accrue(now, name, a)
+	}
+	for name, p := range l.peers {
+		if incarnations[name] != p.incarnation {
+			delete(l.peers, name)
+			for _, a := range l.all {
+				delete(a.peers, name)
+			}
+		}
+	}
+	for name, incarnation := range incarnations {
+		if l.peers[name] == nil {
+			l.peers[name] = &peer{incarnation: incarnation, heard: now}
+		}
+	}
+}
+
+// Heard records a report of a peer: what it has admitted of each organisation since its start.
+func (l *Ledger) Heard(now clock.Instant, name string, incarnation uint64, used map[string]float64) {
+	p := l.peers[name]
+	if p == nil || p.incarnation != incarnation {
+		p = &peer{incarnation: incarnation}
+		l.peers[name] = p
+		for _, a := range l.all {
+			delete(a.peers, name)
+		}
+	}
+	for organisation, total := range used {
+		a := l.account(now, organisation)
+		if a == nil {
+			continue
+		}
+		l.accrue(now, organisation, a)
+		before := a.peers[name]
+		if delta := total - before.total; delta > 0 {
+			if before.incarnation == incarnation {
+				// Use during a silence was accounted for by the reserved part already.
+				if now.Sub(p.heard) <= silentAfter {
+					a.level -= delta
+				}
+			}
+			before.use.add(now, delta)
+		}
+		before.incarnation, before.total = incarnation, math.Max(total, before.total)
+		a.peers[name] = before
+	}
+	p.heard = now
+}
+
+// Used calls f with what this instance has admitted of each organisation since its start.
+func (l *Ledger) Used(f func(organisation string, total float64)) {
+	for name, total := range l.own {
+		f(name, total)
+	}
+}
+
+// Admit takes the cost of a request from the organisation's rate. If it is not covered, nothing is taken and the request may
+// come back after the returned time.
+func (l *Ledger) Admit(now clock.Instant, organisation string, cost float64) (admitted bool, retryAfter time.Duration) {
+	t, limited := l.terms[organisation]
+	if !limited || t.Rate <= 0 {
+		return true, 0
+	}
+	a := l.account(now, organisation)
+	l.accrue(now, organisation, a)
+	// A request above the burst passes on a full bucket and leaves a debt.
+	need := math.Min(cost, t.Burst)
+	if a.level < need {
+		rate := math.Max(t.Rate*l.part(now, a), t.Rate*0.01)
+		return false, time.Duration((need - a.level) / rate * float64(time.Second))
+	}
+	a.level -= cost
+	a.use.add(now, cost)
+	settled := math.Min(cost, l.refunds[organisation])
+	l.refunds[organisation] -= settled
+	l.own[organisation] += cost - settled
+	return true, 0
+}
+
+// Refund gives back the cost of a request that was not run.
+func (l *Ledger) Refund(now clock.Instant, organisation string, cost float64) {
+	a := l.account(now, organisation)
+	if a == nil {
+		return
+	}
+	l.accrue(now, organisation, a)
+	l.refunds[organisation] += cost
+	a.level = math.Min(a.level+cost, l.terms[organisation].Burst)
+}
+
+// Level returns the organisation's level and the part of its rate that accrues here, for logs.
+func (l *Ledger) Level(now clock.Instant, organisation string) (level, part float64) {
+	a := l.account(now, organisation)
+	if a == nil {
+		return 0, 1
+	}
+	l.accrue(now, organisation, a)
+	return a.level, l.part(now, a)
+}
+
+func (l *Ledger) account(now clock.Instant, organisation string) *account {
+	t, limited := l.terms[organisation]
+	if !limited || t.Rate <= 0 {
+		return nil
+	}
+	a := l.all[organisation]
+	if a == nil {
+		a = &account{level: t.Burst * startLevel, updated: now, peers: map[string]peerUse{}}
+		l.all[organisation] = a
+	}
+	return a
+}
+
+func (l *Ledger) accrue(now clock.Instant, organisation string, a *account) {
+	t := l.terms[organisation]
+	if now > a.updated {
+		a.level = math.Min(t.Burst, a.level+t.Rate*l.part(now, a)*now.Sub(a.updated).Seconds())
+	}
+	a.updated = now
+}
+
+// part is the part of the rate that the instances in contact may use: all of it, less what silent ones are taken to use.
+func (l *Ledger) part(now clock.Instant, a *account) float64 {
+	silent, total := 0.0, a.use.value(now)
+	silentPeers := 0
+	for name, p := range l.peers {
+		u := a.peers[name]
+		value := u.use.value(now)
+		if now.Sub(p.heard) > silentAfter {
+			// Its use is what it was when it was last heard.
+			value = u.use.value(p.heard)
+			silent += value
+			silentPeers++
+		}
+		total += value
+	}
+	if silentPeers == 0 {
+		return 1
+	}
+	even := float64(silentPeers) / float64(len(l.peers)+1)
+	if total <= 0 {
+		return 1 - even
+	}
+	return 1 - (evenPart*even + (1-evenPart)*silent/total)
+}
--- /dev/null
+++ b/internal/core/placement/placement.go
@@ -0,0 +1,374 @@
+// Package placement chooses the endpoint of a request and decides whether it must wait: by the work that endpoints have
+// taken and not begun, the prompt parts that they hold, their places and memory, their health, and the pace that a cold
+// endpoint bears. It is pure and not safe for concurrent use.
+package placement
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/catalog"
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/routing"
+)
+
+const (
+	// initialReadRate is the prompt tokens that an engine reads in a second while it also generates, before the first
+	// measurement: engines read about 110,000/s when they do nothing else, and half of their time goes to generation.
+	initialReadRate = 56_000.0
+	// rateHalfLife is the number of measurements after which an old one counts half.
+	rateHalfLife = 24.0
+	// minMeasuredTokens is the work ahead of a measured first event. Below, fixed costs and batch steps dominate.
+	minMeasuredTokens = 4000.0
+	// firstEventFixed is the time to a first event that does not depend on the prompt: batch steps and the first block of
+	// output tokens.
+	firstEventFixed = 40 * time.Millisecond
+	// runningCost is what a request in the batch costs those beside it, in prompt tokens: each slows a step by about 0.1 ms,
+	// in which 11 tokens are read, over a few steps until the first event.
+	runningCost = 40.0
+	// memoryUse is the part of an engine's memory that admitted requests may fill. The rest covers answers that become
+	// longer than expected: when memory runs out, a running request is preempted and read again.
+	memoryUse = 0.9
+	// peerWorkAge is the age up to which another instance's work on an endpoint counts. It tells its work several times a
+	// second; after a silence of this length its requests have ended or are no longer known.
+	peerWorkAge = 3 * time.Second
+	// pastSlots is the part of a plain endpoint's slots that may wait there beyond those that run, so that a slot never
+	// stands empty for the time of a round trip.
+	pastSlots = 0.5
+)
+
+// Work is a request as placement sees it.
+type Work struct {
+	ID     string
+	Prompt float64 // tokens; 0 for a plain request
+	Output float64 // expected tokens
+	Parts  []Part  // of the prompt, in order
+}
+
+// Unshared returns the prompt tokens that belong to the request alone: those of its last part, or all of a prompt without
+// parts.
+func (w *Work) Unshared() float64 {
+	if len(w.Parts) == 0 {
+		return w.Prompt
+	}
+	return w.Parts[len(w.Parts)-1].Tokens
+}
+
+// PeerWork is what another instance of the region has under way at an endpoint.
+type PeerWork struct {
+	Running int
+	Unread  float64 // prompt tokens of requests whose first event has not come
+	Memory  float64 // tokens
+}
+
+// Endpoint is an endpoint with what is known of it.
+type Endpoint struct {
+	catalog.Endpoint
+	Health routing.Health
+
+	own      map[string]*placed
+	unread   float64 // own
+	memory   float64 // own
+	peers    map[string]peerReport
+	cache    *partCache
+	coldNext clock.Instant // earliest time of the next request while it is cold
+	slots    int
+}
+
+type peerReport struct {
+	PeerWork
+	at clock.Instant
+}
+
+// placed is an own request at an endpoint.
+type placed struct {
+	work    Work
+	unread  float64
+	memory  float64
+	ahead   float64 // unread tokens at the endpoint when it was placed, its own included
+	at      clock.Instant
+	started bool
+}
+
+// Pool is the set of endpoints of one service in this instance's region.
+type Pool struct {
+	service   *catalog.Service
+	endpoints map[string]*Endpoint
+	order     []*Endpoint // by id
+	readRate  float64     // tokens/s
+	// ColdPace returns the requests a second that this instance may send to a cold endpoint.
+	coldPace func(endpoint string, rate float64) float64
+}
+
+// NewPool returns a pool without endpoints. coldPace returns this instance's part of the rate that a cold endpoint bears.
+func NewPool(service *catalog.Service, coldPace func(endpoint string, rate float64) float64) *Pool {
+	return &Pool{service: service, endpoints: make(map[string]*Endpoint), readRate: initialReadRate, coldPace: coldPace}
+}
+
+// Configure replaces the service's declaration.
+func (p *Pool) Configure(service *catalog.Service) { p.service = service }
+
+// SetEndpoints replaces the endpoints that may be used. What is known of an incarnation that stays is kept.
+func (p *Pool) SetEndpoints(list []catalog.Endpoint) {
+	next := make(map[string]*Endpoint, len(list))
+	for _, described := range list {
+		e := p.endpoints[described.ID]
+		if e == nil || e.Incarnation != described.Incarnation {
+			e = p.newEndpoint(described)
+		}
+		e.Endpoint = described
+		e.slots = described.Slots
+		next[described.ID] = e
+	}
+	p.endpoints = next
+	p.order = p.order[:0]
+	for _, e := range next {
+		p.order = append(p.order, e)
+	}
+	slices.SortFunc(p.order, func(a, b *Endpoint) int { return strings.Compare(a.ID, b.ID) })
+}
+
+func (p *Pool) newEndpoint(described catalog.Endpoint) *Endpoint {
+	e := &Endpoint{Endpoint: described, own: make(map[string]*placed), peers: make(map[string]peerReport)}
+	if p.service.Engine != nil {
+		e.cache = newPartCache(p.service.Engine.KVTokens)
+	}
+	return e
+}
+
+// Endpoint returns an endpoint of the pool, or nil.
+func (p *Pool) Endpoint(id string) *Endpoint { return p.endpoints[id] }
+
+// Slots is the number of places of all endpoints divided by their number, 0 without endpoints.
+func (p *Pool) Slots() int {
+	total := 0
+	for _, e := range p.order {
+		total += e.slots
+	}
+	return total / max(1, len(p.order))
+}
+
+// Len is the number of endpoints, usable or not.
+func (p *Pool) Len() int { return len(p.order) }
+
+// PeerReported records what another instance has under way at an endpoint.
+func (p *Pool) PeerReported(instance, endpoint string, w PeerWork, now clock.Instant) {
+	if e := p.endpoints[endpoint]; e != nil {
+		e.peers[instance] = peerReport{PeerWork: w, at: now}
+	}
+}
+
+// PeerUsed records prompt parts that another instance's request reads at an endpoint.
+func (p *Pool) PeerUsed(endpoint string, parts []Part) {
+	if e := p.endpoints[endpoint]; e != nil && e.cache != nil {
+		e.cache.use(parts)
+	}
+}
+
+// OwnWork calls f for each endpoint with what this instance has under way there.
+func (p *Pool) OwnWork(f func(endpoint string, w PeerWork)) {
+	for _, e := range p.order {
+		f(e.ID, PeerWork{Running: len(e.own), Unread: e.unread, Memory: e.memory})
+	}
+}
+
+// load is the work of all instances at an endpoint.
+func (e *Endpoint) load(now clock.Instant) PeerWork {
+	sum := PeerWork{Running: len(e.own), Unread: e.unread, Memory: e.memory}
+	for name, r := range e.peers {
+		if now.Sub(r.at) > peerWorkAge {
+			delete(e.peers, name)
+			continue
+		}
+		sum.Running += r.Running
+		sum.Unread += r.Unread
+		sum.Memory += r.Memory
+	}
+	return sum
+}
+
+// Choice is where a request goes.
+type Choice struct {
+	Endpoint *Endpoint
+	// Wait is the expected time until the endpoint begins with the request, or until its first event for an engine.
+	Wait time.Duration
+}
+
+// Reason tells why no endpoint was chosen.
+type Reason string
+
+// Reasons.
+const (
+	NoEndpoint Reason = "no-endpoint" // none is listed, or all are excluded, leaving or ejected
+	AllBusy    Reason = "all-busy"    // places, memory or the wait at all usable ones are at their limit
+	AllCold    Reason = "all-cold"    // usable ones are cold and have had their requests
+)
+
+// Constraint limits a choice.
+type Constraint struct {
+	// Excluded endpoints were tried before.
+	Excluded func(id string) bool
+	// MaxWait is the longest expected time to the first event at an engine. 0: no limit.
+	MaxWait time.Duration
+}
+
+// Choose returns the cheapest endpoint that may take the request now, or the reason why there is none.
+func (p *Pool) Choose(now clock.Instant, w *Work, c Constraint) (Choice, Reason) {
+	best, bestCost := Choice{}, math.Inf(1)
+	reason := NoEndpoint
+	out := p.ejected(now)
+	for i, e := range p.order {
+		if e.Draining || out[i] || c.Excluded != nil && c.Excluded(e.ID) {
+			continue
+		}
+		load := e.load(now)
+		if e.Health.Probing() && len(e.own) > 0 || !p.hasRoom(e, load, w) {
+			reason = worse(reason, AllBusy)
+			continue
+		}
+		if !p.mayUseCold(e, now) {
+			reason = worse(reason, AllCold)
+			continue
+		}
+		cost, wait := p.cost(e, load, w)
+		if c.MaxWait > 0 && wait > c.MaxWait {
+			reason = worse(reason, AllBusy)
+			continue
+		}
+		if cost < bestCost {
+			best, bestCost = Choice{Endpoint: e, Wait: wait}, cost
+		}
+	}
+	if best.Endpoint == nil {
+		return best, reason
+	}
+	return best, ""
+}
+
+// worse keeps the reason that ends soonest by itself: a busy endpoint frees places.
+func worse(a, b Reason) Reason {
+	if a == AllBusy {
+		return a
+	}
+	return b
+}
+
+func (p *Pool) ejected(now clock.Instant) []bool {
+	group := make([]*routing.Health, len(p.order))
+	for i, e := range p.order {
+		group[i] = &e.Health
+	}
+	return routing.Ejected(group, now)
+}
+
+// hasRoom reports whether the endpoint has a place and memory for the request.
+func (p *Pool) hasRoom(e *Endpoint, load PeerWork, w *Work) bool {
+	if engine := p.service.Engine; engine != nil {
+		need := w.Prompt - e.cache.held(w.Parts) + w.Output
+		return load.Running < e.slots && (load.Running == 0 || load.Memory+need <= memoryUse*engine.KVTokens)
+	}
+	return float64(load.Running) < math.Ceil(float64(e.slots)*(1+pastSlots))
+}
+
+// cost returns the cost of the request at the endpoint, comparable within the pool, and the expected wait there.
+func (p *Pool) cost(e *Endpoint, load PeerWork, w *Work) (cost float64, wait time.Duration) {
+	if p.service.Engine == nil {
+		return float64(load.Running+1) / float64(e.slots), 0
+	}
+	tokens := load.Unread + w.Prompt - e.cache.held(w.Parts)
+	wait = firstEventFixed + time.Duration(tokens/p.readRate*float64(time.Second))
+	return tokens + runningCost*float64(load.Running), wait
+}
+
+// Cold reports whether the endpoint bears only its service's cold rate now.
+func (e *Endpoint) Cold(now clock.Instant) bool { return now.Before(e.ColdUntil) }
+
+func (p *Pool) mayUseCold(e *Endpoint, now clock.Instant) bool {
+	if !e.Cold(now) || p.service.ColdRate == 0 {
+		return true
+	}
+	return p.coldPace(e.ID, p.service.ColdRate) > 0 && !now.Before(e.coldNext)
+}
+
+// Begin records that the request is sent to the endpoint.
+func (p *Pool) Begin(now clock.Instant, e *Endpoint, w Work) {
+	if e.Cold(now) && p.service.ColdRate > 0 {
+		pace := p.coldPace(e.ID, p.service.ColdRate)
+		e.coldNext = now.Add(time.Duration(float64(time.Second) / max(pace, 0.01)))
+	}
+	r := &placed{work: w, at: now}
+	if e.cache != nil {
+		r.unread = w.Prompt - e.cache.held(w.Parts)
+		r.memory = r.unread + w.Output
+		e.cache.use(w.Parts)
+		r.ahead = e.load(now).Unread + r.unread
+	}
+	e.own[w.ID] = r
+	e.unread += r.unread
+	e.memory += r.memory
+}
+
+// Started records the first event of a request at an engine, and learns from it how fast prompts are read.
+func (p *Pool) Started(now clock.Instant, e *Endpoint, id string) {
+	r := e.own[id]
+	if r == nil || r.started {
+		return
+	}
+	r.started = true
+	e.unread -= r.unread
+	if spent := now.Sub(r.at) - firstEventFixed; r.ahead >= minMeasuredTokens && spent > 0 {
+		keep := math.Exp2(-1 / rateHalfLife)
+		p.readRate = p.readRate*keep + (1-keep)*r.ahead/spent.Seconds()
+	}
+}
+
+// End records that a request has left the endpoint, whatever the outcome.
+func (p *Pool) End(e *Endpoint, id string) {
+	r := e.own[id]
+	if r == nil {
+		return
+	}
+	delete(e.own, id)
+	if !r.started {
+		e.unread -= r.unread
+	}
+	e.memory -= r.memory
+	if len(e.own) == 0 {
+		e.unread, e.memory = 0, 0 // no rounding error stays
+	}
+}
+
+// ReadRate is the measured number of prompt tokens that an engine reads in a second.
+func (p *Pool) ReadRate() float64 { return p.readRate }
+
+// Summary is the load of the pool as other regions need it.
+type Summary struct {
+	Usable int           // endpoints that take work now
+	Wait   time.Duration // shortest expected time to a first event, for a prompt whose shared parts are held
+}
+
+// Summarise returns the load of the pool.
+func (p *Pool) Summarise(now clock.Instant) Summary {
+	s := Summary{}
+	out := p.ejected(now)
+	shortest := time.Duration(math.MaxInt64)
+	for i, e := range p.order {
+		if e.Draining || out[i] || !p.mayUseCold(e, now) {
+			continue
+		}
+		load := e.load(now)
+		if !p.hasRoom(e, load, &Work{}) {
+			continue
+		}
+		s.Usable++
+		if _, wait := p.cost(e, load, &Work{}); wait < shortest {
+			shortest = wait
+		}
+	}
+	if s.Usable > 0 {
+		s.Wait = shortest
+	}
+	return s
+}
--- /dev/null
+++ b/internal/edge/answer.go
@@ -0,0 +1,170 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/sse"
+)
+
+const (
+	// maxBodyBytes bounds a caller's body where the configuration names no limit.
+	maxBodyBytes = 4 << 20
+	// wholeBody is the size up to which an answer is read whole before it is passed on, so that a broken one can be tried
+	// again. Plain services answer with a few kilobytes.
+	wholeBody = 64 << 10
+)
+
+// errorBody is the body of the system's own refusals.
+type errorBody struct {
+	Error string `json:"error"`
+}
+
+// refuse answers with a failure of the system's own. It returns false, for callers that stop then. Statuses 429 and 503 promise
+// that the request has not run and never will.
+func (x *exchange) refuse(status int, reason string, retryAfter time.Duration) bool {
+	x.outcome.status = status
+	if x.outcome.reason == "" {
+		x.outcome.reason = reason
+	}
+	h := x.w.Header()
+	if retryAfter > 0 {
+		h.Set("Retry-After", x.edge.options.Dialect.RetryAfter(retryAfter))
+	}
+	h.Set("Content-Type", "application/json")
+	body, err := json.Marshal(errorBody{Error: reason})
+	if err != nil {
+		body = nil // the status says enough
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(status)
+	// A caller that has left does not need the answer.
+	_, _ = x.w.Write(body)
+	return false
+}
+
+// pass passes an endpoint's answer on. It returns a failure if the answer is not complete and the request may be tried again or
+// must be given up.
+func (x *exchange) pass(ctx context.Context, r *reply) *failure {
+	defer r.body.Close()
+	if x.wroteHead && r.status != http.StatusOK {
+		return &failure{kind: broken, endpoint: r.endpoint, reason: "endpoint refused to resume with status " + strconv.Itoa(r.status)}
+	}
+	if r.status >= http.StatusInternalServerError && x.route.Repeatable() && x.attempts < x.route.MaxAttempts {
+		return x.passOrRepeat(ctx, r)
+	}
+	if isEventStream(r.header) && r.status == http.StatusOK {
+		return x.passEvents(r)
+	}
+	return x.passBody(r)
+}
+
+// passOrRepeat handles a failure status of a request that may be repeated: it is repeated if the budget allows, else passed on.
+func (x *exchange) passOrRepeat(ctx context.Context, r *reply) *failure {
+	if ctx.Err() == nil && x.edge.mayRepeat(x.service) {
+		drain(r.body)
+		x.a.excluded[r.endpoint] = true
+		x.mayHave = true
+		x.repeatPaid = true
+		return &failure{kind: badAnswer, endpoint: r.endpoint, reason: "endpoint failed with status " + strconv.Itoa(r.status)}
+	}
+	return x.passBody(r)
+}
+
+func isEventStream(h http.Header) bool {
+	return len(h.Values("Content-Type")) > 0 && bytes.HasPrefix([]byte(h.Get("Content-Type")), []byte("text/event-stream"))
+}
+
+// passBody passes on a plain answer. A short one is read whole first.
+func (x *exchange) passBody(r *reply) *failure {
+	var start bytes.Buffer
+	_, err := io.CopyN(&start, r.body, wholeBody)
+	if err != nil && err != io.EOF {
+		return &failure{kind: broken, endpoint: r.endpoint, reason: "answer broke off: " + err.Error()}
+	}
+	whole := err == io.EOF
+	x.writeHead(r, func(h http.Header) {
+		if whole {
+			h.Set("Content-Length", strconv.Itoa(start.Len()))
+		}
+	})
+	if _, err := x.w.Write(start.Bytes()); err != nil {
+		x.outcome.reason = "caller has left"
+		return nil
+	}
+	if whole {
+		return nil
+	}
+	if _, err := io.Copy(x.w, r.body); err != nil {
+		x.outcome.reason = "answer broke off: " + err.Error()
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+// writeHead writes the head of the answer, with the headers of the endpoint.
+func (x *exchange) writeHead(r *reply, adjust func(http.Header)) {
+	h := x.w.Header()
+	for name, values := range withoutHopByHop(r.header) {
+		if name != "Content-Length" {
+			h[name] = values
+		}
+	}
+	adjust(h)
+	x.wroteHead = true
+	x.outcome.status = r.status
+	x.outcome.reason = ""
+	x.outcome.first = x.edge.clock.Now().Sub(x.arrived)
+	x.w.WriteHeader(r.status)
+}
+
+// passEvents passes on the events of a stream as they come. Only whole events are passed on.
+func (x *exchange) passEvents(r *reply) *failure {
+	events := sse.NewReader(r.body)
+	control := http.NewResponseController(x.w)
+	for {
+		event, err := events.NextRaw()
+		if err == io.EOF {
+			if !x.wroteHead {
+				x.writeHead(r, func(http.Header) {})
+			}
+			return nil
+		}
+		if err != nil {
+			return &failure{kind: broken, endpoint: r.endpoint, reason: "stream broke off: " + err.Error()}
+		}
+		if x.isOld(event.ID) {
+			continue
+		}
+		if !x.wroteHead {
+			x.writeHead(r, func(http.Header) {})
+		}
+		if _, err := x.w.Write(event.Raw); err != nil {
+			x.outcome.reason = "caller has left"
+			return nil
+		}
+		if err := control.Flush(); err != nil {
+			x.outcome.reason = "caller has left"
+			return nil
+		}
+		x.events++
+		if event.ID != "" {
+			x.lastEvent = event.ID
+		}
+	}
+}
+
+// isOld reports whether the caller has an event already: a resumed stream may begin with events that were passed on.
+func (x *exchange) isOld(id string) bool {
+	if id == "" || x.lastEvent == "" {
+		return false
+	}
+	next, err := strconv.ParseInt(id, 10, 64)
+	last, lastErr := strconv.ParseInt(x.lastEvent, 10, 64)
+	return err == nil && lastErr == nil && next <= last
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,142 @@
+// Package edge serves callers on a platform that lists its endpoints in its store: it routes requests by host and path,
+// checks keys and rates, chooses endpoints of its region or an instance of another region, and passes answers on.
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/catalog"
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/retrybudget"
+	"dogwoodknot.example/dogwoodknot/internal/peer"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
+)
+
+// PromptPart is a part of a prompt that other requests may share.
+type PromptPart struct {
+	ID     string
+	Tokens float64
+}
+
+// RequestHead is what the headers of a caller's request say.
+type RequestHead struct {
+	ID          string
+	Key         string // the caller's secret: never logged, never passed on
+	Deadline    time.Duration
+	HasDeadline bool
+	LastEvent   string // id of the last event that the caller has, when it resumes a stream
+
+	Model           string
+	PromptTokens    float64 // 0: not declared
+	MaxOutputTokens float64
+	LengthHint      float64 // expected output tokens, 0: not given
+	Parts           []PromptPart
+}
+
+// EndpointHead is what the system tells an endpoint with a request.
+type EndpointHead struct {
+	Endpoint     string // its id; another endpoint at the address declines the request
+	Organisation string // empty on a public route
+	Deadline     time.Duration
+	LastEvent    string
+	Urgency      int // 0 is first
+	HasUrgency   bool
+}
+
+// ReportedLoad is the load that an endpoint tells with an answer.
+type ReportedLoad struct{ Running, Waiting, Slots float64 }
+
+// AnswerHead is what the headers of an endpoint's answer say.
+type AnswerHead struct {
+	RequestID string // of the request that it answers, empty if it names none
+	Endpoint  string
+	NotRun    bool // the endpoint has not run the request and never will
+	Signed    bool // the endpoint vouches for the answer
+	ColdFor   time.Duration
+	Load      *ReportedLoad
+}
+
+// Dialect reads and writes the platform's headers.
+type Dialect interface {
+	Request(h http.Header) (RequestHead, error)
+	ToEndpoint(h http.Header, to EndpointHead)
+	Answer(status int, h http.Header) AnswerHead
+	// AnswerID reads the id of the request that an answer belongs to, empty if it names none.
+	AnswerID(h http.Header) string
+	// StripKey removes the caller's secret.
+	StripKey(h http.Header)
+	RetryAfter(d time.Duration) string
+}
+
+// Prefixes are the prefixes of the keys that others write.
+type Prefixes struct {
+	Operator  string
+	Endpoints string
+}
+
+// Documents decodes the keys that operators and endpoints write.
+type Documents interface {
+	Prefixes() Prefixes
+	IsConfiguration(key string) bool
+	EvacuatedDataCentre(key string) (dataCentre string, ok bool)
+	EndpointID(key string) (id string, ok bool)
+	Configuration(value []byte) (*catalog.Configuration, error)
+	Endpoint(id string, value []byte, now clock.Instant) (catalog.Endpoint, error)
+}
+
+// Directory tells callers which instances to use.
+type Directory interface {
+	// Resolve returns the callers' addresses of the instances for a place, and how long the answer may be used.
+	Resolve(region, dataCentre string) (addrs []string, validFor time.Duration)
+}
+
+// Bounds are what the operators hold the system to.
+type Bounds struct {
+	Retries retrybudget.Terms
+	// Grace is the time from the request to stop until the process is killed.
+	Grace time.Duration
+	// DirectoryTTL is the longest time that callers keep an answer of the directory.
+	DirectoryTTL time.Duration
+}
+
+// Options configure an Edge.
+type Options struct {
+	Self peer.Identity
+	// Regions maps each data centre to its region.
+	Regions    map[string]string
+	CallerAddr string // ip:port
+	PeerAddr   string // ip:port
+	Bounds     Bounds
+
+	Store     platform.Store
+	Feed      platform.Feed
+	Documents Documents
+	Dialect   Dialect
+	Dial      func(ctx context.Context, network, addr string) (net.Conn, error)
+	Clock     clock.Clock
+	Log       *zap.Logger
+	Scope     tally.Scope
+}
+
+// Validate returns all findings joined.
+func (o *Options) Validate() error {
+	var findings []error
+	check := func(ok bool, format string, args ...any) {
+		if !ok {
+			findings = append(findings, errors.Newf(format, args...))
+		}
+	}
+	check(o.Self.Instance != "" && o.Self.Incarnation != 0, "instance name or incarnation is missing")
+	check(o.Regions[o.Self.DataCentre] == o.Self.Region, "data centre %q is not in region %q", o.Self.DataCentre, o.Self.Region)
+	check(o.CallerAddr != "" && o.PeerAddr != "", "caller or peer address is missing")
+	check(o.Bounds.Grace > 0 && o.Bounds.DirectoryTTL > 0, "grace and directory validity must be positive")
+	check(o.Bounds.Retries.Window > 0 && o.Bounds.Retries.Ratio >= 0 && o.Bounds.Retries.Allowance >= 0, "retry budget is not valid")
+	return errors.Join(findings...)
+}
--- /dev/null
+++ b/internal/edge/exchange.go
@@ -0,0 +1,385 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/catalog"
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/placement"
+	"dogwoodknot.example/dogwoodknot/internal/core/routing"
+)
+
+const (
+	// answerMargin is the time kept back from a caller's deadline and a route's timeout for the last answer to arrive.
+	answerMargin = 30 * time.Millisecond
+	// maxUnsent bounds the endpoints to which a request could not be sent, which do not count as attempts.
+	maxUnsent = 4
+	// defaultOutput is the output expected of a request that declares no number of tokens.
+	defaultOutput = 256
+	// unboundedTimeout stands for a route without timeout and a request without deadline.
+	unboundedTimeout = 5 * time.Minute
+	// noEndpointRetry is when callers come back if no endpoint is known: endpoints announce themselves every second or so.
+	noEndpointRetry = time.Second
+)
+
+// exchange is one request of a caller.
+type exchange struct {
+	edge    *Edge
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived clock.Instant
+	conf    *inForce
+	head    RequestHead
+	route   *catalog.Route
+	org     *catalog.Organisation // nil on a public route
+	service string
+	homes   []string
+	bound   bool
+	cost    float64
+	limit   clock.Instant // when the caller must have its final answer
+
+	a        attempt
+	attempts int // endpoints that the request has reached
+	unsent   int
+	mayHave  bool // an attempt may have run the request
+	// repeatPaid says that the budget has been charged for the next attempt already.
+	repeatPaid bool
+	wroteHead  bool
+	lastEvent  string
+	events     int
+
+	outcome outcome
+}
+
+// outcome is what the log says of a request.
+type outcome struct {
+	status   int
+	reason   string
+	endpoint string
+	instance string
+	first    time.Duration // until the first byte of the answer
+}
+
+// ServeHTTP answers a caller's request.
+func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{edge: e, w: w, r: r, arrived: e.clock.Now()}
+	e.metrics.inFlight(1)
+	defer func() {
+		e.metrics.inFlight(-1)
+		x.report()
+	}()
+	if e.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if x.admit() {
+		x.run()
+	}
+}
+
+// admit checks the request up to its organisation's rate. It answers requests that go no further.
+func (x *exchange) admit() bool {
+	e := x.edge
+	if e.closing.Load() {
+		return x.refuse(http.StatusServiceUnavailable, "instance is stopping", 0)
+	}
+	x.conf = e.state.configuration.Load()
+	if x.conf == nil {
+		return x.refuse(http.StatusServiceUnavailable, "no configuration is known yet", noEndpointRetry)
+	}
+	path := x.r.URL.EscapedPath()
+	if raw, _, _ := strings.Cut(x.r.RequestURI, "?"); strings.HasPrefix(raw, "/") {
+		path = raw
+	}
+	var err error
+	x.head, err = e.options.Dialect.Request(x.r.Header)
+	x.route = x.conf.Match(x.r.Host, path)
+	if x.route == nil {
+		return x.refuse(http.StatusNotFound, "no route matches the host and path", 0)
+	}
+	if !x.route.Public {
+		if x.org = x.conf.Holder(x.head.Key); x.org == nil {
+			return x.refuse(http.StatusUnauthorized, "key is not known", 0)
+		}
+	}
+	if err != nil {
+		return x.refuse(http.StatusBadRequest, err.Error(), 0)
+	}
+	x.setLimit()
+	body, ok := x.readBody()
+	if !ok {
+		return false
+	}
+	x.service = x.route.Service(x.head.ID)
+	x.homes, x.bound = catalog.HomesOf(x.route, x.org)
+	x.prepare(body)
+	return x.takeFromRate()
+}
+
+// setLimit computes when the caller must have its final answer: at its deadline or at the route's timeout.
+func (x *exchange) setLimit() {
+	left := x.route.Timeout
+	if left <= 0 {
+		left = unboundedTimeout
+	}
+	if x.head.HasDeadline {
+		left = min(left, x.head.Deadline)
+	}
+	x.limit = x.arrived.Add(left)
+}
+
+func (x *exchange) readBody() ([]byte, bool) {
+	most := x.conf.Limits.BodyBytes
+	if most <= 0 {
+		most = maxBodyBytes
+	}
+	if x.r.ContentLength > most {
+		return nil, x.refuse(http.StatusRequestEntityTooLarge, "body is too large", 0)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, most))
+	if err == nil {
+		return body, true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, x.refuse(http.StatusRequestEntityTooLarge, "body is too large", 0)
+	}
+	x.outcome.reason = "caller's body could not be read: " + err.Error()
+	return nil, x.refuse(http.StatusBadRequest, "body could not be read", 0)
+}
+
+// prepare fills in what all attempts have in common.
+func (x *exchange) prepare(body []byte) {
+	urgency := x.route.Priority
+	if x.org != nil && x.org.HasPriority {
+		urgency = x.org.Priority*urgencyStep + min(x.route.Priority, urgencyStep-1)
+	}
+	organisation := ""
+	if x.org != nil {
+		organisation = x.org.Name
+	}
+	x.a = attempt{
+		id: x.head.ID, service: x.service, organisation: organisation,
+		method: x.r.Method, uri: x.r.RequestURI, host: x.r.Host, header: x.endToEnd(), body: body,
+		work: x.work(), urgency: urgency, hasUrgency: x.conf.Service(x.service).Engine != nil,
+		once: !x.route.Repeatable(), lastEvent: x.head.LastEvent, until: x.limit.Add(-answerMargin), excluded: map[string]bool{},
+	}
+	x.lastEvent = x.head.LastEvent
+}
+
+// urgencyStep is the number of ranks of routes within one rank of organisations.
+const urgencyStep = 3
+
+func (x *exchange) work() placement.Work {
+	w := placement.Work{ID: x.head.ID, Prompt: x.head.PromptTokens, Output: x.head.MaxOutputTokens}
+	if x.head.LengthHint > 0 {
+		w.Output = x.head.LengthHint
+	}
+	if w.Output == 0 && w.Prompt > 0 {
+		w.Output = defaultOutput
+	}
+	key := placement.Chain(0, x.service+"/"+x.head.Model)
+	sum := 0.0
+	for _, part := range x.head.Parts {
+		key = placement.Chain(key, part.ID)
+		w.Parts = append(w.Parts, placement.Part{Key: key, Tokens: part.Tokens})
+		sum += part.Tokens
+	}
+	w.Prompt = max(w.Prompt, sum)
+	return w
+}
+
+// hopByHop are the headers that concern one connection only (RFC 9110, section 7.6.1).
+var hopByHop = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te",
+	"Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
+
+// withoutHopByHop returns a copy of the headers without those that concern one connection only.
+func withoutHopByHop(h http.Header) http.Header {
+	out := h.Clone()
+	for _, value := range h.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
+
+func (x *exchange) endToEnd() http.Header {
+	h := withoutHopByHop(x.r.Header)
+	x.edge.options.Dialect.StripKey(h)
+	h.Del("Content-Length") // the body is sent with its length
+	return h
+}
+
+// takeFromRate admits the request if its organisation's rate covers it.
+func (x *exchange) takeFromRate() bool {
+	if x.org == nil {
+		return true
+	}
+	x.cost = x.org.Cost(x.head.PromptTokens + x.head.MaxOutputTokens)
+	admitted, retryAfter := x.edge.admitRate(x.org.Name, x.cost)
+	if admitted {
+		return true
+	}
+	x.cost = 0
+	return x.refuse(http.StatusTooManyRequests, "organisation's rate is used up", retryAfter)
+}
+
+// run makes attempts until the caller has its answer.
+func (x *exchange) run() {
+	e := x.edge
+	e.countRequest(x.service)
+	ctx, cancel := context.WithTimeout(x.r.Context(), x.limit.Sub(e.clock.Now()))
+	defer cancel()
+	for {
+		x.a.lastEvent = x.lastEvent
+		r, f := x.attempt(ctx)
+		if f != nil {
+			x.outcome.reason, x.outcome.endpoint = f.reason, f.endpoint
+			if x.again(ctx, f) {
+				continue
+			}
+			x.giveUp(ctx, f)
+			return
+		}
+		x.attempts++
+		x.outcome.endpoint, x.outcome.instance = r.endpoint, r.instance
+		if f = x.pass(ctx, r); f == nil {
+			return
+		}
+		x.outcome.reason = f.reason
+		if !x.again(ctx, f) {
+			x.giveUp(ctx, f)
+			return
+		}
+	}
+}
+
+// attempt makes one attempt here or in another region.
+func (x *exchange) attempt(ctx context.Context) (*reply, *failure) {
+	e := x.edge
+	x.a.placeBy = x.placeBy()
+	here := !x.bound || slices.Contains(x.homes, e.options.Self.Region)
+	remotes := e.fleet.regions(x.service, func(region string) bool { return !x.bound || slices.Contains(x.homes, region) })
+	local := placement.Summary{}
+	known := false
+	if here {
+		local, known = e.pools.summary(x.service)
+		known = known && local.Usable > 0
+	}
+	if i := routing.ChooseRegion(local.Wait, known, remotes, x.rng()); i >= 0 {
+		return e.attemptAt(ctx, remotes[i].Instance, &x.a, x.conf.Version)
+	}
+	if !here {
+		return nil, &failure{kind: notPlaced, reason: "no region that may serve the request can be reached", retryAfter: noEndpointRetry}
+	}
+	return e.attemptHere(ctx, &x.a)
+}
+
+func (x *exchange) rng() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// placeBy is until when the request may wait for an endpoint.
+func (x *exchange) placeBy() clock.Instant {
+	now := x.edge.clock.Now()
+	left := x.limit.Sub(now)
+	return now.Add(time.Duration(float64(left) * waitPart))
+}
+
+// waitPart is the part of the remaining time that a request may wait for an endpoint. The rest is for the work itself.
+const waitPart = 0.6
+
+// again decides whether a failed request is attempted once more, and notes what the failure means for the next attempt.
+func (x *exchange) again(ctx context.Context, f *failure) bool {
+	if f.endpoint != "" {
+		x.a.excluded[f.endpoint] = true
+	}
+	x.mayHave = x.mayHave || f.kind.mayHaveRun()
+	if ctx.Err() != nil || f.kind == notPlaced {
+		return false
+	}
+	if f.kind == notSent {
+		x.unsent++
+		return x.unsent <= maxUnsent
+	}
+	if f.kind == notRun {
+		x.attempts++
+	}
+	if x.attempts >= x.route.MaxAttempts {
+		return false
+	}
+	if f.kind.mayHaveRun() && !x.route.Repeatable() {
+		return false
+	}
+	if x.repeatPaid {
+		x.repeatPaid = false
+		return true
+	}
+	return x.edge.mayRepeat(x.service)
+}
+
+// giveUp tells the caller that the request has failed.
+func (x *exchange) giveUp(ctx context.Context, f *failure) {
+	if x.r.Context().Err() != nil {
+		x.outcome.reason = "caller has left"
+		return
+	}
+	if x.wroteHead {
+		// The answer has begun and cannot be completed: only a broken connection says so.
+		panic(http.ErrAbortHandler)
+	}
+	if !x.mayHave {
+		x.refund()
+		x.refuse(http.StatusServiceUnavailable, f.reason, max(f.retryAfter, minRetryAfter))
+		return
+	}
+	if ctx.Err() != nil {
+		x.refuse(http.StatusGatewayTimeout, "timeout: "+f.reason, 0)
+		return
+	}
+	x.refuse(http.StatusBadGateway, f.reason, 0)
+}
+
+// minRetryAfter is the shortest time after which a refused caller comes back: work under way needs some steps to end.
+const minRetryAfter = 100 * time.Millisecond
+
+func (x *exchange) refund() {
+	if x.org != nil && x.cost > 0 {
+		x.edge.refundRate(x.org.Name, x.cost)
+	}
+}
+
+// report writes the request's line of the log and its metrics.
+func (x *exchange) report() {
+	e := x.edge
+	took := e.clock.Now().Sub(x.arrived)
+	e.metrics.request(x.outcome.status, took)
+	fields := []zap.Field{
+		zap.String("request", x.head.ID), zap.Int("status", x.outcome.status), zap.String("reason", x.outcome.reason),
+		zap.Duration("took", took), zap.Duration("first", x.outcome.first),
+	}
+	if x.route != nil {
+		fields = append(fields, zap.String("route", x.route.Name), zap.Stringer("kind", x.route.Kind),
+			zap.Int64("configuration", x.conf.Version), zap.Duration("configuration_age", x.arrived.Sub(x.conf.since)))
+	}
+	if x.org != nil {
+		fields = append(fields, zap.String("organisation", x.org.Name))
+	}
+	if x.service != "" {
+		fields = append(fields, zap.String("service", x.service), zap.String("endpoint", x.outcome.endpoint), zap.String("via", x.outcome.instance),
+			zap.Int("attempts", x.attempts), zap.Int("unsent", x.unsent), zap.Strings("tried", slices.Sorted(maps.Keys(x.a.excluded))),
+			zap.Int("events", x.events), zap.Duration("left", x.limit.Sub(x.arrived)-took))
+	}
+	e.requestLog.Info("request", fields...)
+}
--- /dev/null
+++ b/internal/edge/metrics.go
@@ -0,0 +1,61 @@
+package edge
+
+import (
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// latencyBuckets reach from a plain call to the longest stream.
+var latencyBuckets = tally.DurationBuckets{
+	10 * time.Millisecond, 30 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond,
+	800 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second, 6 * time.Second, 12 * time.Second,
+}
+
+// metrics are the counters and histograms of an Edge.
+type metrics struct {
+	scope    tally.Scope
+	flight   tally.Gauge
+	current  atomic.Int64
+	dialled  tally.Gauge
+	reused   tally.Gauge
+	mu       sync.Mutex
+	byStatus map[int]statusMetrics
+}
+
+type statusMetrics struct {
+	requests tally.Counter
+	latency  tally.Histogram
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	return &metrics{
+		scope: scope, flight: scope.Gauge("requests_in_flight"),
+		dialled: scope.Gauge("endpoint_requests_on_new_connections"), reused: scope.Gauge("endpoint_requests_on_kept_connections"),
+		byStatus: make(map[int]statusMetrics),
+	}
+}
+
+func (m *metrics) inFlight(n int64) { m.flight.Update(float64(m.current.Add(n))) }
+
+func (m *metrics) connections(dialled, reused int64) {
+	m.dialled.Update(float64(dialled))
+	m.reused.Update(float64(reused))
+}
+
+// request records an answered request. Status 0 means that the caller had left.
+func (m *metrics) request(status int, took time.Duration) {
+	m.mu.Lock()
+	s, known := m.byStatus[status]
+	if !known {
+		scope := m.scope.Tagged(map[string]string{"status": strconv.Itoa(status)})
+		s = statusMetrics{requests: scope.Counter("requests"), latency: scope.Histogram("request_seconds", latencyBuckets)}
+		m.byStatus[status] = s
+	}
+	m.mu.Unlock()
+	s.requests.Inc(1)
+	s.latency.RecordDuration(took)
+}
--- /dev/null
+++ b/internal/edge/pools.go
@@ -0,0 +1,326 @@
+package edge
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/catalog"
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/placement"
+)
+
+const (
+	// engineBacklog is the longest expected time to a first event up to which requests are sent to an engine. Others wait
+	// here, where they can still go to another endpoint and urgent ones go first. It keeps an engine busy for several
+	// exchanges of work between instances.
+	engineBacklog = 300 * time.Millisecond
+	// pumpEvery is how often waiting requests are offered to endpoints when nothing else has happened: a cold endpoint takes
+	// several requests a second.
+	pumpEvery = 25 * time.Millisecond
+	// pumpLook is the number of waiting requests that are tried at a time. Those behind a request that fits nowhere (its
+	// endpoints were tried, or its prompt is large) need not wait for it.
+	pumpLook = 16
+)
+
+// pools are the endpoints of this region with the requests that wait for them. It is safe for concurrent use.
+type pools struct {
+	clock clock.Clock
+	// coldPace returns this instance's part of the rate of a cold endpoint.
+	coldPace func(endpoint string, rate float64) float64
+
+	mu        sync.Mutex
+	byService map[string]*servicePool
+	used      usedParts
+}
+
+type servicePool struct {
+	*placement.Pool
+	service *catalog.Service
+	waiting []*waiter // most urgent first
+}
+
+// waiter is a request that waits for an endpoint.
+type waiter struct {
+	work     placement.Work
+	urgency  int
+	deadline clock.Instant
+	excluded map[string]bool
+	placed   chan placement.Choice // with room for one
+}
+
+func newPools(c clock.Clock, coldPace func(string, float64) float64) *pools {
+	return &pools{clock: c, coldPace: coldPace, byService: make(map[string]*servicePool)}
+}
+
+// set replaces the services and their usable endpoints.
+func (p *pools) set(conf *catalog.Configuration, endpoints map[string][]catalog.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, list := range endpoints {
+		service := conf.Service(name)
+		if service == nil {
+			delete(endpoints, name)
+			continue
+		}
+		pool := p.byService[name]
+		if pool == nil {
+			pool = &servicePool{Pool: placement.NewPool(service, p.coldPace)}
+			p.byService[name] = pool
+		}
+		pool.service = service
+		pool.Configure(service)
+		pool.SetEndpoints(list)
+	}
+	for name, pool := range p.byService {
+		if _, used := endpoints[name]; !used {
+			pool.SetEndpoints(nil)
+		}
+	}
+	p.pumpAll()
+}
+
+// outcome of a placement.
+type placeOutcome struct {
+	choice placement.Choice
+	reason placement.Reason // why there is none
+}
+
+// place waits for an endpoint until the deadline, ctx ends or there is none. The returned endpoint has the request booked;
+// release must be called.
+func (p *pools) place(ctx context.Context, service string, w placement.Work, urgency int, until clock.Instant, excluded map[string]bool) placeOutcome {
+	p.mu.Lock()
+	pool := p.byService[service]
+	if pool == nil {
+		p.mu.Unlock()
+		return placeOutcome{reason: placement.NoEndpoint}
+	}
+	me := &waiter{work: w, urgency: urgency, deadline: until, excluded: excluded, placed: make(chan placement.Choice, 1)}
+	reason := p.admit(pool, me)
+	if reason == "" {
+		p.mu.Unlock()
+		return placeOutcome{choice: <-me.placed}
+	}
+	wait := until.Sub(p.clock.Now())
+	if reason == placement.NoEndpoint || wait <= 0 {
+		p.mu.Unlock()
+		return placeOutcome{reason: reason}
+	}
+	pool.enqueue(me)
+	p.mu.Unlock()
+
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case c := <-me.placed:
+		return placeOutcome{choice: c}
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case c := <-me.placed:
+		if ctx.Err() == nil {
+			return placeOutcome{choice: c}
+		}
+		pool.End(c.Endpoint, w.ID)
+	default:
+		pool.remove(me)
+	}
+	return placeOutcome{reason: reason}
+}
+
+// admit tries to place a request unless more urgent ones wait. It returns the reason if it must wait.
+func (p *pools) admit(pool *servicePool, me *waiter) placement.Reason {
+	if len(pool.waiting) > 0 && !before(me, pool.waiting[0]) {
+		return placement.AllBusy
+	}
+	return p.try(pool, me)
+}
+
+func (p *pools) try(pool *servicePool, me *waiter) placement.Reason {
+	now := p.clock.Now()
+	constraint := placement.Constraint{Excluded: func(id string) bool { return me.excluded[id] }}
+	if pool.service.Engine != nil {
+		constraint.MaxWait = engineBacklog
+	}
+	choice, reason := pool.Choose(now, &me.work, constraint)
+	if reason != "" {
+		return reason
+	}
+	pool.Begin(now, choice.Endpoint, me.work)
+	p.used.add(choice.Endpoint.ID, me.work.Parts)
+	me.placed <- choice
+	return ""
+}
+
+// before orders waiting requests: by urgency, then by deadline.
+func before(a, b *waiter) bool {
+	if a.urgency != b.urgency {
+		return a.urgency < b.urgency
+	}
+	return a.deadline < b.deadline
+}
+
+func (s *servicePool) enqueue(me *waiter) {
+	at, _ := slices.BinarySearchFunc(s.waiting, me, func(a, b *waiter) int {
+		if before(b, a) {
+			return 1
+		}
+		return -1
+	})
+	s.waiting = slices.Insert(s.waiting, at, me)
+}
+
+func (s *servicePool) remove(me *waiter) {
+	if i := slices.Index(s.waiting, me); i >= 0 {
+		s.waiting = slices.Delete(s.waiting, i, i+1)
+	}
+}
+
+// pump offers waiting requests to the endpoints.
+func (p *pools) pump(pool *servicePool) {
+	for i, tried := 0, 0; i < len(pool.waiting) && tried < pumpLook; tried++ {
+		if p.try(pool, pool.waiting[i]) == "" {
+			pool.waiting = slices.Delete(pool.waiting, i, i+1)
+			continue
+		}
+		i++
+	}
+}
+
+func (p *pools) pumpAll() {
+	for _, pool := range p.byService {
+		p.pump(pool)
+	}
+}
+
+// run pumps until ctx ends.
+func (p *pools) run(ctx context.Context) {
+	for clock.Sleep(ctx, pumpEvery) == nil {
+		p.mu.Lock()
+		p.pumpAll()
+		p.mu.Unlock()
+	}
+}
+
+// started records the first event of a request.
+func (p *pools) started(service string, e *placement.Endpoint, id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool := p.byService[service]
+	pool.Started(p.clock.Now(), e, id)
+	p.pump(pool)
+}
+
+// verdict is what an attempt has shown of its endpoint.
+type verdict int
+
+const (
+	verdictNone   verdict = iota // the attempt ended for reasons of its own
+	verdictGood                  // the endpoint has answered
+	verdictFailed                // the endpoint has failed the request
+	verdictSilent                // the endpoint could not be reached or its connection broke
+)
+
+// release records the end of a request at an endpoint.
+func (p *pools) release(service string, e *placement.Endpoint, id string, v verdict) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	switch v {
+	case verdictGood:
+		e.Health.Succeeded(0)
+	case verdictFailed:
+		e.Health.Failed(now)
+	case verdictSilent:
+		e.Health.Silent(now)
+	}
+	pool := p.byService[service]
+	pool.End(e, id)
+	p.pump(pool)
+}
+
+// coldFor records that an endpoint has said that it is cold.
+func (p *pools) coldFor(e *placement.Endpoint, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e.ColdUntil = max(e.ColdUntil, p.clock.Now().Add(d))
+}
+
+// summary returns the load of a service here, with the waiting requests counted in.
+func (p *pools) summary(service string) (placement.Summary, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool := p.byService[service]
+	if pool == nil || pool.Len() == 0 {
+		return placement.Summary{}, false
+	}
+	return pool.summary(p.clock.Now()), true
+}
+
+func (s *servicePool) summary(now clock.Instant) placement.Summary {
+	sum := s.Summarise(now)
+	sum.Wait += s.queueWait(max(1, sum.Usable))
+	return sum
+}
+
+// queueWait estimates how long the waiting requests will occupy the endpoints before another one gets its turn.
+func (s *servicePool) queueWait(usable int) time.Duration {
+	if s.service.Engine == nil {
+		return time.Duration(len(s.waiting)) * plainWork / time.Duration(usable*max(1, s.Slots()))
+	}
+	tokens := 0.0
+	for _, w := range s.waiting {
+		tokens += w.work.Unshared()
+	}
+	return time.Duration(tokens / (s.ReadRate() * float64(usable)) * float64(time.Second))
+}
+
+// plainWork is what a plain request is taken to occupy a slot for, to compare queues of regions: calls of plain services take
+// 15 to 60 ms.
+const plainWork = 40 * time.Millisecond
+
+// each calls f for each service with its pool.
+func (p *pools) each(f func(name string, pool *servicePool)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, pool := range p.byService {
+		f(name, pool)
+	}
+}
+
+// usedParts are the prompt parts that this instance's requests have read lately, for the other instances of the region.
+type usedParts struct {
+	first int64 // number of the first entry that is kept
+	log   []partUse
+}
+
+type partUse struct {
+	endpoint string
+	parts    []placement.Part
+}
+
+// maxUsedParts bounds the entries that are kept for an instance which does not take them: a few seconds of requests.
+const maxUsedParts = 2048
+
+func (u *usedParts) add(endpoint string, parts []placement.Part) {
+	if len(parts) == 0 {
+		return
+	}
+	u.log = append(u.log, partUse{endpoint: endpoint, parts: parts})
+	if len(u.log) > maxUsedParts {
+		drop := len(u.log) / 2
+		u.log = slices.Clone(u.log[drop:])
+		u.first += int64(drop)
+	}
+}
+
+// since returns the entries from number n on, and the number of the next one.
+func (u *usedParts) since(n int64) ([]partUse, int64) {
+	next := u.first + int64(len(u.log))
+	from := min(max(n-u.first, 0), int64(len(u.log)))
+	return slices.Clone(u.log[from:]), next
+}
--- /dev/null
+++ b/internal/edge/remote.go
@@ -0,0 +1,225 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"dogwoodknot.example/dogwoodknot/internal/core/placement"
+	"dogwoodknot.example/dogwoodknot/internal/peer"
+	"dogwoodknot.example/dogwoodknot/internal/wire"
+)
+
+// serviceAttempt is the peer service that makes an attempt for an instance of another region. What arrives there is never
+// sent on to a third instance.
+const serviceAttempt = "edge.attempt"
+
+// answerPart is the size up to which parts of an answer are sent to the calling instance.
+const answerPart = 16 << 10
+
+// attemptAt makes an attempt through an instance of another region.
+func (e *Edge) attemptAt(ctx context.Context, instance string, a *attempt, version int64) (*reply, *failure) {
+	ctx, cancel := context.WithCancel(ctx)
+	stream, err := e.network.Open(ctx, instance, serviceAttempt)
+	if err != nil {
+		cancel()
+		e.fleet.unreachable(instance)
+		return nil, &failure{kind: notSent, reason: "instance " + instance + ": " + err.Error()}
+	}
+	if err := stream.Send(e.encodeAttempt(a, version)); err != nil {
+		closeStream(stream, cancel)
+		return nil, hopFailure(instance, err)
+	}
+	var answer wire.EdgeAnswer
+	if err := stream.Recv(&answer); err != nil {
+		closeStream(stream, cancel)
+		return nil, hopFailure(instance, err)
+	}
+	if end := answer.GetEnd(); end != nil {
+		closeStream(stream, cancel)
+		return nil, &failure{
+			kind: failureKind(end.GetFailure()), endpoint: end.GetEndpoint(), reason: instance + ": " + end.GetReason(),
+			retryAfter: time.Duration(end.GetRetryAfterNanos()),
+		}
+	}
+	head := answer.GetHead()
+	if head == nil {
+		closeStream(stream, cancel)
+		return nil, &failure{kind: badAnswer, reason: "instance " + instance + " has sent an answer without a head"}
+	}
+	return &reply{
+		status: int(head.GetStatus()), header: decodeHeaders(head.GetHeaders()), endpoint: head.GetEndpoint(), instance: instance,
+		body: &remoteBody{stream: stream, cancel: cancel},
+	}, nil
+}
+
+// hopFailure describes an attempt whose call to the other instance failed. The instance may have sent the request.
+func hopFailure(instance string, err error) *failure {
+	f := &failure{kind: broken, reason: "instance " + instance + ": " + err.Error()}
+	var remote *peer.RemoteError
+	if errors.Is(err, peer.ErrNotSent) || errors.As(err, &remote) && remote.Code == peer.CodeOverloaded {
+		f.kind = notSent
+	}
+	return f
+}
+
+func closeStream(s peer.Stream, cancel context.CancelFunc) {
+	// The outcome of the call is known; the stream has nothing more to tell.
+	_ = s.Close()
+	cancel()
+}
+
+func (e *Edge) encodeAttempt(a *attempt, version int64) *wire.EdgeRequest {
+	now := e.clock.Now()
+	req := &wire.EdgeRequest{
+		Id: a.id, ConfigurationVersion: version, Organisation: a.organisation, Service: a.service,
+		Method: a.method, Uri: a.uri, Host: a.host, Headers: encodeHeaders(a.header), Body: a.body,
+		LeftNanos: int64(a.until.Sub(now) - hopReserve), MaxWaitNanos: int64(a.placeBy.Sub(now)),
+		LastEvent: a.lastEvent, Urgency: int32(a.urgency), HasUrgency: a.hasUrgency, Once: a.once,
+		PromptTokens: a.work.Prompt, OutputTokens: a.work.Output,
+	}
+	for id := range a.excluded {
+		req.Excluded = append(req.Excluded, id)
+	}
+	for _, p := range a.work.Parts {
+		req.PartKeys = append(req.PartKeys, p.Key)
+		req.PartTokens = append(req.PartTokens, p.Tokens)
+	}
+	return req
+}
+
+// hopReserve is kept back from the time of an attempt in another region, for its answer's way: one wide-area latency.
+const hopReserve = 80 * time.Millisecond
+
+func encodeHeaders(h http.Header) []*wire.ForwardHeader {
+	out := make([]*wire.ForwardHeader, 0, len(h))
+	for name, values := range h {
+		for _, v := range values {
+			out = append(out, &wire.ForwardHeader{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+func decodeHeaders(list []*wire.ForwardHeader) http.Header {
+	h := make(http.Header, len(list))
+	for _, v := range list {
+		h[v.GetName()] = append(h[v.GetName()], v.GetValue())
+	}
+	return h
+}
+
+// remoteBody is the body of an answer that comes through another instance.
+type remoteBody struct {
+	stream peer.Stream
+	cancel context.CancelFunc
+	rest   []byte
+	ended  error
+}
+
+// Read returns io.EOF only after the other instance has said that the answer is complete.
+func (b *remoteBody) Read(p []byte) (int, error) {
+	for len(b.rest) == 0 {
+		if b.ended != nil {
+			return 0, b.ended
+		}
+		var answer wire.EdgeAnswer
+		if err := b.stream.Recv(&answer); err != nil {
+			b.ended = errors.Wrap(err, "answer through another instance")
+			if errors.Is(err, io.EOF) {
+				b.ended = io.ErrUnexpectedEOF
+			}
+			return 0, b.ended
+		}
+		b.take(&answer)
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+func (b *remoteBody) take(answer *wire.EdgeAnswer) {
+	end := answer.GetEnd()
+	if end == nil {
+		b.rest = answer.GetBody()
+		return
+	}
+	b.ended = io.EOF
+	if end.GetFailure() != "" {
+		b.ended = errors.Newf("answer through another instance: %s", end.GetReason())
+	}
+}
+
+// Close cancels what is left of the attempt.
+func (b *remoteBody) Close() error {
+	closeStream(b.stream, b.cancel)
+	return nil
+}
+
+// serveAttempt makes an attempt for an instance of another region.
+func (e *Edge) serveAttempt(ctx context.Context, from peer.Identity, s peer.Stream) error {
+	var req wire.EdgeRequest
+	if err := s.Recv(&req); err != nil {
+		return err
+	}
+	a := e.decodeAttempt(&req)
+	ctx, cancel := context.WithTimeout(ctx, a.until.Sub(e.clock.Now()))
+	defer cancel()
+	r, f := e.attemptHere(ctx, a)
+	if f != nil {
+		return s.Send(endOf(f))
+	}
+	defer r.body.Close()
+	if err := s.Send(&wire.EdgeAnswer{Part: &wire.EdgeAnswer_Head{Head: &wire.EdgeAnswerHead{
+		Status: int32(r.status), Headers: encodeHeaders(r.header), Endpoint: r.endpoint,
+	}}}); err != nil {
+		return err
+	}
+	buf := make([]byte, answerPart)
+	for {
+		n, err := r.body.Read(buf)
+		if n > 0 {
+			if err := s.Send(&wire.EdgeAnswer{Part: &wire.EdgeAnswer_Body{Body: buf[:n]}}); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return s.Send(&wire.EdgeAnswer{Part: &wire.EdgeAnswer_End{End: &wire.EdgeAnswerEnd{}}})
+		}
+		if err != nil {
+			return s.Send(endOf(&failure{kind: broken, endpoint: r.endpoint, reason: err.Error()}))
+		}
+	}
+}
+
+func endOf(f *failure) proto.Message {
+	return &wire.EdgeAnswer{Part: &wire.EdgeAnswer_End{End: &wire.EdgeAnswerEnd{
+		Failure: string(f.kind), Reason: f.reason, Endpoint: f.endpoint, RetryAfterNanos: int64(f.retryAfter),
+	}}}
+}
+
+func (e *Edge) decodeAttempt(req *wire.EdgeRequest) *attempt {
+	now := e.clock.Now()
+	a := &attempt{
+		id: req.GetId(), service: req.GetService(), organisation: req.GetOrganisation(),
+		method: req.GetMethod(), uri: req.GetUri(), host: req.GetHost(), header: decodeHeaders(req.GetHeaders()), body: req.GetBody(),
+		work:    placement.Work{ID: req.GetId(), Prompt: req.GetPromptTokens(), Output: req.GetOutputTokens()},
+		urgency: int(req.GetUrgency()), hasUrgency: req.GetHasUrgency(), once: req.GetOnce(), lastEvent: req.GetLastEvent(),
+		until: now.Add(time.Duration(req.GetLeftNanos())), placeBy: now.Add(time.Duration(req.GetMaxWaitNanos())),
+		excluded: make(map[string]bool, len(req.GetExcluded())),
+	}
+	for _, id := range req.GetExcluded() {
+		a.excluded[id] = true
+	}
+	tokens := req.GetPartTokens()
+	for i, key := range req.GetPartKeys() {
+		if i < len(tokens) {
+			a.work.Parts = append(a.work.Parts, placement.Part{Key: key, Tokens: tokens[i]})
+		}
+	}
+	return a
+}
--- /dev/null
+++ b/internal/edge/service.go
@@ -0,0 +1,219 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/fleetquota"
+	"dogwoodknot.example/dogwoodknot/internal/core/retrybudget"
+	"dogwoodknot.example/dogwoodknot/internal/endpointconn"
+	"dogwoodknot.example/dogwoodknot/internal/mirror"
+	"dogwoodknot.example/dogwoodknot/internal/peer"
+)
+
+// Edge is an entry instance on such a platform. Create it with New, then call Start.
+type Edge struct {
+	options    Options
+	clock      clock.Clock
+	log        *zap.Logger
+	requestLog *zap.Logger
+	metrics    *metrics
+
+	state   *state
+	fleet   *fleet
+	pools   *pools
+	conns   *endpointconn.Pool
+	network Network
+
+	quotaMu sync.Mutex
+	quota   *fleetquota.Ledger
+	retryMu sync.Mutex
+	retries *retrybudget.Budget
+
+	leaving  atomic.Bool // callers are sent elsewhere
+	closing  atomic.Bool // requests are refused
+	fetching atomic.Bool // of a configuration from another instance
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	work    sync.WaitGroup
+	talkers map[string]talker // by instance; used by changedMembers only
+	talkMu  sync.Mutex
+}
+
+// Network connects the instances.
+type Network interface {
+	peer.Network
+	// Trust replaces the certificates (PEM) of the instances whose sessions are accepted.
+	Trust(certificates []byte) error
+}
+
+// talker is the goroutine that tells an instance this one's state.
+type talker struct {
+	incarnation uint64
+	stop        context.CancelFunc
+}
+
+// New checks the options and returns an Edge that does nothing yet.
+func New(o Options, network Network) (*Edge, error) {
+	if err := o.Validate(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Edge{
+		options: o, clock: o.Clock, log: o.Log, requestLog: o.Log.Named("request"), metrics: newMetrics(o.Scope),
+		network: network, quota: fleetquota.New(), retries: retrybudget.New(o.Bounds.Retries),
+		ctx: ctx, cancel: cancel, talkers: make(map[string]talker),
+	}
+	e.state = newState(&e.options)
+	e.state.changed = e.changedState
+	e.fleet = newFleet(&e.options)
+	e.fleet.changed = e.changedMembers
+	e.pools = newPools(o.Clock, e.fleet.coldPace)
+	e.conns = endpointconn.NewPool(o.Dial, o.Dialect.AnswerID)
+	network.Handle(serviceState, peer.Unary(e.serveState))
+	network.Handle(serviceDocument, peer.Unary(e.serveDocument))
+	network.Handle(serviceAttempt, e.serveAttempt)
+	return e, nil
+}
+
+// Start begins to follow the store and to announce the instance with the certificate (PEM) of its sessions.
+func (e *Edge) Start(certificate []byte) error {
+	value, err := encodeAnnouncement(&e.options, certificate)
+	if err != nil {
+		return err
+	}
+	follow := func(prefix string, apply func(mirror.Update)) {
+		m := mirror.New(e.options.Feed, prefix, e.clock, e.log, apply)
+		e.spawn(m.Run)
+	}
+	prefixes := e.options.Documents.Prefixes()
+	follow(prefixes.Operator, e.state.applyOperator)
+	follow(prefixes.Endpoints, e.state.applyEndpoints)
+	follow(InstancePrefix, e.fleet.apply)
+	e.spawn(e.pools.run)
+	e.spawn(e.housekeep)
+	e.spawn(func(ctx context.Context) { e.announce(ctx, value) })
+	return nil
+}
+
+// spawn runs f on a goroutine that Close waits for.
+func (e *Edge) spawn(f func(ctx context.Context)) {
+	e.work.Go(func() { f(e.ctx) })
+}
+
+// Ready reports whether callers may be sent here: configuration and endpoints are known, and the instance is not leaving.
+func (e *Edge) Ready() bool {
+	return e.state.configuration.Load() != nil && e.state.listed.Load() && !e.leaving.Load()
+}
+
+// Leave sends callers elsewhere. Requests are still served.
+func (e *Edge) Leave() { e.leaving.Store(true) }
+
+// Refuse refuses requests from now on.
+func (e *Edge) Refuse() { e.closing.Store(true) }
+
+// Close stops all work and removes the announcement.
+func (e *Edge) Close() {
+	e.cancel()
+	e.work.Wait()
+}
+
+func (e *Edge) changedState() {
+	conf := e.state.configuration.Load()
+	if conf == nil {
+		return
+	}
+	e.quotaMu.Lock()
+	e.quota.SetTerms(e.clock.Now(), conf.terms())
+	e.quotaMu.Unlock()
+	e.pools.set(conf.Configuration, e.state.usable(e.options.Self.Region))
+}
+
+// changedMembers connects to the instances that are known now.
+func (e *Edge) changedMembers() {
+	e.talkMu.Lock()
+	defer e.talkMu.Unlock()
+	addrs, certificates := e.fleet.peers()
+	if err := e.network.Trust(certificates); err != nil {
+		e.log.Error("certificates of other instances cannot be used", zap.Error(err))
+	}
+	e.network.SetPeers(addrs)
+	incarnations := e.fleet.incarnations()
+	e.quotaMu.Lock()
+	e.quota.SetPeers(e.clock.Now(), incarnations)
+	e.quotaMu.Unlock()
+	for name, t := range e.talkers {
+		if incarnations[name] != t.incarnation {
+			t.stop()
+			delete(e.talkers, name)
+		}
+	}
+	for name, incarnation := range incarnations {
+		if _, known := e.talkers[name]; known {
+			continue
+		}
+		ctx, stop := context.WithCancel(e.ctx)
+		e.talkers[name] = talker{incarnation: incarnation, stop: stop}
+		near := e.fleet.near(name)
+		e.work.Go(func() { e.talk(ctx, name, near) })
+	}
+}
+
+func (e *Edge) housekeep(ctx context.Context) {
+	for clock.Sleep(ctx, housekeepEvery) == nil {
+		e.fleet.sweep()
+		e.conns.Keep(e.state.knownAddr())
+		dialled, reused := e.conns.Counts()
+		e.metrics.connections(dialled, reused)
+	}
+}
+
+func (e *Edge) admitRate(organisation string, cost float64) (bool, time.Duration) {
+	e.quotaMu.Lock()
+	defer e.quotaMu.Unlock()
+	return e.quota.Admit(e.clock.Now(), organisation, cost)
+}
+
+func (e *Edge) refundRate(organisation string, cost float64) {
+	e.quotaMu.Lock()
+	defer e.quotaMu.Unlock()
+	e.quota.Refund(e.clock.Now(), organisation, cost)
+}
+
+func (e *Edge) countRequest(service string) {
+	e.retryMu.Lock()
+	defer e.retryMu.Unlock()
+	e.retries.Request(e.clock.Now(), service)
+}
+
+// mayRepeat takes a repeat from the budget of the service.
+func (e *Edge) mayRepeat(service string) bool {
+	size := e.fleet.size()
+	e.retryMu.Lock()
+	defer e.retryMu.Unlock()
+	return e.retries.Repeat(e.clock.Now(), service, size)
+}
+
+// comeBack is when a request that found no place should be sent again.
+func (e *Edge) comeBack(service string) time.Duration {
+	sum, known := e.pools.summary(service)
+	if !known || sum.Usable == 0 {
+		return noEndpointRetry
+	}
+	return max(minRetryAfter, sum.Wait)
+}
+
+func encodeAnnouncement(o *Options, certificate []byte) ([]byte, error) {
+	value, err := marshalAnnouncement(announcement{
+		Incarnation: o.Self.Incarnation, Region: o.Self.Region, DataCentre: o.Self.DataCentre,
+		CallerAddr: o.CallerAddr, PeerAddr: o.PeerAddr, Certificate: certificate,
+	})
+	return value, errors.Wrap(err, "encode announcement")
+}
--- /dev/null
+++ b/internal/edge/state.go
@@ -0,0 +1,286 @@
+package edge
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/catalog"
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/fleetquota"
+	"dogwoodknot.example/dogwoodknot/internal/mirror"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
+)
+
+const (
+	// returnGrace is how long an endpoint that vanished from the store during its outage is still used after it: endpoints
+	// that live are listed again within about two seconds.
+	returnGrace = 2200 * time.Millisecond
+	// outageMin is the shortest loss of the store after which endpoints may have lapsed without having ended.
+	outageMin = time.Second
+)
+
+// state is what this instance believes of the operator's declarations and of the endpoints. Requests read snapshots; updates
+// come from the mirrors and from peers.
+type state struct {
+	options *Options
+	log     *zap.Logger
+
+	configuration atomic.Pointer[inForce]
+	listed        atomic.Bool // the endpoints have been read once
+
+	mu        sync.Mutex
+	endpoints map[string]listedEndpoint // by id
+	evacuated map[string]bool           // data centres
+	graceEnds clock.Instant             // of endpoints that vanished during an outage
+
+	// changed is called, without the lock, after the configuration or the usable endpoints have changed.
+	changed func()
+}
+
+// inForce is a configuration with the document that it was decoded from.
+type inForce struct {
+	*catalog.Configuration
+	document []byte
+	since    clock.Instant
+}
+
+type listedEndpoint struct {
+	catalog.Endpoint
+	revision int64
+	gone     bool // vanished, and still used until graceEnds
+}
+
+func newState(o *Options) *state {
+	return &state{options: o, log: o.Log, endpoints: make(map[string]listedEndpoint), evacuated: make(map[string]bool)}
+}
+
+// version returns the version of the configuration in force, 0 before the first.
+func (s *state) version() int64 {
+	if c := s.configuration.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// accept puts a configuration in force if it is newer than the present one. A document that cannot be read leaves the present
+// one in force.
+func (s *state) accept(document []byte, source string) {
+	next, err := s.options.Documents.Configuration(document)
+	if err != nil {
+		s.log.Error("configuration cannot be used", zap.String("source", source), zap.Error(err),
+			zap.Int64("in_force", s.version()))
+		return
+	}
+	s.mu.Lock()
+	if next.Version <= s.version() {
+		s.mu.Unlock()
+		return
+	}
+	before := s.version()
+	s.configuration.Store(&inForce{Configuration: next, document: document, since: s.options.Clock.Now()})
+	s.mu.Unlock()
+	s.log.Info("configuration in force", zap.Int64("version", next.Version), zap.Int64("before", before), zap.String("source", source))
+	s.changed()
+}
+
+// applyOperator takes changes of the operator's keys.
+func (s *state) applyOperator(u mirror.Update) {
+	evacuated := make(map[string]bool)
+	configured := false
+	for _, c := range u.Changes {
+		if s.options.Documents.IsConfiguration(c.Key) && !c.Deleted {
+			s.accept(c.Value, "store")
+			continue
+		}
+		if dataCentre, ok := s.options.Documents.EvacuatedDataCentre(c.Key); ok {
+			evacuated[dataCentre] = !c.Deleted
+			configured = true
+		}
+	}
+	if !configured && !u.Reset {
+		return
+	}
+	s.evacuate(evacuated, u.Reset)
+}
+
+// evacuate sets which data centres take no requests. With reset, all others take them.
+func (s *state) evacuate(changes map[string]bool, reset bool) {
+	s.mu.Lock()
+	changed := false
+	if reset {
+		for dataCentre := range s.evacuated {
+			if !changes[dataCentre] {
+				changes[dataCentre] = false
+			}
+		}
+	}
+	for dataCentre, out := range changes {
+		if out == s.evacuated[dataCentre] {
+			continue
+		}
+		changed = true
+		s.log.Info("data centre evacuation", zap.String("data_centre", dataCentre), zap.Bool("evacuated", out))
+		if out {
+			s.evacuated[dataCentre] = true
+			continue
+		}
+		delete(s.evacuated, dataCentre)
+		s.warmUp(dataCentre)
+	}
+	s.mu.Unlock()
+	if changed {
+		s.changed()
+	}
+}
+
+// warmUp treats the endpoints of a data centre that takes requests again as cold: their caches were dropped, and what they
+// last said of themselves may be older.
+func (s *state) warmUp(dataCentre string) {
+	conf := s.configuration.Load()
+	if conf == nil {
+		return
+	}
+	now := s.options.Clock.Now()
+	for id, e := range s.endpoints {
+		service := conf.Service(e.Service)
+		if e.DataCentre != dataCentre || service == nil {
+			continue
+		}
+		e.ColdUntil = max(e.ColdUntil, now.Add(service.ColdFor))
+		s.endpoints[id] = e
+	}
+}
+
+// applyEndpoints takes changes of the endpoints' keys.
+func (s *state) applyEndpoints(u mirror.Update) {
+	now := s.options.Clock.Now()
+	s.mu.Lock()
+	if u.Regained >= outageMin {
+		s.graceEnds = now.Add(returnGrace)
+	}
+	present := make(map[string]bool)
+	changed := u.Reset && !s.listed.Load()
+	for _, c := range u.Changes {
+		id, ok := s.options.Documents.EndpointID(c.Key)
+		if !ok {
+			continue
+		}
+		present[id] = true
+		if c.Deleted {
+			changed = s.vanish(id, now) || changed
+			continue
+		}
+		changed = s.describe(id, c, now) || changed
+	}
+	if u.Reset {
+		for id := range s.endpoints {
+			if !present[id] {
+				changed = s.vanish(id, now) || changed
+			}
+		}
+	}
+	s.listed.Store(true)
+	s.mu.Unlock()
+	if changed {
+		s.changed()
+	}
+}
+
+// describe takes what an endpoint says of itself. It reports whether that changes where requests may go.
+func (s *state) describe(id string, c platform.Change, now clock.Instant) bool {
+	before, known := s.endpoints[id]
+	if known && !before.gone && c.Revision <= before.revision {
+		return false
+	}
+	next, err := s.options.Documents.Endpoint(id, c.Value, now)
+	if err != nil {
+		s.log.Warn("endpoint entry cannot be used", zap.Error(err), zap.Int64("revision", c.Revision))
+		return s.vanish(id, now)
+	}
+	s.endpoints[id] = listedEndpoint{Endpoint: next, revision: c.Revision}
+	same := known && !before.gone && sameUse(before.Endpoint, next)
+	if !known || !same {
+		s.log.Info("endpoint listed", zap.String("endpoint", id), zap.String("service", next.Service), zap.String("addr", next.Addr),
+			zap.String("data_centre", next.DataCentre), zap.Bool("draining", next.Draining), zap.Int64("born", next.Born),
+			zap.Bool("cold", next.ColdUntil > now), zap.Int64("revision", c.Revision))
+	}
+	return !same
+}
+
+// sameUse reports whether two descriptions of an endpoint allow the same use of it.
+func sameUse(a, b catalog.Endpoint) bool {
+	return a.Incarnation == b.Incarnation && a.Service == b.Service && a.Addr == b.Addr && a.DataCentre == b.DataCentre &&
+		a.Slots == b.Slots && a.Draining == b.Draining && a.ColdUntil == b.ColdUntil && (a.EndsAt == 0) == (b.EndsAt == 0)
+}
+
+// vanish takes an endpoint's entry away. Right after an outage of the store it is used for a moment longer.
+func (s *state) vanish(id string, now clock.Instant) bool {
+	e, known := s.endpoints[id]
+	if !known || e.gone {
+		return false
+	}
+	if now < s.graceEnds && !e.Draining {
+		e.gone = true
+		s.endpoints[id] = e
+		s.log.Info("endpoint lapsed during the store's outage", zap.String("endpoint", id))
+		time.AfterFunc(s.graceEnds.Sub(now), s.endGrace)
+		return false
+	}
+	delete(s.endpoints, id)
+	s.log.Info("endpoint gone", zap.String("endpoint", id), zap.String("service", e.Service))
+	return true
+}
+
+// endGrace removes the endpoints that have not come back after an outage.
+func (s *state) endGrace() {
+	s.mu.Lock()
+	changed := false
+	for id, e := range s.endpoints {
+		if e.gone {
+			delete(s.endpoints, id)
+			changed = true
+			s.log.Info("endpoint gone", zap.String("endpoint", id), zap.String("service", e.Service))
+		}
+	}
+	s.mu.Unlock()
+	if changed {
+		s.changed()
+	}
+}
+
+// usable returns the endpoints of the region that may get requests, by service.
+func (s *state) usable(region string) map[string][]catalog.Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string][]catalog.Endpoint)
+	for _, e := range s.endpoints {
+		if s.options.Regions[e.DataCentre] != region || s.evacuated[e.DataCentre] || e.Draining {
+			continue
+		}
+		out[e.Service] = append(out[e.Service], e.Endpoint)
+	}
+	return out
+}
+
+// knownAddr returns whether an address is that of a listed endpoint.
+func (s *state) knownAddr() func(addr string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := make(map[string]bool, len(s.endpoints))
+	for _, e := range s.endpoints {
+		known[e.Addr] = true
+	}
+	return func(addr string) bool { return known[addr] }
+}
+
+// terms returns the rates of all organisations.
+func (c *inForce) terms() map[string]fleetquota.Terms {
+	out := make(map[string]fleetquota.Terms)
+	c.Organisations(func(o *catalog.Organisation) {
+		out[o.Name] = fleetquota.Terms{Rate: o.Rate, Burst: o.Burst}
+	})
+	return out
+}
--- /dev/null
+++ b/internal/edgedaemon/daemon.go
@@ -0,0 +1,218 @@
+package edgedaemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/edge"
+	"dogwoodknot.example/dogwoodknot/internal/netdial"
+	"dogwoodknot.example/dogwoodknot/internal/observe"
+	"dogwoodknot.example/dogwoodknot/internal/peer"
+	"dogwoodknot.example/dogwoodknot/platform"
+)
+
+const (
+	// refusePart is the part of the grace time after which requests are refused at a planned stop: callers keep an answer of
+	// the directory for a few seconds, and the longest streams need the rest.
+	refusePart = 0.4
+	// killReserve is kept back from the grace time, so that the process ends by itself.
+	killReserve = 700 * time.Millisecond
+	// endpointDialTimeout bounds a connection to an endpoint of the own region: some round trips of a millisecond, with one
+	// opening packet lost and sent again after a second.
+	endpointDialTimeout = 1300 * time.Millisecond
+	// peerDialTimeout bounds the handshake with another instance: five wide-area round trips.
+	peerDialTimeout = time.Second
+	// peerKeepAlive and peerWriteTimeout end a session that has gone silent.
+	peerKeepAlive    = time.Second
+	peerWriteTimeout = time.Second
+	// peerBackoffMax bounds the wait between dials, so that a restarted instance is reached within a second.
+	peerBackoffMax = 500 * time.Millisecond
+	// peerMessageBytes bounds a message: the largest usual body, and its headers.
+	peerMessageBytes = 5 << 20
+	// headerTimeout and headerBytes bound what callers may send as headers, above what configurations allow them.
+	headerTimeout = 5 * time.Second
+	headerBytes   = 64 << 10
+	// idleTimeout is how long an idle connection of a caller is kept: above what configurations allow callers to rest.
+	idleTimeout = 90 * time.Second
+	// memoryPart is the part of the memory that the collector aims to stay below.
+	memoryPart = 0.7
+)
+
+// Daemon is an edge instance.
+type Daemon struct {
+	settings  Settings
+	self      peer.Identity
+	writer    *observe.BoundedWriter
+	log       *zap.Logger
+	metrics   *observe.Metrics
+	store     *platform.Store
+	transport *peer.Transport
+	edge      *edge.Edge
+	identity  identityPEM
+	servers   []*http.Server
+	callers   *http.Server
+	inFlight  atomic.Int64
+	hangup    chan os.Signal
+}
+
+// New checks the settings and makes an instance that does not listen yet.
+func New(s Settings) (*Daemon, error) {
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryPart * (1 << 20)))
+	}
+	d := &Daemon{
+		settings: s, writer: observe.NewBoundedWriter(os.Stdout), hangup: make(chan os.Signal, 1),
+		self: peer.Identity{Instance: s.Name, Region: s.Region, DataCentre: s.DataCentre, Incarnation: rand.Uint64() | 1},
+	}
+	var err error
+	if d.log, err = observe.NewBoundedLogger(d.writer, s.LogLevel); err != nil {
+		return nil, err
+	}
+	d.log = d.log.With(zap.String("instance", s.Name))
+	if d.metrics, err = observe.NewMetrics("dogwood_edge", map[string]string{"region": s.Region}); err != nil {
+		return nil, err
+	}
+	if err := d.connect(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// connect makes the transport, the client of the store and the edge.
+func (d *Daemon) connect() error {
+	var err error
+	if d.identity, err = newIdentity(d.self); err != nil {
+		return err
+	}
+	credentials, err := peer.NewCredentials(d.identity.withPeers(nil))
+	if err != nil {
+		return err
+	}
+	listener, err := netdial.ListenConfig().Listen(context.Background(), "tcp", d.settings.PeerAddr)
+	if err != nil {
+		return errors.Wrap(err, "listen for instances")
+	}
+	dialer := netdial.Dialer(peerDialTimeout)
+	d.transport, err = peer.New(peer.Options{
+		Self: d.self, Credentials: credentials, Listener: listener,
+		Dial:        func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) },
+		DialTimeout: peerDialTimeout, KeepAlive: peerKeepAlive, WriteTimeout: peerWriteTimeout, BackoffMax: peerBackoffMax,
+		MaxMessageBytes: peerMessageBytes, Logger: d.log, Scope: d.metrics.SubScope("peer"),
+	})
+	if err != nil {
+		return errors.CombineErrors(err, listener.Close())
+	}
+	regions, err := d.settings.regions()
+	if err != nil {
+		return err
+	}
+	d.store = platform.NewStore(d.settings.Store)
+	d.edge, err = edge.New(edge.Options{
+		Self: d.self, Regions: regions, CallerAddr: d.settings.CallerAddr, PeerAddr: d.settings.PeerAddr, Bounds: d.settings.bounds(),
+		Store: d.store, Feed: d.store, Documents: platform.Documents{}, Dialect: platform.Dialect{},
+		Dial: netdial.Dialer(endpointDialTimeout).DialContext, Clock: clock.Boot{}, Log: d.log, Scope: d.metrics,
+	}, &trustingNetwork{Transport: d.transport, own: d.identity})
+	return err
+}
+
+// Start listens and begins to serve.
+func (d *Daemon) Start() error {
+	d.log.Info("start", zap.Uint64("incarnation", d.self.Incarnation), zap.String("region", d.self.Region),
+		zap.String("data_centre", d.self.DataCentre), zap.String("caller_addr", d.settings.CallerAddr),
+		zap.String("peer_addr", d.settings.PeerAddr), zap.String("store", d.settings.Store))
+	signal.Notify(d.hangup, syscall.SIGHUP)
+	go d.noteHangups()
+	d.transport.Start()
+	if err := d.edge.Start(d.identity.certificate); err != nil {
+		return err
+	}
+	calls := platform.Calls(d.edge.Ready, d.edge)
+	d.callers = d.server(http.HandlerFunc(d.serveCaller))
+	listen := map[string]*http.Server{d.settings.CallerAddr: d.callers, d.settings.ReadyAddr: d.server(calls)}
+	if d.settings.DirectoryAddr != d.settings.ReadyAddr {
+		listen[d.settings.DirectoryAddr] = d.server(calls)
+	}
+	if d.settings.MetricsAddr != "" {
+		listen[d.settings.MetricsAddr] = d.server(d.metrics.Handler)
+	}
+	for addr, server := range listen {
+		listener, err := netdial.ListenConfig().Listen(context.Background(), "tcp", addr)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", addr)
+		}
+		if server != d.callers {
+			d.servers = append(d.servers, server)
+		}
+		go d.serve(server, listener)
+	}
+	return nil
+}
+
+func (d *Daemon) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		DisableGeneralOptionsHandler: true, ErrorLog: zap.NewStdLog(d.log.Named("http")),
+	}
+}
+
+func (d *Daemon) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		d.log.Error("server ended", zap.Stringer("addr", listener.Addr()), zap.Error(err))
+	}
+}
+
+func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
+	d.inFlight.Add(1)
+	defer d.inFlight.Add(-1)
+	d.edge.ServeHTTP(w, r)
+}
+
+// noteHangups logs the request to reload. Settings come from the environment of the process, which does not change while it
+// runs; what may change comes from the store.
+func (d *Daemon) noteHangups() {
+	for range d.hangup {
+		d.log.Info("reload asked for: no setting changes while the process runs")
+	}
+}
+
+// Stop is the planned stop: callers are sent elsewhere, then requests are refused, and the process ends when the last one has
+// its answer or the grace time is over.
+func (d *Daemon) Stop(ctx context.Context) error {
+	began := time.Now()
+	grace := seconds(d.settings.Grace)
+	d.log.Info("stop", zap.Int64("in_flight", d.inFlight.Load()), zap.Duration("grace", grace))
+	d.edge.Leave()
+	ctx, cancel := context.WithTimeout(ctx, grace-killReserve)
+	defer cancel()
+	// An error means that the grace time has ended, which the following steps see for themselves.
+	_ = clock.Sleep(ctx, time.Duration(float64(grace)*refusePart))
+	d.edge.Refuse()
+	err := d.callers.Shutdown(ctx)
+	cut := d.inFlight.Load()
+	err = errors.CombineErrors(err, d.callers.Close())
+	d.edge.Close()
+	err = errors.CombineErrors(err, d.transport.Close(ctx))
+	for _, s := range d.servers {
+		err = errors.CombineErrors(err, s.Close())
+	}
+	d.store.Close()
+	signal.Stop(d.hangup)
+	d.log.Info("stopped", zap.Duration("took", time.Since(began)), zap.Int64("cut", cut), zap.Int64("log_lines_dropped", d.writer.Dropped()), zap.Error(err))
+	err = errors.CombineErrors(err, d.metrics.Close())
+	return errors.CombineErrors(err, d.writer.Close())
+}
--- /dev/null
+++ b/internal/edgedaemon/settings.go
@@ -0,0 +1,83 @@
+// Package edgedaemon assembles an edge instance: settings, logs, sessions to other instances, servers and the planned stop.
+package edgedaemon
+
+import (
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodknot.example/dogwoodknot/internal/core/retrybudget"
+	"dogwoodknot.example/dogwoodknot/internal/edge"
+)
+
+// Settings of an edge instance. They come from flags and environment variables; the operators' declarations come from the
+// platform's store.
+type Settings struct {
+	Name       string `help:"Name of this instance." required:"" env:"DOGWOOD_EDGE_NAME"`
+	Region     string `help:"Region of this instance." required:"" env:"DOGWOOD_EDGE_REGION"`
+	DataCentre string `help:"Data centre of this instance." required:"" env:"DOGWOOD_EDGE_DATA_CENTRE"`
+	Regions    string `help:"Region of each data centre, as a JSON object." required:"" env:"DOGWOOD_EDGE_REGIONS"`
+
+	CallerAddr    string `help:"ip:port to listen on for callers." required:"" env:"DOGWOOD_EDGE_CALLER_ADDR"`
+	ReadyAddr     string `help:"ip:port to listen on for readiness checks." required:"" env:"DOGWOOD_EDGE_READY_ADDR"`
+	DirectoryAddr string `help:"ip:port to listen on for callers that ask where to connect." required:"" env:"DOGWOOD_EDGE_DIRECTORY_ADDR"`
+	PeerAddr      string `help:"ip:port to listen on for other instances." required:"" env:"DOGWOOD_EDGE_PEER_ADDR"`
+	MetricsAddr   string `help:"ip:port that serves /metrics. Empty: none." env:"DOGWOOD_EDGE_METRICS_ADDR"`
+
+	Store string `help:"ip:port of the platform's store." required:"" env:"DOGWOOD_EDGE_STORE"`
+
+	Grace          float64 `help:"Seconds from the request to stop until the process is killed." default:"8" env:"DOGWOOD_EDGE_GRACE"`
+	RetryRatio     float64 `help:"Requests to further endpoints for each request of callers." default:"0.2" env:"DOGWOOD_EDGE_RETRY_RATIO"`
+	RetryWindow    float64 `help:"Seconds over which requests to further endpoints are counted." default:"10" env:"DOGWOOD_EDGE_RETRY_WINDOW"`
+	RetryAllowance float64 `help:"Requests to further endpoints in a window that are allowed at any load, over all instances." default:"50" env:"DOGWOOD_EDGE_RETRY_ALLOWANCE"`
+	DirectoryTTL   float64 `help:"Longest time in seconds that callers keep an answer of the directory." default:"5" env:"DOGWOOD_EDGE_DIRECTORY_TTL"`
+	MemoryMB       int     `help:"Memory of this process in MB. 0: no limit." default:"0" env:"DOGWOOD_EDGE_MEMORY_MB"`
+
+	LogLevel string `help:"debug, info, warn or error." default:"info" enum:"debug,info,warn,error" env:"DOGWOOD_EDGE_LOG_LEVEL"`
+}
+
+// Validate returns every problem of the settings, joined.
+func (s *Settings) Validate() error {
+	var problems []error
+	check := func(ok bool, format string, args ...any) {
+		if !ok {
+			problems = append(problems, errors.Newf(format, args...))
+		}
+	}
+	for flag, addr := range map[string]string{"caller-addr": s.CallerAddr, "ready-addr": s.ReadyAddr,
+		"directory-addr": s.DirectoryAddr, "peer-addr": s.PeerAddr, "store": s.Store} {
+		check(isIPPort(addr), "--%s %q is not ip:port", flag, addr)
+	}
+	check(s.MetricsAddr == "" || isIPPort(s.MetricsAddr), "--metrics-addr %q is not ip:port", s.MetricsAddr)
+	if _, err := s.regions(); err != nil {
+		problems = append(problems, errors.Wrap(err, "--regions"))
+	}
+	check(s.Grace > 0, "--grace %v is not positive", s.Grace)
+	check(s.RetryRatio >= 0 && s.RetryWindow > 0 && s.RetryAllowance >= 0, "retry budget is negative or has no window")
+	check(s.DirectoryTTL > 0, "--directory-ttl %v is not positive", s.DirectoryTTL)
+	check(s.MemoryMB >= 0, "--memory-mb %d is negative", s.MemoryMB)
+	return errors.Join(problems...)
+}
+
+func isIPPort(addr string) bool {
+	host, port, err := net.SplitHostPort(addr)
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
+
+func (s *Settings) regions() (map[string]string, error) {
+	var regions map[string]string
+	err := json.Unmarshal([]byte(s.Regions), &regions)
+	return regions, errors.Wrap(err, "not a JSON object of names")
+}
+
+func (s *Settings) bounds() edge.Bounds {
+	return edge.Bounds{
+		Retries:      retrybudget.Terms{Ratio: s.RetryRatio, Window: seconds(s.RetryWindow), Allowance: s.RetryAllowance},
+		Grace:        seconds(s.Grace),
+		DirectoryTTL: seconds(s.DirectoryTTL),
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/endpointconn/readable.go
@@ -0,0 +1,28 @@
+package endpointconn
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// readable reports whether bytes or an end have arrived on the connection. It reads nothing.
+func readable(c net.Conn) bool {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return false // a connection of a test, which has no descriptor
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return true
+	}
+	found := false
+	err = control.Read(func(fd uintptr) bool {
+		var peek [1]byte
+		n, _, recvErr := unix.Recvfrom(int(fd), peek[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		found = n > 0 || recvErr == nil || recvErr != unix.EAGAIN
+		return true
+	})
+	return found || err != nil
+}
--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,127 @@
+// Package mirror keeps a copy of some of the platform store's keys up to date, through outages, lost history and connections
+// that go silent.
+package mirror
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
+)
+
+const (
+	// watchWait is the longest wait of one watch. It bounds how long a watch that hears nothing is believed: a third of the
+	// bound within which changes must be in force.
+	watchWait = 1200 * time.Millisecond
+	// pause is the time between the end of a watch and the next one. Endpoints write several times a second, and each answer
+	// is a priced call: changes within the pause come in one answer.
+	pause = 200 * time.Millisecond
+	// retryMin and retryMax bound the wait after a failed call.
+	retryMin = 100 * time.Millisecond
+	retryMax = 500 * time.Millisecond
+	// relistAfter is the time after which all keys are read again, in case a watch has missed a change.
+	relistAfter = 5 * time.Second
+)
+
+// Update is a change of the copy.
+type Update struct {
+	// Reset says that Changes holds all keys; those that it does not name are gone.
+	Reset   bool
+	Changes []platform.Change
+	// Regained is set on the first update after calls had failed, with the length of the outage.
+	Regained time.Duration
+}
+
+// Mirror follows the keys with one prefix.
+type Mirror struct {
+	feed   platform.Feed
+	prefix string
+	clock  clock.Clock
+	log    *zap.Logger
+	apply  func(Update)
+
+	contact atomic.Int64 // instant of the last good answer; 0: never
+	lost    clock.Instant
+}
+
+// New returns a mirror that calls apply, from one goroutine, for each change.
+func New(feed platform.Feed, prefix string, c clock.Clock, log *zap.Logger, apply func(Update)) *Mirror {
+	return &Mirror{feed: feed, prefix: prefix, clock: c, log: log.With(zap.String("prefix", prefix)), apply: apply}
+}
+
+// Contact returns when the store last answered, 0 if it never has.
+func (m *Mirror) Contact() clock.Instant { return clock.Instant(m.contact.Load()) }
+
+// Run follows the keys until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	retry := retryMin
+	for ctx.Err() == nil {
+		err := m.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, platform.ErrCompacted) {
+			m.log.Info("store history is gone, reading all keys again")
+			retry = retryMin
+			continue
+		}
+		if err == nil {
+			retry = retryMin
+			continue
+		}
+		if m.lost == 0 {
+			m.lost = m.clock.Now()
+			m.log.Warn("store lost", zap.Error(err))
+		}
+		if clock.Sleep(ctx, retry) != nil {
+			return
+		}
+		retry = min(2*retry, retryMax)
+	}
+}
+
+// follow reads all keys and then their changes, until an error or until it is time to read all again (nil).
+func (m *Mirror) follow(ctx context.Context) error {
+	entries, asOf, err := m.feed.ListAll(ctx, m.prefix)
+	if err != nil {
+		return err
+	}
+	listed := m.clock.Now()
+	changes := make([]platform.Change, 0, len(entries))
+	for _, e := range entries {
+		changes = append(changes, platform.Change{Entry: e})
+	}
+	m.update(Update{Reset: true, Changes: changes})
+	for {
+		if m.clock.Now().Sub(listed) > relistAfter {
+			return nil
+		}
+		changes, next, err := m.feed.WatchPrefix(ctx, m.prefix, asOf, watchWait)
+		if err != nil {
+			return err
+		}
+		asOf = next
+		m.update(Update{Changes: changes})
+		if err := clock.Sleep(ctx, pause); err != nil {
+			return err
+		}
+	}
+}
+
+func (m *Mirror) update(u Update) {
+	now := m.clock.Now()
+	if m.lost != 0 {
+		u.Regained = now.Sub(m.lost)
+		m.lost = 0
+		m.log.Info("store regained", zap.Duration("outage", u.Regained))
+	}
+	m.contact.Store(int64(now))
+	if u.Reset || len(u.Changes) > 0 || u.Regained > 0 {
+		m.apply(u)
+	}
+}
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -54,20 +54,61 @@
 	}
 }
 
+// Event is a whole event as it was received.
+type Event struct {
+	ID  string // the value of its last id field, empty if it has none
+	Raw []byte // with the empty line that ends it
+}
+
+// NextRaw returns the next whole event with all its fields, for a reader that passes events on. Errors are
+// those of Next, and io.ErrUnexpectedEOF if the stream ends within an event.
+func (e *Reader) NextRaw() (Event, error) {
+	var event Event
+	for {
+		raw, err := e.rawLine()
+		if err == io.EOF && len(event.Raw)+len(raw) > 0 {
+			return Event{}, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return Event{}, err
+		}
+		event.Raw = append(event.Raw, raw...)
+		if len(event.Raw) > maxEvent {
+			return Event{}, ErrTooLarge
+		}
+		line := bytes.TrimRight(raw, "\r\n")
+		if len(line) == 0 {
+			return event, nil
+		}
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			event.ID = string(bytes.TrimPrefix(id, []byte(" ")))
+		}
+	}
+}
+
 // line reads a line without its end.
 func (e *Reader) line() ([]byte, error) {
+	raw, err := e.rawLine()
+	if err != nil {
+		return nil, err
+	}
+	return bytes.TrimRight(raw, "\r\n"), nil
+}
+
+// rawLine reads a line with its end. With an error it returns what came before.
+func (e *Reader) rawLine() ([]byte, error) {
 	var out []byte
 	for {
 		part, err := e.r.ReadSlice('\n')
 		out = append(out, part...)
 		if len(out) > maxEvent {
-			return nil, ErrTooLarge
+			return out, ErrTooLarge
 		}
 		if err == nil {
-			return bytes.TrimRight(out, "\r\n"), nil
+			return out, nil
 		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
-			return nil, err
+			return out, err
 		}
 	}
 }
