Name departing instances before regions that are no home

Requests whose only endpoint of the region had failed were refused, and a failure of an endpoint was replaced by an own 502 when the repeat found no place.

Change: the directory ranks candidates by standing and by whether the host's home-bound routes may be served in their region; instances that still take requests while they leave come before regions that are no home. Requests that a region has declined go to another one, and an endpoint's failure is passed on if the repeat fails.

Ruled out: naming the leaving instance first always; its callers would be refused after 3 s with other instances at hand.

Test: TestResolve.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -274,6 +274,17 @@
 	return nil
 }
 
+// HomeRoutes returns how many of a host's routes that have homes may be served in the region.
+func (c *Configuration) HomeRoutes(host, region string) int {
+	n := 0
+	for _, r := range c.routes[canonicalHost(host)] {
+		if len(r.Homes) > 0 && slices.Contains(r.Homes, region) {
+			n++
+		}
+	}
+	return n
+}
+
 // canonicalHost drops the port and the case of a host name.
 func canonicalHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -345,25 +345,23 @@
 
 // Summary is the load of the pool as other regions need it.
 type Summary struct {
-	Usable int           // endpoints that take work now
+	Usable int           // endpoints that take work, now or when requests there have ended
 	Wait   time.Duration // shortest expected time to a first event, for a prompt whose shared parts are held
 }
 
-// Summarise returns the load of the pool.
-func (p *Pool) Summarise(now clock.Instant) Summary {
+// Summarise returns the load of the pool without the excluded endpoints.
+func (p *Pool) Summarise(now clock.Instant, excluded func(id string) bool) Summary {
 	s := Summary{}
 	out := p.ejected(now)
 	shortest := time.Duration(math.MaxInt64)
 	for i, e := range p.order {
-		if e.Draining || out[i] || !p.mayUseCold(e, now) {
+		if e.Draining || out[i] || excluded(e.ID) || !p.mayUseCold(e, now) {
 			continue
 		}
 		load := e.load(now)
-		if !p.hasRoom(e, load, &Work{}) {
-			continue
-		}
 		s.Usable++
-		if _, wait := p.cost(e, load, &Work{}); wait < shortest {
+		wait := p.wait(e, load)
+		if wait < shortest {
 			shortest = wait
 		}
 	}
@@ -372,3 +370,16 @@
 	}
 	return s
 }
+
+// wait is the expected time until the endpoint begins with a request whose prompt parts it holds.
+func (p *Pool) wait(e *Endpoint, load PeerWork) time.Duration {
+	_, wait := p.cost(e, load, &Work{})
+	if over := load.Running + 1 - e.slots; over > 0 {
+		// A place becomes free when one of the running requests ends.
+		wait += time.Duration(over) * placeWait / time.Duration(e.slots)
+	}
+	return wait
+}
+
+// placeWait is what a request is taken to occupy a place for, to compare loads: generations take one to four seconds.
+const placeWait = 2 * time.Second
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -64,16 +64,32 @@
 	return x.passBody(r)
 }
 
+// failedAnswer is an endpoint's answer with a failure status.
+type failedAnswer struct {
+	reply
+	content []byte
+}
+
 // passOrRepeat handles a failure status of a request that may be repeated: it is repeated if the budget allows, else passed on.
 func (x *exchange) passOrRepeat(ctx context.Context, r *reply) *failure {
-	if ctx.Err() == nil && x.edge.mayRepeat(x.service) {
-		drain(r.body)
-		x.a.excluded[r.endpoint] = true
-		x.mayHave = true
-		x.repeatPaid = true
-		return &failure{kind: badAnswer, endpoint: r.endpoint, reason: "endpoint failed with status " + strconv.Itoa(r.status)}
+	if ctx.Err() != nil || !x.edge.mayRepeat(x.service) {
+		return x.passBody(r)
 	}
-	return x.passBody(r)
+	content, err := io.ReadAll(io.LimitReader(r.body, wholeBody))
+	if err == nil {
+		x.failed = &failedAnswer{reply: *r, content: content}
+	}
+	x.repeatPaid = true
+	return &failure{kind: badAnswer, endpoint: r.endpoint, reason: "endpoint failed with status " + strconv.Itoa(r.status)}
+}
+
+// passFailed passes on the failure of an endpoint after the repeat has not succeeded either.
+func (x *exchange) passFailed() {
+	r := &x.failed.reply
+	x.writeHead(r, func(h http.Header) { h.Set("Content-Length", strconv.Itoa(len(x.failed.content))) })
+	x.outcome.endpoint, x.outcome.reason = r.endpoint, "endpoint failed"
+	// A caller that has left does not need the answer.
+	_, _ = x.w.Write(x.failed.content)
 }
 
 func isEventStream(h http.Header) bool {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -93,8 +93,9 @@
 
 // Directory tells callers which instances to use.
 type Directory interface {
-	// Resolve returns the callers' addresses of the instances for a place, and how long the answer may be used.
-	Resolve(region, dataCentre string) (addrs []string, validFor time.Duration)
+	// Resolve returns the callers' addresses of the instances for callers of a host in a region, and how long the answer may be
+	// used.
+	Resolve(host, region string) (addrs []string, validFor time.Duration)
 }
 
 // Bounds are what the operators hold the system to.
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -54,6 +54,8 @@
 	mayHave  bool // an attempt may have run the request
 	// repeatPaid says that the budget has been charged for the next attempt already.
 	repeatPaid bool
+	failed     *failedAnswer   // of an endpoint, passed on unless a repeat succeeds
+	declined   map[string]bool // regions that had no place for the request
 	wroteHead  bool
 	lastEvent  string
 	events     int
@@ -267,25 +269,48 @@
 	}
 }
 
+// mayServe reports whether a region may serve the request and has not declined it.
+func (x *exchange) mayServe(region string) bool {
+	return !x.declined[region] && (!x.bound || slices.Contains(x.homes, region))
+}
+
 // attempt makes one attempt here or in another region.
 func (x *exchange) attempt(ctx context.Context) (*reply, *failure) {
 	e := x.edge
+	self := e.options.Self.Region
 	x.a.placeBy = x.placeBy()
-	here := !x.bound || slices.Contains(x.homes, e.options.Self.Region)
-	remotes := e.fleet.regions(x.service, func(region string) bool { return !x.bound || slices.Contains(x.homes, region) })
-	local := placement.Summary{}
-	known := false
+	remotes := e.fleet.regions(x.service, x.mayServe)
+	here := x.mayServe(self)
+	var local placement.Summary
 	if here {
-		local, known = e.pools.summary(x.service)
-		known = known && local.Usable > 0
+		local = e.pools.summary(x.service, x.a.excluded)
 	}
-	if i := routing.ChooseRegion(local.Wait, known, remotes, x.rng()); i >= 0 {
-		return e.attemptAt(ctx, remotes[i].Instance, &x.a, x.conf.Version)
+	if i := routing.ChooseRegion(local.Wait, local.Usable > 0, remotes, x.rng()); i >= 0 {
+		r, f := e.attemptAt(ctx, remotes[i].Instance, &x.a, x.conf.Version)
+		return r, x.noteDecline(f, remotes[i].Region)
 	}
 	if !here {
 		return nil, &failure{kind: notPlaced, reason: "no region that may serve the request can be reached", retryAfter: noEndpointRetry}
 	}
-	return e.attemptHere(ctx, &x.a)
+	r, f := e.attemptHere(ctx, &x.a)
+	return r, x.noteDecline(f, self)
+}
+
+// noteDecline remembers a region that had no place for the request.
+func (x *exchange) noteDecline(f *failure, region string) *failure {
+	if f != nil && f.kind == notPlaced {
+		if x.declined == nil {
+			x.declined = make(map[string]bool)
+		}
+		x.declined[region] = true
+	}
+	return f
+}
+
+// elsewhere reports whether another region may take a request that one has declined.
+func (x *exchange) elsewhere() bool {
+	return x.mayServe(x.edge.options.Self.Region) && x.edge.pools.summary(x.service, x.a.excluded).Usable > 0 ||
+		len(x.edge.fleet.regions(x.service, x.mayServe)) > 0
 }
 
 func (x *exchange) rng() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
@@ -306,9 +331,12 @@
 		x.a.excluded[f.endpoint] = true
 	}
 	x.mayHave = x.mayHave || f.kind.mayHaveRun()
-	if ctx.Err() != nil || f.kind == notPlaced {
+	if ctx.Err() != nil {
 		return false
 	}
+	if f.kind == notPlaced {
+		return x.elsewhere()
+	}
 	if f.kind == notSent {
 		x.unsent++
 		return x.unsent <= maxUnsent
@@ -339,6 +367,10 @@
 		// The answer has begun and cannot be completed: only a broken connection says so.
 		panic(http.ErrAbortHandler)
 	}
+	if x.failed != nil {
+		x.passFailed()
+		return
+	}
 	if !x.mayHave {
 		x.refund()
 		x.refuse(http.StatusServiceUnavailable, f.reason, max(f.retryAfter, minRetryAfter))
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -19,6 +19,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/mirror"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/platform"
+	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
 
 // InstancePrefix is the prefix of the keys under which instances announce themselves.
@@ -64,6 +65,7 @@
 	listed   bool // its key stands in the store
 	ready    bool
 	leaving  bool
+	refusing bool          // takes no more requests
 	heard    clock.Instant // last message; 0: none
 	avoid    clock.Instant // until when nothing is sent to it
 	services map[string]routing.RegionLoad
@@ -192,7 +194,7 @@
 }
 
 // heardFrom records a message of an instance. It returns false if the incarnation is not known.
-func (f *fleet) heardFrom(from peer.Identity, ready, leaving bool, services map[string]routing.RegionLoad) bool {
+func (f *fleet) heardFrom(from peer.Identity, s *wire.EdgeState, services map[string]routing.RegionLoad) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.members[from.Instance]
@@ -203,10 +205,10 @@
 	if silence := now.Sub(m.heard); m.heard == 0 || silence > heardFor {
 		f.log.Info("instance heard", zap.String("peer", m.name), zap.Duration("silence", silence))
 	}
-	if leaving && !m.leaving {
+	if s.GetLeaving() && !m.leaving {
 		f.log.Info("instance is leaving", zap.String("peer", m.name))
 	}
-	m.heard, m.ready, m.leaving, m.services = now, ready, leaving, services
+	m.heard, m.ready, m.leaving, m.refusing, m.services = now, s.GetReady(), s.GetLeaving(), s.GetRefusing(), services
 	m.avoid = 0
 	return true
 }
@@ -282,50 +284,6 @@
 	return rate / float64(sharers)
 }
 
-// Resolve implements Directory: the ready instances of the region, else the ready ones of all others, else whoever is known.
-func (e *Edge) Resolve(region, _ string) ([]string, time.Duration) {
-	f := e.fleet
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := e.clock.Now()
-	var inRegion, elsewhere, silent []string
-	if e.Ready() {
-		inRegion, elsewhere = sortByRegion(e.options.Self.Region, region, e.options.CallerAddr, inRegion, elsewhere)
-	}
-	for _, m := range f.members {
-		switch {
-		case m.usable(now):
-			inRegion, elsewhere = sortByRegion(m.Region, region, m.CallerAddr, inRegion, elsewhere)
-		case m.listed && !m.leaving && m.Region == region:
-			silent = append(silent, m.CallerAddr)
-		}
-	}
-	addrs := inRegion
-	if len(addrs) == 0 {
-		addrs = elsewhere
-	}
-	if len(addrs) == 0 {
-		addrs = silent
-	}
-	slices.Sort(addrs)
-	return addrs[:min(len(addrs), maxResolved)], min(resolveFor, e.options.Bounds.DirectoryTTL)
-}
-
-func sortByRegion(of, wanted, addr string, inRegion, elsewhere []string) ([]string, []string) {
-	if of == wanted {
-		return append(inRegion, addr), elsewhere
-	}
-	return inRegion, append(elsewhere, addr)
-}
-
-const (
-	// maxResolved is the number of addresses that callers take.
-	maxResolved = 64
-	// resolveFor is how long callers may use an answer of the directory: short, because a dead instance of a small region
-	// leaves its callers with no other address.
-	resolveFor = time.Second
-)
-
 // announce keeps this instance's key in the store until ctx ends, and removes it then.
 func (e *Edge) announce(ctx context.Context, value []byte) {
 	key := InstancePrefix + e.options.Self.Instance
--- a/internal/edge/pools.go
+++ b/internal/edge/pools.go
@@ -250,19 +250,20 @@
 	e.ColdUntil = max(e.ColdUntil, p.clock.Now().Add(d))
 }
 
-// summary returns the load of a service here, with the waiting requests counted in.
-func (p *pools) summary(service string) (placement.Summary, bool) {
+// summary returns the load of a service here for a request that may not go to the excluded endpoints. The waiting requests are
+// counted in.
+func (p *pools) summary(service string, excluded map[string]bool) placement.Summary {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pool := p.byService[service]
-	if pool == nil || pool.Len() == 0 {
-		return placement.Summary{}, false
+	if pool == nil {
+		return placement.Summary{}
 	}
-	return pool.summary(p.clock.Now()), true
+	return pool.summary(p.clock.Now(), excluded)
 }
 
-func (s *servicePool) summary(now clock.Instant) placement.Summary {
-	sum := s.Summarise(now)
+func (s *servicePool) summary(now clock.Instant, excluded map[string]bool) placement.Summary {
+	sum := s.Summarise(now, func(id string) bool { return excluded[id] })
 	sum.Wait += s.queueWait(max(1, sum.Usable))
 	return sum
 }
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -203,8 +203,8 @@
 
 // comeBack is when a request that found no place should be sent again.
 func (e *Edge) comeBack(service string) time.Duration {
-	sum, known := e.pools.summary(service)
-	if !known || sum.Usable == 0 {
+	sum := e.pools.summary(service, nil)
+	if sum.Usable == 0 {
 		return noEndpointRetry
 	}
 	return max(minRetryAfter, sum.Wait)
--- a/internal/edge/talk.go
+++ b/internal/edge/talk.go
@@ -53,7 +53,7 @@
 
 // ownState returns this instance's state, and the number of the next prompt part to tell.
 func (e *Edge) ownState(near bool, cursor int64) (*wire.EdgeState, int64) {
-	s := &wire.EdgeState{Ready: e.Ready(), Leaving: e.leaving.Load(), ConfigurationVersion: e.state.version()}
+	s := &wire.EdgeState{Ready: e.Ready(), Leaving: e.leaving.Load(), Refusing: e.closing.Load(), ConfigurationVersion: e.state.version()}
 	e.quotaMu.Lock()
 	e.quota.Used(func(name string, total float64) {
 		s.Organisations = append(s.Organisations, &wire.EdgeOrganisationUse{Name: name, Used: total})
@@ -62,7 +62,7 @@
 	now := e.clock.Now()
 	e.pools.each(func(name string, pool *servicePool) {
 		if !near {
-			if sum := pool.summary(now); sum.Usable > 0 {
+			if sum := pool.summary(now, nil); sum.Usable > 0 {
 				s.Services = append(s.Services, &wire.EdgeServiceLoad{
 					Name: name, Usable: uint32(sum.Usable), WaitMillis: uint32(sum.Wait.Milliseconds()),
 				})
@@ -100,7 +100,7 @@
 			Wait: time.Duration(l.GetWaitMillis()) * time.Millisecond,
 		}
 	}
-	if !e.fleet.heardFrom(from, s.GetReady(), s.GetLeaving(), services) {
+	if !e.fleet.heardFrom(from, s, services) {
 		return nil, errors.Newf("incarnation %d of %s is not known", from.Incarnation, from.Instance)
 	}
 	used := make(map[string]float64, len(s.GetOrganisations()))
