Decide by objective who is served where, and copy cached prompts

Change: core/triage compares the expected first output here and in other regions with the objective; what can neither be on time nor begin soon is refused at once with a time to return. Waiting requests that are late go behind those that are not. Engines copy prompt parts from the engine that holds most of them. At a planned stop, requests that may outlast the process are refused after a third of the grace time, and the process ends with its last request.

Ruled out: a longer queue here (held requests are refused later and cost callers more); a smaller fixed crossing margin.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -106,6 +106,8 @@
 	KVTokens float64 // memory for prompts and answers, in tokens
 	// EventTokens is the number of output tokens that one event of a stream holds; 1 if it is not declared.
 	EventTokens float64
+	// CopyRate is the tokens a second at which an engine copies cached prompt parts from another one; 0: it cannot.
+	CopyRate float64
 }
 
 // Service is a set of endpoints of the same kind.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -194,6 +194,10 @@
 	Endpoint *Endpoint
 	// Wait is the expected time until the endpoint begins with the request, or until its first event for an engine.
 	Wait time.Duration
+	// CopyFrom is the address of an endpoint from which the chosen one should copy prompt parts. Empty: none.
+	CopyFrom string
+	// unread are the prompt tokens that the endpoint has to read.
+	unread float64
 }
 
 // Reason tells why no endpoint was chosen.
@@ -219,6 +223,7 @@
 	best, bestCost := Choice{}, math.Inf(1)
 	reason := NoEndpoint
 	out := p.ejected(now)
+	source := p.bestHolder(w, out)
 	for i, e := range p.order {
 		if e.Draining || out[i] || c.Excluded != nil && c.Excluded(e.ID) {
 			continue
@@ -232,13 +237,17 @@
 			reason = worse(reason, AllCold)
 			continue
 		}
-		cost, wait := p.cost(e, load, w)
+		copied := source.copyTo(e, w)
+		cost, wait := p.cost(e, load, w, copied)
 		if c.MaxWait > 0 && wait > c.MaxWait {
 			reason = worse(reason, AllBusy)
 			continue
 		}
 		if cost < bestCost {
-			best, bestCost = Choice{Endpoint: e, Wait: wait}, cost
+			best, bestCost = Choice{Endpoint: e, Wait: wait, unread: p.unread(e, w, copied)}, cost
+			if copied > 0 {
+				best.CopyFrom = source.endpoint.Addr
+			}
 		}
 	}
 	if best.Endpoint == nil {
@@ -272,12 +281,62 @@
 	return float64(load.Running) < math.Ceil(float64(e.slots)*(1+pastSlots))
 }
 
+// unread returns the prompt tokens that the endpoint has to read, if it copies some first.
+func (p *Pool) unread(e *Endpoint, w *Work, copied float64) float64 {
+	if e.cache == nil {
+		return 0
+	}
+	return max(0, w.Prompt-e.cache.held(w.Parts)-copied)
+}
+
+// holder is the endpoint that holds most of a prompt's parts.
+type holder struct {
+	endpoint *Endpoint
+	tokens   float64
+}
+
+// bestHolder returns the endpoint that holds most of the prompt, if engines can copy parts from each other.
+func (p *Pool) bestHolder(w *Work, out []bool) holder {
+	engine := p.service.Engine
+	if engine == nil || engine.CopyRate <= 0 || len(w.Parts) == 0 {
+		return holder{}
+	}
+	var best holder
+	for i, e := range p.order {
+		if out[i] {
+			continue
+		}
+		if tokens := e.cache.held(w.Parts); tokens > best.tokens {
+			best = holder{endpoint: e, tokens: tokens}
+		}
+	}
+	return best
+}
+
+// copyTo returns how much of the prompt e should copy from the holder, beyond what it holds itself; 0 if that is not worth it.
+func (h holder) copyTo(e *Endpoint, w *Work) float64 {
+	if h.endpoint == nil || h.endpoint == e {
+		return 0
+	}
+	if more := h.tokens - e.cache.held(w.Parts); more >= minCopied {
+		return more
+	}
+	return 0
+}
+
+// minCopied is the smallest number of tokens that is copied: below, the set-up of a copy takes as long as reading them.
+const minCopied = 500.0
+
+// copyCost is the cost of a copied token relative to reading it: it occupies the link between engines, and is priced by its
+// bytes.
+const copyCost = 0.15
+
 // cost returns the cost of the request at the endpoint, comparable within the pool, and the expected wait there.
-func (p *Pool) cost(e *Endpoint, load PeerWork, w *Work) (cost float64, wait time.Duration) {
+func (p *Pool) cost(e *Endpoint, load PeerWork, w *Work, copied float64) (cost float64, wait time.Duration) {
 	if p.service.Engine == nil {
 		return float64(load.Running+1) / float64(e.slots), 0
 	}
-	tokens := load.Unread + w.Prompt - e.cache.held(w.Parts)
+	tokens := load.Unread + p.unread(e, w, copied) + copyCost*copied
 	wait = firstEventFixed + time.Duration(tokens/p.readRate*float64(time.Second))
 	return tokens + runningCost*float64(load.Running), wait
 }
@@ -292,15 +351,16 @@
 	return p.coldPace(e.ID, p.service.ColdRate) > 0 && !now.Before(e.coldNext)
 }
 
-// Begin records that the request is sent to the endpoint.
-func (p *Pool) Begin(now clock.Instant, e *Endpoint, w Work) {
+// Begin records that the request is sent to the chosen endpoint.
+func (p *Pool) Begin(now clock.Instant, c Choice, w Work) {
+	e := c.Endpoint
 	if e.Cold(now) && p.service.ColdRate > 0 {
 		pace := p.coldPace(e.ID, p.service.ColdRate)
 		e.coldNext = now.Add(time.Duration(float64(time.Second) / max(pace, 0.01)))
 	}
 	r := &placed{work: w, at: now}
 	if e.cache != nil {
-		r.unread = w.Prompt - e.cache.held(w.Parts)
+		r.unread = c.unread
 		r.memory = r.unread + w.Output
 		e.cache.use(w.Parts)
 		r.ahead = e.load(now).Unread + r.unread
@@ -349,10 +409,12 @@
 	Wait   time.Duration // shortest expected time to a first event, for a prompt whose shared parts are held
 }
 
-// Summarise returns the load of the pool without the excluded endpoints.
-func (p *Pool) Summarise(now clock.Instant, excluded func(id string) bool) Summary {
+// Summarise returns the load of the pool for a request, without the excluded endpoints. For a request without prompt, the wait
+// is that of a prompt whose parts are held.
+func (p *Pool) Summarise(now clock.Instant, w *Work, excluded func(id string) bool) Summary {
 	s := Summary{}
 	out := p.ejected(now)
+	source := p.bestHolder(w, out)
 	shortest := time.Duration(math.MaxInt64)
 	for i, e := range p.order {
 		if e.Draining || out[i] || excluded(e.ID) || !p.mayUseCold(e, now) {
@@ -360,7 +422,7 @@
 		}
 		load := e.load(now)
 		s.Usable++
-		wait := p.wait(e, load)
+		wait := p.wait(e, load, w, source.copyTo(e, w))
 		if wait < shortest {
 			shortest = wait
 		}
@@ -371,9 +433,9 @@
 	return s
 }
 
-// wait is the expected time until the endpoint begins with a request whose prompt parts it holds.
-func (p *Pool) wait(e *Endpoint, load PeerWork) time.Duration {
-	_, wait := p.cost(e, load, &Work{})
+// wait is the expected time until the endpoint begins with the request.
+func (p *Pool) wait(e *Endpoint, load PeerWork, w *Work, copied float64) time.Duration {
+	_, wait := p.cost(e, load, w, copied)
 	if over := load.Running + 1 - e.slots; over > 0 {
 		// A place becomes free when one of the running requests ends.
 		wait += time.Duration(over) * placeWait / time.Duration(e.slots)
--- /dev/null
+++ b/internal/core/triage/triage.go
@@ -0,0 +1,107 @@
+// Package triage decides where a request goes when its region is loaded: to an endpoint here, to another region, or back to the
+// caller at once with a time to return. It is pure.
+package triage
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// localPart is the part of the objective up to which the expected wait here is accepted without a look at other regions.
+	// Crossing costs wide-area latency and traffic, and the prompt's shared parts may have to be read there.
+	localPart = 0.6
+	// remotePart is the part of the objective that an offer of another region may take: it is older, and other regions may
+	// answer it too.
+	remotePart = 0.75
+	// crossing is the part of the requests that go to another region on the same information, so that all instances
+	// together do not overload it before it can tell.
+	crossing = 0.6
+	// latePart is the part of the remaining time within which a request must be expected to begin if it can no longer be on
+	// time. The rest is for its work.
+	latePart = 0.35
+	// minReturn and maxReturnPart bound when a refused caller comes back. Callers follow it up to a third of their time.
+	minReturn     = 150 * time.Millisecond
+	maxReturnPart = 0.33
+)
+
+// Offer is the expected time to the first output of a request in a region, its way there and back included.
+type Offer struct {
+	Known bool // something there can serve the request
+	First time.Duration
+}
+
+// Input is what a decision rests on.
+type Input struct {
+	Here      Offer
+	Elsewhere []Offer
+	Objective time.Duration // that is left until the first output counts as late; 0 or less: it is late already
+	Left      time.Duration // until the caller must have its final answer
+}
+
+// Action is what is done with a request.
+type Action int
+
+// Actions.
+const (
+	ServeHere Action = iota
+	ServeElsewhere
+	Refuse
+)
+
+// Decision tells what is done with a request.
+type Decision struct {
+	Action Action
+	// Region is the index of the offer for ServeElsewhere.
+	Region int
+	// Late says that the request is not expected to be on time: requests that can be go first.
+	Late bool
+	// RetryAfter is when a refused caller should return.
+	RetryAfter time.Duration
+}
+
+// Decide applies the policy.
+func Decide(in Input, rng *rand.Rand) Decision {
+	best := quickest(in.Elsewhere)
+	if in.Here.Known && in.Here.First <= part(in.Objective, localPart) {
+		return Decision{Action: ServeHere}
+	}
+	if best >= 0 && (!in.Here.Known || in.Elsewhere[best].First < in.Here.First) {
+		onTime := in.Elsewhere[best].First <= part(in.Objective, remotePart)
+		if !in.Here.Known && (onTime || in.Elsewhere[best].First <= part(in.Left, latePart)) {
+			return Decision{Action: ServeElsewhere, Region: best, Late: !onTime}
+		}
+		if in.Here.Known && onTime && rng.Float64() < crossing {
+			return Decision{Action: ServeElsewhere, Region: best}
+		}
+	}
+	if in.Here.Known && in.Here.First <= in.Objective {
+		return Decision{Action: ServeHere}
+	}
+	if in.Here.Known && in.Here.First <= part(in.Left, latePart) {
+		return Decision{Action: ServeHere, Late: true}
+	}
+	return Decision{Action: Refuse, RetryAfter: comeBack(in, best)}
+}
+
+func part(d time.Duration, p float64) time.Duration { return time.Duration(float64(d) * p) }
+
+func quickest(offers []Offer) int {
+	best := -1
+	for i, o := range offers {
+		if o.Known && (best < 0 || o.First < offers[best].First) {
+			best = i
+		}
+	}
+	return best
+}
+
+// comeBack is when the shortest queue will have shrunk to what the objective allows.
+func comeBack(in Input, best int) time.Duration {
+	first := in.Here.First
+	if best >= 0 && (!in.Here.Known || in.Elsewhere[best].First < first) {
+		first = in.Elsewhere[best].First
+	}
+	wait := max(first-part(in.Objective, localPart), minReturn)
+	return min(wait, max(part(in.Left, maxReturnPart), minReturn))
+}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -24,15 +24,27 @@
 	header       http.Header // as it goes to the endpoint, but for what the dialect sets
 	body         []byte
 	work         placement.Work
-	urgency      int
+	urgency      int // 0 is first
 	hasUrgency   bool
-	once         bool // must not be lost to an idle time-out
+	onTimeBy     clock.Instant // when its first output must come to be on time
+	late         bool          // it is not expected to be on time
+	once         bool          // must not be lost to an idle time-out
 	lastEvent    string
 	until        clock.Instant // when the endpoint must have ended
 	placeBy      clock.Instant // when it must have been placed
 	excluded     map[string]bool
 }
 
+// lateUrgency is added to the urgency of requests that are late already, so that engines begin with those that can be on time.
+const lateUrgency = 3
+
+func (a *attempt) endpointUrgency() int {
+	if a.late {
+		return a.urgency + lateUrgency
+	}
+	return a.urgency
+}
+
 // failureKind tells how an attempt without an answer has ended.
 type failureKind string
 
@@ -54,6 +66,7 @@
 	endpoint   string // that was tried; empty for notPlaced
 	reason     string
 	retryAfter time.Duration // for notPlaced
+	final      bool          // no other region is asked
 }
 
 // reply is the head of an endpoint's answer. Closing the body ends the attempt.
@@ -67,7 +80,7 @@
 
 // attemptHere places a request at an endpoint of this region and sends it.
 func (e *Edge) attemptHere(ctx context.Context, a *attempt) (*reply, *failure) {
-	placed := e.pools.place(ctx, a.service, a.work, a.urgency, a.placeBy, a.excluded)
+	placed := e.pools.place(ctx, a)
 	if placed.reason != "" {
 		return nil, &failure{kind: notPlaced, reason: string(placed.reason), retryAfter: e.comeBack(a.service)}
 	}
@@ -79,8 +92,8 @@
 	}
 	header := a.header.Clone()
 	e.options.Dialect.ToEndpoint(header, EndpointHead{
-		Endpoint: endpoint.ID, Organisation: a.organisation, Deadline: left, LastEvent: a.lastEvent,
-		Urgency: a.urgency, HasUrgency: a.hasUrgency,
+		Endpoint: endpoint.ID, Organisation: a.organisation, Deadline: left, LastEvent: a.lastEvent, CopyFrom: placed.choice.CopyFrom,
+		Urgency: a.endpointUrgency(), HasUrgency: a.hasUrgency,
 	})
 	resp, err := e.conns.Do(ctx, endpoint.Addr, &endpointconn.Request{
 		ID: a.id, Method: a.method, URI: a.uri, Host: a.host, Header: header, Body: a.body, Once: a.once,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -46,8 +46,10 @@
 	Organisation string // empty on a public route
 	Deadline     time.Duration
 	LastEvent    string
-	Urgency      int // 0 is first
-	HasUrgency   bool
+	// CopyFrom is the address of an endpoint from which cached prompt parts are copied first. Empty: none.
+	CopyFrom   string
+	Urgency    int // 0 is first
+	HasUrgency bool
 }
 
 // ReportedLoad is the load that an endpoint tells with an answer.
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -17,6 +17,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 	"dogwoodknot.example/dogwoodknot/internal/core/routing"
+	"dogwoodknot.example/dogwoodknot/internal/core/triage"
 )
 
 const (
@@ -91,9 +92,6 @@
 // admit checks the request up to its organisation's rate. It answers requests that go no further.
 func (x *exchange) admit() bool {
 	e := x.edge
-	if e.closing.Load() {
-		return x.refuse(http.StatusServiceUnavailable, "instance is stopping", 0)
-	}
 	x.conf = e.state.configuration.Load()
 	if x.conf == nil {
 		return x.refuse(http.StatusServiceUnavailable, "no configuration is known yet", noEndpointRetry)
@@ -117,6 +115,9 @@
 		return x.refuse(http.StatusBadRequest, err.Error(), 0)
 	}
 	x.setLimit()
+	if end := clock.Instant(e.ends.Load()); end > 0 && x.limit > end {
+		return x.refuse(http.StatusServiceUnavailable, "instance is stopping before the request would end", minRetryAfter)
+	}
 	body, ok := x.readBody()
 	if !ok {
 		return false
@@ -173,11 +174,19 @@
 		id: x.head.ID, service: x.service, organisation: organisation,
 		method: x.r.Method, uri: x.r.RequestURI, host: x.r.Host, header: x.endToEnd(), body: body,
 		work: x.work(), urgency: urgency, hasUrgency: x.conf.Service(x.service).Engine != nil,
-		once: !x.route.Repeatable(), lastEvent: x.head.LastEvent, until: x.limit.Add(-answerMargin), excluded: map[string]bool{},
+		once: !x.route.Repeatable(), lastEvent: x.head.LastEvent, until: x.limit.Add(-answerMargin), onTimeBy: x.onTimeBy(), excluded: map[string]bool{},
 	}
 	x.lastEvent = x.head.LastEvent
 }
 
+// onTimeBy is when the first output must come for the request to be on time.
+func (x *exchange) onTimeBy() clock.Instant {
+	if x.route.Objective <= 0 {
+		return x.limit
+	}
+	return min(x.limit, x.arrived.Add(x.route.Objective))
+}
+
 // urgencyStep is the number of ranks of routes within one rank of organisations.
 const urgencyStep = 3
 
@@ -274,26 +283,42 @@
 	return !x.declined[region] && (!x.bound || slices.Contains(x.homes, region))
 }
 
-// attempt makes one attempt here or in another region.
+// attempt makes one attempt here or in another region, or decides that the request cannot be served in time.
 func (x *exchange) attempt(ctx context.Context) (*reply, *failure) {
 	e := x.edge
 	self := e.options.Self.Region
-	x.a.placeBy = x.placeBy()
+	now := e.clock.Now()
 	remotes := e.fleet.regions(x.service, x.mayServe)
+	in := triage.Input{Objective: x.a.onTimeBy.Sub(now), Left: x.limit.Sub(now), Elsewhere: x.offers(remotes)}
 	here := x.mayServe(self)
-	var local placement.Summary
 	if here {
-		local = e.pools.summary(x.service, x.a.excluded)
-	}
-	if i := routing.ChooseRegion(local.Wait, local.Usable > 0, remotes, x.rng()); i >= 0 {
-		r, f := e.attemptAt(ctx, remotes[i].Instance, &x.a, x.conf.Version)
-		return r, x.noteDecline(f, remotes[i].Region)
-	}
-	if !here {
-		return nil, &failure{kind: notPlaced, reason: "no region that may serve the request can be reached", retryAfter: noEndpointRetry}
+		sum := e.pools.summary(&x.a)
+		in.Here = triage.Offer{Known: sum.Usable > 0, First: sum.Wait}
+	}
+	d := triage.Decide(in, x.rng())
+	x.a.late = d.Late
+	x.a.placeBy = x.placeBy(now)
+	switch {
+	case d.Action == triage.ServeElsewhere:
+		r, f := e.attemptAt(ctx, remotes[d.Region].Instance, &x.a, x.conf.Version)
+		return r, x.noteDecline(f, remotes[d.Region].Region)
+	case d.Action == triage.ServeHere:
+		r, f := e.attemptHere(ctx, &x.a)
+		return r, x.noteDecline(f, self)
+	case !in.Here.Known && len(remotes) == 0:
+		return nil, &failure{kind: notPlaced, reason: "no region that may serve the request has endpoints", retryAfter: noEndpointRetry, final: true}
+	}
+	return nil, &failure{kind: notPlaced, reason: "expected wait is too long", retryAfter: d.RetryAfter, final: true}
+}
+
+// offers returns the expected times to a first output in other regions.
+func (x *exchange) offers(remotes []routing.RegionLoad) []triage.Offer {
+	read := x.edge.pools.readTime(x.service, x.a.work.Unshared())
+	out := make([]triage.Offer, 0, len(remotes))
+	for _, r := range remotes {
+		out = append(out, triage.Offer{Known: true, First: r.Wait + read + 2*r.OneWay})
 	}
-	r, f := e.attemptHere(ctx, &x.a)
-	return r, x.noteDecline(f, self)
+	return out
 }
 
 // noteDecline remembers a region that had no place for the request.
@@ -309,21 +334,20 @@
 
 // elsewhere reports whether another region may take a request that one has declined.
 func (x *exchange) elsewhere() bool {
-	return x.mayServe(x.edge.options.Self.Region) && x.edge.pools.summary(x.service, x.a.excluded).Usable > 0 ||
+	return x.mayServe(x.edge.options.Self.Region) && x.edge.pools.summary(&x.a).Usable > 0 ||
 		len(x.edge.fleet.regions(x.service, x.mayServe)) > 0
 }
 
 func (x *exchange) rng() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-// placeBy is until when the request may wait for an endpoint.
-func (x *exchange) placeBy() clock.Instant {
-	now := x.edge.clock.Now()
-	left := x.limit.Sub(now)
-	return now.Add(time.Duration(float64(left) * waitPart))
+// placeBy is until when the request may wait for an endpoint: while it can be on time, and a part of the rest after that.
+func (x *exchange) placeBy(now clock.Instant) clock.Instant {
+	return max(x.a.onTimeBy, now.Add(time.Duration(float64(x.limit.Sub(now))*waitPart)))
 }
 
-// waitPart is the part of the remaining time that a request may wait for an endpoint. The rest is for the work itself.
-const waitPart = 0.6
+// waitPart is the part of the remaining time that a request may wait for an endpoint. Most of it is needed for the work, and
+// callers whose request is refused need some to come back.
+const waitPart = 0.25
 
 // again decides whether a failed request is attempted once more, and notes what the failure means for the next attempt.
 func (x *exchange) again(ctx context.Context, f *failure) bool {
@@ -335,7 +359,7 @@
 		return false
 	}
 	if f.kind == notPlaced {
-		return x.elsewhere()
+		return !f.final && x.elsewhere()
 	}
 	if f.kind == notSent {
 		x.unsent++
--- a/internal/edge/pools.go
+++ b/internal/edge/pools.go
@@ -39,15 +39,14 @@
 	*placement.Pool
 	service *catalog.Service
 	waiting []*waiter // most urgent first
+	// peersWaiting is what waits at other instances of the region.
+	peersWaiting map[string]waitingWork
 }
 
 // waiter is a request that waits for an endpoint.
 type waiter struct {
-	work     placement.Work
-	urgency  int
-	deadline clock.Instant
-	excluded map[string]bool
-	placed   chan placement.Choice // with room for one
+	*attempt
+	placed chan placement.Choice // with room for one
 }
 
 func newPools(c clock.Clock, coldPace func(string, float64) float64) *pools {
@@ -66,7 +65,7 @@
 		}
 		pool := p.byService[name]
 		if pool == nil {
-			pool = &servicePool{Pool: placement.NewPool(service, p.coldPace)}
+			pool = &servicePool{Pool: placement.NewPool(service, p.coldPace), peersWaiting: make(map[string]waitingWork)}
 			p.byService[name] = pool
 		}
 		pool.service = service
@@ -89,20 +88,20 @@
 
 // place waits for an endpoint until the deadline, ctx ends or there is none. The returned endpoint has the request booked;
 // release must be called.
-func (p *pools) place(ctx context.Context, service string, w placement.Work, urgency int, until clock.Instant, excluded map[string]bool) placeOutcome {
+func (p *pools) place(ctx context.Context, a *attempt) placeOutcome {
 	p.mu.Lock()
-	pool := p.byService[service]
+	pool := p.byService[a.service]
 	if pool == nil {
 		p.mu.Unlock()
 		return placeOutcome{reason: placement.NoEndpoint}
 	}
-	me := &waiter{work: w, urgency: urgency, deadline: until, excluded: excluded, placed: make(chan placement.Choice, 1)}
+	me := &waiter{attempt: a, placed: make(chan placement.Choice, 1)}
 	reason := p.admit(pool, me)
 	if reason == "" {
 		p.mu.Unlock()
 		return placeOutcome{choice: <-me.placed}
 	}
-	wait := until.Sub(p.clock.Now())
+	wait := a.placeBy.Sub(p.clock.Now())
 	if reason == placement.NoEndpoint || wait <= 0 {
 		p.mu.Unlock()
 		return placeOutcome{reason: reason}
@@ -125,7 +124,7 @@
 		if ctx.Err() == nil {
 			return placeOutcome{choice: c}
 		}
-		pool.End(c.Endpoint, w.ID)
+		pool.End(c.Endpoint, a.work.ID)
 	default:
 		pool.remove(me)
 	}
@@ -150,18 +149,42 @@
 	if reason != "" {
 		return reason
 	}
-	pool.Begin(now, choice.Endpoint, me.work)
+	pool.Begin(now, choice, me.work)
 	p.used.add(choice.Endpoint.ID, me.work.Parts)
 	me.placed <- choice
 	return ""
 }
 
-// before orders waiting requests: by urgency, then by deadline.
+// before orders waiting requests: those that can be on time first, then by urgency, then by when they must be placed.
 func before(a, b *waiter) bool {
+	if a.late != b.late {
+		return b.late
+	}
 	if a.urgency != b.urgency {
 		return a.urgency < b.urgency
 	}
-	return a.deadline < b.deadline
+	return a.placeBy < b.placeBy
+}
+
+// markLate puts the requests whose objective has passed behind the others.
+func (s *servicePool) markLate(now clock.Instant) {
+	changed := false
+	for _, w := range s.waiting {
+		if !w.late && now > w.onTimeBy {
+			w.late, changed = true, true
+		}
+	}
+	if changed {
+		slices.SortStableFunc(s.waiting, func(a, b *waiter) int {
+			switch {
+			case before(a, b):
+				return -1
+			case before(b, a):
+				return 1
+			}
+			return 0
+		})
+	}
 }
 
 func (s *servicePool) enqueue(me *waiter) {
@@ -192,7 +215,9 @@
 }
 
 func (p *pools) pumpAll() {
+	now := p.clock.Now()
 	for _, pool := range p.byService {
+		pool.markLate(now)
 		p.pump(pool)
 	}
 }
@@ -252,34 +277,77 @@
 
 // summary returns the load of a service here for a request that may not go to the excluded endpoints. The waiting requests are
 // counted in.
-func (p *pools) summary(service string, excluded map[string]bool) placement.Summary {
+func (p *pools) summary(a *attempt) placement.Summary {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	pool := p.byService[service]
+	pool := p.byService[a.service]
 	if pool == nil {
 		return placement.Summary{}
 	}
-	return pool.summary(p.clock.Now(), excluded)
+	return pool.summary(p.clock.Now(), a)
 }
 
-func (s *servicePool) summary(now clock.Instant, excluded map[string]bool) placement.Summary {
-	sum := s.Summarise(now, func(id string) bool { return excluded[id] })
-	sum.Wait += s.queueWait(max(1, sum.Usable))
+func (s *servicePool) summary(now clock.Instant, a *attempt) placement.Summary {
+	sum := s.Summarise(now, &a.work, func(id string) bool { return a.excluded[id] })
+	sum.Wait += s.queueWait(now, a, max(1, sum.Usable))
 	return sum
 }
 
-// queueWait estimates how long the waiting requests will occupy the endpoints before another one gets its turn.
-func (s *servicePool) queueWait(usable int) time.Duration {
-	if s.service.Engine == nil {
-		return time.Duration(len(s.waiting)) * plainWork / time.Duration(usable*max(1, s.Slots()))
+// readTime is how long an engine takes to read the prompt tokens.
+func (p *pools) readTime(service string, tokens float64) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool := p.byService[service]
+	if pool == nil || tokens <= 0 {
+		return 0
 	}
-	tokens := 0.0
+	return time.Duration(tokens / pool.ReadRate() * float64(time.Second))
+}
+
+// queueWait estimates how long the waiting requests that go before this one will occupy the endpoints. What waits at other
+// instances of the region is counted in.
+func (s *servicePool) queueWait(now clock.Instant, a *attempt, usable int) time.Duration {
+	me := &waiter{attempt: a}
+	tokens, n := 0.0, 0.0
 	for _, w := range s.waiting {
-		tokens += w.work.Unshared()
+		if before(w, me) {
+			tokens += w.work.Unshared()
+			n++
+		}
+	}
+	for name, r := range s.peersWaiting {
+		if now.Sub(r.at) > peerWaitAge {
+			delete(s.peersWaiting, name)
+			continue
+		}
+		tokens += r.tokens
+		n += r.requests
+	}
+	if s.service.Engine == nil {
+		return time.Duration(n * float64(plainWork) / float64(usable*max(1, s.Slots())))
 	}
 	return time.Duration(tokens / (s.ReadRate() * float64(usable)) * float64(time.Second))
 }
 
+// peerWaitAge is the age up to which another instance's waiting requests count: a few messages.
+const peerWaitAge = time.Second
+
+// waitingWork is what waits for the endpoints at one instance.
+type waitingWork struct {
+	tokens   float64
+	requests float64
+	at       clock.Instant
+}
+
+func (s *servicePool) ownWaiting() waitingWork {
+	var sum waitingWork
+	for _, w := range s.waiting {
+		sum.tokens += w.work.Unshared()
+		sum.requests++
+	}
+	return sum
+}
+
 // plainWork is what a plain request is taken to occupy a slot for, to compare queues of regions: calls of plain services take
 // 15 to 60 ms.
 const plainWork = 40 * time.Millisecond
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -36,9 +36,10 @@
 	retryMu sync.Mutex
 	retries *retrybudget.Budget
 
-	leaving  atomic.Bool // callers are sent elsewhere
-	closing  atomic.Bool // requests are refused
-	fetching atomic.Bool // of a configuration from another instance
+	leaving  atomic.Bool  // callers are sent elsewhere
+	closing  atomic.Bool  // requests that may outlast the process are refused
+	ends     atomic.Int64 // instant at which the process ends, once it is closing; 0 before
+	fetching atomic.Bool  // of a configuration from another instance
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -116,8 +117,11 @@
 // Leave sends callers elsewhere. Requests are still served.
 func (e *Edge) Leave() { e.leaving.Store(true) }
 
-// Refuse refuses requests from now on.
-func (e *Edge) Refuse() { e.closing.Store(true) }
+// RefuseBeyond refuses requests whose time may reach beyond end, when the process ends.
+func (e *Edge) RefuseBeyond(end clock.Instant) {
+	e.ends.Store(int64(end))
+	e.closing.Store(true)
+}
 
 // Close stops all work and removes the announcement.
 func (e *Edge) Close() {
@@ -203,7 +207,7 @@
 
 // comeBack is when a request that found no place should be sent again.
 func (e *Edge) comeBack(service string) time.Duration {
-	sum := e.pools.summary(service, nil)
+	sum := e.pools.summary(&attempt{service: service})
 	if sum.Usable == 0 {
 		return noEndpointRetry
 	}
--- a/internal/edge/talk.go
+++ b/internal/edge/talk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -61,14 +62,17 @@
 	e.quotaMu.Unlock()
 	now := e.clock.Now()
 	e.pools.each(func(name string, pool *servicePool) {
+		load := &wire.EdgeServiceLoad{Name: name}
 		if !near {
-			if sum := pool.summary(now, nil); sum.Usable > 0 {
-				s.Services = append(s.Services, &wire.EdgeServiceLoad{
-					Name: name, Usable: uint32(sum.Usable), WaitMillis: uint32(sum.Wait.Milliseconds()),
-				})
-			}
+			// What goes before a request of the lowest rank that can be on time.
+			sum := pool.summary(now, &attempt{urgency: math.MaxInt, placeBy: math.MaxInt64})
+			load.Usable, load.WaitMillis = uint32(sum.Usable), uint32(sum.Wait.Milliseconds())
+			s.Services = append(s.Services, load)
 			return
 		}
+		waiting := pool.ownWaiting()
+		load.WaitingTokens, load.WaitingRequests = waiting.tokens, uint32(waiting.requests)
+		s.Services = append(s.Services, load)
 		pool.OwnWork(func(id string, w placement.PeerWork) {
 			s.Endpoints = append(s.Endpoints, &wire.EdgeEndpointWork{
 				Id: id, Running: uint32(w.Running), UnreadTokens: w.Unread, MemoryTokens: w.Memory,
@@ -95,6 +99,9 @@
 	now := e.clock.Now()
 	services := make(map[string]routing.RegionLoad, len(s.GetServices()))
 	for _, l := range s.GetServices() {
+		if l.GetUsable() == 0 {
+			continue
+		}
 		services[l.GetName()] = routing.RegionLoad{
 			Region: from.Region, Instance: from.Instance, OneWay: unknownOneWay,
 			Wait: time.Duration(l.GetWaitMillis()) * time.Millisecond,
@@ -132,6 +139,11 @@
 			}
 		}
 	}
+	for _, l := range s.GetServices() {
+		if pool := p.byService[l.GetName()]; pool != nil {
+			pool.peersWaiting[instance] = waitingWork{tokens: l.GetWaitingTokens(), requests: float64(l.GetWaitingRequests()), at: now}
+		}
+	}
 	for _, pool := range p.byService {
 		for _, w := range s.GetEndpoints() {
 			pool.PeerReported(instance, w.GetId(), placement.PeerWork{
--- a/internal/edgedaemon/daemon.go
+++ b/internal/edgedaemon/daemon.go
@@ -24,9 +24,13 @@
 )
 
 const (
-	// refusePart is the part of the grace time after which requests are refused at a planned stop: callers keep an answer of
-	// the directory for a few seconds, and the longest streams need the rest.
-	refusePart = 0.4
+	// refusePart is the part of the grace time after which requests that may outlast the process are refused at a planned
+	// stop: callers keep an answer of the directory for a few seconds, and the longest streams need the rest.
+	refusePart = 0.34
+	// shortPart is the part of the grace time after which the process ends with the last request.
+	shortPart = 0.6
+	// stopPoll is the interval of checks whether the last request has its answer.
+	stopPoll = 50 * time.Millisecond
 	// killReserve is kept back from the grace time, so that the process ends by itself.
 	killReserve = 700 * time.Millisecond
 	// endpointDialTimeout bounds a connection to an endpoint of the own region: some round trips of a millisecond, with one
@@ -201,7 +205,12 @@
 	defer cancel()
 	// An error means that the grace time has ended, which the following steps see for themselves.
 	_ = clock.Sleep(ctx, time.Duration(float64(grace)*refusePart))
-	d.edge.Refuse()
+	d.edge.RefuseBeyond(clock.Boot{}.Now().Add(grace - killReserve - time.Since(began)))
+	for time.Since(began) < time.Duration(float64(grace)*shortPart) || d.inFlight.Load() > 0 {
+		if clock.Sleep(ctx, stopPoll) != nil {
+			break
+		}
+	}
 	err := d.callers.Shutdown(ctx)
 	cut := d.inFlight.Load()
 	err = errors.CombineErrors(err, d.callers.Close())
