Take no more requests at an engine than end in time

Change: placement measures the time that an engine takes for an output token, and an engine whose pace would not let an answer of the route's typical length end in time takes no more requests. While none is free, the expected wait follows from how many requests leave the endpoints.

Ruled out: a fixed smaller batch (engines of other services have 24 places and no such limit); refusing only long answers by their hints (the longest tenth would be served less than half as often).

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -45,6 +45,8 @@
 	Prompt float64 // tokens; 0 for a plain request
 	Output float64 // expected tokens
 	Parts  []Part  // of the prompt, in order
+	// MaxPace is the longest time for an output token at which the answer is expected to end in time. 0: any.
+	MaxPace time.Duration
 }
 
 // Unshared returns the prompt tokens that belong to the request alone: those of its last part, or all of a prompt without
@@ -75,6 +77,7 @@
 	cache    *partCache
 	coldNext clock.Instant // earliest time of the next request while it is cold
 	slots    int
+	pace     pace
 }
 
 type peerReport struct {
@@ -98,6 +101,8 @@
 	endpoints map[string]*Endpoint
 	order     []*Endpoint // by id
 	readRate  float64     // tokens/s
+	// departures counts the own requests that leave the endpoints.
+	departures rate
 	// ColdPace returns the requests a second that this instance may send to a cold endpoint.
 	coldPace func(endpoint string, rate float64) float64
 }
@@ -229,7 +234,7 @@
 			continue
 		}
 		load := e.load(now)
-		if e.Health.Probing() && len(e.own) > 0 || !p.hasRoom(e, load, w) {
+		if e.Health.Probing() && len(e.own) > 0 || !p.hasRoom(now, e, load, w) {
 			reason = worse(reason, AllBusy)
 			continue
 		}
@@ -273,7 +278,10 @@
 }
 
 // hasRoom reports whether the endpoint has a place and memory for the request.
-func (p *Pool) hasRoom(e *Endpoint, load PeerWork, w *Work) bool {
+func (p *Pool) hasRoom(now clock.Instant, e *Endpoint, load PeerWork, w *Work) bool {
+	if w.MaxPace > 0 && load.Running >= minCrowd && e.pace.value(now) > w.MaxPace {
+		return false
+	}
 	if engine := p.service.Engine; engine != nil {
 		need := w.Prompt - e.cache.held(w.Parts) + w.Output
 		return load.Running < e.slots && (load.Running == 0 || load.Memory+need <= memoryUse*engine.KVTokens)
@@ -385,12 +393,13 @@
 }
 
 // End records that a request has left the endpoint, whatever the outcome.
-func (p *Pool) End(e *Endpoint, id string) {
+func (p *Pool) End(now clock.Instant, e *Endpoint, id string) {
 	r := e.own[id]
 	if r == nil {
 		return
 	}
 	delete(e.own, id)
+	p.departures.add(now)
 	if !r.started {
 		e.unread -= r.unread
 	}
@@ -406,7 +415,10 @@
 // Summary is the load of the pool as other regions need it.
 type Summary struct {
 	Usable int           // endpoints that take work, now or when requests there have ended
-	Wait   time.Duration // shortest expected time to a first event, for a prompt whose shared parts are held
+	Free   int           // endpoints that take the request now
+	Wait   time.Duration // shortest expected time to a first event, if there is a free endpoint
+	// Leaving is how many requests a second leave the endpoints.
+	Leaving float64
 }
 
 // Summarise returns the load of the pool for a request, without the excluded endpoints. For a request without prompt, the wait
@@ -422,6 +434,9 @@
 		}
 		load := e.load(now)
 		s.Usable++
+		if p.hasRoom(now, e, load, w) {
+			s.Free++
+		}
 		wait := p.wait(e, load, w, source.copyTo(e, w))
 		if wait < shortest {
 			shortest = wait
@@ -430,18 +445,12 @@
 	if s.Usable > 0 {
 		s.Wait = shortest
 	}
+	s.Leaving = p.departures.value(now)
 	return s
 }
 
 // wait is the expected time until the endpoint begins with the request.
 func (p *Pool) wait(e *Endpoint, load PeerWork, w *Work, copied float64) time.Duration {
 	_, wait := p.cost(e, load, w, copied)
-	if over := load.Running + 1 - e.slots; over > 0 {
-		// A place becomes free when one of the running requests ends.
-		wait += time.Duration(over) * placeWait / time.Duration(e.slots)
-	}
 	return wait
 }
-
-// placeWait is what a request is taken to occupy a place for, to compare loads: generations take one to four seconds.
-const placeWait = 2 * time.Second
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -177,14 +178,14 @@
 	endpoint *placement.Endpoint
 	verdict  verdict
 	begun    bool
+	last     clock.Instant // of the last output
 	closed   bool
 }
 
 func (b *endpointBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if n > 0 && !b.begun {
-		b.begun = true
-		b.edge.pools.started(b.attempt.service, b.endpoint, b.attempt.work.ID)
+	if n > 0 {
+		b.progress(p[:n])
 	}
 	if err != nil && err != io.EOF {
 		b.verdict = verdictFailed
@@ -195,6 +196,21 @@
 	return n, err
 }
 
+// eventEnd ends each event of a stream.
+var eventEnd = []byte("\n\n")
+
+// progress tells placement of the first output and of an engine's pace.
+func (b *endpointBody) progress(part []byte) {
+	now := b.edge.clock.Now()
+	if !b.begun {
+		b.begun = true
+		b.edge.pools.started(b.attempt.service, b.endpoint, b.attempt.work.ID)
+	} else if events := bytes.Count(part, eventEnd); events > 0 {
+		b.edge.pools.produced(b.attempt.service, b.endpoint, now.Sub(b.last), events)
+	}
+	b.last = now
+}
+
 // Close ends the attempt. It is called once the answer is complete, has failed or is no longer wanted.
 func (b *endpointBody) Close() error {
 	if b.closed {
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -206,9 +206,17 @@
 		sum += part.Tokens
 	}
 	w.Prompt = max(w.Prompt, sum)
+	if typical := x.edge.outputs.note(x.route.Name, w.Output); typical > 0 {
+		left := x.limit.Sub(x.arrived)
+		w.MaxPace = time.Duration(float64(left) * paceUse / typical)
+	}
 	return w
 }
 
+// paceUse is the part of a request's time that the generation of an answer of typical length may take. Half as long again
+// must fit: one answer in six is longer than that.
+const paceUse = 0.55
+
 // hopByHop are the headers that concern one connection only (RFC 9110, section 7.6.1).
 var hopByHop = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te",
 	"Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
--- a/internal/edge/pools.go
+++ b/internal/edge/pools.go
@@ -124,7 +124,7 @@
 		if ctx.Err() == nil {
 			return placeOutcome{choice: c}
 		}
-		pool.End(c.Endpoint, a.work.ID)
+		pool.End(p.clock.Now(), c.Endpoint, a.work.ID)
 	default:
 		pool.remove(me)
 	}
@@ -240,6 +240,13 @@
 	p.pump(pool)
 }
 
+// produced records the events of a stream.
+func (p *pools) produced(service string, e *placement.Endpoint, took time.Duration, events int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.byService[service].Produced(p.clock.Now(), e, took, events)
+}
+
 // verdict is what an attempt has shown of its endpoint.
 type verdict int
 
@@ -264,7 +271,7 @@
 		e.Health.Silent(now)
 	}
 	pool := p.byService[service]
-	pool.End(e, id)
+	pool.End(now, e, id)
 	p.pump(pool)
 }
 
@@ -289,10 +296,19 @@
 
 func (s *servicePool) summary(now clock.Instant, a *attempt) placement.Summary {
 	sum := s.Summarise(now, &a.work, func(id string) bool { return a.excluded[id] })
-	sum.Wait += s.queueWait(now, a, max(1, sum.Usable))
+	ahead := s.ahead(now, a)
+	if sum.Free == 0 && sum.Usable > 0 {
+		// Places become free as requests end; those that wait get theirs first.
+		sum.Wait += time.Duration((ahead.requests + 1) / max(sum.Leaving, minLeaving) * float64(time.Second))
+		return sum
+	}
+	sum.Wait += s.queueWait(ahead, max(1, sum.Usable))
 	return sum
 }
 
+// minLeaving is the number of requests a second that leave the endpoints of a region at least, where none has left lately.
+const minLeaving = 1.0
+
 // readTime is how long an engine takes to read the prompt tokens.
 func (p *pools) readTime(service string, tokens float64) time.Duration {
 	p.mu.Lock()
@@ -304,15 +320,14 @@
 	return time.Duration(tokens / pool.ReadRate() * float64(time.Second))
 }
 
-// queueWait estimates how long the waiting requests that go before this one will occupy the endpoints. What waits at other
-// instances of the region is counted in.
-func (s *servicePool) queueWait(now clock.Instant, a *attempt, usable int) time.Duration {
+// ahead is what goes before a request. What waits at other instances of the region is counted in.
+func (s *servicePool) ahead(now clock.Instant, a *attempt) waitingWork {
 	me := &waiter{attempt: a}
-	tokens, n := 0.0, 0.0
+	var sum waitingWork
 	for _, w := range s.waiting {
 		if before(w, me) {
-			tokens += w.work.Unshared()
-			n++
+			sum.tokens += w.work.Unshared()
+			sum.requests++
 		}
 	}
 	for name, r := range s.peersWaiting {
@@ -320,13 +335,18 @@
 			delete(s.peersWaiting, name)
 			continue
 		}
-		tokens += r.tokens
-		n += r.requests
+		sum.tokens += r.tokens
+		sum.requests += r.requests
 	}
+	return sum
+}
+
+// queueWait estimates how long the work ahead will occupy the endpoints.
+func (s *servicePool) queueWait(ahead waitingWork, usable int) time.Duration {
 	if s.service.Engine == nil {
-		return time.Duration(n * float64(plainWork) / float64(usable*max(1, s.Slots())))
+		return time.Duration(ahead.requests * float64(plainWork) / float64(usable*max(1, s.Slots())))
 	}
-	return time.Duration(tokens / (s.ReadRate() * float64(usable)) * float64(time.Second))
+	return time.Duration(ahead.tokens / (s.ReadRate() * float64(usable)) * float64(time.Second))
 }
 
 // peerWaitAge is the age up to which another instance's waiting requests count: a few messages.
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -36,6 +36,8 @@
 	retryMu sync.Mutex
 	retries *retrybudget.Budget
 
+	outputs outputs
+
 	leaving  atomic.Bool  // callers are sent elsewhere
 	closing  atomic.Bool  // requests that may outlast the process are refused
 	ends     atomic.Int64 // instant at which the process ends, once it is closing; 0 before
