Let a starting instance name listed instances that it has not heard

The first that was back answered the directory for all regions, and for 0.8 s, until it had heard from the others, it named only itself.

Change: an instance that is listed counts as serving for 2 s before it is heard, unless its announcement says that it leaves, which is written when leaving begins.

Ruled out: a later readiness of starting instances; with all stopped in turn nobody would answer.

Test: TestStartingInstanceNamesListedOnes, TestResolve.

--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -12,6 +12,9 @@
 	// resolveFor is how long callers may use an answer of the directory: short, because a dead instance of a small region
 	// leaves its callers with no other address.
 	resolveFor = time.Second
+	// introduction is how long a listed instance that has not been heard yet counts as serving: an instance that has just
+	// started would otherwise name only itself until the first messages have come.
+	introduction = 2 * time.Second
 )
 
 // standing ranks instances for the directory. Lower ones are named first.
@@ -61,7 +64,7 @@
 	for _, m := range f.members {
 		c := candidate{addr: m.CallerAddr, region: m.Region, standing: unsuitable}
 		switch {
-		case m.usable(now):
+		case m.usable(now), m.heard == 0 && m.listed && !m.leaving && now.Sub(m.since) <= introduction:
 			c.standing = serving
 		case m.leaving && !m.refusing && now.Sub(m.heard) <= heardFor:
 			c.standing = departing
--- a/internal/edge/directory_test.go
+++ b/internal/edge/directory_test.go
@@ -1,8 +1,17 @@
 package edge
 
 import (
+	"encoding/json"
 	"slices"
 	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/mirror"
+	"dogwoodknot.example/dogwoodknot/internal/peer"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
 )
 
 // Guards against callers who are sent to a region in which their home-bound bodies must not be, while an instance of their own
@@ -32,3 +41,29 @@
 		}
 	}
 }
+
+// Guards against an instance that has just started and names only itself, far from the callers' home regions, until it has
+// heard the others (found when all instances were stopped in turn: veletas trouble-2 --seed 363374777142).
+func TestStartingInstanceNamesListedOnes(t *testing.T) {
+	clk := &clock.Manual{}
+	f := newFleet(&Options{Self: peer.Identity{Instance: "self", Region: "south"}, Clock: clk, Log: zap.NewNop()})
+	f.changed = func() {}
+	list := func(name string, leaving bool) platform.Change {
+		value, err := json.Marshal(announcement{Incarnation: 1, Region: "north", CallerAddr: name, PeerAddr: "p", Leaving: leaving})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return platform.Change{Entry: platform.Entry{Key: InstancePrefix + name, Value: value}}
+	}
+	clk.Advance(time.Second)
+	f.apply(mirror.Update{Reset: true, Changes: []platform.Change{list("a", false), list("b", true)}})
+	own := candidate{addr: "self", region: "south", standing: serving}
+	homes := func(region string) int { return map[string]int{"north": 1}[region] }
+	if got := resolve(append(f.candidates(), own), "north", homes); !slices.Equal(got, []string{"a"}) {
+		t.Errorf("after the start: %v, want the listed instance that does not leave", got)
+	}
+	clk.Advance(introduction + time.Second)
+	if got := resolve(append(f.candidates(), own), "north", homes); !slices.Equal(got, []string{"self"}) {
+		t.Errorf("after %s without a word: %v, want the own address", introduction, got)
+	}
+}
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -54,15 +54,16 @@
 	PeerAddr    string `json:"peer_addr"`
 	// Certificate authenticates the instance's sessions. It is made at each start and trusted because it stands here.
 	Certificate []byte `json:"certificate"` // PEM
+	// Leaving tells instances that start meanwhile that callers are sent elsewhere.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
-func marshalAnnouncement(a announcement) ([]byte, error) { return json.Marshal(a) }
-
 // member is an instance as this one knows it.
 type member struct {
 	announcement
 	name     string
-	listed   bool // its key stands in the store
+	listed   bool          // its key stands in the store
+	since    clock.Instant // when it became a member
 	ready    bool
 	leaving  bool
 	refusing bool          // takes no more requests
@@ -123,13 +124,14 @@
 	}
 	m := f.members[name]
 	if m != nil && m.listed && m.Incarnation == a.Incarnation {
+		m.leaving = m.leaving || a.Leaving
 		return false
 	}
 	if m == nil || m.Incarnation != a.Incarnation {
-		m = &member{name: name}
+		m = &member{name: name, since: f.options.Clock.Now()}
 		f.members[name] = m
 	}
-	m.announcement, m.listed = a, true
+	m.announcement, m.listed, m.leaving = a, true, a.Leaving
 	f.log.Info("instance listed", zap.String("peer", name), zap.Uint64("peer_incarnation", a.Incarnation), zap.String("peer_region", a.Region))
 	return true
 }
@@ -285,10 +287,12 @@
 }
 
 // announce keeps this instance's key in the store until ctx ends, and removes it then.
-func (e *Edge) announce(ctx context.Context, value []byte) {
-	key := InstancePrefix + e.options.Self.Instance
+func (e *Edge) announce(ctx context.Context, a announcement) {
 	for ctx.Err() == nil {
-		lease, err := e.announceOnce(ctx, key, value)
+		lease, err := e.options.Store.Grant(ctx, leaseTerm)
+		if err == nil {
+			err = e.writeAnnouncement(ctx, a, lease)
+		}
 		if err != nil {
 			e.log.Warn("instance could not be announced", zap.Error(err))
 			if clock.Sleep(ctx, announceRetry) != nil {
@@ -297,7 +301,7 @@
 			continue
 		}
 		e.log.Info("instance announced", zap.Int64("lease", int64(lease)))
-		err = e.keepLease(ctx, lease)
+		err = e.keepLease(ctx, a, lease)
 		if ctx.Err() != nil {
 			e.withdraw(lease)
 			return
@@ -306,21 +310,35 @@
 	}
 }
 
-func (e *Edge) announceOnce(ctx context.Context, key string, value []byte) (platform.LeaseID, error) {
-	lease, err := e.options.Store.Grant(ctx, leaseTerm)
+// writeAnnouncement writes this instance's key. The key is its own: an earlier incarnation's value is replaced whatever its
+// revision.
+func (e *Edge) writeAnnouncement(ctx context.Context, a announcement, lease platform.LeaseID) error {
+	a.Leaving = e.leaving.Load()
+	value, err := json.Marshal(a)
 	if err != nil {
-		return 0, errors.Wrap(err, "grant lease")
+		return errors.Wrap(err, "encode announcement")
 	}
-	// The key is this instance's own; an earlier incarnation's value is replaced whatever its revision.
-	_, err = e.options.Store.Put(ctx, key, value, platform.PutOptions{Lease: lease})
-	return lease, errors.Wrap(err, "write announcement")
+	_, err = e.options.Store.Put(ctx, InstancePrefix+e.options.Self.Instance, value, platform.PutOptions{Lease: lease})
+	return errors.Wrap(err, "write announcement")
 }
 
-// keepLease renews the lease until ctx ends or the store says that it has lapsed.
-func (e *Edge) keepLease(ctx context.Context, lease platform.LeaseID) error {
+// keepLease renews the lease until ctx ends or the store says that it has lapsed. It writes the announcement again when the
+// instance begins to leave.
+func (e *Edge) keepLease(ctx context.Context, a announcement, lease platform.LeaseID) error {
+	timer := time.NewTicker(renewEvery)
+	defer timer.Stop()
+	left := e.left
 	for {
-		if err := clock.Sleep(ctx, renewEvery); err != nil {
-			return err
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-left:
+			left = nil
+			if err := e.writeAnnouncement(ctx, a, lease); err != nil {
+				e.log.Warn("leaving was not announced, other instances hear it from this one", zap.Error(err))
+			}
+			continue
+		case <-timer.C:
 		}
 		err := e.options.Store.Renew(ctx, lease)
 		if errors.Is(err, platform.ErrLeaseLost) {
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
@@ -38,10 +37,11 @@
 
 	outputs outputs
 
-	leaving  atomic.Bool  // callers are sent elsewhere
-	closing  atomic.Bool  // requests that may outlast the process are refused
-	ends     atomic.Int64 // instant at which the process ends, once it is closing; 0 before
-	fetching atomic.Bool  // of a configuration from another instance
+	leaving  atomic.Bool   // callers are sent elsewhere
+	left     chan struct{} // closed when leaving begins
+	closing  atomic.Bool   // requests that may outlast the process are refused
+	ends     atomic.Int64  // instant at which the process ends, once it is closing; 0 before
+	fetching atomic.Bool   // of a configuration from another instance
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -72,7 +72,7 @@
 	e := &Edge{
 		options: o, clock: o.Clock, log: o.Log, requestLog: o.Log.Named("request"), metrics: newMetrics(o.Scope),
 		network: network, quota: fleetquota.New(), retries: retrybudget.New(o.Bounds.Retries),
-		ctx: ctx, cancel: cancel, talkers: make(map[string]talker),
+		ctx: ctx, cancel: cancel, left: make(chan struct{}), talkers: make(map[string]talker),
 	}
 	e.state = newState(&e.options)
 	e.state.changed = e.changedState
@@ -87,10 +87,10 @@
 }
 
 // Start begins to follow the store and to announce the instance with the certificate (PEM) of its sessions.
-func (e *Edge) Start(certificate []byte) error {
-	value, err := encodeAnnouncement(&e.options, certificate)
-	if err != nil {
-		return err
+func (e *Edge) Start(certificate []byte) {
+	a := announcement{
+		Incarnation: e.options.Self.Incarnation, Region: e.options.Self.Region, DataCentre: e.options.Self.DataCentre,
+		CallerAddr: e.options.CallerAddr, PeerAddr: e.options.PeerAddr, Certificate: certificate,
 	}
 	follow := func(prefix string, apply func(mirror.Update)) {
 		m := mirror.New(e.options.Feed, prefix, e.clock, e.log, apply)
@@ -102,8 +102,7 @@
 	follow(InstancePrefix, e.fleet.apply)
 	e.spawn(e.pools.run)
 	e.spawn(e.housekeep)
-	e.spawn(func(ctx context.Context) { e.announce(ctx, value) })
-	return nil
+	e.spawn(func(ctx context.Context) { e.announce(ctx, a) })
 }
 
 // spawn runs f on a goroutine that Close waits for.
@@ -117,7 +116,11 @@
 }
 
 // Leave sends callers elsewhere. Requests are still served.
-func (e *Edge) Leave() { e.leaving.Store(true) }
+func (e *Edge) Leave() {
+	if !e.leaving.Swap(true) {
+		close(e.left)
+	}
+}
 
 // RefuseBeyond refuses requests whose time may reach beyond end, when the process ends.
 func (e *Edge) RefuseBeyond(end clock.Instant) {
@@ -215,11 +218,3 @@
 	}
 	return max(minRetryAfter, sum.Wait)
 }
-
-func encodeAnnouncement(o *Options, certificate []byte) ([]byte, error) {
-	value, err := marshalAnnouncement(announcement{
-		Incarnation: o.Self.Incarnation, Region: o.Self.Region, DataCentre: o.Self.DataCentre,
-		CallerAddr: o.CallerAddr, PeerAddr: o.PeerAddr, Certificate: certificate,
-	})
-	return value, errors.Wrap(err, "encode announcement")
-}
--- a/internal/edgedaemon/daemon.go
+++ b/internal/edgedaemon/daemon.go
@@ -142,9 +142,7 @@
 	signal.Notify(d.hangup, syscall.SIGHUP)
 	go d.noteHangups()
 	d.transport.Start()
-	if err := d.edge.Start(d.identity.certificate); err != nil {
-		return err
-	}
+	d.edge.Start(d.identity.certificate)
 	calls := platform.Calls(d.edge.Ready, d.edge)
 	d.callers = d.server(http.HandlerFunc(d.serveCaller))
 	listen := map[string]*http.Server{d.settings.CallerAddr: d.callers, d.settings.ReadyAddr: d.server(calls)}
