Name closing instances of a home before regions that are no home

For a second all instances of the two home regions refused long requests, and the directory named the only serving instance, in the third region: 52 to 78 of 1,040 requests with homes went there, over 1 in 20.

Change: an instance that is closing is named for its region and for home-bound hosts before a region that is no home. It answers short requests and refuses the others with a time to return.

Test: TestResolve, closing home.

--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -23,6 +23,7 @@
 const (
 	serving    standing = iota // takes callers
 	departing                  // takes requests for a moment longer
+	closing                    // takes only requests that end before it does
 	unheard                    // announced, but not heard of
 	unsuitable                 // is not named
 )
@@ -51,6 +52,8 @@
 		c.standing = serving
 	case e.leaving.Load() && !e.closing.Load():
 		c.standing = departing
+	case e.leaving.Load():
+		c.standing = closing
 	}
 	return c
 }
@@ -66,8 +69,11 @@
 		switch {
 		case m.usable(now), m.heard == 0 && m.listed && !m.leaving && now.Sub(m.since) <= introduction:
 			c.standing = serving
-		case m.leaving && !m.refusing && now.Sub(m.heard) <= heardFor:
+		case m.leaving && now.Sub(m.heard) <= heardFor:
 			c.standing = departing
+			if m.refusing {
+				c.standing = closing
+			}
 		case m.listed && !m.leaving:
 			c.standing = unheard
 		}
@@ -89,9 +95,10 @@
 // preference orders the kinds of candidates by standing and nearness. Instances that depart are named before serving ones of a
 // region in which home-bound bodies must not be, and a region is never left with nobody to ask.
 var preference = [unsuitable][nearnesses]int{
-	serving:   {sameRegion: 0, homeRegion: 1, otherRegion: 4},
-	departing: {sameRegion: 2, homeRegion: 3, otherRegion: 5},
-	unheard:   {sameRegion: 6, homeRegion: 7, otherRegion: 8},
+	serving:   {sameRegion: 0, homeRegion: 1, otherRegion: 6},
+	departing: {sameRegion: 2, homeRegion: 3, otherRegion: 7},
+	closing:   {sameRegion: 4, homeRegion: 5, otherRegion: 8},
+	unheard:   {sameRegion: 9, homeRegion: 10, otherRegion: 11},
 }
 
 // resolve returns the addresses of the preferred candidates for callers of a region. homeRoutes returns how many of the host's
--- a/internal/edge/directory_test.go
+++ b/internal/edge/directory_test.go
@@ -31,6 +31,7 @@
 		"departing before a region that is no home": {[]candidate{{"a", "north", departing}, {"c", "centre", departing}, {"d", "south", serving}}, homes,
 			[]string{"a"}},
 		"departing home before a region that is no home": {[]candidate{{"c", "centre", departing}, {"d", "south", serving}}, homes, []string{"c"}},
+		"closing home before a region that is no home":   {[]candidate{{"c", "centre", closing}, {"d", "south", serving}}, homes, []string{"c"}},
 		"unbound routes go to any serving instance": {[]candidate{{"a", "north", departing}, {"c", "centre", serving}, {"d", "south", serving}}, none,
 			[]string{"c", "d"}},
 		"silent ones rather than nobody": {[]candidate{{"a", "north", unheard}, {"c", "centre", unsuitable}}, none, []string{"a"}},
