Keep both sides of a cut within an organisation's rate, and test the new decisions

Three reasons: each side divided the rate by its own current use, which a hot organisation raises on both sides; both spent the whole burst; and what silent instances used before they were known to be silent was not charged.

Change: the use of all instances is frozen as of the last report of the first silent one, the burst is divided like the rate, the use of silent instances since their last report is charged, three quarters of the burst are handed out, and an instance counts as silent after 500 ms.

Ruled out: more frequent reports between regions (their bytes are priced, and a cut makes both sides blind at any interval).

--- a/internal/core/fleetquota/fleetquota.go
+++ b/internal/core/fleetquota/fleetquota.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// silentAfter is the age of a report after which its sender counts as silent: several periods of reports and a
-	// wide-area round trip.
-	silentAfter = time.Second
+	// silentAfter is the age of a report after which its sender counts as silent: one report lost, with a wide-area latency.
+	// Until then both sides of a cut use the whole rate, which the allowance of a tenth must cover.
+	silentAfter = 500 * time.Millisecond
 	// demandWindow is the time over which an instance's part of an organisation's use is averaged: long against bursts of
 	// single requests, short against the daily peaks that move between regions.
 	demandWindow = 4 * time.Second
@@ -27,6 +27,9 @@
 	evenPart = 0.15
 	// startLevel is the part of the burst that a new instance starts with. Its predecessor may just have spent the burst.
 	startLevel = 0.25
+	// burstUse is the part of the burst that is handed out. When a fleet is cut, both sides spend the level that they had, and
+	// the rest of the burst covers that.
+	burstUse = 0.75
 )
 
 // Terms are an organisation's rate and burst. A rate of 0 means no limit.
@@ -50,12 +53,22 @@
 	updated clock.Instant
 	use     average            // of this instance
 	peers   map[string]peerUse // by instance
+	// frozen is the use of all instances when the first one went silent, nil while none is. Both sides of a cut divide the
+	// rate by it, whatever is asked of them afterwards.
+	frozen *frozenUse
 }
 
 type peerUse struct {
 	incarnation uint64
 	total       float64
 	use         average
+	// ownUse is the use of this instance when the peer last reported.
+	ownUse float64
+}
+
+type frozenUse struct {
+	own   float64
+	peers map[string]float64
 }
 
 type peer struct {
@@ -95,7 +108,7 @@
 			delete(l.all, name)
 			continue
 		}
-		a.level = math.Min(a.level, t.Burst)
+		a.level = math.Min(a.level, t.Burst*burstUse)
 	}
 	l.terms = terms
 }
@@ -146,6 +159,7 @@
 			}
 			before.use.add(now, delta)
 		}
+		before.ownUse = a.use.value(now)
 		before.incarnation, before.total = incarnation, math.Max(total, before.total)
 		a.peers[name] = before
 	}
@@ -169,7 +183,7 @@
 	a := l.account(now, organisation)
 	l.accrue(now, organisation, a)
 	// A request above the burst passes on a full bucket and leaves a debt.
-	need := math.Min(cost, t.Burst)
+	need := math.Min(cost, t.Burst*burstUse*l.part(now, a))
 	if a.level < need {
 		rate := math.Max(t.Rate*l.part(now, a), t.Rate*0.01)
 		return false, time.Duration((need - a.level) / rate * float64(time.Second))
@@ -190,7 +204,7 @@
 	}
 	l.accrue(now, organisation, a)
 	l.refunds[organisation] += cost
-	a.level = math.Min(a.level+cost, l.terms[organisation].Burst)
+	a.level = math.Min(a.level+cost, l.terms[organisation].Burst*burstUse)
 }
 
 // Level returns the organisation's level and the part of its rate that accrues here, for logs.
@@ -219,32 +233,55 @@
 func (l *Ledger) accrue(now clock.Instant, organisation string, a *account) {
 	t := l.terms[organisation]
 	if now > a.updated {
-		a.level = math.Min(t.Burst, a.level+t.Rate*l.part(now, a)*now.Sub(a.updated).Seconds())
+		part := l.part(now, a)
+		// The burst is divided like the rate, so that both sides of a cut do not spend it whole.
+		a.level = math.Min(t.Burst*burstUse*part, a.level+t.Rate*part*now.Sub(a.updated).Seconds())
 	}
 	a.updated = now
 }
 
 // part is the part of the rate that the instances in contact may use: all of it, less what silent ones are taken to use.
 func (l *Ledger) part(now clock.Instant, a *account) float64 {
-	silent, total := 0.0, a.use.value(now)
-	silentPeers := 0
+	var silent []string
 	for name, p := range l.peers {
-		u := a.peers[name]
-		value := u.use.value(now)
 		if now.Sub(p.heard) > silentAfter {
-			// Its use is what it was when it was last heard.
-			value = u.use.value(p.heard)
-			silent += value
-			silentPeers++
+			silent = append(silent, name)
 		}
-		total += value
 	}
-	if silentPeers == 0 {
+	if len(silent) == 0 {
+		a.frozen = nil
 		return 1
 	}
-	even := float64(silentPeers) / float64(len(l.peers)+1)
+	if a.frozen == nil {
+		a.frozen = l.freeze(now, a, silent[0])
+	}
+	even := float64(len(silent)) / float64(len(l.peers)+1)
+	total, reserved := a.frozen.own, 0.0
+	for name := range l.peers {
+		total += a.frozen.peers[name]
+	}
+	for _, name := range silent {
+		reserved += a.frozen.peers[name]
+	}
 	if total <= 0 {
 		return 1 - even
 	}
-	return 1 - (evenPart*even + (1-evenPart)*silent/total)
+	return 1 - (evenPart*even + (1-evenPart)*reserved/total)
+}
+
+// freeze notes the use of all instances as it was when the silent one was last heard, and takes from the level what the silent
+// ones are taken to have used since.
+func (l *Ledger) freeze(now clock.Instant, a *account, silent string) *frozenUse {
+	f := &frozenUse{own: a.use.value(now), peers: make(map[string]float64, len(l.peers))}
+	if last, known := a.peers[silent]; known {
+		f.own = last.ownUse
+	}
+	for name, p := range l.peers {
+		u := a.peers[name]
+		f.peers[name] = u.use.value(min(now, p.heard))
+		if since := now.Sub(p.heard); since > silentAfter {
+			a.level -= f.peers[name] * since.Seconds()
+		}
+	}
+	return f
 }
--- /dev/null
+++ b/internal/core/triage/triage_test.go
@@ -0,0 +1,48 @@
+package triage
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func here(first time.Duration) Offer { return Offer{Known: true, First: first} }
+
+// Guards against requests that wait where they cannot be on time while another region could serve them, that cross for nothing,
+// and that are held although they cannot be served.
+func TestDecide(t *testing.T) {
+	const objective, left = 800 * ms, 4000 * ms
+	for name, tc := range map[string]struct {
+		in   Input
+		want Decision
+	}{
+		"calm":                      {Input{here(100 * ms), []Offer{here(50 * ms)}, objective, left}, Decision{Action: ServeHere}},
+		"busy, nothing better":      {Input{here(700 * ms), []Offer{here(900 * ms)}, objective, left}, Decision{Action: ServeHere}},
+		"late here and there":       {Input{here(1200 * ms), []Offer{here(1500 * ms)}, objective, left}, Decision{Action: ServeHere, Late: true}},
+		"no endpoint here":          {Input{Offer{}, []Offer{here(900 * ms), here(300 * ms)}, objective, left}, Decision{Action: ServeElsewhere, Region: 1}},
+		"no endpoint here, late":    {Input{Offer{}, []Offer{here(900 * ms)}, objective, left}, Decision{Action: ServeElsewhere, Late: true}},
+		"hopeless":                  {Input{here(3000 * ms), []Offer{here(2500 * ms)}, objective, left}, Decision{Action: Refuse, RetryAfter: 1320 * ms}},
+		"late already, free places": {Input{here(60 * ms), nil, -100 * ms, 3000 * ms}, Decision{Action: ServeHere, Late: true}},
+		"nothing known":             {Input{Objective: objective, Left: left}, Decision{Action: Refuse, RetryAfter: minReturn}},
+	} {
+		if got := Decide(tc.in, rand.New(rand.NewPCG(1, 1))); got != tc.want {
+			t.Errorf("%s: %+v, want %+v", name, got, tc.want)
+		}
+	}
+}
+
+// Guards against all requests of a loaded region going to another one on the same information.
+func TestPartOfTheRequestsCrosses(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	crossed := 0
+	for range 1000 {
+		if d := Decide(Input{here(700 * ms), []Offer{here(250 * ms)}, 800 * ms, 4000 * ms}, rng); d.Action == ServeElsewhere {
+			crossed++
+		}
+	}
+	if crossed < 500 || crossed > 700 {
+		t.Errorf("%d of 1000 requests cross, want about 600", crossed)
+	}
+}
