Keep endpoints that reset one connection, and measure outages from the last answer

An endpoint that broke one connection was left out for a second at once, though only an endpoint that cannot be reached is silent; and the outage of the store was measured from the first failed call, a watch's wait after it had begun, so entries that lapsed in a short outage were gone at once.

Change: a reset counts as one of three failures in a row; a failed dial or a connection that timed out still ejects at once. The outage is the time since the last good answer.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -142,16 +143,19 @@
 // sendFailed ends an attempt whose answer has not begun.
 func (e *Edge) sendFailed(ctx context.Context, a *attempt, endpoint *placement.Endpoint, err error) *failure {
 	f := &failure{kind: broken, endpoint: endpoint.ID, reason: err.Error()}
-	v := verdictSilent
+	v := verdictFailed
 	switch {
 	case ctx.Err() != nil:
 		v = verdictNone
 		f.reason = ctx.Err().Error()
 	case errors.Is(err, endpointconn.ErrNotSent):
 		f.kind = notSent
+		v = verdictSilent
 	case errors.Is(err, endpointconn.ErrBadAnswer):
 		f.kind = badAnswer
-		v = verdictFailed
+	case errors.Is(err, syscall.ETIMEDOUT):
+		// The kernel has given the connection up; a reset or close comes from an endpoint that lives.
+		v = verdictSilent
 	}
 	if v == verdictSilent {
 		e.conns.Forget(endpoint.Addr)
--- /dev/null
+++ b/internal/endpointconn/conn_test.go
@@ -0,0 +1,275 @@
+package endpointconn
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// endpoint is a server whose connections a test scripts: serve is called for each request, after its head and body were read.
+type endpoint struct {
+	addr        string
+	connections atomic.Int64
+}
+
+func newEndpoint(t *testing.T, serve func(n int64, r *http.Request, body string, c net.Conn) (goOn bool)) *endpoint {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	e := &endpoint{addr: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n := e.connections.Add(1)
+			go func() {
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					body, err := io.ReadAll(r.Body)
+					if err != nil || !serve(n, r, string(body), c) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return e
+}
+
+func write(c net.Conn, format string, args ...any) { _, _ = fmt.Fprintf(c, format, args...) }
+
+func answerTo(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\nKeep-Alive: timeout=10\r\n\r\n%s", id, len(body), body)
+}
+
+func newPool(t *testing.T) *Pool {
+	p := NewPool((&net.Dialer{Timeout: time.Second}).DialContext, func(h http.Header) string { return h.Get("Id") })
+	t.Cleanup(func() { p.Keep(func(string) bool { return false }) })
+	return p
+}
+
+func request(id string) *Request {
+	return &Request{ID: id, Method: "POST", URI: "/a%2Fb?x=1", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body " + id)}
+}
+
+func do(t *testing.T, p *Pool, addr string, req *Request) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	resp, err := p.Do(ctx, addr, req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+// Guards against changed paths, bodies or headers, and against a new connection for each request.
+func TestRequestsShareAConnection(t *testing.T) {
+	e := newEndpoint(t, func(_ int64, r *http.Request, body string, c net.Conn) bool {
+		write(c, "%s", answerTo(r.Header.Get("Id"), r.RequestURI+" "+r.Host+" "+body))
+		return true
+	})
+	p := newPool(t)
+	for i := range 5 {
+		id := fmt.Sprint(i)
+		got, err := do(t, p, e.addr, request(id))
+		if err != nil || got != "/a%2Fb?x=1 h body "+id {
+			t.Fatalf("request %s: %q, %v", id, got, err)
+		}
+	}
+	if n := e.connections.Load(); n != 1 {
+		t.Errorf("%d connections for 5 requests in turn", n)
+	}
+}
+
+// Guards against a caller who gets the answer to another request: one that comes late is passed over, one that comes while the
+// connection is idle ends it.
+func TestForeignAnswersArePassedOver(t *testing.T) {
+	e := newEndpoint(t, func(n int64, r *http.Request, _ string, c net.Conn) bool {
+		id := r.Header.Get("Id")
+		switch id {
+		case "late":
+			write(c, "%s%s", answerTo("earlier", "foreign"), answerTo(id, "own"))
+		case "extra":
+			write(c, "%s", answerTo(id, "own"))
+			go func() {
+				time.Sleep(20 * time.Millisecond)
+				write(c, "%s", answerTo(id, "again"))
+			}()
+		default:
+			write(c, "%s", answerTo(id, "own"))
+		}
+		return true
+	})
+	p := newPool(t)
+	for _, id := range []string{"late", "extra", "next"} {
+		if got, err := do(t, p, e.addr, request(id)); err != nil || got != "own" {
+			t.Errorf("request %s: %q, %v", id, got, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	only := newEndpoint(t, func(_ int64, _ *http.Request, _ string, c net.Conn) bool {
+		for range maxForeign + 1 {
+			write(c, "%s", answerTo("another", "foreign"))
+		}
+		return true
+	})
+	if _, err := do(t, p, only.addr, request("x")); !errors.Is(err, ErrBadAnswer) {
+		t.Errorf("answers to other requests only: %v", err)
+	}
+}
+
+// Guards against a request that is called unsent although it may have run, or sent although it cannot have.
+func TestOutcomeOfFailures(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = closed.Close()
+	silent := newEndpoint(t, func(int64, *http.Request, string, net.Conn) bool { return false })
+	garbled := newEndpoint(t, func(_ int64, _ *http.Request, _ string, c net.Conn) bool {
+		write(c, "no answer at all\r\n\r\n")
+		return false
+	})
+	for name, tc := range map[string]struct {
+		addr string
+		want error
+	}{
+		"no listener":          {closed.Addr().String(), ErrNotSent},
+		"closed after reading": {silent.addr, ErrBroken},
+		"bytes, no answer":     {garbled.addr, ErrBadAnswer},
+	} {
+		if _, err := do(t, newPool(t), tc.addr, request("r")); !errors.Is(err, tc.want) {
+			t.Errorf("%s: %v, want %v", name, err, tc.want)
+		}
+	}
+}
+
+// Guards against an answer that was cut and looks complete.
+func TestCutAnswersAreNotComplete(t *testing.T) {
+	for name, text := range map[string]string{
+		"short of its length": "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart",
+		"within a chunk":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\npart",
+		"without last chunk":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+	} {
+		e := newEndpoint(t, func(_ int64, _ *http.Request, _ string, c net.Conn) bool {
+			write(c, "%s", text)
+			return false
+		})
+		if _, err := do(t, newPool(t), e.addr, request("r")); !errors.Is(err, ErrBroken) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	e := newEndpoint(t, func(_ int64, _ *http.Request, _ string, c net.Conn) bool {
+		write(c, "HTTP/1.1 200 OK\r\n\r\nwhole")
+		return false
+	})
+	if got, err := do(t, newPool(t), e.addr, request("r")); err != nil || got != "whole" {
+		t.Errorf("answer that ends with its connection: %q, %v", got, err)
+	}
+}
+
+// Guards against other bytes where the rest of a long body is due, after an endpoint has answered early.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	long := strings.Repeat("x", 4<<20)
+	received := make(chan string, 2)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				r, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				write(c, "%s", answerTo(r.Header.Get("Id"), "early"))
+				time.Sleep(50 * time.Millisecond)
+				rest, _ := io.ReadAll(r.Body)
+				received <- string(rest)
+			}()
+		}
+	}()
+	p := newPool(t)
+	req := request("r")
+	req.Body = []byte(long)
+	if got, err := do(t, p, l.Addr().String(), req); err != nil || got != "early" {
+		t.Fatalf("early answer: %q, %v", got, err)
+	}
+	if got := <-received; !strings.HasPrefix(long, got) {
+		t.Error("the endpoint has read bytes that are not the request's body")
+	}
+}
+
+// Guards against requests that are sent on connections which the endpoint is about to close for their idleness.
+func TestIdleConnections(t *testing.T) {
+	e := newEndpoint(t, func(_ int64, r *http.Request, _ string, c net.Conn) bool {
+		id := r.Header.Get("Id")
+		write(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 0\r\nKeep-Alive: timeout=0\r\n\r\n", id)
+		return true
+	})
+	p := newPool(t)
+	for _, id := range []string{"a", "b"} {
+		if _, err := do(t, p, e.addr, request(id)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := e.connections.Load(); n != 2 {
+		t.Errorf("%d connections; those that may not rest must not be kept", n)
+	}
+	if dialled, reused := p.Counts(); dialled != 2 || reused != 0 {
+		t.Errorf("%d dialled and %d reused", dialled, reused)
+	}
+}
+
+// Guards against work that goes on at an endpoint after its caller has left.
+func TestCancelClosesTheConnection(t *testing.T) {
+	ended := make(chan struct{})
+	e := newEndpoint(t, func(_ int64, _ *http.Request, _ string, c net.Conn) bool {
+		write(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n")
+		_, _ = c.Read(make([]byte, 1))
+		close(ended)
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	resp, err := newPool(t).Do(ctx, e.addr, request("r"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	select {
+	case <-ended:
+	case <-time.After(2 * time.Second):
+		t.Error("the endpoint's connection is open 2 s after the cancel")
+	}
+	_ = resp.Body.Close()
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -33,7 +33,8 @@
 	// Reset says that Changes holds all keys; those that it does not name are gone.
 	Reset   bool
 	Changes []platform.Change
-	// Regained is set on the first update after calls had failed, with the length of the outage.
+	// Regained is set on the first update after calls had failed, with the time since the last good answer before them. The
+	// store may have been away all that time.
 	Regained time.Duration
 }
 
@@ -46,7 +47,7 @@
 	apply  func(Update)
 
 	contact atomic.Int64 // instant of the last good answer; 0: never
-	lost    clock.Instant
+	lost    bool
 }
 
 // New returns a mirror that calls apply, from one goroutine, for each change.
@@ -74,8 +75,8 @@
 			retry = retryMin
 			continue
 		}
-		if m.lost == 0 {
-			m.lost = m.clock.Now()
+		if !m.lost {
+			m.lost = true
 			m.log.Warn("store lost", zap.Error(err))
 		}
 		if clock.Sleep(ctx, retry) != nil {
@@ -115,9 +116,9 @@
 
 func (m *Mirror) update(u Update) {
 	now := m.clock.Now()
-	if m.lost != 0 {
-		u.Regained = now.Sub(m.lost)
-		m.lost = 0
+	if m.lost {
+		u.Regained = now.Sub(m.Contact())
+		m.lost = false
 		m.log.Info("store regained", zap.Duration("outage", u.Regained))
 	}
 	m.contact.Store(int64(now))
