Send requests to listed regions before they are heard

Change: an instance that was listed less than 2 s ago and has not been heard takes requests for services that its region lists; the first message to an instance goes out at once.

Ruled out: refusing with a shorter time to return (the caller's single retry is spent).

Test: TestListedRegionsTakeRequestsBeforeTheyAreHeard.

--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -67,7 +67,7 @@
 	for _, m := range f.members {
 		c := candidate{addr: m.CallerAddr, region: m.Region, standing: unsuitable}
 		switch {
-		case m.usable(now), m.heard == 0 && m.listed && !m.leaving && now.Sub(m.since) <= introduction:
+		case m.usable(now), m.introduced(now):
 			c.standing = serving
 		case m.leaving && now.Sub(m.heard) <= heardFor:
 			c.standing = departing
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -296,7 +296,7 @@
 	e := x.edge
 	self := e.options.Self.Region
 	now := e.clock.Now()
-	remotes := e.fleet.regions(x.service, x.mayServe)
+	remotes := x.remotes()
 	in := triage.Input{Objective: x.a.onTimeBy.Sub(now), Left: x.limit.Sub(now), Elsewhere: x.offers(remotes)}
 	here := x.mayServe(self)
 	if here {
@@ -343,7 +343,12 @@
 // elsewhere reports whether another region may take a request that one has declined.
 func (x *exchange) elsewhere() bool {
 	return x.mayServe(x.edge.options.Self.Region) && x.edge.pools.summary(&x.a).Usable > 0 ||
-		len(x.edge.fleet.regions(x.service, x.mayServe)) > 0
+		len(x.remotes()) > 0
+}
+
+// remotes returns the other regions that may serve the request.
+func (x *exchange) remotes() []routing.RegionLoad {
+	return x.edge.fleet.regions(x.service, x.mayServe, func(region string) bool { return x.edge.state.serves(region, x.service) })
 }
 
 func (x *exchange) rng() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -229,18 +229,32 @@
 	return m.ready && !m.leaving && m.heard > 0 && now.Sub(m.heard) <= heardFor && now >= m.avoid
 }
 
-// regions returns an instance of each other region that serves the service and is allowed.
-func (f *fleet) regions(service string, allowed func(region string) bool) []routing.RegionLoad {
+// introduced reports whether the instance was listed a moment ago and has not been heard yet. It is taken to serve, because after
+// a restart of the whole fleet it takes a wide-area round trip or two until the first messages come.
+func (m *member) introduced(now clock.Instant) bool {
+	return m.heard == 0 && m.listed && !m.leaving && now.Sub(m.since) <= introduction && now >= m.avoid
+}
+
+// regions returns an instance of each other region that serves the service and is allowed. listed reports whether a region has
+// endpoints of the service, for instances that have not told their load yet.
+func (f *fleet) regions(service string, allowed, listed func(region string) bool) []routing.RegionLoad {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.options.Clock.Now()
 	byRegion := make(map[string][]routing.RegionLoad)
 	for _, m := range f.members {
+		if m.Region == f.options.Self.Region || !allowed(m.Region) {
+			continue
+		}
 		load, serves := m.services[service]
-		if m.Region == f.options.Self.Region || !serves || !m.usable(now) || !allowed(m.Region) {
+		switch {
+		case m.usable(now) && serves:
+			load.Age = now.Sub(m.heard)
+		case m.introduced(now) && listed(m.Region):
+			load = routing.RegionLoad{Region: m.Region, Instance: m.name, OneWay: unknownOneWay}
+		default:
 			continue
 		}
-		load.Age = now.Sub(m.heard)
 		byRegion[m.Region] = append(byRegion[m.Region], load)
 	}
 	out := make([]routing.RegionLoad, 0, len(byRegion))
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -257,14 +257,30 @@
 	defer s.mu.Unlock()
 	out := make(map[string][]catalog.Endpoint)
 	for _, e := range s.endpoints {
-		if s.options.Regions[e.DataCentre] != region || s.evacuated[e.DataCentre] || e.Draining {
-			continue
+		if s.mayUse(e, region) {
+			out[e.Service] = append(out[e.Service], e.Endpoint)
 		}
-		out[e.Service] = append(out[e.Service], e.Endpoint)
 	}
 	return out
 }
 
+// serves reports whether a region has an endpoint of the service that may get requests.
+func (s *state) serves(region, service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.endpoints {
+		if e.Service == service && s.mayUse(e, region) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayUse reports whether an endpoint of the region may get requests.
+func (s *state) mayUse(e listedEndpoint, region string) bool {
+	return s.options.Regions[e.DataCentre] == region && !s.evacuated[e.DataCentre] && !e.Draining
+}
+
 // knownAddr returns whether an address is that of a listed endpoint.
 func (s *state) knownAddr() func(addr string) bool {
 	s.mu.Lock()
--- a/internal/edge/talk.go
+++ b/internal/edge/talk.go
@@ -41,7 +41,7 @@
 		every = nearEvery
 	}
 	cursor := int64(0)
-	for clock.Sleep(ctx, every) == nil {
+	for ; ctx.Err() == nil; _ = clock.Sleep(ctx, every) {
 		message, next := e.ownState(near, cursor)
 		call, cancel := context.WithTimeout(ctx, stateTimeout)
 		err := e.network.Call(call, name, serviceState, message, &wire.EdgeStateAck{})
