Decide waiting requests again, and estimate waits from the rate of their rank

Cause: the new load tests (engines modelled in virtual time, the real placement, queue and triage) showed that under overload every refused request had been held for a second: the estimate of the wait counted unread tokens and not how fast requests of the same rank were placed, and a request called late was put in a line that was never measured. A request that waited here was never offered to another region again.

Change: waits follow from the rate at which requests of the rank got their endpoints; the line of late requests is measured by itself; waiting requests are decided again every 250 ms; one instance of a region with four or more reads the store for the others, which read it directly while that one fails.

Tests: TestLoad* with the pattern each answers, TestRegionReadsTheStoreThroughOneInstance, TestCopy*.

--- a/internal/core/placement/pace.go
+++ b/internal/core/placement/pace.go
@@ -15,7 +15,7 @@
 	// minCrowd is the number of running requests below which a slow pace has other causes than the size of the batch, which
 	// sending less there would not mend.
 	minCrowd = 12
-	// rateWindow is the time over which departures are averaged.
+	// rateWindow is the time over which a Rate is averaged.
 	rateWindow = 1500 * time.Millisecond
 )
 
@@ -55,18 +55,20 @@
 	e.pace.add(now, took, float64(events)*max(1, engine.EventTokens))
 }
 
-// rate is a moving number of occurrences a second.
-type rate struct {
+// Rate is a moving number of occurrences a second.
+type Rate struct {
 	perSecond float64
 	at        clock.Instant
 }
 
-func (r *rate) add(now clock.Instant) {
-	r.perSecond = r.value(now) + 1/rateWindow.Seconds()
+// Add counts an occurrence.
+func (r *Rate) Add(now clock.Instant) {
+	r.perSecond = r.Value(now) + 1/rateWindow.Seconds()
 	r.at = now
 }
 
-func (r *rate) value(now clock.Instant) float64 {
+// Value is the number a second.
+func (r *Rate) Value(now clock.Instant) float64 {
 	if r.perSecond == 0 {
 		return 0
 	}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -102,7 +102,7 @@
 	order     []*Endpoint // by id
 	readRate  float64     // tokens/s
 	// departures counts the own requests that leave the endpoints.
-	departures rate
+	departures Rate
 	// ColdPace returns the requests a second that this instance may send to a cold endpoint.
 	coldPace func(endpoint string, rate float64) float64
 }
@@ -399,7 +399,7 @@
 		return
 	}
 	delete(e.own, id)
-	p.departures.add(now)
+	p.departures.Add(now)
 	if !r.started {
 		e.unread -= r.unread
 	}
@@ -445,7 +445,7 @@
 	if s.Usable > 0 {
 		s.Wait = shortest
 	}
-	s.Leaving = p.departures.value(now)
+	s.Leaving = p.departures.Value(now)
 	return s
 }
 
--- a/internal/core/triage/triage.go
+++ b/internal/core/triage/triage.go
@@ -17,6 +17,8 @@
 	// crossing is the part of the requests that go to another region on the same information, so that all instances
 	// together do not overload it before it can tell.
 	crossing = 0.6
+	// crossingLate is the same for requests that would be late here.
+	crossingLate = 0.75
 	// latePart is the part of the remaining time within which a request must be expected to begin if it can no longer be on
 	// time. The rest is for its work.
 	latePart = 0.35
@@ -34,6 +36,7 @@
 // Input is what a decision rests on.
 type Input struct {
 	Here      Offer
+	HereLate  Offer // here, behind all requests that can be on time
 	Elsewhere []Offer
 	Objective time.Duration // that is left until the first output counts as late; 0 or less: it is late already
 	Left      time.Duration // until the caller must have its final answer
@@ -71,14 +74,18 @@
 		if !in.Here.Known && (onTime || in.Elsewhere[best].First <= part(in.Left, latePart)) {
 			return Decision{Action: ServeElsewhere, Region: best, Late: !onTime}
 		}
-		if in.Here.Known && onTime && rng.Float64() < crossing {
+		chance := crossing
+		if in.Here.First > in.Objective {
+			chance = crossingLate
+		}
+		if in.Here.Known && onTime && rng.Float64() < chance {
 			return Decision{Action: ServeElsewhere, Region: best}
 		}
 	}
 	if in.Here.Known && in.Here.First <= in.Objective {
 		return Decision{Action: ServeHere}
 	}
-	if in.Here.Known && in.Here.First <= part(in.Left, latePart) {
+	if in.HereLate.Known && in.HereLate.First <= part(in.Left, latePart) {
 		return Decision{Action: ServeHere, Late: true}
 	}
 	return Decision{Action: Refuse, RetryAfter: comeBack(in, best)}
--- a/internal/core/triage/triage_test.go
+++ b/internal/core/triage/triage_test.go
@@ -18,13 +18,16 @@
 		in   Input
 		want Decision
 	}{
-		"calm":                      {Input{here(100 * ms), []Offer{here(50 * ms)}, objective, left}, Decision{Action: ServeHere}},
-		"busy, nothing better":      {Input{here(700 * ms), []Offer{here(900 * ms)}, objective, left}, Decision{Action: ServeHere}},
-		"late here and there":       {Input{here(1200 * ms), []Offer{here(1500 * ms)}, objective, left}, Decision{Action: ServeHere, Late: true}},
-		"no endpoint here":          {Input{Offer{}, []Offer{here(900 * ms), here(300 * ms)}, objective, left}, Decision{Action: ServeElsewhere, Region: 1}},
-		"no endpoint here, late":    {Input{Offer{}, []Offer{here(900 * ms)}, objective, left}, Decision{Action: ServeElsewhere, Late: true}},
-		"hopeless":                  {Input{here(3000 * ms), []Offer{here(2500 * ms)}, objective, left}, Decision{Action: Refuse, RetryAfter: 1320 * ms}},
-		"late already, free places": {Input{here(60 * ms), nil, -100 * ms, 3000 * ms}, Decision{Action: ServeHere, Late: true}},
+		"calm":                 {Input{Here: here(100 * ms), Elsewhere: []Offer{here(50 * ms)}, Objective: objective, Left: left}, Decision{Action: ServeHere}},
+		"busy, nothing better": {Input{Here: here(700 * ms), Elsewhere: []Offer{here(900 * ms)}, Objective: objective, Left: left}, Decision{Action: ServeHere}},
+		"late here and there": {Input{Here: here(1200 * ms), HereLate: here(1300 * ms), Elsewhere: []Offer{here(1500 * ms)}, Objective: objective, Left: left},
+			Decision{Action: ServeHere, Late: true}},
+		"late, behind a long line": {Input{Here: here(900 * ms), HereLate: here(2000 * ms), Objective: objective, Left: left},
+			Decision{Action: Refuse, RetryAfter: 420 * ms}},
+		"no endpoint here":          {Input{Here: Offer{}, Elsewhere: []Offer{here(900 * ms), here(300 * ms)}, Objective: objective, Left: left}, Decision{Action: ServeElsewhere, Region: 1}},
+		"no endpoint here, late":    {Input{Here: Offer{}, Elsewhere: []Offer{here(900 * ms)}, Objective: objective, Left: left}, Decision{Action: ServeElsewhere, Late: true}},
+		"hopeless":                  {Input{Here: here(3000 * ms), Elsewhere: []Offer{here(2500 * ms)}, Objective: objective, Left: left}, Decision{Action: Refuse, RetryAfter: 1320 * ms}},
+		"late already, free places": {Input{Here: here(60 * ms), HereLate: here(60 * ms), Elsewhere: nil, Objective: -100 * ms, Left: 3000 * ms}, Decision{Action: ServeHere, Late: true}},
 		"nothing known":             {Input{Objective: objective, Left: left}, Decision{Action: Refuse, RetryAfter: minReturn}},
 	} {
 		if got := Decide(tc.in, rand.New(rand.NewPCG(1, 1))); got != tc.want {
@@ -38,7 +41,7 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	crossed := 0
 	for range 1000 {
-		if d := Decide(Input{here(700 * ms), []Offer{here(250 * ms)}, 800 * ms, 4000 * ms}, rng); d.Action == ServeElsewhere {
+		if d := Decide(Input{Here: here(700 * ms), Elsewhere: []Offer{here(250 * ms)}, Objective: 800 * ms, Left: 4000 * ms}, rng); d.Action == ServeElsewhere {
 			crossed++
 		}
 	}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -34,6 +34,7 @@
 	lastEvent    string
 	until        clock.Instant // when the endpoint must have ended
 	placeBy      clock.Instant // when it must have been placed
+	waitUntil    clock.Instant // until when it waits for a place before it is decided again
 	excluded     map[string]bool
 }
 
@@ -69,6 +70,7 @@
 	reason     string
 	retryAfter time.Duration // for notPlaced
 	final      bool          // no other region is asked
+	waiting    bool          // the request may still find a place here
 }
 
 // reply is the head of an endpoint's answer. Closing the body ends the attempt.
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -291,27 +291,45 @@
 	return !x.declined[region] && (!x.bound || slices.Contains(x.homes, region))
 }
 
+// reconsiderEvery is how long a request waits for an endpoint here before other regions are looked at again: some messages of
+// theirs.
+const reconsiderEvery = 250 * time.Millisecond
+
 // attempt makes one attempt here or in another region, or decides that the request cannot be served in time.
 func (x *exchange) attempt(ctx context.Context) (*reply, *failure) {
+	x.a.placeBy = x.placeBy(x.edge.clock.Now())
+	for {
+		r, f := x.attemptOnce(ctx)
+		if f == nil || f.kind != notPlaced || f.final || !f.waiting || ctx.Err() != nil {
+			return r, f
+		}
+	}
+}
+
+// attemptOnce decides where the request goes and makes the attempt there. A request that waits here comes back after a while to
+// be decided again.
+func (x *exchange) attemptOnce(ctx context.Context) (*reply, *failure) {
 	e := x.edge
 	self := e.options.Self.Region
 	now := e.clock.Now()
 	remotes := x.remotes()
 	in := triage.Input{Objective: x.a.onTimeBy.Sub(now), Left: x.limit.Sub(now), Elsewhere: x.offers(remotes)}
-	here := x.mayServe(self)
-	if here {
-		sum := e.pools.summary(&x.a)
-		in.Here = triage.Offer{Known: sum.Usable > 0, First: sum.Wait}
+	if x.mayServe(self) {
+		in.Here, in.HereLate = e.pools.offers(&x.a, in.Objective)
 	}
 	d := triage.Decide(in, x.rng())
 	x.a.late = d.Late
-	x.a.placeBy = x.placeBy(now)
 	switch {
 	case d.Action == triage.ServeElsewhere:
 		r, f := e.attemptAt(ctx, remotes[d.Region].Instance, &x.a, x.conf.Version)
 		return r, x.noteDecline(f, remotes[d.Region].Region)
 	case d.Action == triage.ServeHere:
+		x.a.waitUntil = min(x.a.placeBy, now.Add(reconsiderEvery))
 		r, f := e.attemptHere(ctx, &x.a)
+		if f != nil && f.kind == notPlaced && f.reason != string(placement.NoEndpoint) && e.clock.Now() < x.a.placeBy {
+			f.waiting = true
+			return r, f
+		}
 		return r, x.noteDecline(f, self)
 	case !in.Here.Known && len(remotes) == 0:
 		return nil, &failure{kind: notPlaced, reason: "no region that may serve the request has endpoints", retryAfter: noEndpointRetry, final: true}
--- a/internal/edge/pools.go
+++ b/internal/edge/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
+	"dogwoodknot.example/dogwoodknot/internal/core/triage"
 )
 
 const (
@@ -39,8 +41,8 @@
 	*placement.Pool
 	service *catalog.Service
 	waiting []*waiter // most urgent first
-	// peersWaiting is what waits at other instances of the region.
-	peersWaiting map[string]waitingWork
+	// placed measures how fast requests get their endpoints, by rank.
+	placed map[rank]*placement.Rate
 }
 
 // waiter is a request that waits for an endpoint.
@@ -65,7 +67,7 @@
 		}
 		pool := p.byService[name]
 		if pool == nil {
-			pool = &servicePool{Pool: placement.NewPool(service, p.coldPace), peersWaiting: make(map[string]waitingWork)}
+			pool = &servicePool{Pool: placement.NewPool(service, p.coldPace), placed: make(map[rank]*placement.Rate)}
 			p.byService[name] = pool
 		}
 		pool.service = service
@@ -101,7 +103,7 @@
 		p.mu.Unlock()
 		return placeOutcome{choice: <-me.placed}
 	}
-	wait := a.placeBy.Sub(p.clock.Now())
+	wait := a.waitUntil.Sub(p.clock.Now())
 	if reason == placement.NoEndpoint || wait <= 0 {
 		p.mu.Unlock()
 		return placeOutcome{reason: reason}
@@ -150,11 +152,21 @@
 		return reason
 	}
 	pool.Begin(now, choice, me.work)
+	pool.notePlaced(now, me.attempt)
 	p.used.add(choice.Endpoint.ID, me.work.Parts)
 	me.placed <- choice
 	return ""
 }
 
+func (s *servicePool) notePlaced(now clock.Instant, a *attempt) {
+	r := s.placed[rankOf(a)]
+	if r == nil {
+		r = &placement.Rate{}
+		s.placed[rankOf(a)] = r
+	}
+	r.Add(now)
+}
+
 // before orders waiting requests: those that can be on time first, then by urgency, then by when they must be placed.
 func before(a, b *waiter) bool {
 	if a.late != b.late {
@@ -294,83 +306,97 @@
 	return pool.summary(p.clock.Now(), a)
 }
 
+// offers returns the expected times to a first output here, on time and behind all that can be on time. The latter is given only if
+// the former is beyond the objective.
+func (p *pools) offers(a *attempt, objective time.Duration) (onTime, late triage.Offer) {
+	first := *a
+	first.late = false
+	sum := p.summary(&first)
+	onTime = triage.Offer{Known: sum.Usable > 0, First: sum.Wait}
+	if !onTime.Known || onTime.First <= objective {
+		return onTime, triage.Offer{}
+	}
+	second := *a
+	second.late = true
+	return onTime, triage.Offer{Known: true, First: p.summary(&second).Wait}
+}
+
 func (s *servicePool) summary(now clock.Instant, a *attempt) placement.Summary {
 	sum := s.Summarise(now, &a.work, func(id string) bool { return a.excluded[id] })
-	ahead := s.ahead(now, a)
-	if sum.Free == 0 && sum.Usable > 0 {
-		// Places become free as requests end; those that wait get theirs first.
-		sum.Wait += time.Duration((ahead.requests + 1) / max(sum.Leaving, minLeaving) * float64(time.Second))
-		return sum
+	switch before, ahead := s.ahead(a); {
+	case sum.Usable == 0:
+	case before > 0:
+		// Those of its rank are placed as fast as they were lately, whatever goes before them.
+		sum.Wait += perSecond(ahead+1, s.placedRate(now, a))
+	case sum.Free == 0:
+		// A place becomes free when a request ends.
+		sum.Wait += perSecond(1, sum.Leaving)
 	}
-	sum.Wait += s.queueWait(ahead, max(1, sum.Usable))
 	return sum
 }
 
-// minLeaving is the number of requests a second that leave the endpoints of a region at least, where none has left lately.
-const minLeaving = 1.0
-
-// readTime is how long an engine takes to read the prompt tokens.
-func (p *pools) readTime(service string, tokens float64) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	pool := p.byService[service]
-	if pool == nil || tokens <= 0 {
-		return 0
+func (s *servicePool) placedRate(now clock.Instant, a *attempt) float64 {
+	if r := s.placed[rankOf(a)]; r != nil {
+		return r.Value(now)
 	}
-	return time.Duration(tokens / pool.ReadRate() * float64(time.Second))
+	return 0
 }
 
-// ahead is what goes before a request. What waits at other instances of the region is counted in.
-func (s *servicePool) ahead(now clock.Instant, a *attempt) waitingWork {
-	me := &waiter{attempt: a}
-	var sum waitingWork
-	for _, w := range s.waiting {
-		if before(w, me) {
-			sum.tokens += w.work.Unshared()
-			sum.requests++
-		}
-	}
-	for name, r := range s.peersWaiting {
-		if now.Sub(r.at) > peerWaitAge {
-			delete(s.peersWaiting, name)
+// worstSummary is the load for a request without prompt of the rank that waits longest and can be on time.
+func (s *servicePool) worstSummary(now clock.Instant) placement.Summary {
+	worst := s.summary(now, &attempt{placeBy: math.MaxInt64})
+	for r := range s.placed {
+		if r.late {
 			continue
 		}
-		sum.tokens += r.tokens
-		sum.requests += r.requests
+		if sum := s.summary(now, &attempt{urgency: r.urgency, placeBy: math.MaxInt64}); sum.Wait > worst.Wait {
+			worst = sum
+		}
 	}
-	return sum
+	return worst
 }
 
-// queueWait estimates how long the work ahead will occupy the endpoints.
-func (s *servicePool) queueWait(ahead waitingWork, usable int) time.Duration {
-	if s.service.Engine == nil {
-		return time.Duration(ahead.requests * float64(plainWork) / float64(usable*max(1, s.Slots())))
-	}
-	return time.Duration(ahead.tokens / (s.ReadRate() * float64(usable)) * float64(time.Second))
-}
+// minRate is the rate a second that is assumed where none was measured lately.
+const minRate = 3.0
 
-// peerWaitAge is the age up to which another instance's waiting requests count: a few messages.
-const peerWaitAge = time.Second
+// perSecond returns how long n occurrences take at a rate.
+func perSecond(n int, rate float64) time.Duration {
+	return time.Duration(float64(n) / max(rate, minRate) * float64(time.Second))
+}
 
-// waitingWork is what waits for the endpoints at one instance.
-type waitingWork struct {
-	tokens   float64
-	requests float64
-	at       clock.Instant
+// rank is what requests are served by: those of one rank wait in one line.
+type rank struct {
+	urgency int
+	late    bool
 }
 
-func (s *servicePool) ownWaiting() waitingWork {
-	var sum waitingWork
+func rankOf(a *attempt) rank { return rank{urgency: a.urgency, late: a.late} }
+
+// ahead is the number of waiting requests that go before a request, of all ranks and of its own.
+func (s *servicePool) ahead(a *attempt) (all, ownRank int) {
+	me := &waiter{attempt: a}
 	for _, w := range s.waiting {
-		sum.tokens += w.work.Unshared()
-		sum.requests++
+		if !before(w, me) {
+			break
+		}
+		all++
+		if rankOf(w.attempt) == rankOf(a) {
+			ownRank++
+		}
 	}
-	return sum
+	return all, ownRank
 }
 
-// plainWork is what a plain request is taken to occupy a slot for, to compare queues of regions: calls of plain services take
-// 15 to 60 ms.
-const plainWork = 40 * time.Millisecond
+// readTime is how long an engine takes to read the prompt tokens.
+func (p *pools) readTime(service string, tokens float64) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool := p.byService[service]
+	if pool == nil || tokens <= 0 {
+		return 0
+	}
+	return time.Duration(tokens / pool.ReadRate() * float64(time.Second))
+}
 
 // each calls f for each service with its pool.
 func (p *pools) each(f func(name string, pool *servicePool)) {
--- a/internal/edge/remote.go
+++ b/internal/edge/remote.go
@@ -210,7 +210,8 @@
 		work:    placement.Work{ID: req.GetId(), Prompt: req.GetPromptTokens(), Output: req.GetOutputTokens(), MaxPace: time.Duration(req.GetMaxPaceNanos())},
 		urgency: int(req.GetUrgency()), hasUrgency: req.GetHasUrgency(), once: req.GetOnce(), lastEvent: req.GetLastEvent(),
 		until: now.Add(time.Duration(req.GetLeftNanos())), placeBy: now.Add(time.Duration(req.GetMaxWaitNanos())),
-		late: req.GetLate(), onTimeBy: now.Add(time.Duration(req.GetOnTimeNanos())),
+		waitUntil: now.Add(time.Duration(req.GetMaxWaitNanos())),
+		late:      req.GetLate(), onTimeBy: now.Add(time.Duration(req.GetOnTimeNanos())),
 		excluded: make(map[string]bool, len(req.GetExcluded())),
 	}
 	for _, id := range req.GetExcluded() {
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -28,6 +28,7 @@
 	fleet   *fleet
 	pools   *pools
 	conns   *endpointconn.Pool
+	mirrors map[string]*mirror.Mirror // by prefix
 	network Network
 
 	quotaMu sync.Mutex
@@ -72,7 +73,7 @@
 	e := &Edge{
 		options: o, clock: o.Clock, log: o.Log, requestLog: o.Log.Named("request"), metrics: newMetrics(o.Scope),
 		network: network, quota: fleetquota.New(), retries: retrybudget.New(o.Bounds.Retries),
-		ctx: ctx, cancel: cancel, left: make(chan struct{}), talkers: make(map[string]talker),
+		ctx: ctx, cancel: cancel, left: make(chan struct{}), mirrors: make(map[string]*mirror.Mirror), talkers: make(map[string]talker),
 	}
 	e.state = newState(&e.options)
 	e.state.changed = e.changedState
@@ -83,6 +84,11 @@
 	network.Handle(serviceState, peer.Unary(e.serveState))
 	network.Handle(serviceDocument, peer.Unary(e.serveDocument))
 	network.Handle(serviceAttempt, e.serveAttempt)
+	network.Handle(serviceFeed, peer.Unary(e.serveFeed))
+	prefixes := o.Documents.Prefixes()
+	e.follow(prefixes.Operator, e.state.applyOperator)
+	e.follow(prefixes.Endpoints, e.state.applyEndpoints)
+	e.follow(InstancePrefix, e.fleet.apply)
 	return e, nil
 }
 
@@ -92,19 +98,19 @@
 		Incarnation: e.options.Self.Incarnation, Region: e.options.Self.Region, DataCentre: e.options.Self.DataCentre,
 		CallerAddr: e.options.CallerAddr, PeerAddr: e.options.PeerAddr, Certificate: certificate,
 	}
-	follow := func(prefix string, apply func(mirror.Update)) {
-		m := mirror.New(e.options.Feed, prefix, e.clock, e.log, apply)
+	for _, m := range e.mirrors {
 		e.spawn(m.Run)
 	}
-	prefixes := e.options.Documents.Prefixes()
-	follow(prefixes.Operator, e.state.applyOperator)
-	follow(prefixes.Endpoints, e.state.applyEndpoints)
-	follow(InstancePrefix, e.fleet.apply)
 	e.spawn(e.pools.run)
 	e.spawn(e.housekeep)
 	e.spawn(func(ctx context.Context) { e.announce(ctx, a) })
 }
 
+// follow makes the mirror of the keys with a prefix.
+func (e *Edge) follow(prefix string, apply func(mirror.Update)) {
+	e.mirrors[prefix] = mirror.New(&relayedFeed{edge: e, direct: e.options.Feed}, prefix, e.clock, e.log, apply)
+}
+
 // spawn runs f on a goroutine that Close waits for.
 func (e *Edge) spawn(f func(ctx context.Context)) {
 	e.work.Go(func() { f(e.ctx) })
--- a/internal/edge/talk.go
+++ b/internal/edge/talk.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -62,17 +61,13 @@
 	e.quotaMu.Unlock()
 	now := e.clock.Now()
 	e.pools.each(func(name string, pool *servicePool) {
-		load := &wire.EdgeServiceLoad{Name: name}
 		if !near {
-			// What goes before a request of the lowest rank that can be on time.
-			sum := pool.summary(now, &attempt{urgency: math.MaxInt, placeBy: math.MaxInt64})
-			load.Usable, load.WaitMillis = uint32(sum.Usable), uint32(sum.Wait.Milliseconds())
-			s.Services = append(s.Services, load)
+			sum := pool.worstSummary(now)
+			s.Services = append(s.Services, &wire.EdgeServiceLoad{
+				Name: name, Usable: uint32(sum.Usable), WaitMillis: uint32(sum.Wait.Milliseconds()),
+			})
 			return
 		}
-		waiting := pool.ownWaiting()
-		load.WaitingTokens, load.WaitingRequests = waiting.tokens, uint32(waiting.requests)
-		s.Services = append(s.Services, load)
 		pool.OwnWork(func(id string, w placement.PeerWork) {
 			s.Endpoints = append(s.Endpoints, &wire.EdgeEndpointWork{
 				Id: id, Running: uint32(w.Running), UnreadTokens: w.Unread, MemoryTokens: w.Memory,
@@ -139,11 +134,6 @@
 			}
 		}
 	}
-	for _, l := range s.GetServices() {
-		if pool := p.byService[l.GetName()]; pool != nil {
-			pool.peersWaiting[instance] = waitingWork{tokens: l.GetWaitingTokens(), requests: float64(l.GetWaitingRequests()), at: now}
-		}
-	}
 	for _, pool := range p.byService {
 		for _, w := range s.GetEndpoints() {
 			pool.PeerReported(instance, w.GetId(), placement.PeerWork{
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -46,13 +46,14 @@
 	log    *zap.Logger
 	apply  func(Update)
 
+	replica *replica
 	contact atomic.Int64 // instant of the last good answer; 0: never
 	lost    bool
 }
 
 // New returns a mirror that calls apply, from one goroutine, for each change.
 func New(feed platform.Feed, prefix string, c clock.Clock, log *zap.Logger, apply func(Update)) *Mirror {
-	return &Mirror{feed: feed, prefix: prefix, clock: c, log: log.With(zap.String("prefix", prefix)), apply: apply}
+	return &Mirror{feed: feed, prefix: prefix, clock: c, log: log.With(zap.String("prefix", prefix)), apply: apply, replica: newReplica()}
 }
 
 // Contact returns when the store last answered, 0 if it never has.
@@ -97,7 +98,7 @@
 	for _, e := range entries {
 		changes = append(changes, platform.Change{Entry: e})
 	}
-	m.update(Update{Reset: true, Changes: changes})
+	m.update(Update{Reset: true, Changes: changes}, asOf)
 	for {
 		if m.clock.Now().Sub(listed) > relistAfter {
 			return nil
@@ -107,14 +108,15 @@
 			return err
 		}
 		asOf = next
-		m.update(Update{Changes: changes})
+		m.update(Update{Changes: changes}, asOf)
 		if err := clock.Sleep(ctx, pause); err != nil {
 			return err
 		}
 	}
 }
 
-func (m *Mirror) update(u Update) {
+// update takes an answer of the store that is complete up to asOf.
+func (m *Mirror) update(u Update, asOf int64) {
 	now := m.clock.Now()
 	if m.lost {
 		u.Regained = now.Sub(m.Contact())
@@ -122,6 +124,7 @@
 		m.log.Info("store regained", zap.Duration("outage", u.Regained))
 	}
 	m.contact.Store(int64(now))
+	m.replica.apply(u, asOf, now)
 	if u.Reset || len(u.Changes) > 0 || u.Regained > 0 {
 		m.apply(u)
 	}
--- /dev/null
+++ b/internal/mirror/replica_test.go
@@ -0,0 +1,73 @@
+package mirror
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
+)
+
+func change(key string, revision int64, deleted bool) platform.Change {
+	return platform.Change{Entry: platform.Entry{Key: key, Revision: revision}, Deleted: deleted}
+}
+
+// Guards against a reader of the copy that misses a change, sees one twice, or reads a copy that has lost the store.
+func TestCopyAnswersLikeTheStore(t *testing.T) {
+	clk := &clock.Manual{}
+	clk.Advance(time.Hour)
+	m := New(nil, "p/", clk, zap.NewNop(), func(Update) {})
+	ctx := context.Background()
+	if _, _, err := m.List(); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("before the first list: %v", err)
+	}
+	m.update(Update{Reset: true, Changes: []platform.Change{change("p/a", 3, false), change("p/b", 5, false)}}, 10)
+	m.update(Update{Changes: []platform.Change{change("p/c", 12, false), change("p/a", 13, true)}}, 15)
+	entries, asOf, err := m.List()
+	if err != nil || len(entries) != 2 || asOf != 15 {
+		t.Errorf("list %v at %d, %v", entries, asOf, err)
+	}
+	for after, want := range map[int64]int{10: 2, 12: 1, 15: 0} {
+		changes, asOf, err := m.Watch(ctx, after, time.Millisecond)
+		if err != nil || len(changes) != want || asOf != 15 {
+			t.Errorf("after %d: %v at %d, %v", after, changes, asOf, err)
+		}
+	}
+	if _, _, err := m.Watch(ctx, 9, time.Millisecond); !errors.Is(err, platform.ErrCompacted) {
+		t.Errorf("before the list: %v", err)
+	}
+	go m.update(Update{Changes: []platform.Change{change("p/d", 16, false)}}, 16)
+	if changes, _, err := m.Watch(ctx, 15, 5*time.Second); err != nil || len(changes) != 1 {
+		t.Errorf("waiting reader: %v, %v", changes, err)
+	}
+	clk.Advance(freshFor + time.Millisecond)
+	if _, _, err := m.Watch(ctx, 16, time.Millisecond); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("a copy that has not heard from the store for %s answers: %v", freshFor, err)
+	}
+}
+
+// Guards against a copy that grows without bound, and against changes that are dropped without telling the reader.
+func TestCopyKeepsABoundedHistory(t *testing.T) {
+	clk := &clock.Manual{}
+	clk.Advance(time.Hour)
+	m := New(nil, "p/", clk, zap.NewNop(), func(Update) {})
+	m.update(Update{Reset: true}, 1)
+	for i := range int64(2 * maxChanges) {
+		m.update(Update{Changes: []platform.Change{change(fmt.Sprint("p/", i%10), i+2, false)}}, i+2)
+	}
+	if n := len(m.replica.changes); n > maxChanges {
+		t.Errorf("%d changes are kept", n)
+	}
+	if _, _, err := m.Watch(context.Background(), 5, time.Millisecond); !errors.Is(err, platform.ErrCompacted) {
+		t.Errorf("reader of dropped changes: %v", err)
+	}
+	last := int64(2*maxChanges + 1)
+	if changes, _, err := m.Watch(context.Background(), last-1, time.Millisecond); err != nil || len(changes) != 1 {
+		t.Errorf("reader of the last change: %v, %v", changes, err)
+	}
+}
