--- a/internal/edgedaemon/daemon.go
+++ b/internal/edgedaemon/daemon.go
@@ -1,6 +1,7 @@
 package edgedaemon
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -127,7 +128,8 @@
 	}
 	d.store = platform.NewStore(d.settings.Store)
 	d.edge, err = edge.New(edge.Options{
-		Self: d.self, Regions: regions, CallerAddr: d.settings.CallerAddr, PeerAddr: d.settings.PeerAddr, Bounds: d.settings.bounds(),
+		Self: d.self, Regions: regions, CallerAddr: d.settings.CallerAddr,
+		PeerAddr: cmp.Or(d.settings.AdvertisePeer, d.settings.PeerAddr), Bounds: d.settings.bounds(),
 		Store: d.store, Feed: d.store, Documents: platform.Documents{}, Dialect: platform.Dialect{},
 		Dial: netdial.Dialer(endpointDialTimeout).DialContext, Clock: clock.Boot{}, Log: d.log, Scope: d.metrics,
 	}, &trustingNetwork{Transport: d.transport, own: d.identity})
--- a/internal/edgedaemon/settings.go
+++ b/internal/edgedaemon/settings.go
@@ -24,6 +24,7 @@
 	ReadyAddr     string `help:"ip:port to listen on for readiness checks." required:"" env:"DOGWOOD_EDGE_READY_ADDR"`
 	DirectoryAddr string `help:"ip:port to listen on for callers that ask where to connect." required:"" env:"DOGWOOD_EDGE_DIRECTORY_ADDR"`
 	PeerAddr      string `help:"ip:port to listen on for other instances." required:"" env:"DOGWOOD_EDGE_PEER_ADDR"`
+	AdvertisePeer string `help:"ip:port that other instances reach this one at. Default: the address listened on." env:"DOGWOOD_EDGE_ADVERTISE_PEER_ADDR"`
 	MetricsAddr   string `help:"ip:port that serves /metrics. Empty: none." env:"DOGWOOD_EDGE_METRICS_ADDR"`
 
 	Store string `help:"ip:port of the platform's store." required:"" env:"DOGWOOD_EDGE_STORE"`
@@ -50,6 +51,7 @@
 		"directory-addr": s.DirectoryAddr, "peer-addr": s.PeerAddr, "store": s.Store} {
 		check(isIPPort(addr), "--%s %q is not ip:port", flag, addr)
 	}
+	check(s.AdvertisePeer == "" || isIPPort(s.AdvertisePeer), "--advertise-peer %q is not ip:port", s.AdvertisePeer)
 	check(s.MetricsAddr == "" || isIPPort(s.MetricsAddr), "--metrics-addr %q is not ip:port", s.MetricsAddr)
 	if _, err := s.regions(); err != nil {
 		problems = append(problems, errors.Wrap(err, "--regions"))
