Log a failed start, catch hangups first, and list caches at the start

Its port had been taken while it was down (the soak had chosen ports that the system hands out for outgoing connections), and the process ended without a line. Besides, an instance that starts again knew nothing of its engines' caches.

Change: a failed start is logged and returned; hangups are caught before anything else; an instance asks its region's engines for their cached parts once after its start; the soak uses ports of its own and reports processes that end by themselves.

Ruled out: retrying to listen (the platform starts the process again).

--- a/cmd/dogwood-edge/main.go
+++ b/cmd/dogwood-edge/main.go
@@ -18,18 +18,19 @@
 const startTimeout = 10 * time.Second
 
 func main() {
+	hangups := edgedaemon.CatchHangups()
 	var settings edgedaemon.Settings
 	kong.Parse(&settings,
 		kong.Name("dogwood-edge"),
 		kong.Description("Entry daemon for platforms that list their endpoints. Every flag can be set in the environment."))
-	if err := run(settings); err != nil {
+	if err := run(settings, hangups); err != nil {
 		fmt.Fprintln(os.Stderr, "dogwood-edge:", err)
 		os.Exit(1)
 	}
 }
 
-func run(settings edgedaemon.Settings) error {
-	d, err := edgedaemon.New(settings)
+func run(settings edgedaemon.Settings, hangups chan os.Signal) error {
+	d, err := edgedaemon.New(settings, hangups)
 	if err != nil {
 		return err
 	}
@@ -47,6 +48,13 @@
 	if err := app.Err(); err != nil {
 		return err
 	}
-	app.Run()
-	return nil
+	startCtx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	if err := app.Start(startCtx); err != nil {
+		return err
+	}
+	<-app.Done()
+	stopCtx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	return app.Stop(stopCtx)
 }
--- a/internal/core/placement/cache.go
+++ b/internal/core/placement/cache.go
@@ -1,25 +1,18 @@
 package placement
 
 import (
-	"encoding/binary"
-
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
-// Part is a part of a prompt that requests may share. Key stands for the part and all parts before it, for one model: an
-// endpoint that holds the part without those before it must read it again.
+// Part is a part of a prompt that requests may share. An endpoint that holds a part without those before it must read it again.
 type Part struct {
 	Key    uint64
 	Tokens float64
 }
 
-// Chain returns the key of a part that follows the part with key previous. The first part follows the model's name:
-// Chain(0, model).
-func Chain(previous uint64, id string) uint64 {
-	buf := binary.BigEndian.AppendUint64(make([]byte, 0, 8+len(id)), previous)
-	return xxhash.Sum64(append(buf, id...))
-}
+// PartKey returns the key of a part that is cached for a model.
+func PartKey(model, id string) uint64 { return xxhash.Sum64String(model + "/" + id) }
 
 // maxCachedParts bounds the parts that are remembered for an endpoint: an entry takes about 100 bytes, and an endpoint with
 // memory for 400,000 tokens holds a few thousand parts of usual size.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -172,6 +172,11 @@
 	}
 }
 
+// Holds records what an endpoint says that it holds, for an instance that has just started. The parts used last come last.
+func (p *Pool) Holds(endpoint string, parts []Part) {
+	p.PeerUsed(endpoint, parts)
+}
+
 // OwnWork calls f for each endpoint with what this instance has under way there.
 func (p *Pool) OwnWork(f func(endpoint string, w PeerWork)) {
 	for _, e := range p.order {
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -35,9 +35,9 @@
 
 // prompt returns work with a shared part of the given subject and a part of its own.
 func prompt(id int, subject string) Work {
-	shared := Chain(0, subject)
+	shared := PartKey("m", subject)
 	return Work{ID: fmt.Sprint(id), Prompt: 9000, Output: 50,
-		Parts: []Part{{Key: shared, Tokens: 6000}, {Key: Chain(shared, fmt.Sprint(id)), Tokens: 3000}}}
+		Parts: []Part{{Key: shared, Tokens: 6000}, {Key: PartKey("m", fmt.Sprint("own ", id)), Tokens: 3000}}}
 }
 
 func (p *Pool) mustBegin(t *testing.T, now clock.Instant, w Work) Choice {
--- /dev/null
+++ b/internal/edge/caches.go
@@ -0,0 +1,91 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/catalog"
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/placement"
+	"dogwoodknot.example/dogwoodknot/internal/endpointconn"
+)
+
+const (
+	// cacheListDelay spreads the lists of a starting instance, since each delays its engine's work for a moment.
+	cacheListDelay = 20 * time.Millisecond
+	// cacheListTimeout bounds one list.
+	cacheListTimeout = time.Second
+	// maxCacheList bounds the answer: some thousand parts of 60 bytes.
+	maxCacheList = 1 << 20
+)
+
+// learnCaches asks the region's engines what their caches hold, once after the start: an instance that starts again would
+// otherwise send requests to engines that must read shared parts which others hold.
+func (e *Edge) learnCaches(ctx context.Context) {
+	for !e.Ready() {
+		if clock.Sleep(ctx, pumpEvery) != nil {
+			return
+		}
+	}
+	conf := e.state.configuration.Load()
+	for name, list := range e.state.usable(e.options.Self.Region) {
+		service := conf.Service(name)
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		for _, endpoint := range list {
+			if clock.Sleep(ctx, cacheListDelay) != nil {
+				return
+			}
+			parts, err := e.listCache(ctx, endpoint)
+			if err != nil {
+				e.log.Info("cache of an engine is not known", zap.String("endpoint", endpoint.ID), zap.Error(err))
+				continue
+			}
+			e.log.Info("cache of an engine listed", zap.String("endpoint", endpoint.ID), zap.Int("parts", len(parts)))
+			e.pools.holds(name, endpoint.ID, parts)
+		}
+	}
+}
+
+func (e *Edge) listCache(ctx context.Context, endpoint catalog.Endpoint) ([]placement.Part, error) {
+	ctx, cancel := context.WithTimeout(ctx, cacheListTimeout)
+	defer cancel()
+	resp, err := e.conns.Do(ctx, endpoint.Addr, &endpointconn.Request{
+		Method: http.MethodGet, URI: e.options.Dialect.CacheList(), Host: endpoint.Addr, Header: http.Header{},
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCacheList))
+	if err != nil {
+		return nil, err
+	}
+	if resp.Status != http.StatusOK {
+		return nil, errors.Newf("status %d", resp.Status)
+	}
+	cached, err := e.options.Dialect.CachedParts(body)
+	if err != nil {
+		return nil, err
+	}
+	parts := make([]placement.Part, 0, len(cached))
+	for _, c := range cached {
+		parts = append(parts, placement.Part{Key: placement.PartKey(c.Model, c.ID), Tokens: c.Tokens})
+	}
+	return parts, nil
+}
+
+// holds records what an engine says that it holds.
+func (p *pools) holds(service, endpoint string, parts []placement.Part) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pool := p.byService[service]; pool != nil {
+		pool.Holds(endpoint, parts)
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -25,6 +25,12 @@
 	Tokens float64
 }
 
+// CachedPart is a prompt part in an engine's cache.
+type CachedPart struct {
+	PromptPart
+	Model string
+}
+
 // RequestHead is what the headers of a caller's request say.
 type RequestHead struct {
 	ID          string
@@ -72,6 +78,9 @@
 	Answer(status int, h http.Header) AnswerHead
 	// AnswerID reads the id of the request that an answer belongs to, empty if it names none.
 	AnswerID(h http.Header) string
+	// CacheList is the path of the call that lists what an engine's cache holds, and CachedParts reads its answer.
+	CacheList() string
+	CachedParts(body []byte) ([]CachedPart, error)
 	// StripKey removes the caller's secret.
 	StripKey(h http.Header)
 	RetryAfter(d time.Duration) string
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -198,11 +198,9 @@
 	if w.Output == 0 && w.Prompt > 0 {
 		w.Output = defaultOutput
 	}
-	key := placement.Chain(0, x.service+"/"+x.head.Model)
 	sum := 0.0
 	for _, part := range x.head.Parts {
-		key = placement.Chain(key, part.ID)
-		w.Parts = append(w.Parts, placement.Part{Key: key, Tokens: part.Tokens})
+		w.Parts = append(w.Parts, placement.Part{Key: placement.PartKey(x.head.Model, part.ID), Tokens: part.Tokens})
 		sum += part.Tokens
 	}
 	w.Prompt = max(w.Prompt, sum)
--- a/internal/edge/load_test.go
+++ b/internal/edge/load_test.go
@@ -177,9 +177,9 @@
 	now := l.clk.Now()
 	l.result[k.name].asked++
 	id := fmt.Sprint("r", l.seq)
-	shared := placement.Chain(0, fmt.Sprint(k.name, subject))
+	shared := placement.PartKey("m", fmt.Sprint(k.name, subject))
 	work := placement.Work{ID: id, Prompt: k.shared + k.own, Output: k.output,
-		Parts:   []placement.Part{{Key: shared, Tokens: k.shared}, {Key: placement.Chain(shared, id), Tokens: k.own}},
+		Parts:   []placement.Part{{Key: shared, Tokens: k.shared}, {Key: placement.PartKey("m", id), Tokens: k.own}},
 		MaxPace: time.Duration(float64(k.deadline) * paceUse / k.output)}
 	r := &simRequest{kind: k, arrived: now, model: &enginemodel.Request{ID: id, Prompt: work.Prompt, Output: output}}
 	for _, p := range work.Parts {
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -103,6 +103,7 @@
 	}
 	e.spawn(e.pools.run)
 	e.spawn(e.housekeep)
+	e.spawn(e.learnCaches)
 	e.spawn(func(ctx context.Context) { e.announce(ctx, a) })
 }
 
--- a/internal/edgedaemon/daemon.go
+++ b/internal/edgedaemon/daemon.go
@@ -72,8 +72,16 @@
 	hangup    chan os.Signal
 }
 
-// New checks the settings and makes an instance that does not listen yet.
-func New(s Settings) (*Daemon, error) {
+// CatchHangups keeps requests to reload from ending the process. It is the first thing that a program does: until then, the
+// signal ends it.
+func CatchHangups() chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
+// New checks the settings and makes an instance that does not listen yet. It logs the hangups.
+func New(s Settings, hangups chan os.Signal) (*Daemon, error) {
 	if err := s.Validate(); err != nil {
 		return nil, err
 	}
@@ -81,7 +89,7 @@
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryPart * (1 << 20)))
 	}
 	d := &Daemon{
-		settings: s, writer: observe.NewBoundedWriter(os.Stdout), hangup: make(chan os.Signal, 1),
+		settings: s, writer: observe.NewBoundedWriter(os.Stdout), hangup: hangups,
 		self: peer.Identity{Instance: s.Name, Region: s.Region, DataCentre: s.DataCentre, Incarnation: rand.Uint64() | 1},
 	}
 	var err error
@@ -136,12 +144,20 @@
 	return err
 }
 
-// Start listens and begins to serve.
+// Start listens and begins to serve. A failure is logged before it is returned, since the process ends with it.
 func (d *Daemon) Start() error {
+	err := d.start()
+	if err != nil {
+		d.log.Error("start failed", zap.Error(err))
+		err = errors.CombineErrors(err, d.writer.Sync())
+	}
+	return err
+}
+
+func (d *Daemon) start() error {
 	d.log.Info("start", zap.Uint64("incarnation", d.self.Incarnation), zap.String("region", d.self.Region),
 		zap.String("data_centre", d.self.DataCentre), zap.String("caller_addr", d.settings.CallerAddr),
 		zap.String("peer_addr", d.settings.PeerAddr), zap.String("store", d.settings.Store))
-	signal.Notify(d.hangup, syscall.SIGHUP)
 	go d.noteHangups()
 	d.transport.Start()
 	d.edge.Start(d.identity.certificate)
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -74,6 +74,10 @@
 
 // ServeHTTP runs a request: a stream of events, or the request's id and body as answer.
 func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if platformtest.IsCacheList(r) {
+		platformtest.EmptyCacheList(w)
+		return
+	}
 	id, body := platformtest.RequestID(r.Header), readAll(r)
 	e.ledger.mu.Lock()
 	e.ledger.runs[id]++
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -51,7 +51,8 @@
 	cmd     *exec.Cmd
 	ended   chan struct{}
 	running bool
-	starts  int
+	ending  bool // its end is part of a fault
+	report  func(format string, args ...any)
 }
 
 // soak is a run.
@@ -134,18 +135,13 @@
 }
 
 func (s *soak) newInstance(name, dataCentre string) (*instance, error) {
-	in := &instance{name: name, dataCentre: dataCentre, options: &s.options}
+	in := &instance{name: name, dataCentre: dataCentre, options: &s.options, report: s.ledger.report}
+	var err error
 	for _, addr := range []*string{&in.caller, &in.ready, &in.directory, &in.peerReal} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		*addr = l.Addr().String()
-		if err := l.Close(); err != nil {
+		if *addr, err = freeAddr(); err != nil {
 			return nil, err
 		}
 	}
-	var err error
 	if in.peer, err = newProxy(in.peerReal); err != nil {
 		return nil, err
 	}
@@ -153,10 +149,29 @@
 	return in, err
 }
 
+// Ports of instances. They lie below those that the system hands out for outgoing connections, which could take the port of an
+// instance while it is down.
+const (
+	firstPort = 20000
+	ports     = 12000
+)
+
+// freeAddr returns a loopback address on which nothing listens.
+func freeAddr() (string, error) {
+	var last error
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
+		if err == nil {
+			return l.Addr().String(), l.Close()
+		}
+		last = err
+	}
+	return "", errors.Wrap(last, "find a free port")
+}
+
 func (in *instance) start() error {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.starts++
 	log, err := os.OpenFile(filepath.Join(in.options.Dir, in.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
@@ -168,11 +183,16 @@
 	if err := in.cmd.Start(); err != nil {
 		return errors.CombineErrors(err, log.Close())
 	}
-	in.running = true
+	in.running, in.ending = true, false
 	ended := make(chan struct{})
 	in.ended = ended
 	go func(cmd *exec.Cmd) {
-		_ = cmd.Wait() // how it ended is part of the fault
+		err := cmd.Wait()
+		in.mu.Lock()
+		if !in.ending {
+			in.report("%s has ended by itself: %v", in.name, err)
+		}
+		in.mu.Unlock()
 		_ = log.Close()
 		close(ended)
 	}(in.cmd)
@@ -183,6 +203,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if in.running {
+		in.ending = in.ending || sig == syscall.SIGKILL || sig == syscall.SIGTERM
 		_ = in.cmd.Process.Signal(sig) // it may have ended by itself, which the checks see
 	}
 }
