Log what decided a refusal, and drop what nothing reads

A 503 or 429 said that it was refused and not by which figures; some decoded fields were read by nothing; the check of addresses stood twice.

Change: the request's line has the expected first outputs and, for 429, the organisation's level and the part of its rate; unused fields and functions are gone; netdial has the check of addresses.

No change of behaviour is intended. Tests of the touched packages pass.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -112,12 +112,10 @@
 
 // Service is a set of endpoints of the same kind.
 type Service struct {
-	Name       string
-	HealthPath string
-	MaxConns   int           // connections that an endpoint accepts from all instances together
-	ColdFor    time.Duration // after a start
-	ColdRate   float64       // requests/s that a cold endpoint bears; 0: it needs no care
-	Engine     *Engine       // nil for a plain service
+	Name     string
+	ColdFor  time.Duration // after a start
+	ColdRate float64       // requests/s that a cold endpoint bears; 0: it needs no care
+	Engine   *Engine       // nil for a plain service
 }
 
 // Organisation is a customer with its keys and its fleet-wide rate.
--- a/internal/catalog/endpoint.go
+++ b/internal/catalog/endpoint.go
@@ -17,6 +17,4 @@
 	Slots      int
 	Draining   bool          // takes no new work
 	ColdUntil  clock.Instant // 0: it is not cold
-	// EndsAt is when the endpoint is taken away whatever it is doing. 0: that is not known.
-	EndsAt clock.Instant
 }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -146,18 +146,6 @@
 // Endpoint returns an endpoint of the pool, or nil.
 func (p *Pool) Endpoint(id string) *Endpoint { return p.endpoints[id] }
 
-// Slots is the number of places of all endpoints divided by their number, 0 without endpoints.
-func (p *Pool) Slots() int {
-	total := 0
-	for _, e := range p.order {
-		total += e.slots
-	}
-	return total / max(1, len(p.order))
-}
-
-// Len is the number of endpoints, usable or not.
-func (p *Pool) Len() int { return len(p.order) }
-
 // PeerReported records what another instance has under way at an endpoint.
 func (p *Pool) PeerReported(instance, endpoint string, w PeerWork, now clock.Instant) {
 	if e := p.endpoints[endpoint]; e != nil {
@@ -165,18 +153,13 @@
 	}
 }
 
-// PeerUsed records prompt parts that another instance's request reads at an endpoint.
-func (p *Pool) PeerUsed(endpoint string, parts []Part) {
+// Holds records prompt parts that an endpoint holds or is about to read for another instance. Those used last come last.
+func (p *Pool) Holds(endpoint string, parts []Part) {
 	if e := p.endpoints[endpoint]; e != nil && e.cache != nil {
 		e.cache.use(parts)
 	}
 }
 
-// Holds records what an endpoint says that it holds, for an instance that has just started. The parts used last come last.
-func (p *Pool) Holds(endpoint string, parts []Part) {
-	p.PeerUsed(endpoint, parts)
-}
-
 // OwnWork calls f for each endpoint with what this instance has under way there.
 func (p *Pool) OwnWork(f func(endpoint string, w PeerWork)) {
 	for _, e := range p.order {
--- a/internal/core/triage/triage.go
+++ b/internal/core/triage/triage.go
@@ -42,6 +42,14 @@
 	Left      time.Duration // until the caller must have its final answer
 }
 
+// Quickest is the shortest expected time in another region, 0 if none is known.
+func (in *Input) Quickest() time.Duration {
+	if best := quickest(in.Elsewhere); best >= 0 {
+		return in.Elsewhere[best].First
+	}
+	return 0
+}
+
 // Action is what is done with a request.
 type Action int
 
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -2,7 +2,6 @@
 package daemon
 
 import (
-	"net"
 	"net/url"
 	"os"
 	"strings"
@@ -10,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodknot.example/dogwoodknot/internal/netdial"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 )
 
@@ -61,11 +61,11 @@
 	}
 	check(s.Name != "" && s.Region != "" && s.DataCentre != "", "name, region and data centre must be set")
 	for flag, addr := range map[string]string{"caller-addr": s.CallerAddr, "peer-addr": s.PeerAddr, "operator-addr": s.OperatorAddr} {
-		check(isIPPort(addr), "--%s %q is not ip:port", flag, addr)
+		check(netdial.IsIPPort(addr), "--%s %q is not ip:port", flag, addr)
 	}
 	for flag, addr := range map[string]string{"advertise-caller-addr": s.AdvertiseCallerAddr, "advertise-peer-addr": s.AdvertisePeerAddr,
 		"advertise-operator-addr": s.AdvertiseOperatorAddr} {
-		check(addr == "" || isIPPort(addr), "--%s %q is not ip:port", flag, addr)
+		check(addr == "" || netdial.IsIPPort(addr), "--%s %q is not ip:port", flag, addr)
 	}
 	for flag, text := range map[string]string{"store": s.Store, "list": s.List, "directory": s.Directory} {
 		u, err := url.Parse(text)
@@ -106,8 +106,3 @@
 	data, err := os.ReadFile(name)
 	return data, errors.Wrap(err, "read certificate or key")
 }
-
-func isIPPort(addr string) bool {
-	host, port, err := net.SplitHostPort(addr)
-	return err == nil && net.ParseIP(host) != nil && port != ""
-}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -58,17 +58,12 @@
 	HasUrgency bool
 }
 
-// ReportedLoad is the load that an endpoint tells with an answer.
-type ReportedLoad struct{ Running, Waiting, Slots float64 }
-
 // AnswerHead is what the headers of an endpoint's answer say.
 type AnswerHead struct {
 	RequestID string // of the request that it answers, empty if it names none
-	Endpoint  string
-	NotRun    bool // the endpoint has not run the request and never will
-	Signed    bool // the endpoint vouches for the answer
+	NotRun    bool   // the endpoint has not run the request and never will
+	Signed    bool   // the endpoint vouches for the answer
 	ColdFor   time.Duration
-	Load      *ReportedLoad
 }
 
 // Dialect reads and writes the platform's headers.
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -71,6 +71,10 @@
 	endpoint string
 	instance string
 	first    time.Duration // until the first byte of the answer
+	// What decided: the expected times to a first output here and in the best other region, and the organisation's level with
+	// the part of its rate that accrues here.
+	here, elsewhere time.Duration
+	level, part     float64
 }
 
 // ServeHTTP answers a caller's request.
@@ -250,6 +254,7 @@
 	if admitted {
 		return true
 	}
+	x.outcome.level, x.outcome.part = x.edge.rateLevel(x.org.Name)
 	x.cost = 0
 	return x.refuse(http.StatusTooManyRequests, "organisation's rate is used up", retryAfter)
 }
@@ -317,6 +322,7 @@
 	}
 	d := triage.Decide(in, x.rng())
 	x.a.late = d.Late
+	x.outcome.here, x.outcome.elsewhere = in.Here.First, in.Quickest()
 	switch {
 	case d.Action == triage.ServeElsewhere:
 		r, f := e.attemptAt(ctx, remotes[d.Region].Instance, &x.a, x.conf.Version)
@@ -460,11 +466,15 @@
 	}
 	if x.org != nil {
 		fields = append(fields, zap.String("organisation", x.org.Name))
+		if x.outcome.status == http.StatusTooManyRequests {
+			fields = append(fields, zap.Float64("level", x.outcome.level), zap.Float64("rate_part", x.outcome.part))
+		}
 	}
 	if x.service != "" {
 		fields = append(fields, zap.String("service", x.service), zap.String("endpoint", x.outcome.endpoint), zap.String("via", x.outcome.instance),
 			zap.Int("attempts", x.attempts), zap.Int("unsent", x.unsent), zap.Strings("tried", slices.Sorted(maps.Keys(x.a.excluded))),
-			zap.Int("events", x.events), zap.Duration("left", x.limit.Sub(x.arrived)-took))
+			zap.Int("events", x.events), zap.Duration("left", x.limit.Sub(x.arrived)-took),
+			zap.Duration("expected_here", x.outcome.here), zap.Duration("expected_elsewhere", x.outcome.elsewhere), zap.Bool("late", x.a.late))
 	}
 	e.requestLog.Info("request", fields...)
 }
--- a/internal/edge/load_test.go
+++ b/internal/edge/load_test.go
@@ -94,7 +94,6 @@
 	model   *enginemodel.Request
 	engine  *simEngine
 	first   clock.Instant
-	last    clock.Instant
 	done    bool
 }
 
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -197,6 +197,13 @@
 	return e.quota.Admit(e.clock.Now(), organisation, cost)
 }
 
+// rateLevel returns the organisation's level and the part of its rate that accrues here.
+func (e *Edge) rateLevel(organisation string) (level, part float64) {
+	e.quotaMu.Lock()
+	defer e.quotaMu.Unlock()
+	return e.quota.Level(e.clock.Now(), organisation)
+}
+
 func (e *Edge) refundRate(organisation string, cost float64) {
 	e.quotaMu.Lock()
 	defer e.quotaMu.Unlock()
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -213,7 +213,7 @@
 // sameUse reports whether two descriptions of an endpoint allow the same use of it.
 func sameUse(a, b catalog.Endpoint) bool {
 	return a.Incarnation == b.Incarnation && a.Service == b.Service && a.Addr == b.Addr && a.DataCentre == b.DataCentre &&
-		a.Slots == b.Slots && a.Draining == b.Draining && a.ColdUntil == b.ColdUntil && (a.EndsAt == 0) == (b.EndsAt == 0)
+		a.Slots == b.Slots && a.Draining == b.Draining && a.ColdUntil == b.ColdUntil
 }
 
 // vanish takes an endpoint's entry away. Right after an outage of the store it is used for a moment longer.
--- a/internal/edge/talk.go
+++ b/internal/edge/talk.go
@@ -141,7 +141,7 @@
 			}, now)
 		}
 		for id, list := range parts {
-			pool.PeerUsed(id, list)
+			pool.Holds(id, list)
 		}
 	}
 	p.pumpAll()
--- a/internal/edgedaemon/daemon_test.go
+++ b/internal/edgedaemon/daemon_test.go
@@ -108,13 +108,13 @@
 	}
 	const announcement = "dogwoodknot/instances/n1"
 	waitFor(t, "the instance is not announced", func() bool { return store.Has(announcement) })
-	ready := "http://" + s.ReadyAddr + "/api/ready"
+	ready := "http://" + s.ReadyAddr + platformtest.ReadyPath
 	if got := status(t, ready); got != http.StatusServiceUnavailable {
 		t.Errorf("before the first configuration, readiness is %d", got)
 	}
 	store.Put(platformtest.ConfigurationKey, platformtest.Configuration{Version: 1, Organisation: "o", Key: "k", Host: "h"}.Encode())
 	waitFor(t, "the instance is not ready", func() bool { return status(t, ready) == http.StatusOK })
-	if got := status(t, "http://"+s.DirectoryAddr+"/api/resolve?name=h&region=north"); got != http.StatusOK {
+	if got := status(t, "http://"+s.DirectoryAddr+platformtest.ResolvePath("h", "north")); got != http.StatusOK {
 		t.Errorf("the directory answers %d", got)
 	}
 	if got := status(t, "http://"+s.MetricsAddr+"/metrics"); got != http.StatusOK {
--- a/internal/edgedaemon/settings.go
+++ b/internal/edgedaemon/settings.go
@@ -3,13 +3,13 @@
 
 import (
 	"encoding/json"
-	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"dogwoodknot.example/dogwoodknot/internal/core/retrybudget"
 	"dogwoodknot.example/dogwoodknot/internal/edge"
+	"dogwoodknot.example/dogwoodknot/internal/netdial"
 )
 
 // Settings of an edge instance. They come from flags and environment variables; the operators' declarations come from the
@@ -49,10 +49,10 @@
 	}
 	for flag, addr := range map[string]string{"caller-addr": s.CallerAddr, "ready-addr": s.ReadyAddr,
 		"directory-addr": s.DirectoryAddr, "peer-addr": s.PeerAddr, "store": s.Store} {
-		check(isIPPort(addr), "--%s %q is not ip:port", flag, addr)
+		check(netdial.IsIPPort(addr), "--%s %q is not ip:port", flag, addr)
 	}
-	check(s.AdvertisePeer == "" || isIPPort(s.AdvertisePeer), "--advertise-peer %q is not ip:port", s.AdvertisePeer)
-	check(s.MetricsAddr == "" || isIPPort(s.MetricsAddr), "--metrics-addr %q is not ip:port", s.MetricsAddr)
+	check(s.AdvertisePeer == "" || netdial.IsIPPort(s.AdvertisePeer), "--advertise-peer %q is not ip:port", s.AdvertisePeer)
+	check(s.MetricsAddr == "" || netdial.IsIPPort(s.MetricsAddr), "--metrics-addr %q is not ip:port", s.MetricsAddr)
 	if _, err := s.regions(); err != nil {
 		problems = append(problems, errors.Wrap(err, "--regions"))
 	}
@@ -63,11 +63,6 @@
 	return errors.Join(problems...)
 }
 
-func isIPPort(addr string) bool {
-	host, port, err := net.SplitHostPort(addr)
-	return err == nil && net.ParseIP(host) != nil && port != ""
-}
-
 func (s *Settings) regions() (map[string]string, error) {
 	var regions map[string]string
 	err := json.Unmarshal([]byte(s.Regions), &regions)
--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -1,4 +1,4 @@
-// Package netdial makes TCP connections that notice a peer which has gone silent.
+// Package netdial makes TCP connections that notice a peer which has gone silent, and checks addresses.
 package netdial
 
 import (
@@ -44,3 +44,9 @@
 	}
 	return failure
 }
+
+// IsIPPort reports whether a setting is an address of the form ip:port.
+func IsIPPort(addr string) bool {
+	host, port, err := net.SplitHostPort(addr)
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
