Read an endpoint's id and address from the choice

A request could have named one endpoint and been sent to the address of its next description.

Change: a choice carries the id and address as of the moment under the lock.

After: 60 repeats with -race pass, and the tests of platform, edge and placement.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -185,6 +185,8 @@
 // Choice is where a request goes.
 type Choice struct {
 	Endpoint *Endpoint
+	// ID and Addr are the endpoint's as of the choice. Its description may be replaced while the request is under way.
+	ID, Addr string
 	// Wait is the expected time until the endpoint begins with the request, or until its first event for an engine.
 	Wait time.Duration
 	// CopyFrom is the address of an endpoint from which the chosen one should copy prompt parts. Empty: none.
@@ -237,7 +239,7 @@
 			continue
 		}
 		if cost < bestCost {
-			best, bestCost = Choice{Endpoint: e, Wait: wait, unread: p.unread(e, w, copied)}, cost
+			best, bestCost = Choice{Endpoint: e, ID: e.ID, Addr: e.Addr, Wait: wait, unread: p.unread(e, w, copied)}, cost
 			if copied > 0 {
 				best.CopyFrom = source.endpoint.Addr
 			}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -88,7 +88,8 @@
 	if placed.reason != "" {
 		return nil, &failure{kind: notPlaced, reason: string(placed.reason), retryAfter: e.comeBack(a.service)}
 	}
-	endpoint := placed.choice.Endpoint
+	chosen := placed.choice
+	endpoint := chosen.Endpoint
 	left := a.until.Sub(e.clock.Now())
 	if left <= 0 {
 		e.pools.release(a.service, endpoint, a.work.ID, verdictNone)
@@ -96,25 +97,25 @@
 	}
 	header := a.header.Clone()
 	e.options.Dialect.ToEndpoint(header, EndpointHead{
-		Endpoint: endpoint.ID, Organisation: a.organisation, Deadline: left, LastEvent: a.lastEvent, CopyFrom: placed.choice.CopyFrom,
+		Endpoint: chosen.ID, Organisation: a.organisation, Deadline: left, LastEvent: a.lastEvent, CopyFrom: chosen.CopyFrom,
 		Urgency: a.endpointUrgency(), HasUrgency: a.hasUrgency,
 	})
-	resp, err := e.conns.Do(ctx, endpoint.Addr, &endpointconn.Request{
+	resp, err := e.conns.Do(ctx, chosen.Addr, &endpointconn.Request{
 		ID: a.id, Method: a.method, URI: a.uri, Host: a.host, Header: header, Body: a.body, Once: a.once,
 	})
 	if err != nil {
-		return nil, e.sendFailed(ctx, a, endpoint, err)
+		return nil, e.sendFailed(ctx, a, chosen, err)
 	}
 	head := e.options.Dialect.Answer(resp.Status, resp.Header)
 	if head.ColdFor > 0 {
 		e.pools.coldFor(endpoint, head.ColdFor)
 	}
-	r := &reply{status: resp.Status, header: resp.Header, endpoint: endpoint.ID, instance: e.options.Self.Instance}
+	r := &reply{status: resp.Status, header: resp.Header, endpoint: chosen.ID, instance: e.options.Self.Instance}
 	body := &endpointBody{ReadCloser: resp.Body, ctx: ctx, edge: e, attempt: a, endpoint: endpoint, verdict: verdictOf(resp.Status, head)}
 	r.body = body
 	if kind, reason := judge(resp.Status, resp.Header, head); kind != "" {
 		drain(body)
-		return nil, &failure{kind: kind, endpoint: endpoint.ID, reason: reason}
+		return nil, &failure{kind: kind, endpoint: chosen.ID, reason: reason}
 	}
 	return r, nil
 }
@@ -143,8 +144,8 @@
 }
 
 // sendFailed ends an attempt whose answer has not begun.
-func (e *Edge) sendFailed(ctx context.Context, a *attempt, endpoint *placement.Endpoint, err error) *failure {
-	f := &failure{kind: broken, endpoint: endpoint.ID, reason: err.Error()}
+func (e *Edge) sendFailed(ctx context.Context, a *attempt, chosen placement.Choice, err error) *failure {
+	f := &failure{kind: broken, endpoint: chosen.ID, reason: err.Error()}
 	v := verdictFailed
 	switch {
 	case ctx.Err() != nil:
@@ -160,9 +161,9 @@
 		v = verdictSilent
 	}
 	if v == verdictSilent {
-		e.conns.Forget(endpoint.Addr)
+		e.conns.Forget(chosen.Addr)
 	}
-	e.pools.release(a.service, endpoint, a.work.ID, v)
+	e.pools.release(a.service, chosen.Endpoint, a.work.ID, v)
 	return f
 }
 
