Share what stood twice, and derive what was kept twice

Found: the order of names by hash stood in configsync, in the choice of the relay and in that of a cold endpoint's sharers; a self-signed certificate was made beside internal/peer/certs; what an endpoint holds of a prompt was looked up four times for each endpoint and choice; the mirror kept its last contact beside its replica's; whether an instance is closing was kept beside when it ends; an endpoint's places stood beside its description; the budget of a repeat was charged in one place and noted for another.

Change: core/rendezvous serves the three; certs.SelfSigned shares the making of a certificate; placement looks up once and derives; a failure answer is kept and the budget charged where all repeats are.

Ruled out: letting the mirror turn a list into deletions, which would shorten its three readers; its tests state the present form.

No other behaviour is meant to change, but which instance of a region relays or shares a cold endpoint, an arbitrary choice. Tests keep their assertions; the ones touched follow a renamed field.

--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -8,11 +8,11 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"dogwoodknot.example/dogwoodknot/internal/core/configview"
+	"dogwoodknot.example/dogwoodknot/internal/core/rendezvous"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
@@ -39,18 +39,6 @@
 	n.Handle(serviceWithdraw, peer.Unary(s.serveWithdraw))
 }
 
-// relayOf returns the instance that is first in rendezvous-hash order of a data centre.
-func relayOf(dataCentre string, instances []string) string {
-	relay, best := "", uint64(0)
-	for _, name := range instances {
-		h := xxhash.Sum64String(dataCentre + "\x00" + name)
-		if relay == "" || h > best || h == best && name < relay {
-			relay, best = name, h
-		}
-	}
-	return relay
-}
-
 // peers returns the known instances without this one.
 func (s *Syncer) peers() []Peer {
 	if s.opts.Network == nil {
@@ -91,7 +79,7 @@
 			candidates = append(candidates, p.Instance)
 		}
 	}
-	return relayOf(self.DataCentre, candidates)
+	return rendezvous.First(self.DataCentre, candidates)
 }
 
 func (s *Syncer) isRelay() bool {
--- a/internal/configsync/withdraw.go
+++ b/internal/configsync/withdraw.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"dogwoodknot.example/dogwoodknot/internal/core/rendezvous"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
@@ -37,14 +38,7 @@
 		}
 	}
 	for dc, names := range others {
-		for range relaysPerDataCentre {
-			name := relayOf(dc, names)
-			if name == "" {
-				break
-			}
-			targets = append(targets, name)
-			names = slices.DeleteFunc(names, func(n string) bool { return n == name })
-		}
+		targets = append(targets, rendezvous.Top(dc, names, relaysPerDataCentre)...)
 	}
 	return targets
 }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -76,7 +76,6 @@
 	peers    map[string]peerReport
 	cache    *partCache
 	coldNext clock.Instant // earliest time of the next request while it is cold
-	slots    int
 	pace     pace
 }
 
@@ -103,7 +102,7 @@
 	readRate  float64     // tokens/s
 	// departures counts the own requests that leave the endpoints.
 	departures Rate
-	// ColdPace returns the requests a second that this instance may send to a cold endpoint.
+	// coldPace returns the requests a second that this instance may send to a cold endpoint.
 	coldPace func(endpoint string, rate float64) float64
 }
 
@@ -124,7 +123,6 @@
 			e = p.newEndpoint(described)
 		}
 		e.Endpoint = described
-		e.slots = described.Slots
 		next[described.ID] = e
 	}
 	p.endpoints = next
@@ -223,8 +221,8 @@
 		if e.Draining || out[i] || c.Excluded != nil && c.Excluded(e.ID) {
 			continue
 		}
-		load := e.load(now)
-		if e.Health.Probing() && len(e.own) > 0 || !p.hasRoom(now, e, load, w) {
+		load, held := e.load(now), e.held(w)
+		if e.Health.Probing() && len(e.own) > 0 || !p.hasRoom(now, e, load, w, held) {
 			reason = worse(reason, AllBusy)
 			continue
 		}
@@ -232,14 +230,15 @@
 			reason = worse(reason, AllCold)
 			continue
 		}
-		copied := source.copyTo(e, w)
-		cost, wait := p.cost(e, load, w, copied)
-		if c.MaxWait > 0 && wait > c.MaxWait && p.readTime(load.Unread) > time.Duration(float64(c.MaxWait)*largePart) {
+		copied := source.copyTo(e, held)
+		unread := max(0, w.Prompt-held-copied)
+		cost, wait := p.cost(e, load, unread, copied)
+		if c.MaxWait > 0 && wait > c.MaxWait && p.ReadTime(load.Unread) > time.Duration(float64(c.MaxWait)*largePart) {
 			reason = worse(reason, AllBusy)
 			continue
 		}
 		if cost < bestCost {
-			best, bestCost = Choice{Endpoint: e, ID: e.ID, Addr: e.Addr, Wait: wait, unread: p.unread(e, w, copied)}, cost
+			best, bestCost = Choice{Endpoint: e, ID: e.ID, Addr: e.Addr, Wait: wait, unread: unread}, cost
 			if copied > 0 {
 				best.CopyFrom = source.endpoint.Addr
 			}
@@ -267,24 +266,24 @@
 	return routing.Ejected(group, now)
 }
 
-// hasRoom reports whether the endpoint has a place and memory for the request.
-func (p *Pool) hasRoom(now clock.Instant, e *Endpoint, load PeerWork, w *Work) bool {
+// hasRoom reports whether the endpoint, which holds so much of the prompt, has a place and memory for the request.
+func (p *Pool) hasRoom(now clock.Instant, e *Endpoint, load PeerWork, w *Work, held float64) bool {
 	if w.MaxPace > 0 && load.Running >= minCrowd && e.pace.value(now) > w.MaxPace {
 		return false
 	}
 	if engine := p.service.Engine; engine != nil {
-		need := w.Prompt - e.cache.held(w.Parts) + w.Output
-		return load.Running < e.slots && (load.Running == 0 || load.Memory+need <= memoryUse*engine.KVTokens)
+		need := w.Prompt - held + w.Output
+		return load.Running < e.Slots && (load.Running == 0 || load.Memory+need <= memoryUse*engine.KVTokens)
 	}
-	return float64(load.Running) < math.Ceil(float64(e.slots)*(1+pastSlots))
+	return float64(load.Running) < math.Ceil(float64(e.Slots)*(1+pastSlots))
 }
 
-// unread returns the prompt tokens that the endpoint has to read, if it copies some first.
-func (p *Pool) unread(e *Endpoint, w *Work, copied float64) float64 {
+// held returns the prompt tokens that the endpoint need not read; 0 for a plain endpoint.
+func (e *Endpoint) held(w *Work) float64 {
 	if e.cache == nil {
 		return 0
 	}
-	return max(0, w.Prompt-e.cache.held(w.Parts)-copied)
+	return e.cache.held(w.Parts)
 }
 
 // holder is the endpoint that holds most of a prompt's parts.
@@ -304,7 +303,7 @@
 		if out[i] {
 			continue
 		}
-		if tokens := e.cache.held(w.Parts); tokens > best.tokens {
+		if tokens := e.held(w); tokens > best.tokens {
 			best = holder{endpoint: e, tokens: tokens}
 		}
 	}
@@ -312,11 +311,11 @@
 }
 
 // copyTo returns how much of the prompt e should copy from the holder, beyond what it holds itself; 0 if that is not worth it.
-func (h holder) copyTo(e *Endpoint, w *Work) float64 {
+func (h holder) copyTo(e *Endpoint, held float64) float64 {
 	if h.endpoint == nil || h.endpoint == e {
 		return 0
 	}
-	if more := h.tokens - e.cache.held(w.Parts); more >= minCopied {
+	if more := h.tokens - held; more >= minCopied {
 		return more
 	}
 	return 0
@@ -333,18 +332,19 @@
 // bytes.
 const copyCost = 0.15
 
-// cost returns the cost of the request at the endpoint, comparable within the pool, and the expected wait there.
-func (p *Pool) cost(e *Endpoint, load PeerWork, w *Work, copied float64) (cost float64, wait time.Duration) {
+// cost returns the cost of a request at the endpoint, comparable within the pool, and the expected wait there. The endpoint has to
+// read and copy so many tokens of its prompt.
+func (p *Pool) cost(e *Endpoint, load PeerWork, unread, copied float64) (cost float64, wait time.Duration) {
 	if p.service.Engine == nil {
-		return float64(load.Running+1) / float64(e.slots), 0
+		return float64(load.Running+1) / float64(e.Slots), 0
 	}
-	tokens := load.Unread + p.unread(e, w, copied) + copyCost*copied
-	wait = firstEventFixed + p.readTime(tokens)
+	tokens := load.Unread + unread + copyCost*copied
+	wait = firstEventFixed + p.ReadTime(tokens)
 	return tokens + runningCost*float64(load.Running), wait
 }
 
-// readTime is how long an engine takes to read so many prompt tokens.
-func (p *Pool) readTime(tokens float64) time.Duration {
+// ReadTime is how long an engine takes to read so many prompt tokens, as measured.
+func (p *Pool) ReadTime(tokens float64) time.Duration {
 	return time.Duration(tokens / p.readRate * float64(time.Second))
 }
 
@@ -408,9 +408,6 @@
 	}
 }
 
-// ReadRate is the measured number of prompt tokens that an engine reads in a second.
-func (p *Pool) ReadRate() float64 { return p.readRate }
-
 // Summary is the load of the pool as other regions need it.
 type Summary struct {
 	Usable int           // endpoints that take work, now or when requests there have ended
@@ -431,13 +428,13 @@
 		if e.Draining || out[i] || excluded(e.ID) || !p.mayUseCold(e, now) {
 			continue
 		}
-		load := e.load(now)
+		load, held := e.load(now), e.held(w)
 		s.Usable++
-		if p.hasRoom(now, e, load, w) {
+		if p.hasRoom(now, e, load, w, held) {
 			s.Free++
 		}
-		wait := p.wait(e, load, w, source.copyTo(e, w))
-		if wait < shortest {
+		copied := source.copyTo(e, held)
+		if _, wait := p.cost(e, load, max(0, w.Prompt-held-copied), copied); wait < shortest {
 			shortest = wait
 		}
 	}
@@ -447,9 +444,3 @@
 	s.Leaving = p.departures.Value(now)
 	return s
 }
-
-// wait is the expected time until the endpoint begins with the request.
-func (p *Pool) wait(e *Endpoint, load PeerWork, w *Work, copied float64) time.Duration {
-	_, wait := p.cost(e, load, w, copied)
-	return wait
-}
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -2,11 +2,11 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"dogwoodknot.example/dogwoodknot/internal/sse"
@@ -50,53 +50,38 @@
 
 // pass passes an endpoint's answer on. It returns a failure if the answer is not complete and the request may be tried again or
 // must be given up.
-func (x *exchange) pass(ctx context.Context, r *reply) *failure {
+func (x *exchange) pass(r *reply) *failure {
 	defer r.body.Close()
 	if x.wroteHead && r.status != http.StatusOK {
 		return &failure{kind: broken, endpoint: r.endpoint, reason: "endpoint refused to resume with status " + strconv.Itoa(r.status)}
 	}
-	if r.status >= http.StatusInternalServerError && x.route.Repeatable() && x.attempts < x.route.MaxAttempts {
-		return x.passOrRepeat(ctx, r)
-	}
 	if isEventStream(r.header) && r.status == http.StatusOK {
 		return x.passEvents(r)
 	}
 	return x.passBody(r)
 }
 
-// failedAnswer is an endpoint's answer with a failure status.
+// failedAnswer is an endpoint's whole answer with a failure status.
 type failedAnswer struct {
 	reply
 	content []byte
 }
 
-// passOrRepeat handles a failure status of a request that may be repeated: it is repeated if the budget allows, else passed on.
-func (x *exchange) passOrRepeat(ctx context.Context, r *reply) *failure {
-	if ctx.Err() != nil || !x.edge.mayRepeat(x.service) {
-		return x.passBody(r)
-	}
-	content, err := io.ReadAll(io.LimitReader(r.body, wholeBody))
-	if err == nil {
-		x.failed = &failedAnswer{reply: *r, content: content}
-	}
-	x.repeatPaid = true
-	return &failure{kind: badAnswer, endpoint: r.endpoint, reason: "endpoint failed with status " + strconv.Itoa(r.status)}
-}
-
 // passFailed passes on the failure of an endpoint after the repeat has not succeeded either.
 func (x *exchange) passFailed() {
 	r := &x.failed.reply
-	x.writeHead(r, func(h http.Header) { h.Set("Content-Length", strconv.Itoa(len(x.failed.content))) })
+	x.writeHead(r, len(x.failed.content))
 	x.outcome.endpoint, x.outcome.reason = r.endpoint, "endpoint failed"
 	// A caller that has left does not need the answer.
 	_, _ = x.w.Write(x.failed.content)
 }
 
 func isEventStream(h http.Header) bool {
-	return len(h.Values("Content-Type")) > 0 && bytes.HasPrefix([]byte(h.Get("Content-Type")), []byte("text/event-stream"))
+	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
 
-// passBody passes on a plain answer. A short one is read whole first.
+// passBody passes on a plain answer. A short one is read whole first, and kept if it is a failure of a request that may be tried
+// again.
 func (x *exchange) passBody(r *reply) *failure {
 	var start bytes.Buffer
 	_, err := io.CopyN(&start, r.body, wholeBody)
@@ -104,11 +89,15 @@
 		return &failure{kind: broken, endpoint: r.endpoint, reason: "answer broke off: " + err.Error()}
 	}
 	whole := err == io.EOF
-	x.writeHead(r, func(h http.Header) {
-		if whole {
-			h.Set("Content-Length", strconv.Itoa(start.Len()))
-		}
-	})
+	if whole && r.status >= http.StatusInternalServerError && x.route.Repeatable() {
+		x.failed = &failedAnswer{reply: *r, content: start.Bytes()}
+		return &failure{kind: badAnswer, endpoint: r.endpoint, reason: "endpoint failed with status " + strconv.Itoa(r.status)}
+	}
+	length := unknownLength
+	if whole {
+		length = start.Len()
+	}
+	x.writeHead(r, length)
 	if _, err := x.w.Write(start.Bytes()); err != nil {
 		x.outcome.reason = "caller has left"
 		return nil
@@ -123,15 +112,20 @@
 	return nil
 }
 
+// unknownLength is the length of a body that is passed on as it comes.
+const unknownLength = -1
+
 // writeHead writes the head of the answer, with the headers of the endpoint.
-func (x *exchange) writeHead(r *reply, adjust func(http.Header)) {
+func (x *exchange) writeHead(r *reply, length int) {
 	h := x.w.Header()
 	for name, values := range withoutHopByHop(r.header) {
 		if name != "Content-Length" {
 			h[name] = values
 		}
 	}
-	adjust(h)
+	if length != unknownLength {
+		h.Set("Content-Length", strconv.Itoa(length))
+	}
 	x.wroteHead = true
 	x.outcome.status = r.status
 	x.outcome.reason = ""
@@ -147,7 +141,7 @@
 		event, err := events.NextRaw()
 		if err == io.EOF {
 			if !x.wroteHead {
-				x.writeHead(r, func(http.Header) {})
+				x.writeHead(r, unknownLength)
 			}
 			return nil
 		}
@@ -158,7 +152,7 @@
 			continue
 		}
 		if !x.wroteHead {
-			x.writeHead(r, func(http.Header) {})
+			x.writeHead(r, unknownLength)
 		}
 		if _, err := x.w.Write(event.Raw); err != nil {
 			x.outcome.reason = "caller has left"
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -84,11 +84,10 @@
 
 // attemptHere places a request at an endpoint of this region and sends it.
 func (e *Edge) attemptHere(ctx context.Context, a *attempt) (*reply, *failure) {
-	placed := e.pools.place(ctx, a)
-	if placed.reason != "" {
-		return nil, &failure{kind: notPlaced, reason: string(placed.reason), retryAfter: e.comeBack(a.service)}
+	chosen, reason := e.pools.place(ctx, a)
+	if reason != "" {
+		return nil, &failure{kind: notPlaced, reason: string(reason), retryAfter: e.comeBack(a.service)}
 	}
-	chosen := placed.choice
 	endpoint := chosen.Endpoint
 	left := a.until.Sub(e.clock.Now())
 	if left <= 0 {
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -50,7 +50,7 @@
 	switch {
 	case e.Ready():
 		c.standing = serving
-	case e.leaving.Load() && !e.closing.Load():
+	case e.leaving.Load() && !e.closing():
 		c.standing = departing
 	case e.leaving.Load():
 		c.standing = closing
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -107,8 +107,6 @@
 // Bounds are what the operators hold the system to.
 type Bounds struct {
 	Retries retrybudget.Terms
-	// Grace is the time from the request to stop until the process is killed.
-	Grace time.Duration
 	// DirectoryTTL is the longest time that callers keep an answer of the directory.
 	DirectoryTTL time.Duration
 }
@@ -143,7 +141,7 @@
 	check(o.Self.Instance != "" && o.Self.Incarnation != 0, "instance name or incarnation is missing")
 	check(o.Regions[o.Self.DataCentre] == o.Self.Region, "data centre %q is not in region %q", o.Self.DataCentre, o.Self.Region)
 	check(o.CallerAddr != "" && o.PeerAddr != "", "caller or peer address is missing")
-	check(o.Bounds.Grace > 0 && o.Bounds.DirectoryTTL > 0, "grace and directory validity must be positive")
+	check(o.Bounds.DirectoryTTL > 0, "directory validity must be positive")
 	check(o.Bounds.Retries.Window > 0 && o.Bounds.Retries.Ratio >= 0 && o.Bounds.Retries.Allowance >= 0, "retry budget is not valid")
 	return errors.Join(findings...)
 }
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -49,17 +49,15 @@
 	cost    float64
 	limit   clock.Instant // when the caller must have its final answer
 
-	a        attempt
-	attempts int // endpoints that the request has reached
-	unsent   int
-	mayHave  bool // an attempt may have run the request
-	// repeatPaid says that the budget has been charged for the next attempt already.
-	repeatPaid bool
-	failed     *failedAnswer   // of an endpoint, passed on unless a repeat succeeds
-	declined   map[string]bool // regions that had no place for the request
-	wroteHead  bool
-	lastEvent  string
-	events     int
+	a         attempt
+	attempts  int // endpoints that the request has reached
+	unsent    int
+	mayHave   bool            // an attempt may have run the request
+	failed    *failedAnswer   // of an endpoint, passed on unless a repeat succeeds
+	declined  map[string]bool // regions that had no place for the request
+	wroteHead bool
+	lastEvent string
+	events    int
 
 	outcome outcome
 }
@@ -278,7 +276,7 @@
 		}
 		x.attempts++
 		x.outcome.endpoint, x.outcome.instance = r.endpoint, r.instance
-		if f = x.pass(ctx, r); f == nil {
+		if f = x.pass(r); f == nil {
 			return
 		}
 		x.outcome.reason = f.reason
@@ -303,7 +301,7 @@
 	x.a.placeBy = x.placeBy(x.edge.clock.Now())
 	for {
 		r, f := x.attemptOnce(ctx)
-		if f == nil || f.kind != notPlaced || f.final || !f.waiting || ctx.Err() != nil {
+		if f == nil || !f.waiting || ctx.Err() != nil {
 			return r, f
 		}
 	}
@@ -409,10 +407,6 @@
 	if f.kind.mayHaveRun() && !x.route.Repeatable() {
 		return false
 	}
-	if x.repeatPaid {
-		x.repeatPaid = false
-		return true
-	}
 	return x.edge.mayRepeat(x.service)
 }
 
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -10,11 +10,11 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/rendezvous"
 	"dogwoodknot.example/dogwoodknot/internal/core/routing"
 	"dogwoodknot.example/dogwoodknot/internal/mirror"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
@@ -291,13 +291,11 @@
 // first by a hash of the endpoint.
 func (f *fleet) coldPace(endpoint string, rate float64) float64 {
 	names := append(f.neighbours(), f.options.Self.Instance)
-	sharers := min(len(names), coldSharers)
-	rank := func(name string) uint64 { return xxhash.Sum64String(endpoint + "/" + name) }
-	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(rank(b), rank(a)) })
-	if !slices.Contains(names[:sharers], f.options.Self.Instance) {
+	sharers := rendezvous.Top(endpoint, names, coldSharers)
+	if !slices.Contains(sharers, f.options.Self.Instance) {
 		return 0
 	}
-	return rate / float64(sharers)
+	return rate / float64(len(sharers))
 }
 
 // announce keeps this instance's key in the store until ctx ends, and removes it then.
--- a/internal/edge/pools.go
+++ b/internal/edge/pools.go
@@ -82,31 +82,25 @@
 	p.pumpAll()
 }
 
-// outcome of a placement.
-type placeOutcome struct {
-	choice placement.Choice
-	reason placement.Reason // why there is none
-}
-
-// place waits for an endpoint until the deadline, ctx ends or there is none. The returned endpoint has the request booked;
-// release must be called.
-func (p *pools) place(ctx context.Context, a *attempt) placeOutcome {
+// place waits for an endpoint until the deadline, ctx ends or there is none. The returned endpoint has the request booked, and
+// release must be called; or the reason tells why there is none.
+func (p *pools) place(ctx context.Context, a *attempt) (placement.Choice, placement.Reason) {
 	p.mu.Lock()
 	pool := p.byService[a.service]
 	if pool == nil {
 		p.mu.Unlock()
-		return placeOutcome{reason: placement.NoEndpoint}
+		return placement.Choice{}, placement.NoEndpoint
 	}
 	me := &waiter{attempt: a, placed: make(chan placement.Choice, 1)}
 	reason := p.admit(pool, me)
 	if reason == "" {
 		p.mu.Unlock()
-		return placeOutcome{choice: <-me.placed}
+		return <-me.placed, ""
 	}
 	wait := a.waitUntil.Sub(p.clock.Now())
 	if reason == placement.NoEndpoint || wait <= 0 {
 		p.mu.Unlock()
-		return placeOutcome{reason: reason}
+		return placement.Choice{}, reason
 	}
 	pool.enqueue(me)
 	p.mu.Unlock()
@@ -115,7 +109,7 @@
 	defer timer.Stop()
 	select {
 	case c := <-me.placed:
-		return placeOutcome{choice: c}
+		return c, ""
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -124,13 +118,13 @@
 	select {
 	case c := <-me.placed:
 		if ctx.Err() == nil {
-			return placeOutcome{choice: c}
+			return c, ""
 		}
 		pool.End(p.clock.Now(), c.Endpoint, a.work.ID)
 	default:
 		pool.remove(me)
 	}
-	return placeOutcome{reason: reason}
+	return placement.Choice{}, reason
 }
 
 // admit tries to place a request unless more urgent ones wait. It returns the reason if it must wait.
@@ -395,7 +389,7 @@
 	if pool == nil || tokens <= 0 {
 		return 0
 	}
-	return time.Duration(tokens / pool.ReadRate() * float64(time.Second))
+	return pool.ReadTime(tokens)
 }
 
 // each calls f for each service with its pool.
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -1,18 +1,16 @@
 package edge
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/rendezvous"
 	"dogwoodknot.example/dogwoodknot/internal/mirror"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/platform"
@@ -179,6 +177,6 @@
 	if len(names) < relayFrom {
 		return "", false
 	}
-	first := slices.MinFunc(names, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
+	first := rendezvous.First(f.options.Self.Region, names)
 	return first, first != f.options.Self.Instance
 }
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -40,8 +40,7 @@
 
 	leaving  atomic.Bool   // callers are sent elsewhere
 	left     chan struct{} // closed when leaving begins
-	closing  atomic.Bool   // requests that may outlast the process are refused
-	ends     atomic.Int64  // instant at which the process ends, once it is closing; 0 before
+	ends     atomic.Int64  // instant at which the process ends, once requests that may outlast it are refused; 0 before
 	fetching atomic.Bool   // of a configuration from another instance
 
 	ctx     context.Context
@@ -132,9 +131,11 @@
 // RefuseBeyond refuses requests whose time may reach beyond end, when the process ends.
 func (e *Edge) RefuseBeyond(end clock.Instant) {
 	e.ends.Store(int64(end))
-	e.closing.Store(true)
 }
 
+// closing reports whether requests that may outlast the process are refused.
+func (e *Edge) closing() bool { return e.ends.Load() != 0 }
+
 // Close stops all work and removes the announcement.
 func (e *Edge) Close() {
 	e.cancel()
--- a/internal/edge/talk.go
+++ b/internal/edge/talk.go
@@ -53,7 +53,7 @@
 
 // ownState returns this instance's state, and the number of the next prompt part to tell.
 func (e *Edge) ownState(near bool, cursor int64) (*wire.EdgeState, int64) {
-	s := &wire.EdgeState{Ready: e.Ready(), Leaving: e.leaving.Load(), Refusing: e.closing.Load(), ConfigurationVersion: e.state.version()}
+	s := &wire.EdgeState{Ready: e.Ready(), Leaving: e.leaving.Load(), Refusing: e.closing(), ConfigurationVersion: e.state.version()}
 	e.quotaMu.Lock()
 	e.quota.Used(func(name string, total float64) {
 		s.Organisations = append(s.Organisations, &wire.EdgeOrganisationUse{Name: name, Used: total})
--- a/internal/edgedaemon/daemon.go
+++ b/internal/edgedaemon/daemon.go
@@ -64,7 +64,7 @@
 	store     *platform.Store
 	transport *peer.Transport
 	edge      *edge.Edge
-	identity  identityPEM
+	identity  peer.PEM
 	servers   []*http.Server
 	callers   *http.Server
 	inFlight  atomic.Int64
@@ -103,7 +103,7 @@
 	if d.identity, err = newIdentity(d.self); err != nil {
 		return err
 	}
-	credentials, err := peer.NewCredentials(d.identity.withPeers(nil))
+	credentials, err := peer.NewCredentials(d.identity)
 	if err != nil {
 		return err
 	}
@@ -151,7 +151,7 @@
 		zap.String("peer_addr", d.settings.PeerAddr), zap.String("store", d.settings.Store))
 	go d.noteHangups()
 	d.transport.Start()
-	d.edge.Start(d.identity.certificate)
+	d.edge.Start(d.identity.Certificate)
 	calls := platform.Calls(d.edge.Ready, d.edge)
 	d.callers = d.server(http.HandlerFunc(d.serveCaller))
 	listen := map[string]*http.Server{d.settings.CallerAddr: d.callers, d.settings.ReadyAddr: d.server(calls)}
--- a/internal/edgedaemon/daemon_test.go
+++ b/internal/edgedaemon/daemon_test.go
@@ -147,7 +147,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		credentials, err := peer.NewCredentials(identity.withPeers(nil))
+		credentials, err := peer.NewCredentials(identity)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -171,14 +171,14 @@
 	b, addrB := transport("b")
 	a.SetPeers(map[string]string{"b": addrB})
 	b.SetPeers(map[string]string{"a": addrA})
-	if err := a.Trust(b.own.certificate); err != nil {
+	if err := a.Trust(b.own.Certificate); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(300 * time.Millisecond)
 	if len(a.Connected())+len(b.Connected()) > 0 {
 		t.Fatal("a session is up that only one side trusts")
 	}
-	if err := b.Trust(a.own.certificate); err != nil {
+	if err := b.Trust(a.own.Certificate); err != nil {
 		t.Fatal(err)
 	}
 	waitFor(t, "no session although both sides trust it", func() bool { return len(a.Connected()) == 1 && len(b.Connected()) == 1 })
--- a/internal/edgedaemon/settings.go
+++ b/internal/edgedaemon/settings.go
@@ -72,7 +72,6 @@
 func (s *Settings) bounds() edge.Bounds {
 	return edge.Bounds{
 		Retries:      retrybudget.Terms{Ratio: s.RetryRatio, Window: seconds(s.RetryWindow), Allowance: s.RetryAllowance},
-		Grace:        seconds(s.Grace),
 		DirectoryTTL: seconds(s.DirectoryTTL),
 	}
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -47,7 +46,6 @@
 	apply  func(Update)
 
 	replica *replica
-	contact atomic.Int64 // instant of the last good answer; 0: never
 	lost    bool
 }
 
@@ -56,9 +54,6 @@
 	return &Mirror{feed: feed, prefix: prefix, clock: c, log: log.With(zap.String("prefix", prefix)), apply: apply, replica: newReplica()}
 }
 
-// Contact returns when the store last answered, 0 if it never has.
-func (m *Mirror) Contact() clock.Instant { return clock.Instant(m.contact.Load()) }
-
 // Run follows the keys until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	retry := retryMin
@@ -119,11 +114,10 @@
 func (m *Mirror) update(u Update, asOf int64) {
 	now := m.clock.Now()
 	if m.lost {
-		u.Regained = now.Sub(m.Contact())
+		u.Regained = now.Sub(m.replica.lastContact())
 		m.lost = false
 		m.log.Info("store regained", zap.Duration("outage", u.Regained))
 	}
-	m.contact.Store(int64(now))
 	m.replica.apply(u, asOf, now)
 	if u.Reset || len(u.Changes) > 0 || u.Regained > 0 {
 		m.apply(u)
--- a/internal/mirror/replica.go
+++ b/internal/mirror/replica.go
@@ -64,6 +64,13 @@
 	}
 }
 
+// lastContact returns when the store last answered, 0 if it never has.
+func (r *replica) lastContact() clock.Instant {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.contact
+}
+
 // fresh reports whether the copy may be read.
 func (r *replica) fresh(now clock.Instant) bool {
 	return r.base > 0 && now.Sub(r.contact) <= freshFor
--- a/internal/peer/certs/certs.go
+++ b/internal/peer/certs/certs.go
@@ -1,5 +1,5 @@
-// Package certs makes the certificates of a cluster: for tests, and as files for the demo. A production site issues
-// them with its own authority.
+// Package certs makes the certificates of a cluster: for tests, as files for the demo, and self-signed ones for instances that pin
+// each other's. A production site with an authority issues them with its own.
 package certs
 
 import (
@@ -73,6 +73,20 @@
 
 // Issue makes a key and a certificate for an instance. The CA content of the result is this authority's certificate.
 func (a *Authority) Issue(s Subject) (peer.PEM, error) {
+	issued, err := issue(s, a)
+	issued.CA = a.pem
+	return issued, err
+}
+
+// SelfSigned makes a key and a certificate for an instance that is signed by that key. Peers that trust it take it as a CA.
+func SelfSigned(s Subject) (peer.PEM, error) {
+	issued, err := issue(s, nil)
+	issued.CA = issued.Certificate
+	return issued, err
+}
+
+// issue makes a key and a certificate that the authority signs, or the key itself without one.
+func issue(s Subject, a *Authority) (peer.PEM, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return peer.PEM{}, errors.Wrap(err, "make instance key")
@@ -91,7 +105,11 @@
 	} else {
 		template.URIs = []*url.URL{peer.InstanceURI(s.Instance, s.Region, s.DataCentre)}
 	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, key.Public(), a.key)
+	parent, signer := template, key
+	if a != nil {
+		parent, signer = a.certificate, a.key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, key.Public(), signer)
 	if err != nil {
 		return peer.PEM{}, errors.Wrap(err, "sign instance certificate")
 	}
@@ -102,7 +120,6 @@
 	return peer.PEM{
 		Certificate: encode("CERTIFICATE", der),
 		Key:         encode("PRIVATE KEY", keyDER),
-		CA:          a.pem,
 	}, nil
 }
 
