--- a/internal/core/fleetquota/fleetquota.go
+++ b/internal/core/fleetquota/fleetquota.go
@@ -148,7 +148,8 @@
 	}
 }
 
-// Heard records a report of a peer: what it has admitted of each organisation since its start.
+// Heard records a report of a peer: what it has admitted of organisations since its start. Those that it leaves out have not
+// changed since its last report.
 func (l *Ledger) Heard(now clock.Instant, name string, incarnation uint64, used map[string]float64) {
 	p := l.peers[name]
 	if p == nil || p.incarnation != incarnation {
@@ -173,10 +174,15 @@
 			}
 			before.use.add(now, delta)
 		}
-		before.ownUse = a.use.value(now)
 		before.total = math.Max(total, before.total)
 		a.peers[name] = before
 	}
+	for _, a := range l.all {
+		if before, known := a.peers[name]; known {
+			before.ownUse = a.use.value(now)
+			a.peers[name] = before
+		}
+	}
 	p.heard = now
 	if p.since == 0 {
 		p.since = now
--- /dev/null
+++ b/internal/core/placement/bench_test.go
@@ -0,0 +1,45 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/catalog"
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+)
+
+// BenchmarkChoose is the choice in a region of the two-year size: 70 engines that 13 instances use.
+func BenchmarkChoose(b *testing.B) {
+	const engines, instances = 70, 13
+	p := NewPool(&catalog.Service{Name: "s", Engine: &catalog.Engine{Slots: 24, KVTokens: 356_000}}, func(string, float64) float64 { return 0 })
+	var list []catalog.Endpoint
+	for i := range engines {
+		list = append(list, catalog.Endpoint{Incarnation: catalog.Incarnation{ID: fmt.Sprint("e", i)}, Service: "s", Slots: 24})
+	}
+	p.SetEndpoints(list)
+	now := clock.Instant(time.Hour)
+	for i := range instances - 1 {
+		for _, e := range list {
+			p.PeerReported(fmt.Sprint("i", i), e.ID, PeerWork{Running: 1, Unread: 300, Memory: 9000})
+		}
+	}
+	// Caches as after some minutes: the first part is held everywhere, the second at one engine in thirty.
+	for i, e := range list {
+		p.Holds(e.ID, []Part{{Key: 1, Tokens: 2500}})
+		for j := range 100 {
+			p.Holds(e.ID, []Part{{Key: uint64(1000 + 100*i + j), Tokens: 3000}})
+		}
+		if i%30 == 0 {
+			p.Holds(e.ID, []Part{{Key: 2, Tokens: 3800}})
+		}
+	}
+	w := Work{ID: "r", Prompt: 9000, Output: 50, Parts: []Part{{Key: 1, Tokens: 2500}, {Key: 2, Tokens: 3800}, {Key: 3, Tokens: 2700}}}
+	b.ReportAllocs()
+	for b.Loop() {
+		c, _ := p.Choose(now, &w, Constraint{MaxWait: 300 * time.Millisecond})
+		if c.Endpoint == nil {
+			b.Fatal("no endpoint")
+		}
+	}
+}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -71,17 +71,26 @@
 	Health routing.Health
 
 	own      map[string]*placed
-	unread   float64 // own
-	memory   float64 // own
-	peers    map[string]peerReport
+	unread   float64             // own
+	memory   float64             // own
+	peers    map[string]PeerWork // by instance
+	others   PeerWork            // sum of peers
 	cache    *partCache
+	index    int           // in the pool's order
 	coldNext clock.Instant // earliest time of the next request while it is cold
 	pace     pace
 }
 
-type peerReport struct {
-	PeerWork
-	at clock.Instant
+func (w *PeerWork) add(o PeerWork) {
+	w.Running += o.Running
+	w.Unread += o.Unread
+	w.Memory += o.Memory
+}
+
+func (w *PeerWork) subtract(o PeerWork) {
+	w.Running -= o.Running
+	w.Unread -= o.Unread
+	w.Memory -= o.Memory
 }
 
 // placed is an own request at an endpoint.
@@ -100,6 +109,12 @@
 	endpoints map[string]*Endpoint
 	order     []*Endpoint // by id
 	readRate  float64     // tokens/s
+	// heard is when each other instance last told its work.
+	heard map[string]clock.Instant
+
+	holders    holders
+	heldTokens []float64 // result of held
+	heldParts  []int     // used by held
 	// departures counts the own requests that leave the endpoints.
 	departures Rate
 	// coldPace returns the requests a second that this instance may send to a cold endpoint.
@@ -108,7 +123,8 @@
 
 // NewPool returns a pool without endpoints. coldPace returns this instance's part of the rate that a cold endpoint bears.
 func NewPool(service *catalog.Service, coldPace func(endpoint string, rate float64) float64) *Pool {
-	return &Pool{service: service, endpoints: make(map[string]*Endpoint), readRate: initialReadRate, coldPace: coldPace}
+	return &Pool{service: service, endpoints: make(map[string]*Endpoint), readRate: initialReadRate, coldPace: coldPace,
+		heard: make(map[string]clock.Instant), holders: make(holders)}
 }
 
 // Configure replaces the service's declaration.
@@ -125,18 +141,26 @@
 		e.Endpoint = described
 		next[described.ID] = e
 	}
+	for id, e := range p.endpoints {
+		if next[id] != e && e.cache != nil {
+			e.cache.clear()
+		}
+	}
 	p.endpoints = next
 	p.order = p.order[:0]
 	for _, e := range next {
 		p.order = append(p.order, e)
 	}
 	slices.SortFunc(p.order, func(a, b *Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	for i, e := range p.order {
+		e.index = i
+	}
 }
 
 func (p *Pool) newEndpoint(described catalog.Endpoint) *Endpoint {
-	e := &Endpoint{Endpoint: described, own: make(map[string]*placed), peers: make(map[string]peerReport)}
+	e := &Endpoint{Endpoint: described, own: make(map[string]*placed), peers: make(map[string]PeerWork)}
 	if p.service.Engine != nil {
-		e.cache = newPartCache(p.service.Engine.KVTokens)
+		e.cache = newPartCache(e, p.holders, p.service.Engine.KVTokens)
 	}
 	return e
 }
@@ -144,10 +168,43 @@
 // Endpoint returns an endpoint of the pool, or nil.
 func (p *Pool) Endpoint(id string) *Endpoint { return p.endpoints[id] }
 
+// PeerHeard records that another instance has told its work. With complete, it has none but at the endpoints that are reported
+// next.
+func (p *Pool) PeerHeard(instance string, complete bool, now clock.Instant) {
+	if complete {
+		p.forgetPeer(instance)
+	}
+	p.heard[instance] = now
+}
+
 // PeerReported records what another instance has under way at an endpoint.
-func (p *Pool) PeerReported(instance, endpoint string, w PeerWork, now clock.Instant) {
+func (p *Pool) PeerReported(instance, endpoint string, w PeerWork) {
 	if e := p.endpoints[endpoint]; e != nil {
-		e.peers[instance] = peerReport{PeerWork: w, at: now}
+		e.others.subtract(e.peers[instance])
+		e.others.add(w)
+		e.peers[instance] = w
+	}
+}
+
+func (p *Pool) forgetPeer(instance string) {
+	delete(p.heard, instance)
+	for _, e := range p.order {
+		if w, known := e.peers[instance]; known {
+			delete(e.peers, instance)
+			e.others.subtract(w)
+		}
+		if len(e.peers) == 0 {
+			e.others = PeerWork{} // no rounding error stays
+		}
+	}
+}
+
+// forgetSilent forgets the work of instances that have not told it lately.
+func (p *Pool) forgetSilent(now clock.Instant) {
+	for instance, at := range p.heard {
+		if now.Sub(at) > peerWorkAge {
+			p.forgetPeer(instance)
+		}
 	}
 }
 
@@ -166,17 +223,9 @@
 }
 
 // load is the work of all instances at an endpoint.
-func (e *Endpoint) load(now clock.Instant) PeerWork {
+func (e *Endpoint) load() PeerWork {
 	sum := PeerWork{Running: len(e.own), Unread: e.unread, Memory: e.memory}
-	for name, r := range e.peers {
-		if now.Sub(r.at) > peerWorkAge {
-			delete(e.peers, name)
-			continue
-		}
-		sum.Running += r.Running
-		sum.Unread += r.Unread
-		sum.Memory += r.Memory
-	}
+	sum.add(e.others)
 	return sum
 }
 
@@ -215,13 +264,15 @@
 func (p *Pool) Choose(now clock.Instant, w *Work, c Constraint) (Choice, Reason) {
 	best, bestCost := Choice{}, math.Inf(1)
 	reason := NoEndpoint
+	p.forgetSilent(now)
 	out := p.ejected(now)
-	source := p.bestHolder(w, out)
+	holding := p.held(w.Parts)
+	source := p.bestHolder(holding, out)
 	for i, e := range p.order {
 		if e.Draining || out[i] || c.Excluded != nil && c.Excluded(e.ID) {
 			continue
 		}
-		load, held := e.load(now), e.held(w)
+		load, held := e.load(), holding[i]
 		if e.Health.Probing() && len(e.own) > 0 || !p.hasRoom(now, e, load, w, held) {
 			reason = worse(reason, AllBusy)
 			continue
@@ -278,24 +329,17 @@
 	return float64(load.Running) < math.Ceil(float64(e.Slots)*(1+pastSlots))
 }
 
-// held returns the prompt tokens that the endpoint need not read; 0 for a plain endpoint.
-func (e *Endpoint) held(w *Work) float64 {
-	if e.cache == nil {
-		return 0
-	}
-	return e.cache.held(w.Parts)
-}
-
 // holder is the endpoint that holds most of a prompt's parts.
 type holder struct {
 	endpoint *Endpoint
 	tokens   float64
 }
 
-// bestHolder returns the endpoint that holds most of the prompt, if engines can copy parts from each other.
-func (p *Pool) bestHolder(w *Work, out []bool) holder {
+// bestHolder returns the endpoint that holds most of the prompt, if engines can copy parts from each other. held is what each
+// endpoint holds.
+func (p *Pool) bestHolder(held []float64, out []bool) holder {
 	engine := p.service.Engine
-	if engine == nil || engine.CopyRate <= 0 || len(w.Parts) == 0 {
+	if engine == nil || engine.CopyRate <= 0 {
 		return holder{}
 	}
 	var best holder
@@ -303,7 +347,7 @@
 		if out[i] {
 			continue
 		}
-		if tokens := e.held(w); tokens > best.tokens {
+		if tokens := held[i]; tokens > best.tokens {
 			best = holder{endpoint: e, tokens: tokens}
 		}
 	}
@@ -370,7 +414,7 @@
 		r.unread = c.unread
 		r.memory = r.unread + w.Output
 		e.cache.use(w.Parts)
-		r.ahead = e.load(now).Unread + r.unread
+		r.ahead = e.load().Unread + r.unread
 	}
 	e.own[w.ID] = r
 	e.unread += r.unread
@@ -421,14 +465,16 @@
 // is that of a prompt whose parts are held.
 func (p *Pool) Summarise(now clock.Instant, w *Work, excluded func(id string) bool) Summary {
 	s := Summary{}
+	p.forgetSilent(now)
 	out := p.ejected(now)
-	source := p.bestHolder(w, out)
+	holding := p.held(w.Parts)
+	source := p.bestHolder(holding, out)
 	shortest := time.Duration(math.MaxInt64)
 	for i, e := range p.order {
 		if e.Draining || out[i] || excluded(e.ID) || !p.mayUseCold(e, now) {
 			continue
 		}
-		load, held := e.load(now), e.held(w)
+		load, held := e.load(), holding[i]
 		s.Usable++
 		if p.hasRoom(now, e, load, w, held) {
 			s.Free++
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -201,7 +201,8 @@
 // Guards against two instances that fill the same endpoint because neither knows of the other's requests.
 func TestPeersWorkCounts(t *testing.T) {
 	p := newTestPool(&catalog.Service{Name: "m"}, 2, 2)
-	p.PeerReported("other", "e0", PeerWork{Running: 3}, start)
+	p.PeerHeard("other", true, start)
+	p.PeerReported("other", "e0", PeerWork{Running: 3})
 	for i := range 3 {
 		if c := p.mustBegin(t, start, Work{ID: fmt.Sprint(i)}); c.Endpoint.ID != "e1" {
 			t.Fatalf("request %d goes to %s, which another instance has filled", i, c.Endpoint.ID)
@@ -216,6 +217,54 @@
 	}
 }
 
+// Guards against work of another instance that counts twice after it is told again, or for ever after a message left it out.
+func TestPeersWorkIsReplaced(t *testing.T) {
+	p := newTestPool(&catalog.Service{Name: "m"}, 2, 2)
+	others := func() (running [2]int) {
+		for i := range running {
+			running[i] = p.Endpoint(fmt.Sprint("e", i)).load().Running
+		}
+		return running
+	}
+	p.PeerHeard("a", true, start)
+	p.PeerReported("a", "e0", PeerWork{Running: 3, Unread: 10})
+	p.PeerHeard("b", true, start)
+	p.PeerReported("b", "e0", PeerWork{Running: 1})
+	p.PeerReported("a", "e0", PeerWork{Running: 2, Unread: 5})
+	p.PeerHeard("a", false, start.Add(peerWorkAge))
+	if got := others(); got != [2]int{3, 0} {
+		t.Errorf("work counts as %v, want 2 and 1 at the first endpoint", got)
+	}
+	p.Choose(start.Add(peerWorkAge+1), &Work{ID: "r"}, Constraint{})
+	if got := others(); got != [2]int{2, 0} {
+		t.Errorf("after b has been silent the work counts as %v, want 2", got)
+	}
+	p.PeerHeard("a", true, start)
+	p.PeerReported("a", "e1", PeerWork{Running: 1})
+	if got := others(); got != [2]int{0, 1} {
+		t.Errorf("a complete message leaves %v, want 1 at the second endpoint", got)
+	}
+}
+
+// Guards against parts that are still looked for at an endpoint after its memory has yielded them, or after it has gone.
+func TestHoldersFollowCaches(t *testing.T) {
+	p := newTestPool(engineService(), 2, 128)
+	first, second := Part{Key: 1, Tokens: 200_000}, Part{Key: 2, Tokens: 200_000}
+	p.Holds("e0", []Part{first})
+	p.Holds("e0", []Part{second})
+	p.Holds("e1", []Part{first, {Key: 3, Tokens: 10}})
+	if held := p.held([]Part{first, {Key: 3, Tokens: 10}}); held[0] != 0 || held[1] != 200_010 {
+		t.Errorf("the prompt is taken to be held as %v, want only at the second", held)
+	}
+	if held := p.held([]Part{{Key: 9, Tokens: 1}, first}); held[0] != 0 || held[1] != 0 {
+		t.Errorf("parts behind one that is not held count: %v", held)
+	}
+	p.SetEndpoints(endpoints(1, 128))
+	if held := p.held([]Part{first}); len(held) != 1 || held[0] != 0 || len(p.holders[1]) != 0 {
+		t.Errorf("an endpoint that has gone is still taken to hold the part: %v", held)
+	}
+}
+
 // Guards against knowledge of an endpoint's cache that survives its restart under the same id.
 func TestRestartForgets(t *testing.T) {
 	p := newTestPool(engineService(), 1, 128)
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -39,6 +39,7 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	arrived clock.Instant
+	first   clock.Instant // when the caller came first, if it was refused then
 	conf    *inForce
 	head    RequestHead
 	route   *catalog.Route
@@ -73,6 +74,7 @@
 	// the part of its rate that accrues here.
 	here, elsewhere time.Duration
 	level, part     float64
+	returned        bool // the caller was refused before
 }
 
 // ServeHTTP answers a caller's request.
@@ -172,10 +174,12 @@
 	if x.org != nil {
 		organisation = x.org.Name
 	}
+	work := x.work()
+	x.first, x.outcome.returned = x.edge.returns.firstCame(work.Parts, x.arrived)
 	x.a = attempt{
 		id: x.head.ID, service: x.service, organisation: organisation,
 		method: x.r.Method, uri: x.r.RequestURI, host: x.r.Host, header: x.endToEnd(), body: body,
-		work: x.work(), urgency: urgency, hasUrgency: x.conf.Service(x.service).Engine != nil,
+		work: work, urgency: urgency, hasUrgency: x.conf.Service(x.service).Engine != nil,
 		once: !x.route.Repeatable(), lastEvent: x.head.LastEvent, until: x.limit.Add(-answerMargin), onTimeBy: x.onTimeBy(), excluded: map[string]bool{},
 	}
 	x.lastEvent = x.head.LastEvent
@@ -186,7 +190,7 @@
 	if x.route.Objective <= 0 {
 		return x.limit
 	}
-	return min(x.limit, x.arrived.Add(x.route.Objective))
+	return min(x.limit, x.first.Add(x.route.Objective))
 }
 
 // urgencyStep is the number of ranks of routes within one rank of organisations.
@@ -426,7 +430,9 @@
 	}
 	if !x.mayHave {
 		x.refund()
-		x.refuse(http.StatusServiceUnavailable, f.reason, max(f.retryAfter, minRetryAfter))
+		retryAfter := max(f.retryAfter, minRetryAfter)
+		x.edge.returns.refused(x.a.work.Parts, x.first, retryAfter)
+		x.refuse(http.StatusServiceUnavailable, f.reason, retryAfter)
 		return
 	}
 	if ctx.Err() != nil {
@@ -468,7 +474,8 @@
 		fields = append(fields, zap.String("service", x.service), zap.String("endpoint", x.outcome.endpoint), zap.String("via", x.outcome.instance),
 			zap.Int("attempts", x.attempts), zap.Int("unsent", x.unsent), zap.Strings("tried", slices.Sorted(maps.Keys(x.a.excluded))),
 			zap.Int("events", x.events), zap.Duration("left", x.limit.Sub(x.arrived)-took),
-			zap.Duration("expected_here", x.outcome.here), zap.Duration("expected_elsewhere", x.outcome.elsewhere), zap.Bool("late", x.a.late))
+			zap.Duration("expected_here", x.outcome.here), zap.Duration("expected_elsewhere", x.outcome.elsewhere), zap.Bool("late", x.a.late),
+			zap.Bool("returned", x.outcome.returned))
 	}
 	e.requestLog.Info("request", fields...)
 }
--- a/internal/edge/load_test.go
+++ b/internal/edge/load_test.go
@@ -46,6 +46,7 @@
 	product      policy = iota
 	randomChoice        // any engine, at once
 	noTriage            // the product's placement, but everything waits until its deadline
+	newEachTime         // the product, but callers who come back count as new
 )
 
 // load is a simulated region.
@@ -63,6 +64,8 @@
 	// requests finds the request of one at an engine.
 	requests map[*enginemodel.Request]*simRequest
 	remote   []triage.Offer // of other regions
+	returns  *returns
+	comeBack bool // refused callers come back once, when they are told to
 	result   map[string]*served
 }
 
@@ -79,6 +82,11 @@
 
 func (r *served) share(n int) float64 { return float64(n) / float64(max(1, r.asked)) }
 
+// lateWorth is what a late answer is worth to a caller against one on time, as the users weigh it.
+const lateWorth = 0.3
+
+func (r *served) worth() float64 { return float64(r.onTime) + lateWorth*float64(r.late) }
+
 type simEngine struct {
 	*enginemodel.Engine
 	id      string
@@ -86,15 +94,18 @@
 }
 
 type simRequest struct {
-	kind    kind
-	arrived clock.Instant
-	attempt *attempt
-	waiter  *waiter
-	choice  placement.Choice
-	model   *enginemodel.Request
-	engine  *simEngine
-	first   clock.Instant
-	done    bool
+	kind     kind
+	arrived  clock.Instant // first
+	subject  int
+	output   int
+	returned bool
+	attempt  *attempt
+	waiter   *waiter
+	choice   placement.Choice
+	model    *enginemodel.Request
+	engine   *simEngine
+	first    clock.Instant
+	done     bool
 }
 
 type event struct {
@@ -123,6 +134,7 @@
 func newLoad(t *testing.T, p policy, engines int) *load {
 	l := &load{t: t, policy: p, rng: rand.New(rand.NewPCG(1, 2)), clk: &clock.Manual{}, result: map[string]*served{}, requests: map[*enginemodel.Request]*simRequest{}}
 	l.clk.Advance(time.Hour)
+	l.returns = newReturns(l.clk)
 	l.pools = newPools(l.clk, func(_ string, rate float64) float64 { return rate })
 	service := &catalog.Service{Name: simService, ColdRate: 3.5,
 		Engine: &catalog.Engine{Slots: enginemodel.Default.Slots, KVTokens: enginemodel.Default.Memory, EventTokens: float64(enginemodel.Default.EventTokens)}}
@@ -157,7 +169,10 @@
 			return
 		}
 		subject, length := l.rng.IntN(k.subjects), k.output*math.Exp(0.6*l.rng.NormFloat64()-0.18)
-		l.after(at, func() { l.arrive(k, subject, max(7, int(length))) })
+		l.after(at, func() {
+			l.result[k.name].asked++
+			l.arrive(&simRequest{kind: k, arrived: l.clk.Now(), subject: subject, output: max(7, int(length))})
+		})
 	}
 }
 
@@ -172,21 +187,28 @@
 	return l.result
 }
 
-func (l *load) arrive(k kind, subject, output int) {
-	now := l.clk.Now()
-	l.result[k.name].asked++
+// arrive takes a request when its caller comes, or comes back.
+func (l *load) arrive(r *simRequest) {
+	now, k := l.clk.Now(), r.kind
+	l.seq++
 	id := fmt.Sprint("r", l.seq)
-	shared := placement.PartKey("m", fmt.Sprint(k.name, subject))
+	own := fmt.Sprint(k.name, r.subject, "-", int64(r.arrived))
+	shared := placement.PartKey("m", fmt.Sprint(k.name, r.subject))
 	work := placement.Work{ID: id, Prompt: k.shared + k.own, Output: k.output,
-		Parts:   []placement.Part{{Key: shared, Tokens: k.shared}, {Key: placement.PartKey("m", id), Tokens: k.own}},
+		Parts:   []placement.Part{{Key: shared, Tokens: k.shared}, {Key: placement.PartKey("m", own), Tokens: k.own}},
 		MaxPace: time.Duration(float64(k.deadline) * paceUse / k.output)}
-	r := &simRequest{kind: k, arrived: now, model: &enginemodel.Request{ID: id, Prompt: work.Prompt, Output: output}}
+	r.model = &enginemodel.Request{ID: id, Prompt: work.Prompt, Output: r.output}
 	for _, p := range work.Parts {
 		r.model.Parts = append(r.model.Parts, enginemodel.Part(p))
 	}
-	r.attempt = &attempt{id: id, service: simService, work: work, urgency: k.urgency, onTimeBy: now.Add(k.objective),
-		until: now.Add(k.deadline), placeBy: max(now.Add(k.objective), now.Add(time.Duration(float64(k.deadline)*waitPart)))}
-	l.after(k.deadline, func() { l.giveUp(r) })
+	first := now
+	if l.policy != newEachTime {
+		first, _ = l.returns.firstCame(work.Parts, now)
+	}
+	until := r.arrived.Add(k.deadline)
+	r.attempt = &attempt{id: id, service: simService, work: work, urgency: k.urgency, onTimeBy: first.Add(k.objective),
+		until: until, placeBy: max(first.Add(k.objective), now.Add(time.Duration(float64(until.Sub(now))*waitPart)))}
+	l.after(until.Sub(now), func() { l.giveUp(r) })
 	if l.policy == randomChoice {
 		l.start(r, l.engines[l.rng.IntN(len(l.engines))])
 		return
@@ -208,7 +230,7 @@
 	r.attempt.late = d.Late
 	switch d.Action {
 	case triage.Refuse:
-		l.refuse(r)
+		l.refuse(r, d.RetryAfter)
 	case triage.ServeElsewhere:
 		r.done = true
 		l.result[r.kind.name].crossed++
@@ -240,7 +262,7 @@
 	for _, r := range slices.Clone(l.waiting) {
 		if now > r.attempt.placeBy && !r.done && len(r.waiter.placed) == 0 {
 			l.pool.remove(r.waiter)
-			l.refuse(r)
+			l.refuse(r, minRetryAfter)
 		}
 	}
 	l.collect()
@@ -329,11 +351,18 @@
 	}
 }
 
-func (l *load) refuse(r *simRequest) {
+func (l *load) refuse(r *simRequest, retryAfter time.Duration) {
 	r.done = true
 	result := l.result[r.kind.name]
-	result.refused++
 	result.held += l.clk.Now().Sub(r.arrived)
+	if !l.comeBack || r.returned {
+		result.refused++
+		return
+	}
+	first := r.attempt.onTimeBy.Add(-r.kind.objective)
+	l.returns.refused(r.attempt.work.Parts, first, retryAfter)
+	again := &simRequest{kind: r.kind, arrived: r.arrived, subject: r.subject, output: r.output, returned: true}
+	l.after(retryAfter, func() { l.arrive(again) })
 }
 
 // giveUp ends a request at its deadline.
@@ -472,3 +501,47 @@
 		}
 	}
 }
+
+// Pattern: a wave of refused callers who come back while the overload goes on. Guards against returners, who are late by then, that take
+// the places of new requests which could be on time and are refused in turn.
+func TestLoadRefusedCallersComeBack(t *testing.T) {
+	ours, theirs, _, _ := compare(t, "returns", 2, func(l *load) {
+		l.comeBack = true
+		l.arrivals(dossier.at(70), 0, 15*time.Second)
+		l.arrivals(question.at(25), 0, 15*time.Second)
+	}, newEachTime)
+	d, base := ours["dossier"], theirs["dossier"]
+	if d.onTime <= base.onTime {
+		t.Errorf("dossiers: %d on time, %d if returners count as new", d.onTime, base.onTime)
+	}
+	if d.worth() <= base.worth() {
+		t.Errorf("dossiers: the answers are worth %.1f, %.1f if returners count as new", d.worth(), base.worth())
+	}
+}
+
+// Pattern: an overload in which requests end several hundred times a second while many wait. Guards against all processor time going into
+// offers of what waits (found on the heaviest days of the grown deployments, where sessions between instances timed out for want of it).
+func TestLoadOffersAreBounded(t *testing.T) {
+	l := newLoad(t, product, 1)
+	full := &waiter{attempt: &attempt{id: "waits", service: simService, work: placement.Work{ID: "waits", Prompt: 1000}, excluded: map[string]bool{"e0": true}},
+		placed: make(chan placement.Choice, 1)}
+	l.pool.enqueue(full)
+	offers := 0
+	for range 1000 {
+		l.clk.Advance(time.Millisecond)
+		before := l.pool.pumped
+		l.pools.pump(l.pool)
+		if l.pool.pumped != before {
+			offers++
+		}
+	}
+	if most := int(time.Second/pumpRest) + 1; offers > most {
+		t.Errorf("%d offers in a second of 1000 ends, want %d at most", offers, most)
+	}
+	full.excluded = nil
+	l.clk.Advance(pumpEvery)
+	l.pools.pumpAll()
+	if len(full.placed) != 1 {
+		t.Error("a request that fits is not offered at the next tick")
+	}
+}
--- a/internal/edge/pools.go
+++ b/internal/edge/pools.go
@@ -18,9 +18,12 @@
 	// here, where they can still go to another endpoint and urgent ones go first. It keeps an engine busy for several
 	// exchanges of work between instances.
 	engineBacklog = 300 * time.Millisecond
-	// pumpEvery is how often waiting requests are offered to endpoints when nothing else has happened: a cold endpoint takes
-	// several requests a second.
-	pumpEvery = 25 * time.Millisecond
+	// pumpEvery is how often waiting requests are offered to endpoints when no own request makes room: others do, and a cold
+	// endpoint takes several requests a second.
+	pumpEvery = 20 * time.Millisecond
+	// pumpRest is the shortest time between two offers. In an overload requests end and messages of other instances come several
+	// hundred times a second, and to offer all that wait each time took a third of a small machine's processor time.
+	pumpRest = 8 * time.Millisecond
 	// pumpLook is the number of waiting requests that are tried at a time. Those behind a request that fits nowhere (its
 	// endpoints were tried, or its prompt is large) need not wait for it.
 	pumpLook = 16
@@ -40,7 +43,8 @@
 type servicePool struct {
 	*placement.Pool
 	service *catalog.Service
-	waiting []*waiter // most urgent first
+	waiting []*waiter     // most urgent first
+	pumped  clock.Instant // when the waiting requests were last offered
 	// placed measures how fast requests get their endpoints, by rank.
 	placed map[rank]*placement.Rate
 }
@@ -209,8 +213,13 @@
 	}
 }
 
-// pump offers waiting requests to the endpoints.
+// pump offers waiting requests to the endpoints, unless that was done a moment ago: run does it soon then.
 func (p *pools) pump(pool *servicePool) {
+	now := p.clock.Now()
+	if len(pool.waiting) == 0 || now.Sub(pool.pumped) < pumpRest {
+		return
+	}
+	pool.pumped = now
 	for i, tried := 0, 0; i < len(pool.waiting) && tried < pumpLook; tried++ {
 		if p.try(pool, pool.waiting[i]) == "" {
 			pool.waiting = slices.Delete(pool.waiting, i, i+1)
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -37,6 +37,7 @@
 	retries *retrybudget.Budget
 
 	outputs outputs
+	returns *returns
 
 	leaving  atomic.Bool   // callers are sent elsewhere
 	left     chan struct{} // closed when leaving begins
@@ -71,7 +72,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Edge{
 		options: o, clock: o.Clock, log: o.Log, requestLog: o.Log.Named("request"), metrics: newMetrics(o.Scope),
-		network: network, quota: fleetquota.New(), retries: retrybudget.New(o.Bounds.Retries),
+		network: network, quota: fleetquota.New(), returns: newReturns(o.Clock), retries: retrybudget.New(o.Bounds.Retries),
 		ctx: ctx, cancel: cancel, left: make(chan struct{}), mirrors: make(map[string]*mirror.Mirror), talkers: make(map[string]talker),
 	}
 	e.state = newState(&e.options)
@@ -80,7 +81,7 @@
 	e.fleet.changed = e.changedMembers
 	e.pools = newPools(o.Clock, e.fleet.coldPace)
 	e.conns = endpointconn.NewPool(o.Dial, o.Dialect.AnswerID)
-	network.Handle(serviceState, peer.Unary(e.serveState))
+	network.Handle(serviceState, e.serveState)
 	network.Handle(serviceDocument, peer.Unary(e.serveDocument))
 	network.Handle(serviceAttempt, e.serveAttempt)
 	network.Handle(serviceFeed, peer.Unary(e.serveFeed))
--- a/internal/edge/talk.go
+++ b/internal/edge/talk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,8 +28,8 @@
 	nearEvery = 80 * time.Millisecond
 	// farEvery is the interval of messages to other regions, whose latency is of the same size.
 	farEvery = 200 * time.Millisecond
-	// stateTimeout bounds one message: a wide-area round trip and its repetition after a loss.
-	stateTimeout = 700 * time.Millisecond
+	// completeEvery is the number of messages after which all is told again: endpoints may have been listed there since.
+	completeEvery = 20
 	// housekeepEvery is the interval of checks for instances that have gone and connections that are not used.
 	housekeepEvery = 500 * time.Millisecond
 )
@@ -39,45 +40,102 @@
 	if near {
 		every = nearEvery
 	}
-	cursor := int64(0)
-	for ; ctx.Err() == nil; _ = clock.Sleep(ctx, every) {
-		message, next := e.ownState(near, cursor)
-		call, cancel := context.WithTimeout(ctx, stateTimeout)
-		err := e.network.Call(call, name, serviceState, message, &wire.EdgeStateAck{})
-		cancel()
-		if err == nil {
-			cursor = next
+	for ctx.Err() == nil {
+		err := e.tell(ctx, name, near, every)
+		e.log.Debug("stream of states ended", zap.String("peer", name), zap.Error(err))
+		_ = clock.Sleep(ctx, every) // the loop sees the end of ctx
+	}
+}
+
+// tell sends this instance's state over one stream until it breaks. A stream costs each side a fraction of a call a message.
+func (e *Edge) tell(ctx context.Context, name string, near bool, every time.Duration) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stream, err := e.network.Open(ctx, name, serviceState)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	e.work.Go(func() { cancel(stream.Recv(&wire.EdgeStateEnd{})) })
+	t := teller{edge: e, near: near}
+	for n := 0; ; n++ {
+		if err := stream.Send(t.next(n%completeEvery == 0)); err != nil {
+			return err
+		}
+		if clock.Sleep(ctx, every) != nil {
+			return context.Cause(ctx)
 		}
 	}
 }
 
-// ownState returns this instance's state, and the number of the next prompt part to tell.
-func (e *Edge) ownState(near bool, cursor int64) (*wire.EdgeState, int64) {
-	s := &wire.EdgeState{Ready: e.Ready(), Leaving: e.leaving.Load(), Refusing: e.closing(), ConfigurationVersion: e.state.version()}
+// teller makes the messages of one stream of states.
+type teller struct {
+	edge     *Edge
+	near     bool
+	cursor   int64 // number of the next prompt part to tell
+	refusals int64 // number of the next refusal to tell
+	// What the other instance was told.
+	used map[string]float64            // by organisation
+	work map[string]placement.PeerWork // by endpoint
+}
+
+// next returns what has changed since the last message, or all.
+func (t *teller) next(complete bool) *wire.EdgeState {
+	e := t.edge
+	s := &wire.EdgeState{
+		Ready: e.Ready(), Leaving: e.leaving.Load(), Refusing: e.closing(), ConfigurationVersion: e.state.version(), Complete: complete,
+	}
+	if complete {
+		t.used, t.work = make(map[string]float64), make(map[string]placement.PeerWork)
+	}
 	e.quotaMu.Lock()
 	e.quota.Used(func(name string, total float64) {
-		s.Organisations = append(s.Organisations, &wire.EdgeOrganisationUse{Name: name, Used: total})
+		if before, told := t.used[name]; !told || before != total {
+			t.used[name] = total
+			s.Organisations = append(s.Organisations, &wire.EdgeOrganisationUse{Name: name, Used: total})
+		}
 	})
 	e.quotaMu.Unlock()
-	now := e.clock.Now()
-	e.pools.each(func(name string, pool *servicePool) {
-		if !near {
-			sum := pool.worstSummary(now)
-			s.Services = append(s.Services, &wire.EdgeServiceLoad{
-				Name: name, Usable: uint32(sum.Usable), WaitMillis: uint32(sum.Wait.Milliseconds()),
-			})
-			return
-		}
+	if t.near {
+		t.addWork(s)
+		t.addParts(s)
+		t.addRefusals(s)
+	} else {
+		t.addLoad(s)
+	}
+	return s
+}
+
+// addLoad adds the load of each service, for instances of other regions.
+func (t *teller) addLoad(s *wire.EdgeState) {
+	now := t.edge.clock.Now()
+	t.edge.pools.each(func(name string, pool *servicePool) {
+		sum := pool.worstSummary(now)
+		s.Services = append(s.Services, &wire.EdgeServiceLoad{
+			Name: name, Usable: uint32(sum.Usable), WaitMillis: uint32(sum.Wait.Milliseconds()),
+		})
+	})
+}
+
+// addWork adds the endpoints at which this instance's work has changed.
+func (t *teller) addWork(s *wire.EdgeState) {
+	t.edge.pools.each(func(_ string, pool *servicePool) {
 		pool.OwnWork(func(id string, w placement.PeerWork) {
+			if t.work[id] == w {
+				return
+			}
+			t.work[id] = w
 			s.Endpoints = append(s.Endpoints, &wire.EdgeEndpointWork{
-				Id: id, Running: uint32(w.Running), UnreadTokens: w.Unread, MemoryTokens: w.Memory,
+				Id: id, Running: uint32(w.Running), UnreadTokens: uint32(w.Unread), MemoryTokens: uint32(w.Memory),
 			})
 		})
 	})
-	if !near {
-		return s, cursor
-	}
-	uses, next := e.pools.partsSince(cursor)
+}
+
+// addParts adds the prompt parts that were read since the last message.
+func (t *teller) addParts(s *wire.EdgeState) {
+	uses, next := t.edge.pools.partsSince(t.cursor)
+	t.cursor = next
 	for _, u := range uses {
 		parts := &wire.EdgeEndpointParts{Id: u.endpoint}
 		for _, p := range u.parts {
@@ -86,11 +144,40 @@
 		}
 		s.Parts = append(s.Parts, parts)
 	}
-	return s, next
 }
 
-// serveState takes another instance's state.
-func (e *Edge) serveState(_ context.Context, from peer.Identity, s *wire.EdgeState) (proto.Message, error) {
+// addRefusals adds the requests that were refused since the last message.
+func (t *teller) addRefusals(s *wire.EdgeState) {
+	refusals, next := t.edge.returns.since(t.refusals)
+	t.refusals = next
+	now := t.edge.clock.Now()
+	for _, r := range refusals {
+		if r.expires > now {
+			s.Refusals = append(s.Refusals, &wire.EdgeRefusal{
+				Key: r.key, AgeMillis: uint32(now.Sub(r.first).Milliseconds()), ValidMillis: uint32(r.expires.Sub(now).Milliseconds()),
+			})
+		}
+	}
+}
+
+// serveState takes another instance's states until the stream ends.
+func (e *Edge) serveState(_ context.Context, from peer.Identity, stream peer.Stream) error {
+	for {
+		var s wire.EdgeState
+		if err := stream.Recv(&s); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}
+		if err := e.takeState(from, &s); err != nil {
+			return err
+		}
+	}
+}
+
+// takeState takes another instance's state.
+func (e *Edge) takeState(from peer.Identity, s *wire.EdgeState) error {
 	now := e.clock.Now()
 	services := make(map[string]routing.RegionLoad, len(s.GetServices()))
 	for _, l := range s.GetServices() {
@@ -103,7 +190,7 @@
 		}
 	}
 	if !e.fleet.heardFrom(from, s, services) {
-		return nil, errors.Newf("incarnation %d of %s is not known", from.Incarnation, from.Instance)
+		return errors.Newf("incarnation %d of %s is not known", from.Incarnation, from.Instance)
 	}
 	used := make(map[string]float64, len(s.GetOrganisations()))
 	for _, o := range s.GetOrganisations() {
@@ -113,17 +200,17 @@
 	e.quota.Heard(now, from.Instance, from.Incarnation, used)
 	e.quotaMu.Unlock()
 	e.pools.peerReported(from.Instance, s, now)
+	for _, r := range s.GetRefusals() {
+		e.returns.heard(r.GetKey(), time.Duration(r.GetAgeMillis())*time.Millisecond, time.Duration(r.GetValidMillis())*time.Millisecond)
+	}
 	if s.GetConfigurationVersion() > e.state.version() {
 		e.wantDocument(from.Instance)
 	}
-	return &wire.EdgeStateAck{}, nil
+	return nil
 }
 
 // peerReported takes what another instance of the region has under way at endpoints.
 func (p *pools) peerReported(instance string, s *wire.EdgeState, now clock.Instant) {
-	if len(s.GetEndpoints()) == 0 {
-		return
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	parts := make(map[string][]placement.Part)
@@ -135,16 +222,16 @@
 		}
 	}
 	for _, pool := range p.byService {
+		pool.PeerHeard(instance, s.GetComplete(), now)
 		for _, w := range s.GetEndpoints() {
 			pool.PeerReported(instance, w.GetId(), placement.PeerWork{
-				Running: int(w.GetRunning()), Unread: w.GetUnreadTokens(), Memory: w.GetMemoryTokens(),
-			}, now)
+				Running: int(w.GetRunning()), Unread: float64(w.GetUnreadTokens()), Memory: float64(w.GetMemoryTokens()),
+			})
 		}
 		for id, list := range parts {
 			pool.Holds(id, list)
 		}
 	}
-	p.pumpAll()
 }
 
 // partsSince returns the prompt parts that own requests have read since number n, and the next number.
