Keep prompts where they are being read, and leave engines that are silent

Cause: a part counted as held, and as a source to copy from, as soon as a request for it was sent. Prompts of one subject that came together were each read whole, by engines that were told to copy what was not there yet. A short queue at the holder counted as much as a copy's price. An engine that goes dark owed first events for a second or more before its connections told.

Change: parts have a time by which they are read; only those are copied; the first 6,000 unread tokens at an engine count three tenths; an engine that owes a first event and gives no output counts as behind by that time.

--- a/internal/core/placement/bench_test.go
+++ b/internal/core/placement/bench_test.go
@@ -26,12 +26,12 @@
 	}
 	// Caches as after some minutes: the first part is held everywhere, the second at one engine in thirty.
 	for i, e := range list {
-		p.Holds(e.ID, []Part{{Key: 1, Tokens: 2500}})
+		p.Holds(e.ID, []Part{{Key: 1, Tokens: 2500}}, now)
 		for j := range 100 {
-			p.Holds(e.ID, []Part{{Key: uint64(1000 + 100*i + j), Tokens: 3000}})
+			p.Holds(e.ID, []Part{{Key: uint64(1000 + 100*i + j), Tokens: 3000}}, now)
 		}
 		if i%30 == 0 {
-			p.Holds(e.ID, []Part{{Key: 2, Tokens: 3800}})
+			p.Holds(e.ID, []Part{{Key: 2, Tokens: 3800}}, now)
 		}
 	}
 	w := Work{ID: "r", Prompt: 9000, Output: 50, Parts: []Part{{Key: 1, Tokens: 2500}, {Key: 2, Tokens: 3800}, {Key: 3, Tokens: 2700}}}
--- a/internal/core/placement/cache.go
+++ b/internal/core/placement/cache.go
@@ -5,6 +5,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 )
 
 // Part is a part of a prompt that requests may share. An endpoint that holds a part without those before it must read it again.
@@ -20,20 +22,35 @@
 // memory for 400,000 tokens holds a few thousand parts of usual size.
 const maxCachedParts = 4096
 
+// holding is a part at an endpoint. It is read by then, or copied there.
+type holding struct {
+	endpoint *Endpoint
+	readBy   clock.Instant
+}
+
 // holders are the endpoints of a pool that are believed to hold each part. Looking a prompt up here costs a lookup a part,
 // where the caches of all endpoints would cost as many as there are endpoints.
-type holders map[uint64][]*Endpoint
+type holders map[uint64][]holding
 
-func (h holders) add(key uint64, e *Endpoint) { h[key] = append(h[key], e) }
+// set records that an endpoint holds a part, or holds it earlier than was known.
+func (h holders) set(key uint64, e *Endpoint, readBy clock.Instant) {
+	for i, at := range h[key] {
+		if at.endpoint == e {
+			h[key][i].readBy = min(at.readBy, readBy)
+			return
+		}
+	}
+	h[key] = append(h[key], holding{endpoint: e, readBy: readBy})
+}
 
 func (h holders) remove(key uint64, e *Endpoint) {
 	list := h[key]
-	i := slices.Index(list, e)
+	i := slices.IndexFunc(list, func(at holding) bool { return at.endpoint == e })
 	if i < 0 {
 		return
 	}
 	last := len(list) - 1
-	list[i], list[last] = list[last], nil
+	list[i], list[last] = list[last], holding{}
 	if last == 0 {
 		delete(h, key)
 		return
@@ -63,15 +80,14 @@
 	return c
 }
 
-// use records that the endpoint reads the parts now.
-func (c *partCache) use(parts []Part) {
+// use records that the endpoint reads the parts and holds them at the latest by then.
+func (c *partCache) use(parts []Part, readBy clock.Instant) {
 	for _, p := range parts {
-		if _, known := c.parts.Get(p.Key); known {
-			continue
+		if _, known := c.parts.Get(p.Key); !known {
+			c.parts.Add(p.Key, p.Tokens)
+			c.tokens += p.Tokens
 		}
-		c.parts.Add(p.Key, p.Tokens)
-		c.tokens += p.Tokens
-		c.holders.add(p.Key, c.endpoint)
+		c.holders.set(p.Key, c.endpoint, readBy)
 	}
 	for c.tokens > c.capacity && c.parts.Len() > len(parts) {
 		c.parts.RemoveOldest()
@@ -81,23 +97,33 @@
 // clear forgets all parts.
 func (c *partCache) clear() { c.parts.Purge() }
 
-// held returns, for each endpoint in order, the tokens at the start of a prompt that it need not read again. The result is valid
-// until the next call.
-func (p *Pool) held(parts []Part) []float64 {
-	p.heldTokens = append(p.heldTokens[:0], make([]float64, len(p.order))...)
-	p.heldParts = append(p.heldParts[:0], make([]int, len(p.order))...)
+// held is what an endpoint holds of a prompt from its start on, in tokens.
+type held struct {
+	parts  int
+	tokens float64 // that it need not read again when it comes to the request
+	copies float64 // of those, that another endpoint can copy now
+}
+
+// held returns, for each endpoint in order, what it holds of a prompt. The result is valid until the next call.
+func (p *Pool) held(now clock.Instant, parts []Part) []held {
+	p.heldScratch = append(p.heldScratch[:0], make([]held, len(p.order))...)
 	for i, part := range parts {
 		found := false
-		for _, e := range p.holders[part.Key] {
-			if p.heldParts[e.index] == i {
-				p.heldParts[e.index]++
-				p.heldTokens[e.index] += part.Tokens
-				found = true
+		for _, at := range p.holders[part.Key] {
+			h := &p.heldScratch[at.endpoint.index]
+			if h.parts != i {
+				continue
+			}
+			h.parts++
+			if at.readBy <= now && h.copies == h.tokens {
+				h.copies += part.Tokens
 			}
+			h.tokens += part.Tokens
+			found = true
 		}
 		if !found {
 			break
 		}
 	}
-	return p.heldTokens
+	return p.heldScratch
 }
--- a/internal/core/placement/pace.go
+++ b/internal/core/placement/pace.go
@@ -52,6 +52,7 @@
 	if engine == nil || events <= 0 || took <= 0 {
 		return
 	}
+	e.progress = now
 	e.pace.add(now, took, float64(events)*max(1, engine.EventTokens))
 }
 
@@ -94,3 +95,6 @@
 func (r *readRate) time(tokens float64) time.Duration {
 	return time.Duration(tokens * r.seconds / r.tokens * float64(time.Second))
 }
+
+// tokensIn is how many prompt tokens are read in a time.
+func (r *readRate) tokensIn(d time.Duration) float64 { return d.Seconds() * r.tokens / r.seconds }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -81,6 +81,8 @@
 	others   PeerWork            // sum of peers
 	cache    *partCache
 	index    int           // in the pool's order
+	unbegun  []*placed     // own requests without a first event, oldest first
+	progress clock.Instant // last output of an own request
 	coldNext clock.Instant // earliest time of the next request while it is cold
 	pace     pace
 }
@@ -105,6 +107,7 @@
 	ahead   float64 // unread tokens at the endpoint when it was placed, its own included
 	at      clock.Instant
 	fixed   time.Duration // expected time to the first event beside the reading
+	due     clock.Instant // when the first event is expected
 	started bool
 }
 
@@ -117,9 +120,8 @@
 	// heard is when each other instance last told its work.
 	heard map[string]clock.Instant
 
-	holders    holders
-	heldTokens []float64 // result of held
-	heldParts  []int     // used by held
+	holders     holders
+	heldScratch []held // result of held
 	// departures counts the own requests that leave the endpoints.
 	departures Rate
 	// coldPace returns the requests a second that this instance may send to a cold endpoint.
@@ -149,6 +151,7 @@
 	for id, e := range p.endpoints {
 		if next[id] != e && e.cache != nil {
 			e.cache.clear()
+			e.cache = nil // its last requests may still begin
 		}
 	}
 	p.endpoints = next
@@ -213,10 +216,11 @@
 	}
 }
 
-// Holds records prompt parts that an endpoint holds or is about to read for another instance. Those used last come last.
-func (p *Pool) Holds(endpoint string, parts []Part) {
+// Holds records prompt parts that an endpoint holds by then, as it says or because another instance has sent it a request. Those used
+// last come last.
+func (p *Pool) Holds(endpoint string, parts []Part, readBy clock.Instant) {
 	if e := p.endpoints[endpoint]; e != nil && e.cache != nil {
-		e.cache.use(parts)
+		e.cache.use(parts, readBy)
 	}
 }
 
@@ -271,13 +275,13 @@
 	reason := NoEndpoint
 	p.forgetSilent(now)
 	out := p.ejected(now)
-	holding := p.held(w.Parts)
+	holding := p.held(now, w.Parts)
 	source := p.bestHolder(holding, out)
 	for i, e := range p.order {
 		if e.Draining || out[i] || c.Excluded != nil && c.Excluded(e.ID) {
 			continue
 		}
-		load, held := e.load(), holding[i]
+		load, held := e.load(), holding[i].tokens
 		if e.Health.Probing() && len(e.own) > 0 || !p.hasRoom(now, e, load, w, held) {
 			reason = worse(reason, AllBusy)
 			continue
@@ -288,7 +292,7 @@
 		}
 		copied := source.copyTo(e, held)
 		unread := max(0, w.Prompt-held-copied)
-		tokens, cost := p.cost(e, load, unread, copied)
+		tokens, cost := p.cost(now, e, load, unread, copied)
 		if c.MaxWait > 0 && p.ReadTime(tokens) > c.MaxWait && p.ReadTime(load.Unread) > time.Duration(float64(c.MaxWait)*largePart) {
 			reason = worse(reason, AllBusy)
 			continue
@@ -342,7 +346,7 @@
 
 // bestHolder returns the endpoint that holds most of the prompt, if engines can copy parts from each other. held is what each
 // endpoint holds.
-func (p *Pool) bestHolder(held []float64, out []bool) holder {
+func (p *Pool) bestHolder(held []held, out []bool) holder {
 	engine := p.service.Engine
 	if engine == nil || engine.CopyRate <= 0 {
 		return holder{}
@@ -352,7 +356,7 @@
 		if out[i] {
 			continue
 		}
-		if tokens := held[i]; tokens > best.tokens {
+		if tokens := held[i].copies; tokens > best.tokens {
 			best = holder{endpoint: e, tokens: tokens}
 		}
 	}
@@ -378,17 +382,48 @@
 const largePart = 0.25
 
 // copyCost is the cost of a copied token relative to reading it: it occupies the link between engines, and is priced by its
-// bytes.
-const copyCost = 0.15
+// bytes at a third of what a token costs that is read again.
+const copyCost = 0.3
+
+const (
+	// spareBacklog is the unread tokens at an engine behind which a request is hardly later: about 100 ms of reading, a small part
+	// of usual objectives.
+	spareBacklog = 6000.0
+	// silenceMargin is how late a first event may be while the engine gives no other output, before it counts as silent: some steps
+	// of a crowded batch that reads a large prompt.
+	silenceMargin = 150 * time.Millisecond
+	// spareWeight is what such a token counts against one that must be read for the request itself. Requests then stay where their
+	// parts are held while engines have time, and spread when they have none.
+	spareWeight = 0.3
+)
+
+// backlogCost is the cost of waiting behind so many unread tokens.
+func backlogCost(unread float64) float64 {
+	return unread - (1-spareWeight)*min(unread, spareBacklog)
+}
 
 // cost returns the prompt tokens that the endpoint reads until it has read the request's, and the cost of the request there,
 // comparable within the pool. It has to read and copy so many tokens of the request itself.
-func (p *Pool) cost(e *Endpoint, load PeerWork, unread, copied float64) (tokens, cost float64) {
+func (p *Pool) cost(now clock.Instant, e *Endpoint, load PeerWork, unread, copied float64) (tokens, cost float64) {
 	if p.service.Engine == nil {
 		return 0, float64(load.Running+1) / float64(e.Slots)
 	}
-	tokens = load.Unread + unread + copyCost*copied
-	return tokens, tokens + runningCost*float64(load.Running)
+	silent := p.reading.tokensIn(e.silence(now))
+	tokens = silent + load.Unread + unread + copyCost*copied
+	backlog := backlogCost(load.Unread)
+	if silent > 0 {
+		backlog = load.Unread
+	}
+	return tokens, silent + backlog + unread + copyCost*copied + runningCost*float64(load.Running)
+}
+
+// silence is for how long an engine has owed a first event and has given no output at all: it is dark, hangs or is far slower than the
+// others. Its connections tell that a second or more later.
+func (e *Endpoint) silence(now clock.Instant) time.Duration {
+	if len(e.unbegun) == 0 {
+		return 0
+	}
+	return max(0, now.Sub(max(e.unbegun[0].due, e.progress))-silenceMargin)
 }
 
 // wait is the expected time until an engine's first event, if it reads so many tokens before; 0 for a plain endpoint.
@@ -429,9 +464,11 @@
 	if e.cache != nil {
 		r.unread = c.Unread
 		r.memory = r.unread + w.Output
-		e.cache.use(w.Parts)
 		r.ahead = e.load().Unread + r.unread
 		r.fixed = p.fixedTime(now, e)
+		r.due = now.Add(r.fixed + p.ReadTime(r.ahead))
+		e.cache.use(w.Parts, r.due)
+		e.unbegun = append(e.unbegun, r)
 	}
 	e.own[w.ID] = r
 	e.unread += r.unread
@@ -446,11 +483,23 @@
 	}
 	r.started = true
 	e.unread -= r.unread
+	e.progress = now
+	e.begun(r)
+	if e.cache != nil {
+		e.cache.use(r.work.Parts, now)
+	}
 	if r.ahead >= minMeasuredTokens {
 		p.reading.add(r.ahead, now.Sub(r.at)-r.fixed)
 	}
 }
 
+// begun takes a request from those without a first event.
+func (e *Endpoint) begun(r *placed) {
+	if i := slices.Index(e.unbegun, r); i >= 0 {
+		e.unbegun = slices.Delete(e.unbegun, i, i+1)
+	}
+}
+
 // End records that a request has left the endpoint, whatever the outcome.
 func (p *Pool) End(now clock.Instant, e *Endpoint, id string) {
 	r := e.own[id]
@@ -461,6 +510,7 @@
 	p.departures.Add(now)
 	if !r.started {
 		e.unread -= r.unread
+		e.begun(r)
 	}
 	e.memory -= r.memory
 	if len(e.own) == 0 {
@@ -483,20 +533,20 @@
 	s := Summary{}
 	p.forgetSilent(now)
 	out := p.ejected(now)
-	holding := p.held(w.Parts)
+	holding := p.held(now, w.Parts)
 	source := p.bestHolder(holding, out)
 	shortest := time.Duration(math.MaxInt64)
 	for i, e := range p.order {
 		if e.Draining || out[i] || excluded(e.ID) || !p.mayUseCold(e, now) {
 			continue
 		}
-		load, held := e.load(), holding[i]
+		load, held := e.load(), holding[i].tokens
 		s.Usable++
 		if p.hasRoom(now, e, load, w, held) {
 			s.Free++
 		}
 		copied := source.copyTo(e, held)
-		tokens, _ := p.cost(e, load, max(0, w.Prompt-held-copied), copied)
+		tokens, _ := p.cost(now, e, load, max(0, w.Prompt-held-copied), copied)
 		shortest = min(shortest, p.wait(now, e, tokens))
 	}
 	if s.Usable > 0 {
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -81,9 +81,19 @@
 	service.Engine.CopyRate = 2.5e6
 	p := newTestPool(service, 2, 128)
 	first := p.mustBegin(t, start, prompt(0, "s"))
-	second := p.mustBegin(t, start, prompt(1, "s"))
+	p.Started(start.Add(100*time.Millisecond), first.Endpoint, "0")
+	now := start.Add(time.Second)
+	for i := range 3 { // more than the holder reads in a moment
+		w := prompt(10+i, fmt.Sprint("other ", i))
+		c, reason := p.Choose(now, &w, Constraint{Excluded: func(id string) bool { return id != first.ID }})
+		if reason != "" {
+			t.Fatal(reason)
+		}
+		p.Begin(now, c, w)
+	}
+	second := p.mustBegin(t, now, prompt(1, "s"))
 	if second.Endpoint == first.Endpoint {
-		t.Fatal("the second request waits behind the first although the other engine could copy")
+		t.Fatal("the second request waits behind three others although the other engine could copy")
 	}
 	if second.CopyFrom != first.Endpoint.Addr {
 		t.Errorf("copies from %q, want %q", second.CopyFrom, first.Endpoint.Addr)
@@ -93,6 +103,49 @@
 	}
 }
 
+// Guards against prompts of one subject that come together and are each read whole: a part cannot be copied before it is read, and the
+// engine that is reading it need not read it again (found on the grown deployments, where a quarter of what engines read had been read
+// by another one).
+func TestPartsBeingReadAreNotCopied(t *testing.T) {
+	service := engineService()
+	service.Engine.CopyRate = 2.5e6
+	p := newTestPool(service, 2, 128)
+	first := p.mustBegin(t, start, prompt(0, "s"))
+	second := p.mustBegin(t, start, prompt(1, "s"))
+	if second.CopyFrom != "" {
+		t.Errorf("a part that is being read is to be copied from %s", second.CopyFrom)
+	}
+	if second.Endpoint != first.Endpoint || second.Unread > 3100 {
+		t.Errorf("the second request goes to %s and reads %v tokens, want it behind the first and its own part read", second.ID, second.Unread)
+	}
+	p.Started(start.Add(200*time.Millisecond), first.Endpoint, "0")
+	now := start.Add(time.Second)
+	w := prompt(2, "s")
+	third, reason := p.Choose(now, &w, Constraint{Excluded: func(id string) bool { return id == first.ID }})
+	if reason != "" || third.CopyFrom != first.Addr {
+		t.Errorf("once it is read it is copied from %q, want %q (%s)", third.CopyFrom, first.Addr, reason)
+	}
+}
+
+// Guards against an engine that has gone dark and keeps the requests of the subjects that it holds, until its connections time out.
+func TestSilentEngineIsAvoided(t *testing.T) {
+	p := newTestPool(engineService(), 2, 128)
+	first := p.mustBegin(t, start, prompt(0, "s"))
+	p.Started(start.Add(100*time.Millisecond), first.Endpoint, "0")
+	p.End(start.Add(200*time.Millisecond), first.Endpoint, "0")
+	now := start.Add(time.Second)
+	if c := p.mustBegin(t, now, prompt(1, "s")); c.Endpoint != first.Endpoint {
+		t.Fatal("a held subject is sent elsewhere")
+	}
+	if c := p.mustBegin(t, now.Add(700*time.Millisecond), prompt(2, "s")); c.Endpoint == first.Endpoint {
+		t.Error("an engine that has owed a first event for half a second gets the next request")
+	}
+	p.Produced(now.Add(700*time.Millisecond), first.Endpoint, 50*time.Millisecond, 1)
+	if first.Endpoint.silence(now.Add(800*time.Millisecond)) != 0 {
+		t.Error("an engine that gives output of other requests counts as silent")
+	}
+}
+
 // Guards against a cold endpoint that gets more than it bears in a second from two instances that do not know of each other's
 // requests, when a region's endpoints come back together.
 func TestColdEndpointsArePaced(t *testing.T) {
@@ -250,17 +303,17 @@
 func TestHoldersFollowCaches(t *testing.T) {
 	p := newTestPool(engineService(), 2, 128)
 	first, second := Part{Key: 1, Tokens: 200_000}, Part{Key: 2, Tokens: 200_000}
-	p.Holds("e0", []Part{first})
-	p.Holds("e0", []Part{second})
-	p.Holds("e1", []Part{first, {Key: 3, Tokens: 10}})
-	if held := p.held([]Part{first, {Key: 3, Tokens: 10}}); held[0] != 0 || held[1] != 200_010 {
+	p.Holds("e0", []Part{first}, start)
+	p.Holds("e0", []Part{second}, start)
+	p.Holds("e1", []Part{first, {Key: 3, Tokens: 10}}, start)
+	if held := p.held(start, []Part{first, {Key: 3, Tokens: 10}}); held[0].tokens != 0 || held[1].tokens != 200_010 {
 		t.Errorf("the prompt is taken to be held as %v, want only at the second", held)
 	}
-	if held := p.held([]Part{{Key: 9, Tokens: 1}, first}); held[0] != 0 || held[1] != 0 {
+	if held := p.held(start, []Part{{Key: 9, Tokens: 1}, first}); held[0].tokens != 0 || held[1].tokens != 0 {
 		t.Errorf("parts behind one that is not held count: %v", held)
 	}
 	p.SetEndpoints(endpoints(1, 128))
-	if held := p.held([]Part{first}); len(held) != 1 || held[0] != 0 || len(p.holders[1]) != 0 {
+	if held := p.held(start, []Part{first}); len(held) != 1 || held[0].tokens != 0 || len(p.holders[1]) != 0 {
 		t.Errorf("an endpoint that has gone is still taken to hold the part: %v", held)
 	}
 }
@@ -302,6 +355,28 @@
 	}
 }
 
+// Guards against an endpoint that has gone and is found again as a holder, when the first event of its last request comes.
+func TestFirstEventOfAGoneEndpoint(t *testing.T) {
+	p := newTestPool(engineService(), 3, 128)
+	var last Choice
+	for i := range 3 {
+		last = p.mustBegin(t, start, prompt(i, fmt.Sprint(i)))
+	}
+	gone := last.Endpoint
+	var rest []catalog.Endpoint
+	for _, e := range endpoints(3, 128) {
+		if e.ID != gone.ID {
+			rest = append(rest, e)
+		}
+	}
+	p.SetEndpoints(rest)
+	p.Started(start.Add(time.Second), gone, "2")
+	p.End(start.Add(2*time.Second), gone, "2")
+	if c := p.mustBegin(t, start.Add(3*time.Second), prompt(3, "2")); c.Endpoint == gone {
+		t.Error("a request goes to an endpoint that has gone")
+	}
+}
+
 // Guards against knowledge of an endpoint's cache that survives its restart under the same id.
 func TestRestartForgets(t *testing.T) {
 	p := newTestPool(engineService(), 1, 128)
--- a/internal/edge/caches.go
+++ b/internal/edge/caches.go
@@ -86,6 +86,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if pool := p.byService[service]; pool != nil {
-		pool.Holds(endpoint, parts)
+		pool.Holds(endpoint, parts, p.clock.Now())
 	}
 }
--- a/internal/edge/talk.go
+++ b/internal/edge/talk.go
@@ -28,6 +28,8 @@
 	nearEvery = 80 * time.Millisecond
 	// farEvery is the interval of messages to other regions, whose latency is of the same size.
 	farEvery = 200 * time.Millisecond
+	// peerReadTime is how long after another instance has told of it a request's prompt is taken to be read.
+	peerReadTime = 250 * time.Millisecond
 	// completeEvery is the number of messages after which all is told again: endpoints may have been listed there since.
 	completeEvery = 20
 	// housekeepEvery is the interval of checks for instances that have gone and connections that are not used.
@@ -229,7 +231,7 @@
 			})
 		}
 		for id, list := range parts {
-			pool.Holds(id, list)
+			pool.Holds(id, list, now.Add(peerReadTime))
 		}
 	}
 }
