End the streams of state at a planned stop

Cause: since states go over streams, a stopping instance waited until the others had noticed its stop and closed theirs: an idle instance with 4 s of grace took 3.3 s and logged an error, 2.4 s after. Found by reading the change; the test failed first.

--- a/internal/edge/talk.go
+++ b/internal/edge/talk.go
@@ -162,8 +162,11 @@
 	}
 }
 
-// serveState takes another instance's states until the stream ends.
+// serveState takes another instance's states until the stream ends, or until this instance does: the other one would keep it open
+// until it has noticed.
 func (e *Edge) serveState(_ context.Context, from peer.Identity, stream peer.Stream) error {
+	stop := context.AfterFunc(e.ctx, func() { _ = stream.Close() }) // Recv returns the error
+	defer stop()
 	for {
 		var s wire.EdgeState
 		if err := stream.Recv(&s); err != nil {
--- a/internal/edgedaemon/daemon_test.go
+++ b/internal/edgedaemon/daemon_test.go
@@ -183,3 +183,37 @@
 	}
 	waitFor(t, "no session although both sides trust it", func() bool { return len(a.Connected()) == 1 && len(b.Connected()) == 1 })
 }
+
+// Guards against a planned stop that waits until the other instances have noticed it: their streams of state are open until then.
+func TestStopDoesNotWaitForOthers(t *testing.T) {
+	store := platformtest.NewStore(t)
+	start := func(name string) (*Daemon, Settings) {
+		s := settings(t, store.Addr)
+		s.Name, s.Grace = name, 4
+		d, err := New(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := d.Start(); err != nil {
+			t.Fatal(err)
+		}
+		return d, s
+	}
+	first, _ := start("n1")
+	second, s := start("n2")
+	store.Put(platformtest.ConfigurationKey, platformtest.Configuration{Version: 1, Organisation: "o", Key: "k", Host: "h"}.Encode())
+	waitFor(t, "the instances have no session", func() bool {
+		return len(first.transport.Connected()) == 1 && len(second.transport.Connected()) == 1
+	})
+	waitFor(t, "the second instance is not ready", func() bool {
+		return status(t, "http://"+s.ReadyAddr+platformtest.ReadyPath) == http.StatusOK
+	})
+	time.Sleep(500 * time.Millisecond) // streams of state are open
+	began := time.Now()
+	stop(t, second)
+	idle := time.Duration(s.Grace * shortPart * float64(time.Second))
+	if took := time.Since(began); took > idle+500*time.Millisecond {
+		t.Errorf("the stop of an idle instance took %v, want about %v", took, idle)
+	}
+	stop(t, first)
+}
