Switch the edge daemon's rules off one at a time, and describe what is new

Two that were tried did not and are left out: the key and draining endpoints are kept by two places each.

--- a/internal/mutation/entries.go
+++ b/internal/mutation/entries.go
@@ -2,8 +2,8 @@
 
 const integration = "./internal/integration"
 
-// Entries are the mechanisms that are switched off, at least one for each condition, with a test over real processes.
-var Entries = []Entry{
+// processEntries switch off at least one mechanism for each condition, with a test over real processes.
+var processEntries = []Entry{
 	{
 		Condition: 1, Mechanism: "an instance outside the home refuses bound requests",
 		File:     "internal/core/residency/residency.go",
--- a/internal/mutation/mutation.go
+++ b/internal/mutation/mutation.go
@@ -5,6 +5,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -27,6 +28,9 @@
 	13: "An accepted configuration is in force everywhere within seconds and never reverts.",
 }
 
+// Entries are the mechanisms that are switched off.
+var Entries = slices.Concat(processEntries, edgeEntries)
+
 // Entry is a change of the source that switches one mechanism off, and the test that must fail then.
 type Entry struct {
 	// Condition is the number in section 2 of docs/design.md.
