--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -389,12 +389,12 @@
 	// spareBacklog is the unread tokens at an engine behind which a request is hardly later: about 100 ms of reading, a small part
 	// of usual objectives.
 	spareBacklog = 6000.0
-	// silenceMargin is how late a first event may be while the engine gives no other output, before it counts as silent: some steps
-	// of a crowded batch that reads a large prompt.
-	silenceMargin = 150 * time.Millisecond
 	// spareWeight is what such a token counts against one that must be read for the request itself. Requests then stay where their
 	// parts are held while engines have time, and spread when they have none.
 	spareWeight = 0.3
+	// silenceMargin is how late a first event may be while the engine gives no other output, before it counts as silent: some steps
+	// of a crowded batch that reads a large prompt.
+	silenceMargin = 150 * time.Millisecond
 )
 
 // backlogCost is the cost of waiting behind so many unread tokens.
