Read the store through another instance when it turns this one away

An instance without store kept its copy: it knew of no evacuation, and sent engines that were cold after it their usual requests. Only a newer configuration was fetched from others.

Change: after 2.5 s without an answer the keys are read through an instance that the store answered lately. Copies are passed on for 2.5 s after the last direct answer, so instances that are all cut off do not take each other's copies for new.

Ruled out: the pace of cold engines itself (the other instance of the region kept to it), the clock, entries of two writers.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -26,8 +27,12 @@
 	relayFrom = 4
 	// relayGrace is how much longer than its wait a call to the relay may take: some round trips within a region.
 	relayGrace = 300 * time.Millisecond
-	// relayAvoid is how long the store is read directly after the relay has failed.
+	// relayAvoid is how long the store is read directly after the relay has failed, and through another instance after the store
+	// has failed here.
 	relayAvoid = 3 * time.Second
+	// detourAfter is for how long the store must have failed here until it is read through another instance. It is longer than copies
+	// of the store are passed on after their last contact: if the store is away for all, none is passed on by then.
+	detourAfter = 2500 * time.Millisecond
 )
 
 // relayedFeed reads the store through an instance of the region that all instances there choose alike, and directly while
@@ -36,9 +41,11 @@
 	edge   *Edge
 	direct platform.Feed
 
-	mu    sync.Mutex
-	avoid clock.Instant // until when the store is read directly
-	last  string        // the relay used last, for the log
+	mu       sync.Mutex
+	avoid    clock.Instant // until when the store is read directly
+	last     string        // the relay used last, for the log
+	directAt clock.Instant // last answer of the store itself, or the start
+	detour   clock.Instant // until when the store is not asked first
 }
 
 var _ platform.Feed = (*relayedFeed)(nil)
@@ -66,43 +73,110 @@
 	f.edge.log.Info("relay of the store failed", zap.String("peer", name), zap.Error(err))
 }
 
-// ListAll implements platform.Feed.
-func (f *relayedFeed) ListAll(ctx context.Context, prefix string) ([]platform.Entry, int64, error) {
-	name, ok := f.relay()
-	if !ok {
-		return f.direct.ListAll(ctx, prefix)
-	}
-	answer, err := f.call(ctx, name, &wire.EdgeFeedRequest{Prefix: prefix, List: true}, 0)
-	if err != nil {
+// read reads through the region's relay or from the store. If the store has failed here for a while, it reads through any instance that
+// the store still answers: the store may turn this instance away and serve the others.
+func (f *relayedFeed) read(ctx context.Context, through func(name string) error, direct func() error) error {
+	if name, ok := f.relay(); ok {
+		err := through(name)
+		if err == nil || errors.Is(err, platform.ErrCompacted) {
+			return err
+		}
 		f.failed(name, err)
-		return f.direct.ListAll(ctx, prefix)
 	}
-	entries := make([]platform.Entry, 0, len(answer.GetChanges()))
-	for _, c := range answer.GetChanges() {
-		entries = append(entries, decodeChange(c).Entry)
+	if f.onDetour() {
+		if err := f.tryDetour(through); err == nil || errors.Is(err, platform.ErrCompacted) {
+			return err
+		}
+	}
+	err := direct()
+	if !f.storeFailed(err) || ctx.Err() != nil {
+		return err
 	}
-	return entries, answer.GetAsOf(), nil
+	if detour := f.tryDetour(through); detour == nil || errors.Is(detour, platform.ErrCompacted) {
+		return detour
+	}
+	return err
 }
 
-// WatchPrefix implements platform.Feed.
-func (f *relayedFeed) WatchPrefix(ctx context.Context, prefix string, after int64, wait time.Duration) ([]platform.Change, int64, error) {
-	name, ok := f.relay()
-	if !ok {
-		return f.direct.WatchPrefix(ctx, prefix, after, wait)
-	}
-	answer, err := f.call(ctx, name, &wire.EdgeFeedRequest{Prefix: prefix, After: after, WaitNanos: int64(wait)}, wait)
-	if err != nil {
-		f.failed(name, err)
-		return f.direct.WatchPrefix(ctx, prefix, after, wait)
+// storeFailed notes the outcome of a call to the store, and reports whether it has failed for so long that a detour is tried.
+func (f *relayedFeed) storeFailed(err error) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.edge.clock.Now()
+	if err == nil || errors.Is(err, platform.ErrCompacted) {
+		f.directAt, f.detour = now, 0
+		return false
 	}
-	if answer.GetCompacted() {
-		return nil, 0, platform.ErrCompacted
+	if now.Sub(f.directAt) < detourAfter {
+		return false
 	}
-	changes := make([]platform.Change, 0, len(answer.GetChanges()))
-	for _, c := range answer.GetChanges() {
-		changes = append(changes, decodeChange(c))
+	f.detour = now.Add(relayAvoid)
+	return true
+}
+
+func (f *relayedFeed) onDetour() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.edge.clock.Now() < f.detour
+}
+
+// answered reports whether the store itself has answered here lately.
+func (f *relayedFeed) answered() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.edge.clock.Now().Sub(f.directAt) < detourAfter
+}
+
+// tryDetour reads through an instance that is heard.
+func (f *relayedFeed) tryDetour(through func(name string) error) error {
+	name, ok := f.edge.fleet.storeReader()
+	if !ok {
+		return errors.Mark(errors.New("no other instance is heard"), platform.ErrUnavailable)
 	}
-	return changes, answer.GetAsOf(), nil
+	err := through(name)
+	f.edge.log.Debug("store read through another instance", zap.String("peer", name), zap.Error(err))
+	return err
+}
+
+// ListAll implements platform.Feed.
+func (f *relayedFeed) ListAll(ctx context.Context, prefix string) (entries []platform.Entry, asOf int64, err error) {
+	err = f.read(ctx, func(name string) error {
+		answer, err := f.call(ctx, name, &wire.EdgeFeedRequest{Prefix: prefix, List: true}, 0)
+		if err != nil {
+			return err
+		}
+		entries, asOf = make([]platform.Entry, 0, len(answer.GetChanges())), answer.GetAsOf()
+		for _, c := range answer.GetChanges() {
+			entries = append(entries, decodeChange(c).Entry)
+		}
+		return nil
+	}, func() (err error) {
+		entries, asOf, err = f.direct.ListAll(ctx, prefix)
+		return err
+	})
+	return entries, asOf, err
+}
+
+// WatchPrefix implements platform.Feed.
+func (f *relayedFeed) WatchPrefix(ctx context.Context, prefix string, after int64, wait time.Duration) (changes []platform.Change, asOf int64, err error) {
+	err = f.read(ctx, func(name string) error {
+		answer, err := f.call(ctx, name, &wire.EdgeFeedRequest{Prefix: prefix, After: after, WaitNanos: int64(wait)}, wait)
+		if err != nil {
+			return err
+		}
+		if answer.GetCompacted() {
+			return platform.ErrCompacted
+		}
+		changes, asOf = make([]platform.Change, 0, len(answer.GetChanges())), answer.GetAsOf()
+		for _, c := range answer.GetChanges() {
+			changes = append(changes, decodeChange(c))
+		}
+		return nil
+	}, func() (err error) {
+		changes, asOf, err = f.direct.WatchPrefix(ctx, prefix, after, wait)
+		return err
+	})
+	return changes, asOf, err
 }
 
 func (f *relayedFeed) call(ctx context.Context, name string, req *wire.EdgeFeedRequest, wait time.Duration) (*wire.EdgeFeedAnswer, error) {
@@ -123,15 +197,15 @@
 	return &wire.EdgeFeedChange{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted}
 }
 
-// serveFeed answers from the copy of the store. Only what was read from the store itself is passed on: a relay of a relay could
-// pass on its own words.
+// serveFeed answers from the copy of the store. Only what was read from the store itself is passed on: instances that read through each
+// other could pass on their own words.
 func (e *Edge) serveFeed(ctx context.Context, _ peer.Identity, req *wire.EdgeFeedRequest) (proto.Message, error) {
 	m := e.mirrors[req.GetPrefix()]
 	if m == nil {
 		return nil, errors.Newf("prefix %q is not followed", req.GetPrefix())
 	}
-	if name, relayed := e.fleet.relay(); relayed {
-		return nil, errors.Newf("the store is read through %s here", name)
+	if !e.feeds[req.GetPrefix()].answered() {
+		return nil, errors.New("the store does not answer here")
 	}
 	if req.GetList() {
 		return listAnswer(m)
@@ -162,6 +236,37 @@
 	return answer, nil
 }
 
+// storeReader returns an instance that is likely to read the store itself: one of this region, whose relay fails if this is it, or one of
+// another region that reads the store there.
+func (f *fleet) storeReader() (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.options.Clock.Now()
+	byRegion := make(map[string][]string)
+	for name, m := range f.members {
+		if m.usable(now) {
+			byRegion[m.Region] = append(byRegion[m.Region], name)
+		}
+	}
+	near := byRegion[f.options.Self.Region]
+	delete(byRegion, f.options.Self.Region)
+	var far []string
+	for region, names := range byRegion {
+		if len(names) >= relayFrom {
+			names = []string{rendezvous.First(region, names)}
+		}
+		far = append(far, names...)
+	}
+	// Those of this region may be cut off together with this one.
+	if len(near) == 0 || len(far) > 0 && rand.IntN(2) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return "", false
+	}
+	return near[rand.IntN(len(near))], true
+}
+
 // relay returns the instance of the region that reads the store for the others, and false if that is this one or the region has
 // too few instances.
 func (f *fleet) relay() (string, bool) {
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -29,6 +29,7 @@
 	pools   *pools
 	conns   *endpointconn.Pool
 	mirrors map[string]*mirror.Mirror // by prefix
+	feeds   map[string]*relayedFeed   // of the mirrors
 	network Network
 
 	quotaMu sync.Mutex
@@ -73,7 +74,7 @@
 	e := &Edge{
 		options: o, clock: o.Clock, log: o.Log, requestLog: o.Log.Named("request"), metrics: newMetrics(o.Scope),
 		network: network, quota: fleetquota.New(), returns: newReturns(o.Clock), retries: retrybudget.New(o.Bounds.Retries),
-		ctx: ctx, cancel: cancel, left: make(chan struct{}), mirrors: make(map[string]*mirror.Mirror), talkers: make(map[string]talker),
+		ctx: ctx, cancel: cancel, left: make(chan struct{}), mirrors: make(map[string]*mirror.Mirror), feeds: make(map[string]*relayedFeed), talkers: make(map[string]talker),
 	}
 	e.state = newState(&e.options)
 	e.state.changed = e.changedState
@@ -109,7 +110,9 @@
 
 // follow makes the mirror of the keys with a prefix.
 func (e *Edge) follow(prefix string, apply func(mirror.Update)) {
-	e.mirrors[prefix] = mirror.New(&relayedFeed{edge: e, direct: e.options.Feed}, prefix, e.clock, e.log, apply)
+	feed := &relayedFeed{edge: e, direct: e.options.Feed, directAt: e.clock.Now()}
+	e.feeds[prefix] = feed
+	e.mirrors[prefix] = mirror.New(feed, prefix, e.clock, e.log, apply)
 }
 
 // spawn runs f on a goroutine that Close waits for.
