Share the numbered log, the test proxy and the end of streams

Found on reading the change once more: - The log of prompt parts and the log of refusals were the same code: numberedLog serves both. - The way to the store in a test was written anew beside the proxy of the session tests: peertest.Proxy serves both.

No bound, check or expectation changes; the tests differ in how they call these pieces. Package tests of peer, edge, core, edgedaemon, mutation and platform pass.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -227,17 +227,22 @@
 // OwnWork calls f for each endpoint with what this instance has under way there.
 func (p *Pool) OwnWork(f func(endpoint string, w PeerWork)) {
 	for _, e := range p.order {
-		f(e.ID, PeerWork{Running: len(e.own), Unread: e.unread, Memory: e.memory})
+		f(e.ID, e.ownWork())
 	}
 }
 
 // load is the work of all instances at an endpoint.
 func (e *Endpoint) load() PeerWork {
-	sum := PeerWork{Running: len(e.own), Unread: e.unread, Memory: e.memory}
+	sum := e.ownWork()
 	sum.add(e.others)
 	return sum
 }
 
+// ownWork is what this instance has under way at an endpoint.
+func (e *Endpoint) ownWork() PeerWork {
+	return PeerWork{Running: len(e.own), Unread: e.unread, Memory: e.memory}
+}
+
 // Choice is where a request goes.
 type Choice struct {
 	Endpoint *Endpoint
--- a/internal/core/triage/triage.go
+++ b/internal/core/triage/triage.go
@@ -2,10 +2,7 @@
 // caller at once with a time to return. It is pure.
 package triage
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
 const (
 	// localPart is the part of the objective up to which the expected wait here is accepted without a look at other regions.
@@ -71,8 +68,8 @@
 	RetryAfter time.Duration
 }
 
-// Decide applies the policy.
-func Decide(in Input, rng *rand.Rand) Decision {
+// Decide applies the policy. random returns numbers from 0 up to 1.
+func Decide(in Input, random func() float64) Decision {
 	best := quickest(in.Elsewhere)
 	if in.Here.Known && in.Here.First <= part(in.Objective, localPart) {
 		return Decision{Action: ServeHere}
@@ -86,7 +83,7 @@
 		if in.Here.First > in.Objective {
 			chance = crossingLate
 		}
-		if in.Here.Known && onTime && rng.Float64() < chance {
+		if in.Here.Known && onTime && random() < chance {
 			return Decision{Action: ServeElsewhere, Region: best}
 		}
 	}
--- a/internal/core/triage/triage_test.go
+++ b/internal/core/triage/triage_test.go
@@ -30,7 +30,7 @@
 		"late already, free places": {Input{Here: here(60 * ms), HereLate: here(60 * ms), Elsewhere: nil, Objective: -100 * ms, Left: 3000 * ms}, Decision{Action: ServeHere, Late: true}},
 		"nothing known":             {Input{Objective: objective, Left: left}, Decision{Action: Refuse, RetryAfter: minReturn}},
 	} {
-		if got := Decide(tc.in, rand.New(rand.NewPCG(1, 1))); got != tc.want {
+		if got := Decide(tc.in, rand.New(rand.NewPCG(1, 1)).Float64); got != tc.want {
 			t.Errorf("%s: %+v, want %+v", name, got, tc.want)
 		}
 	}
@@ -41,7 +41,7 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	crossed := 0
 	for range 1000 {
-		if d := Decide(Input{Here: here(700 * ms), Elsewhere: []Offer{here(250 * ms)}, Objective: 800 * ms, Left: 4000 * ms}, rng); d.Action == ServeElsewhere {
+		if d := Decide(Input{Here: here(700 * ms), Elsewhere: []Offer{here(250 * ms)}, Objective: 800 * ms, Left: 4000 * ms}, rng.Float64); d.Action == ServeElsewhere {
 			crossed++
 		}
 	}
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -324,7 +324,7 @@
 	if x.mayServe(self) {
 		in.Here, in.HereLate = e.pools.offers(&x.a, in.Objective)
 	}
-	d := triage.Decide(in, x.rng())
+	d := triage.Decide(in, rand.Float64)
 	x.a.late = d.Late
 	x.outcome.here, x.outcome.elsewhere = in.Here.First, in.Quickest()
 	switch {
@@ -377,8 +377,6 @@
 	return x.edge.fleet.regions(x.service, x.mayServe, func(region string) bool { return x.edge.state.serves(region, x.service) })
 }
 
-func (x *exchange) rng() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
-
 // placeBy is until when the request may wait for an endpoint: while it can be on time, and a part of the rest after that.
 func (x *exchange) placeBy(now clock.Instant) clock.Instant {
 	return max(x.a.onTimeBy, now.Add(time.Duration(float64(x.limit.Sub(now))*waitPart)))
--- a/internal/edge/load_test.go
+++ b/internal/edge/load_test.go
@@ -226,7 +226,7 @@
 	now := l.clk.Now()
 	in := triage.Input{Elsewhere: l.remote, Objective: r.attempt.onTimeBy.Sub(now), Left: r.attempt.until.Sub(now)}
 	in.Here, in.HereLate = l.pools.offers(r.attempt, in.Objective)
-	d := triage.Decide(in, l.rng)
+	d := triage.Decide(in, l.rng.Float64)
 	r.attempt.late = d.Late
 	switch d.Action {
 	case triage.Refuse:
--- a/internal/edge/pools.go
+++ b/internal/edge/pools.go
@@ -37,7 +37,7 @@
 
 	mu        sync.Mutex
 	byService map[string]*servicePool
-	used      usedParts
+	used      numberedLog[partUse] // for the other instances of the region
 }
 
 type servicePool struct {
@@ -56,7 +56,7 @@
 }
 
 func newPools(c clock.Clock, coldPace func(string, float64) float64) *pools {
-	return &pools{clock: c, coldPace: coldPace, byService: make(map[string]*servicePool)}
+	return &pools{clock: c, coldPace: coldPace, byService: make(map[string]*servicePool), used: numberedLog[partUse]{most: maxUsedParts}}
 }
 
 // set replaces the services and their usable endpoints.
@@ -151,7 +151,9 @@
 	}
 	pool.Begin(now, choice, me.work)
 	pool.notePlaced(now, me.attempt)
-	p.used.add(choice.Endpoint.ID, me.work.Parts)
+	if len(me.work.Parts) > 0 {
+		p.used.add(partUse{endpoint: choice.Endpoint.ID, parts: me.work.Parts})
+	}
 	me.placed <- choice
 	return ""
 }
@@ -410,12 +412,7 @@
 	}
 }
 
-// usedParts are the prompt parts that this instance's requests have read lately, for the other instances of the region.
-type usedParts struct {
-	first int64 // number of the first entry that is kept
-	log   []partUse
-}
-
+// partUse are prompt parts that a request of this instance reads at an endpoint.
 type partUse struct {
 	endpoint string
 	parts    []placement.Part
@@ -423,22 +420,3 @@
 
 // maxUsedParts bounds the entries that are kept for an instance which does not take them: a few seconds of requests.
 const maxUsedParts = 2048
-
-func (u *usedParts) add(endpoint string, parts []placement.Part) {
-	if len(parts) == 0 {
-		return
-	}
-	u.log = append(u.log, partUse{endpoint: endpoint, parts: parts})
-	if len(u.log) > maxUsedParts {
-		drop := len(u.log) / 2
-		u.log = slices.Clone(u.log[drop:])
-		u.first += int64(drop)
-	}
-}
-
-// since returns the entries from number n on, and the number of the next one.
-func (u *usedParts) since(n int64) ([]partUse, int64) {
-	next := u.first + int64(len(u.log))
-	from := min(max(n-u.first, 0), int64(len(u.log)))
-	return slices.Clone(u.log[from:]), next
-}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -78,13 +78,13 @@
 func (f *relayedFeed) read(ctx context.Context, through func(name string) error, direct func() error) error {
 	if name, ok := f.relay(); ok {
 		err := through(name)
-		if err == nil || errors.Is(err, platform.ErrCompacted) {
+		if isAnswer(err) {
 			return err
 		}
 		f.failed(name, err)
 	}
 	if f.onDetour() {
-		if err := f.tryDetour(through); err == nil || errors.Is(err, platform.ErrCompacted) {
+		if err := f.tryDetour(through); isAnswer(err) {
 			return err
 		}
 	}
@@ -92,18 +92,21 @@
 	if !f.storeFailed(err) || ctx.Err() != nil {
 		return err
 	}
-	if detour := f.tryDetour(through); detour == nil || errors.Is(detour, platform.ErrCompacted) {
+	if detour := f.tryDetour(through); isAnswer(detour) {
 		return detour
 	}
 	return err
 }
 
+// isAnswer reports whether a call has brought the store's answer, which may be that the history is gone.
+func isAnswer(err error) bool { return err == nil || errors.Is(err, platform.ErrCompacted) }
+
 // storeFailed notes the outcome of a call to the store, and reports whether it has failed for so long that a detour is tried.
 func (f *relayedFeed) storeFailed(err error) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.edge.clock.Now()
-	if err == nil || errors.Is(err, platform.ErrCompacted) {
+	if isAnswer(err) {
 		f.directAt, f.detour = now, 0
 		return false
 	}
--- a/internal/edge/returns.go
+++ b/internal/edge/returns.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -35,9 +34,7 @@
 
 	mu    sync.Mutex
 	known *simplelru.LRU[uint64, refusal]
-	// log holds the own refusals for the other instances; firstNumber is the number of its first entry.
-	log         []refusal
-	firstNumber int64
+	log   numberedLog[refusal] // own ones, for the other instances of the region
 }
 
 func newReturns(c clock.Clock) *returns {
@@ -45,7 +42,7 @@
 	if err != nil {
 		panic(err) // only for a size of 0 or less
 	}
-	return &returns{clock: c, known: known}
+	return &returns{clock: c, known: known, log: numberedLog[refusal]{most: maxRefusals}}
 }
 
 // refused remembers a request that was asked to come back after a while.
@@ -57,12 +54,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.known.Add(entry.key, entry)
-	r.log = append(r.log, entry)
-	if len(r.log) > maxRefusals {
-		drop := len(r.log) / 2
-		r.log = slices.Clone(r.log[drop:])
-		r.firstNumber += int64(drop)
-	}
+	r.log.add(entry)
 }
 
 // heard remembers a refusal of another instance.
@@ -97,7 +89,5 @@
 func (r *returns) since(n int64) ([]refusal, int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	next := r.firstNumber + int64(len(r.log))
-	from := min(max(n-r.firstNumber, 0), int64(len(r.log)))
-	return slices.Clone(r.log[from:]), next
+	return r.log.since(n)
 }
--- a/internal/edge/returns_test.go
+++ b/internal/edge/returns_test.go
@@ -63,8 +63,8 @@
 	for i := range 3 * maxRefusals {
 		r.refused([]placement.Part{{Key: uint64(i)}}, 0, time.Second)
 	}
-	if len(r.log) > maxRefusals || r.known.Len() > maxRefusals {
-		t.Errorf("%d refusals are kept to tell, %d to know", len(r.log), r.known.Len())
+	if len(r.log.entries) > maxRefusals || r.known.Len() > maxRefusals {
+		t.Errorf("%d refusals are kept to tell, %d to know", len(r.log.entries), r.known.Len())
 	}
 	list, next := r.since(0)
 	if next != 3*maxRefusals || list[len(list)-1].key != 3*maxRefusals-1 {
--- a/internal/edge/talk.go
+++ b/internal/edge/talk.go
@@ -72,10 +72,10 @@
 
 // teller makes the messages of one stream of states.
 type teller struct {
-	edge     *Edge
-	near     bool
-	cursor   int64 // number of the next prompt part to tell
-	refusals int64 // number of the next refusal to tell
+	edge        *Edge
+	near        bool
+	nextPart    int64 // number of the next prompt part to tell
+	nextRefusal int64 // number of the next refusal to tell
 	// What the other instance was told.
 	used map[string]float64            // by organisation
 	work map[string]placement.PeerWork // by endpoint
@@ -136,8 +136,8 @@
 
 // addParts adds the prompt parts that were read since the last message.
 func (t *teller) addParts(s *wire.EdgeState) {
-	uses, next := t.edge.pools.partsSince(t.cursor)
-	t.cursor = next
+	uses, next := t.edge.pools.partsSince(t.nextPart)
+	t.nextPart = next
 	for _, u := range uses {
 		parts := &wire.EdgeEndpointParts{Id: u.endpoint}
 		for _, p := range u.parts {
@@ -150,8 +150,8 @@
 
 // addRefusals adds the requests that were refused since the last message.
 func (t *teller) addRefusals(s *wire.EdgeState) {
-	refusals, next := t.edge.returns.since(t.refusals)
-	t.refusals = next
+	refusals, next := t.edge.returns.since(t.nextRefusal)
+	t.nextRefusal = next
 	now := t.edge.clock.Now()
 	for _, r := range refusals {
 		if r.expires > now {
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -239,8 +239,7 @@
 
 // abort ends blocked reads and writes when the caller's context ends, and tells the peer.
 func (s *clientStream) abort() {
-	// SetDeadline of yamux returns no error.
-	_ = s.mux.SetDeadline(deadlinePassed)
+	interrupt(s.mux)
 	s.closeMux()
 }
 
@@ -338,7 +337,7 @@
 		outcome = *done
 	}
 	endSpan(s.span, outcome)
-	_ = s.mux.SetDeadline(deadlinePassed)
+	interrupt(s.mux)
 	closing := func() {
 		s.closeMux()
 		s.session.release()
--- a/internal/peer/faults_test.go
+++ b/internal/peer/faults_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/Shopify/toxiproxy/v2"
-	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"dogwoodknot.example/dogwoodknot/internal/peer"
@@ -33,13 +32,7 @@
 
 func proxyTo(t *testing.T, n *node) *proxied {
 	t.Helper()
-	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
-	p := toxiproxy.NewProxy(server, n.Self().Instance, "127.0.0.1:0", n.addr)
-	if err := p.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(p.Stop)
-	return &proxied{t, p}
+	return &proxied{t, peertest.Proxy(t, n.Self().Instance, n.addr)}
 }
 
 // swallow drops all data in one direction ("upstream" is towards the node) and keeps the connections open.
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -66,10 +66,13 @@
 	}
 }
 
-// spawnStream runs f for a stream and gives its slot back at the end.
+// spawnStream runs f for a stream, closes it and gives its slot back.
 func (t *Transport) spawnStream(s *session, mux *yamux.Stream, slots chan struct{}, f func(*session, *yamux.Stream)) {
 	spawned := t.spawn(func() {
+		s.streams.add(mux)
 		f(s, mux)
+		closeQuietly(mux)
+		s.streams.remove(mux)
 		<-slots
 		s.release()
 	})
@@ -89,10 +92,7 @@
 
 func (t *Transport) refuse(s *session, mux *yamux.Stream) {
 	s.meter.name(mux.StreamID(), s.meter.other)
-	s.streams.add(mux)
-	defer s.streams.remove(mux)
-	defer closeQuietly(mux)
-	_ = mux.SetDeadline(time.Now().Add(headerTimeout))
+	s.streams.setDeadline(mux, time.Now().Add(headerTimeout))
 	t.writeError(mux, errOverloaded)
 	s.linger(mux)
 }
@@ -125,9 +125,6 @@
 
 // serve runs the handler of one stream.
 func (t *Transport) serve(s *session, mux *yamux.Stream) {
-	s.streams.add(mux)
-	defer s.streams.remove(mux)
-	defer closeQuietly(mux)
 	header, size, err := t.readHeader(s, mux)
 	if err != nil {
 		s.meter.name(mux.StreamID(), s.meter.other)
@@ -269,9 +266,7 @@
 }
 
 // unblock ends blocked reads and writes.
-func (s *serverStream) unblock() {
-	_ = s.mux.SetDeadline(deadlinePassed)
-}
+func (s *serverStream) unblock() { interrupt(s.mux) }
 
 // Send writes a message.
 func (s *serverStream) Send(m proto.Message) error {
@@ -385,9 +380,11 @@
 		return
 	}
 	s.meter.name(mux.StreamID(), s.meter.other)
+	s.streams.add(mux)
+	defer s.streams.remove(mux)
 	defer closeQuietly(mux)
 	deadline, _ := ctx.Deadline()
-	_ = mux.SetDeadline(deadline)
+	s.streams.setDeadline(mux, deadline)
 	frame, err := appendFrame(nil, frameHeader, &wire.CallHeader{Service: drainService}, maxHelloBytes)
 	if err != nil {
 		return
--- a/internal/peer/streams.go
+++ b/internal/peer/streams.go
@@ -24,7 +24,7 @@
 	defer l.mu.Unlock()
 	l.all[mux] = struct{}{}
 	if l.ended {
-		_ = mux.SetDeadline(deadlinePassed) // yamux returns no error
+		interrupt(mux)
 	}
 }
 
@@ -34,6 +34,21 @@
 	delete(l.all, mux)
 }
 
+// interrupt ends blocked reads and writes of a stream.
+func interrupt(mux *yamux.Stream) {
+	// SetDeadline of yamux returns no error.
+	_ = mux.SetDeadline(deadlinePassed)
+}
+
+// setDeadline sets the deadline of a stream's reads and writes, unless the session has ended.
+func (l *liveStreams) setDeadline(mux *yamux.Stream, t time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.ended {
+		_ = mux.SetDeadline(t) // yamux returns no error
+	}
+}
+
 // setReadDeadline sets the deadline of a stream's reads, unless the session has ended.
 func (l *liveStreams) setReadDeadline(mux *yamux.Stream, t time.Time) {
 	l.mu.Lock()
@@ -49,7 +64,7 @@
 	defer l.mu.Unlock()
 	l.ended = true
 	for mux := range l.all {
-		_ = mux.SetDeadline(deadlinePassed) // yamux returns no error
+		interrupt(mux)
 	}
 }
 
