Compute once per choice what does not depend on the endpoint

Found on reading the change once more: each choice of an endpoint turned the longest wait and every backlog into durations, once or twice an endpoint, and made a new list of the endpoints' health. The limit is now a number of tokens for the whole choice, and the list is made when the endpoints change. The choices are the same.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -115,7 +115,8 @@
 type Pool struct {
 	service   *catalog.Service
 	endpoints map[string]*Endpoint
-	order     []*Endpoint // by id
+	order     []*Endpoint       // by id
+	health    []*routing.Health // of order
 	reading   readRate
 	// heard is when each other instance last told its work.
 	heard map[string]clock.Instant
@@ -160,8 +161,10 @@
 		p.order = append(p.order, e)
 	}
 	slices.SortFunc(p.order, func(a, b *Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	p.health = p.health[:0]
 	for i, e := range p.order {
 		e.index = i
+		p.health = append(p.health, &e.Health)
 	}
 }
 
@@ -279,9 +282,13 @@
 	best, bestCost := Choice{}, math.Inf(1)
 	reason := NoEndpoint
 	p.forgetSilent(now)
-	out := p.ejected(now)
+	out := routing.Ejected(p.health, now)
 	holding := p.held(now, w.Parts)
 	source := p.bestHolder(holding, out)
+	most := math.Inf(1) // tokens that are read within MaxWait
+	if c.MaxWait > 0 {
+		most = p.reading.tokensIn(c.MaxWait)
+	}
 	for i, e := range p.order {
 		if e.Draining || out[i] || c.Excluded != nil && c.Excluded(e.ID) {
 			continue
@@ -298,7 +305,7 @@
 		copied := source.copyTo(e, held)
 		unread := max(0, w.Prompt-held-copied)
 		tokens, cost := p.cost(now, e, load, unread, copied)
-		if c.MaxWait > 0 && p.ReadTime(tokens) > c.MaxWait && p.ReadTime(load.Unread) > time.Duration(float64(c.MaxWait)*largePart) {
+		if tokens > most && load.Unread > most*largePart {
 			reason = worse(reason, AllBusy)
 			continue
 		}
@@ -323,14 +330,6 @@
 	return b
 }
 
-func (p *Pool) ejected(now clock.Instant) []bool {
-	group := make([]*routing.Health, len(p.order))
-	for i, e := range p.order {
-		group[i] = &e.Health
-	}
-	return routing.Ejected(group, now)
-}
-
 // hasRoom reports whether the endpoint, which holds so much of the prompt, has a place and memory for the request.
 func (p *Pool) hasRoom(now clock.Instant, e *Endpoint, load PeerWork, w *Work, held float64) bool {
 	if w.MaxPace > 0 && load.Running >= minCrowd && e.pace.value(now) > w.MaxPace {
@@ -413,12 +412,11 @@
 	if p.service.Engine == nil {
 		return 0, float64(load.Running+1) / float64(e.Slots)
 	}
-	silent := p.reading.tokensIn(e.silence(now))
-	tokens = silent + load.Unread + unread + copyCost*copied
-	backlog := backlogCost(load.Unread)
-	if silent > 0 {
-		backlog = load.Unread
+	silent, backlog := 0.0, backlogCost(load.Unread)
+	if d := e.silence(now); d > 0 {
+		silent, backlog = p.reading.tokensIn(d), load.Unread
 	}
+	tokens = silent + load.Unread + unread + copyCost*copied
 	return tokens, silent + backlog + unread + copyCost*copied + runningCost*float64(load.Running)
 }
 
@@ -537,7 +535,7 @@
 func (p *Pool) Summarise(now clock.Instant, w *Work, excluded func(id string) bool) Summary {
 	s := Summary{}
 	p.forgetSilent(now)
-	out := p.ejected(now)
+	out := routing.Ejected(p.health, now)
 	holding := p.held(now, w.Parts)
 	source := p.bestHolder(holding, out)
 	shortest := time.Duration(math.MaxInt64)
