--- a/internal/core/fleetquota/fleetquota.go
+++ b/internal/core/fleetquota/fleetquota.go
@@ -1,11 +1,11 @@
-// Package fleetquota holds organisations to their fleet-wide rate and burst where all instances tell each other what they
-// have admitted. It is pure and not safe for concurrent use.
+// Package fleetquota holds organisations to their fleet-wide rate and burst where instances are told what the others have admitted,
+// in sum for a group of them. It is pure and not safe for concurrent use.
 //
 // Each instance keeps one token bucket an organisation for the whole fleet and takes from it what it admits itself and what
 // the others report. Reports are some hundred milliseconds old, so a sudden excess passes by that much, within the allowance
-// that comes with the rate. An instance that goes silent is taken to go on using the part of the rate that it used before,
-// until it is known to have ended; an instance that hears nobody keeps to its own part in the same way. So both sides of a cut
-// together stay within the rate without an exchange.
+// that comes with the rate. A group, or an instance of one, that goes silent is taken to go on using the part of the rate that it
+// used before, until it is known to have ended; an instance that hears nobody keeps to its own part in the same way. So both sides of
+// a cut together stay within the rate without an exchange.
 package fleetquota
 
 import (
@@ -16,15 +16,15 @@
 )
 
 const (
-	// silentAfter is the age of a report after which its sender counts as silent: twice the interval of reports between regions, within which one arrives after 80 ms.
+	// SilentAfter is the age of a report after which its sender counts as silent: some intervals of reports, and 80 ms between regions.
 	// Until then both sides of a cut use the whole rate, which the allowance of a tenth must cover.
-	silentAfter = 400 * time.Millisecond
+	SilentAfter = 400 * time.Millisecond
 	// firstReport is how long the first report of an instance may take until it counts as silent: instances report at once when
 	// they learn of each other, and the way between regions takes 80 ms.
 	firstReport = 200 * time.Millisecond
-	// demandWindow is the time over which an instance's part of an organisation's use is averaged: long against bursts of
+	// DemandWindow is the time over which a group's part of an organisation's use is averaged: long against bursts of
 	// single requests, short against the daily peaks that move between regions.
-	demandWindow = 4 * time.Second
+	DemandWindow = 4 * time.Second
 	// evenPart is the part of the rate that is divided evenly among instances whatever they used, so that callers who move
 	// during a cut find something there.
 	evenPart = 0.15
@@ -52,16 +52,19 @@
 	terms map[string]Terms
 	all   map[string]*account
 	peers map[string]*peer
-	own   map[string]float64 // admitted here since the start
+	// silent are instances that are not heard of while the rest of their group is.
+	silent map[string]Silent
+	own    map[string]float64 // admitted here since the start
 	// refunds are costs that were given back and are not yet set off against own, whose values never shrink.
 	refunds map[string]float64
 }
 
 type account struct {
+	name    string // of the organisation
 	level   float64
 	updated clock.Instant
-	use     average            // of this instance
-	peers   map[string]peerUse // by instance
+	use     Average            // of this instance
+	peers   map[string]peerUse // by group
 	// frozen is the use of all instances when the first one went silent, nil while none is. Both sides of a cut divide the
 	// rate by it, whatever is asked of them afterwards.
 	frozen *frozenUse
@@ -70,38 +73,55 @@
 type peerUse struct {
 	incarnation uint64
 	total       float64
-	use         average
+	use         Average
 	// ownUse is the use of this instance when the peer last reported.
 	ownUse float64
 }
 
 type frozenUse struct {
-	own   float64
-	peers map[string]float64
+	own    float64
+	peers  map[string]float64 // by group, without its silent instances
+	silent map[string]float64 // by instance
+}
+
+// Peer is a group of instances that report together.
+type Peer struct {
+	Incarnation uint64 // of the sender of its reports, whose totals start anew with it
+	Instances   int    // that may be admitting requests and are not silent by themselves
+}
+
+// Silent is an instance that may be admitting requests and is not heard of.
+type Silent struct {
+	Group string
+	Uses  map[string]float64 // a second before its silence, by organisation
+	Known bool               // it was heard long enough before for Uses to tell its part
 }
 
 type peer struct {
 	incarnation uint64
+	instances   int
 	heard       clock.Instant
 	since       clock.Instant // first report to this instance; 0: none
 }
 
-// average is a moving average of a use per second.
-type average struct {
+// Average is a moving average of a use per second.
+type Average struct {
 	rate float64
 	at   clock.Instant
 }
 
-func (a *average) add(now clock.Instant, amount float64) {
-	a.rate = a.value(now) + amount/demandWindow.Seconds()
+// Add counts an amount used.
+func (a *Average) Add(now clock.Instant, amount float64) {
+	a.rate = a.Value(now) + amount/DemandWindow.Seconds()
 	a.at = now
 }
 
-func (a *average) value(now clock.Instant) float64 {
+// Value is the use per second.
+func (a *Average) Value(now clock.Instant) float64 {
 	if a.rate == 0 {
 		return 0
 	}
-	return a.rate * math.Exp(-now.Sub(a.at).Seconds()/demandWindow.Seconds())
+	return a.rate * math.Exp(-now.Sub(a.at).Seconds()/DemandWindow.Seconds())
 }
 
 // New returns a ledger without organisations.
@@ -123,37 +143,70 @@
 	l.terms = terms
 }
 
-// SetPeers tells which other incarnations may be admitting requests. One that is left out is known to have ended.
-func (l *Ledger) SetPeers(now clock.Instant, incarnations map[string]uint64) {
-	for name, a := range l.all {
-		l.accrue(now, name, a)
-	}
+// SetPeers tells which other instances may be admitting requests, by group. One that is left out is known to have ended.
+func (l *Ledger) SetPeers(now clock.Instant, peers map[string]Peer) {
+	l.accrueAll(now)
 	for name, p := range l.peers {
-		incarnation, listed := incarnations[name]
-		switch {
-		case !listed:
+		next, listed := peers[name]
+		if !listed {
 			delete(l.peers, name)
 			for _, a := range l.all {
 				delete(a.peers, name)
 			}
-		case incarnation != p.incarnation:
+			continue
+		}
+		p.instances = next.Instances
+		if next.Incarnation != p.incarnation {
 			// Its use so far is the best guess of what the new incarnation will use.
-			p.incarnation, p.heard = incarnation, now
+			p.incarnation, p.heard = next.Incarnation, now
 		}
 	}
-	for name, incarnation := range incarnations {
+	for name, next := range peers {
 		if l.peers[name] == nil {
-			l.peers[name] = &peer{incarnation: incarnation, heard: now.Add(firstReport - silentAfter)}
+			l.peers[name] = &peer{incarnation: next.Incarnation, instances: next.Instances, heard: now.Add(firstReport - SilentAfter)}
+		}
+	}
+}
+
+func (l *Ledger) accrueAll(now clock.Instant) {
+	for name, a := range l.all {
+		l.accrue(now, name, a)
+	}
+}
+
+// SetSilent tells which instances are silent while their groups are heard, and reports whether they are others than before. Their
+// groups do not count them.
+func (l *Ledger) SetSilent(now clock.Instant, silent map[string]Silent) (changed bool) {
+	same := len(silent) == len(l.silent)
+	for name := range silent {
+		_, known := l.silent[name]
+		same = same && known
+	}
+	if same {
+		return false
+	}
+	l.accrueAll(now)
+	for _, a := range l.all {
+		if a.frozen == nil {
+			continue
+		}
+		// The part of the rate that a group was taken to use includes that of an instance which goes silent later.
+		for name, s := range silent {
+			if _, known := a.frozen.silent[name]; !known {
+				a.frozen.add(name, s, a)
+			}
 		}
 	}
+	l.silent = silent
+	return true
 }
 
-// Heard records a report of a peer: what it has admitted of organisations since its start. Those that it leaves out have not
-// changed since its last report.
-func (l *Ledger) Heard(now clock.Instant, name string, incarnation uint64, used map[string]float64) {
+// Heard records a report of a group that was made at a moment: what it has admitted of organisations since the start of its
+// incarnation. Those that it leaves out have not changed since its last report.
+func (l *Ledger) Heard(now clock.Instant, name string, incarnation uint64, used map[string]float64, at clock.Instant) {
 	p := l.peers[name]
 	if p == nil || p.incarnation != incarnation {
-		p = &peer{incarnation: incarnation}
+		p = &peer{incarnation: incarnation, instances: 1}
 		l.peers[name] = p
 	}
 	for organisation, total := range used {
@@ -169,23 +222,25 @@
 		}
 		if delta := total - before.total; delta > 0 {
 			// Use during a silence was accounted for by the reserved part already.
-			if now.Sub(p.heard) <= silentAfter {
+			if now.Sub(p.heard) <= SilentAfter {
 				a.level -= delta
 			}
-			before.use.add(now, delta)
+			before.use.Add(now, delta)
 		}
 		before.total = math.Max(total, before.total)
 		a.peers[name] = before
 	}
-	for _, a := range l.all {
-		if before, known := a.peers[name]; known {
-			before.ownUse = a.use.value(now)
-			a.peers[name] = before
+	if at > p.heard {
+		for _, a := range l.all {
+			if before, known := a.peers[name]; known {
+				before.ownUse = a.use.Value(now)
+				a.peers[name] = before
+			}
 		}
+		p.heard = at
 	}
-	p.heard = now
 	if p.since == 0 {
-		p.since = now
+		p.since = at
 	}
 }
 
@@ -212,7 +267,7 @@
 		return false, time.Duration((need - a.level) / rate * float64(time.Second))
 	}
 	a.level -= cost
-	a.use.add(now, cost)
+	a.use.Add(now, cost)
 	settled := math.Min(cost, l.refunds[organisation])
 	l.refunds[organisation] -= settled
 	l.own[organisation] += cost - settled
@@ -247,7 +302,7 @@
 	}
 	a := l.all[organisation]
 	if a == nil {
-		a = &account{level: t.Burst * startLevel, updated: now, peers: map[string]peerUse{}}
+		a = &account{name: organisation, level: t.Burst * startLevel, updated: now, peers: map[string]peerUse{}}
 		l.all[organisation] = a
 	}
 	return a
@@ -265,28 +320,37 @@
 
 // part is the part of the rate that the instances in contact may use: all of it, less what silent ones are taken to use.
 func (l *Ledger) part(now clock.Instant, a *account) float64 {
-	var silent []string
+	instances, silentInstances := 1, len(l.silent)
 	known := true
-	for name, p := range l.peers {
-		if now.Sub(p.heard) > silentAfter {
-			silent = append(silent, name)
-			known = known && p.since > 0 && p.heard.Sub(p.since) >= demandWindow/2
+	for _, p := range l.peers {
+		instances += p.instances
+		if p.silent(now) {
+			silentInstances += p.instances
+			known = known && p.since > 0 && p.heard.Sub(p.since) >= DemandWindow/2
 		}
 	}
-	if len(silent) == 0 {
+	for _, s := range l.silent {
+		instances++
+		known = known && s.Known
+	}
+	if silentInstances == 0 {
 		a.frozen = nil
 		return 1
 	}
 	if a.frozen == nil {
-		a.frozen = l.freeze(now, a, silent[0])
+		a.frozen = l.freeze(now, a)
 	}
-	even := float64(len(silent)) / float64(len(l.peers)+1)
+	even := float64(silentInstances) / float64(instances)
 	total, reserved := a.frozen.own, 0.0
-	for name := range l.peers {
+	for name, p := range l.peers {
 		total += a.frozen.peers[name]
+		if p.silent(now) {
+			reserved += a.frozen.peers[name]
+		}
 	}
-	for _, name := range silent {
-		reserved += a.frozen.peers[name]
+	for name := range l.silent {
+		total += a.frozen.silent[name]
+		reserved += a.frozen.silent[name]
 	}
 	if total <= 0 || !known {
 		// The use of a silent one is not known or was measured for a moment only, as right after a start: it may be using more
@@ -296,19 +360,32 @@
 	return cutPart * (1 - (evenPart*even + (1-evenPart)*reserved/total))
 }
 
-// freeze notes the use of all instances as it was when the silent one was last heard, and takes from the level what the silent
-// ones are taken to have used since.
-func (l *Ledger) freeze(now clock.Instant, a *account, silent string) *frozenUse {
-	f := &frozenUse{own: a.use.value(now), peers: make(map[string]float64, len(l.peers))}
-	if last, known := a.peers[silent]; known {
-		f.own = last.ownUse
-	}
+func (p *peer) silent(now clock.Instant) bool {
+	return p.instances > 0 && now.Sub(p.heard) > SilentAfter
+}
+
+// freeze notes the use of all instances as it was when the first silent one was last heard, and takes from the level what the
+// silent ones are taken to have used since.
+func (l *Ledger) freeze(now clock.Instant, a *account) *frozenUse {
+	f := &frozenUse{own: a.use.Value(now), peers: make(map[string]float64, len(l.peers)), silent: make(map[string]float64)}
 	for name, p := range l.peers {
 		u := a.peers[name]
-		f.peers[name] = u.use.value(min(now, p.heard))
-		if since := now.Sub(p.heard); since > silentAfter {
-			a.level -= f.peers[name] * since.Seconds()
+		f.peers[name] = u.use.Value(min(now, p.heard))
+		if p.silent(now) {
+			f.own = u.ownUse
+			a.level -= f.peers[name] * now.Sub(p.heard).Seconds()
 		}
 	}
+	for name, s := range l.silent {
+		f.add(name, s, a)
+	}
 	return f
 }
+
+// add moves the use of a silent instance out of that of its group.
+func (f *frozenUse) add(name string, s Silent, a *account) {
+	use := s.Uses[a.name]
+	f.silent[name] = use
+	f.peers[s.Group] = math.Max(0, f.peers[s.Group]-use)
+	a.level -= use * SilentAfter.Seconds()
+}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -62,7 +62,7 @@
 	return w.Parts[len(w.Parts)-1].Tokens
 }
 
-// PeerWork is what another instance of the region has under way at an endpoint.
+// PeerWork is what instances of the region have under way at an endpoint.
 type PeerWork struct {
 	Running int
 	Unread  float64 // prompt tokens of requests whose first event has not come
@@ -75,10 +75,9 @@
 	Health routing.Health
 
 	own      map[string]*placed
-	unread   float64             // own
-	memory   float64             // own
-	peers    map[string]PeerWork // by instance
-	others   PeerWork            // sum of peers
+	unread   float64  // own
+	memory   float64  // own
+	others   PeerWork // of the region's other instances
 	cache    *partCache
 	index    int           // in the pool's order
 	unbegun  []*placed     // own requests without a first event, oldest first
@@ -87,16 +86,14 @@
 	pace     pace
 }
 
-func (w *PeerWork) add(o PeerWork) {
-	w.Running += o.Running
-	w.Unread += o.Unread
-	w.Memory += o.Memory
+// Plus returns the sum of two works.
+func (w PeerWork) Plus(o PeerWork) PeerWork {
+	return PeerWork{Running: w.Running + o.Running, Unread: w.Unread + o.Unread, Memory: w.Memory + o.Memory}
 }
 
-func (w *PeerWork) subtract(o PeerWork) {
-	w.Running -= o.Running
-	w.Unread -= o.Unread
-	w.Memory -= o.Memory
+// Minus returns what is left of a work without a part of it.
+func (w PeerWork) Minus(o PeerWork) PeerWork {
+	return PeerWork{Running: w.Running - o.Running, Unread: w.Unread - o.Unread, Memory: w.Memory - o.Memory}
 }
 
 // placed is an own request at an endpoint.
@@ -118,8 +115,8 @@
 	order     []*Endpoint       // by id
 	health    []*routing.Health // of order
 	reading   readRate
-	// heard is when each other instance last told its work.
-	heard map[string]clock.Instant
+	// othersAt is when the work of the other instances was last told.
+	othersAt clock.Instant
 
 	holders     holders
 	heldScratch []held // result of held
@@ -132,7 +129,7 @@
 // NewPool returns a pool without endpoints. coldPace returns this instance's part of the rate that a cold endpoint bears.
 func NewPool(service *catalog.Service, coldPace func(endpoint string, rate float64) float64) *Pool {
 	return &Pool{service: service, endpoints: make(map[string]*Endpoint), reading: newReadRate(), coldPace: coldPace,
-		heard: make(map[string]clock.Instant), holders: make(holders)}
+		holders: make(holders)}
 }
 
 // Configure replaces the service's declaration.
@@ -169,7 +166,7 @@
 }
 
 func (p *Pool) newEndpoint(described catalog.Endpoint) *Endpoint {
-	e := &Endpoint{Endpoint: described, own: make(map[string]*placed), peers: make(map[string]PeerWork)}
+	e := &Endpoint{Endpoint: described, own: make(map[string]*placed)}
 	if p.service.Engine != nil {
 		e.cache = newPartCache(e, p.holders, p.service.Engine.KVTokens)
 	}
@@ -179,44 +176,20 @@
 // Endpoint returns an endpoint of the pool, or nil.
 func (p *Pool) Endpoint(id string) *Endpoint { return p.endpoints[id] }
 
-// PeerHeard records that another instance has told its work. With complete, it has none but at the endpoints that are reported
-// next.
-func (p *Pool) PeerHeard(instance string, complete bool, now clock.Instant) {
-	if complete {
-		p.forgetPeer(instance)
-	}
-	p.heard[instance] = now
-}
-
-// PeerReported records what another instance has under way at an endpoint.
-func (p *Pool) PeerReported(instance, endpoint string, w PeerWork) {
-	if e := p.endpoints[endpoint]; e != nil {
-		e.others.subtract(e.peers[instance])
-		e.others.add(w)
-		e.peers[instance] = w
-	}
-}
-
-func (p *Pool) forgetPeer(instance string) {
-	delete(p.heard, instance)
+// SetOthers records what the other instances of the region have under way at each endpoint.
+func (p *Pool) SetOthers(now clock.Instant, work map[string]PeerWork) {
+	p.othersAt = now
 	for _, e := range p.order {
-		if w, known := e.peers[instance]; known {
-			delete(e.peers, instance)
-			e.others.subtract(w)
-		}
-		if len(e.peers) == 0 {
-			e.others = PeerWork{} // no rounding error stays
-		}
+		e.others = work[e.ID]
 	}
 }
 
-// forgetSilent forgets the work of instances that have not told it lately.
+// forgetSilent forgets the work of other instances that was not told lately.
 func (p *Pool) forgetSilent(now clock.Instant) {
-	for instance, at := range p.heard {
-		if now.Sub(at) > peerWorkAge {
-			p.forgetPeer(instance)
-		}
+	if p.othersAt == 0 || now.Sub(p.othersAt) <= peerWorkAge {
+		return
 	}
+	p.SetOthers(0, nil)
 }
 
 // Holds records prompt parts that an endpoint holds by then, as it says or because another instance has sent it a request. Those used
@@ -236,9 +209,7 @@
 
 // load is the work of all instances at an endpoint.
 func (e *Endpoint) load() PeerWork {
-	sum := e.ownWork()
-	sum.add(e.others)
-	return sum
+	return e.ownWork().Plus(e.others)
 }
 
 // ownWork is what this instance has under way at an endpoint.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -116,8 +116,9 @@
 	Self peer.Identity
 	// Regions maps each data centre to its region.
 	Regions    map[string]string
-	CallerAddr string // ip:port
-	PeerAddr   string // ip:port
+	CallerAddr string  // ip:port
+	PeerAddr   string  // ip:port
+	LinkMbps   float64 // bandwidth of the instance's link, 0: not known
 	Bounds     Bounds
 
 	Store     platform.Store
@@ -141,6 +142,7 @@
 	check(o.Self.Instance != "" && o.Self.Incarnation != 0, "instance name or incarnation is missing")
 	check(o.Regions[o.Self.DataCentre] == o.Self.Region, "data centre %q is not in region %q", o.Self.DataCentre, o.Self.Region)
 	check(o.CallerAddr != "" && o.PeerAddr != "", "caller or peer address is missing")
+	check(o.LinkMbps >= 0, "bandwidth %v is negative", o.LinkMbps)
 	check(o.Bounds.DirectoryTTL > 0, "directory validity must be positive")
 	check(o.Bounds.Retries.Window > 0 && o.Bounds.Retries.Ratio >= 0 && o.Bounds.Retries.Allowance >= 0, "retry budget is not valid")
 	return errors.Join(findings...)
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/fleetview"
 	"dogwoodknot.example/dogwoodknot/internal/core/rendezvous"
 	"dogwoodknot.example/dogwoodknot/internal/core/routing"
 	"dogwoodknot.example/dogwoodknot/internal/mirror"
@@ -33,9 +34,8 @@
 	renewEvery = 1500 * time.Millisecond
 	// announceRetry is the wait after a failed call.
 	announceRetry = 300 * time.Millisecond
-	// heardFor is the age of an instance's last message up to which callers and requests are sent to it: some periods of the
-	// exchange between regions.
-	heardFor = 1200 * time.Millisecond
+	// heardFor is the age of an instance's last message up to which callers and requests are sent to it.
+	heardFor = fleetview.HeardFor
 	// avoidFor is how long an instance is left out after a call could not be sent to it.
 	avoidFor = 500 * time.Millisecond
 	// unknownOneWay is the wide-area latency that is assumed: the platform's regions are about 80 ms apart.
@@ -43,6 +43,9 @@
 	// coldSharers is the number of instances that send requests to a cold endpoint. Each sends its first one without
 	// knowing of the others, so a crowd of them would exceed the endpoint's pace.
 	coldSharers = 2
+	// partners is the number of instances of each other region that this one sends requests to while they are heard. Few of them keep
+	// their sessions open: a handshake takes five wide-area round trips.
+	partners = 3
 )
 
 // announcement is what an instance writes under its key.
@@ -54,6 +57,8 @@
 	PeerAddr    string `json:"peer_addr"`
 	// Certificate authenticates the instance's sessions. It is made at each start and trusted because it stands here.
 	Certificate []byte `json:"certificate"` // PEM
+	// LinkMbps is the bandwidth of the instance's link. Those with much of it are reported to by the others of their region.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 	// Leaving tells instances that start meanwhile that callers are sent elsewhere.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -67,9 +72,9 @@
 	ready    bool
 	leaving  bool
 	refusing bool          // takes no more requests
-	heard    clock.Instant // last message; 0: none
+	heard    clock.Instant // last message, of itself or of an instance that has heard it; 0: none
 	avoid    clock.Instant // until when nothing is sent to it
-	services map[string]routing.RegionLoad
+	mute     clock.Instant // until when nothing is reported to it
 }
 
 // fleet is what this instance knows of all instances.
@@ -77,13 +82,21 @@
 	options *Options
 	log     *zap.Logger
 
-	mu      sync.Mutex
-	members map[string]*member // others
-	changed func()             // called without the lock after the set of members has changed
+	mu       sync.Mutex
+	members  map[string]*member        // others
+	services map[string]regionServices // by other region
+	partners map[string][]*member      // by other region, first those that are used
+	changed  func()                    // called without the lock after the set of members has changed
+}
+
+// regionServices is the load of a region's services.
+type regionServices struct {
+	at   clock.Instant
+	load map[string]routing.RegionLoad
 }
 
 func newFleet(o *Options) *fleet {
-	return &fleet{options: o, log: o.Log, members: make(map[string]*member)}
+	return &fleet{options: o, log: o.Log, members: make(map[string]*member), services: make(map[string]regionServices)}
 }
 
 // apply takes changes of the instances' keys.
@@ -110,6 +123,9 @@
 			}
 		}
 	}
+	if changed {
+		f.choosePartners()
+	}
 	f.mu.Unlock()
 	if changed {
 		f.changed()
@@ -159,6 +175,9 @@
 			f.log.Info("instance gone", zap.String("peer", name), zap.Uint64("peer_incarnation", m.Incarnation))
 		}
 	}
+	if changed {
+		f.choosePartners()
+	}
 	f.mu.Unlock()
 	if changed {
 		f.changed()
@@ -177,42 +196,138 @@
 	return addrs, certificates
 }
 
-// incarnations returns the other instances that may be serving callers.
-func (f *fleet) incarnations() map[string]uint64 {
+// size is the number of instances, this one included.
+func (f *fleet) size() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := make(map[string]uint64, len(f.members))
-	for name, m := range f.members {
-		out[name] = m.Incarnation
+	return len(f.members) + 1
+}
+
+// heard records how the instances stand that were heard lately.
+func (f *fleet) heard(standings map[string]fleetview.Heard) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, s := range standings {
+		m := f.members[name]
+		if m == nil || m.Incarnation != s.Incarnation || s.At < m.heard {
+			continue
+		}
+		if silence := s.At.Sub(m.heard); m.heard == 0 || silence > heardFor {
+			f.log.Info("instance heard", zap.String("peer", m.name), zap.Duration("silence", silence))
+		}
+		if s.Leaving && !m.leaving {
+			f.log.Info("instance is leaving", zap.String("peer", m.name))
+		}
+		m.heard, m.ready, m.leaving, m.refusing = s.At, s.Ready, s.Leaving, s.Refusing
+	}
+}
+
+// heardServices records the load of other regions' services, each as of the time when the region was heard.
+func (f *fleet) heardServices(byRegion map[string][]*wire.EdgeServiceLoad, heard func(region string) clock.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for region, list := range byRegion {
+		at := heard(region)
+		if at <= f.services[region].at {
+			continue
+		}
+		loads := make(map[string]routing.RegionLoad, len(list))
+		for _, l := range list {
+			if l.GetUsable() > 0 {
+				loads[l.GetName()] = routing.RegionLoad{Region: region, OneWay: unknownOneWay, Wait: time.Duration(l.GetWaitMillis()) * time.Millisecond}
+			}
+		}
+		f.services[region] = regionServices{at: at, load: loads}
+	}
+}
+
+// knows reports whether an incarnation of an instance is a member.
+func (f *fleet) knows(id peer.Identity) bool { return f.isMember(id.Instance, id.Incarnation) }
+
+func (f *fleet) isMember(name string, incarnation uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[name]
+	return m != nil && m.Incarnation == incarnation
+}
+
+// regionOf returns the region of another instance.
+func (f *fleet) regionOf(name string) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[name]
+	if m == nil {
+		return "", false
+	}
+	return m.Region, true
+}
+
+// sizes returns the number of other instances by region.
+func (f *fleet) sizes() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]int)
+	for _, m := range f.members {
+		out[m.Region]++
 	}
 	return out
 }
 
-// size is the number of instances, this one included.
-func (f *fleet) size() int {
+// regionSize is the number of instances of this region, this one included.
+func (f *fleet) regionSize() int { return f.sizes()[f.options.Self.Region] + 1 }
+
+// above returns the instance that this one reports to: the first of its region by rank, or false if that is this one.
+func (f *fleet) above() (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.members) + 1
+	first, firstLink := f.options.Self.Instance, f.options.LinkMbps
+	if m := f.first(f.options.Self.Region); m != nil && ranksAbove(m.name, m.LinkMbps, first, firstLink) {
+		return m.name, true
+	}
+	return "", false
 }
 
-// heardFrom records a message of an instance. It returns false if the incarnation is not known.
-func (f *fleet) heardFrom(from peer.Identity, s *wire.EdgeState, services map[string]routing.RegionLoad) bool {
+// rootOf returns the instance to which the others of another region report.
+func (f *fleet) rootOf(region string) (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m := f.members[from.Instance]
-	if m == nil || m.Incarnation != from.Incarnation {
-		return false
+	if m := f.first(region); m != nil {
+		return m.name, true
 	}
+	return "", false
+}
+
+// first returns the other instance of a region that ranks above the rest.
+func (f *fleet) first(region string) *member {
 	now := f.options.Clock.Now()
-	if silence := now.Sub(m.heard); m.heard == 0 || silence > heardFor {
-		f.log.Info("instance heard", zap.String("peer", m.name), zap.Duration("silence", silence))
+	var first *member
+	for _, m := range f.members {
+		if m.Region != region || m.leaving || now < m.mute || !m.listed && now.Sub(m.heard) > heardFor {
+			continue
+		}
+		if first == nil || ranksAbove(m.name, m.LinkMbps, first.name, first.LinkMbps) {
+			first = m
+		}
 	}
-	if s.GetLeaving() && !m.leaving {
-		f.log.Info("instance is leaving", zap.String("peer", m.name))
+	return first
+}
+
+// ranksAbove orders the instances of a region: those with more bandwidth first, since a root exchanges messages with all. The order
+// depends on nothing that instances may see differently, so that they do not report to each other in a circle.
+func ranksAbove(a string, linkA float64, b string, linkB float64) bool {
+	if linkA != linkB {
+		return linkA > linkB
+	}
+	return rendezvous.First("root", []string{a, b}) == a
+}
+
+// avoidAbove lets an instance go that has not answered.
+func (f *fleet) avoidAbove(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[name]; m != nil {
+		m.mute = f.options.Clock.Now().Add(avoidAboveFor)
 	}
-	m.heard, m.ready, m.leaving, m.refusing, m.services = now, s.GetReady(), s.GetLeaving(), s.GetRefusing(), services
-	m.avoid = 0
-	return true
 }
 
 // unreachable records that a call could not be sent to an instance.
@@ -241,30 +356,75 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.options.Clock.Now()
-	byRegion := make(map[string][]routing.RegionLoad)
-	for _, m := range f.members {
-		if m.Region == f.options.Self.Region || !allowed(m.Region) {
+	var out []routing.RegionLoad
+	for region, members := range f.partners {
+		if !allowed(region) {
 			continue
 		}
-		load, serves := m.services[service]
-		switch {
-		case m.usable(now) && serves:
-			load.Age = now.Sub(m.heard)
-		case m.introduced(now) && listed(m.Region):
-			load = routing.RegionLoad{Region: m.Region, Instance: m.name, OneWay: unknownOneWay}
-		default:
+		services := f.services[region]
+		load, serves := services.load[service]
+		load.Age = now.Sub(services.at)
+		var usable []*member
+		for _, m := range members {
+			if len(usable) == partners {
+				break
+			}
+			if m.usable(now) && serves && load.Age <= heardFor || m.introduced(now) && listed(region) {
+				usable = append(usable, m)
+			}
+		}
+		if len(usable) == 0 {
 			continue
 		}
-		byRegion[m.Region] = append(byRegion[m.Region], load)
-	}
-	out := make([]routing.RegionLoad, 0, len(byRegion))
-	for _, loads := range byRegion {
-		out = append(out, loads[rand.IntN(len(loads))])
+		chosen := usable[rand.IntN(len(usable))]
+		if chosen.heard == 0 {
+			load = routing.RegionLoad{Region: region, OneWay: unknownOneWay}
+		}
+		load.Instance = chosen.name
+		out = append(out, load)
 	}
 	slices.SortFunc(out, func(a, b routing.RegionLoad) int { return cmp.Compare(a.Region, b.Region) })
 	return out
 }
 
+// partnerNames returns the instances of other regions that requests are sent to.
+func (f *fleet) partnerNames() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.options.Clock.Now()
+	var out []string
+	for _, members := range f.partners {
+		n := 0
+		for _, m := range members {
+			if n < partners && (m.usable(now) || m.introduced(now)) {
+				out = append(out, m.name)
+				n++
+			}
+		}
+	}
+	return out
+}
+
+// choosePartners orders the members of each other region by a hash of this instance and each of them.
+func (f *fleet) choosePartners() {
+	f.partners = make(map[string][]*member)
+	for _, m := range f.members {
+		if m.Region != f.options.Self.Region {
+			f.partners[m.Region] = append(f.partners[m.Region], m)
+		}
+	}
+	for region, members := range f.partners {
+		names := make([]string, len(members))
+		for i, m := range members {
+			names[i] = m.name
+		}
+		for i, name := range rendezvous.Top(f.options.Self.Instance, names, len(names)) {
+			members[i] = f.members[name]
+		}
+		f.partners[region] = members
+	}
+}
+
 // neighbours returns the other instances of this region that may be sending requests to its endpoints.
 func (f *fleet) neighbours() []string {
 	f.mu.Lock()
@@ -279,14 +439,6 @@
 	return out
 }
 
-// near reports whether an instance is in this region.
-func (f *fleet) near(name string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	m := f.members[name]
-	return m != nil && m.Region == f.options.Self.Region
-}
-
 // coldPace returns this instance's part of the rate of a cold endpoint. Few instances of the region share it, those that come
 // first by a hash of the endpoint.
 func (f *fleet) coldPace(endpoint string, rate float64) float64 {
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -11,7 +11,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
-	"dogwoodknot.example/dogwoodknot/internal/core/rendezvous"
 	"dogwoodknot.example/dogwoodknot/internal/mirror"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/platform"
@@ -44,11 +43,30 @@
 	mu       sync.Mutex
 	avoid    clock.Instant // until when the store is read directly
 	last     string        // the relay used last, for the log
+	source   string        // the instance that gave the last answer, "" for the store
 	directAt clock.Instant // last answer of the store itself, or the start
 	detour   clock.Instant // until when the store is not asked first
 }
 
-var _ platform.Feed = (*relayedFeed)(nil)
+var _ mirror.Feed = (*relayedFeed)(nil)
+
+// Source implements mirror.Feed.
+func (f *relayedFeed) Source() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.source
+}
+
+// answeredBy notes who has answered, if the call has brought the store's answer.
+func (f *relayedFeed) answeredBy(name string, err error) bool {
+	if !isAnswer(err) {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.source = name
+	return true
+}
 
 // relay returns the instance to read through, or false if the store is read directly.
 func (f *relayedFeed) relay() (string, bool) {
@@ -78,7 +96,7 @@
 func (f *relayedFeed) read(ctx context.Context, through func(name string) error, direct func() error) error {
 	if name, ok := f.relay(); ok {
 		err := through(name)
-		if isAnswer(err) {
+		if f.answeredBy(name, err) {
 			return err
 		}
 		f.failed(name, err)
@@ -89,6 +107,7 @@
 		}
 	}
 	err := direct()
+	f.answeredBy("", err)
 	if !f.storeFailed(err) || ctx.Err() != nil {
 		return err
 	}
@@ -137,6 +156,7 @@
 		return errors.Mark(errors.New("no other instance is heard"), platform.ErrUnavailable)
 	}
 	err := through(name)
+	f.answeredBy(name, err)
 	f.edge.log.Debug("store read through another instance", zap.String("peer", name), zap.Error(err))
 	return err
 }
@@ -255,8 +275,8 @@
 	delete(byRegion, f.options.Self.Region)
 	var far []string
 	for region, names := range byRegion {
-		if len(names) >= relayFrom {
-			names = []string{rendezvous.First(region, names)}
+		if root := f.first(region); root != nil && len(names) >= relayFrom {
+			names = []string{root.name}
 		}
 		far = append(far, names...)
 	}
@@ -270,21 +290,15 @@
 	return near[rand.IntN(len(near))], true
 }
 
-// relay returns the instance of the region that reads the store for the others, and false if that is this one or the region has
-// too few instances.
+// relay returns the instance of the region that reads the store for the others, which is the one that they report to, and false if that
+// is this one or the region has too few instances.
 func (f *fleet) relay() (string, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.options.Clock.Now()
-	names := []string{f.options.Self.Instance}
-	for name, m := range f.members {
-		if m.Region == f.options.Self.Region && m.usable(now) {
-			names = append(names, name)
-		}
-	}
-	if len(names) < relayFrom {
+	name, ok := f.above()
+	if !ok || f.regionSize() < relayFrom {
 		return "", false
 	}
-	first := rendezvous.First(f.options.Self.Region, names)
-	return first, first != f.options.Self.Instance
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[name]
+	return name, m != nil && m.usable(f.options.Clock.Now())
 }
--- a/internal/edge/remote.go
+++ b/internal/edge/remote.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
@@ -18,6 +19,38 @@
 // sent on to a third instance.
 const serviceAttempt = "edge.attempt"
 
+// serviceTouch is the peer service that does nothing: a call opens a session.
+const serviceTouch = "edge.touch"
+
+func serveTouch(context.Context, peer.Identity, *wire.EdgeDocumentRequest) (proto.Message, error) {
+	return &wire.EdgeDocumentRequest{}, nil
+}
+
+// touchPartners opens sessions with the instances of other regions that requests are sent to, before one waits for a handshake.
+func (e *Edge) touchPartners(ctx context.Context) {
+	connected := make(map[string]bool)
+	for _, id := range e.network.Connected() {
+		connected[id.Instance] = true
+	}
+	for _, name := range e.fleet.partnerNames() {
+		if connected[name] {
+			continue
+		}
+		e.work.Go(func() {
+			if err := e.touch(ctx, name); err != nil {
+				e.log.Debug("no session with an instance of another region", zap.String("peer", name), zap.Error(err))
+			}
+		})
+	}
+}
+
+// touch reports whether an instance answers.
+func (e *Edge) touch(ctx context.Context, name string) error {
+	ctx, cancel := context.WithTimeout(ctx, answerWithin)
+	defer cancel()
+	return e.network.Call(ctx, name, serviceTouch, &wire.EdgeDocumentRequest{}, &wire.EdgeDocumentRequest{})
+}
+
 // answerPart is the size up to which parts of an answer are sent to the calling instance.
 const answerPart = 16 << 10
 
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,7 @@
 	state   *state
 	fleet   *fleet
 	pools   *pools
+	view    *view
 	conns   *endpointconn.Pool
 	mirrors map[string]*mirror.Mirror // by prefix
 	feeds   map[string]*relayedFeed   // of the mirrors
@@ -34,6 +36,7 @@
 
 	quotaMu sync.Mutex
 	quota   *fleetquota.Ledger
+	silent  map[string]fleetquota.Silent // as told to quota
 	retryMu sync.Mutex
 	retries *retrybudget.Budget
 
@@ -45,11 +48,10 @@
 	ends     atomic.Int64  // instant at which the process ends, once requests that may outlast it are refused; 0 before
 	fetching atomic.Bool   // of a configuration from another instance
 
-	ctx     context.Context
-	cancel  context.CancelFunc
-	work    sync.WaitGroup
-	talkers map[string]talker // by instance; used by changedMembers only
-	talkMu  sync.Mutex
+	ctx       context.Context
+	cancel    context.CancelFunc
+	work      sync.WaitGroup
+	membersMu sync.Mutex // held by changedMembers
 }
 
 // Network connects the instances.
@@ -59,12 +61,6 @@
 	Trust(certificates []byte) error
 }
 
-// talker is the goroutine that tells an instance this one's state.
-type talker struct {
-	incarnation uint64
-	stop        context.CancelFunc
-}
-
 // New checks the options and returns an Edge that does nothing yet.
 func New(o Options, network Network) (*Edge, error) {
 	if err := o.Validate(); err != nil {
@@ -74,7 +70,7 @@
 	e := &Edge{
 		options: o, clock: o.Clock, log: o.Log, requestLog: o.Log.Named("request"), metrics: newMetrics(o.Scope),
 		network: network, quota: fleetquota.New(), returns: newReturns(o.Clock), retries: retrybudget.New(o.Bounds.Retries),
-		ctx: ctx, cancel: cancel, left: make(chan struct{}), mirrors: make(map[string]*mirror.Mirror), feeds: make(map[string]*relayedFeed), talkers: make(map[string]talker),
+		ctx: ctx, cancel: cancel, left: make(chan struct{}), mirrors: make(map[string]*mirror.Mirror), feeds: make(map[string]*relayedFeed),
 	}
 	e.state = newState(&e.options)
 	e.state.changed = e.changedState
@@ -82,14 +78,17 @@
 	e.fleet.changed = e.changedMembers
 	e.pools = newPools(o.Clock, e.fleet.coldPace)
 	e.conns = endpointconn.NewPool(o.Dial, o.Dialect.AnswerID)
-	network.Handle(serviceState, e.serveState)
+	e.view = newView(e)
+	network.Handle(serviceReport, e.view.serveReport)
+	network.Handle(serviceSummary, e.view.serveSummary)
+	network.Handle(serviceTouch, peer.Unary(serveTouch))
 	network.Handle(serviceDocument, peer.Unary(e.serveDocument))
 	network.Handle(serviceAttempt, e.serveAttempt)
 	network.Handle(serviceFeed, peer.Unary(e.serveFeed))
 	prefixes := o.Documents.Prefixes()
-	e.follow(prefixes.Operator, e.state.applyOperator)
-	e.follow(prefixes.Endpoints, e.state.applyEndpoints)
-	e.follow(InstancePrefix, e.fleet.apply)
+	e.follow(prefixes.Operator, e.state.applyOperator, nil)
+	e.follow(prefixes.Endpoints, e.state.applyEndpoints, e.state.sameEntry)
+	e.follow(InstancePrefix, e.fleet.apply, nil)
 	return e, nil
 }
 
@@ -98,21 +97,27 @@
 	a := announcement{
 		Incarnation: e.options.Self.Incarnation, Region: e.options.Self.Region, DataCentre: e.options.Self.DataCentre,
 		CallerAddr: e.options.CallerAddr, PeerAddr: e.options.PeerAddr, Certificate: certificate,
+		LinkMbps: e.options.LinkMbps,
 	}
 	for _, m := range e.mirrors {
 		e.spawn(m.Run)
 	}
 	e.spawn(e.pools.run)
+	e.spawn(e.view.run)
+	e.spawn(e.view.climb)
+	for _, region := range e.otherRegions() {
+		e.spawn(func(ctx context.Context) { e.view.summarise(ctx, region) })
+	}
 	e.spawn(e.housekeep)
 	e.spawn(e.learnCaches)
 	e.spawn(func(ctx context.Context) { e.announce(ctx, a) })
 }
 
 // follow makes the mirror of the keys with a prefix.
-func (e *Edge) follow(prefix string, apply func(mirror.Update)) {
+func (e *Edge) follow(prefix string, apply func(mirror.Update), same mirror.Same) {
 	feed := &relayedFeed{edge: e, direct: e.options.Feed, directAt: e.clock.Now()}
 	e.feeds[prefix] = feed
-	e.mirrors[prefix] = mirror.New(feed, prefix, e.clock, e.log, apply)
+	e.mirrors[prefix] = mirror.New(feed, prefix, e.clock, e.log, apply, same)
 }
 
 // spawn runs f on a goroutine that Close waits for.
@@ -157,39 +162,36 @@
 	e.pools.set(conf.Configuration, e.state.usable(e.options.Self.Region))
 }
 
-// changedMembers connects to the instances that are known now.
+// otherRegions returns the regions besides this one.
+func (e *Edge) otherRegions() []string {
+	var out []string
+	for _, region := range e.options.Regions {
+		if region != e.options.Self.Region && !slices.Contains(out, region) {
+			out = append(out, region)
+		}
+	}
+	return out
+}
+
+// changedMembers accepts the instances that are known now, and no others.
 func (e *Edge) changedMembers() {
-	e.talkMu.Lock()
-	defer e.talkMu.Unlock()
+	e.membersMu.Lock()
+	defer e.membersMu.Unlock()
 	addrs, certificates := e.fleet.peers()
 	if err := e.network.Trust(certificates); err != nil {
 		e.log.Error("certificates of other instances cannot be used", zap.Error(err))
 	}
 	e.network.SetPeers(addrs)
-	incarnations := e.fleet.incarnations()
+	e.view.forget(e.fleet.isMember)
 	e.quotaMu.Lock()
-	e.quota.SetPeers(e.clock.Now(), incarnations)
+	e.quota.SetPeers(e.clock.Now(), e.ratePeers())
 	e.quotaMu.Unlock()
-	for name, t := range e.talkers {
-		if incarnations[name] != t.incarnation {
-			t.stop()
-			delete(e.talkers, name)
-		}
-	}
-	for name, incarnation := range incarnations {
-		if _, known := e.talkers[name]; known {
-			continue
-		}
-		ctx, stop := context.WithCancel(e.ctx)
-		e.talkers[name] = talker{incarnation: incarnation, stop: stop}
-		near := e.fleet.near(name)
-		e.work.Go(func() { e.talk(ctx, name, near) })
-	}
 }
 
 func (e *Edge) housekeep(ctx context.Context) {
 	for clock.Sleep(ctx, housekeepEvery) == nil {
 		e.fleet.sweep()
+		e.touchPartners(ctx)
 		e.conns.Keep(e.state.knownAddr())
 		dialled, reused := e.conns.Counts()
 		e.metrics.connections(dialled, reused)
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -216,6 +216,18 @@
 		a.Slots == b.Slots && a.Draining == b.Draining && a.ColdUntil == b.ColdUntil
 }
 
+// sameEntry reports whether an endpoint's new entry allows the same use of it as the one before: most only renew it.
+func (s *state) sameEntry(before, after platform.Entry) bool {
+	id, ok := s.options.Documents.EndpointID(after.Key)
+	if !ok {
+		return true
+	}
+	now := s.options.Clock.Now()
+	a, errA := s.options.Documents.Endpoint(id, before.Value, now)
+	b, errB := s.options.Documents.Endpoint(id, after.Value, now)
+	return errA == nil && errB == nil && sameUse(a, b)
+}
+
 // vanish takes an endpoint's entry away. Right after an outage of the store it is used for a moment longer.
 func (s *state) vanish(id string, now clock.Instant) bool {
 	e, known := s.endpoints[id]
--- a/internal/edge/talk.go
+++ b/internal/edge/talk.go
@@ -3,286 +3,370 @@
 import (
 	"context"
 	"io"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
-	"dogwoodknot.example/dogwoodknot/internal/core/placement"
-	"dogwoodknot.example/dogwoodknot/internal/core/routing"
+	"dogwoodknot.example/dogwoodknot/internal/core/fleetview"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
 
-// Peer services of the exchange of state.
+// Peer services of the exchange of views.
 const (
-	serviceState    = "edge.state"
-	serviceDocument = "edge.document"
+	serviceReport  = "edge.report"
+	serviceSummary = "edge.summary"
 )
 
 const (
-	// nearEvery is the interval of messages within a region: their work at shared endpoints must be known before the next
-	// few requests are placed.
-	nearEvery = 80 * time.Millisecond
-	// farEvery is the interval of messages to other regions, whose latency is of the same size.
-	farEvery = 200 * time.Millisecond
-	// peerReadTime is how long after another instance has told of it a request's prompt is taken to be read.
-	peerReadTime = 250 * time.Millisecond
-	// completeEvery is the number of messages after which all is told again: endpoints may have been listed there since.
-	completeEvery = 20
-	// housekeepEvery is the interval of checks for instances that have gone and connections that are not used.
-	housekeepEvery = 500 * time.Millisecond
+	// summaryEvery is the interval of summaries to other regions, whose latency is of the same size.
+	summaryEvery = 120 * time.Millisecond
+	// silentTicks and silentMin give the silence after which an instance reports to another one: some intervals, and as long as a
+	// small machine may stand still in an overload.
+	silentTicks = 4
+	silentMin   = 400 * time.Millisecond
+	// answerWithin bounds the time until the first answer on a stream: a handshake, and an interval.
+	answerWithin = time.Second
+	// avoidAboveFor is how long nothing is reported to an instance that has failed to answer.
+	avoidAboveFor = time.Second
+	// rootAfter is how long an instance that ranks below another one finds nobody to report to until it acts as the root: some attempts.
+	rootAfter = 500 * time.Millisecond
+	// climbRetry is the wait before the next instance is tried.
+	climbRetry = 20 * time.Millisecond
+	// lookUpEvery is the interval of checks whether another instance should be reported to.
+	lookUpEvery = time.Second
 )
 
-// talk tells an instance this one's state until ctx ends.
-func (e *Edge) talk(ctx context.Context, name string, near bool) {
-	every := farEvery
-	if near {
-		every = nearEvery
-	}
+// errBetter ends a stream because another instance is to be used from now on.
+var errBetter = errors.New("another instance is used from now on")
+
+// climb reports to the instance above this one until ctx ends.
+func (v *view) climb(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := e.tell(ctx, name, near, every)
-		e.log.Debug("stream of states ended", zap.String("peer", name), zap.Error(err))
-		_ = clock.Sleep(ctx, every) // the loop sees the end of ctx
+		above, ok := v.edge.fleet.above()
+		if !ok {
+			_ = clock.Sleep(ctx, v.interval()) // the loop sees the end of ctx
+			continue
+		}
+		err := v.reportTo(ctx, above)
+		if ctx.Err() != nil {
+			return
+		}
+		v.edge.log.Info("stream of reports ended", zap.String("peer", above), zap.Error(err))
+		if !errors.Is(err, errBetter) && !isCode(err, codeNotYet) {
+			v.edge.fleet.avoidAbove(above)
+		}
+		_ = clock.Sleep(ctx, climbRetry)
+	}
+}
+
+const (
+	// codeNotYet marks an error of a service that this instance will offer in a moment, when it knows the caller or its own place.
+	codeNotYet = "not_yet"
+	// codeNotRoot marks an error whose message names the root of the region.
+	codeNotRoot = "not_root"
+)
+
+func isCode(err error, code string) bool { return remoteMessage(err, code) != "" }
+
+// remoteMessage returns the message of another instance's error with a code, or "".
+func remoteMessage(err error, code string) string {
+	var remote *peer.RemoteError
+	if errors.As(err, &remote) && remote.Code == code {
+		return remote.Message
 	}
+	return ""
 }
 
-// tell sends this instance's state over one stream until it breaks. A stream costs each side a fraction of a call a message.
-func (e *Edge) tell(ctx context.Context, name string, near bool, every time.Duration) error {
+// reportTo reports to an instance until it fails, falls silent or is not the right one any more.
+func (v *view) reportTo(ctx context.Context, above string) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stream, err := e.network.Open(ctx, name, serviceState)
+	began := v.edge.clock.Now()
+	timer := time.AfterFunc(answerWithin, func() {
+		if _, heard := v.heardAbove(); !heard {
+			cancel(errors.New("no answer to reports"))
+		}
+	})
+	defer timer.Stop()
+	stream, err := v.edge.network.Open(ctx, above, serviceReport)
 	if err != nil {
 		return err
 	}
 	defer stream.Close()
-	e.work.Go(func() { cancel(stream.Recv(&wire.EdgeStateEnd{})) })
-	t := teller{edge: e, near: near}
-	for n := 0; ; n++ {
-		if err := stream.Send(t.next(n%completeEvery == 0)); err != nil {
+	v.mu.Lock()
+	err = v.node.Attach(began, above)
+	v.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	defer func() {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.rootSince = v.edge.clock.Now()
+		v.node.Detach(v.rootSince)
+	}()
+	v.edge.work.Go(func() { cancel(v.takeDigests(stream)) })
+	better := func() (string, bool) { return v.edge.fleet.above() }
+	v.edge.work.Go(func() { v.watchForBetter(ctx, above, better, cancel) })
+	for {
+		v.mu.Lock()
+		report := v.node.Report(v.edge.clock.Now())
+		v.mu.Unlock()
+		if err := stream.Send(report); err != nil {
 			return err
 		}
+		every := v.interval()
 		if clock.Sleep(ctx, every) != nil {
 			return context.Cause(ctx)
 		}
+		now := v.edge.clock.Now()
+		if at, heard := v.heardAbove(); heard && now.Sub(at) > max(silentMin, silentTicks*every) {
+			return errors.Newf("no answer to reports for %s", now.Sub(at))
+		}
 	}
 }
 
-// teller makes the messages of one stream of states.
-type teller struct {
-	edge        *Edge
-	near        bool
-	nextPart    int64 // number of the next prompt part to tell
-	nextRefusal int64 // number of the next refusal to tell
-	// What the other instance was told.
-	used map[string]float64            // by organisation
-	work map[string]placement.PeerWork // by endpoint
-}
-
-// next returns what has changed since the last message, or all.
-func (t *teller) next(complete bool) *wire.EdgeState {
-	e := t.edge
-	s := &wire.EdgeState{
-		Ready: e.Ready(), Leaving: e.leaving.Load(), Refusing: e.closing(), ConfigurationVersion: e.state.version(), Complete: complete,
-	}
-	if complete {
-		t.used, t.work = make(map[string]float64), make(map[string]placement.PeerWork)
-	}
-	e.quotaMu.Lock()
-	e.quota.Used(func(name string, total float64) {
-		if before, told := t.used[name]; !told || before != total {
-			t.used[name] = total
-			s.Organisations = append(s.Organisations, &wire.EdgeOrganisationUse{Name: name, Used: total})
+// watchForBetter ends the use of an instance once another one is to be used and answers.
+func (v *view) watchForBetter(ctx context.Context, used string, better func() (string, bool), end context.CancelCauseFunc) {
+	for clock.Sleep(ctx, lookUpEvery) == nil {
+		best, ok := better()
+		if !ok {
+			end(errBetter)
+			return
 		}
-	})
-	e.quotaMu.Unlock()
-	if t.near {
-		t.addWork(s)
-		t.addParts(s)
-		t.addRefusals(s)
-	} else {
-		t.addLoad(s)
+		if best == used {
+			continue
+		}
+		if err := v.edge.touch(ctx, best); err != nil {
+			v.edge.log.Debug("instance does not answer", zap.String("peer", best), zap.Error(err))
+			v.edge.fleet.avoidAbove(best)
+			continue
+		}
+		end(errBetter)
+		return
 	}
-	return s
 }
 
-// addLoad adds the load of each service, for instances of other regions.
-func (t *teller) addLoad(s *wire.EdgeState) {
-	now := t.edge.clock.Now()
-	t.edge.pools.each(func(name string, pool *servicePool) {
-		sum := pool.worstSummary(now)
-		s.Services = append(s.Services, &wire.EdgeServiceLoad{
-			Name: name, Usable: uint32(sum.Usable), WaitMillis: uint32(sum.Wait.Milliseconds()),
-		})
-	})
+// heardAbove returns when the instance above was heard, and false if it has not answered yet.
+func (v *view) heardAbove() (clock.Instant, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.node.HeardAbove()
 }
 
-// addWork adds the endpoints at which this instance's work has changed.
-func (t *teller) addWork(s *wire.EdgeState) {
-	t.edge.pools.each(func(_ string, pool *servicePool) {
-		pool.OwnWork(func(id string, w placement.PeerWork) {
-			if t.work[id] == w {
-				return
-			}
-			t.work[id] = w
-			s.Endpoints = append(s.Endpoints, &wire.EdgeEndpointWork{
-				Id: id, Running: uint32(w.Running), UnreadTokens: uint32(w.Unread), MemoryTokens: uint32(w.Memory),
-			})
-		})
-	})
+// takeDigests takes the answers of the instance above until the stream ends.
+func (v *view) takeDigests(stream peer.Stream) error {
+	for first := true; ; first = false {
+		var d wire.EdgeDigest
+		if err := stream.Recv(&d); err != nil {
+			return err
+		}
+		v.mu.Lock()
+		events, err := v.node.TakeDigest(v.edge.clock.Now(), &d)
+		above := v.node.Above()
+		v.mu.Unlock()
+		if err != nil {
+			return err
+		}
+		if first {
+			v.edge.log.Info("fleet is heard through an instance above", zap.String("peer", above))
+		}
+		v.edge.applyEvents(events)
+		v.apply()
+	}
 }
 
-// addParts adds the prompt parts that were read since the last message.
-func (t *teller) addParts(s *wire.EdgeState) {
-	uses, next := t.edge.pools.partsSince(t.nextPart)
-	t.nextPart = next
-	for _, u := range uses {
-		parts := &wire.EdgeEndpointParts{Id: u.endpoint}
-		for _, p := range u.parts {
-			parts.Keys = append(parts.Keys, p.Key)
-			parts.Tokens = append(parts.Tokens, uint32(p.Tokens))
-		}
-		s.Parts = append(s.Parts, parts)
-	}
+// closeAtEnd closes a stream when this instance ends: the other one would keep it open until it has noticed.
+func (e *Edge) closeAtEnd(stream peer.Stream) (stop func() bool) {
+	return context.AfterFunc(e.ctx, func() { _ = stream.Close() }) // Recv returns the error
 }
 
-// addRefusals adds the requests that were refused since the last message.
-func (t *teller) addRefusals(s *wire.EdgeState) {
-	refusals, next := t.edge.returns.since(t.nextRefusal)
-	t.nextRefusal = next
-	now := t.edge.clock.Now()
-	for _, r := range refusals {
-		if r.expires > now {
-			s.Refusals = append(s.Refusals, &wire.EdgeRefusal{
-				Key: r.key, AgeMillis: uint32(now.Sub(r.first).Milliseconds()), ValidMillis: uint32(r.expires.Sub(now).Milliseconds()),
-			})
+// serveReport takes another instance's reports and answers with the state of the fleet, until the stream ends or this instance does.
+func (v *view) serveReport(_ context.Context, from peer.Identity, stream peer.Stream) error {
+	if !v.edge.fleet.knows(from) || from.Region != v.edge.options.Self.Region {
+		return peer.NewError(codeNotYet, "incarnation is not known")
+	}
+	ctx, cancel := context.WithCancel(v.edge.ctx)
+	defer cancel()
+	defer v.edge.closeAtEnd(stream)()
+	v.mu.Lock()
+	source, err := v.node.Join(from)
+	v.mu.Unlock()
+	if err != nil {
+		return peer.NewError(codeNotYet, err.Error())
+	}
+	var sending sync.WaitGroup
+	sending.Go(func() { v.sendDigests(ctx, source, stream) })
+	defer sending.Wait()
+	defer cancel()
+	defer func() {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.node.End(source)
+	}()
+	for {
+		var r wire.EdgeReport
+		if err := stream.Recv(&r); err != nil {
+			return ended(err)
+		}
+		v.mu.Lock()
+		err := v.node.TakeReport(v.edge.clock.Now(), source, &r)
+		root := v.node.Root()
+		v.mu.Unlock()
+		if err != nil {
+			return err
 		}
+		if root {
+			v.edge.applyEvents(fleetview.Events{Parts: r.GetParts(), Refusals: r.GetRefusals()})
+		}
+	}
+}
+
+// ended takes the regular end of a stream for none.
+func ended(err error) error {
+	if errors.Is(err, io.EOF) {
+		return nil
 	}
+	return err
 }
 
-// serveState takes another instance's states until the stream ends, or until this instance does: the other one would keep it open
-// until it has noticed.
-func (e *Edge) serveState(_ context.Context, from peer.Identity, stream peer.Stream) error {
-	stop := context.AfterFunc(e.ctx, func() { _ = stream.Close() }) // Recv returns the error
-	defer stop()
+// sendDigests sends an instance below the state of the fleet after each tick.
+func (v *view) sendDigests(ctx context.Context, source *fleetview.Source, stream peer.Stream) {
 	for {
-		var s wire.EdgeState
-		if err := stream.Recv(&s); err != nil {
-			if errors.Is(err, io.EOF) {
-				return nil
-			}
-			return err
+		select {
+		case <-v.nextTick():
+		case <-ctx.Done():
+			return
 		}
-		if err := e.takeState(from, &s); err != nil {
-			return err
+		v.mu.Lock()
+		d := v.node.DigestFor(source)
+		v.mu.Unlock()
+		if d == nil {
+			continue
+		}
+		if err := stream.Send(d); err != nil {
+			v.edge.log.Debug("state of the fleet was not sent", zap.Error(err))
+			return // Recv of the stream returns the error
 		}
 	}
 }
 
-// takeState takes another instance's state.
-func (e *Edge) takeState(from peer.Identity, s *wire.EdgeState) error {
-	now := e.clock.Now()
-	services := make(map[string]routing.RegionLoad, len(s.GetServices()))
-	for _, l := range s.GetServices() {
-		if l.GetUsable() == 0 {
+// atRoot reports whether this instance acts as the root of its region: it reports to none and there is none, or none has answered.
+func (v *view) atRoot() bool {
+	_, below := v.edge.fleet.above()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.node.Root() && (!below || v.edge.clock.Now().Sub(v.rootSince) > rootAfter)
+}
+
+// summarise tells the root of another region the state of this one while this instance is the root here, until ctx ends.
+func (v *view) summarise(ctx context.Context, region string) {
+	named := "" // the root, as another instance there says
+	for clock.Sleep(ctx, summaryEvery) == nil {
+		if !v.atRoot() {
+			named = ""
 			continue
 		}
-		services[l.GetName()] = routing.RegionLoad{
-			Region: from.Region, Instance: from.Instance, OneWay: unknownOneWay,
-			Wait: time.Duration(l.GetWaitMillis()) * time.Millisecond,
+		root, ok := v.edge.fleet.rootOf(region)
+		if named != "" {
+			root, ok = named, true
+		}
+		if !ok {
+			continue
+		}
+		err := v.summariseTo(ctx, region, root)
+		if ctx.Err() != nil {
+			return
+		}
+		if named = remoteMessage(err, codeNotRoot); named != "" {
+			continue
+		}
+		v.edge.log.Info("stream of summaries ended", zap.String("peer", root), zap.String("peer_region", region), zap.Error(err))
+		if !errors.Is(err, errBetter) && !isCode(err, codeNotYet) {
+			v.edge.fleet.avoidAbove(root)
 		}
 	}
-	if !e.fleet.heardFrom(from, s, services) {
-		return errors.Newf("incarnation %d of %s is not known", from.Incarnation, from.Instance)
-	}
-	used := make(map[string]float64, len(s.GetOrganisations()))
-	for _, o := range s.GetOrganisations() {
-		used[o.GetName()] = o.GetUsed()
-	}
-	e.quotaMu.Lock()
-	e.quota.Heard(now, from.Instance, from.Incarnation, used)
-	e.quotaMu.Unlock()
-	e.pools.peerReported(from.Instance, s, now)
-	for _, r := range s.GetRefusals() {
-		e.returns.heard(r.GetKey(), time.Duration(r.GetAgeMillis())*time.Millisecond, time.Duration(r.GetValidMillis())*time.Millisecond)
-	}
-	if s.GetConfigurationVersion() > e.state.version() {
-		e.wantDocument(from.Instance)
-	}
-	return nil
 }
 
-// peerReported takes what another instance of the region has under way at endpoints.
-func (p *pools) peerReported(instance string, s *wire.EdgeState, now clock.Instant) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	parts := make(map[string][]placement.Part)
-	for _, u := range s.GetParts() {
-		for i, key := range u.GetKeys() {
-			if i < len(u.GetTokens()) {
-				parts[u.GetId()] = append(parts[u.GetId()], placement.Part{Key: key, Tokens: float64(u.GetTokens()[i])})
-			}
+// summariseTo sends summaries to an instance until it fails or falls silent, or this instance is not a root any more.
+func (v *view) summariseTo(ctx context.Context, region, root string) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var answered atomic.Int64 // instant
+	began := v.edge.clock.Now()
+	timer := time.AfterFunc(answerWithin, func() {
+		if answered.Load() == 0 {
+			cancel(errors.New("no answer to summaries"))
 		}
+	})
+	defer timer.Stop()
+	stream, err := v.edge.network.Open(ctx, root, serviceSummary)
+	if err != nil {
+		return err
 	}
-	for _, pool := range p.byService {
-		pool.PeerHeard(instance, s.GetComplete(), now)
-		for _, w := range s.GetEndpoints() {
-			pool.PeerReported(instance, w.GetId(), placement.PeerWork{
-				Running: int(w.GetRunning()), Unread: float64(w.GetUnreadTokens()), Memory: float64(w.GetMemoryTokens()),
-			})
+	defer stream.Close()
+	v.mu.Lock()
+	link := v.node.Connect(began, region)
+	v.mu.Unlock()
+	v.edge.work.Go(func() {
+		for {
+			if err := stream.Recv(&wire.EdgeDigest{}); err != nil {
+				cancel(err)
+				return
+			}
+			if answered.Swap(int64(v.edge.clock.Now())) == 0 {
+				v.edge.log.Info("another region is told of this one", zap.String("peer", root), zap.String("peer_region", region))
+			}
 		}
-		for id, list := range parts {
-			pool.Holds(id, list, now.Add(peerReadTime))
+	})
+	for v.atRoot() {
+		v.mu.Lock()
+		summary := v.node.Summary(v.edge.clock.Now(), link)
+		v.mu.Unlock()
+		if err := stream.Send(summary); err != nil {
+			return err
+		}
+		if clock.Sleep(ctx, summaryEvery) != nil {
+			return context.Cause(ctx)
+		}
+		if silence := v.edge.clock.Now().Sub(clock.Instant(answered.Load())); answered.Load() > 0 && silence > answerWithin {
+			return errors.Newf("no answer to summaries for %s", silence)
 		}
 	}
+	return errBetter
 }
 
-// partsSince returns the prompt parts that own requests have read since number n, and the next number.
-func (p *pools) partsSince(n int64) ([]partUse, int64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.used.since(n)
-}
-
-// wantDocument fetches a newer configuration from the instance that has it in force, unless that is under way. The store may
-// turn this instance away while it serves others.
-func (e *Edge) wantDocument(instance string) {
-	if !e.fetching.CompareAndSwap(false, true) {
-		return
+// serveSummary takes the summaries of another region's root.
+func (v *view) serveSummary(_ context.Context, from peer.Identity, stream peer.Stream) error {
+	if !v.edge.fleet.knows(from) || from.Region == v.edge.options.Self.Region {
+		return peer.NewError(codeNotYet, "incarnation is not known")
 	}
-	e.spawn(func(ctx context.Context) {
-		defer e.fetching.Store(false)
-		// The store's own answer is usually on its way.
-		if clock.Sleep(ctx, documentDelay) != nil {
-			return
+	defer v.edge.closeAtEnd(stream)()
+	v.mu.Lock()
+	source := v.node.JoinFar(from)
+	v.mu.Unlock()
+	for {
+		var s wire.EdgeSummary
+		if err := stream.Recv(&s); err != nil {
+			return ended(err)
 		}
-		ctx, cancel := context.WithTimeout(ctx, documentTimeout)
-		defer cancel()
-		var doc wire.EdgeDocument
-		if err := e.network.Call(ctx, instance, serviceDocument, &wire.EdgeDocumentRequest{}, &doc); err != nil {
-			e.log.Warn("configuration not fetched", zap.String("peer", instance), zap.Error(err))
-			return
+		v.mu.Lock()
+		root := v.node.RegionRoot()
+		err := v.node.TakeSummary(v.edge.clock.Now(), source, &s)
+		v.mu.Unlock()
+		if err != nil {
+			return err
 		}
-		if doc.GetVersion() > e.state.version() {
-			e.state.accept(doc.GetValue(), instance)
+		if root != v.edge.options.Self.Instance {
+			return peer.NewError(codeNotRoot, root)
+		}
+		if err := stream.Send(&wire.EdgeDigest{Acknowledged: s.GetNumber()}); err != nil {
+			return err
 		}
-	})
-}
-
-const (
-	// documentDelay is the wait for the store before a configuration is fetched from another instance: its watch returns
-	// within the pause between watches.
-	documentDelay = 400 * time.Millisecond
-	// documentTimeout bounds the fetch of up to a megabyte over a wide-area link.
-	documentTimeout = 2 * time.Second
-)
-
-func (e *Edge) serveDocument(context.Context, peer.Identity, *wire.EdgeDocumentRequest) (proto.Message, error) {
-	c := e.state.configuration.Load()
-	if c == nil {
-		return nil, errors.New("no configuration is in force")
 	}
-	return &wire.EdgeDocument{Version: c.Version, Value: c.document}, nil
 }
--- /dev/null
+++ b/internal/edge/view.go
@@ -0,0 +1,256 @@
+package edge
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/fleetquota"
+	"dogwoodknot.example/dogwoodknot/internal/core/fleetview"
+	"dogwoodknot.example/dogwoodknot/internal/core/placement"
+	"dogwoodknot.example/dogwoodknot/internal/wire"
+)
+
+const (
+	// tickPerInstance, tickMin and tickMax give the interval of messages within a region, by its number of instances. A root sends and
+	// takes a message for each instance in each interval: 500 a second each way cost it about a twentieth of a core. Small regions tell
+	// their work before the next few requests are placed.
+	tickPerInstance = 2 * time.Millisecond
+	tickMin         = 40 * time.Millisecond
+	tickMax         = 160 * time.Millisecond
+	// peerReadTime is how long after another instance has told of it a request's prompt is taken to be read.
+	peerReadTime = 250 * time.Millisecond
+	// housekeepEvery is the interval of checks for instances that have gone and connections that are not used.
+	housekeepEvery = 500 * time.Millisecond
+)
+
+// view is what this instance and the others tell each other of the fleet. It is safe for concurrent use.
+type view struct {
+	edge *Edge
+
+	mu          sync.Mutex
+	node        *fleetview.Node
+	ticked      chan struct{} // closed at each tick
+	rootSince   clock.Instant // when the last stream to an instance above ended
+	nextPart    int64         // number of the next prompt part to tell
+	nextRefusal int64         // number of the next refusal to tell
+}
+
+func newView(e *Edge) *view {
+	return &view{edge: e, node: fleetview.New(e.options.Self), ticked: make(chan struct{}), rootSince: e.clock.Now()}
+}
+
+// interval is the time between messages within the region.
+func (v *view) interval() time.Duration {
+	return min(max(time.Duration(v.edge.fleet.regionSize())*tickPerInstance, tickMin), tickMax)
+}
+
+// run tells the instances below this one the state of the fleet until ctx ends.
+func (v *view) run(ctx context.Context) {
+	for clock.Sleep(ctx, v.interval()) == nil {
+		v.tick()
+	}
+}
+
+// tick takes this instance's own state and makes the next state for the instances below.
+func (v *view) tick() {
+	own := v.own()
+	now := v.edge.clock.Now()
+	v.mu.Lock()
+	v.node.SetOwn(now, own)
+	if err := v.node.Tick(now); err != nil {
+		v.edge.log.Error("state of the fleet was not made", zap.Error(err))
+	}
+	close(v.ticked)
+	v.ticked = make(chan struct{})
+	root := v.node.Root()
+	v.mu.Unlock()
+	if root {
+		v.apply()
+	}
+}
+
+// nextTick is closed when the instances below may be told the next state.
+func (v *view) nextTick() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.ticked
+}
+
+// own returns this instance's state.
+func (v *view) own() fleetview.Own {
+	e := v.edge
+	o := fleetview.Own{
+		Standing: fleetview.Standing{
+			Incarnation: e.options.Self.Incarnation, Ready: e.Ready(), Leaving: e.leaving.Load(), Refusing: e.closing(),
+		},
+		Version: e.state.version(), Work: make(map[string]placement.PeerWork), Uses: make(map[string]float64),
+	}
+	e.quotaMu.Lock()
+	e.quota.Used(func(organisation string, total float64) { o.Uses[organisation] = total })
+	e.quotaMu.Unlock()
+	now := e.clock.Now()
+	e.pools.each(func(name string, pool *servicePool) {
+		pool.OwnWork(func(endpoint string, w placement.PeerWork) {
+			if w != (placement.PeerWork{}) {
+				o.Work[endpoint] = w
+			}
+		})
+		sum := pool.worstSummary(now)
+		o.Services = append(o.Services, &wire.EdgeServiceLoad{
+			Name: name, Usable: uint32(sum.Usable), WaitMillis: uint32(sum.Wait.Milliseconds()),
+		})
+	})
+	v.addEvents(&o.Events)
+	return o
+}
+
+// addEvents adds the prompt parts that were read and the requests that were refused since the last call.
+func (v *view) addEvents(to *fleetview.Events) {
+	e := v.edge
+	origin := fleetview.Origin(e.options.Self.Instance)
+	uses, next := e.pools.partsSince(v.nextPart)
+	v.nextPart = next
+	for _, u := range uses {
+		parts := &wire.EdgeEndpointParts{Id: u.endpoint, Origin: origin}
+		for _, p := range u.parts {
+			parts.Keys = append(parts.Keys, p.Key)
+			parts.Tokens = append(parts.Tokens, uint32(p.Tokens))
+		}
+		to.Parts = append(to.Parts, parts)
+	}
+	refusals, next := e.returns.since(v.nextRefusal)
+	v.nextRefusal = next
+	now := e.clock.Now()
+	for _, r := range refusals {
+		if r.expires > now {
+			to.Refusals = append(to.Refusals, &wire.EdgeRefusal{
+				Key: r.key, AgeMillis: uint32(now.Sub(r.first).Milliseconds()), ValidMillis: uint32(r.expires.Sub(now).Milliseconds()),
+				Origin: origin,
+			})
+		}
+	}
+}
+
+// forget drops what is known of instances that are not members any more.
+func (v *view) forget(isMember func(name string, incarnation uint64) bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.node.Forget(isMember)
+}
+
+// apply takes what is known of the other instances into what requests are decided by.
+func (v *view) apply() {
+	e := v.edge
+	now := e.clock.Now()
+	v.mu.Lock()
+	standings, work := v.node.Standings(now), v.node.OthersWork(now)
+	uses, silent, services := v.node.Uses(), v.node.Silent(now), v.node.Services()
+	newest, version := v.node.Newest()
+	v.mu.Unlock()
+	e.fleet.heard(standings)
+	e.fleet.heardServices(services, func(region string) clock.Instant { return uses[region].Heard })
+	e.pools.setOthers(now, work)
+	e.quotaMu.Lock()
+	for region, u := range uses {
+		if u.Heard > 0 {
+			e.quota.Heard(now, region, ownEpoch, u.Uses, u.Heard)
+		}
+	}
+	e.setSilent(now, silent)
+	e.quotaMu.Unlock()
+	if version > e.state.version() {
+		e.wantDocument(newest)
+	}
+}
+
+// ownEpoch is the incarnation of the totals that this instance counts for the groups of others: they start with it.
+const ownEpoch = 1
+
+// setSilent tells the ledger which instances are silent while the rest of their region is heard. It is called with quotaMu held.
+func (e *Edge) setSilent(now clock.Instant, silent []*wire.EdgeSilent) {
+	bySelf := make(map[string]fleetquota.Silent, len(silent))
+	for _, s := range silent {
+		region, member := e.fleet.regionOf(s.GetName())
+		if !member {
+			continue
+		}
+		uses := make(map[string]float64, len(s.GetUses()))
+		for _, u := range s.GetUses() {
+			uses[u.GetName()] = u.GetUsed()
+		}
+		bySelf[s.GetName()] = fleetquota.Silent{Group: region, Uses: uses, Known: s.GetKnown()}
+	}
+	if e.quota.SetSilent(now, bySelf) {
+		e.log.Info("parts of the rates are kept for silent instances", zap.Strings("peers", slices.Sorted(maps.Keys(bySelf))))
+		e.silent = bySelf
+		e.quota.SetPeers(now, e.ratePeers())
+	}
+}
+
+// ratePeers returns the other instances that may be admitting requests, by region and without the silent ones. It is called with
+// quotaMu held.
+func (e *Edge) ratePeers() map[string]fleetquota.Peer {
+	peers := make(map[string]fleetquota.Peer)
+	for region, n := range e.fleet.sizes() {
+		peers[region] = fleetquota.Peer{Incarnation: ownEpoch, Instances: n}
+	}
+	for _, s := range e.silent {
+		p := peers[s.Group]
+		p.Instances = max(0, p.Instances-1)
+		peers[s.Group] = p
+	}
+	return peers
+}
+
+// applyEvents takes events of other instances.
+func (e *Edge) applyEvents(events fleetview.Events) {
+	origin := fleetview.Origin(e.options.Self.Instance)
+	e.pools.othersRead(events.Parts, origin, e.clock.Now())
+	for _, r := range events.Refusals {
+		if r.GetOrigin() != origin {
+			e.returns.heard(r.GetKey(), time.Duration(r.GetAgeMillis())*time.Millisecond, time.Duration(r.GetValidMillis())*time.Millisecond)
+		}
+	}
+}
+
+// setOthers takes what the region's other instances have under way at endpoints.
+func (p *pools) setOthers(now clock.Instant, work map[string]placement.PeerWork) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.byService {
+		pool.SetOthers(now, work)
+	}
+}
+
+// othersRead takes the prompt parts that requests of other instances read.
+func (p *pools) othersRead(uses []*wire.EdgeEndpointParts, own uint32, now clock.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, u := range uses {
+		if u.GetOrigin() == own {
+			continue
+		}
+		var parts []placement.Part
+		for i, key := range u.GetKeys() {
+			if i < len(u.GetTokens()) {
+				parts = append(parts, placement.Part{Key: key, Tokens: float64(u.GetTokens()[i])})
+			}
+		}
+		for _, pool := range p.byService {
+			pool.Holds(u.GetId(), parts, now.Add(peerReadTime))
+		}
+	}
+}
+
+// partsSince returns the prompt parts that own requests have read since number n, and the next number.
+func (p *pools) partsSince(n int64) ([]partUse, int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.used.since(n)
+}
--- a/internal/edgedaemon/settings.go
+++ b/internal/edgedaemon/settings.go
@@ -34,6 +34,7 @@
 	RetryWindow    float64 `help:"Seconds over which requests to further endpoints are counted." default:"10" env:"DOGWOOD_EDGE_RETRY_WINDOW"`
 	RetryAllowance float64 `help:"Requests to further endpoints in a window that are allowed at any load, over all instances." default:"50" env:"DOGWOOD_EDGE_RETRY_ALLOWANCE"`
 	DirectoryTTL   float64 `help:"Longest time in seconds that callers keep an answer of the directory." default:"5" env:"DOGWOOD_EDGE_DIRECTORY_TTL"`
+	LinkMbps       float64 `help:"Bandwidth of this instance's link in Mbit/s. The instances of a region report to one with much of it. 0: not known." default:"0" env:"DOGWOOD_EDGE_LINK_MBPS"`
 	MemoryMB       int     `help:"Memory of this process in MB. 0: no limit." default:"0" env:"DOGWOOD_EDGE_MEMORY_MB"`
 
 	LogLevel string `help:"debug, info, warn or error." default:"info" enum:"debug,info,warn,error" env:"DOGWOOD_EDGE_LOG_LEVEL"`
@@ -59,6 +60,7 @@
 	check(s.Grace > 0, "--grace %v is not positive", s.Grace)
 	check(s.RetryRatio >= 0 && s.RetryWindow > 0 && s.RetryAllowance >= 0, "retry budget is negative or has no window")
 	check(s.DirectoryTTL > 0, "--directory-ttl %v is not positive", s.DirectoryTTL)
+	check(s.LinkMbps >= 0, "--link-mbps %v is negative", s.LinkMbps)
 	check(s.MemoryMB >= 0, "--memory-mb %d is negative", s.MemoryMB)
 	return errors.Join(problems...)
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -23,10 +23,21 @@
 	// retryMin and retryMax bound the wait after a failed call.
 	retryMin = 100 * time.Millisecond
 	retryMax = 500 * time.Millisecond
-	// relistAfter is the time after which all keys are read again, in case a watch has missed a change.
+	// relistAfter is the time after which all keys are read again from the store itself, in case a watch has missed a change.
 	relistAfter = 5 * time.Second
 )
 
+// Feed is where a mirror reads.
+type Feed interface {
+	platform.Feed
+	// Source is the instance whose copy of the store gave the last answer, or "" for the store itself.
+	Source() string
+}
+
+// Same reports whether a new entry of a key says nothing that matters beyond the one before. Readers of a mirror's copy are not told of
+// it.
+type Same func(before, after platform.Entry) bool
+
 // Update is a change of the copy.
 type Update struct {
 	// Reset says that Changes holds all keys; those that it does not name are gone.
@@ -39,7 +50,7 @@
 
 // Mirror follows the keys with one prefix.
 type Mirror struct {
-	feed   platform.Feed
+	feed   Feed
 	prefix string
 	clock  clock.Clock
 	log    *zap.Logger
@@ -49,9 +60,9 @@
 	lost    bool
 }
 
-// New returns a mirror that calls apply, from one goroutine, for each change.
-func New(feed platform.Feed, prefix string, c clock.Clock, log *zap.Logger, apply func(Update)) *Mirror {
-	return &Mirror{feed: feed, prefix: prefix, clock: c, log: log.With(zap.String("prefix", prefix)), apply: apply, replica: newReplica()}
+// New returns a mirror that calls apply, from one goroutine, for each change. same may be nil.
+func New(feed Feed, prefix string, c clock.Clock, log *zap.Logger, apply func(Update), same Same) *Mirror {
+	return &Mirror{feed: feed, prefix: prefix, clock: c, log: log.With(zap.String("prefix", prefix)), apply: apply, replica: newReplica(same)}
 }
 
 // Run follows the keys until ctx ends.
@@ -82,20 +93,21 @@
 	}
 }
 
-// follow reads all keys and then their changes, until an error or until it is time to read all again (nil).
+// follow reads all keys and then their changes, until an error or until it is time to read all again (nil). A copy is read again only
+// when it is another one: its owner reads all keys again, and tells what has changed.
 func (m *Mirror) follow(ctx context.Context) error {
 	entries, asOf, err := m.feed.ListAll(ctx, m.prefix)
 	if err != nil {
 		return err
 	}
-	listed := m.clock.Now()
+	listed, source := m.clock.Now(), m.feed.Source()
 	changes := make([]platform.Change, 0, len(entries))
 	for _, e := range entries {
 		changes = append(changes, platform.Change{Entry: e})
 	}
 	m.update(Update{Reset: true, Changes: changes}, asOf)
 	for {
-		if m.clock.Now().Sub(listed) > relistAfter {
+		if m.feed.Source() != source || source == "" && m.clock.Now().Sub(listed) > relistAfter {
 			return nil
 		}
 		changes, next, err := m.feed.WatchPrefix(ctx, m.prefix, asOf, watchWait)
--- a/internal/mirror/replica.go
+++ b/internal/mirror/replica.go
@@ -22,16 +22,26 @@
 // replica is the copy of a mirror, with its latest changes, for other instances that read it instead of the store.
 type replica struct {
 	mu      sync.Mutex
+	same    Same
 	entries map[string]platform.Entry
-	changes []platform.Change // after base, in order
-	base    int64             // revision up to which changes are not kept; 0 before the first list
+	changes []numbered // after base, in order
+	base    int64      // revision up to which changes are not kept; 0 before the first list
 	asOf    int64
 	contact clock.Instant
 	changed chan struct{} // closed at each change
 }
 
-func newReplica() *replica {
-	return &replica{entries: make(map[string]platform.Entry), changed: make(chan struct{})}
+// numbered is a change with the revision of the copy at which readers are told.
+type numbered struct {
+	platform.Change
+	at int64
+}
+
+func newReplica(same Same) *replica {
+	if same == nil {
+		same = func(platform.Entry, platform.Entry) bool { return false }
+	}
+	return &replica{same: same, entries: make(map[string]platform.Entry), changed: make(chan struct{})}
 }
 
 // apply takes an update that is complete up to asOf.
@@ -39,31 +49,58 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.contact = now
+	first := r.base == 0
+	before := len(r.changes)
 	if u.Reset {
-		clear(r.entries)
-		r.changes, r.base = nil, asOf
-	}
-	for _, c := range u.Changes {
-		if c.Deleted {
-			delete(r.entries, c.Key)
-		} else {
-			r.entries[c.Key] = c.Entry
+		// What the list shows to be different was missed, or has happened since the last answer.
+		listed := make(map[string]bool, len(u.Changes))
+		for _, c := range u.Changes {
+			listed[c.Key] = true
+			if e, known := r.entries[c.Key]; !known || e.Revision != c.Revision {
+				r.put(c, asOf)
+			}
 		}
-	}
-	if !u.Reset {
-		r.changes = append(r.changes, u.Changes...)
-		if drop := len(r.changes) - maxChanges; drop > 0 {
-			r.base = r.changes[drop-1].Revision
-			r.changes = append([]platform.Change(nil), r.changes[drop:]...)
+		for key, e := range r.entries {
+			if !listed[key] {
+				r.put(platform.Change{Entry: platform.Entry{Key: key, Revision: max(asOf, e.Revision)}, Deleted: true}, asOf)
+			}
+		}
+	} else {
+		for _, c := range u.Changes {
+			r.put(c, c.Revision)
 		}
 	}
+	told := len(r.changes) > before
+	if first {
+		r.changes, r.base = nil, asOf
+	}
+	if drop := len(r.changes) - maxChanges; drop > 0 {
+		r.base = r.changes[drop-1].at
+		r.changes = append([]numbered(nil), r.changes[drop:]...)
+	}
 	r.asOf = asOf
-	if u.Reset || len(u.Changes) > 0 {
+	if told || first {
 		close(r.changed)
 		r.changed = make(chan struct{})
 	}
 }
 
+// put takes a change, and keeps it for readers if it tells them something.
+func (r *replica) put(c platform.Change, at int64) {
+	e, known := r.entries[c.Key]
+	if c.Deleted {
+		delete(r.entries, c.Key)
+	} else {
+		r.entries[c.Key] = c.Entry
+		if known && r.same(e, c.Entry) {
+			return
+		}
+	}
+	if known || !c.Deleted {
+		r.changes = append(r.changes, numbered{c, at})
+	}
+}
+
 // lastContact returns when the store last answered, 0 if it never has.
 func (r *replica) lastContact() clock.Instant {
 	r.mu.Lock()
@@ -102,8 +139,8 @@
 		return nil, 0, nil, platform.ErrCompacted
 	}
 	for _, c := range r.changes {
-		if c.Revision > after {
-			changes = append(changes, c)
+		if c.at > after {
+			changes = append(changes, c.Change)
 		}
 	}
 	return changes, max(after, r.asOf), r.changed, nil
