Bound what is read before an endpoint's answer begins

Cause: the head of an answer was read by net/http, which takes as many header lines as come, or one line of any length. An endpoint that sends without end filled the heap until the request's time was over: 50 of them 3.9 GB by header lines, 8.8 GB by a status line and 10 GB by bytes that are no answer, in 5 s on loopback; an instance has 415 MB.

Ruled out: bodies and chunks of answers (passed on as they come), trailers and chunk extensions (net/http bounds them), foreign answers (bounded by 1 MB already); all of them are in the test.

Change: 64 KiB for all heads until the request's answer begins; then the connection is closed and the attempt fails at once as one that may have run. An event of a stream may have 256 KiB, 1 MB before.

--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -42,6 +42,9 @@
 	// maxForeignBytes bounds the body of such an answer.
 	maxForeignBytes = 1 << 20
 	readBuffer      = 4 << 10
+	// maxHeadBytes bounds the heads that are read until the request's answer begins, those of interim and foreign answers included:
+	// endpoints in trouble send header lines without end, and net/http reads as many as come. Usual heads have some hundred bytes.
+	maxHeadBytes = 64 << 10
 )
 
 // Request is a request to an endpoint. Header names are in canonical form.
@@ -82,12 +85,42 @@
 
 type conn struct {
 	net.Conn
+	heads  *headReader
 	addr   string
 	reader *bufio.Reader
 	since  time.Time // when it became idle; the monotonic reading counts
 	keep   time.Duration
 }
 
+// headReader reads a connection, and fails once a head has taken more bytes than are allowed.
+type headReader struct {
+	net.Conn
+	bounded bool
+	left    int // bytes, while bounded
+}
+
+var errHeadTooLarge = errors.New("head of an answer is too large")
+
+// Read implements io.Reader.
+func (r *headReader) Read(p []byte) (int, error) {
+	if !r.bounded {
+		return r.Conn.Read(p)
+	}
+	if r.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := r.Conn.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
+// readHead reads the head of an answer. The heads of one request share the allowance.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.heads.bounded = true
+	defer func() { c.heads.bounded = false }()
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
+}
+
 // Do sends the request and reads the head of its answer. It is cut when ctx ends, also while the body is read.
 func (p *Pool) Do(ctx context.Context, addr string, req *Request) (*Response, error) {
 	c, err := p.get(ctx, addr, req.Once)
@@ -161,8 +194,9 @@
 
 // receive reads the head of the request's answer and passes over complete answers to earlier requests.
 func (p *Pool) receive(c *conn, req *Request) (*http.Response, error) {
+	c.heads.left = maxHeadBytes
 	for range maxForeign + 1 {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
+		resp, err := c.readHead(req.Method)
 		if err != nil {
 			return nil, readError(err)
 		}
@@ -230,7 +264,8 @@
 		return nil, err
 	}
 	p.count(&p.dialled)
-	return &conn{Conn: raw, addr: addr, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	heads := &headReader{Conn: raw}
+	return &conn{Conn: raw, heads: heads, addr: addr, reader: bufio.NewReaderSize(heads, readBuffer)}, nil
 }
 
 func (p *Pool) count(counter *int64) {
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -10,7 +10,7 @@
 )
 
 // maxEvent bounds the lines and the data of one event in bytes.
-const maxEvent = 1 << 20
+const maxEvent = 256 << 10
 
 // ErrTooLarge reports an event above 1 MiB.
 var ErrTooLarge = errors.New("server-sent event is too large")
