Let each instance keep to its share of a plain service with few places

Cause: on the large site forty instances of a region share the twelve places of the ledger service, which works for 30 ms, and hear of each other's work every 80 ms.

Ruled out: shorter intervals (the work is shorter than any), the load in endpoints' answers (as old as the last answer: 70 ms and more), a second attempt (the route allows one), sending all through one instance (its loss would take the requests of the whole region along).

Change: with fewer than two places for each instance of the region, an instance keeps to its own share (at least one request under way, one more while most places are known to be free) and others wait for it, so that the wait is seen and other regions are asked in time. The choice among the endpoints is spread by a hash of the request, twice as wide as what is under way.

Conclusion: small regions (two places or more for each instance) work as before.

--- a/internal/core/placement/bench_test.go
+++ b/internal/core/placement/bench_test.go
@@ -23,7 +23,7 @@
 	for _, e := range list {
 		others[e.ID] = PeerWork{Running: instances - 1, Unread: 300 * (instances - 1), Memory: 9000 * (instances - 1)}
 	}
-	p.SetOthers(now, others)
+	p.SetOthers(now, others, instances)
 	// Caches as after some minutes: the first part is held everywhere, the second at one engine in thirty.
 	for i, e := range list {
 		p.Holds(e.ID, []Part{{Key: 1, Tokens: 2500}}, now)
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/routing"
@@ -41,6 +43,15 @@
 	// pastSlots is the part of a plain endpoint's slots that may wait there beyond those that run, so that a slot never
 	// stands empty for the time of a round trip.
 	pastSlots = 0.5
+	// informedShare is the number of a plain service's places for each instance of the region from which on an instance goes by what
+	// the others have under way. With fewer, several of them send between two messages what one place is there for, and endpoints
+	// decline a sixth of it: each then keeps to its own share.
+	informedShare = 2.0
+	// idlePart is the part of a plain endpoint's slots up to which it counts as idle, so that an instance may exceed its share.
+	idlePart = 0.5
+	// spreadWidth is how far the choice among plain endpoints is spread, relative to the requests known there: a difference of that many
+	// would turn all choices, so that a smaller one is made up for in part before the next message tells.
+	spreadWidth = 2.0
 )
 
 // Work is a request as placement sees it.
@@ -116,7 +127,9 @@
 	health    []*routing.Health // of order
 	reading   readRate
 	// othersAt is when the work of the other instances was last told.
-	othersAt clock.Instant
+	othersAt  clock.Instant
+	instances int // of the region, that send requests to the endpoints
+	inFlight  int // own requests at all endpoints
 
 	holders     holders
 	heldScratch []held // result of held
@@ -176,9 +189,10 @@
 // Endpoint returns an endpoint of the pool, or nil.
 func (p *Pool) Endpoint(id string) *Endpoint { return p.endpoints[id] }
 
-// SetOthers records what the other instances of the region have under way at each endpoint.
-func (p *Pool) SetOthers(now clock.Instant, work map[string]PeerWork) {
-	p.othersAt = now
+// SetOthers records what the other instances of the region have under way at each endpoint, and how many instances of it send
+// requests, this one included.
+func (p *Pool) SetOthers(now clock.Instant, work map[string]PeerWork, instances int) {
+	p.othersAt, p.instances = now, instances
 	for _, e := range p.order {
 		e.others = work[e.ID]
 	}
@@ -189,7 +203,7 @@
 	if p.othersAt == 0 || now.Sub(p.othersAt) <= peerWorkAge {
 		return
 	}
-	p.SetOthers(0, nil)
+	p.SetOthers(0, nil, p.instances)
 }
 
 // Holds records prompt parts that an endpoint holds by then, as it says or because another instance has sent it a request. Those used
@@ -275,7 +289,7 @@
 		}
 		copied := source.copyTo(e, held)
 		unread := max(0, w.Prompt-held-copied)
-		tokens, cost := p.cost(now, e, load, unread, copied)
+		tokens, cost := p.cost(now, e, load, w, unread, copied)
 		if tokens > most && load.Unread > most*largePart {
 			reason = worse(reason, AllBusy)
 			continue
@@ -310,9 +324,28 @@
 		need := w.Prompt - held + w.Output
 		return load.Running < e.Slots && (load.Running == 0 || load.Memory+need <= memoryUse*engine.KVTokens)
 	}
+	if share, idle, _ := p.share(); share < informedShare {
+		return float64(p.inFlight) < math.Max(1, share) || idle && float64(p.inFlight) < math.Max(1, share)+1
+	}
 	return float64(load.Running) < math.Ceil(float64(e.Slots)*(1+pastSlots))
 }
 
+// share is the number of a plain service's places for each instance of the region, whether most of them are known to be free, and the
+// number of requests that are known there.
+func (p *Pool) share() (places float64, idle bool, running int) {
+	slots := 0
+	for _, e := range p.order {
+		slots += e.Slots
+		running += e.load().Running
+	}
+	return float64(slots) * (1 + pastSlots) / float64(max(1, p.instances)), float64(running) < float64(slots)*idlePart, running
+}
+
+// spread is a number from 0 up to 1 for a request at an endpoint, by which requests that find endpoints alike are spread over them.
+func spread(request, endpoint string) float64 {
+	return float64(xxhash.Sum64String(request+"/"+endpoint)>>11) / (1 << 53)
+}
+
 // holder is the endpoint that holds most of a prompt's parts.
 type holder struct {
 	endpoint *Endpoint
@@ -379,9 +412,14 @@
 
 // cost returns the prompt tokens that the endpoint reads until it has read the request's, and the cost of the request there,
 // comparable within the pool. It has to read and copy so many tokens of the request itself.
-func (p *Pool) cost(now clock.Instant, e *Endpoint, load PeerWork, unread, copied float64) (tokens, cost float64) {
+func (p *Pool) cost(now clock.Instant, e *Endpoint, load PeerWork, w *Work, unread, copied float64) (tokens, cost float64) {
 	if p.service.Engine == nil {
-		return 0, float64(load.Running+1) / float64(e.Slots)
+		cost = float64(load.Running + 1)
+		if share, _, running := p.share(); share < informedShare {
+			// All instances see the same difference at the same time.
+			cost += spread(w.ID, e.ID) * spreadWidth * float64(running)
+		}
+		return 0, cost / float64(e.Slots)
 	}
 	silent, backlog := 0.0, backlogCost(load.Unread)
 	if d := e.silence(now); d > 0 {
@@ -444,6 +482,9 @@
 		e.cache.use(w.Parts, r.due)
 		e.unbegun = append(e.unbegun, r)
 	}
+	if e.own[w.ID] == nil {
+		p.inFlight++
+	}
 	e.own[w.ID] = r
 	e.unread += r.unread
 	e.memory += r.memory
@@ -481,6 +522,7 @@
 		return
 	}
 	delete(e.own, id)
+	p.inFlight--
 	p.departures.Add(now)
 	if !r.started {
 		e.unread -= r.unread
@@ -520,7 +562,7 @@
 			s.Free++
 		}
 		copied := source.copyTo(e, held)
-		tokens, _ := p.cost(now, e, load, max(0, w.Prompt-held-copied), copied)
+		tokens, _ := p.cost(now, e, load, w, max(0, w.Prompt-held-copied), copied)
 		shortest = min(shortest, p.wait(now, e, tokens))
 	}
 	if s.Usable > 0 {
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -254,7 +254,7 @@
 // Guards against two instances that fill the same endpoint because neither knows of the other's requests.
 func TestPeersWorkCounts(t *testing.T) {
 	p := newTestPool(&catalog.Service{Name: "m"}, 2, 2)
-	p.SetOthers(start, map[string]PeerWork{"e0": {Running: 3}})
+	p.SetOthers(start, map[string]PeerWork{"e0": {Running: 3}}, 2)
 	for i := range 3 {
 		if c := p.mustBegin(t, start, Work{ID: fmt.Sprint(i)}); c.Endpoint.ID != "e1" {
 			t.Fatalf("request %d goes to %s, which another instance has filled", i, c.Endpoint.ID)
@@ -278,12 +278,12 @@
 		}
 		return running
 	}
-	p.SetOthers(start, map[string]PeerWork{"e0": {Running: 3, Unread: 10}})
-	p.SetOthers(start, map[string]PeerWork{"e0": {Running: 3, Unread: 5}})
+	p.SetOthers(start, map[string]PeerWork{"e0": {Running: 3, Unread: 10}}, 2)
+	p.SetOthers(start, map[string]PeerWork{"e0": {Running: 3, Unread: 5}}, 2)
 	if got := others(); got != [2]int{3, 0} {
 		t.Errorf("work counts as %v, want 3 at the first endpoint", got)
 	}
-	p.SetOthers(start, map[string]PeerWork{"e1": {Running: 1}})
+	p.SetOthers(start, map[string]PeerWork{"e1": {Running: 1}}, 2)
 	if got := others(); got != [2]int{0, 1} {
 		t.Errorf("work counts as %v, want 1 at the second endpoint, which alone was told last", got)
 	}
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -276,6 +276,20 @@
 // regionSize is the number of instances of this region, this one included.
 func (f *fleet) regionSize() int { return f.sizes()[f.options.Self.Region] + 1 }
 
+// senders is the number of instances of this region that take callers, this one included.
+func (f *fleet) senders() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.options.Clock.Now()
+	n := 1
+	for _, m := range f.members {
+		if m.Region == f.options.Self.Region && m.usable(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // above returns the instance that this one reports to: the first of its region by rank, or false if that is this one.
 func (f *fleet) above() (string, bool) {
 	f.mu.Lock()
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -155,7 +155,7 @@
 	v.mu.Unlock()
 	e.fleet.heard(standings)
 	e.fleet.heardServices(services, func(region string) clock.Instant { return uses[region].Heard })
-	e.pools.setOthers(now, work)
+	e.pools.setOthers(now, work, e.fleet.senders())
 	e.quotaMu.Lock()
 	for region, u := range uses {
 		if u.Heard > 0 {
@@ -220,11 +220,11 @@
 }
 
 // setOthers takes what the region's other instances have under way at endpoints.
-func (p *pools) setOthers(now clock.Instant, work map[string]placement.PeerWork) {
+func (p *pools) setOthers(now clock.Instant, work map[string]placement.PeerWork, instances int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, pool := range p.byService {
-		pool.SetOthers(now, work)
+		pool.SetOthers(now, work, instances)
 	}
 }
 
