Read the store through the root when the whole system starts

Ruled out: stale lists at a tenth of the price (a withdrawn key or an endpoint that has left would be in use until the watch has caught up).

Change: when the platform says that the whole system starts for the first time, an instance waits up to 1.5 s for its root before it reads the operator's and the endpoints' keys from the store itself; the instances' keys it always reads itself. Callers come ten seconds later. Restarts do not wait. A lease is renewed every 1.65 s instead of 1.5 s, still three times within its term.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -119,6 +119,7 @@
 	CallerAddr string  // ip:port
 	PeerAddr   string  // ip:port
 	LinkMbps   float64 // bandwidth of the instance's link, 0: not known
+	FirstStart bool    // the whole system starts for the first time
 	Bounds     Bounds
 
 	Store     platform.Store
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -30,8 +30,8 @@
 	// leaseTerm is how long an announcement outlives its instance. It bounds how long the directory names a dead instance
 	// that nobody could reach, and must outlast two lost renewals.
 	leaseTerm = 5 * time.Second
-	// renewEvery is the interval of renewals: three within a term.
-	renewEvery = 1500 * time.Millisecond
+	// renewEvery is the interval of renewals, which are calls too: two within a term may be lost.
+	renewEvery = 1650 * time.Millisecond
 	// announceRetry is the wait after a failed call.
 	announceRetry = 300 * time.Millisecond
 	// heardFor is the age of an instance's last message up to which callers and requests are sent to it.
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -29,6 +29,10 @@
 	// relayAvoid is how long the store is read directly after the relay has failed, and through another instance after the store
 	// has failed here.
 	relayAvoid = 3 * time.Second
+	// firstWait is how long an instance that starts with the whole system waits for an instance to read through, before it reads the
+	// store itself: the first callers come ten seconds later, and a hundred instances that all list all keys are a price of half a
+	// minute's calls.
+	firstWait = 1500 * time.Millisecond
 	// detourAfter is for how long the store must have failed here until it is read through another instance. It is longer than copies
 	// of the store are passed on after their last contact: if the store is away for all, none is passed on by then.
 	detourAfter = 2500 * time.Millisecond
@@ -38,7 +42,9 @@
 // that one fails or if it is this one.
 type relayedFeed struct {
 	edge   *Edge
+	prefix string
 	direct platform.Feed
+	began  clock.Instant
 
 	mu       sync.Mutex
 	avoid    clock.Instant // until when the store is read directly
@@ -94,7 +100,11 @@
 // read reads through the region's relay or from the store. If the store has failed here for a while, it reads through any instance that
 // the store still answers: the store may turn this instance away and serve the others.
 func (f *relayedFeed) read(ctx context.Context, through func(name string) error, direct func() error) error {
-	if name, ok := f.relay(); ok {
+	name, ok := f.relay()
+	for !ok && f.mayWait() && clock.Sleep(ctx, firstPoll) == nil {
+		name, ok = f.relay()
+	}
+	if ok {
 		err := through(name)
 		if f.answeredBy(name, err) {
 			return err
@@ -117,6 +127,15 @@
 	return err
 }
 
+// firstPoll is the interval of checks for an instance to read through.
+const firstPoll = 50 * time.Millisecond
+
+// mayWait reports whether the first read may wait for an instance to read through. The other instances are read from the store itself.
+func (f *relayedFeed) mayWait() bool {
+	o := &f.edge.options
+	return o.FirstStart && f.prefix != InstancePrefix && o.Clock.Now().Sub(f.began) < firstWait
+}
+
 // isAnswer reports whether a call has brought the store's answer, which may be that the history is gone.
 func isAnswer(err error) bool { return err == nil || errors.Is(err, platform.ErrCompacted) }
 
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -115,7 +115,8 @@
 
 // follow makes the mirror of the keys with a prefix.
 func (e *Edge) follow(prefix string, apply func(mirror.Update), same mirror.Same) {
-	feed := &relayedFeed{edge: e, direct: e.options.Feed, directAt: e.clock.Now()}
+	now := e.clock.Now()
+	feed := &relayedFeed{edge: e, prefix: prefix, direct: e.options.Feed, began: now, directAt: now}
 	e.feeds[prefix] = feed
 	e.mirrors[prefix] = mirror.New(feed, prefix, e.clock, e.log, apply, same)
 }
