Keep a part of the rates for those that a new root has not heard

Cause: found by TestRatesHoldThroughARoot, which drives the ledgers of rates through the tree of instances with random cuts: when the root and another instance were cut off, their successor named nobody as silent, since they had never reported to it. So the others used the whole rate and the two their own parts: 5,073,000 tokens in a window that allows 5,060,000 (rapid, failed after 6 tests).

Ruled out: an even part for every member that is not heard (a root that was killed stays listed for five seconds, and 0.4 of an even share would refuse most of a busy organisation's requests meanwhile); telling the use of each instance in digests (grows with the region).

Change: an instance notes who was heard through the root that it loses, and what the region used then. An instance that begins to report tells its own use. What is left of the region's use without those that report now is kept for those that are missing, until their keys lapse. The ledger is told in one place (fleetview.Rates). Each request's log line has view_age, how old the region's view was when it was decided; a gauge shows it.

TestPausedInstanceTrustsNothingOld: after a pause of 3 s the first decision takes the others for silent.

--- a/internal/core/fleetquota/fleetquota.go
+++ b/internal/core/fleetquota/fleetquota.go
@@ -110,6 +110,9 @@
 	at   clock.Instant
 }
 
+// AverageOf returns an average that has a value at a moment.
+func AverageOf(perSecond float64, at clock.Instant) Average { return Average{rate: perSecond, at: at} }
+
 // Add counts an amount used.
 func (a *Average) Add(now clock.Instant, amount float64) {
 	a.rate = a.Value(now) + amount/DemandWindow.Seconds()
--- a/internal/core/fleetview/changes.go
+++ b/internal/core/fleetview/changes.go
@@ -43,7 +43,7 @@
 	for name, s := range next {
 		if before, known := t.standings[name]; !known || before != s {
 			changed = append(changed, &wire.EdgeStanding{
-				Name: name, Incarnation: s.Incarnation, Ready: s.Ready, Leaving: s.Leaving, Refusing: s.Refusing,
+				Name: name, Incarnation: s.Incarnation, Ready: s.Ready, Leaving: s.Leaving, Refusing: s.Refusing, Far: s.Far,
 			})
 		}
 	}
@@ -84,7 +84,7 @@
 func takeStandings(into map[string]Standing, changed []*wire.EdgeStanding, gone []string) {
 	for _, s := range changed {
 		into[s.GetName()] = Standing{
-			Incarnation: s.GetIncarnation(), Ready: s.GetReady(), Leaving: s.GetLeaving(), Refusing: s.GetRefusing(),
+			Incarnation: s.GetIncarnation(), Ready: s.GetReady(), Leaving: s.GetLeaving(), Refusing: s.GetRefusing(), Far: s.GetFar(),
 		}
 	}
 	for _, name := range gone {
--- a/internal/core/fleetview/node.go
+++ b/internal/core/fleetview/node.go
@@ -52,6 +52,7 @@
 	Ready       bool
 	Leaving     bool // callers are sent elsewhere
 	Refusing    bool // takes no more requests
+	Far         bool // in another region
 }
 
 // Own is the state of this instance.
@@ -99,7 +100,9 @@
 	work      map[string]placement.PeerWork
 	silent    []*wire.EdgeSilent
 	services  []*wire.EdgeServiceLoad
-	use       map[string]*fleetquota.Average // of the region's own sources
+	use       averages           // of the region's own sources
+	measured  map[string]float64 // use a second before it began to report to this instance, as it says
+	known     bool               // use was measured long enough to tell a part of the rates
 
 	sent         uint64 // state that it was sent last
 	acknowledged uint64 // number that the present state includes
@@ -107,7 +110,7 @@
 
 func newSource(id peer.Identity) *Source {
 	return &Source{id: id, standings: make(map[string]Standing), work: make(map[string]placement.PeerWork),
-		use: make(map[string]*fleetquota.Average)}
+		use: make(averages)}
 }
 
 // Node is the view of the fleet at one instance.
@@ -137,6 +140,33 @@
 	lastAbove clock.Instant // when an instance above was last heard
 	// workBefore is the work of others when the last stream upwards ended.
 	workBefore map[string]placement.PeerWork
+	othersUse  averages
+	lost       *lostRegion
+}
+
+// lostRegion is what an instance knew of its region when the stream upwards ended.
+type lostRegion struct {
+	at    clock.Instant
+	names map[string]bool // of the instances that were heard through it
+	uses  map[string]float64
+	known bool
+}
+
+// averages are moving averages of use by organisation.
+type averages map[string]fleetquota.Average
+
+func (a averages) add(now clock.Instant, organisation string, amount float64) {
+	average := a[organisation]
+	average.Add(now, amount)
+	a[organisation] = average
+}
+
+func (a averages) at(now clock.Instant) map[string]float64 {
+	out := make(map[string]float64, len(a))
+	for organisation, average := range a {
+		out[organisation] = average.Value(now)
+	}
+	return out
 }
 
 // farRegion is what is known of another region.
@@ -151,7 +181,7 @@
 	n := &Node{
 		self: self, sources: make(map[string]*Source), far: make(map[string]*Source), links: make(map[string]*Link),
 		ownUses: make(map[string]float64), region: newTotals(), others: newTotals(), regions: make(map[string]*farRegion),
-		unsent: make(map[string]float64),
+		unsent: make(map[string]float64), othersUse: make(averages),
 	}
 	n.sources[self.Instance] = newSource(self)
 	return n
@@ -163,6 +193,9 @@
 func (n *Node) SetOwn(now clock.Instant, o Own) {
 	own := n.own()
 	own.heard, own.version, n.version = now, o.Version, o.Version
+	if own.since == 0 {
+		own.since = now
+	}
 	own.standings[n.self.Instance] = o.Standing
 	own.work, own.services = o.Work, o.Services
 	for organisation, total := range o.Uses {
@@ -177,14 +210,9 @@
 // used counts what this instance or one below it has admitted.
 func (n *Node) used(s *Source, now clock.Instant, organisation string, amount float64) {
 	n.region.add(organisation, amount)
+	s.use.add(now, organisation, amount)
 	if s != n.own() {
-		n.others.add(organisation, amount)
-		average := s.use[organisation]
-		if average == nil {
-			average = &fleetquota.Average{}
-			s.use[organisation] = average
-		}
-		average.Add(now, amount)
+		n.usedByOthers(now, organisation, amount)
 	}
 	// What a root has counted, those below it have told or will tell another root themselves.
 	if n.upstream != nil || now.Sub(n.lastAbove) <= fleetquota.SilentAfter {
@@ -195,6 +223,13 @@
 	}
 }
 
+func (n *Node) usedByOthers(now clock.Instant, organisation string, amount float64) {
+	n.others.add(organisation, amount)
+	if amount > 0 {
+		n.othersUse.add(now, organisation, amount)
+	}
+}
+
 // took passes events of this instance and those below it on: up, or down from the root.
 func (n *Node) took(e Events) {
 	if n.upstream != nil {
@@ -211,7 +246,7 @@
 	}
 	s := newSource(from)
 	if before := n.sources[from.Instance]; before != nil && before.id.Incarnation == from.Incarnation {
-		s.since, s.use, s.number = before.since, before.use, before.number
+		s.since, s.use, s.number, s.known = before.since, before.use, before.number, before.known
 	}
 	n.sources[from.Instance] = s
 	return s, nil
@@ -234,11 +269,25 @@
 			n.usedBelow(now, s, earlier.GetUses())
 		}
 	}
+	if m := r.GetMeasured(); m != nil {
+		s.takeMeasured(now, m)
+	}
 	n.usedBelow(now, s, r.GetUses())
 	n.took(Events{Parts: r.GetParts(), Refusals: r.GetRefusals()})
 	return nil
 }
 
+// takeMeasured takes the use of an instance before it began to report to this one.
+func (s *Source) takeMeasured(now clock.Instant, m *wire.EdgeMeasuredUse) {
+	s.measured, s.known = make(map[string]float64), s.known || m.GetKnown()
+	for _, u := range m.GetUses() {
+		s.measured[u.GetName()] = u.GetUsed()
+		if _, has := s.use[u.GetName()]; !has {
+			s.use[u.GetName()] = fleetquota.AverageOf(u.GetUsed(), now)
+		}
+	}
+}
+
 func (n *Node) usedBelow(now clock.Instant, s *Source, uses []*wire.EdgeOrganisationUse) {
 	for _, u := range uses {
 		if u.GetUsed() > 0 {
@@ -278,13 +327,17 @@
 	return nil
 }
 
-// Forget drops what is known of instances that are not members of the fleet any more.
-func (n *Node) Forget(isMember func(name string, incarnation uint64) bool) {
+// Forget drops what is known of instances that are not members of the fleet any more. listed reports whether any incarnation of an
+// instance is one.
+func (n *Node) Forget(isMember func(name string, incarnation uint64) bool, listed func(name string) bool) {
 	gone := func(_ string, s *Source) bool {
 		return s.id.Instance != n.self.Instance && !isMember(s.id.Instance, s.id.Incarnation)
 	}
 	maps.DeleteFunc(n.sources, gone)
 	maps.DeleteFunc(n.far, gone)
+	if n.lost != nil {
+		maps.DeleteFunc(n.lost.names, func(name string, _ bool) bool { return !listed(name) })
+	}
 }
 
 // Root reports whether this instance reports to none.
@@ -314,20 +367,21 @@
 // Standings returns how the instances stand that were heard lately, this one among them.
 func (n *Node) Standings(now clock.Instant) map[string]Heard {
 	out := make(map[string]Heard)
-	put := func(standings map[string]Standing, at clock.Instant) {
+	put := func(standings map[string]Standing, at clock.Instant, far bool) {
 		for name, s := range standings {
+			s.Far = s.Far || far
 			if before, known := out[name]; !known || at > before.At {
 				out[name] = Heard{s, at}
 			}
 		}
 	}
 	if u := n.upstream; u != nil {
-		put(u.standings, u.heard)
+		put(u.standings, u.heard, false)
 	}
-	for _, sources := range []map[string]*Source{n.sources, n.far} {
+	for far, sources := range map[bool]map[string]*Source{false: n.sources, true: n.far} {
 		for _, s := range sources {
 			if now.Sub(s.heard) <= HeardFor {
-				put(s.standings, s.heard)
+				put(s.standings, s.heard, far)
 			}
 		}
 	}
@@ -408,6 +462,7 @@
 		}
 	}
 	n.silentBelow(now, out)
+	n.missing(now, out)
 	n.silentFar(now, out)
 	return slices.SortedFunc(maps.Values(out), func(a, b *wire.EdgeSilent) int { return strings.Compare(a.GetName(), b.GetName()) })
 }
@@ -432,6 +487,40 @@
 	}
 }
 
+// missing adds the instances that were heard through the last instance above and have not been heard since. A root that has taken the
+// place of another one did not hear them itself: it knows their use as what is left of the region's without those that report to it
+// now, and divides it evenly among them.
+func (n *Node) missing(now clock.Instant, to map[string]*wire.EdgeSilent) {
+	if n.lost == nil || n.upstream != nil || now.Sub(n.lost.at) <= fleetquota.SilentAfter {
+		return
+	}
+	var names []string
+	for name := range n.lost.names {
+		if !n.heardThrough(name, nil, n.lost.at) {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return
+	}
+	left := maps.Clone(n.lost.uses)
+	for name, s := range n.sources {
+		if !n.lost.names[name] || s.heard <= n.lost.at {
+			continue
+		}
+		for organisation, used := range s.measured {
+			left[organisation] = max(0, left[organisation]-used)
+		}
+	}
+	for _, name := range names {
+		silent := &wire.EdgeSilent{Name: name, Known: n.lost.known}
+		for organisation, used := range left {
+			silent.Uses = append(silent.Uses, &wire.EdgeOrganisationUse{Name: organisation, Used: used / float64(len(names))})
+		}
+		to[name] = silent
+	}
+}
+
 func (n *Node) silentFar(now clock.Instant, to map[string]*wire.EdgeSilent) {
 	for _, s := range n.far {
 		if now.Sub(s.heard) <= HeardFor {
@@ -458,9 +547,7 @@
 }
 
 func (s *Source) asSilent() *wire.EdgeSilent {
-	out := &wire.EdgeSilent{Name: s.id.Instance, Known: s.heard.Sub(s.since) >= fleetquota.DemandWindow/2}
-	for organisation, average := range s.use {
-		out.Uses = append(out.Uses, &wire.EdgeOrganisationUse{Name: organisation, Used: average.Value(s.heard)})
+	return &wire.EdgeSilent{
+		Name: s.id.Instance, Known: s.known || s.heard.Sub(s.since) >= fleetquota.DemandWindow/2, Uses: encodeUses(s.use.at(s.heard)),
 	}
-	return out
 }
--- a/internal/core/fleetview/node_test.go
+++ b/internal/core/fleetview/node_test.go
@@ -27,6 +27,7 @@
 	above  *instance
 	source *Source // at above
 	paused bool    // takes and sends nothing
+	apart  bool    // is cut off from all others, and goes on
 	work   map[string]placement.PeerWork
 	uses   map[string]float64
 	events []string // keys of the prompt parts that it was told
@@ -346,8 +347,9 @@
 		t.Errorf("an instance that reports elsewhere counts as silent: %v", silent)
 	}
 	cut.paused = true
-	r.instances[0].Forget(func(name string, _ uint64) bool { return name != cut.id.Instance })
-	r.instances[1].Forget(func(name string, _ uint64) bool { return name != cut.id.Instance })
+	for _, i := range r.instances[:2] {
+		i.Forget(func(name string, _ uint64) bool { return name != cut.id.Instance }, func(name string) bool { return name != cut.id.Instance })
+	}
 	r.steps(30)
 	if silent := r.instances[2].Silent(r.now); len(silent) != 0 {
 		t.Errorf("a part is kept for an instance that has ended: %v", silent)
--- /dev/null
+++ b/internal/core/fleetview/rates_test.go
@@ -0,0 +1,220 @@
+package fleetview
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/fleetquota"
+)
+
+// rated is an instance with its ledger of rates.
+type rated struct {
+	*instance
+	ledger *fleetquota.Ledger
+	carry  float64
+}
+
+// Guards against an organisation at several times its rate that gets more than its rate, its burst and the platform's allowance in a
+// window, while instances hear of each other through a root: with some of them cut off from it one by one, or with the root itself cut
+// off until the others have found its successor.
+func TestRatesHoldThroughARoot(t *testing.T) {
+	const (
+		window  = 8 * time.Second
+		rate    = 500_000.0
+		burst   = 500_000.0
+		cost    = 3000.0
+		perTick = 10 // requests are offered so many times an interval
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(3, 9).Draw(t, "instances")
+		cutRoot := rapid.Bool().Draw(t, "root")
+		cuts := rapid.IntRange(1, n-1).Draw(t, "cuts")
+		cutAt := rapid.IntRange(250, 400).Draw(t, "cut")
+		hotAt := rapid.IntRange(200, 400).Draw(t, "hot")
+		factor := rapid.Float64Range(1, 5).Draw(t, "factor")
+		var weights []float64
+		sum := 0.0
+		for range n {
+			w := rapid.Float64Range(0.05, 1).Draw(t, "weight")
+			weights, sum = append(weights, w), sum+w
+		}
+		r := newRegion(nil, "r", n)
+		sizes := map[string]int{"r": n - 1}
+		var all []*rated
+		for _, i := range r.instances {
+			l := fleetquota.New()
+			l.SetTerms(r.now, map[string]fleetquota.Terms{"o": {Rate: rate, Burst: burst}})
+			l.SetPeers(r.now, RatePeers(sizes, nil))
+			all = append(all, &rated{instance: i, ledger: l})
+		}
+		connect(t, r, r.instances[0], r.instances[1:])
+		var admitted []float64
+		isCut := func(k int) bool { return cutRoot && k == 0 || k >= n-cuts && k > 0 }
+		for step := range 700 {
+			if step == cutAt {
+				for k, i := range r.instances {
+					i.apart = isCut(k)
+				}
+			}
+			if cutRoot && step == cutAt+10 { // after the silence by which a root is left
+				var rest []*instance
+				for k, i := range r.instances {
+					if !isCut(k) {
+						rest = append(rest, i)
+					}
+				}
+				for _, i := range r.instances {
+					if i.apart && i.above != nil {
+						leave(i, r.now)
+					}
+				}
+				if len(rest) > 0 {
+					connect(t, r, rest[0], rest[1:])
+				}
+			}
+			if !cutRoot && step == cutAt+10 {
+				for _, i := range r.instances {
+					if i.apart {
+						leave(i, r.now)
+					}
+				}
+			}
+			load := 0.55
+			if step >= hotAt {
+				load *= factor
+			}
+			sumAdmitted := 0.0
+			before := r.now
+			for part := range perTick {
+				now := before.Add(interval * time.Duration(part) / perTick)
+				for k, i := range all {
+					for i.carry += rate * load * weights[k] / sum * interval.Seconds() / perTick; i.carry >= cost; i.carry -= cost {
+						if ok, _ := i.ledger.Admit(now, "o", cost); ok {
+							sumAdmitted += cost
+						}
+					}
+				}
+			}
+			for _, i := range all {
+				i.ledger.Used(func(name string, total float64) { i.uses[name] = total })
+			}
+			exchangeAll(t, r)
+			for _, i := range all {
+				rates := Rates{Uses: i.Uses(), Silent: i.Silent(r.now)}
+				rates.Tell(r.now, i.ledger, func(string) (string, bool) { return "r", true }, sizes)
+			}
+			admitted = append(admitted, sumAdmitted)
+		}
+		limit := (rate*window.Seconds()+burst)*1.1 + 110_000
+		inWindow := 0.0
+		per := int(window / interval)
+		for i, a := range admitted {
+			inWindow += a
+			if i >= per {
+				inWindow -= admitted[i-per]
+			}
+			if inWindow > limit {
+				t.Fatalf("%.0f tokens admitted in a window that ends at step %d, limit %.0f", inWindow, i, limit)
+			}
+		}
+	})
+}
+
+// fataler is a test or a drawn case of one.
+type fataler interface {
+	Fatal(args ...any)
+}
+
+func check(t fataler, err error) {
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func leave(i *instance, now clock.Instant) {
+	if i.above != nil {
+		i.above.End(i.source)
+		i.Detach(now)
+		i.above = nil
+	}
+}
+
+// connect lets instances report to a root from now on.
+func connect(t fataler, r *region, root *instance, rest []*instance) {
+	leave(root, r.now)
+	for _, i := range rest {
+		leave(i, r.now)
+		check(t, i.Attach(r.now, root.id.Instance))
+		source, err := root.Join(i.id)
+		check(t, err)
+		i.above, i.source = root, source
+	}
+}
+
+// exchangeAll lets an interval pass, in which instances that are apart exchange nothing.
+func exchangeAll(t fataler, r *region) {
+	r.now = r.now.Add(interval)
+	for _, i := range r.instances {
+		uses := map[string]float64{}
+		for k, v := range i.uses {
+			uses[k] = v
+		}
+		i.SetOwn(r.now, Own{Standing: Standing{Incarnation: 1, Ready: true}, Uses: uses})
+		check(t, i.Tick(r.now))
+	}
+	for _, i := range r.instances {
+		if i.above == nil || i.apart || i.above.apart {
+			continue
+		}
+		if d := i.above.DigestFor(i.source); d != nil {
+			_, err := i.TakeDigest(r.now, d)
+			check(t, err)
+		}
+		check(t, i.above.TakeReport(r.now, i.source, i.Report(r.now)))
+	}
+}
+
+// Guards against requests that are refused although the organisation stays within its rate, in a region that hears of itself through a
+// root.
+func TestWithinTheRateNothingIsRefusedThroughARoot(t *testing.T) {
+	const rate, n = 500_000.0, 5
+	r := newRegion(t, "r", n)
+	sizes := map[string]int{"r": n - 1}
+	var ledgers []*fleetquota.Ledger
+	for range n {
+		l := fleetquota.New()
+		l.SetTerms(r.now, map[string]fleetquota.Terms{"o": {Rate: rate, Burst: rate}})
+		l.SetPeers(r.now, RatePeers(sizes, nil))
+		ledgers = append(ledgers, l)
+	}
+	connect(t, r, r.instances[0], r.instances[1:])
+	asked, refused := 0, 0
+	for step := range 1200 {
+		for k, l := range ledgers {
+			// The daily peak moves from one instance to another.
+			load := 0.05
+			if k == step/300 {
+				load = 0.4
+			}
+			for offered := rate * load * interval.Seconds(); offered > 0; offered -= 1000 {
+				if ok, _ := l.Admit(r.now, "o", 1000); !ok {
+					refused++
+				}
+				asked++
+			}
+			l.Used(func(name string, total float64) { r.instances[k].uses[name] = total })
+		}
+		exchangeAll(t, r)
+		for k, i := range r.instances {
+			rates := Rates{Uses: i.Uses(), Silent: i.Silent(r.now)}
+			rates.Tell(r.now, ledgers[k], func(string) (string, bool) { return "r", true }, sizes)
+		}
+	}
+	if refused*100 > asked {
+		t.Error(fmt.Sprintf("%d of %d requests are refused at 60%% of the rate", refused, asked))
+	}
+}
--- a/internal/core/fleetview/upstream.go
+++ b/internal/core/fleetview/upstream.go
@@ -24,6 +24,7 @@
 
 	heard     clock.Instant // last digest, 0 before the first
 	version   int64         // of the configuration in force above
+	since     clock.Instant // first digest
 	standings map[string]Standing
 	work      map[string]placement.PeerWork
 	uses      map[string]map[string]float64 // as told, by region and organisation
@@ -57,11 +58,32 @@
 	}
 	if u.heard > 0 {
 		n.workBefore = n.workAbove(now)
+		n.lost = n.losing(u)
 	}
 	n.upstream, n.path = nil, nil
 	n.dropUnsent(now)
 }
 
+// losing notes who was heard through the instance above, and what they used.
+func (n *Node) losing(u *upstream) *lostRegion {
+	l := &lostRegion{
+		at: u.heard, names: make(map[string]bool), uses: n.othersUse.at(u.heard), known: u.heard.Sub(u.since) >= fleetquota.DemandWindow/2,
+	}
+	for name, s := range u.standings {
+		if _, below := u.told.standings[name]; !below && !s.Far && !s.Refusing {
+			l.names[name] = true
+		}
+	}
+	for name, s := range n.sources { // those that went on reporting to this one were never lost
+		if name != n.self.Instance {
+			for organisation, used := range s.use.at(u.heard) {
+				l.uses[organisation] = max(0, l.uses[organisation]-used)
+			}
+		}
+	}
+	return l
+}
+
 // dropUnsent forgets the use that was not reported for so long that the others have taken a part of the rate to be used.
 func (n *Node) dropUnsent(now clock.Instant) {
 	if n.upstream == nil && now.Sub(n.lastAbove) > fleetquota.SilentAfter {
@@ -106,6 +128,16 @@
 	n.number++
 	r := &wire.EdgeReport{Number: n.number, Complete: !u.began, ConfigurationVersion: n.version}
 	if !u.began {
+		own := n.own()
+		measured := n.own().use.at(now)
+		for name, s := range n.sources {
+			if name != n.self.Instance && now.Sub(s.heard) <= HeardFor {
+				for organisation, used := range s.use.at(now) {
+					measured[organisation] += used
+				}
+			}
+		}
+		r.Measured = &wire.EdgeMeasuredUse{Uses: encodeUses(measured), Known: now.Sub(own.since) >= fleetquota.DemandWindow/2}
 		for i, p := range n.pending {
 			r.Earlier = append(r.Earlier, &wire.EdgeUnacknowledged{Number: p.number, Uses: encodeUses(p.uses)})
 			n.pending[i].work = nil // told to another instance
@@ -170,6 +202,9 @@
 	for _, r := range s.GetRegions() {
 		n.takeRegion(now, r, reported, first)
 	}
+	if first {
+		u.since = now
+	}
 	u.heard, u.silent, u.version = now, s.GetSilent(), s.GetConfigurationVersion()
 	n.path, n.lastAbove = s.GetPath(), now
 	events := Events{Parts: s.GetParts(), Refusals: s.GetRefusals()}
@@ -208,7 +243,7 @@
 	if r.GetRegion() == n.self.Region {
 		for organisation, used := range more {
 			n.region.add(organisation, used)
-			n.others.add(organisation, used)
+			n.usedByOthers(now, organisation, used)
 		}
 		return
 	}
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -76,6 +76,8 @@
 	level, part     float64
 	returned        bool // the caller was refused before
 	unread, copied  float64
+	// viewAge is how long ago the other instances of the region were heard when the request was decided last, negative if never.
+	viewAge time.Duration
 }
 
 // ServeHTTP answers a caller's request.
@@ -327,6 +329,7 @@
 	d := triage.Decide(in, rand.Float64)
 	x.a.late = d.Late
 	x.outcome.here, x.outcome.elsewhere = in.Here.First, in.Quickest()
+	x.outcome.viewAge = e.view.age(now)
 	switch {
 	case d.Action == triage.ServeElsewhere:
 		r, f := e.attemptAt(ctx, remotes[d.Region].Instance, &x.a, x.conf.Version)
@@ -474,7 +477,7 @@
 		fields = append(fields, zap.String("service", x.service), zap.String("endpoint", x.outcome.endpoint), zap.String("via", x.outcome.instance),
 			zap.Int("attempts", x.attempts), zap.Int("unsent", x.unsent), zap.Strings("tried", slices.Sorted(maps.Keys(x.a.excluded))),
 			zap.Int("events", x.events), zap.Duration("left", x.limit.Sub(x.arrived)-took),
-			zap.Duration("expected_here", x.outcome.here), zap.Duration("expected_elsewhere", x.outcome.elsewhere), zap.Bool("late", x.a.late),
+			zap.Duration("expected_here", x.outcome.here), zap.Duration("expected_elsewhere", x.outcome.elsewhere), zap.Bool("late", x.a.late), zap.Duration("view_age", x.outcome.viewAge),
 			zap.Bool("returned", x.outcome.returned), zap.Float64("unread_tokens", x.outcome.unread), zap.Float64("copied_tokens", x.outcome.copied))
 	}
 	e.requestLog.Info("request", fields...)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -22,6 +22,7 @@
 	current  atomic.Int64
 	dialled  tally.Gauge
 	reused   tally.Gauge
+	viewAge  tally.Gauge
 	mu       sync.Mutex
 	byStatus map[int]statusMetrics
 }
@@ -35,6 +36,7 @@
 	return &metrics{
 		scope: scope, flight: scope.Gauge("requests_in_flight"),
 		dialled: scope.Gauge("endpoint_requests_on_new_connections"), reused: scope.Gauge("endpoint_requests_on_kept_connections"),
+		viewAge:  scope.Gauge("view_age_seconds"),
 		byStatus: make(map[int]statusMetrics),
 	}
 }
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -11,6 +11,7 @@
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/fleetquota"
+	"dogwoodknot.example/dogwoodknot/internal/core/fleetview"
 	"dogwoodknot.example/dogwoodknot/internal/core/retrybudget"
 	"dogwoodknot.example/dogwoodknot/internal/endpointconn"
 	"dogwoodknot.example/dogwoodknot/internal/mirror"
@@ -183,9 +184,10 @@
 		e.log.Error("certificates of other instances cannot be used", zap.Error(err))
 	}
 	e.network.SetPeers(addrs)
-	e.view.forget(e.fleet.isMember)
+	e.view.forget()
+	sizes := e.fleet.sizes()
 	e.quotaMu.Lock()
-	e.quota.SetPeers(e.clock.Now(), e.ratePeers())
+	e.quota.SetPeers(e.clock.Now(), fleetview.RatePeers(sizes, e.silent))
 	e.quotaMu.Unlock()
 }
 
@@ -196,6 +198,7 @@
 		e.conns.Keep(e.state.knownAddr())
 		dialled, reused := e.conns.Counts()
 		e.metrics.connections(dialled, reused)
+		e.metrics.viewAge.Update(e.view.age(e.clock.Now()).Seconds())
 	}
 }
 
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
-	"dogwoodknot.example/dogwoodknot/internal/core/fleetquota"
 	"dogwoodknot.example/dogwoodknot/internal/core/fleetview"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
@@ -39,6 +37,8 @@
 	rootSince   clock.Instant // when the last stream to an instance above ended
 	nextPart    int64         // number of the next prompt part to tell
 	nextRefusal int64         // number of the next refusal to tell
+
+	appliedOf atomic.Int64 // instant of which the region's view that requests are decided by is, 0: none
 }
 
 func newView(e *Edge) *view {
@@ -138,10 +138,13 @@
 }
 
 // forget drops what is known of instances that are not members any more.
-func (v *view) forget(isMember func(name string, incarnation uint64) bool) {
+func (v *view) forget() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.node.Forget(isMember)
+	v.node.Forget(v.edge.fleet.isMember, func(name string) bool {
+		_, listed := v.edge.fleet.regionOf(name)
+		return listed
+	})
 }
 
 // apply takes what is known of the other instances into what requests are decided by.
@@ -150,62 +153,32 @@
 	now := e.clock.Now()
 	v.mu.Lock()
 	standings, work := v.node.Standings(now), v.node.OthersWork(now)
-	uses, silent, services := v.node.Uses(), v.node.Silent(now), v.node.Services()
+	rates, services := fleetview.Rates{Uses: v.node.Uses(), Silent: v.node.Silent(now)}, v.node.Services()
 	newest, version := v.node.Newest()
 	v.mu.Unlock()
+	v.appliedOf.Store(int64(rates.Uses[e.options.Self.Region].Heard))
 	e.fleet.heard(standings)
-	e.fleet.heardServices(services, func(region string) clock.Instant { return uses[region].Heard })
+	e.fleet.heardServices(services, func(region string) clock.Instant { return rates.Uses[region].Heard })
 	e.pools.setOthers(now, work, e.fleet.senders())
+	sizes := e.fleet.sizes()
 	e.quotaMu.Lock()
-	for region, u := range uses {
-		if u.Heard > 0 {
-			e.quota.Heard(now, region, ownEpoch, u.Uses, u.Heard)
-		}
+	if silent, changed := rates.Tell(now, e.quota, e.fleet.regionOf, sizes); changed {
+		e.silent = silent
+		e.log.Info("parts of the rates are kept for silent instances", zap.Strings("peers", fleetview.Names(silent)))
 	}
-	e.setSilent(now, silent)
 	e.quotaMu.Unlock()
 	if version > e.state.version() {
 		e.wantDocument(newest)
 	}
 }
 
-// ownEpoch is the incarnation of the totals that this instance counts for the groups of others: they start with it.
-const ownEpoch = 1
-
-// setSilent tells the ledger which instances are silent while the rest of their region is heard. It is called with quotaMu held.
-func (e *Edge) setSilent(now clock.Instant, silent []*wire.EdgeSilent) {
-	bySelf := make(map[string]fleetquota.Silent, len(silent))
-	for _, s := range silent {
-		region, member := e.fleet.regionOf(s.GetName())
-		if !member {
-			continue
-		}
-		uses := make(map[string]float64, len(s.GetUses()))
-		for _, u := range s.GetUses() {
-			uses[u.GetName()] = u.GetUsed()
-		}
-		bySelf[s.GetName()] = fleetquota.Silent{Group: region, Uses: uses, Known: s.GetKnown()}
-	}
-	if e.quota.SetSilent(now, bySelf) {
-		e.log.Info("parts of the rates are kept for silent instances", zap.Strings("peers", slices.Sorted(maps.Keys(bySelf))))
-		e.silent = bySelf
-		e.quota.SetPeers(now, e.ratePeers())
-	}
-}
-
-// ratePeers returns the other instances that may be admitting requests, by region and without the silent ones. It is called with
-// quotaMu held.
-func (e *Edge) ratePeers() map[string]fleetquota.Peer {
-	peers := make(map[string]fleetquota.Peer)
-	for region, n := range e.fleet.sizes() {
-		peers[region] = fleetquota.Peer{Incarnation: ownEpoch, Instances: n}
-	}
-	for _, s := range e.silent {
-		p := peers[s.Group]
-		p.Instances = max(0, p.Instances-1)
-		peers[s.Group] = p
+// age is how long ago the other instances of the region were heard, as requests are decided by; negative if they never were.
+func (v *view) age(now clock.Instant) time.Duration {
+	at := clock.Instant(v.appliedOf.Load())
+	if at == 0 {
+		return -1
 	}
-	return peers
+	return now.Sub(at)
 }
 
 // applyEvents takes events of other instances.
--- /dev/null
+++ b/internal/edge/view_test.go
@@ -0,0 +1,111 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"dogwoodknot.example/dogwoodknot/internal/core/fleetquota"
+	"dogwoodknot.example/dogwoodknot/internal/core/fleetview"
+	"dogwoodknot.example/dogwoodknot/internal/peer"
+	"dogwoodknot.example/dogwoodknot/internal/wire"
+)
+
+// testEdge is an instance in the south that exchanges nothing by itself.
+func testEdge(t *testing.T) (*Edge, *testFleet) {
+	f := newTestFleet(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	e := &Edge{options: *f.options, clock: f.clk, log: zap.NewNop(), fleet: f.fleet, quota: fleetquota.New(), returns: newReturns(f.clk),
+		pools: newPools(f.clk, func(string, float64) float64 { return 0 }), ctx: ctx, cancel: cancel}
+	e.state = newState(&e.options)
+	e.view = newView(e)
+	return e, f
+}
+
+// quietStream is a stream on which nothing comes until it is closed.
+type quietStream struct {
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (s *quietStream) Send(proto.Message) error { return nil }
+func (s *quietStream) CloseSend() error         { return nil }
+func (s *quietStream) Recv(proto.Message) error {
+	<-s.closed
+	return io.ErrClosedPipe
+}
+func (s *quietStream) Close() error {
+	s.once.Do(func() { close(s.closed) })
+	return nil
+}
+
+// Guards against a planned stop that waits until the instances which report to this one have noticed it.
+func TestServedStreamsEndWithTheInstance(t *testing.T) {
+	for name, serve := range map[string]func(e *Edge) peer.Handler{
+		"reports":   func(e *Edge) peer.Handler { return e.view.serveReport },
+		"summaries": func(e *Edge) peer.Handler { return e.view.serveSummary },
+	} {
+		e, f := testEdge(t)
+		region := "south"
+		if name == "summaries" {
+			region = "north"
+		}
+		f.list("n", region)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			// The error of a closed stream is expected.
+			_ = serve(e)(context.Background(), peer.Identity{Instance: "n", Region: region, Incarnation: 1}, &quietStream{closed: make(chan struct{})})
+		}()
+		time.Sleep(20 * time.Millisecond)
+		e.cancel()
+		select {
+		case <-ended:
+		case <-time.After(2 * time.Second):
+			t.Errorf("%s: the stream is served 2 s after the end of the instance", name)
+		}
+	}
+}
+
+// Guards against decisions on the view of an instance that was paused: what it heard before counts as old from the first moment on.
+func TestPausedInstanceTrustsNothingOld(t *testing.T) {
+	e, f := testEdge(t)
+	f.list("n", "south")
+	now := f.clk.Now()
+	e.quota.SetTerms(now, map[string]fleetquota.Terms{"o": {Rate: 1000, Burst: 1000}})
+	e.quota.SetPeers(now, fleetview.RatePeers(f.sizes(), nil))
+	source, err := e.view.node.Join(peer.Identity{Instance: "n", Region: "south", Incarnation: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range 100 {
+		r := &wire.EdgeReport{Number: uint64(n + 1), Complete: n == 0, Uses: []*wire.EdgeOrganisationUse{{Name: "o", Used: 20}}}
+		if n == 0 {
+			r.Instances = []*wire.EdgeStanding{{Name: "n", Incarnation: 1, Ready: true}}
+		}
+		if err := e.view.node.TakeReport(f.clk.Now(), source, r); err != nil {
+			t.Fatal(err)
+		}
+		e.view.tick()
+		f.clk.Advance(tickMin)
+	}
+	if _, part := e.rateLevel("o"); part != 1 {
+		t.Fatalf("before the pause %.2f of the rate accrues here", part)
+	}
+	f.clk.Advance(3 * time.Second)
+	if _, part := e.rateLevel("o"); part > 0.9 {
+		t.Errorf("right after a pause of 3 s %.2f of the rate accrues here, as if the others were heard", part)
+	}
+	if age := e.view.age(f.clk.Now()); age < 3*time.Second {
+		t.Errorf("the view counts as %s old", age)
+	}
+	if f.senders() != 1 {
+		t.Error("an instance that was heard 3 s ago counts as serving")
+	}
+}
--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -48,6 +48,30 @@
 		Condition: 12, Mechanism: "edge: a planned stop ends the streams of state",
 		File:     "internal/edge/talk.go",
 		Original: "func() { _ = stream.Close() }", Replacement: "func() {}",
-		Package: "./internal/edgedaemon", Run: "^TestStopDoesNotWaitForOthers$",
+		Package: "./internal/edge", Run: "^TestServedStreamsEndWithTheInstance$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: a part of the rates is kept for an instance that has gone silent",
+		File:     "internal/core/fleetview/node.go",
+		Original: "if now.Sub(s.heard) > fleetquota.SilentAfter {", Replacement: "if false {",
+		Package: "./internal/core/fleetview", Run: "^TestSilentInstancesAreNamed$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: a new root keeps a part of the rates for those that it has not heard",
+		File:     "internal/core/fleetview/node.go",
+		Original: "if len(names) == 0 {", Replacement: "if len(names) >= 0 {",
+		Package: "./internal/core/fleetview", Run: "^TestRatesHoldThroughARoot$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: use that was on its way counts once",
+		File:     "internal/core/fleetview/node.go",
+		Original: "if earlier.GetNumber() > taken {", Replacement: "if earlier.GetNumber() > 0 && taken >= 0 {",
+		Package: "./internal/core/fleetview", Run: "^TestUseCountsOnceWhateverWayItTakes$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: an instance does not report to one that reports to it",
+		File:     "internal/core/fleetview/node.go",
+		Original: "if slices.Contains(n.path, from.Instance) {", Replacement: "if false {",
+		Package: "./internal/core/fleetview", Run: "^TestCirclesAreRefused$",
 	},
 }
