--- a/internal/core/fleetview/rates_test.go
+++ b/internal/core/fleetview/rates_test.go
@@ -1,7 +1,6 @@
 package fleetview
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -215,6 +214,6 @@
 		}
 	}
 	if refused*100 > asked {
-		t.Error(fmt.Sprintf("%d of %d requests are refused at 60%% of the rate", refused, asked))
+		t.Errorf("%d of %d requests are refused at 60%% of the rate", refused, asked)
 	}
 }
--- a/internal/core/placement/herd_test.go
+++ b/internal/core/placement/herd_test.go
@@ -145,8 +145,7 @@
 		h.pools[i].End(h.now, c.Endpoint, r.id)
 		h.offer(i)
 	}
-	var run func()
-	run = func() {
+	run := func() {
 		e.running++
 		h.after(time.Duration(h.rng.ExpFloat64()*float64(herdWork)), func() {
 			e.running--
