Give the view of the fleet a file a concern

Found on reading the change as a newcomer: node.go held the node, its sources and who is silent in 470 lines, and the first report of a stream added up measured use inline. Sources and silence have files of their own, and the sum a function. The bound on instances of a sender is ten times the largest region of the design's size, as its comment says.

--- a/internal/core/fleetview/node.go
+++ b/internal/core/fleetview/node.go
@@ -11,11 +11,8 @@
 import (
 	"maps"
 	"slices"
-	"strings"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/fleetquota"
@@ -24,28 +21,6 @@
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
 
-const (
-	// HeardFor is the age of an instance's last report up to which callers and requests are sent to it: some intervals of the exchange
-	// between regions.
-	HeardFor = 1200 * time.Millisecond
-	// workAge is the age up to which the work of an instance counts. After a silence of this length its requests have ended or are no
-	// longer known.
-	workAge = 3 * time.Second
-	// maxInstances and maxEndpoints bound what is kept of one sender: ten times a region of the design's size.
-	maxInstances = 1300
-	maxEndpoints = 2600
-	// maxEvents bounds the prompt parts and refusals that wait for the next message: a second of a region's requests.
-	maxEvents = 2000
-)
-
-// Errors of messages. The stream that brought one ends.
-var (
-	ErrReplaced = errors.New("another stream of the instance has replaced this one")
-	ErrOrder    = errors.New("message is out of order")
-	ErrCycle    = errors.New("instances report to each other in a circle")
-	ErrTooLarge = errors.New("message names too many instances or endpoints")
-)
-
 // Standing is how an instance stands.
 type Standing struct {
 	Incarnation uint64
@@ -87,32 +62,6 @@
 // Origin is the hash of an instance's name by which it knows its own events.
 func Origin(instance string) uint32 { return uint32(xxhash.Sum64String(instance)) }
 
-// Source is an instance that tells this one its state and that of all below it.
-type Source struct {
-	id        peer.Identity
-	heard     clock.Instant
-	since     clock.Instant // first report
-	ended     bool          // its stream has ended
-	began     bool          // its stream has brought a message
-	number    uint64        // of the last message, also of an earlier stream
-	version   int64
-	standings map[string]Standing
-	work      map[string]placement.PeerWork
-	silent    []*wire.EdgeSilent
-	services  []*wire.EdgeServiceLoad
-	use       averages           // of the region's own sources
-	measured  map[string]float64 // use a second before it began to report to this instance, as it says
-	known     bool               // use was measured long enough to tell a part of the rates
-
-	sent         uint64 // state that it was sent last
-	acknowledged uint64 // number that the present state includes
-}
-
-func newSource(id peer.Identity) *Source {
-	return &Source{id: id, standings: make(map[string]Standing), work: make(map[string]placement.PeerWork),
-		use: make(averages)}
-}
-
 // Node is the view of the fleet at one instance.
 type Node struct {
 	self    peer.Identity
@@ -144,31 +93,6 @@
 	lost       *lostRegion
 }
 
-// lostRegion is what an instance knew of its region when the stream upwards ended.
-type lostRegion struct {
-	at    clock.Instant
-	names map[string]bool // of the instances that were heard through it
-	uses  map[string]float64
-	known bool
-}
-
-// averages are moving averages of use by organisation.
-type averages map[string]fleetquota.Average
-
-func (a averages) add(now clock.Instant, organisation string, amount float64) {
-	average := a[organisation]
-	average.Add(now, amount)
-	a[organisation] = average
-}
-
-func (a averages) at(now clock.Instant) map[string]float64 {
-	out := make(map[string]float64, len(a))
-	for organisation, average := range a {
-		out[organisation] = average.Value(now)
-	}
-	return out
-}
-
 // farRegion is what is known of another region.
 type farRegion struct {
 	down, local totals // use by its instances, for the instances below and for this one
@@ -277,17 +201,6 @@
 	return nil
 }
 
-// takeMeasured takes the use of an instance before it began to report to this one.
-func (s *Source) takeMeasured(now clock.Instant, m *wire.EdgeMeasuredUse) {
-	s.measured, s.known = make(map[string]float64), s.known || m.GetKnown()
-	for _, u := range m.GetUses() {
-		s.measured[u.GetName()] = u.GetUsed()
-		if _, has := s.use[u.GetName()]; !has {
-			s.use[u.GetName()] = fleetquota.AverageOf(u.GetUsed(), now)
-		}
-	}
-}
-
 func (n *Node) usedBelow(now clock.Instant, s *Source, uses []*wire.EdgeOrganisationUse) {
 	for _, u := range uses {
 		if u.GetUsed() > 0 {
@@ -296,37 +209,6 @@
 	}
 }
 
-// message is what reports and summaries have in common.
-type message interface {
-	GetNumber() uint64
-	GetConfigurationVersion() int64
-	GetComplete() bool
-	GetInstances() []*wire.EdgeStanding
-	GetGone() []string
-	GetSilent() []*wire.EdgeSilent
-}
-
-func (s *Source) take(now clock.Instant, m message, work []*wire.EdgeEndpointWork) error {
-	if s.began && m.GetNumber() != s.number+1 || !s.began && (!m.GetComplete() || m.GetNumber() <= s.number) {
-		return ErrOrder
-	}
-	s.began = true
-	s.number, s.version, s.silent, s.heard = m.GetNumber(), m.GetConfigurationVersion(), m.GetSilent(), now
-	if s.since == 0 {
-		s.since = now
-	}
-	if m.GetComplete() {
-		clear(s.standings)
-		clear(s.work)
-	}
-	takeStandings(s.standings, m.GetInstances(), m.GetGone())
-	takeWork(s.work, work)
-	if len(s.standings) > maxInstances || len(s.work) > maxEndpoints {
-		return ErrTooLarge
-	}
-	return nil
-}
-
 // Forget drops what is known of instances that are not members of the fleet any more. listed reports whether any incarnation of an
 // instance is one.
 func (n *Node) Forget(isMember func(name string, incarnation uint64) bool, listed func(name string) bool) {
@@ -452,102 +334,3 @@
 	}
 	return out
 }
-
-// Silent returns the instances that may be serving callers and are not heard of, each with its use a second before its silence.
-func (n *Node) Silent(now clock.Instant) []*wire.EdgeSilent {
-	out := make(map[string]*wire.EdgeSilent)
-	if n.upstream != nil {
-		for _, s := range n.upstream.silent {
-			out[s.GetName()] = s
-		}
-	}
-	n.silentBelow(now, out)
-	n.missing(now, out)
-	n.silentFar(now, out)
-	return slices.SortedFunc(maps.Values(out), func(a, b *wire.EdgeSilent) int { return strings.Compare(a.GetName(), b.GetName()) })
-}
-
-// silentBelow adds the silent instances among those that reported to this one, or to one that does.
-func (n *Node) silentBelow(now clock.Instant, to map[string]*wire.EdgeSilent) {
-	for name, s := range n.sources {
-		if s == n.own() || s.heard == 0 || s.standings[name].Refusing {
-			continue
-		}
-		if now.Sub(s.heard) > fleetquota.SilentAfter {
-			if !n.heardThrough(name, s, s.heard) {
-				to[name] = s.asSilent()
-			}
-			continue
-		}
-		for _, silent := range s.silent {
-			if !n.heardThrough(silent.GetName(), s, now.Add(-fleetquota.SilentAfter)) {
-				to[silent.GetName()] = silent
-			}
-		}
-	}
-}
-
-// missing adds the instances that were heard through the last instance above and have not been heard since. A root that has taken the
-// place of another one did not hear them itself: it knows their use as what is left of the region's without those that report to it
-// now, and divides it evenly among them.
-func (n *Node) missing(now clock.Instant, to map[string]*wire.EdgeSilent) {
-	if n.lost == nil || n.upstream != nil || now.Sub(n.lost.at) <= fleetquota.SilentAfter {
-		return
-	}
-	var names []string
-	for name := range n.lost.names {
-		if !n.heardThrough(name, nil, n.lost.at) {
-			names = append(names, name)
-		}
-	}
-	if len(names) == 0 {
-		return
-	}
-	left := maps.Clone(n.lost.uses)
-	for name, s := range n.sources {
-		if !n.lost.names[name] || s.heard <= n.lost.at {
-			continue
-		}
-		for organisation, used := range s.measured {
-			left[organisation] = max(0, left[organisation]-used)
-		}
-	}
-	for _, name := range names {
-		silent := &wire.EdgeSilent{Name: name, Known: n.lost.known}
-		for organisation, used := range left {
-			silent.Uses = append(silent.Uses, &wire.EdgeOrganisationUse{Name: organisation, Used: used / float64(len(names))})
-		}
-		to[name] = silent
-	}
-}
-
-func (n *Node) silentFar(now clock.Instant, to map[string]*wire.EdgeSilent) {
-	for _, s := range n.far {
-		if now.Sub(s.heard) <= HeardFor {
-			for _, silent := range s.silent {
-				to[silent.GetName()] = silent
-			}
-		}
-	}
-}
-
-// heardThrough reports whether an instance was heard since then through another source than the given one.
-func (n *Node) heardThrough(name string, not *Source, since clock.Instant) bool {
-	for _, s := range n.sources {
-		if _, has := s.standings[name]; has && s != not && s.heard > since {
-			return true
-		}
-	}
-	if n.upstream != nil && n.upstream.heard > since {
-		_, has := n.upstream.standings[name]
-		_, reported := n.upstream.told.standings[name]
-		return has && !reported
-	}
-	return false
-}
-
-func (s *Source) asSilent() *wire.EdgeSilent {
-	return &wire.EdgeSilent{
-		Name: s.id.Instance, Known: s.known || s.heard.Sub(s.since) >= fleetquota.DemandWindow/2, Uses: encodeUses(s.use.at(s.heard)),
-	}
-}
--- a/internal/core/fleetview/upstream.go
+++ b/internal/core/fleetview/upstream.go
@@ -64,26 +64,6 @@
 	n.dropUnsent(now)
 }
 
-// losing notes who was heard through the instance above, and what they used.
-func (n *Node) losing(u *upstream) *lostRegion {
-	l := &lostRegion{
-		at: u.heard, names: make(map[string]bool), uses: n.othersUse.at(u.heard), known: u.heard.Sub(u.since) >= fleetquota.DemandWindow/2,
-	}
-	for name, s := range u.standings {
-		if _, below := u.told.standings[name]; !below && !s.Far && !s.Refusing {
-			l.names[name] = true
-		}
-	}
-	for name, s := range n.sources { // those that went on reporting to this one were never lost
-		if name != n.self.Instance {
-			for organisation, used := range s.use.at(u.heard) {
-				l.uses[organisation] = max(0, l.uses[organisation]-used)
-			}
-		}
-	}
-	return l
-}
-
 // dropUnsent forgets the use that was not reported for so long that the others have taken a part of the rate to be used.
 func (n *Node) dropUnsent(now clock.Instant) {
 	if n.upstream == nil && now.Sub(n.lastAbove) > fleetquota.SilentAfter {
@@ -128,16 +108,7 @@
 	n.number++
 	r := &wire.EdgeReport{Number: n.number, Complete: !u.began, ConfigurationVersion: n.version}
 	if !u.began {
-		own := n.own()
-		measured := n.own().use.at(now)
-		for name, s := range n.sources {
-			if name != n.self.Instance && now.Sub(s.heard) <= HeardFor {
-				for organisation, used := range s.use.at(now) {
-					measured[organisation] += used
-				}
-			}
-		}
-		r.Measured = &wire.EdgeMeasuredUse{Uses: encodeUses(measured), Known: now.Sub(own.since) >= fleetquota.DemandWindow/2}
+		r.Measured = n.measured(now)
 		for i, p := range n.pending {
 			r.Earlier = append(r.Earlier, &wire.EdgeUnacknowledged{Number: p.number, Uses: encodeUses(p.uses)})
 			n.pending[i].work = nil // told to another instance
@@ -159,6 +130,19 @@
 	return r
 }
 
+// measured returns the use of this instance and those below it.
+func (n *Node) measured(now clock.Instant) *wire.EdgeMeasuredUse {
+	uses := make(map[string]float64)
+	for _, s := range n.sources {
+		if now.Sub(s.heard) <= HeardFor {
+			for organisation, used := range s.use.at(now) {
+				uses[organisation] += used
+			}
+		}
+	}
+	return &wire.EdgeMeasuredUse{Uses: encodeUses(uses), Known: now.Sub(n.own().since) >= fleetquota.DemandWindow/2}
+}
+
 // acknowledge applies the reports up to a number, and returns the use that they held.
 func (n *Node) acknowledge(number uint64) map[string]float64 {
 	uses := make(map[string]float64)
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -16,7 +16,7 @@
 
 const (
 	// tickPerInstance, tickMin and tickMax give the interval of messages within a region, by its number of instances. A root sends and
-	// takes a message for each instance in each interval: 500 a second each way cost it about a twentieth of a core. Small regions tell
+	// takes a message for each instance in each interval: on the large site, 500 a second each way. Small regions tell
 	// their work before the next few requests are placed.
 	tickPerInstance = 2 * time.Millisecond
 	tickMin         = 40 * time.Millisecond
--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -52,13 +52,13 @@
 	},
 	{
 		Condition: 7, Mechanism: "edge: a part of the rates is kept for an instance that has gone silent",
-		File:     "internal/core/fleetview/node.go",
+		File:     "internal/core/fleetview/silent.go",
 		Original: "if now.Sub(s.heard) > fleetquota.SilentAfter {", Replacement: "if false {",
 		Package: "./internal/core/fleetview", Run: "^TestSilentInstancesAreNamed$",
 	},
 	{
 		Condition: 7, Mechanism: "edge: a new root keeps a part of the rates for those that it has not heard",
-		File:     "internal/core/fleetview/node.go",
+		File:     "internal/core/fleetview/silent.go",
 		Original: "if len(names) == 0 {", Replacement: "if len(names) >= 0 {",
 		Package: "./internal/core/fleetview", Run: "^TestRatesHoldThroughARoot$",
 	},
