Compute the shares of a plain service once per choice, and keep what stood twice once

Found on reading the whole change once more: each choice among the endpoints of a plain service summed up all endpoints again for each of them, twice; reports and summaries each gathered the silent instances by the same three lines; the age up to which others' work counts was a constant in placement and in fleetview; a summary's services were also kept at its source, where nothing reads them; one function took a closure that has one value, and one cancelled its context from two places. No behaviour changes: TestManyInstancesShareFewPlaces counts the same requests before and after.

--- a/internal/core/fleetview/downstream.go
+++ b/internal/core/fleetview/downstream.go
@@ -1,8 +1,6 @@
 package fleetview
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -139,11 +137,8 @@
 	l.number++
 	s := &wire.EdgeSummary{
 		Number: l.number, Complete: l.number == 1, ConfigurationVersion: n.version, Uses: encodeUses(l.unsent),
-		Services: n.own().services,
+		Services: n.own().services, Silent: n.reportedSilent(now),
 	}
-	silent := make(map[string]*wire.EdgeSilent)
-	n.silentBelow(now, silent)
-	s.Silent = slices.Collect(maps.Values(silent))
 	s.Instances, s.Gone = l.told.instances(n.below(now))
 	l.unsent, l.sentAt = make(map[string]float64), now
 	return s
@@ -165,7 +160,6 @@
 	if err := s.take(now, m, nil); err != nil {
 		return err
 	}
-	s.services = m.GetServices()
 	far := n.farRegion(s.id.Region)
 	for _, u := range m.GetUses() {
 		if !first || now.Sub(far.heard) <= fleetquota.SilentAfter {
--- a/internal/core/fleetview/node.go
+++ b/internal/core/fleetview/node.go
@@ -290,7 +290,7 @@
 
 func (n *Node) addWorkBelow(now clock.Instant, to map[string]placement.PeerWork, without *Source) {
 	for _, s := range n.sources {
-		if s == without || now.Sub(s.heard) > workAge {
+		if s == without || now.Sub(s.heard) > placement.PeerWorkAge {
 			continue
 		}
 		for endpoint, w := range s.work {
--- a/internal/core/fleetview/node_test.go
+++ b/internal/core/fleetview/node_test.go
@@ -293,7 +293,7 @@
 		t.Fatalf("%d requests are known, want 3 and 1", got)
 	}
 	b.paused = true
-	r.steps(int(workAge/interval) + 2)
+	r.steps(int(placement.PeerWorkAge/interval) + 2)
 	if got := knownWork(root, r.now)["e"].Running; got != 3 {
 		t.Errorf("after one has been silent %d requests are known, want 3", got)
 	}
--- a/internal/core/fleetview/silent.go
+++ b/internal/core/fleetview/silent.go
@@ -52,6 +52,13 @@
 	return slices.SortedFunc(maps.Values(out), func(a, b *wire.EdgeSilent) int { return strings.Compare(a.GetName(), b.GetName()) })
 }
 
+// reportedSilent returns the silent instances that this one tells of upwards and to other regions.
+func (n *Node) reportedSilent(now clock.Instant) []*wire.EdgeSilent {
+	out := make(map[string]*wire.EdgeSilent)
+	n.silentBelow(now, out)
+	return slices.Collect(maps.Values(out))
+}
+
 // silentBelow adds the silent instances among those that reported to this one, or to one that does.
 func (n *Node) silentBelow(now clock.Instant, to map[string]*wire.EdgeSilent) {
 	for name, s := range n.sources {
--- a/internal/core/fleetview/source.go
+++ b/internal/core/fleetview/source.go
@@ -16,9 +16,6 @@
 	// HeardFor is the age of an instance's last report up to which callers and requests are sent to it: some intervals of the exchange
 	// between regions.
 	HeardFor = 1200 * time.Millisecond
-	// workAge is the age up to which the work of an instance counts. After a silence of this length its requests have ended or are no
-	// longer known.
-	workAge = 3 * time.Second
 	// maxInstances and maxEndpoints bound what is kept of one sender: ten times a region of the design's size.
 	maxInstances = 1700
 	maxEndpoints = 2600
--- a/internal/core/fleetview/upstream.go
+++ b/internal/core/fleetview/upstream.go
@@ -115,9 +115,7 @@
 		}
 	}
 	u.began = true
-	silent := make(map[string]*wire.EdgeSilent)
-	n.silentBelow(now, silent)
-	r.Silent = slices.Collect(maps.Values(silent))
+	r.Silent = n.reportedSilent(now)
 	r.Instances, r.Gone = u.told.instances(n.below(now))
 	work := make(map[string]placement.PeerWork)
 	n.addWorkBelow(now, work, nil)
@@ -249,7 +247,7 @@
 		}
 		return out
 	}
-	if now.Sub(u.heard) > workAge {
+	if now.Sub(u.heard) > placement.PeerWorkAge {
 		return out
 	}
 	maps.Copy(out, u.work)
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -37,9 +37,9 @@
 	// memoryUse is the part of an engine's memory that admitted requests may fill. The rest covers answers that become
 	// longer than expected: when memory runs out, a running request is preempted and read again.
 	memoryUse = 0.9
-	// peerWorkAge is the age up to which another instance's work on an endpoint counts. It tells its work several times a
+	// PeerWorkAge is the age up to which another instance's work on an endpoint counts. It tells its work several times a
 	// second; after a silence of this length its requests have ended or are no longer known.
-	peerWorkAge = 3 * time.Second
+	PeerWorkAge = 3 * time.Second
 	// pastSlots is the part of a plain endpoint's slots that may wait there beyond those that run, so that a slot never
 	// stands empty for the time of a round trip.
 	pastSlots = 0.5
@@ -200,7 +200,7 @@
 
 // forgetSilent forgets the work of other instances that was not told lately.
 func (p *Pool) forgetSilent(now clock.Instant) {
-	if p.othersAt == 0 || now.Sub(p.othersAt) <= peerWorkAge {
+	if p.othersAt == 0 || now.Sub(p.othersAt) <= PeerWorkAge {
 		return
 	}
 	p.SetOthers(0, nil, p.instances)
@@ -270,6 +270,7 @@
 	out := routing.Ejected(p.health, now)
 	holding := p.held(now, w.Parts)
 	source := p.bestHolder(holding, out)
+	places := p.places()
 	most := math.Inf(1) // tokens that are read within MaxWait
 	if c.MaxWait > 0 {
 		most = p.reading.tokensIn(c.MaxWait)
@@ -279,7 +280,7 @@
 			continue
 		}
 		load, held := e.load(), holding[i].tokens
-		if e.Health.Probing() && len(e.own) > 0 || !p.hasRoom(now, e, load, w, held) {
+		if e.Health.Probing() && len(e.own) > 0 || !p.hasRoom(now, e, load, w, held, places) {
 			reason = worse(reason, AllBusy)
 			continue
 		}
@@ -289,7 +290,7 @@
 		}
 		copied := source.copyTo(e, held)
 		unread := max(0, w.Prompt-held-copied)
-		tokens, cost := p.cost(now, e, load, w, unread, copied)
+		tokens, cost := p.cost(now, e, load, w, unread, copied, places)
 		if tokens > most && load.Unread > most*largePart {
 			reason = worse(reason, AllBusy)
 			continue
@@ -316,7 +317,7 @@
 }
 
 // hasRoom reports whether the endpoint, which holds so much of the prompt, has a place and memory for the request.
-func (p *Pool) hasRoom(now clock.Instant, e *Endpoint, load PeerWork, w *Work, held float64) bool {
+func (p *Pool) hasRoom(now clock.Instant, e *Endpoint, load PeerWork, w *Work, held float64, places places) bool {
 	if w.MaxPace > 0 && load.Running >= minCrowd && e.pace.value(now) > w.MaxPace {
 		return false
 	}
@@ -324,21 +325,35 @@
 		need := w.Prompt - held + w.Output
 		return load.Running < e.Slots && (load.Running == 0 || load.Memory+need <= memoryUse*engine.KVTokens)
 	}
-	if share, idle, _ := p.share(); share < informedShare {
-		return float64(p.inFlight) < math.Max(1, share) || idle && float64(p.inFlight) < math.Max(1, share)+1
+	if places.few {
+		return float64(p.inFlight) < places.mine
 	}
 	return float64(load.Running) < math.Ceil(float64(e.Slots)*(1+pastSlots))
 }
 
-// share is the number of a plain service's places for each instance of the region, whether most of them are known to be free, and the
-// number of requests that are known there.
-func (p *Pool) share() (places float64, idle bool, running int) {
-	slots := 0
+// places is how the instances of the region share those of a plain service.
+type places struct {
+	few     bool    // for so many instances that each keeps to its share
+	mine    float64 // requests that this instance may have under way then
+	running int     // requests that are known at all endpoints
+}
+
+// places returns how the places of a plain service are shared.
+func (p *Pool) places() places {
+	if p.service.Engine != nil {
+		return places{}
+	}
+	slots, running := 0, 0
 	for _, e := range p.order {
 		slots += e.Slots
 		running += e.load().Running
 	}
-	return float64(slots) * (1 + pastSlots) / float64(max(1, p.instances)), float64(running) < float64(slots)*idlePart, running
+	share := float64(slots) * (1 + pastSlots) / float64(max(1, p.instances))
+	mine := math.Max(1, share)
+	if float64(running) < float64(slots)*idlePart {
+		mine++
+	}
+	return places{few: share < informedShare, mine: mine, running: running}
 }
 
 // spread is a number from 0 up to 1 for a request at an endpoint, by which requests that find endpoints alike are spread over them.
@@ -412,12 +427,12 @@
 
 // cost returns the prompt tokens that the endpoint reads until it has read the request's, and the cost of the request there,
 // comparable within the pool. It has to read and copy so many tokens of the request itself.
-func (p *Pool) cost(now clock.Instant, e *Endpoint, load PeerWork, w *Work, unread, copied float64) (tokens, cost float64) {
+func (p *Pool) cost(now clock.Instant, e *Endpoint, load PeerWork, w *Work, unread, copied float64, places places) (tokens, cost float64) {
 	if p.service.Engine == nil {
 		cost = float64(load.Running + 1)
-		if share, _, running := p.share(); share < informedShare {
+		if places.few {
 			// All instances see the same difference at the same time.
-			cost += spread(w.ID, e.ID) * spreadWidth * float64(running)
+			cost += spread(w.ID, e.ID) * spreadWidth * float64(places.running)
 		}
 		return 0, cost / float64(e.Slots)
 	}
@@ -551,6 +566,7 @@
 	out := routing.Ejected(p.health, now)
 	holding := p.held(now, w.Parts)
 	source := p.bestHolder(holding, out)
+	places := p.places()
 	shortest := time.Duration(math.MaxInt64)
 	for i, e := range p.order {
 		if e.Draining || out[i] || excluded(e.ID) || !p.mayUseCold(e, now) {
@@ -558,11 +574,11 @@
 		}
 		load, held := e.load(), holding[i].tokens
 		s.Usable++
-		if p.hasRoom(now, e, load, w, held) {
+		if p.hasRoom(now, e, load, w, held, places) {
 			s.Free++
 		}
 		copied := source.copyTo(e, held)
-		tokens, _ := p.cost(now, e, load, w, max(0, w.Prompt-held-copied), copied)
+		tokens, _ := p.cost(now, e, load, w, max(0, w.Prompt-held-copied), copied, places)
 		shortest = min(shortest, p.wait(now, e, tokens))
 	}
 	if s.Usable > 0 {
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -264,7 +264,7 @@
 	if _, reason := p.Choose(start, &w, Constraint{}); reason != AllBusy {
 		t.Errorf("with all places taken the reason is %q", reason)
 	}
-	if _, reason := p.Choose(start.Add(2*peerWorkAge), &w, Constraint{}); reason != "" {
+	if _, reason := p.Choose(start.Add(2*PeerWorkAge), &w, Constraint{}); reason != "" {
 		t.Errorf("a silent instance's work counts for ever: %q", reason)
 	}
 }
@@ -287,7 +287,7 @@
 	if got := others(); got != [2]int{0, 1} {
 		t.Errorf("work counts as %v, want 1 at the second endpoint, which alone was told last", got)
 	}
-	p.Choose(start.Add(peerWorkAge+1), &Work{ID: "r"}, Constraint{})
+	p.Choose(start.Add(PeerWorkAge+1), &Work{ID: "r"}, Constraint{})
 	if got := others(); got != [2]int{} {
 		t.Errorf("after a silence the work counts as %v", got)
 	}
--- a/internal/edge/talk.go
+++ b/internal/edge/talk.go
@@ -111,8 +111,7 @@
 		v.node.Detach(v.rootSince)
 	}()
 	v.edge.work.Go(func() { cancel(v.takeDigests(stream)) })
-	better := func() (string, bool) { return v.edge.fleet.above() }
-	v.edge.work.Go(func() { v.watchForBetter(ctx, above, better, cancel) })
+	v.edge.work.Go(func() { v.watchForBetter(ctx, above, cancel) })
 	for {
 		v.mu.Lock()
 		report := v.node.Report(v.edge.clock.Now())
@@ -131,10 +130,10 @@
 	}
 }
 
-// watchForBetter ends the use of an instance once another one is to be used and answers.
-func (v *view) watchForBetter(ctx context.Context, used string, better func() (string, bool), end context.CancelCauseFunc) {
+// watchForBetter ends the use of an instance once another one is to be reported to and answers.
+func (v *view) watchForBetter(ctx context.Context, used string, end context.CancelCauseFunc) {
 	for clock.Sleep(ctx, lookUpEvery) == nil {
-		best, ok := better()
+		best, ok := v.edge.fleet.above()
 		if !ok {
 			end(errBetter)
 			return
@@ -191,8 +190,6 @@
 	if !v.edge.fleet.knows(from) || from.Region != v.edge.options.Self.Region {
 		return peer.NewError(codeNotYet, "incarnation is not known")
 	}
-	ctx, cancel := context.WithCancel(v.edge.ctx)
-	defer cancel()
 	defer v.edge.closeAtEnd(stream)()
 	v.mu.Lock()
 	source, err := v.node.Join(from)
@@ -200,6 +197,7 @@
 	if err != nil {
 		return peer.NewError(codeNotYet, err.Error())
 	}
+	ctx, cancel := context.WithCancel(v.edge.ctx)
 	var sending sync.WaitGroup
 	sending.Go(func() { v.sendDigests(ctx, source, stream) })
 	defer sending.Wait()
