Say in the status what a rejecting instance still admits

The field's comment said that no more requests are admitted. An instance that stops still admits those that end before it does (TestStoppingInstanceAdmitsShortRequestsOnly), as the comment of the member's field says. Comment only.

--- a/internal/core/fleetview/node.go
+++ b/internal/core/fleetview/node.go
@@ -30,7 +30,7 @@
 	Incarnation uint64
 	Ready       bool
 	Leaving     bool // callers are directed to other instances
-	Rejecting   bool // admits no more requests
+	Rejecting   bool // admits only requests that end before it stops
 	Remote      bool // in a remote region
 }
 
