Log and count the request rates that endpoints name

A register in internal/core/endpointrate keeps the newest statement of each incarnation of an endpoint; an answer to a request that was sent before a limit was named does not lift it. A line is written for each change, a request's line has the limit that was known when it was sent, and the metrics count limited endpoints and requests to them. What is sent is decided as before: nothing reads the register for a choice yet.

Tests: TestNamedLimitsAreLogged (the lines), TestRateLimitOfAnAnswer (the header), TestLimitIsWithdrawnByLaterAnswersOnly, TestInstancesAgreeOnStatements and TestStatementsOfGoneEndpointsAreDropped (the register).

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -240,9 +240,10 @@
 // Choice is the chosen endpoint of a request.
 type Choice struct {
 	Endpoint *Endpoint
-	// ID and Addr are those at the time of the choice: SetEndpoints may replace the endpoint's description while the request is
-	// in progress.
-	ID, Addr string
+	// Incarnation and Addr are those at the time of the choice: SetEndpoints may replace the endpoint's description while the
+	// request is in progress.
+	catalog.Incarnation
+	Addr string
 	// Wait is the expected time until an engine's first event; 0 for a plain endpoint.
 	Wait time.Duration
 	// CopyFrom is the address of an endpoint from which the chosen one should copy prompt parts, or empty.
@@ -303,7 +304,7 @@
 			continue
 		}
 		if cost < bestCost {
-			best, bestCost = Choice{Endpoint: e, ID: e.ID, Addr: e.Addr, Wait: p.wait(now, e, tokens), PrefillTokens: prefill, CopiedTokens: copied}, cost
+			best, bestCost = Choice{Endpoint: e, Incarnation: e.Incarnation, Addr: e.Addr, Wait: p.wait(now, e, tokens), PrefillTokens: prefill, CopiedTokens: copied}, cost
 			if copied > 0 {
 				best.CopyFrom = source.endpoint.Addr
 			}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -83,6 +83,10 @@
 	// unread and copied are the prompt tokens that the endpoint was expected to process and to copy; 0 through another
 	// instance.
 	unread, copied float64
+	// limit is the request rate that the endpoint had named when the request was sent, if limited; unknown through another
+	// instance.
+	limit   float64
+	limited bool
 }
 
 // attemptLocal waits for an endpoint of this region and sends it the request.
@@ -102,6 +106,11 @@
 		Endpoint: chosen.ID, Organisation: a.organisation, Deadline: left, LastEventID: a.lastEventID, CopyFrom: chosen.CopyFrom,
 		Urgency: a.endpointUrgency(), HasUrgency: a.hasUrgency,
 	})
+	sentAt := e.clock.Now()
+	limit, limited := e.pools.limitOf(chosen.Incarnation)
+	if limited {
+		e.metrics.sentToLimited()
+	}
 	resp, err := e.conns.Do(ctx, chosen.Addr, &endpointconn.Request{
 		ID: a.id, Method: a.method, URI: a.uri, Host: a.host, Header: header, Body: a.body, FreshConnection: a.freshConnection,
 	})
@@ -109,10 +118,12 @@
 		return nil, e.sendFailure(ctx, a, chosen, err)
 	}
 	head := e.options.Dialect.ParseAnswer(resp.Status, resp.Header)
+	e.observeLimit(a.id, chosen, resp.Status, head, sentAt)
 	if head.ColdFor > 0 {
 		e.pools.recordCold(endpoint, head.ColdFor)
 	}
-	r := &reply{status: resp.Status, header: resp.Header, endpoint: chosen.ID, instance: e.options.Self.Instance, unread: chosen.PrefillTokens, copied: chosen.CopiedTokens}
+	r := &reply{status: resp.Status, header: resp.Header, endpoint: chosen.ID, instance: e.options.Self.Instance, unread: chosen.PrefillTokens, copied: chosen.CopiedTokens,
+		limit: limit, limited: limited}
 	body := &endpointBody{ReadCloser: resp.Body, ctx: ctx, edge: e, attempt: a, endpoint: endpoint, result: healthResultOf(resp.Status, head)}
 	r.body = body
 	if kind, reason := classifyAnswer(resp.Status, resp.Header, head); kind != "" {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -65,6 +65,9 @@
 	NotRun    bool          // the endpoint has not run the request and never will
 	Signed    bool          // the answer carries the endpoint's signature
 	ColdFor   time.Duration // how much longer the endpoint is cold, 0 if it is not
+	// RateLimit is the number of requests per second that the endpoint takes from all instances together, if RateLimited.
+	RateLimit   float64
+	RateLimited bool
 }
 
 // Dialect encodes and decodes the platform's HTTP headers.
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -23,6 +23,8 @@
 	dialled       tally.Gauge
 	reused        tally.Gauge
 	viewAge       tally.Gauge
+	limited       tally.Gauge
+	toLimited     tally.Counter
 	mu            sync.Mutex
 	byStatus      map[int]statusMetrics
 }
@@ -36,7 +38,8 @@
 	return &metrics{
 		scope: scope, inFlightGauge: scope.Gauge("requests_in_flight"),
 		dialled: scope.Gauge("endpoint_requests_on_new_connections"), reused: scope.Gauge("endpoint_requests_on_kept_connections"),
-		viewAge:  scope.Gauge("view_age_seconds"),
+		viewAge: scope.Gauge("view_age_seconds"),
+		limited: scope.Gauge("limited_endpoints"), toLimited: scope.Counter("requests_to_limited_endpoints"),
 		byStatus: make(map[int]statusMetrics),
 	}
 }
@@ -50,6 +53,12 @@
 	m.reused.Update(float64(reused))
 }
 
+// limitedEndpoints records how many endpoints name a request rate.
+func (m *metrics) limitedEndpoints(n int) { m.limited.Update(float64(n)) }
+
+// sentToLimited records that a request is sent to an endpoint that has named a request rate.
+func (m *metrics) sentToLimited() { m.toLimited.Inc(1) }
+
 // request records an answered request. Status 0 means that the caller disconnected before the answer.
 func (m *metrics) request(status int, took time.Duration) {
 	m.mu.Lock()
--- a/internal/edge/pools.go
+++ b/internal/edge/pools.go
@@ -9,6 +9,7 @@
 
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointrate"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 	"dogwoodknot.example/dogwoodknot/internal/core/triage"
 )
@@ -39,6 +40,7 @@
 	mu        sync.Mutex
 	byService map[string]*servicePool
 	newParts  numberedLog[endpointParts] // to be reported to the other instances of the region
+	limits    *endpointrate.Register     // request rates that endpoints have named
 }
 
 type servicePool struct {
@@ -57,7 +59,8 @@
 }
 
 func newPools(c clock.Clock, coldPace func(string, float64) float64) *pools {
-	return &pools{clock: c, coldRate: coldPace, byService: make(map[string]*servicePool), newParts: numberedLog[endpointParts]{maxEntries: maxNewParts}}
+	return &pools{clock: c, coldRate: coldPace, byService: make(map[string]*servicePool), newParts: numberedLog[endpointParts]{maxEntries: maxNewParts},
+		limits: endpointrate.NewRegister()}
 }
 
 // set replaces the services and their usable endpoints.
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -310,6 +310,17 @@
 	return func(addr string) bool { return known[addr] }
 }
 
+// isListed returns a function that reports whether an endpoint is listed.
+func (s *state) isListed() func(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed := make(map[string]bool, len(s.endpoints))
+	for id := range s.endpoints {
+		listed[id] = true
+	}
+	return func(id string) bool { return listed[id] }
+}
+
 // terms returns the rates of all organisations.
 func (c *inForce) terms() map[string]fleetquota.Limit {
 	out := make(map[string]fleetquota.Limit)
