--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -26,14 +26,21 @@
 func newTestFleet(t *testing.T) *testFleet {
 	clk := &clock.Manual{}
 	clk.Advance(time.Hour)
-	f := newFleet(&Options{Self: peer.Identity{Instance: "self", Region: "south"}, Clock: clk, Log: zap.NewNop()})
+	return newTestFleetOf(t, clk, peer.Identity{Instance: "self", Region: "south"})
+}
+
+// newTestFleetOf returns the fleet as seen by the given instance.
+func newTestFleetOf(t *testing.T, clk *clock.Manual, self peer.Identity) *testFleet {
+	f := newFleet(&Options{Self: self, Clock: clk, Log: zap.NewNop()})
 	f.onChange = func() {}
 	return &testFleet{fleet: f, clk: clk, t: t}
 }
 
-func (f *testFleet) list(name, region string) {
+func (f *testFleet) list(name, region string) { f.listIncarnation(name, region, 1) }
+
+func (f *testFleet) listIncarnation(name, region string, incarnation uint64) {
 	f.t.Helper()
-	value, err := json.Marshal(announcement{Incarnation: 1, Region: region, CallerAddr: name, PeerAddr: "p"})
+	value, err := json.Marshal(announcement{Incarnation: incarnation, Region: region, CallerAddr: name, PeerAddr: "p"})
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/edge/limit_test.go
@@ -0,0 +1,512 @@
+package edge
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/catalog"
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/fleetview"
+	"dogwoodknot.example/dogwoodknot/internal/core/placement"
+	"dogwoodknot.example/dogwoodknot/internal/peer"
+)
+
+// The tests of this file run the instances of a region in virtual time: the real placement, membership and exchange of state, with
+// faults of instances and endpoints by a seed.
+
+// The bound that operators set: from limitContact after an endpoint first named a limit, it gets in any limitWindow at most
+// limitExcess times what the limit allows and limitSlack requests, from instances that have passed on an answer with it limitTold ago
+// or earlier.
+const (
+	limitContact = 6 * time.Second
+	limitWindow  = 4 * time.Second
+	limitExcess  = 1.5
+	limitSlack   = 5
+	limitTold    = 500 * time.Millisecond
+)
+
+// limitedRegion is a simulated region in which endpoints name limits.
+type limitedRegion struct {
+	t         *testing.T
+	rng       *rand.Rand
+	clk       *clock.Manual
+	conf      *catalog.Configuration
+	events    eventHeap
+	seq       int
+	instances []*limitedInstance
+	endpoints []*limitedEndpoint
+	storeDown clock.Instant // until when the store answers nobody
+	served    int
+}
+
+// limitedEndpoint is an endpoint with the requests that have reached it.
+type limitedEndpoint struct {
+	catalog.Endpoint
+	limits   []namedLimit // in the order of time
+	arrivals []limitedArrival
+}
+
+// namedLimit is what an endpoint names from a moment on.
+type namedLimit struct {
+	from    clock.Instant
+	limited bool
+	limit   float64
+}
+
+type limitedArrival struct {
+	at      clock.Instant
+	from    string
+	counted bool // the sender had passed on the limit long enough before, and nothing excuses it
+}
+
+// limitedInstance is an instance of the region with its faults.
+type limitedInstance struct {
+	*Edge
+	fleet       *testFleet
+	name        string
+	incarnation uint64
+	up          bool
+	frozenUntil clock.Instant
+	peersCut    bool
+	storeCut    bool
+	excused     clock.Instant            // until when a fault excuses it
+	told        map[string]clock.Instant // by endpoint: when it first passed on an answer with a limit
+	leaseEnds   clock.Instant            // of its key in the store
+	reportsTo   *limitedInstance
+	source      *fleetview.Source // at reportsTo
+	lastAnswer  clock.Instant     // of reportsTo
+}
+
+const limitedService = "s"
+
+func newLimitedRegion(t *testing.T, seed uint64, instances, endpoints int, engine *catalog.Engine) *limitedRegion {
+	l := &limitedRegion{t: t, rng: rand.New(rand.NewPCG(seed, 1)), clk: &clock.Manual{}}
+	l.clk.Advance(time.Hour)
+	var err error
+	l.conf, err = catalog.New(catalog.Declaration{Version: 1, Services: []*catalog.Service{{Name: limitedService, Engine: engine}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range endpoints {
+		l.endpoints = append(l.endpoints, &limitedEndpoint{Endpoint: catalog.Endpoint{
+			Incarnation: catalog.Incarnation{ID: fmt.Sprint("e", i), StartedAtMillis: 1}, Service: limitedService, Addr: fmt.Sprint("a", i), Slots: 64,
+		}})
+	}
+	for i := range instances {
+		l.instances = append(l.instances, &limitedInstance{name: fmt.Sprintf("i%03d", i)})
+	}
+	for _, i := range l.instances {
+		l.startInstance(i)
+	}
+	return l
+}
+
+func (l *limitedRegion) after(d time.Duration, do func()) {
+	l.seq++
+	heap.Push(&l.events, event{at: l.clk.Now().Add(d), seq: l.seq, do: do})
+}
+
+func (l *limitedRegion) random(most time.Duration) time.Duration {
+	return time.Duration(l.rng.Int64N(int64(most)))
+}
+
+// run processes events for a time.
+func (l *limitedRegion) run(d time.Duration) {
+	end := l.clk.Now().Add(d)
+	for l.events.Len() > 0 && l.events[0].at <= end {
+		e := heap.Pop(&l.events).(event)
+		l.clk.Advance(e.at.Sub(l.clk.Now()))
+		e.do()
+	}
+	l.clk.Advance(end.Sub(l.clk.Now()))
+}
+
+// whileUp calls do as soon as the incarnation of an instance runs, unless it ends before.
+func (l *limitedRegion) whileUp(i *limitedInstance, do func()) func() {
+	incarnation := i.incarnation
+	var try func()
+	try = func() {
+		switch wait := i.frozenUntil.Sub(l.clk.Now()); {
+		case !i.up || i.incarnation != incarnation:
+		case wait > 0:
+			l.after(wait, try)
+		default:
+			do()
+		}
+	}
+	return try
+}
+
+func (l *limitedRegion) startInstance(i *limitedInstance) {
+	i.incarnation++
+	i.up, i.told, i.reportsTo = true, make(map[string]clock.Instant), nil
+	i.fleet = newTestFleetOf(l.t, l.clk, peer.Identity{Instance: i.name, Region: "south", DataCentre: "a", Incarnation: i.incarnation})
+	i.fleet.options.Regions = map[string]string{"a": "south"}
+	i.Edge = testEdgeIn(l.t, i.fleet)
+	l.setEndpoints(i)
+	l.after(l.random(200*time.Millisecond), l.whileUp(i, func() { l.readStore(i) }))
+	l.after(300*time.Millisecond, l.whileUp(i, func() { l.renew(i) }))
+	l.after(l.random(tickMin), l.whileUp(i, func() { l.tick(i) }))
+	l.after(l.random(parentCheckInterval), l.whileUp(i, func() { l.chooseParent(i) }))
+}
+
+func (l *limitedRegion) setEndpoints(i *limitedInstance) {
+	var list []catalog.Endpoint
+	for _, e := range l.endpoints {
+		list = append(list, e.Endpoint)
+	}
+	i.pools.set(l.conf, map[string][]catalog.Endpoint{limitedService: list})
+}
+
+// readStore gives an instance the keys of the store now and then. One that the store does not answer reads through others.
+func (l *limitedRegion) readStore(i *limitedInstance) {
+	now := l.clk.Now()
+	next := 50*time.Millisecond + l.random(400*time.Millisecond)
+	if i.storeCut {
+		next += storeUnavailableAfter
+	}
+	l.after(next, l.whileUp(i, func() { l.readStore(i) }))
+	if now < l.storeDown {
+		return
+	}
+	for _, o := range l.instances {
+		if o == i {
+			continue
+		}
+		if listed := o.leaseEnds > now; listed {
+			if m := i.fleet.members[o.name]; m == nil || !m.listed || m.Incarnation != o.incarnation {
+				i.fleet.listIncarnation(o.name, "south", o.incarnation)
+			}
+		} else {
+			i.fleet.expire(o.name)
+		}
+	}
+	i.fleet.removeUnresponsive()
+}
+
+// renew keeps an instance's key in the store.
+func (l *limitedRegion) renew(i *limitedInstance) {
+	if now := l.clk.Now(); now >= l.storeDown && !i.storeCut {
+		i.leaseEnds = now.Add(leaseTerm)
+	}
+	l.after(renewInterval, l.whileUp(i, func() { l.renew(i) }))
+}
+
+func (i *limitedInstance) reaches(o *limitedInstance, now clock.Instant) bool {
+	return o.up && now >= o.frozenUntil && !i.peersCut && !o.peersCut
+}
+
+// tick exchanges an instance's state with its parent.
+func (l *limitedRegion) tick(i *limitedInstance) {
+	now := l.clk.Now()
+	l.after(i.view.interval(), l.whileUp(i, func() { l.tick(i) }))
+	i.view.tick()
+	parent := i.reportsTo
+	if parent == nil {
+		return
+	}
+	if !i.reaches(parent, now) {
+		if now.Sub(i.lastAnswer) > max(minUnresponsive, unresponsiveTicks*i.view.interval()) {
+			l.leaveParent(i, true)
+			l.chooseParentNow(i)
+		}
+		return
+	}
+	if err := l.exchange(i, parent, now); err != nil {
+		l.leaveParent(i, true)
+		l.chooseParentNow(i)
+	}
+}
+
+func (l *limitedRegion) exchange(i, parent *limitedInstance, now clock.Instant) error {
+	if d := parent.view.node.DigestFor(i.source); d != nil {
+		events, err := i.view.node.ReceiveDigest(now, d)
+		if err != nil {
+			return err
+		}
+		i.lastAnswer = now
+		i.applyEvents(events)
+		i.view.apply()
+	}
+	return parent.view.node.ReceiveReport(now, i.source, i.view.node.NextReport(now))
+}
+
+func (l *limitedRegion) leaveParent(i *limitedInstance, exclude bool) {
+	if i.reportsTo == nil {
+		return
+	}
+	if exclude {
+		i.fleet.excludeAsParent(i.reportsTo.name)
+	}
+	i.reportsTo.view.node.StreamEnded(i.source)
+	i.view.node.ClearParent(l.clk.Now())
+	i.reportsTo = nil
+}
+
+func (l *limitedRegion) chooseParent(i *limitedInstance) {
+	l.after(parentCheckInterval, l.whileUp(i, func() { l.chooseParent(i) }))
+	l.chooseParentNow(i)
+}
+
+// chooseParentNow makes an instance report to the one that its view of the members gives, if that one knows it.
+func (l *limitedRegion) chooseParentNow(i *limitedInstance) {
+	now := l.clk.Now()
+	name, ok := i.fleet.parent()
+	if !ok {
+		l.leaveParent(i, false)
+		return
+	}
+	if i.reportsTo != nil && i.reportsTo.name == name && i.reportsTo.incarnation == i.fleet.members[name].Incarnation {
+		return
+	}
+	for _, o := range l.instances {
+		if o.name != name {
+			continue
+		}
+		if !i.reaches(o, now) || !o.fleet.knows(i.options.Self) {
+			return
+		}
+		l.leaveParent(i, false)
+		if i.view.node.SetParent(now, name) != nil {
+			return
+		}
+		source, err := o.view.node.AddChild(i.options.Self)
+		if err != nil {
+			i.view.node.ClearParent(now)
+			return
+		}
+		i.reportsTo, i.source, i.lastAnswer = o, source, now
+	}
+}
+
+// callers sends requests to an instance, a number per second.
+func (l *limitedRegion) callers(i *limitedInstance, perSecond float64) {
+	l.after(time.Duration(l.rng.ExpFloat64()/perSecond*float64(time.Second)), func() {
+		l.callers(i, perSecond)
+		if i.up && l.clk.Now() >= i.frozenUntil {
+			l.seq++
+			l.place(i, &attempt{id: fmt.Sprint("r", l.seq), service: limitedService, excluded: map[string]bool{},
+				work: placement.Request{ID: fmt.Sprint("r", l.seq), PromptTokens: 100, OutputTokens: 50}})
+		}
+	})
+}
+
+// place sends a request to the endpoint that the instance chooses, if any.
+func (l *limitedRegion) place(i *limitedInstance, a *attempt) {
+	w := &waiter{attempt: a, placed: make(chan placement.Choice, 1)}
+	if i.pools.tryPlace(i.pools.byService[limitedService], w) != "" {
+		return
+	}
+	c := <-w.placed
+	sentAt := l.clk.Now()
+	for _, e := range l.endpoints {
+		if e.ID == c.ID {
+			l.after(time.Millisecond+l.random(2*time.Millisecond), func() { l.arrive(i, e, a, c, sentAt) })
+		}
+	}
+}
+
+func (e *limitedEndpoint) named(at clock.Instant) (limit float64, limited bool) {
+	for _, n := range e.limits {
+		if n.from <= at {
+			limit, limited = n.limit, n.limited
+		}
+	}
+	return limit, limited
+}
+
+// arrive runs a request at an endpoint, and gives the sender its answer.
+func (l *limitedRegion) arrive(i *limitedInstance, e *limitedEndpoint, a *attempt, c placement.Choice, sentAt clock.Instant) {
+	now := l.clk.Now()
+	told, wasTold := i.told[e.ID]
+	e.arrivals = append(e.arrivals, limitedArrival{at: now, from: i.name, counted: wasTold && now.Sub(told) >= limitTold && now >= i.excused})
+	status, head := http.StatusOK, AnswerHead{Signed: true}
+	took := 5*time.Millisecond + time.Duration(l.rng.ExpFloat64()*float64(150*time.Millisecond))
+	kind := l.rng.IntN(100)
+	switch {
+	case kind < 5:
+		status, head, took = http.StatusServiceUnavailable, AnswerHead{NotRun: true}, 0
+	case kind < 8:
+		status = http.StatusInternalServerError
+	}
+	l.after(took, func() {
+		head.RateLimit, head.RateLimited = e.named(l.clk.Now())
+		if kind >= 5 && kind < 8 {
+			head.RateLimited = false
+		}
+		l.after(time.Millisecond, l.whileUp(i, func() { l.answer(i, e, a, c, sentAt, kind, status, head) }))
+	})
+}
+
+// answer gives an instance an endpoint's answer. A request that was declined or has failed is sent once more.
+func (l *limitedRegion) answer(i *limitedInstance, e *limitedEndpoint, a *attempt, c placement.Choice, sentAt clock.Instant, kind, status int, head AnswerHead) {
+	const reset = 10 // kinds from 8 to here get no answer
+	if kind < 8 || kind >= reset {
+		i.observeLimit(a.id, c, status, head, sentAt)
+		if _, wasTold := i.told[e.ID]; head.RateLimited && !wasTold {
+			i.told[e.ID] = l.clk.Now()
+		}
+	}
+	if i.pools.byService[limitedService].service.Engine != nil {
+		i.pools.recordStart(limitedService, c.Endpoint, a.id)
+	}
+	i.pools.release(limitedService, c.Endpoint, a.id, resultNone)
+	if kind >= reset {
+		l.served++
+	} else if len(a.excluded) == 0 {
+		a.excluded[e.ID] = true
+		l.place(i, a)
+	}
+}
+
+// excuse excuses an instance until a while after a fault has ended.
+func (i *limitedInstance) excuse(until clock.Instant) {
+	const settling = time.Second
+	i.excused = max(i.excused, until.Add(settling))
+}
+
+// fault injects a random fault.
+func (l *limitedRegion) fault() {
+	now := l.clk.Now()
+	i := l.instances[l.rng.IntN(len(l.instances))]
+	length := 300*time.Millisecond + l.random(5*time.Second)
+	if !i.up || now < i.frozenUntil || i.peersCut || i.storeCut {
+		return // it has a fault already
+	}
+	switch l.rng.IntN(7) {
+	case 0, 1: // killed, or stopped so that its key is removed
+		i.up = false
+		if l.rng.IntN(2) == 0 {
+			i.leaseEnds = now
+		}
+		i.excuse(now.Add(length + 300*time.Millisecond))
+		l.after(length, func() { l.startInstance(i) })
+	case 2:
+		i.frozenUntil = now.Add(length)
+		i.excuse(i.frozenUntil)
+	case 3:
+		i.peersCut = true
+		i.excuse(now.Add(length))
+		l.after(length, func() { i.peersCut = false })
+	case 4:
+		i.storeCut = true
+		i.excuse(now.Add(length))
+		l.after(length, func() { i.storeCut = false })
+	case 5:
+		l.storeDown = now.Add(length)
+	case 6: // an endpoint restarts
+		e := l.endpoints[l.rng.IntN(len(l.endpoints))]
+		if _, limited := e.named(now); !limited {
+			e.StartedAtMillis++
+			for _, o := range l.instances {
+				l.after(l.random(time.Second), l.whileUp(o, func() { l.setEndpoints(o) }))
+			}
+		}
+	}
+}
+
+// boundAt returns the number of requests that the endpoint may get in the window that ends at a moment, and false if nothing binds it:
+// it names no limit for a part of the window, or has begun to name one lately.
+func (e *limitedEndpoint) boundAt(at clock.Instant) (allowed float64, bound bool) {
+	highest, since := 0.0, at
+	for n, named := range e.limits {
+		endedBefore := n+1 < len(e.limits) && e.limits[n+1].from < at.Add(-limitWindow)
+		if named.from > at || !named.limited && !endedBefore {
+			since = at
+			continue
+		}
+		if !named.limited {
+			continue
+		}
+		if n == 0 || !e.limits[n-1].limited {
+			since = named.from
+		}
+		if !endedBefore {
+			highest = max(highest, named.limit)
+		}
+	}
+	return limitExcess*highest*limitWindow.Seconds() + limitSlack, at.Sub(since) >= limitContact
+}
+
+// check returns the first window in which the endpoint got more requests than it may, "" if there is none.
+func (e *limitedEndpoint) check() string {
+	first, counted := 0, 0
+	for _, a := range e.arrivals {
+		for ; a.at.Sub(e.arrivals[first].at) > limitWindow; first++ {
+			if e.arrivals[first].counted {
+				counted--
+			}
+		}
+		if a.counted {
+			counted++
+		}
+		if allowed, bound := e.boundAt(a.at); bound && float64(counted) > allowed {
+			return fmt.Sprintf("endpoint %s got %d requests in the %s to %s, allowed %.1f; it named %+v", e.ID, counted, limitWindow, time.Duration(a.at), allowed, e.limits)
+		}
+	}
+	return ""
+}
+
+// Guards against an endpoint that names the request rate which it takes from all instances together and gets more: each instance by
+// itself ignores the limit, or all together exceed it, as the set of instances changes, an instance resumes after a pause, is cut off
+// or takes over, or requests are sent again.
+func TestNamedLimitHoldsAcrossInstances(t *testing.T) {
+	for _, tc := range []struct {
+		instances, endpoints int
+		seeds                uint64
+		engine               *catalog.Engine
+	}{
+		{instances: 1, endpoints: 2, seeds: 3},
+		{instances: 2, endpoints: 3, seeds: 10},
+		{instances: 4, endpoints: 5, seeds: 10, engine: &catalog.Engine{Slots: 64, KVCacheTokens: 400_000, EventTokens: 7}},
+		{instances: 13, endpoints: 12, seeds: 6},
+		{instances: 40, endpoints: 20, seeds: 2, engine: &catalog.Engine{Slots: 64, KVCacheTokens: 400_000, EventTokens: 7}},
+	} {
+		for seed := range tc.seeds {
+			t.Run(fmt.Sprintf("%d instances, seed %d", tc.instances, seed), func(t *testing.T) {
+				t.Parallel()
+				l := newLimitedRegion(t, seed, tc.instances, tc.endpoints, tc.engine)
+				l.playLimits(30*time.Second, true)
+			})
+		}
+	}
+}
+
+// playLimits lets endpoints name limits and checks the bound. With faults, those come at random.
+func (l *limitedRegion) playLimits(length time.Duration, faults bool) {
+	l.t.Helper()
+	l.run(5 * time.Second)
+	const total = 120.0 // requests per second of all callers
+	for _, i := range l.instances {
+		l.callers(i, total/float64(len(l.instances)))
+	}
+	l.run(2 * time.Second)
+	start := l.clk.Now()
+	limited := l.endpoints[:1+l.rng.IntN(len(l.endpoints)/2)]
+	for _, e := range limited {
+		at := start.Add(l.random(time.Second))
+		e.limits = []namedLimit{{at, true, 0.2 + 3*l.rng.Float64()}}
+		for range l.rng.IntN(3) { // it names other limits, and none in between
+			at = at.Add(8*time.Second + l.random(6*time.Second))
+			e.limits = append(e.limits, namedLimit{at, l.rng.IntN(3) > 0, 0.2 + 3*l.rng.Float64()})
+		}
+	}
+	if faults {
+		for at := time.Duration(0); at < length; at += l.random(3 * time.Second) {
+			l.after(at, l.fault)
+		}
+	}
+	l.run(length)
+	for _, e := range limited {
+		if broken := e.check(); broken != "" {
+			l.t.Error(broken)
+		}
+	}
+	if l.served == 0 {
+		l.t.Error("no request was served")
+	}
+}
--- a/internal/edge/view_test.go
+++ b/internal/edge/view_test.go
@@ -19,13 +19,18 @@
 // testEdge returns an instance in the region "south" that sends no messages by itself.
 func testEdge(t *testing.T) (*Edge, *testFleet) {
 	f := newTestFleet(t)
+	return testEdgeIn(t, f), f
+}
+
+// testEdgeIn returns an instance that sends no messages by itself.
+func testEdgeIn(t *testing.T, f *testFleet) *Edge {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	e := &Edge{options: *f.options, clock: f.clk, log: zap.NewNop(), fleet: f.fleet, quota: fleetquota.New(), rejections: newRejections(f.clk),
-		pools: newPools(f.clk, func(string, float64) float64 { return 0 }), ctx: ctx, cancel: cancel}
+		pools: newPools(f.clk, f.coldRate), ctx: ctx, cancel: cancel}
 	e.state = newState(&e.options)
 	e.view = newView(e)
-	return e, f
+	return e
 }
 
 // idleStream is a stream on which nothing arrives until it is closed.
