Tell all instances of a region which request rates endpoints name

A limit counts for all instances together, and an instance that sends nothing to an endpoint hears neither its limit nor the end of it. Reports and digests now carry the statements of endpoints, each once for a stream and again when it changes. A statement has a version; of two that instances made at the same time, the stricter one counts, and the endpoint's next answer corrects it.

Weighed: limits as events, which are sent once, would be lost with a stream; an expiry instead of a withdrawal would let each of a hundred instances ask the endpoint again. Message size: a statement has some 30 bytes and is sent at a change only.

--- a/internal/core/endpointrate/register.go
+++ b/internal/core/endpointrate/register.go
@@ -108,6 +108,9 @@
 	return e.Limit, e.Limited
 }
 
+// Len returns the number of statements.
+func (r *Register) Len() int { return len(r.entries) }
+
 // Limited returns the number of endpoints that name a limit.
 func (r *Register) Limited() int {
 	n := 0
--- a/internal/core/fleetview/changes.go
+++ b/internal/core/fleetview/changes.go
@@ -1,6 +1,9 @@
 package fleetview
 
 import (
+	"dogwoodknot.example/dogwoodknot/internal/catalog"
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointrate"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
@@ -33,10 +36,11 @@
 type sentState struct {
 	statuses map[string]Status
 	loads    map[string]placement.Load
+	limits   map[string]endpointrate.Statement // by endpoint
 }
 
 func newSentState() *sentState {
-	return &sentState{statuses: make(map[string]Status), loads: make(map[string]placement.Load)}
+	return &sentState{statuses: make(map[string]Status), loads: make(map[string]placement.Load), limits: make(map[string]endpointrate.Statement)}
 }
 
 // statusChanges returns the difference between the statuses sent before and next, and records next as sent.
@@ -74,6 +78,34 @@
 	return changed
 }
 
+// limitChanges returns the statements that differ from those sent before, and records them as sent.
+func (t *sentState) limitChanges(statements []endpointrate.Statement) (changed []*wire.EdgeEndpointLimit) {
+	for _, s := range statements {
+		if t.limits[s.Endpoint.ID] == s {
+			continue
+		}
+		t.limits[s.Endpoint.ID] = s
+		changed = append(changed, &wire.EdgeEndpointLimit{
+			Id: s.Endpoint.ID, StartedMillis: s.Endpoint.StartedAtMillis, Limited: s.Limited, PerSecond: s.Limit, Version: s.Version,
+		})
+	}
+	return changed
+}
+
+// mergeLimits records the statements of a message.
+func (n *Node) mergeLimits(now clock.Instant, limits []*wire.EdgeEndpointLimit) error {
+	for _, l := range limits {
+		n.limits.Merge(now, endpointrate.Statement{
+			Endpoint: catalog.Incarnation{ID: l.GetId(), StartedAtMillis: l.GetStartedMillis()},
+			Limited:  l.GetLimited(), Limit: l.GetPerSecond(), Version: l.GetVersion(),
+		})
+	}
+	if n.limits.Len() > maxEndpoints {
+		return ErrTooLarge
+	}
+	return nil
+}
+
 func encodeLoad(endpoint string, w placement.Load) *wire.EdgeEndpointWork {
 	return &wire.EdgeEndpointWork{
 		Id: endpoint, Running: roundToUint32(float64(w.Requests)), UnreadTokens: roundToUint32(w.PendingPrefill), MemoryTokens: roundToUint32(w.Memory),
--- a/internal/core/fleetview/digest.go
+++ b/internal/core/fleetview/digest.go
@@ -42,7 +42,7 @@
 		ConfigurationVersion: n.configVersion, Path: append([]string{n.self.Instance}, n.ancestors...),
 		Parts: events.PromptParts, Refusals: events.Rejections, Silent: n.Unresponsive(now),
 	}
-	statuses, load := n.statusesWithoutTimes(now), n.loadOutsideSubtree(now)
+	statuses, load, limits := n.statusesWithoutTimes(now), n.loadOutsideSubtree(now), n.limits.Statements()
 	n.addSubtreeLoad(now, load, nil)
 	var err error
 	if needComplete {
@@ -50,6 +50,7 @@
 		state.Complete = true
 		state.Instances, _ = next.statusChanges(statuses)
 		state.Endpoints = next.loadChanges(load)
+		state.Limits = next.limitChanges(limits)
 		state.Regions = n.regionStates(now, n.regionUsage.values, func(name string) map[string]float64 { return n.remoteRegions[name].forChildren.values })
 		if n.encodedComplete, err = proto.Marshal(state); err != nil {
 			return errors.Wrap(err, "encode the complete state")
@@ -59,11 +60,13 @@
 		n.sentToChildren = newSentState()
 		n.sentToChildren.statusChanges(statuses)
 		n.sentToChildren.loadChanges(load)
+		n.sentToChildren.limitChanges(limits)
 		return nil
 	}
 	state.Complete = false
 	state.Instances, state.Gone = n.sentToChildren.statusChanges(statuses)
 	state.Endpoints = n.sentToChildren.loadChanges(load)
+	state.Limits = n.sentToChildren.limitChanges(limits)
 	state.Regions = n.regionStates(now, usageChanges, func(name string) map[string]float64 { return remoteUsage[name] })
 	n.encodedChanges, err = proto.Marshal(state)
 	return errors.Wrap(err, "encode the changes of the state")
--- a/internal/core/fleetview/node.go
+++ b/internal/core/fleetview/node.go
@@ -19,6 +19,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointrate"
 	"dogwoodknot.example/dogwoodknot/internal/core/fleetquota"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
@@ -41,6 +42,7 @@
 	Load          map[string]placement.Load // by endpoint
 	Usage         map[string]float64        // tokens admitted since the start, by organisation; unchanged totals may be left out
 	Services      []*wire.EdgeServiceLoad
+	Limits        []endpointrate.Statement // that this instance knows of the region's endpoints
 	Events
 }
 
@@ -76,6 +78,7 @@
 	summaryStreams map[string]*SummaryStream // to the roots of remote regions, by region
 	ownUsage       map[string]float64        // totals of the last SetOwnState
 	configVersion  int64
+	limits         *endpointrate.Register // of the region's endpoints
 
 	regionUsage    totals // usage by all instances of the region
 	peerUsage      totals // the same without this instance
@@ -111,7 +114,7 @@
 	n := &Node{
 		self: self, sources: make(map[string]*Source), remoteRoots: make(map[string]*Source), summaryStreams: make(map[string]*SummaryStream),
 		ownUsage: make(map[string]float64), regionUsage: newTotals(), peerUsage: newTotals(), remoteRegions: make(map[string]*remoteRegion),
-		unsentUsage: make(map[string]float64), peerAverages: make(averages),
+		unsentUsage: make(map[string]float64), peerAverages: make(averages), limits: endpointrate.NewRegister(),
 	}
 	n.sources[self.Instance] = newSource(self)
 	return n
@@ -134,6 +137,9 @@
 			n.addUsage(own, now, organisation, used)
 		}
 	}
+	for _, s := range o.Limits {
+		n.limits.Merge(now, s)
+	}
 	n.forwardEvents(o.Events)
 }
 
@@ -197,6 +203,9 @@
 	if err := s.receive(now, r, r.GetEndpoints()); err != nil {
 		return err
 	}
+	if err := n.mergeLimits(now, r.GetLimits()); err != nil {
+		return err
+	}
 	for _, earlier := range r.GetEarlier() {
 		if earlier.GetNumber() > received {
 			n.addReportedUsage(now, s, earlier.GetUses())
@@ -231,6 +240,14 @@
 	}
 }
 
+// Limits returns what the region's endpoints have stated about the request rate that they accept, as this instance and others know.
+func (n *Node) Limits() []endpointrate.Statement { return n.limits.Statements() }
+
+// PruneLimits drops the statements of endpoints that have not been listed for a while.
+func (n *Node) PruneLimits(now clock.Instant, listed func(endpoint string) bool) {
+	n.limits.Prune(now, listed)
+}
+
 // IsRoot reports whether this instance has no parent.
 func (n *Node) IsRoot() bool { return n.parent == nil }
 
--- a/internal/core/fleetview/node_test.go
+++ b/internal/core/fleetview/node_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointrate"
 	"dogwoodknot.example/dogwoodknot/internal/core/fleetquota"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
@@ -30,7 +31,8 @@
 	isolated     bool    // exchanges no messages, but goes on admitting requests
 	load         map[string]placement.Load
 	usage        map[string]float64
-	receivedKeys []string // keys of the prompt parts received in digests
+	limits       *endpointrate.Register // what its own requests have shown
+	receivedKeys []string               // keys of the prompt parts received in digests
 	nextEvents   Events
 
 	digests, digestBytes, changedLoads int // digests received, their total size, and changed endpoint loads in them
@@ -46,7 +48,7 @@
 	r := &region{t: t, now: clock.Instant(time.Hour)}
 	for i := range n {
 		id := peer.Identity{Instance: fmt.Sprint(name, i), Region: name, Incarnation: 1}
-		r.instances = append(r.instances, &instance{Node: New(id), id: id, load: map[string]placement.Load{}, usage: map[string]float64{}})
+		r.instances = append(r.instances, &instance{Node: New(id), id: id, load: map[string]placement.Load{}, usage: map[string]float64{}, limits: endpointrate.NewRegister()})
 	}
 	return r
 }
@@ -92,7 +94,7 @@
 			continue
 		}
 		i.SetOwnState(r.now, OwnState{
-			Status: Status{Incarnation: 1, Ready: true}, Load: maps.Clone(i.load), Usage: maps.Clone(i.usage), Events: i.nextEvents.take(),
+			Status: Status{Incarnation: 1, Ready: true}, Load: maps.Clone(i.load), Usage: maps.Clone(i.usage), Limits: i.limits.Statements(), Events: i.nextEvents.take(),
 		})
 		r.must(i.Tick(r.now))
 	}
--- a/internal/core/fleetview/parent.go
+++ b/internal/core/fleetview/parent.go
@@ -122,6 +122,7 @@
 	load := make(map[string]placement.Load)
 	n.addSubtreeLoad(now, load, nil)
 	r.Endpoints = parent.sent.loadChanges(load)
+	r.Limits = parent.sent.limitChanges(n.limits.Statements())
 	r.Uses = encodeUsage(n.unsentUsage)
 	events := n.parentEvents.take()
 	r.Parts, r.Refusals = events.PromptParts, events.Rejections
@@ -183,6 +184,9 @@
 	if len(parent.statuses) > maxInstances*maxRegions || len(parent.loads) > maxEndpoints {
 		return Events{}, ErrTooLarge
 	}
+	if err := n.mergeLimits(now, s.GetLimits()); err != nil {
+		return Events{}, err
+	}
 	acknowledged := n.acknowledge(d.GetAcknowledged())
 	for _, r := range s.GetRegions() {
 		n.receiveRegion(now, r, acknowledged, first)
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -83,10 +83,8 @@
 	// unread and copied are the prompt tokens that the endpoint was expected to process and to copy; 0 through another
 	// instance.
 	unread, copied float64
-	// limit is the request rate that the endpoint had named when the request was sent, if limited; unknown through another
-	// instance.
-	limit   float64
-	limited bool
+	// limit is the endpoint's when the request was sent; not known through another instance.
+	limit knownLimit
 }
 
 // attemptLocal waits for an endpoint of this region and sends it the request.
@@ -107,8 +105,8 @@
 		Urgency: a.endpointUrgency(), HasUrgency: a.hasUrgency,
 	})
 	sentAt := e.clock.Now()
-	limit, limited := e.pools.limitOf(chosen.Incarnation)
-	if limited {
+	limit := e.pools.limitOf(chosen.Incarnation)
+	if limit.limited {
 		e.metrics.sentToLimited()
 	}
 	resp, err := e.conns.Do(ctx, chosen.Addr, &endpointconn.Request{
@@ -123,7 +121,7 @@
 		e.pools.recordCold(endpoint, head.ColdFor)
 	}
 	r := &reply{status: resp.Status, header: resp.Header, endpoint: chosen.ID, instance: e.options.Self.Instance, unread: chosen.PrefillTokens, copied: chosen.CopiedTokens,
-		limit: limit, limited: limited}
+		limit: limit}
 	body := &endpointBody{ReadCloser: resp.Body, ctx: ctx, edge: e, attempt: a, endpoint: endpoint, result: healthResultOf(resp.Status, head)}
 	r.body = body
 	if kind, reason := classifyAnswer(resp.Status, resp.Header, head); kind != "" {
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -74,9 +74,8 @@
 	// beyond its organisation's rate: the organisation's level and the share of its rate that accrues here.
 	expectedLocal, expectedRemote time.Duration
 	rateLevel, rateShare          float64
-	retry                         bool // a retry of a request that was rejected before
-	limit                         float64
-	limited                       bool // the endpoint had named limit when the request was sent
+	retry                         bool       // a retry of a request that was rejected before
+	limit                         knownLimit // of the endpoint when the request was sent
 	unread, copied                float64
 	// viewAge is the age of the view of the region's other instances at the last decision, negative if nothing was received
 	// from them yet.
@@ -291,7 +290,7 @@
 		x.attempts++
 		x.outcome.endpoint, x.outcome.instance = r.endpoint, r.instance
 		x.outcome.unread, x.outcome.copied = r.unread, r.copied
-		x.outcome.limit, x.outcome.limited = r.limit, r.limited
+		x.outcome.limit = r.limit
 		if f = x.writeAnswer(r); f == nil {
 			return
 		}
@@ -490,8 +489,8 @@
 			zap.Duration("expected_here", x.outcome.expectedLocal), zap.Duration("expected_elsewhere", x.outcome.expectedRemote), zap.Bool("late", x.attempt.late), zap.Duration("view_age", x.outcome.viewAge),
 			zap.Bool("returned", x.outcome.retry), zap.Float64("unread_tokens", x.outcome.unread), zap.Float64("copied_tokens", x.outcome.copied))
 	}
-	if x.outcome.limited {
-		fields = append(fields, zap.Float64("endpoint_limit", x.outcome.limit))
+	if x.outcome.limit.limited {
+		fields = append(fields, zap.Float64("endpoint_limit", x.outcome.limit.perSecond))
 	}
 	e.requestLog.Info("request", fields...)
 }
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -7,6 +7,7 @@
 
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointrate"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 )
 
@@ -18,40 +19,73 @@
 		return
 	}
 	now := e.clock.Now()
-	before, wasLimited, changed := e.pools.observeLimit(now, chosen.Incarnation, sentAt, head.RateLimit, head.RateLimited)
-	if !changed {
-		return
+	before, changed := e.pools.updateLimit(chosen.Incarnation, func(r *endpointrate.Register) bool {
+		return r.Observe(now, chosen.Incarnation, sentAt, head.RateLimit, head.RateLimited)
+	})
+	if changed {
+		e.logLimit(chosen.Incarnation, before, head.RateLimit, head.RateLimited, zap.String("request", request), zap.Duration("sent_ago", now.Sub(sentAt)))
 	}
-	fields := []zap.Field{
-		zap.String("endpoint", chosen.ID), zap.String("request", request), zap.Duration("sent_ago", now.Sub(sentAt)),
-		zap.Bool("limited_before", wasLimited), zap.Float64("before", before),
+}
+
+// mergeLimits records what other instances know of the request rates that endpoints accept.
+func (e *Edge) mergeLimits(now clock.Instant, statements []endpointrate.Statement) {
+	for _, s := range statements {
+		before, changed := e.pools.updateLimit(s.Endpoint, func(r *endpointrate.Register) bool { return r.Merge(now, s) })
+		if changed {
+			e.logLimit(s.Endpoint, before, s.Limit, s.Limited, zap.Uint64("version", s.Version))
+		}
 	}
-	if !head.RateLimited {
-		e.log.Info("endpoint names no limit any more", fields...)
+}
+
+// knownLimit is the request rate that an endpoint has named, if limited.
+type knownLimit struct {
+	perSecond float64
+	limited   bool
+}
+
+// logLimit logs a change of an endpoint's limit. source says how this instance has learned of it: by an answer, or by the version of a
+// statement that another instance has passed on.
+func (e *Edge) logLimit(endpoint catalog.Incarnation, before knownLimit, limit float64, limited bool, source ...zap.Field) {
+	fields := append(source, zap.String("endpoint", endpoint.ID), zap.Int64("born", endpoint.StartedAtMillis),
+		zap.Bool("limited_before", before.limited), zap.Float64("before", before.perSecond))
+	if limited {
+		e.log.Info("endpoint names a limit", append(fields, zap.Float64("limit", limit))...)
 		return
 	}
-	e.log.Info("endpoint names a limit", append(fields, zap.Float64("limit", head.RateLimit))...)
+	e.log.Info("endpoint names no limit any more", fields...)
 }
 
-// observeLimit records the limit in an endpoint's answer. It returns the limit before, and whether it has changed.
-func (p *pools) observeLimit(now clock.Instant, endpoint catalog.Incarnation, sentAt clock.Instant, limit float64, limited bool) (before float64, wasLimited, changed bool) {
+// updateLimit updates the register and returns the endpoint's limit before, and whether the update has changed it.
+func (p *pools) updateLimit(endpoint catalog.Incarnation, update func(*endpointrate.Register) bool) (before knownLimit, changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	before, wasLimited = p.limits.Limit(endpoint)
-	return before, wasLimited, p.limits.Observe(now, endpoint, sentAt, limit, limited)
+	before.perSecond, before.limited = p.limits.Limit(endpoint)
+	return before, update(p.limits)
 }
 
-// limitOf returns the request rate that an endpoint has named, and false if it names none.
-func (p *pools) limitOf(endpoint catalog.Incarnation) (perSecond float64, limited bool) {
+// limitStatements returns what this instance knows of the request rates that endpoints accept.
+func (p *pools) limitStatements() []endpointrate.Statement {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.limits.Limit(endpoint)
+	return p.limits.Statements()
 }
 
-// pruneLimits drops the limits of endpoints that have gone and returns the number of endpoints that name one.
-func (p *pools) pruneLimits(listed func(id string) bool) int {
+// limitOf returns the request rate that an endpoint has named.
+func (p *pools) limitOf(endpoint catalog.Incarnation) knownLimit {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limits.Prune(p.clock.Now(), listed)
-	return p.limits.Limited()
+	perSecond, limited := p.limits.Limit(endpoint)
+	return knownLimit{perSecond, limited}
+}
+
+// pruneLimits drops the limits of endpoints that have gone.
+func (e *Edge) pruneLimits() {
+	now, listed := e.clock.Now(), e.state.isListed()
+	e.pools.mu.Lock()
+	e.pools.limits.Prune(now, listed)
+	e.metrics.limitedEndpoints(e.pools.limits.Limited())
+	e.pools.mu.Unlock()
+	e.view.mu.Lock()
+	e.view.node.PruneLimits(now, listed)
+	e.view.mu.Unlock()
 }
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -202,7 +202,7 @@
 		dialled, reused := e.conns.Counts()
 		e.metrics.connections(dialled, reused)
 		e.metrics.viewAge.Update(e.view.age(e.clock.Now()).Seconds())
-		e.metrics.limitedEndpoints(e.pools.pruneLimits(e.state.isListed()))
+		e.pruneLimits()
 	}
 }
 
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -96,6 +96,7 @@
 	e.quota.ForEachAdmitted(func(organisation string, total float64) { o.Usage[organisation] = total })
 	e.quotaMu.Unlock()
 	now := e.clock.Now()
+	o.Limits = e.pools.limitStatements()
 	e.pools.each(func(name string, pool *servicePool) {
 		pool.OwnLoad(func(endpoint string, w placement.Load) {
 			if w != (placement.Load{}) {
@@ -156,7 +157,9 @@
 	statuses, peerLoad := v.node.Statuses(now), v.node.PeerLoad(now)
 	rates, services := fleetview.RateInputs{Usage: v.node.PeerUsage(), Unresponsive: v.node.Unresponsive(now)}, v.node.RemoteServices()
 	newest, version := v.node.NewestConfig()
+	limits := v.node.Limits()
 	v.mu.Unlock()
+	e.mergeLimits(now, limits)
 	v.appliedAsOf.Store(int64(rates.Usage[e.options.Self.Region].ReceivedAt))
 	e.fleet.recordStatuses(statuses)
 	e.fleet.recordServices(services, func(region string) clock.Instant { return rates.Usage[region].ReceivedAt })
