Keep the instances of a region together within an endpoint's request rate

Callers saw: answers of endpoints in need took up to 8.7 s, since these got 4 to 21 requests a second at a limit of 1.

The class of the fault: a bound for all instances together that each instance must keep its part of. For such bounds at endpoints there was only the pace of cold ones, and that had a hole of the same class: an instance that had just started knew no others and took the whole rate as its own, beside those that were senders before.

Change: internal/core/endpointrate holds one mechanism for both. All instances of the region choose the same few senders of an endpoint by a hash, each sends its share at regular intervals, and one that joined, was paused or takes over waits 3 s, by when the former senders have learned of it. An instance counts itself as a member only while its announcement is in the store, as the others see it. The lower of a named limit and the cold rate counts. At least one request in 4 s goes to an endpoint, so that the end of a limit is seen. Cache listings leave out engines that name a limit. Health, retries and requests of other regions pass through the same choice.

Ruled out: shares of all instances (at 130 instances, each would send a first request; 130 where 11 are allowed); counting the others' requests by their reports (up to 0.5 s old, all would take the same free request).

--- a/internal/core/endpointrate/register.go
+++ b/internal/core/endpointrate/register.go
@@ -47,6 +47,7 @@
 // Register holds the newest statement of each endpoint.
 type Register struct {
 	entries map[string]*entry // by the endpoint's id
+	limited int               // number of entries with a limit
 }
 
 type entry struct {
@@ -86,14 +87,17 @@
 func (r *Register) Merge(now clock.Instant, s Statement) bool {
 	e := r.entries[s.Endpoint.ID]
 	if e == nil {
-		r.entries[s.Endpoint.ID] = &entry{Statement: s, statedAt: now, lastListed: now}
-		return true
-	}
-	if !s.supersedes(e.Statement) {
+		e = &entry{Statement: Statement{Endpoint: s.Endpoint}, lastListed: now}
+		r.entries[s.Endpoint.ID] = e
+	} else if !s.supersedes(e.Statement) {
 		return false
 	}
+	if e.Limited {
+		r.limited--
+	}
 	e.Statement = s
 	if s.Limited {
+		r.limited++
 		e.statedAt = now
 	}
 	return true
@@ -112,15 +116,7 @@
 func (r *Register) Len() int { return len(r.entries) }
 
 // Limited returns the number of endpoints that name a limit.
-func (r *Register) Limited() int {
-	n := 0
-	for _, e := range r.entries {
-		if e.Limited {
-			n++
-		}
-	}
-	return n
-}
+func (r *Register) Limited() int { return r.limited }
 
 // Statements returns the newest statement of each endpoint, by id.
 func (r *Register) Statements() []Statement {
@@ -137,8 +133,14 @@
 	for id, e := range r.entries {
 		if listed(id) {
 			e.lastListed = now
-		} else if now.Sub(e.lastListed) > unlistedTTL {
-			delete(r.entries, id)
+			continue
+		}
+		if now.Sub(e.lastListed) <= unlistedTTL {
+			continue
+		}
+		if e.Limited {
+			r.limited--
 		}
+		delete(r.entries, id)
 	}
 }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -1,7 +1,7 @@
 // Package placement chooses the endpoint of a request and decides whether the request must wait. It considers the prompt tokens
 // that each endpoint still has to process (prefill), the prompt parts in its prefix cache, its free slots and memory, its
-// health, and the request rate that an endpoint accepts while it is cold, that is, shortly after its start. The package does no
-// I/O and is not safe for concurrent use.
+// health, and the request rate that an endpoint accepts while it is cold, that is, shortly after its start, or has named. The package
+// does no I/O and is not safe for concurrent use.
 package placement
 
 import (
@@ -14,6 +14,7 @@
 
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointrate"
 	"dogwoodknot.example/dogwoodknot/internal/core/routing"
 )
 
@@ -90,16 +91,15 @@
 	catalog.Endpoint
 	Health routing.Health
 
-	ownRequests  map[string]*placedRequest
-	ownPrefill   float64 // tokens of this instance's requests
-	ownMemory    float64 // tokens of this instance's requests
-	peerLoad     Load    // of the other instances of the region
-	cache        *prefixCache
-	index        int              // in Pool.order
-	notStarted   []*placedRequest // this instance's requests without a first event, oldest first
-	lastOutput   clock.Instant    // last output of a request of this instance
-	nextColdSend clock.Instant    // earliest time of the next request while the endpoint is cold
-	tokenTime    tokenTime
+	ownRequests map[string]*placedRequest
+	ownPrefill  float64 // tokens of this instance's requests
+	ownMemory   float64 // tokens of this instance's requests
+	peerLoad    Load    // of the other instances of the region
+	cache       *prefixCache
+	index       int              // in Pool.order
+	notStarted  []*placedRequest // this instance's requests without a first event, oldest first
+	lastOutput  clock.Instant    // last output of a request of this instance
+	tokenTime   tokenTime
 }
 
 // Plus returns the sum of two loads.
@@ -140,14 +140,12 @@
 	prefixScratch []cachedPrefix // reused by cachedPrefixes
 	// departures is the rate at which this instance's requests leave the endpoints.
 	departures Rate
-	// coldRateShare returns the number of requests per second that this instance may send to a cold endpoint.
-	coldRateShare func(endpoint string, rate float64) float64
+	limiter    *endpointrate.Limiter // of endpoints that accept only a rate from all instances
 }
 
-// NewPool returns a pool without endpoints. coldRateShare returns this instance's share of the rate that a cold endpoint accepts
-// from all instances.
-func NewPool(service *catalog.Service, coldRateShare func(endpoint string, rate float64) float64) *Pool {
-	return &Pool{service: service, endpoints: make(map[string]*Endpoint), prefillRate: newPrefillRate(), coldRateShare: coldRateShare,
+// NewPool returns a pool without endpoints.
+func NewPool(service *catalog.Service, limiter *endpointrate.Limiter) *Pool {
+	return &Pool{service: service, endpoints: make(map[string]*Endpoint), prefillRate: newPrefillRate(), limiter: limiter,
 		partIndex: make(partIndex)}
 }
 
@@ -259,7 +257,7 @@
 const (
 	NoEndpoint Reason = "no-endpoint" // none is listed, or all are excluded, draining or ejected
 	AllBusy    Reason = "all-busy"    // all usable endpoints have reached their limit of slots, memory or waiting time
-	AllCold    Reason = "all-cold"    // usable endpoints are cold and have received all requests that they accept for now
+	AllLimited Reason = "all-limited" // usable endpoints accept only a request rate, of which this instance may use no more for now
 )
 
 // Constraint restricts a choice.
@@ -292,8 +290,8 @@
 			reason = mostTransient(reason, AllBusy)
 			continue
 		}
-		if !p.mayUseCold(e, now) {
-			reason = mostTransient(reason, AllCold)
+		if !p.withinRate(now, e) {
+			reason = mostTransient(reason, AllLimited)
 			continue
 		}
 		copied := source.tokensFor(e, cached)
@@ -488,19 +486,22 @@
 // Cold reports whether the endpoint accepts only its service's cold rate at the moment.
 func (e *Endpoint) Cold(now clock.Instant) bool { return now.Before(e.ColdUntil) }
 
-func (p *Pool) mayUseCold(e *Endpoint, now clock.Instant) bool {
-	if !e.Cold(now) || p.service.ColdRate == 0 {
-		return true
-	}
-	return p.coldRateShare(e.ID, p.service.ColdRate) > 0 && !now.Before(e.nextColdSend)
+// rateLimit returns the request rate that the endpoint accepts from all instances, and false if it has no limit.
+func (p *Pool) rateLimit(now clock.Instant, e *Endpoint) (perSecond float64, limited bool) {
+	return p.limiter.Rate(e.Incarnation, e.Cold(now), p.service.ColdRate)
+}
+
+// withinRate reports whether this instance may send a request to the endpoint now, if that accepts only a rate.
+func (p *Pool) withinRate(now clock.Instant, e *Endpoint) bool {
+	perSecond, limited := p.rateLimit(now, e)
+	return !limited || p.limiter.Senders.MaySend(now, e.ID, perSecond)
 }
 
 // RecordSent records that the request is sent to the chosen endpoint.
 func (p *Pool) RecordSent(now clock.Instant, c Choice, req Request) {
 	e := c.Endpoint
-	if e.Cold(now) && p.service.ColdRate > 0 {
-		rate := p.coldRateShare(e.ID, p.service.ColdRate)
-		e.nextColdSend = now.Add(time.Duration(float64(time.Second) / max(rate, 0.01)))
+	if _, limited := p.rateLimit(now, e); limited {
+		p.limiter.Senders.RecordSent(now, e.ID)
 	}
 	placed := &placedRequest{request: req, sentAt: now}
 	if e.cache != nil {
@@ -584,7 +585,7 @@
 	sharing := p.slotSharing()
 	shortest := time.Duration(math.MaxInt64)
 	for i, e := range p.order {
-		if e.Draining || ejected[i] || excluded(e.ID) || !p.mayUseCold(e, now) {
+		if e.Draining || ejected[i] || excluded(e.ID) || !p.withinRate(now, e) {
 			continue
 		}
 		load, cached := e.load(), prefixes[i].tokens
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -116,7 +116,7 @@
 		return nil, e.sendFailure(ctx, a, chosen, err)
 	}
 	head := e.options.Dialect.ParseAnswer(resp.Status, resp.Header)
-	e.observeLimit(a.id, chosen, resp.Status, head, sentAt)
+	e.observeLimit(a.id, chosen.Incarnation, resp.Status, head, sentAt)
 	if head.ColdFor > 0 {
 		e.pools.recordCold(endpoint, head.ColdFor)
 	}
--- a/internal/edge/caches.go
+++ b/internal/edge/caches.go
@@ -42,6 +42,10 @@
 			if clock.Sleep(ctx, cacheListDelay) != nil {
 				return
 			}
+			if limit := e.pools.limitOf(endpoint.Incarnation); limit.limited {
+				e.log.Info("prefix cache of an engine that names a limit is not listed", zap.String("endpoint", endpoint.ID), zap.Float64("limit", limit.perSecond))
+				continue
+			}
 			parts, err := e.listCache(ctx, endpoint)
 			if err != nil {
 				e.log.Info("prefix cache of an engine could not be listed; placing requests without it", zap.String("endpoint", endpoint.ID), zap.Error(err))
@@ -56,6 +60,7 @@
 func (e *Edge) listCache(ctx context.Context, endpoint catalog.Endpoint) ([]placement.PromptPart, error) {
 	ctx, cancel := context.WithTimeout(ctx, cacheListTimeout)
 	defer cancel()
+	sentAt := e.clock.Now()
 	resp, err := e.conns.Do(ctx, endpoint.Addr, &endpointconn.Request{
 		Method: http.MethodGet, URI: e.options.Dialect.CacheListPath(), Host: endpoint.Addr, Header: http.Header{},
 	})
@@ -63,6 +68,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
+	e.observeLimit("", endpoint.Incarnation, resp.Status, e.options.Dialect.ParseAnswer(resp.Status, resp.Header), sentAt)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCacheList))
 	if err != nil {
 		return nil, err
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -40,9 +40,6 @@
 	unreachableFor = 500 * time.Millisecond
 	// assumedOneWay is the assumed one-way latency between regions: the platform's regions are about 80 ms apart.
 	assumedOneWay = 80 * time.Millisecond
-	// coldSenders is the number of instances that send requests to a cold endpoint. Each sends its first one without knowing of
-	// the others' requests, so many instances together would exceed the rate that the endpoint can take.
-	coldSenders = 2
 	// partnersPerRegion is the number of instances of each remote region that this one sends requests to while they are
 	// responsive. With few of them the sessions stay open: a handshake takes five wide-area round trips.
 	partnersPerRegion = 3
@@ -87,6 +84,8 @@
 	members  map[string]*member        // the other instances by name
 	services map[string]regionServices // by remote region
 	partners map[string][]*member      // by remote region, in the order of preference for requests
+	known    bool                      // the announcements have been read
+	listed   bool                      // this instance's own announcement is in the store
 	onChange func()                    // called without the lock after the set of members has changed
 }
 
@@ -107,10 +106,14 @@
 	present := make(map[string]bool)
 	for _, c := range u.Changes {
 		name, ok := strings.CutPrefix(c.Key, InstancePrefix)
-		if !ok || name == f.options.Self.Instance {
+		if !ok {
 			continue
 		}
 		present[name] = true
+		if name == f.options.Self.Instance {
+			changed = f.applyOwnAnnouncement(c) || changed
+			continue
+		}
 		if c.Deleted {
 			changed = f.expireAnnouncement(name) || changed
 			continue
@@ -123,6 +126,8 @@
 				changed = f.expireAnnouncement(name) || changed
 			}
 		}
+		changed = f.setListed(f.listed && present[f.options.Self.Instance]) || !f.known || changed
+		f.known = true
 	}
 	if changed {
 		f.choosePartners()
@@ -154,6 +159,22 @@
 	return true
 }
 
+// applyOwnAnnouncement records whether the announcement of this instance is in the store, and reports whether that has changed. One
+// of an earlier incarnation, or that cannot be read, is not its own.
+func (f *fleet) applyOwnAnnouncement(c platform.Change) bool {
+	var a announcement
+	return f.setListed(!c.Deleted && json.Unmarshal(c.Value, &a) == nil && a.Incarnation == f.options.Self.Incarnation)
+}
+
+func (f *fleet) setListed(listed bool) (changed bool) {
+	if f.listed == listed {
+		return false
+	}
+	f.listed = listed
+	f.log.Info("own announcement seen in the store", zap.Bool("listed", listed))
+	return true
+}
+
 // expireAnnouncement records that an announcement is gone from the store. The instance remains a member while messages from it
 // arrive: it has only lost the store.
 func (f *fleet) expireAnnouncement(name string) bool {
@@ -446,29 +467,20 @@
 	}
 }
 
-// regionMembers returns the other instances of this region, which may send requests to the same endpoints.
-func (f *fleet) regionMembers() []string {
+// regionMembers returns the instances of this region, which may send requests to the same endpoints, and false if the announcements
+// have not been read yet. This instance is one of them while its announcement is in the store, since the others go by that.
+func (f *fleet) regionMembers() (names []string, known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []string
+	if f.listed {
+		names = append(names, f.options.Self.Instance)
+	}
 	for name, m := range f.members {
 		if m.Region == f.options.Self.Region {
-			out = append(out, name)
+			names = append(names, name)
 		}
 	}
-	slices.Sort(out)
-	return out
-}
-
-// coldRate returns this instance's share of the request rate of a cold endpoint. Few instances of the region have a share:
-// those that come first by a hash of the endpoint.
-func (f *fleet) coldRate(endpoint string, rate float64) float64 {
-	names := append(f.regionMembers(), f.options.Self.Instance)
-	sharers := rendezvous.Top(endpoint, names, coldSenders)
-	if !slices.Contains(sharers, f.options.Self.Instance) {
-		return 0
-	}
-	return rate / float64(len(sharers))
+	return names, f.known
 }
 
 // announce keeps this instance's key in the store until ctx ends, and then removes it.
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -8,22 +8,21 @@
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/endpointrate"
-	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 )
 
 // observeLimit records what an endpoint's answer says about the request rate that it accepts. Only an answer to a request that it
 // has run shows by its silence that the endpoint no longer names a limit.
-func (e *Edge) observeLimit(request string, chosen placement.Choice, status int, head AnswerHead, sentAt clock.Instant) {
+func (e *Edge) observeLimit(request string, endpoint catalog.Incarnation, status int, head AnswerHead, sentAt clock.Instant) {
 	ran := head.Signed && !head.NotRun && status < http.StatusInternalServerError
 	if status == http.StatusMisdirectedRequest || !head.RateLimited && !ran {
 		return
 	}
 	now := e.clock.Now()
-	before, changed := e.pools.updateLimit(chosen.Incarnation, func(r *endpointrate.Register) bool {
-		return r.Observe(now, chosen.Incarnation, sentAt, head.RateLimit, head.RateLimited)
+	before, changed := e.pools.updateLimit(endpoint, func(r *endpointrate.Register) bool {
+		return r.Observe(now, endpoint, sentAt, head.RateLimit, head.RateLimited)
 	})
 	if changed {
-		e.logLimit(chosen.Incarnation, before, head.RateLimit, head.RateLimited, zap.String("request", request), zap.Duration("sent_ago", now.Sub(sentAt)))
+		e.logLimit(endpoint, before, head.RateLimit, head.RateLimited, zap.String("request", request), zap.Duration("sent_ago", now.Sub(sentAt)))
 	}
 }
 
@@ -59,22 +58,22 @@
 func (p *pools) updateLimit(endpoint catalog.Incarnation, update func(*endpointrate.Register) bool) (before knownLimit, changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	before.perSecond, before.limited = p.limits.Limit(endpoint)
-	return before, update(p.limits)
+	before.perSecond, before.limited = p.limiter.Statements.Limit(endpoint)
+	return before, update(p.limiter.Statements)
 }
 
 // limitStatements returns what this instance knows of the request rates that endpoints accept.
 func (p *pools) limitStatements() []endpointrate.Statement {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.limits.Statements()
+	return p.limiter.Statements.Statements()
 }
 
 // limitOf returns the request rate that an endpoint has named.
 func (p *pools) limitOf(endpoint catalog.Incarnation) knownLimit {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	perSecond, limited := p.limits.Limit(endpoint)
+	perSecond, limited := p.limiter.Statements.Limit(endpoint)
 	return knownLimit{perSecond, limited}
 }
 
@@ -82,10 +81,24 @@
 func (e *Edge) pruneLimits() {
 	now, listed := e.clock.Now(), e.state.isListed()
 	e.pools.mu.Lock()
-	e.pools.limits.Prune(now, listed)
-	e.metrics.limitedEndpoints(e.pools.limits.Limited())
+	e.pools.limiter.Prune(now, listed)
+	e.metrics.limitedEndpoints(e.pools.limiter.Statements.Limited())
 	e.pools.mu.Unlock()
 	e.view.mu.Lock()
 	e.view.node.PruneLimits(now, listed)
 	e.view.mu.Unlock()
 }
+
+// setSenders replaces the instances that may send requests to endpoints which accept only a request rate.
+func (p *pools) setSenders(now clock.Instant, names []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limiter.Senders.SetMembers(now, names)
+}
+
+// updateSenders makes the members of the region the senders, once they are known.
+func (e *Edge) updateSenders() {
+	if names, known := e.fleet.regionMembers(); known {
+		e.pools.setSenders(e.clock.Now(), names)
+	}
+}
--- a/internal/edge/pools.go
+++ b/internal/edge/pools.go
@@ -34,13 +34,11 @@
 // pools holds the endpoints of this region by service, and the requests that wait for them. It is safe for concurrent use.
 type pools struct {
 	clock clock.Clock
-	// coldRate returns this instance's share of the request rate of a cold endpoint.
-	coldRate func(endpoint string, rate float64) float64
 
 	mu        sync.Mutex
 	byService map[string]*servicePool
 	newParts  numberedLog[endpointParts] // to be reported to the other instances of the region
-	limits    *endpointrate.Register     // request rates that endpoints have named
+	limiter   *endpointrate.Limiter      // of endpoints that accept only a request rate
 }
 
 type servicePool struct {
@@ -58,9 +56,9 @@
 	placed chan placement.Choice // buffered for one value
 }
 
-func newPools(c clock.Clock, coldPace func(string, float64) float64) *pools {
-	return &pools{clock: c, coldRate: coldPace, byService: make(map[string]*servicePool), newParts: numberedLog[endpointParts]{maxEntries: maxNewParts},
-		limits: endpointrate.NewRegister()}
+func newPools(c clock.Clock, self string) *pools {
+	return &pools{clock: c, byService: make(map[string]*servicePool), newParts: numberedLog[endpointParts]{maxEntries: maxNewParts},
+		limiter: endpointrate.NewLimiter(self)}
 }
 
 // set replaces the services and their usable endpoints.
@@ -75,7 +73,7 @@
 		}
 		pool := p.byService[name]
 		if pool == nil {
-			pool = &servicePool{Pool: placement.NewPool(service, p.coldRate), placementRates: make(map[rank]*placement.Rate)}
+			pool = &servicePool{Pool: placement.NewPool(service, p.limiter), placementRates: make(map[rank]*placement.Rate)}
 			p.byService[name] = pool
 		}
 		pool.service = service
@@ -247,12 +245,17 @@
 // run offers waiting requests to the endpoints at each interval until ctx ends.
 func (p *pools) run(ctx context.Context) {
 	for clock.Sleep(ctx, dispatchInterval) == nil {
-		p.mu.Lock()
-		p.dispatchAll()
-		p.mu.Unlock()
+		p.tick()
 	}
 }
 
+func (p *pools) tick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limiter.Senders.Tick(p.clock.Now())
+	p.dispatchAll()
+}
+
 // recordStart records the first event of a request's answer.
 func (p *pools) recordStart(service string, e *placement.Endpoint, id string) {
 	p.mu.Lock()
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -77,7 +77,7 @@
 	e.state.onChange = e.stateChanged
 	e.fleet = newFleet(&e.options)
 	e.fleet.onChange = e.membersChanged
-	e.pools = newPools(o.Clock, e.fleet.coldRate)
+	e.pools = newPools(o.Clock, o.Self.Instance)
 	e.conns = endpointconn.NewPool(o.Dial, o.Dialect.AnswerRequestID)
 	e.view = newView(e)
 	network.Handle(serviceReport, e.view.serveReport)
@@ -186,6 +186,7 @@
 		e.log.Error("certificates of other instances are not valid; keeping the former ones", zap.Error(err))
 	}
 	e.network.SetPeers(addrs)
+	e.updateSenders()
 	e.view.forget()
 	sizes := e.fleet.sizes()
 	e.quotaMu.Lock()
