Tell other regions the load without endpoints that accept only a rate

Callers of other regions saw requests passed to a region whose unlimited engines were busy: an engine that names a limit is almost empty and takes the next request at once, so the region's shortest wait was told as 40 ms, although all requests after that one wait. The same held for cold engines.

Endpoints with a rate now count for other regions only if the region has no others.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -491,6 +491,21 @@
 	return p.limiter.Rate(e.Incarnation, e.Cold(now), p.service.ColdRate)
 }
 
+// RateLimited returns the ids of the endpoints that accept only a request rate, nil if there are none.
+func (p *Pool) RateLimited(now clock.Instant) map[string]bool {
+	var out map[string]bool
+	for _, e := range p.order {
+		if _, limited := p.rateLimit(now, e); !limited {
+			continue
+		}
+		if out == nil {
+			out = make(map[string]bool)
+		}
+		out[e.ID] = true
+	}
+	return out
+}
+
 // withinRate reports whether this instance may send a request to the endpoint now, if that accepts only a rate.
 func (p *Pool) withinRate(now clock.Instant, e *Endpoint) bool {
 	perSecond, limited := p.rateLimit(now, e)
--- a/internal/edge/pools.go
+++ b/internal/edge/pools.go
@@ -355,14 +355,21 @@
 	return 0
 }
 
-// worstLoad returns the load for a request without prompt, of the rank that waits longest among those that can be on time.
+// worstLoad returns the load for a request without prompt, of the rank that waits longest among those that can be on time. Endpoints
+// that accept only a request rate do not count while there are others: one that takes the next request at once would hide the wait of
+// all that follow.
 func (s *servicePool) worstLoad(now clock.Instant) placement.Summary {
-	worst := s.loadFor(now, &attempt{placeBy: math.MaxInt64})
+	limited := s.RateLimited(now)
+	worst := s.loadFor(now, &attempt{excluded: limited, placeBy: math.MaxInt64})
+	if worst.Usable == 0 {
+		limited = nil
+		worst = s.loadFor(now, &attempt{placeBy: math.MaxInt64})
+	}
 	for r := range s.placementRates {
 		if r.late {
 			continue
 		}
-		if sum := s.loadFor(now, &attempt{urgency: r.urgency, placeBy: math.MaxInt64}); sum.Wait > worst.Wait {
+		if sum := s.loadFor(now, &attempt{excluded: limited, urgency: r.urgency, placeBy: math.MaxInt64}); sum.Wait > worst.Wait {
 			worst = sum
 		}
 	}
