Name the reason when endpoints accept no more requests at their rate

Callers of a region whose endpoints are all cold or name a limit were told that no region has endpoints, which sends an operator looking for missing endpoints. The refusal itself was at once and true, with a time to come back, and remains so.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -582,9 +582,11 @@
 
 // Summary is the load of the pool as other regions need it.
 type Summary struct {
-	Usable int           // endpoints that can serve the request now or when requests there have ended
-	Free   int           // endpoints that can take the request now
-	Wait   time.Duration // shortest expected time to a first event over the usable endpoints, as if each had a free slot
+	Usable int // endpoints that can serve the request now or when requests there have ended
+	Free   int // endpoints that can take the request now
+	// Limited is the number of endpoints that accept only a request rate, of which this instance may use no more for now.
+	Limited int
+	Wait    time.Duration // shortest expected time to a first event over the usable endpoints, as if each had a free slot
 	// DepartureRate is the number of this instance's requests that leave the endpoints per second.
 	DepartureRate float64
 }
@@ -600,7 +602,11 @@
 	sharing := p.slotSharing()
 	shortest := time.Duration(math.MaxInt64)
 	for i, e := range p.order {
-		if e.Draining || ejected[i] || excluded(e.ID) || !p.withinRate(now, e) {
+		if e.Draining || ejected[i] || excluded(e.ID) {
+			continue
+		}
+		if !p.withinRate(now, e) {
+			s.Limited++
 			continue
 		}
 		load, cached := e.load(), prefixes[i].tokens
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -350,11 +350,19 @@
 		}
 		return r, x.recordDecline(f, self)
 	case !in.Local.Available && len(remotes) == 0:
-		return nil, &failure{kind: notPlaced, reason: "no region that may serve the request has endpoints", retryAfter: noEndpointRetryAfter, final: true}
+		return nil, &failure{kind: notPlaced, reason: x.unavailableReason(), retryAfter: noEndpointRetryAfter, final: true}
 	}
 	return nil, &failure{kind: notPlaced, reason: "expected wait is too long", retryAfter: d.RetryAfter, final: true}
 }
 
+// unavailableReason says why no region can serve the request.
+func (x *exchange) unavailableReason() string {
+	if x.edge.pools.loadFor(&x.attempt).Limited > 0 {
+		return "endpoints accept no more requests at their limited rate"
+	}
+	return "no region that may serve the request has endpoints"
+}
+
 // offers returns the expected times until the first output in remote regions.
 func (x *exchange) offers(remotes []routing.RegionLoad) []triage.Estimate {
 	read := x.edge.pools.readTime(x.service, x.attempt.work.UnsharedTokens())
