Let endpoints of the soak name limits

One endpoint after the other names a request rate for 10 to 14 s while the faults of the seed go on, and the soak counts what reaches it from 6 s after that: 1.5 times what the limit allows in any 4 s, 5 requests, and as many as there are callers for each fault in the window in which an instance may not know the limit (killed, stopped, paused, cut off, or answers held back). The limits have a random source of their own, so that the faults of earlier seeds stay the same.

--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -46,6 +46,7 @@
 	failing                 atomic.Bool // breaks a part of its answers off
 	seen                    atomic.Int64
 	drainedAt               atomic.Int64 // Unix nanoseconds of the acknowledged draining, 0: it is ready
+	limit                   limit
 }
 
 // drainBound is when a draining endpoint must get no more requests.
@@ -84,6 +85,7 @@
 	e.ledger.mu.Unlock()
 	e.check(r, id, body)
 	platformtest.Sign(w.Header(), id)
+	e.limit.arrive(time.Now(), w.Header())
 	n := e.seen.Add(1)
 	breaks := e.failing.Load() && n%3 == 0
 	if !strings.HasPrefix(r.URL.Path, "/stream/") && !strings.HasPrefix(r.URL.Path, "/resume/") {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -57,16 +57,18 @@
 
 // soak is a run.
 type soak struct {
-	options   Options
-	rng       *rand.Rand
-	store     *platformtest.Store
-	ledger    *ledger
-	instances []*instance
-	endpoints []*endpoint
-	version   int
-	routes    []string
-	requests  atomic.Int64
-	served    atomic.Int64
+	options     Options
+	rng         *rand.Rand
+	store       *platformtest.Store
+	ledger      *ledger
+	instances   []*instance
+	endpoints   []*endpoint
+	version     int
+	routes      []string
+	requests    atomic.Int64
+	disturbedMu sync.Mutex
+	disturbed   []disturbance // in the order of their beginning
+	served      atomic.Int64
 }
 
 // Run plays a seed and returns what it found, empty if every check held.
