Prove what keeps the rates of endpoints with entries of the mutation checker

Two were not proved at first: TestReplacedSendersKeepTheRateTogether now also lets the senders lose their membership to others while they have not learned of it, which fails without the check of former sets, and its joiners fail without the wait at a start. Tests and entries only.

--- a/internal/core/endpointrate/pacer_test.go
+++ b/internal/core/endpointrate/pacer_test.go
@@ -89,8 +89,9 @@
 	expect("after the changes have ended", true)
 }
 
-// Guards against senders before and after a change of the members that send at the same time: all senders are replaced at once, and
-// each instance learns of it after a delay of its own. Guards as well against an endpoint that gets nothing after that.
+// Guards against senders before and after a change of the members that send at the same time: all senders are replaced at once, by
+// instances that join or by others because they lose their membership, and each instance learns of it after a delay of its own. Guards
+// as well against an endpoint that gets nothing after that.
 func TestReplacedSendersKeepTheRateTogether(t *testing.T) {
 	const (
 		window     = 4 * time.Second
@@ -105,11 +106,20 @@
 			before[i] = fmt.Sprint("old", seed, "-", i)
 		}
 		after := slices.Clone(before)
+		var gone []string
+		if rng.IntN(2) == 0 && len(before) > 4 { // the highest ranked lose their membership, and go on until they learn of it
+			gone = rendezvous.Top("e", before, len(before)/2)
+			after = slices.DeleteFunc(after, func(name string) bool { return slices.Contains(gone, name) })
+		}
+		all := slices.Clone(before)
 		for i := range before { // joiners that rank above all others
+			if len(after) < len(before) {
+				break // nobody joins
+			}
 			for n := 0; ; n++ {
 				name := fmt.Sprint("new", i, "-", n)
 				if rendezvous.First("e", append([]string{name}, before...)) == name {
-					after = append(after, name)
+					after, all = append(after, name), append(all, name)
 					break
 				}
 			}
@@ -118,14 +128,19 @@
 		for _, name := range before {
 			pacers[name] = settled(name, start, before...)
 			learns[name] = start.Add(time.Duration(rng.Int64N(int64(mostDelay))))
+			if len(gone) > 0 && !slices.Contains(gone, name) {
+				learns[name] = start
+			} else if len(gone) > 0 {
+				learns[name] = start.Add(mostDelay)
+			}
 		}
-		for _, name := range after[len(before):] {
+		for _, name := range all[len(before):] {
 			pacers[name] = NewPacer(name)
 			learns[name] = start.Add(time.Duration(rng.Int64N(int64(mostDelay) / 4)))
 		}
 		var sent []clock.Instant
 		for now := start; now < start.Add(20*time.Second); now = now.Add(step) {
-			for _, name := range after {
+			for _, name := range all {
 				p := pacers[name]
 				if p.Tick(now); now >= learns[name] {
 					p.SetMembers(now, after)
--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -74,4 +74,46 @@
 		Original: "if slices.Contains(n.ancestors, from.Instance) {", Replacement: "if false && slices.Contains(n.ancestors, from.Instance) {",
 		Package: "./internal/core/fleetview", Run: "^TestReportingCyclesAreRejected$",
 	},
+	{
+		Condition: 7, Mechanism: "edge: the rate that an endpoint names counts in the choice",
+		File:     "internal/core/endpointrate/limiter.go",
+		Original: "if l.Statements.limited > 0 {", Replacement: "if false {",
+		Package: "./internal/edge", Run: "^TestNamedLimitHoldsAcrossInstances$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: few instances send to an endpoint with a rate",
+		File:     "internal/core/endpointrate/pacer.go",
+		Original: "senders := rendezvous.Top(key.endpoint, set.names, key.count)", Replacement: "senders := rendezvous.Top(key.endpoint, set.names, len(set.names))",
+		Package: "./internal/core/endpointrate", Run: "^TestFewInstancesAreSenders$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: senders before and after a change of the members do not add up",
+		File:     "internal/core/endpointrate/pacer.go",
+		Original: "info.isSender = info.isSender && slices.Contains(senders, p.self)", Replacement: "info.isSender = slices.Contains(senders, p.self)",
+		Package: "./internal/core/endpointrate", Run: "^TestReplacedSendersKeepTheRateTogether$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: an instance that was paused sends nothing to endpoints with a rate until its view is settled",
+		File:     "internal/core/endpointrate/pacer.go",
+		Original: "if now.Sub(p.lastCall) > maxPause {", Replacement: "if false {",
+		Package: "./internal/core/endpointrate", Run: "^TestSenderWaitsUntilItsViewIsSettled$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: an instance that starts waits until it knows the members",
+		File:     "internal/core/endpointrate/pacer.go",
+		Original: "if len(p.sets) == 0 || now.Sub(p.knownSince) < handOverTime {", Replacement: "if len(p.sets) == 0 {",
+		Package: "./internal/core/endpointrate", Run: "^TestReplacedSendersKeepTheRateTogether$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: an answer to an earlier request does not lift a limit",
+		File:     "internal/core/endpointrate/register.go",
+		Original: "!limited && (!e.Limited || sentAt <= e.statedAt)", Replacement: "!limited && !e.Limited",
+		Package: "./internal/core/endpointrate", Run: "^TestLimitIsWithdrawnByLaterAnswersOnly$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: instances tell each other which rates endpoints name",
+		File:     "internal/edge/view.go",
+		Original: "o.Limits = e.pools.limitStatements()", Replacement: "o.Limits = nil",
+		Package: "./internal/edge", Run: "^TestLimitedEndpointStaysInUse$",
+	},
 }
