Check changing limits strictly, and name the fields of the fleet plainly

The simulation counted the highest limit of a window for all of it; now each limit counts for its part of the window, which is stricter after a limit falls, and limits of 3 to 15 a second, for several senders, are among them.

No behaviour changes.

--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -84,9 +84,10 @@
 	members  map[string]*member        // the other instances by name
 	services map[string]regionServices // by remote region
 	partners map[string][]*member      // by remote region, in the order of preference for requests
-	known    bool                      // the announcements have been read
-	listed   bool                      // this instance's own announcement is in the store
-	onChange func()                    // called without the lock after the set of members has changed
+	read     bool                      // the announcements have been read at least once
+	// selfListed says that this instance's own announcement is in the store.
+	selfListed bool
+	onChange   func() // called without the lock after the set of members has changed
 }
 
 // regionServices is the load of a remote region's services.
@@ -126,8 +127,8 @@
 				changed = f.expireAnnouncement(name) || changed
 			}
 		}
-		changed = f.setListed(f.listed && present[f.options.Self.Instance]) || !f.known || changed
-		f.known = true
+		changed = f.setSelfListed(f.selfListed && present[f.options.Self.Instance]) || !f.read || changed
+		f.read = true
 	}
 	if changed {
 		f.choosePartners()
@@ -163,15 +164,15 @@
 // of an earlier incarnation, or that cannot be read, is not its own.
 func (f *fleet) applyOwnAnnouncement(c platform.Change) bool {
 	var a announcement
-	return f.setListed(!c.Deleted && json.Unmarshal(c.Value, &a) == nil && a.Incarnation == f.options.Self.Incarnation)
+	return f.setSelfListed(!c.Deleted && json.Unmarshal(c.Value, &a) == nil && a.Incarnation == f.options.Self.Incarnation)
 }
 
-func (f *fleet) setListed(listed bool) (changed bool) {
-	if f.listed == listed {
+func (f *fleet) setSelfListed(listed bool) (changed bool) {
+	if f.selfListed == listed {
 		return false
 	}
-	f.listed = listed
-	f.log.Info("own announcement seen in the store", zap.Bool("listed", listed))
+	f.selfListed = listed
+	f.log.Info("own announcement was listed or has gone", zap.Bool("listed", listed))
 	return true
 }
 
@@ -469,10 +470,10 @@
 
 // regionMembers returns the instances of this region, which may send requests to the same endpoints, and false if the announcements
 // have not been read yet. This instance is one of them while its announcement is in the store, since the others go by that.
-func (f *fleet) regionMembers() (names []string, known bool) {
+func (f *fleet) regionMembers() (names []string, read bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.listed {
+	if f.selfListed {
 		names = append(names, f.options.Self.Instance)
 	}
 	for name, m := range f.members {
@@ -480,7 +481,7 @@
 			names = append(names, name)
 		}
 	}
-	return names, f.known
+	return names, f.read
 }
 
 // announce keeps this instance's key in the store until ctx ends, and then removes it.
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -98,7 +98,7 @@
 
 // updateSenders makes the members of the region the senders, once they are known.
 func (e *Edge) updateSenders() {
-	if names, known := e.fleet.regionMembers(); known {
+	if names, read := e.fleet.regionMembers(); read {
 		e.pools.setSenders(e.clock.Now(), names)
 	}
 }
--- a/internal/edge/limits_sim_test.go
+++ b/internal/edge/limits_sim_test.go
@@ -444,26 +444,26 @@
 }
 
 // boundAt returns the number of requests that the endpoint may get in the window that ends at a moment, and false if nothing binds it:
-// it names no limit for a part of the window, or has begun to name one lately.
+// it names no limit for a part of the window, or has begun to name one lately. If its limit changes, each counts for its part of the window.
 func (e *limitedEndpoint) boundAt(at clock.Instant) (allowed float64, bound bool) {
-	highest, since := 0.0, at
+	begins, since := at.Add(-limitWindow), at
 	for n, named := range e.limits {
-		endedBefore := n+1 < len(e.limits) && e.limits[n+1].from < at.Add(-limitWindow)
-		if named.from > at || !named.limited && !endedBefore {
-			since = at
-			continue
-		}
-		if !named.limited {
-			continue
-		}
-		if n == 0 || !e.limits[n-1].limited {
-			since = named.from
-		}
-		if !endedBefore {
-			highest = max(highest, named.limit)
+		ends := at
+		if n+1 < len(e.limits) {
+			ends = min(at, e.limits[n+1].from)
+		}
+		switch {
+		case named.from > at:
+		case !named.limited && ends >= begins:
+			return 0, false
+		case named.limited:
+			if n == 0 || !e.limits[n-1].limited {
+				since = named.from
+			}
+			allowed += limitExcess * named.limit * max(0, ends.Sub(max(begins, named.from)).Seconds())
 		}
 	}
-	return limitExcess*highest*limitWindow.Seconds() + limitSlack, at.Sub(since) >= limitContact
+	return allowed + limitSlack, at.Sub(since) >= limitContact
 }
 
 // check returns the first window in which the endpoint got more requests than it may, "" if there is none.
@@ -607,13 +607,19 @@
 	}
 	l.run(2 * time.Second)
 	start := l.clk.Now()
+	perSecond := func() float64 {
+		if l.rng.IntN(4) == 0 {
+			return 3 + 12*l.rng.Float64() // enough for several senders
+		}
+		return 0.2 + 3*l.rng.Float64()
+	}
 	limited := l.endpoints[:1+l.rng.IntN(len(l.endpoints)/2)]
 	for _, e := range limited {
 		at := start.Add(l.random(time.Second))
-		e.limits = []namedLimit{{at, true, 0.2 + 3*l.rng.Float64()}}
+		e.limits = []namedLimit{{at, true, perSecond()}}
 		for range l.rng.IntN(3) { // it names other limits, and none in between
 			at = at.Add(8*time.Second + l.random(6*time.Second))
-			e.limits = append(e.limits, namedLimit{at, l.rng.IntN(3) > 0, 0.2 + 3*l.rng.Float64()})
+			e.limits = append(e.limits, namedLimit{at, l.rng.IntN(3) > 0, perSecond()})
 		}
 	}
 	if faults {
