Check the senders' shares without a tolerance

TestFewInstancesAreSenders, which took the place of TestFewInstancesShareAColdEndpoint, allowed the sum of the shares to be 0.01% above the rate. The test before it allowed nothing, and nothing is needed: it passes with the exact bound.

--- a/internal/core/endpointrate/pacer_test.go
+++ b/internal/core/endpointrate/pacer_test.go
@@ -42,7 +42,7 @@
 				sum += p.share("e", limit)
 			}
 		}
-		if senders != want || sum > max(limit, minRate)*1.0001 {
+		if senders != want || sum > max(limit, minRate) {
 			t.Errorf("limit %.1f: %d instances send %.2f requests/s, want %d", limit, senders, sum, want)
 		}
 	}
