--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -79,14 +79,23 @@
 
 // pruneLimits drops the limits of endpoints that have gone.
 func (e *Edge) pruneLimits() {
-	now, listed := e.clock.Now(), e.state.isListed()
-	e.pools.mu.Lock()
-	e.pools.limiter.Prune(now, listed)
-	e.metrics.limitedEndpoints(e.pools.limiter.Statements.Limited())
-	e.pools.mu.Unlock()
-	e.view.mu.Lock()
-	e.view.node.PruneLimits(now, listed)
-	e.view.mu.Unlock()
+	now, listed := e.clock.Now(), e.state.knownID()
+	e.metrics.limitedEndpoints(e.pools.pruneLimits(now, listed))
+	e.view.pruneLimits(now, listed)
+}
+
+// pruneLimits drops the limits of endpoints that have gone and returns the number of endpoints that name one.
+func (p *pools) pruneLimits(now clock.Instant, listed func(id string) bool) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limiter.Prune(now, listed)
+	return p.limiter.Statements.Limited()
+}
+
+func (v *view) pruneLimits(now clock.Instant, listed func(id string) bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.node.PruneLimits(now, listed)
 }
 
 // setSenders replaces the instances that may send requests to endpoints which accept only a request rate.
--- a/internal/edge/limits_sim_test.go
+++ b/internal/edge/limits_sim_test.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"container/heap"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -35,12 +34,10 @@
 
 // limitedRegion is a simulated region in which endpoints name limits.
 type limitedRegion struct {
+	eventLoop
 	t         *testing.T
 	rng       *rand.Rand
-	clk       *clock.Manual
 	conf      *catalog.Configuration
-	events    eventHeap
-	seq       int
 	instances []*limitedInstance
 	endpoints []*limitedEndpoint
 	storeDown clock.Instant // until when the store answers nobody
@@ -92,7 +89,7 @@
 const limitedService = "s"
 
 func newLimitedRegion(t *testing.T, seed uint64, instances, endpoints int, engine *catalog.Engine) *limitedRegion {
-	l := &limitedRegion{t: t, rng: rand.New(rand.NewPCG(seed, 1)), clk: &clock.Manual{}}
+	l := &limitedRegion{t: t, rng: rand.New(rand.NewPCG(seed, 1)), eventLoop: eventLoop{clk: &clock.Manual{}}}
 	l.clk.Advance(time.Hour)
 	var err error
 	l.conf, err = catalog.New(catalog.Declaration{Version: 1, Services: []*catalog.Service{{Name: limitedService, Engine: engine}}})
@@ -113,11 +110,6 @@
 	return l
 }
 
-func (l *limitedRegion) after(d time.Duration, do func()) {
-	l.seq++
-	heap.Push(&l.events, event{at: l.clk.Now().Add(d), seq: l.seq, do: do})
-}
-
 func (l *limitedRegion) random(most time.Duration) time.Duration {
 	return time.Duration(l.rng.Int64N(int64(most)))
 }
@@ -126,9 +118,7 @@
 func (l *limitedRegion) run(d time.Duration) {
 	end := l.clk.Now().Add(d)
 	for l.events.Len() > 0 && l.events[0].at <= end {
-		e := heap.Pop(&l.events).(event)
-		l.clk.Advance(e.at.Sub(l.clk.Now()))
-		e.do()
+		l.runNext()
 	}
 	l.clk.Advance(end.Sub(l.clk.Now()))
 }
--- a/internal/edge/load_test.go
+++ b/internal/edge/load_test.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"cmp"
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -51,16 +49,14 @@
 
 // simRegion is a simulated region.
 type simRegion struct {
+	eventLoop
 	t       *testing.T
 	policy  policy
 	rng     *rand.Rand
-	clk     *clock.Manual
 	pools   *pools
 	pool    *servicePool
 	engines []*simEngine
-	events  eventHeap
 	waiting []*simRequest
-	seq     int
 	// requests finds the simulated request of a request in the engine model.
 	requests      map[*enginemodel.Request]*simRequest
 	remote        []triage.Estimate // of remote regions
@@ -108,31 +104,10 @@
 	done    bool
 }
 
-type event struct {
-	at  clock.Instant
-	seq int
-	do  func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(h[i].at, h[j].at), cmp.Compare(h[i].seq, h[j].seq)) < 0
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
-
 const simService = "engines"
 
 func newSimRegion(t *testing.T, p policy, engines int) *simRegion {
-	l := &simRegion{t: t, policy: p, rng: rand.New(rand.NewPCG(1, 2)), clk: &clock.Manual{}, result: map[string]*outcomeCounts{}, requests: map[*enginemodel.Request]*simRequest{}}
+	l := &simRegion{t: t, policy: p, rng: rand.New(rand.NewPCG(1, 2)), eventLoop: eventLoop{clk: &clock.Manual{}}, result: map[string]*outcomeCounts{}, requests: map[*enginemodel.Request]*simRequest{}}
 	l.clk.Advance(time.Hour)
 	l.rejections = newRejections(l.clk)
 	l.pools = newPools(l.clk, "self")
@@ -153,11 +128,6 @@
 	return l
 }
 
-func (l *simRegion) after(d time.Duration, do func()) {
-	l.seq++
-	heap.Push(&l.events, event{at: l.clk.Now().Add(d), seq: l.seq, do: do})
-}
-
 // arrivals schedules the requests of a kind during a span of the run.
 func (l *simRegion) arrivals(k requestKind, from, to time.Duration) {
 	if l.result[k.name] == nil {
@@ -180,9 +150,7 @@
 func (l *simRegion) run() map[string]*outcomeCounts {
 	l.after(0, l.dispatch)
 	for l.events.Len() > 0 {
-		e := heap.Pop(&l.events).(event)
-		l.clk.Advance(e.at.Sub(l.clk.Now()))
-		e.do()
+		l.runNext()
 	}
 	return l.result
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -301,24 +301,23 @@
 
 // knownAddr returns a function that reports whether an address is that of a listed endpoint.
 func (s *state) knownAddr() func(addr string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	known := make(map[string]bool, len(s.endpoints))
-	for _, e := range s.endpoints {
-		known[e.Addr] = true
-	}
-	return func(addr string) bool { return known[addr] }
+	return s.listed(func(e catalog.Endpoint) string { return e.Addr })
 }
 
-// isListed returns a function that reports whether an endpoint is listed.
-func (s *state) isListed() func(id string) bool {
+// knownID returns a function that reports whether an id is that of a listed endpoint.
+func (s *state) knownID() func(id string) bool {
+	return s.listed(func(e catalog.Endpoint) string { return e.ID })
+}
+
+// listed returns a function that reports whether a listed endpoint has the given key.
+func (s *state) listed(keyOf func(catalog.Endpoint) string) func(key string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	listed := make(map[string]bool, len(s.endpoints))
-	for id := range s.endpoints {
-		listed[id] = true
+	known := make(map[string]bool, len(s.endpoints))
+	for _, e := range s.endpoints {
+		known[keyOf(e.Endpoint)] = true
 	}
-	return func(id string) bool { return listed[id] }
+	return func(key string) bool { return known[key] }
 }
 
 // terms returns the rates of all organisations.
