Log and count the attempts that an instance makes for other regions

Cause: an instance logged only the requests of its own callers. A request that broke at an instance of another region could not be traced there: whether its endpoint, the way back or a planned stop had cut it, and a planned stop told only of the requests of own callers that it had cut.

Change: one line for each such attempt when it ends, with the request's id, the calling instance, the endpoint, the failure and whether the instance was stopping; a gauge of those in progress; their number in the lines stop and stopped. serveAttempt is split for this; its behaviour is unchanged.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -20,13 +20,16 @@
 	scope         tally.Scope
 	inFlightGauge tally.Gauge
 	inFlightCount atomic.Int64
-	dialled       tally.Gauge
-	reused        tally.Gauge
-	viewAge       tally.Gauge
-	limited       tally.Gauge
-	toLimited     tally.Counter
-	mu            sync.Mutex
-	byStatus      map[int]statusMetrics
+	// forwardedGauge and forwardedCount are the attempts in progress for instances of other regions.
+	forwardedGauge tally.Gauge
+	forwardedCount atomic.Int64
+	dialled        tally.Gauge
+	reused         tally.Gauge
+	viewAge        tally.Gauge
+	limited        tally.Gauge
+	toLimited      tally.Counter
+	mu             sync.Mutex
+	byStatus       map[int]statusMetrics
 }
 
 type statusMetrics struct {
@@ -36,7 +39,7 @@
 
 func newMetrics(scope tally.Scope) *metrics {
 	return &metrics{
-		scope: scope, inFlightGauge: scope.Gauge("requests_in_flight"),
+		scope: scope, inFlightGauge: scope.Gauge("requests_in_flight"), forwardedGauge: scope.Gauge("forwarded_attempts_in_flight"),
 		dialled: scope.Gauge("endpoint_requests_on_new_connections"), reused: scope.Gauge("endpoint_requests_on_kept_connections"),
 		viewAge: scope.Gauge("view_age_seconds"),
 		limited: scope.Gauge("limited_endpoints"), toLimited: scope.Counter("requests_to_limited_endpoints"),
@@ -47,6 +50,9 @@
 // inFlight adds n to the requests in flight.
 func (m *metrics) inFlight(n int64) { m.inFlightGauge.Update(float64(m.inFlightCount.Add(n))) }
 
+// forwarded adds n to the attempts in progress for instances of other regions.
+func (m *metrics) forwarded(n int64) { m.forwardedGauge.Update(float64(m.forwardedCount.Add(n))) }
+
 // connections records how many requests were sent to endpoints on new and on reused connections.
 func (m *metrics) connections(dialled, reused int64) {
 	m.dialled.Update(float64(dialled))
--- a/internal/edge/remote.go
+++ b/internal/edge/remote.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
@@ -201,35 +202,63 @@
 		return err
 	}
 	a := e.decodeAttempt(&req)
+	e.metrics.forwarded(1)
+	defer e.metrics.forwarded(-1)
+	began := e.clock.Now()
+	endpoint, f, err := e.forwardAnswer(ctx, a, s)
+	e.logForwarded(from, a, began, endpoint, f, err)
+	return err
+}
+
+// forwardAnswer makes an attempt and sends its answer to the calling instance. It returns the endpoint that answered, the failure that the
+// calling instance is told, and the error of the stream to that instance.
+func (e *Edge) forwardAnswer(ctx context.Context, a *attempt, s peer.Stream) (endpoint string, f *failure, err error) {
 	ctx, cancel := context.WithTimeout(ctx, a.deadline.Sub(e.clock.Now()))
 	defer cancel()
 	r, f := e.attemptLocal(ctx, a)
 	if f != nil {
-		return s.Send(encodeFailure(f))
+		return f.endpoint, f, s.Send(encodeFailure(f))
 	}
 	defer r.body.Close()
 	if err := s.Send(&wire.EdgeAnswer{Part: &wire.EdgeAnswer_Head{Head: &wire.EdgeAnswerHead{
 		Status: int32(r.status), Headers: encodeHeaders(r.header), Endpoint: r.endpoint,
 	}}}); err != nil {
-		return err
+		return r.endpoint, nil, err
 	}
 	buf := make([]byte, maxAnswerPart)
 	for {
 		n, err := r.body.Read(buf)
 		if n > 0 {
 			if err := s.Send(&wire.EdgeAnswer{Part: &wire.EdgeAnswer_Body{Body: buf[:n]}}); err != nil {
-				return err
+				return r.endpoint, nil, err
 			}
 		}
 		if err == io.EOF {
-			return s.Send(&wire.EdgeAnswer{Part: &wire.EdgeAnswer_End{End: &wire.EdgeAnswerEnd{}}})
+			return r.endpoint, nil, s.Send(&wire.EdgeAnswer{Part: &wire.EdgeAnswer_End{End: &wire.EdgeAnswerEnd{}}})
 		}
 		if err != nil {
-			return s.Send(encodeFailure(&failure{kind: broken, endpoint: r.endpoint, reason: err.Error()}))
+			f := &failure{kind: broken, endpoint: r.endpoint, reason: err.Error()}
+			return r.endpoint, f, s.Send(encodeFailure(f))
 		}
 	}
 }
 
+// logForwarded logs how an attempt for another instance has ended.
+func (e *Edge) logForwarded(from peer.Identity, a *attempt, began clock.Instant, endpoint string, f *failure, err error) {
+	now := e.clock.Now()
+	fields := []zap.Field{
+		zap.String("request", a.id), zap.String("peer", from.Instance), zap.String("service", a.service), zap.String("endpoint", endpoint),
+		zap.Duration("took", now.Sub(began)), zap.Duration("left", a.deadline.Sub(now)), zap.Bool("stopping", e.leaving.Load()),
+	}
+	switch {
+	case f != nil:
+		fields = append(fields, zap.String("failure", string(f.kind)), zap.String("reason", f.reason))
+	case err != nil:
+		fields = append(fields, zap.String("failure", "answer could not be sent to the calling instance"))
+	}
+	e.requestLog.Info("attempt for another instance", append(fields, zap.Error(err))...)
+}
+
 func encodeFailure(f *failure) proto.Message {
 	return &wire.EdgeAnswer{Part: &wire.EdgeAnswer_End{End: &wire.EdgeAnswerEnd{
 		Failure: string(f.kind), Reason: f.reason, Endpoint: f.endpoint, RetryAfterNanos: int64(f.retryAfter),
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -148,6 +148,9 @@
 // closing reports whether requests that may outlast the process are rejected.
 func (e *Edge) closing() bool { return e.endsAt.Load() != 0 }
 
+// Forwarded returns the number of attempts in progress for instances of other regions.
+func (e *Edge) Forwarded() int64 { return e.metrics.forwardedCount.Load() }
+
 // Close stops all goroutines and removes the announcement.
 func (e *Edge) Close() {
 	e.cancel()
--- a/internal/edgedaemon/daemon.go
+++ b/internal/edgedaemon/daemon.go
@@ -206,7 +206,7 @@
 func (d *Daemon) Stop(ctx context.Context) error {
 	began := time.Now()
 	grace := seconds(d.settings.Grace)
-	d.log.Info("stop", zap.Int64("in_flight", d.inFlight.Load()), zap.Duration("grace", grace))
+	d.log.Info("stop", zap.Int64("in_flight", d.inFlight.Load()), zap.Int64("forwarded", d.edge.Forwarded()), zap.Duration("grace", grace))
 	d.edge.Leave()
 	ctx, cancel := context.WithTimeout(ctx, grace-killReserve)
 	defer cancel()
@@ -221,13 +221,15 @@
 	err := d.callers.Shutdown(ctx)
 	unfinished := d.inFlight.Load()
 	err = errors.CombineErrors(err, d.callers.Close())
+	unfinishedForwarded := d.edge.Forwarded()
 	d.edge.Close()
 	err = errors.CombineErrors(err, d.transport.Close(ctx))
 	for _, s := range d.servers {
 		err = errors.CombineErrors(err, s.Close())
 	}
 	d.store.Close()
-	d.log.Info("stopped", zap.Duration("took", time.Since(began)), zap.Int64("cut", unfinished), zap.Int64("log_lines_dropped", d.writer.Dropped()), zap.Error(err))
+	d.log.Info("stopped", zap.Duration("took", time.Since(began)), zap.Int64("cut", unfinished),
+		zap.Int64("forwarded", unfinishedForwarded), zap.Int64("log_lines_dropped", d.writer.Dropped()), zap.Error(err))
 	err = errors.CombineErrors(err, d.metrics.Close())
 	return errors.CombineErrors(err, d.writer.Close())
 }
