Keep a stopping instance in the fleet while it serves other regions

What callers saw: requests that an instance of another region had passed to an instance under a planned stop broke off when that one ended, or waited there for an endpoint that nobody offered them any more.

Cause: the stop knew only the requests of own callers. It left the fleet and stopped placing requests as soon as those had ended, and it declined nothing that instances of other regions sent, however long it might take.

Change: from the signal on, an instance declines attempts of other regions that may outlast it. The calling instance learns that they were not sent and tries another one. The stop waits for attempts in progress like for own requests, within its grace time.

Evidence: TestStoppingInstanceDeclinesForwardedRequestsThatOutlastIt (failed: a request that may last 5 s ran at an instance that ends in 2 s) and TestStopWaitsForForwardedRequests (failed: 'the instance has left the fleet with a request of another region in progress'); both pass now. Two entries of the mutation checker switch the mechanisms off; the tests fail.

Conclusion: an answer that another region waits for is treated like one that an own caller waits for. What remains: a stream that was taken before the signal and lasts longer than the grace time is cut, as for own callers.

--- a/internal/edge/remote.go
+++ b/internal/edge/remote.go
@@ -66,12 +66,12 @@
 	}
 	if err := stream.Send(e.encodeAttempt(a, version)); err != nil {
 		closeStream(stream, cancel)
-		return nil, remoteFailure(instance, err)
+		return nil, e.remoteFailure(instance, err)
 	}
 	var answer wire.EdgeAnswer
 	if err := stream.Recv(&answer); err != nil {
 		closeStream(stream, cancel)
-		return nil, remoteFailure(instance, err)
+		return nil, e.remoteFailure(instance, err)
 	}
 	if end := answer.GetEnd(); end != nil {
 		closeStream(stream, cancel)
@@ -91,12 +91,18 @@
 	}, nil
 }
 
+// codeStopping marks the error of an instance that ends before the attempt would. It has not sent the request to any endpoint.
+const codeStopping = "stopping"
+
 // remoteFailure describes an attempt whose call to the remote instance failed. That instance may have sent the request to an
 // endpoint, unless the kind is notSent.
-func remoteFailure(instance string, err error) *failure {
+func (e *Edge) remoteFailure(instance string, err error) *failure {
 	f := &failure{kind: broken, reason: "instance " + instance + ": " + err.Error()}
-	var remote *peer.RemoteError
-	if errors.Is(err, peer.ErrNotSent) || errors.As(err, &remote) && remote.Code == peer.CodeOverloaded {
+	switch {
+	case isCode(err, codeStopping):
+		f.kind = notSent
+		e.fleet.markUnreachable(instance)
+	case errors.Is(err, peer.ErrNotSent), isCode(err, peer.CodeOverloaded):
 		f.kind = notSent
 	}
 	return f
@@ -202,6 +208,11 @@
 		return err
 	}
 	a := e.decodeAttempt(&req)
+	if end := clock.Instant(e.forwardedEndsAt.Load()); end > 0 && a.deadline > end {
+		e.requestLog.Info("attempt for another instance declined", zap.String("request", a.id), zap.String("peer", from.Instance),
+			zap.Duration("beyond_stop", a.deadline.Sub(end)))
+		return peer.NewError(codeStopping, "instance is stopping before the request would end")
+	}
 	e.metrics.forwarded(1)
 	defer e.metrics.forwarded(-1)
 	began := e.clock.Now()
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -47,7 +47,10 @@
 	leaving      atomic.Bool   // callers are sent to other instances
 	leavingBegan chan struct{} // closed when leaving begins
 	endsAt       atomic.Int64  // instant at which the process ends, once requests that may outlast it are rejected; 0 before
-	fetching     atomic.Bool   // a configuration is being fetched from another instance
+	// forwardedEndsAt is the instant at which the process ends, once attempts for other instances that may outlast it are declined; 0
+	// before.
+	forwardedEndsAt atomic.Int64
+	fetching        atomic.Bool // a configuration is being fetched from another instance
 
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -140,8 +143,15 @@
 	}
 }
 
+// DeclineForwardedBeyond declines attempts for instances of other regions that may last beyond end, when the process ends. Those
+// instances have others to send them to.
+func (e *Edge) DeclineForwardedBeyond(end clock.Instant) {
+	e.forwardedEndsAt.Store(int64(end))
+}
+
 // RejectBeyond rejects requests that may last beyond end, when the process ends.
 func (e *Edge) RejectBeyond(end clock.Instant) {
+	e.DeclineForwardedBeyond(end)
 	e.endsAt.Store(int64(end))
 }
 
--- a/internal/edgedaemon/daemon.go
+++ b/internal/edgedaemon/daemon.go
@@ -208,12 +208,14 @@
 	grace := seconds(d.settings.Grace)
 	d.log.Info("stop", zap.Int64("in_flight", d.inFlight.Load()), zap.Int64("forwarded", d.edge.Forwarded()), zap.Duration("grace", grace))
 	d.edge.Leave()
+	end := clock.Boot{}.Now().Add(grace - killReserve)
+	d.edge.DeclineForwardedBeyond(end)
 	ctx, cancel := context.WithTimeout(ctx, grace-killReserve)
 	defer cancel()
 	// An error means that the grace time is over, which the following steps check themselves.
 	_ = clock.Sleep(ctx, time.Duration(float64(grace)*rejectFraction))
-	d.edge.RejectBeyond(clock.Boot{}.Now().Add(grace - killReserve - time.Since(began)))
-	for time.Since(began) < time.Duration(float64(grace)*idleStopFraction) || d.inFlight.Load() > 0 {
+	d.edge.RejectBeyond(end)
+	for time.Since(began) < time.Duration(float64(grace)*idleStopFraction) || d.inFlight.Load()+d.edge.Forwarded() > 0 {
 		if clock.Sleep(ctx, stopPollInterval) != nil {
 			break
 		}
--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -32,6 +32,18 @@
 		Original: "end > 0 && x.deadline > end", Replacement: "end < 0 && x.deadline > end",
 		Package: "./platform", Run: "^TestStoppingInstanceAdmitsShortRequestsOnly$",
 	},
+	{
+		Condition: 12, Mechanism: "edge: a stopping instance declines requests of other regions that may outlast it",
+		File:     "internal/edge/remote.go",
+		Original: "end > 0 && a.deadline > end", Replacement: "end < 0 && a.deadline > end",
+		Package: "./platform", Run: "^TestStoppingInstanceDeclinesForwardedRequestsThatOutlastIt$",
+	},
+	{
+		Condition: 12, Mechanism: "edge: a planned stop waits for requests of other regions",
+		File:     "internal/edgedaemon/daemon.go",
+		Original: "d.inFlight.Load()+d.edge.Forwarded() > 0", Replacement: "d.inFlight.Load() > 0",
+		Package: "./internal/edgedaemon", Run: "^TestStopWaitsForForwardedRequests$",
+	},
 	{
 		Condition: 13, Mechanism: "edge: only a higher version is accepted",
 		File:     "internal/edge/state.go",
