Answer the requests that have no answer at the end of a planned stop

What callers saw: at the end of the grace time, the connections of requests whose answer had not begun were closed without any answer, also of requests that only waited for an endpoint and had not run.

Cause: the stop ended the requests in flight by closing their connections. Nothing told the requests that the process ends, so they could not be answered before.

Change: 0.2 s before the process ends, requests and attempts for other instances whose answer has not begun are given up. Callers get 503 if the request has not run and 504 otherwise; a calling instance learns whether the request may have run. Streams that have begun still have the whole time. Requests that may last into the 0.2 s are rejected like those that outlast the process.

Ruled out: that waiting requests end by themselves in time. They may wait for the larger of the route's latency objective and a quarter of their time, from each attempt on.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -127,6 +127,7 @@
 		h.Set("Content-Length", strconv.Itoa(length))
 	}
 	x.wroteHead = true
+	x.keep()
 	x.outcome.status = r.status
 	x.outcome.reason = ""
 	x.outcome.firstByte = x.edge.clock.Now().Sub(x.arrived)
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -57,6 +57,7 @@
 	failed      *failedAnswer   // an endpoint's error answer, written to the caller unless a retry succeeds
 	declined    map[string]bool // regions that had no capacity for the request
 	wroteHead   bool
+	keep        func() bool // once the answer has begun, Edge.EndUnanswered does not end the request
 	lastEventID string
 	events      int
 
@@ -276,6 +277,8 @@
 	e.countForRetries(x.service)
 	ctx, cancel := context.WithTimeout(x.r.Context(), x.deadline.Sub(e.clock.Now()))
 	defer cancel()
+	x.keep = context.AfterFunc(e.unanswered, cancel)
+	defer x.keep()
 	for {
 		x.attempt.lastEventID = x.lastEventID
 		r, f := x.makeAttempt(ctx)
--- a/internal/edge/remote.go
+++ b/internal/edge/remote.go
@@ -226,7 +226,10 @@
 func (e *Edge) forwardAnswer(ctx context.Context, a *attempt, s peer.Stream) (endpoint string, f *failure, err error) {
 	ctx, cancel := context.WithTimeout(ctx, a.deadline.Sub(e.clock.Now()))
 	defer cancel()
+	keep := context.AfterFunc(e.unanswered, cancel)
+	defer keep()
 	r, f := e.attemptLocal(ctx, a)
+	keep()
 	if f != nil {
 		return f.endpoint, f, s.Send(encodeFailure(f))
 	}
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -52,6 +52,10 @@
 	forwardedEndsAt atomic.Int64
 	fetching        atomic.Bool // a configuration is being fetched from another instance
 
+	// unanswered ends when requests and attempts whose answer has not begun are given up.
+	unanswered    context.Context
+	endUnanswered context.CancelFunc
+
 	ctx        context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
@@ -71,10 +75,11 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	unanswered, endUnanswered := context.WithCancel(context.Background())
 	e := &Edge{
 		options: o, clock: o.Clock, log: o.Log, requestLog: o.Log.Named("request"), metrics: newMetrics(o.Scope),
 		network: network, quota: fleetquota.New(), rejections: newRejections(o.Clock), retries: retrybudget.New(o.Bounds.Retries),
-		ctx: ctx, cancel: cancel, leavingBegan: make(chan struct{}), mirrors: make(map[string]*mirror.Mirror), feeds: make(map[string]*relayedFeed),
+		ctx: ctx, cancel: cancel, unanswered: unanswered, endUnanswered: endUnanswered, leavingBegan: make(chan struct{}), mirrors: make(map[string]*mirror.Mirror), feeds: make(map[string]*relayedFeed),
 	}
 	e.state = newState(&e.options)
 	e.state.onChange = e.stateChanged
@@ -155,6 +160,10 @@
 	e.endsAt.Store(int64(end))
 }
 
+// EndUnanswered gives up the requests and the attempts for other instances whose answer has not begun. They get an error, which tells
+// whether they may have run; a closed connection does not.
+func (e *Edge) EndUnanswered() { e.endUnanswered() }
+
 // closing reports whether requests that may outlast the process are rejected.
 func (e *Edge) closing() bool { return e.endsAt.Load() != 0 }
 
--- a/internal/edgedaemon/daemon.go
+++ b/internal/edgedaemon/daemon.go
@@ -33,6 +33,8 @@
 	stopPollInterval = 50 * time.Millisecond
 	// killReserve is subtracted from the grace time, so that the process ends by itself before it is killed.
 	killReserve = 700 * time.Millisecond
+	// answerReserve is the time for the error answers of requests that have no answer when the process ends.
+	answerReserve = 200 * time.Millisecond
 	// endpointDialTimeout bounds a connection to an endpoint of the own region: some round trips of a millisecond, with one
 	// opening packet lost and sent again after a second.
 	endpointDialTimeout = 1300 * time.Millisecond
@@ -202,21 +204,24 @@
 }
 
 // Stop is the planned stop. Callers are sent to other instances, then requests that may outlast the process are rejected, and
-// the process ends when no request is in flight or the grace time is over.
+// the process ends when no request is in flight or the grace time is over. Requests whose answer has not begun by then get an error.
 func (d *Daemon) Stop(ctx context.Context) error {
 	began := time.Now()
 	grace := seconds(d.settings.Grace)
 	d.log.Info("stop", zap.Int64("in_flight", d.inFlight.Load()), zap.Int64("forwarded", d.edge.Forwarded()), zap.Duration("grace", grace))
 	d.edge.Leave()
-	end := clock.Boot{}.Now().Add(grace - killReserve)
+	end := clock.Boot{}.Now().Add(grace - killReserve - answerReserve)
 	d.edge.DeclineForwardedBeyond(end)
 	ctx, cancel := context.WithTimeout(ctx, grace-killReserve)
 	defer cancel()
+	waitCtx, cancelWait := context.WithTimeout(ctx, grace-killReserve-answerReserve)
+	defer cancelWait()
 	// An error means that the grace time is over, which the following steps check themselves.
-	_ = clock.Sleep(ctx, time.Duration(float64(grace)*rejectFraction))
+	_ = clock.Sleep(waitCtx, time.Duration(float64(grace)*rejectFraction))
 	d.edge.RejectBeyond(end)
 	for time.Since(began) < time.Duration(float64(grace)*idleStopFraction) || d.inFlight.Load()+d.edge.Forwarded() > 0 {
-		if clock.Sleep(ctx, stopPollInterval) != nil {
+		if clock.Sleep(waitCtx, stopPollInterval) != nil {
+			d.edge.EndUnanswered()
 			break
 		}
 	}
--- /dev/null
+++ b/internal/edgedaemon/waiting_test.go
@@ -0,0 +1,92 @@
+package edgedaemon
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/platform/platformtest"
+)
+
+// Guards against a planned stop that closes the connections of requests which still wait for an endpoint: nothing has run them, and their
+// callers would get no answer.
+func TestStopAnswersRequestsThatWaitForAnEndpoint(t *testing.T) {
+	store := platformtest.NewStore(t)
+	s := settings(t, store.Addr)
+	s.Grace = 2
+	arrived := make(chan struct{}, 8)
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/once/long" {
+			arrived <- struct{}{}
+			<-r.Context().Done()
+			return
+		}
+		platformtest.Sign(w.Header(), platformtest.RequestID(r.Header))
+	}))
+	defer endpoint.Close()
+	store.Put(platformtest.EndpointKey("e1"), platformtest.EndpointEntry{
+		Service: "plain", Addr: strings.TrimPrefix(endpoint.URL, "http://"), DataCentre: "north-a", Slots: 1, State: "ready",
+	}.Encode())
+	store.Put(platformtest.ConfigurationKey, platformtest.Configuration{Version: 1, Organisation: "o", Key: "k", Host: "h",
+		Routes: []platformtest.Route{{Prefix: "/once/", Kind: "non_idempotent", Service: "plain"}}}.Encode())
+	d, err := New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := d.Start(); err != nil {
+		t.Fatal(err)
+	}
+	call := func(id, path string) (int, error) {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.CallerAddr+path, strings.NewReader("x"))
+		if err != nil {
+			return 0, err
+		}
+		req.Host = "h"
+		platformtest.SetRequestHeaders(req.Header, id, "k")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return 0, err
+		}
+		defer resp.Body.Close()
+		_, err = io.Copy(io.Discard, resp.Body)
+		return resp.StatusCode, err
+	}
+	waitFor(t, "the instance does not serve", func() bool { got, _ := call("probe", "/once/"); return got == http.StatusOK })
+	type result struct {
+		status int
+		err    error
+	}
+	start := func(id, path string) chan result {
+		out := make(chan result, 1)
+		go func() {
+			status, err := call(id, path)
+			out <- result{status, err}
+		}()
+		return out
+	}
+	running, second := start("running", "/once/long"), start("second", "/once/long") // an endpoint with one slot takes two
+	<-arrived
+	<-arrived
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_ = d.Stop(ctx) // what still runs lasts longer than the grace time, which Stop reports
+	}()
+	time.Sleep(400 * time.Millisecond) // requests that may outlast the process are still taken
+	if got := <-start("waiting", "/once/"); got.err != nil || got.status != http.StatusServiceUnavailable {
+		t.Errorf("a request that waits for an endpoint at the end of the process: status %d, error %v, want 503", got.status, got.err)
+	}
+	for _, r := range []chan result{running, second} {
+		if got := <-r; got.err != nil || got.status != http.StatusGatewayTimeout {
+			t.Errorf("a request that runs at the end of the process: status %d, error %v, want 504", got.status, got.err)
+		}
+	}
+	<-stopped
+}
