Pass header values between regions as bytes

What callers saw: 502 for a request that an instance of another region served, when a header of the request or of the answer held bytes that are not UTF-8. In the same region such headers pass.

Cause: header values were protobuf strings, which cannot be encoded unless they are UTF-8. HTTP allows any byte from 0x80 on. The answer had been given, and sending it to the calling instance failed; a request was taken for one that may have run.

Change: the field is bytes, which has the same encoding on the wire.

Conclusion: one class is closed, header values. The request's URI and id are still strings; whether callers can send other bytes in them was not tried.

--- a/internal/edge/remote.go
+++ b/internal/edge/remote.go
@@ -140,7 +140,7 @@
 	out := make([]*wire.ForwardHeader, 0, len(h))
 	for name, values := range h {
 		for _, v := range values {
-			out = append(out, &wire.ForwardHeader{Name: name, Value: v})
+			out = append(out, &wire.ForwardHeader{Name: name, Value: []byte(v)})
 		}
 	}
 	return out
@@ -149,7 +149,7 @@
 func decodeHeaders(list []*wire.ForwardHeader) http.Header {
 	h := make(http.Header, len(list))
 	for _, v := range list {
-		h[v.GetName()] = append(h[v.GetName()], v.GetValue())
+		h[v.GetName()] = append(h[v.GetName()], string(v.GetValue()))
 	}
 	return h
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -209,7 +209,7 @@
 		head: func(h *wire.ForwardAnswerHead) error {
 			a = &operations.Answer{Status: int(h.Status), Header: http.Header{}}
 			for _, kv := range h.Headers {
-				a.Header.Add(kv.Name, kv.Value)
+				a.Header.Add(kv.Name, string(kv.Value))
 			}
 			return nil
 		},
@@ -405,7 +405,7 @@
 	head := &wire.ForwardAnswerHead{Status: int32(a.Status)}
 	for name, values := range a.Header {
 		for _, v := range values {
-			head.Headers = append(head.Headers, &wire.ForwardHeader{Name: name, Value: v})
+			head.Headers = append(head.Headers, &wire.ForwardHeader{Name: name, Value: []byte(v)})
 		}
 	}
 	if err := s.Send(&wire.ForwardResponse{Part: &wire.ForwardResponse_Head{Head: head}}); err != nil {
