--- a/internal/edge/remote.go
+++ b/internal/edge/remote.go
@@ -140,7 +140,7 @@
 	out := make([]*wire.ForwardHeader, 0, len(h))
 	for name, values := range h {
 		for _, v := range values {
-			out = append(out, &wire.ForwardHeader{Name: name, Value: v})
+			out = append(out, &wire.ForwardHeader{Name: name, Value: []byte(v)})
 		}
 	}
 	return out
@@ -149,7 +149,7 @@
 func decodeHeaders(list []*wire.ForwardHeader) http.Header {
 	h := make(http.Header, len(list))
 	for _, v := range list {
-		h[v.GetName()] = append(h[v.GetName()], v.GetValue())
+		h[v.GetName()] = append(h[v.GetName()], string(v.GetValue()))
 	}
 	return h
 }
@@ -226,7 +226,10 @@
 func (e *Edge) forwardAnswer(ctx context.Context, a *attempt, s peer.Stream) (endpoint string, f *failure, err error) {
 	ctx, cancel := context.WithTimeout(ctx, a.deadline.Sub(e.clock.Now()))
 	defer cancel()
+	keep := context.AfterFunc(e.unanswered, cancel)
+	defer keep()
 	r, f := e.attemptLocal(ctx, a)
+	keep()
 	if f != nil {
 		return f.endpoint, f, s.Send(encodeFailure(f))
 	}
