Tell crashes of endpoints from resets and lost answers

The log says of a broken attempt only that its stream or head broke off. A crash, a connection that was reset, an answer that was lost and overload look alike, and nothing tells whether the request itself had begun.

An attempt whose connection breaks before its second event or its complete answer is now examined: after 50 ms the instance opens a connection to the endpoint (500 ms limit, one check at a time for each incarnation, never on the request's path) and logs request, endpoint and result; two counters sum them up. An answer without length or chunks that ends before its second event is examined too, since its end may be that of its endpoint; endpointconn tells whether an answer is framed. A result that the endpoint is up is never reused for a later break.

No decision on a request changes.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -26,7 +26,8 @@
 	header          http.Header // as sent to the endpoint, except for what the dialect sets
 	body            []byte
 	work            placement.Request
-	urgency         int // 0 is the most urgent
+	sharedParts     []uint64 // keys of the prompt parts that other requests may share, of all models alike
+	urgency         int      // 0 is the most urgent
 	hasUrgency      bool
 	onTimeBy        clock.Instant // when its first output must arrive to be on time
 	late            bool          // it is not expected to be on time
@@ -113,7 +114,7 @@
 		ID: a.id, Method: a.method, URI: a.uri, Host: a.host, Header: header, Body: a.body, FreshConnection: a.freshConnection,
 	})
 	if err != nil {
-		return nil, e.sendFailure(ctx, a, chosen, err)
+		return nil, e.sendFailure(ctx, a, chosen, sentAt, err)
 	}
 	head := e.options.Dialect.ParseAnswer(resp.Status, resp.Header)
 	e.observeLimit(a.id, chosen.Incarnation, resp.Status, head, sentAt)
@@ -122,7 +123,8 @@
 	}
 	r := &reply{status: resp.Status, header: resp.Header, endpoint: chosen.ID, instance: e.options.Self.Instance, unread: chosen.PrefillTokens, copied: chosen.CopiedTokens,
 		limit: limit}
-	body := &endpointBody{ReadCloser: resp.Body, ctx: ctx, edge: e, attempt: a, endpoint: endpoint, result: healthResultOf(resp.Status, head)}
+	body := &endpointBody{ReadCloser: resp.Body, ctx: ctx, edge: e, attempt: a, endpoint: endpoint, addr: chosen.Addr, sentAt: sentAt,
+		succeeds: resp.Status < http.StatusMultipleChoices && head.Signed, framed: resp.Framed, result: healthResultOf(resp.Status, head)}
 	r.body = body
 	if kind, reason := classifyAnswer(resp.Status, resp.Header, head); kind != "" {
 		discardBody(body)
@@ -159,7 +161,7 @@
 }
 
 // sendFailure ends an attempt that failed before an answer began, and classifies the error.
-func (e *Edge) sendFailure(ctx context.Context, a *attempt, chosen placement.Choice, err error) *failure {
+func (e *Edge) sendFailure(ctx context.Context, a *attempt, chosen placement.Choice, sentAt clock.Instant, err error) *failure {
 	f := &failure{kind: broken, endpoint: chosen.ID, reason: err.Error()}
 	v := resultFailed
 	switch {
@@ -178,6 +180,9 @@
 	if v == resultUnreachable {
 		e.conns.CloseIdle(chosen.Addr)
 	}
+	if f.kind == broken && ctx.Err() == nil {
+		e.examineBroken(a, chosen.Incarnation, chosen.Addr, sentAt, f.reason)
+	}
 	e.pools.release(a.service, chosen.Endpoint, a.work.ID, v)
 	return f
 }
@@ -199,6 +204,11 @@
 	edge       *Edge
 	attempt    *attempt
 	endpoint   *placement.Endpoint
+	addr       string // of the endpoint
+	sentAt     clock.Instant
+	succeeds   bool // the head is that of a success
+	framed     bool // its end is known by a length or by chunks
+	life       lifeDetector
 	result     healthResult
 	begun      bool
 	lastOutput clock.Instant // of the last output
@@ -209,6 +219,7 @@
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
 		b.recordOutput(p[:n])
+		b.life.read(p[:n])
 	}
 	if err != nil && err != io.EOF {
 		b.result = resultFailed
@@ -216,9 +227,22 @@
 			b.result = resultNone
 		}
 	}
+	if err != nil {
+		b.recordEnd(err)
+	}
 	return n, err
 }
 
+// recordEnd examines an answer that has broken off without sign of life. The end of one without length or chunks may be that of its
+// endpoint.
+func (b *endpointBody) recordEnd(err error) {
+	if b.life.alive || b.ctx.Err() != nil || err == io.EOF && b.framed {
+		return
+	}
+	b.life.alive = true // it is examined once
+	b.edge.examineBroken(b.attempt, b.endpoint.Incarnation, b.addr, b.sentAt, "answer: "+err.Error())
+}
+
 // eventEnd ends each event of a stream.
 var eventEnd = []byte("\n\n")
 
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -186,7 +186,7 @@
 	x.attempt = attempt{
 		id: x.head.ID, service: x.service, organisation: organisation,
 		method: x.r.Method, uri: x.r.RequestURI, host: x.r.Host, header: x.forwardedHeader(), body: body,
-		work: work, urgency: urgency, hasUrgency: x.conf.Service(x.service).Engine != nil,
+		work: work, sharedParts: sharedParts(x.head.Parts), urgency: urgency, hasUrgency: x.conf.Service(x.service).Engine != nil,
 		freshConnection: !x.route.Retryable(), lastEventID: x.head.LastEventID, deadline: x.deadline.Add(-answerMargin), onTimeBy: x.onTimeBy(), excluded: map[string]bool{},
 	}
 	x.lastEventID = x.head.LastEventID
@@ -225,6 +225,16 @@
 	return w
 }
 
+// sharedParts returns the keys of the parts that other requests may share: all but the last, which belongs to the request or its session.
+// A part has the same key for all models.
+func sharedParts(parts []PromptPart) []uint64 {
+	var keys []uint64
+	for _, p := range parts[:max(0, len(parts)-1)] {
+		keys = append(keys, placement.PartKey("", p.ID))
+	}
+	return keys
+}
+
 // generationFraction is the fraction of a request's time that generating an answer of typical length may take. An answer half
 // as long again must fit too: one in six is longer than that.
 const generationFraction = 0.55
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -25,6 +25,8 @@
 	viewAge       tally.Gauge
 	limited       tally.Gauge
 	toLimited     tally.Counter
+	crashed       tally.Counter
+	reset         tally.Counter
 	mu            sync.Mutex
 	byStatus      map[int]statusMetrics
 }
@@ -40,6 +42,7 @@
 		dialled: scope.Gauge("endpoint_requests_on_new_connections"), reused: scope.Gauge("endpoint_requests_on_kept_connections"),
 		viewAge: scope.Gauge("view_age_seconds"),
 		limited: scope.Gauge("limited_endpoints"), toLimited: scope.Counter("requests_to_limited_endpoints"),
+		crashed: scope.Counter("attempts_broken_by_crash"), reset: scope.Counter("attempts_broken_otherwise"),
 		byStatus: make(map[int]statusMetrics),
 	}
 }
@@ -59,6 +62,15 @@
 // sentToLimited records that a request is sent to an endpoint that has named a request rate.
 func (m *metrics) sentToLimited() { m.toLimited.Inc(1) }
 
+// brokenAttempt records an attempt that broke without sign of life, and whether its endpoint had crashed.
+func (m *metrics) brokenAttempt(crashed bool) {
+	if crashed {
+		m.crashed.Inc(1)
+		return
+	}
+	m.reset.Inc(1)
+}
+
 // request records an answered request. Status 0 means that the caller disconnected before the answer.
 func (m *metrics) request(status int, took time.Duration) {
 	m.mu.Lock()
--- a/internal/edge/remote.go
+++ b/internal/edge/remote.go
@@ -251,6 +251,10 @@
 	for _, id := range req.GetExcluded() {
 		a.excluded[id] = true
 	}
+	// A head that cannot be parsed was rejected by the instance that the caller reached, and has no parts.
+	if head, err := e.options.Dialect.ParseRequest(a.header); err == nil {
+		a.sharedParts = sharedParts(head.Parts)
+	}
 	tokens := req.GetPartTokens()
 	for i, key := range req.GetPartKeys() {
 		if i < len(tokens) {
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -31,6 +31,7 @@
 	pools   *pools
 	view    *view
 	conns   *endpointconn.Pool
+	crashes *crashChecks
 	mirrors map[string]*mirror.Mirror // by key prefix
 	feeds   map[string]*relayedFeed   // what the mirrors read, by key prefix
 	network Network
@@ -79,6 +80,7 @@
 	e.fleet.onChange = e.membersChanged
 	e.pools = newPools(o.Clock, o.Self.Instance)
 	e.conns = endpointconn.NewPool(o.Dial, o.Dialect.AnswerRequestID)
+	e.crashes = newCrashChecks(&e.options, e.metrics)
 	e.view = newView(e)
 	network.Handle(serviceReport, e.view.serveReport)
 	network.Handle(serviceSummary, e.view.serveSummary)
--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -68,6 +68,8 @@
 	Header http.Header
 	// Body returns io.EOF only after a complete response. A response without a length is complete when its connection is closed.
 	Body io.ReadCloser
+	// Framed says that a length or chunks tell where Body ends. Otherwise its end is that of the connection.
+	Framed bool
 }
 
 // Pool is a client with a pool of connections to endpoints. It is safe for concurrent use.
@@ -146,7 +148,7 @@
 	}
 	body := &body{ReadCloser: resp.Body, pool: p, conn: c, stopCancel: stop, written: written, reusable: reusable(resp)}
 	c.maxIdle = maxIdleTime(resp.Header)
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0}, nil
 }
 
 // errNothingWritten marks a failed send of which no byte was written.
