--- /dev/null
+++ b/internal/core/crashguard/register.go
@@ -0,0 +1,215 @@
+// Package crashguard finds prompt parts that crash the endpoints which begin to answer a request with them, and decides which requests
+// are not sent for that reason.
+//
+// A Register holds crashes of endpoints with the parts of the requests that were there without a sign of life. Instances exchange their
+// crashes and unite them, in any order and however often they receive them: what is known of a crash only grows. The package does no
+// I/O, reads no clock and is not safe for concurrent use.
+package crashguard
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"dogwoodknot.example/dogwoodknot/internal/catalog"
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+)
+
+const (
+	// MaxCrashes, maxParts and maxLives bound the crashes that are kept, the parts of one crash, and the parts whose last sign of life is
+	// kept. The oldest crashes and signs of life give way.
+	MaxCrashes = 512
+	maxParts   = 64
+	maxLives   = 8192
+	// retention is how long a crash counts. It holds several blocks of the longest kind, so that a part that crashes each trial stays
+	// blocked.
+	retention = time.Hour
+	// aliveBefore is how long before a crash a sign of life is taken into account.
+	aliveBefore = 30 * time.Second
+	// minTimeStep is the smallest correction of a time that is recorded and passed on. Ages that pass through several instances
+	// differ by their latencies.
+	minTimeStep = 50 * time.Millisecond
+)
+
+// Suspect says how a part was involved in a crash: it belongs to a request that was at the endpoint without a sign of life.
+type Suspect struct {
+	Lead time.Duration // how long before the crash the first request with the part was sent to the endpoint
+	// WasAlive says that a request with the part had shown life shortly before, and Cleared that one has shown life since.
+	WasAlive bool
+	Cleared  bool
+}
+
+// Crash is the crash of an incarnation of an endpoint.
+type Crash struct {
+	Endpoint catalog.Incarnation
+	At       clock.Instant // of the first attempt that broke
+	Parts    map[uint64]Suspect
+	// Version grows with each change of the crash here. Registers of different instances number their changes independently.
+	Version uint64
+}
+
+// Register holds the crashes that are known.
+type Register struct {
+	crashes map[catalog.Incarnation]*Crash
+	byPart  map[uint64][]*Crash
+	lives   *simplelru.LRU[uint64, clock.Instant] // last sign of life that this instance has seen, by part
+	version uint64
+}
+
+// NewRegister returns a register without crashes.
+func NewRegister() *Register {
+	lives, err := simplelru.NewLRU[uint64, clock.Instant](maxLives, nil)
+	if err != nil {
+		panic(err) // only for a size of 0 or less
+	}
+	return &Register{crashes: make(map[catalog.Incarnation]*Crash), byPart: make(map[uint64][]*Crash), lives: lives}
+}
+
+// Len returns the number of crashes, and Version a number that grows with each change of one.
+func (r *Register) Len() int        { return len(r.crashes) }
+func (r *Register) Version() uint64 { return r.version }
+
+// Record records an attempt that was sent lead before its endpoint crashed, and had shown no life. It reports whether anything is new.
+func (r *Register) Record(now clock.Instant, endpoint catalog.Incarnation, at clock.Instant, lead time.Duration, parts []uint64) bool {
+	c := Crash{Endpoint: endpoint, At: at, Parts: make(map[uint64]Suspect, len(parts))}
+	for _, p := range parts {
+		c.Parts[p] = Suspect{Lead: lead}
+	}
+	return r.Merge(now, c)
+}
+
+// Merge adds what another instance knows of a crash, and reports whether anything is new.
+func (r *Register) Merge(now clock.Instant, c Crash) bool {
+	if now.Sub(c.At) > retention {
+		return false
+	}
+	known := r.crashes[c.Endpoint]
+	changed := false
+	switch {
+	case known == nil:
+		if len(r.crashes) >= MaxCrashes && !r.removeOldest(c.At) {
+			return false
+		}
+		known = &Crash{Endpoint: c.Endpoint, At: min(c.At, now), Parts: make(map[uint64]Suspect)}
+		r.crashes[c.Endpoint] = known
+		changed = true
+	case c.At <= known.At.Add(-minTimeStep):
+		known.At = c.At
+		changed = true
+	}
+	for _, part := range slices.Sorted(maps.Keys(c.Parts)) {
+		changed = r.mergePart(known, part, c.Parts[part]) || changed
+	}
+	if changed {
+		r.touch(known)
+	}
+	return changed
+}
+
+func (r *Register) mergePart(c *Crash, part uint64, s Suspect) bool {
+	before, known := c.Parts[part]
+	if !known && len(c.Parts) >= maxParts {
+		return false
+	}
+	after := before
+	if s.Lead >= before.Lead+minTimeStep || !known {
+		after.Lead = s.Lead
+	}
+	life, seen := r.lives.Peek(part)
+	after.Cleared = before.Cleared || s.Cleared || seen && life > c.At
+	after.WasAlive = before.WasAlive || s.WasAlive || seen && life <= c.At && c.At.Sub(life) <= aliveBefore
+	if known && after == before {
+		return false
+	}
+	c.Parts[part] = after
+	if !known {
+		r.byPart[part] = append(r.byPart[part], c)
+	}
+	return true
+}
+
+// RecordLife records that a request with the parts has shown life, and reports whether that clears a crash of one of them.
+func (r *Register) RecordLife(now clock.Instant, parts []uint64) (changed bool) {
+	for _, part := range parts {
+		r.lives.Add(part, now)
+		for _, c := range r.byPart[part] {
+			if s := c.Parts[part]; !s.Cleared && now >= c.At {
+				s.Cleared = true
+				c.Parts[part] = s
+				r.touch(c)
+				changed = true
+			}
+		}
+	}
+	return changed
+}
+
+func (r *Register) touch(c *Crash) {
+	r.version++
+	c.Version = r.version
+}
+
+// Prune drops crashes that have expired.
+func (r *Register) Prune(now clock.Instant) {
+	for _, c := range r.crashes {
+		if now.Sub(c.At) > retention {
+			r.remove(c)
+		}
+	}
+}
+
+// removeOldest makes room for a crash at a time. It returns false if all others are newer.
+func (r *Register) removeOldest(at clock.Instant) bool {
+	var oldest *Crash
+	for _, c := range r.crashes {
+		if oldest == nil || c.At < oldest.At {
+			oldest = c
+		}
+	}
+	if oldest.At >= at {
+		return false
+	}
+	r.remove(oldest)
+	return true
+}
+
+func (r *Register) remove(c *Crash) {
+	delete(r.crashes, c.Endpoint)
+	for part := range c.Parts {
+		r.byPart[part] = slices.DeleteFunc(r.byPart[part], func(o *Crash) bool { return o == c })
+		if len(r.byPart[part]) == 0 {
+			delete(r.byPart, part)
+		}
+	}
+}
+
+// Crashes returns the crashes that have changed since a version of this register, 0 for all.
+func (r *Register) Crashes(since uint64) []Crash {
+	var out []Crash
+	for _, c := range r.crashes {
+		if c.Version > since {
+			copied := *c
+			copied.Parts = maps.Clone(c.Parts)
+			out = append(out, copied)
+		}
+	}
+	slices.SortFunc(out, func(a, b Crash) int { return cmp.Compare(a.Version, b.Version) })
+	return out
+}
+
+// uncleared returns the crashes that count against a part, in the order of time.
+func (r *Register) uncleared(part uint64) []*Crash {
+	var out []*Crash
+	for _, c := range r.byPart[part] {
+		if !c.Parts[part].Cleared {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Crash) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
+	})
+	return out
+}
--- /dev/null
+++ b/internal/core/crashguard/register_test.go
@@ -0,0 +1,210 @@
+package crashguard
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/catalog"
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+)
+
+const start = clock.Instant(3 * time.Hour)
+
+// Parts of the tests: deadly crashes endpoints, first, second and other are sound.
+const (
+	deadly = uint64(iota + 1)
+	first
+	second
+	other
+)
+
+func incarnation(n int) catalog.Incarnation {
+	return catalog.Incarnation{ID: fmt.Sprint("e", n), StartedAtMillis: 1}
+}
+
+func never(uint64, int64) bool { return false }
+
+// crash records the crash of an endpoint at a time, by a request that was sent 100 ms before.
+func (r *Register) crash(n int, at clock.Instant, parts ...uint64) {
+	r.Record(at, incarnation(n), at, 100*time.Millisecond, parts)
+}
+
+func (r *Register) blocks(now clock.Instant, parts ...uint64) bool {
+	return r.Check(now, parts, never).Blocked
+}
+
+// Guards against requests with a part that crashes endpoints that go on, and against sound ones that are rejected: with parts that were
+// beside it in all crashes, that had life since, or that were at many endpoints which crashed at the same moment.
+func TestBlockedRequests(t *testing.T) {
+	r, now := NewRegister(), start
+	for n := range 2 {
+		now = now.Add(time.Second)
+		r.crash(n, now, first, deadly)
+	}
+	if r.blocks(now, first, deadly) {
+		t.Error("blocked after two crashes")
+	}
+	r.crash(2, now.Add(50*time.Millisecond), first, deadly)
+	if r.blocks(now, deadly) {
+		t.Error("two crashes at one moment count twice")
+	}
+	now = now.Add(time.Second)
+	r.crash(3, now, first, second, deadly)
+	for _, request := range [][]uint64{{first, deadly}, {first, other, deadly}} {
+		if !r.blocks(now, request...) {
+			t.Errorf("parts %v are not blocked after three successive crashes", request)
+		}
+	}
+	if r.blocks(now, first, second) || r.blocks(now, other, deadly) {
+		t.Error("blocked although each of two parts explains all crashes")
+	}
+	r.crash(4, now.Add(time.Second), other, deadly) // tells them apart
+	now = now.Add(2 * time.Second)
+	if !r.blocks(now, other, deadly) || !r.blocks(now, deadly) || r.blocks(now, first, second) {
+		t.Error("a sound part explains the crashes of the deadly one, or not the other way round")
+	}
+	r.crash(5, now, other, deadly)
+	r.crash(6, now.Add(time.Second), first) // for another reason
+	now = now.Add(2 * time.Second)
+	for _, request := range [][]uint64{{first}, {first, second}, {other}} {
+		if r.blocks(now, request...) {
+			t.Errorf("parts %v are blocked, although another part explains the crashes", request)
+		}
+	}
+	if !r.blocks(now, other, deadly) || !r.blocks(now, deadly) {
+		t.Error("a sound part explains the crashes of the deadly one")
+	}
+	r.RecordLife(now, []uint64{deadly})
+	if r.blocks(now, other, deadly) || r.Standing(deadly).Crashes != 0 {
+		t.Error("blocked after a sign of life")
+	}
+}
+
+// Guards against a part of many sound requests that is blocked like a rare one while endpoints fail for other reasons.
+func TestPartWithLifeBeforeNeedsMoreCrashes(t *testing.T) {
+	r, now := NewRegister(), start
+	r.RecordLife(now, []uint64{first})
+	for n := range minCrashesAlive {
+		if r.blocks(now, first) {
+			t.Errorf("blocked after %d crashes", n)
+		}
+		now = now.Add(2 * time.Second)
+		r.crash(n, now, first)
+	}
+	if !r.blocks(now, first) {
+		t.Errorf("not blocked after %d crashes", minCrashesAlive)
+	}
+}
+
+// Guards against a block that never ends, that ends for several requests or instances at once, or that does not grow with each trial.
+func TestBlockEndsWithOneTrialAtATime(t *testing.T) {
+	r, now := NewRegister(), start
+	for n := range minCrashes {
+		now = now.Add(time.Second)
+		r.crash(n, now, deadly)
+	}
+	block, turns := firstBlock, []int64{}
+	try := func(part uint64, turn int64) bool {
+		turns = append(turns, turn)
+		return part == deadly && turn == 1
+	}
+	for n := minCrashes; n < minCrashes+8; n++ {
+		if v := r.Check(now.Add(block-1), []uint64{deadly}, try); !v.Blocked || v.RetryAfter != 1 || len(turns) != 0 {
+			t.Fatalf("at the end of a block of %s: %+v", block, v)
+		}
+		if v := r.Check(now.Add(block), []uint64{deadly}, try); !v.Blocked || v.Trial || v.RetryAfter != Turn {
+			t.Errorf("in another instance's turn: %+v", v)
+		}
+		now = now.Add(block + Turn)
+		if v := r.Check(now, []uint64{first, deadly}, try); !v.Trial || v.Blocked || v.Part != deadly || !slices.Equal(turns, []int64{0, 1}) {
+			t.Errorf("in the turn of this instance: %+v, turns %v", v, turns)
+		}
+		r.crash(n, now, deadly)
+		r.crash(100+n, now.Add(10*time.Millisecond), deadly) // sent at the same time by an instance that did not know
+		now = now.Add(10 * time.Millisecond)
+		block, turns = min(2*block, maxBlock), nil
+		r.Prune(now)
+	}
+	if block != maxBlock || !r.blocks(now.Add(maxBlock-1), deadly) {
+		t.Errorf("a part that crashed each trial is not blocked for %s", maxBlock)
+	}
+}
+
+// Guards against instances that decide differently because they learned of crashes and life in another order, repeatedly, or with ages
+// that were delayed on the way.
+func TestMergedRegistersAgree(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		registers := []*Register{NewRegister(), NewRegister(), NewRegister()}
+		now := start
+		for range 60 {
+			now = now.Add(time.Duration(rng.Int64N(int64(time.Second))))
+			r := registers[rng.IntN(3)]
+			if part := 1 + rng.Uint64N(5); rng.IntN(4) == 0 {
+				r.RecordLife(now, []uint64{part})
+			} else {
+				r.crash(rng.IntN(20), now, part, 1+rng.Uint64N(5))
+			}
+			for _, c := range registers[rng.IntN(3)].Crashes(0) {
+				if rng.IntN(2) == 0 {
+					c.At += clock.Instant(rng.Int64N(int64(minTimeStep / 4))) // the age that was sent is older than the receiver takes it for
+					registers[rng.IntN(3)].Merge(now, c)
+				}
+			}
+		}
+		for range 3 {
+			for _, r := range registers {
+				for _, o := range registers {
+					for _, c := range o.Crashes(0) {
+						r.Merge(now, c)
+					}
+				}
+			}
+		}
+		version := registers[0].Version()
+		for _, c := range registers[1].Crashes(0) {
+			if registers[0].Merge(now, c) {
+				t.Errorf("seed %d: a crash that is known is new: %+v", seed, c)
+			}
+		}
+		if len(registers[0].Crashes(version)) != 0 {
+			t.Errorf("seed %d: changes after nothing has changed", seed)
+		}
+		want := registers[0].Standings()
+		for _, r := range registers[1:] {
+			got := r.Standings()
+			if !maps.EqualFunc(got, want, func(a, b Standing) bool { return a.Crashes == b.Crashes && a.Blocked == b.Blocked }) {
+				t.Errorf("seed %d: %v, another has %v", seed, got, want)
+			}
+		}
+	}
+}
+
+// Guards against memory that grows with crashes, and against crashes that count for ever or return after they have expired.
+func TestRegisterIsBounded(t *testing.T) {
+	r, now := NewRegister(), start
+	parts := make([]uint64, 2*maxParts)
+	for n := range parts {
+		parts[n] = uint64(n)
+	}
+	for n := range 2 * MaxCrashes {
+		now = now.Add(time.Second)
+		r.crash(n, now, parts...)
+		r.RecordLife(now, []uint64{uint64(maxLives + n)})
+	}
+	if r.Len() != MaxCrashes || len(r.byPart) != maxParts || r.lives.Len() > maxLives {
+		t.Errorf("%d crashes, %d parts, %d signs of life", r.Len(), len(r.byPart), r.lives.Len())
+	}
+	old := Crash{Endpoint: incarnation(0), At: start, Parts: map[uint64]Suspect{deadly: {}}}
+	if r.Merge(now, old) || r.crashes[incarnation(0)] != nil {
+		t.Error("an old crash displaces newer ones")
+	}
+	now = now.Add(retention + 1)
+	if r.Prune(now); r.Len() != 0 || len(r.byPart) != 0 || r.Merge(now, old) {
+		t.Errorf("%d crashes and %d parts are left after their time", r.Len(), len(r.byPart))
+	}
+}
--- /dev/null
+++ b/internal/core/crashguard/standing.go
@@ -0,0 +1,158 @@
+package crashguard
+
+import (
+	"slices"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+)
+
+const (
+	// minCrashes is the number of successive crashes at which a part is blocked, and minCrashesAlive that of a part which had shown life
+	// shortly before the first of them.
+	minCrashes      = 3
+	minCrashesAlive = 6
+	// separateAfter is the time between two crashes from which on they count as successive, also if the requests of the second were sent
+	// before the first: endpoints that fail for one common reason do so within it.
+	separateAfter = time.Second
+	// firstBlock is how long a part is blocked, and maxBlock the longest time after trials that crashed an endpoint again.
+	firstBlock = 30 * time.Second
+	maxBlock   = 10 * time.Minute
+	// Turn is how long one instance alone may try a part once its block has run out, until it is the next one's turn.
+	Turn = 10 * time.Second
+)
+
+// Standing is what the crashes say about a part.
+type Standing struct {
+	Part    uint64
+	Crashes int // successive ones
+	Blocked bool
+	// Until is when the block runs out, if the part is blocked. After that it may be tried.
+	Until clock.Instant
+}
+
+// successive returns the crashes of a part that were not caused by one common event: each one's request was sent after the one before,
+// or the one before was a while ago. An event that ends many endpoints at once counts once for all parts that were there.
+func successive(part uint64, crashes []*Crash) []*Crash {
+	var out []*Crash
+	for _, c := range crashes {
+		if len(out) > 0 {
+			last := out[len(out)-1].At
+			if c.At.Add(-c.Parts[part].Lead) < last && c.At.Sub(last) < separateAfter {
+				continue
+			}
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// Standing returns what the crashes say about a part.
+func (r *Register) Standing(part uint64) Standing {
+	return standingOf(part, r.uncleared(part))
+}
+
+func standingOf(part uint64, crashes []*Crash) Standing {
+	counted := successive(part, crashes)
+	s := Standing{Part: part, Crashes: len(counted)}
+	need := minCrashes
+	if len(crashes) > 0 && crashes[0].Parts[part].WasAlive {
+		need = minCrashesAlive
+	}
+	if len(counted) < need {
+		return s
+	}
+	s.Blocked = true
+	block := firstBlock
+	began := counted[need-1].At
+	s.Until = began.Add(block)
+	for _, c := range crashes {
+		switch {
+		case c.At <= began:
+		case c.At > s.Until: // a trial
+			block = min(2*block, maxBlock)
+			s.Until = c.At.Add(block)
+		default: // its request was on its way when the block began, or its instance did not know of it
+			s.Until = max(s.Until, c.At.Add(block))
+		}
+	}
+	return s
+}
+
+// Standings returns the standing of each part that a crash counts against, by part.
+func (r *Register) Standings() map[uint64]Standing {
+	out := make(map[uint64]Standing)
+	for part := range r.byPart {
+		if s := r.Standing(part); s.Crashes > 0 {
+			out[part] = s
+		}
+	}
+	return out
+}
+
+// Verdict says whether a request may be sent.
+type Verdict struct {
+	Blocked    bool
+	Part       uint64        // the one that blocks the request, or that it tries
+	RetryAfter time.Duration // until the request may be tried, if it is blocked
+	Trial      bool          // the request tries a part whose block has run out
+}
+
+// Check decides on a request with the given parts that other requests may share. mayTry reports whether this instance may send a request
+// that tries a part in a turn; turns are numbered from 0 since the end of the part's block.
+func (r *Register) Check(now clock.Instant, parts []uint64, mayTry func(part uint64, turn int64) bool) Verdict {
+	var v Verdict
+	for _, part := range parts {
+		if len(r.byPart[part]) < minCrashes {
+			continue
+		}
+		crashes := r.uncleared(part)
+		s := standingOf(part, crashes)
+		if !s.Blocked || r.explained(part, crashes, parts) {
+			continue
+		}
+		since := now.Sub(s.Until)
+		switch {
+		case since < 0:
+			v = Verdict{Blocked: true, Part: part, RetryAfter: max(v.RetryAfter, -since)}
+		case !mayTry(part, int64(since/Turn)):
+			v = Verdict{Blocked: true, Part: part, RetryAfter: max(v.RetryAfter, Turn-since%Turn)}
+		case !v.Blocked:
+			v = Verdict{Trial: true, Part: part}
+		}
+	}
+	return v
+}
+
+// explained reports whether another part, which the request does not have, explains the crashes of one of its parts: it was in all of
+// them, or it was in as many crashes and what is left without it is too little for a block. If two parts explain each other's crashes, a
+// request with one of them may be sent: its crash tells them apart, while a block of both would reject sound requests for long.
+func (r *Register) explained(part uint64, crashes []*Crash, request []uint64) bool {
+	tried := make(map[uint64]bool)
+	for _, c := range crashes {
+		for other, s := range c.Parts {
+			if s.Cleared || tried[other] || slices.Contains(request, other) {
+				continue
+			}
+			tried[other] = true
+			if len(r.byPart[other]) >= minCrashes && r.explains(other, part, crashes) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (r *Register) explains(other, part uint64, crashes []*Crash) bool {
+	others := r.uncleared(other)
+	if len(successive(other, others)) < minCrashes {
+		return false
+	}
+	var without []*Crash
+	for _, c := range crashes {
+		if s, has := c.Parts[other]; !has || s.Cleared {
+			without = append(without, c)
+		}
+	}
+	return len(without) == 0 || len(others) >= len(crashes) && len(successive(part, without)) < minCrashes
+}
--- a/internal/core/fleetview/changes.go
+++ b/internal/core/fleetview/changes.go
@@ -3,6 +3,7 @@
 import (
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/crashguard"
 	"dogwoodknot.example/dogwoodknot/internal/core/endpointrate"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
@@ -37,6 +38,7 @@
 	statuses map[string]Status
 	loads    map[string]placement.Load
 	limits   map[string]endpointrate.Statement // by endpoint
+	crashes  uint64                            // version of this node's register up to which crashes were sent
 }
 
 func newSentState() *sentState {
@@ -106,6 +108,37 @@
 	return nil
 }
 
+// crashChanges returns the crashes that have changed since those sent before, and records them as sent. Times go as ages that are rounded
+// down: a receiver that knows the crash keeps its own, earlier time.
+func (t *sentState) crashChanges(now clock.Instant, register *crashguard.Register) (changed []*wire.EdgeEndpointCrash) {
+	for _, c := range register.Crashes(t.crashes) {
+		out := &wire.EdgeEndpointCrash{Id: c.Endpoint.ID, StartedMillis: c.Endpoint.StartedAtMillis, AgeMillis: uint32(max(0, now.Sub(c.At)).Milliseconds())}
+		for key, s := range c.Parts {
+			out.Parts = append(out.Parts, &wire.EdgeSuspectPart{Key: key, LeadMillis: uint32(max(0, s.Lead).Milliseconds()), WasAlive: s.WasAlive, Cleared: s.Cleared})
+		}
+		changed = append(changed, out)
+	}
+	t.crashes = register.Version()
+	return changed
+}
+
+// mergeCrashes records the crashes of a message.
+func (n *Node) mergeCrashes(now clock.Instant, crashes []*wire.EdgeEndpointCrash) error {
+	if len(crashes) > crashguard.MaxCrashes {
+		return ErrTooLarge
+	}
+	for _, c := range crashes {
+		parts := make(map[uint64]crashguard.Suspect, len(c.GetParts()))
+		for _, p := range c.GetParts() {
+			parts[p.GetKey()] = crashguard.Suspect{Lead: millis(p.GetLeadMillis()), WasAlive: p.GetWasAlive(), Cleared: p.GetCleared()}
+		}
+		n.crashes.Merge(now, crashguard.Crash{
+			Endpoint: catalog.Incarnation{ID: c.GetId(), StartedAtMillis: c.GetStartedMillis()}, At: now.Add(-millis(c.GetAgeMillis())), Parts: parts,
+		})
+	}
+	return nil
+}
+
 func encodeLoad(endpoint string, w placement.Load) *wire.EdgeEndpointWork {
 	return &wire.EdgeEndpointWork{
 		Id: endpoint, Running: roundToUint32(float64(w.Requests)), UnreadTokens: roundToUint32(w.PendingPrefill), MemoryTokens: roundToUint32(w.Memory),
--- a/internal/core/fleetview/digest.go
+++ b/internal/core/fleetview/digest.go
@@ -51,6 +51,7 @@
 		state.Instances, _ = next.statusChanges(statuses)
 		state.Endpoints = next.loadChanges(load)
 		state.Limits = next.limitChanges(limits)
+		state.Crashes = next.crashChanges(now, n.crashes)
 		state.Regions = n.regionStates(now, n.regionUsage.values, func(name string) map[string]float64 { return n.remoteRegions[name].forChildren.values })
 		if n.encodedComplete, err = proto.Marshal(state); err != nil {
 			return errors.Wrap(err, "encode the complete state")
@@ -61,12 +62,14 @@
 		n.sentToChildren.statusChanges(statuses)
 		n.sentToChildren.loadChanges(load)
 		n.sentToChildren.limitChanges(limits)
+		n.sentToChildren.crashChanges(now, n.crashes)
 		return nil
 	}
 	state.Complete = false
 	state.Instances, state.Gone = n.sentToChildren.statusChanges(statuses)
 	state.Endpoints = n.sentToChildren.loadChanges(load)
 	state.Limits = n.sentToChildren.limitChanges(limits)
+	state.Crashes = n.sentToChildren.crashChanges(now, n.crashes)
 	state.Regions = n.regionStates(now, usageChanges, func(name string) map[string]float64 { return remoteUsage[name] })
 	n.encodedChanges, err = proto.Marshal(state)
 	return errors.Wrap(err, "encode the changes of the state")
@@ -146,7 +149,7 @@
 	l.number++
 	s := &wire.EdgeSummary{
 		Number: l.number, Complete: l.number == 1, ConfigurationVersion: n.configVersion, Uses: encodeUsage(l.unsentUsage),
-		Services: n.ownSource().services, Silent: n.reportedUnresponsive(now),
+		Services: n.ownSource().services, Silent: n.reportedUnresponsive(now), Crashes: l.sent.crashChanges(now, n.crashes),
 	}
 	s.Instances, s.Gone = l.sent.statusChanges(n.subtreeStatuses(now))
 	l.unsentUsage, l.lastSent = make(map[string]float64), now
@@ -169,6 +172,9 @@
 	if err := s.receive(now, m, nil); err != nil {
 		return err
 	}
+	if err := n.mergeCrashes(now, m.GetCrashes()); err != nil {
+		return err
+	}
 	remote := n.remoteRegion(s.id.Region)
 	for _, u := range m.GetUses() {
 		if !first || now.Sub(remote.lastReceived) <= fleetquota.UnresponsiveAfter {
--- a/internal/core/fleetview/node.go
+++ b/internal/core/fleetview/node.go
@@ -19,6 +19,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/crashguard"
 	"dogwoodknot.example/dogwoodknot/internal/core/endpointrate"
 	"dogwoodknot.example/dogwoodknot/internal/core/fleetquota"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
@@ -43,6 +44,7 @@
 	Usage         map[string]float64        // tokens admitted since the start, by organisation; unchanged totals may be left out
 	Services      []*wire.EdgeServiceLoad
 	Limits        []endpointrate.Statement // that this instance knows of the region's endpoints
+	Crashes       []crashguard.Crash       // that are new or have changed since the last call
 	Events
 }
 
@@ -79,6 +81,7 @@
 	ownUsage       map[string]float64        // totals of the last SetOwnState
 	configVersion  int64
 	limits         *endpointrate.Register // of the region's endpoints
+	crashes        *crashguard.Register   // of endpoints of all regions
 
 	regionUsage    totals // usage by all instances of the region
 	peerUsage      totals // the same without this instance
@@ -114,7 +117,7 @@
 	n := &Node{
 		self: self, sources: make(map[string]*Source), remoteRoots: make(map[string]*Source), summaryStreams: make(map[string]*SummaryStream),
 		ownUsage: make(map[string]float64), regionUsage: newTotals(), peerUsage: newTotals(), remoteRegions: make(map[string]*remoteRegion),
-		unsentUsage: make(map[string]float64), peerAverages: make(averages), limits: endpointrate.NewRegister(),
+		unsentUsage: make(map[string]float64), peerAverages: make(averages), limits: endpointrate.NewRegister(), crashes: crashguard.NewRegister(),
 	}
 	n.sources[self.Instance] = newSource(self)
 	return n
@@ -140,6 +143,9 @@
 	for _, s := range o.Limits {
 		n.limits.Merge(now, s)
 	}
+	for _, c := range o.Crashes {
+		n.crashes.Merge(now, c)
+	}
 	n.forwardEvents(o.Events)
 }
 
@@ -206,6 +212,9 @@
 	if err := n.mergeLimits(now, r.GetLimits()); err != nil {
 		return err
 	}
+	if err := n.mergeCrashes(now, r.GetCrashes()); err != nil {
+		return err
+	}
 	for _, earlier := range r.GetEarlier() {
 		if earlier.GetNumber() > received {
 			n.addReportedUsage(now, s, earlier.GetUses())
@@ -248,6 +257,14 @@
 	n.limits.Prune(now, listed)
 }
 
+// Crashes returns the crashes of endpoints that have changed since a version, and the version that they lead to.
+func (n *Node) Crashes(since uint64) ([]crashguard.Crash, uint64) {
+	return n.crashes.Crashes(since), n.crashes.Version()
+}
+
+// PruneCrashes drops the crashes that have expired.
+func (n *Node) PruneCrashes(now clock.Instant) { n.crashes.Prune(now) }
+
 // IsRoot reports whether this instance has no parent.
 func (n *Node) IsRoot() bool { return n.parent == nil }
 
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -52,24 +52,28 @@
 // failureKind says how an attempt without an answer ended.
 type failureKind string
 
-// Kinds of failures. Only the first three guarantee that the request has not run.
+// Kinds of failures. Only the first four guarantee that the request has not run.
 const (
 	notPlaced failureKind = "not-placed" // no endpoint could take it
 	notSent   failureKind = "not-sent"   // no byte has reached the endpoint
 	notRun    failureKind = "not-run"    // the endpoint has declined it
+	blocked   failureKind = "blocked"    // it was not sent, since a part of its prompt is blocked
 	broken    failureKind = "broken"     // the connection broke; the request may have run
 	badAnswer failureKind = "bad-answer" // what was received is not the answer to the request, which may have run
 )
 
 // mayHaveRun reports whether the request may have run.
-func (k failureKind) mayHaveRun() bool { return k != notPlaced && k != notSent && k != notRun }
+func (k failureKind) mayHaveRun() bool {
+	return k != notPlaced && k != notSent && k != notRun && k != blocked
+}
 
 // failure describes an attempt without an answer.
 type failure struct {
 	kind       failureKind
 	endpoint   string // the one that was tried; empty for notPlaced
 	reason     string
-	retryAfter time.Duration // for notPlaced
+	retryAfter time.Duration // for notPlaced and blocked
+	part       uint64        // for blocked, 0 through another instance
 	final      bool          // no other region is tried
 	waiting    bool          // an endpoint of this region may still become available
 }
@@ -90,6 +94,10 @@
 
 // attemptLocal waits for an endpoint of this region and sends it the request.
 func (e *Edge) attemptLocal(ctx context.Context, a *attempt) (*reply, *failure) {
+	if v := e.guard.check(e.clock.Now(), a.sharedParts); v.Blocked {
+		e.metrics.rejectedForPart()
+		return nil, blockedFailure(v)
+	}
 	chosen, reason := e.pools.place(ctx, a)
 	if reason != "" {
 		return nil, &failure{kind: notPlaced, reason: string(reason), retryAfter: e.retryAfter(a.service)}
@@ -100,6 +108,12 @@
 		e.pools.release(a.service, endpoint, a.work.ID, resultNone)
 		return nil, &failure{kind: notPlaced, reason: "deadline", retryAfter: e.retryAfter(a.service)}
 	}
+	// The wait for an endpoint may have lasted longer than others needed to learn of a crash.
+	if v := e.guard.admit(e.clock.Now(), a.sharedParts); v.Blocked {
+		e.pools.release(a.service, endpoint, a.work.ID, resultNone)
+		e.metrics.rejectedForPart()
+		return nil, blockedFailure(v)
+	}
 	header := a.header.Clone()
 	e.options.Dialect.SetEndpointHeaders(header, EndpointHead{
 		Endpoint: chosen.ID, Organisation: a.organisation, Deadline: left, LastEventID: a.lastEventID, CopyFrom: chosen.CopyFrom,
@@ -219,7 +233,9 @@
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
 		b.recordOutput(p[:n])
-		b.life.read(p[:n])
+		if b.life.read(p[:n]) {
+			b.recordLife()
+		}
 	}
 	if err != nil && err != io.EOF {
 		b.result = resultFailed
@@ -233,10 +249,21 @@
 	return n, err
 }
 
+// recordLife records that the endpoint can run the request.
+func (b *endpointBody) recordLife() {
+	if b.succeeds {
+		b.edge.guard.recordLife(b.edge.clock.Now(), b.attempt.sharedParts)
+	}
+}
+
 // recordEnd examines an answer that has broken off without sign of life. The end of one without length or chunks may be that of its
 // endpoint.
 func (b *endpointBody) recordEnd(err error) {
-	if b.life.alive || b.ctx.Err() != nil || err == io.EOF && b.framed {
+	if b.life.alive || b.ctx.Err() != nil {
+		return
+	}
+	if err == io.EOF && b.framed {
+		b.recordLife()
 		return
 	}
 	b.life.alive = true // it is examined once
--- /dev/null
+++ b/internal/edge/deadlypart_sim_test.go
@@ -0,0 +1,426 @@
+package edge
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"dogwoodknot.example/dogwoodknot/internal/catalog"
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/fleetview"
+	"dogwoodknot.example/dogwoodknot/internal/core/placement"
+	"dogwoodknot.example/dogwoodknot/internal/peer"
+)
+
+// The tests of this file run the instances of two regions in virtual time: the real decisions on requests, their placement and the
+// exchange of what is known, with faults of instances and endpoints by a seed.
+
+// The bounds that operators set: at most maxDeadlySent requests with a part that crashes endpoints reach them later than deadlyContact
+// after the fifth crash, from instances that had no fault for that long; and from twice that time on, sound requests with the same first
+// part begin at least half as often as before.
+const (
+	deadlyContact = 6 * time.Second
+	maxDeadlySent = 3
+	deadlyKey     = uint64(1) << 60
+)
+
+// deadlyFleet is a simulated fleet with endpoints that crash when they begin to answer a request with deadlyKey.
+type deadlyFleet struct {
+	*eventLoop
+	t        *testing.T
+	rng      *rand.Rand
+	regions  []*limitedRegion
+	state    map[*limitedEndpoint]*deadlyEndpoint
+	links    map[string]*summaryLink // by both regions
+	crashes  []clock.Instant
+	deadly   []deadlyArrival // of requests with the deadly part
+	sound    []soundOutcome
+	requests int
+}
+
+type deadlyArrival struct {
+	at      clock.Instant
+	from    string
+	counted bool // its sender was in touch
+}
+
+type soundOutcome struct {
+	at    clock.Instant
+	begun bool
+}
+
+// deadlyEndpoint is what an endpoint has in progress.
+type deadlyEndpoint struct {
+	down     bool
+	restarts int
+	running  map[string]func() // by request: tells its sender that the connection has ended
+}
+
+// summaryLink is a stream of summaries between two roots.
+type summaryLink struct {
+	from, to       *limitedInstance
+	fromInc, toInc uint64
+	link           *fleetview.SummaryStream
+	source         *fleetview.Source
+}
+
+// partsRequest is a request of a caller.
+type partsRequest struct {
+	id       string
+	parts    []uint64
+	deadly   bool
+	attempts int
+	excluded map[string]bool
+	started  clock.Instant
+	counted  bool
+}
+
+func newDeadlyFleet(t *testing.T, seed uint64, regions, instances, endpoints int) *deadlyFleet {
+	d := &deadlyFleet{t: t, rng: rand.New(rand.NewPCG(seed, 2)), eventLoop: &eventLoop{clk: &clock.Manual{}},
+		state: make(map[*limitedEndpoint]*deadlyEndpoint), links: make(map[string]*summaryLink)}
+	d.clk.Advance(2 * time.Hour)
+	for n := range regions {
+		d.regions = append(d.regions, &limitedRegion{t: t, rng: d.rng, eventLoop: d.eventLoop, name: fmt.Sprint("r", n), callerRate: 1})
+	}
+	for n, l := range d.regions {
+		for _, o := range d.regions {
+			if o != l {
+				l.others = append(l.others, o)
+			}
+		}
+		l.populate((instances+n)/regions, endpoints/regions, nil)
+		for _, e := range l.endpoints {
+			d.state[e] = &deadlyEndpoint{running: make(map[string]func())}
+		}
+	}
+	d.after(summaryInterval, d.summaries)
+	return d
+}
+
+func (d *deadlyFleet) run(length time.Duration) {
+	end := d.clk.Now().Add(length)
+	for d.events.Len() > 0 && d.events[0].at <= end {
+		d.runNext()
+	}
+	d.clk.Advance(end.Sub(d.clk.Now()))
+}
+
+func (l *limitedRegion) root(now clock.Instant) *limitedInstance {
+	for _, i := range l.instances {
+		if i.up && now >= i.frozenUntil && !i.peersCut && i.view.node.IsRoot() {
+			if name, has := i.fleet.parent(); !has || name == i.name {
+				return i
+			}
+		}
+	}
+	return nil
+}
+
+// summaries exchanges summaries between the roots of the regions.
+func (d *deadlyFleet) summaries() {
+	d.after(summaryInterval, d.summaries)
+	now := d.clk.Now()
+	for _, l := range d.regions {
+		for _, o := range l.others {
+			from, to := l.root(now), o.root(now)
+			if from == nil || to == nil {
+				continue
+			}
+			key := l.name + o.name
+			k := d.links[key]
+			if k == nil || k.from != from || k.to != to || k.fromInc != from.incarnation || k.toInc != to.incarnation {
+				k = &summaryLink{from: from, to: to, fromInc: from.incarnation, toInc: to.incarnation}
+				k.link = from.view.node.OpenSummaries(now, o.name)
+				k.source = to.view.node.AddRemoteRoot(peer.Identity{Instance: from.name, Region: l.name, Incarnation: from.incarnation})
+				d.links[key] = k
+			}
+			s := from.view.node.NextSummary(now, k.link)
+			d.after(80*time.Millisecond, o.whileUp(to, func() {
+				if d.links[key] == k && to.view.node.ReceiveSummary(d.clk.Now(), k.source, s) != nil {
+					delete(d.links, key)
+				}
+			}))
+		}
+	}
+}
+
+// inTouch reports whether an instance, its links and the store had no fault for the contact time.
+func (d *deadlyFleet) inTouch(i *limitedInstance) bool {
+	const settling = time.Second // is included in excused
+	now := d.clk.Now()
+	for _, o := range d.regions {
+		if now < o.storeDown.Add(deadlyContact) {
+			return false
+		}
+	}
+	return now >= i.excused.Add(deadlyContact-settling)
+}
+
+// call sends a request of a caller to a random instance.
+func (d *deadlyFleet) call(parts []uint64) {
+	l := d.regions[d.rng.IntN(len(d.regions))]
+	i := l.instances[d.rng.IntN(len(l.instances))]
+	if !i.up || d.clk.Now() < i.frozenUntil {
+		return
+	}
+	d.requests++
+	r := &partsRequest{id: fmt.Sprint("q", d.requests), parts: parts, deadly: slices.Contains(parts, deadlyKey), excluded: make(map[string]bool), started: d.clk.Now()}
+	r.counted = d.inTouch(i)
+	d.attempt(l, i, r)
+}
+
+func (d *deadlyFleet) record(r *partsRequest, begun bool) {
+	if !r.deadly && r.counted && r.attempts <= 1 {
+		d.sound = append(d.sound, soundOutcome{r.started, begun})
+	}
+}
+
+// attempt sends a request to an endpoint of the instance's region, as attemptLocal does.
+func (d *deadlyFleet) attempt(l *limitedRegion, i *limitedInstance, r *partsRequest) {
+	now := d.clk.Now()
+	r.attempts++
+	pool := i.pools.byService[limitedService]
+	if i.guard.check(now, r.parts).Blocked || pool == nil {
+		d.record(r, false)
+		return
+	}
+	a := &attempt{id: fmt.Sprint(r.id, "-", r.attempts), service: limitedService, excluded: r.excluded, sharedParts: r.parts,
+		work: placement.Request{ID: fmt.Sprint(r.id, "-", r.attempts), PromptTokens: 100, OutputTokens: 50}}
+	w := &waiter{attempt: a, placed: make(chan placement.Choice, 1)}
+	if i.pools.tryPlace(pool, w) != "" {
+		d.record(r, false)
+		return
+	}
+	c := <-w.placed
+	if i.guard.admit(now, r.parts).Blocked {
+		i.pools.release(limitedService, c.Endpoint, a.work.ID, resultNone)
+		d.record(r, false)
+		return
+	}
+	for _, e := range l.endpoints {
+		if e.ID == c.ID {
+			d.after(time.Millisecond+l.random(2*time.Millisecond), func() { d.arrive(l, i, e, a, c, r, now) })
+			return
+		}
+	}
+	d.unsent(l, i, a, c, r) // an earlier incarnation
+}
+
+func (d *deadlyFleet) unsent(l *limitedRegion, i *limitedInstance, a *attempt, c placement.Choice, r *partsRequest) {
+	d.after(time.Millisecond, l.whileUp(i, func() {
+		i.pools.release(limitedService, c.Endpoint, a.work.ID, resultUnreachable)
+		r.excluded[c.ID] = true
+		if len(r.excluded) <= maxUnsent {
+			r.attempts--
+			d.attempt(l, i, r)
+		}
+	}))
+}
+
+func (d *deadlyFleet) arrive(l *limitedRegion, i *limitedInstance, e *limitedEndpoint, a *attempt, c placement.Choice, r *partsRequest, sentAt clock.Instant) {
+	s := d.state[e]
+	if s.down || e.ID != c.ID {
+		d.unsent(l, i, a, c, r)
+		return
+	}
+	if r.deadly {
+		d.deadly = append(d.deadly, deadlyArrival{d.clk.Now(), i.name, d.inTouch(i)})
+	}
+	endpoint := e.Incarnation
+	s.running[a.id] = l.whileUp(i, func() { d.broken(l, i, a, c, r, endpoint, sentAt) })
+	d.after(50*time.Millisecond+time.Duration(d.rng.ExpFloat64()*float64(300*time.Millisecond)), func() {
+		if s.running[a.id] == nil {
+			return
+		}
+		if r.deadly {
+			d.crash(l, e)
+			return
+		}
+		d.after(time.Millisecond, l.whileUp(i, func() {
+			i.guard.recordLife(d.clk.Now(), r.parts)
+			d.record(r, true)
+		}))
+		d.after(200*time.Millisecond+l.random(time.Second), func() {
+			if s.running[a.id] != nil {
+				delete(s.running, a.id)
+				l.whileUp(i, func() { i.pools.release(limitedService, c.Endpoint, a.work.ID, resultSucceeded) })()
+			}
+		})
+	})
+}
+
+// broken handles the end of an attempt's connection: the check whether the endpoint has crashed, and a retry.
+func (d *deadlyFleet) broken(l *limitedRegion, i *limitedInstance, a *attempt, c placement.Choice, r *partsRequest, endpoint catalog.Incarnation, sentAt clock.Instant) {
+	brokeAt := d.clk.Now()
+	i.pools.release(limitedService, c.Endpoint, a.work.ID, resultFailed)
+	d.after(crashCheckDelay+l.random(crashCheckTimeout), l.whileUp(i, func() {
+		i.guard.recordCrash(d.clk.Now(), endpoint, []brokenAttempt{{parts: r.parts, sentAt: sentAt, brokeAt: brokeAt}})
+	}))
+	d.record(r, false)
+	r.excluded[c.ID] = true
+	if r.attempts < 2 {
+		d.attempt(l, i, r)
+	}
+}
+
+// crash ends an endpoint with all that is in progress there. It is back with another id some seconds later.
+func (d *deadlyFleet) crash(l *limitedRegion, e *limitedEndpoint) {
+	s := d.state[e]
+	if s.down {
+		return
+	}
+	s.down = true
+	d.crashes = append(d.crashes, d.clk.Now())
+	for _, id := range slices.Sorted(maps.Keys(s.running)) {
+		d.after(time.Millisecond+l.random(time.Millisecond), s.running[id])
+	}
+	clear(s.running)
+	d.after(2*time.Second+l.random(2*time.Second), func() {
+		s.restarts++
+		s.down = false
+		e.Incarnation = catalog.Incarnation{ID: fmt.Sprintf("%s-%s-%d", l.name, e.Addr, s.restarts), StartedAtMillis: time.Duration(d.clk.Now()).Milliseconds()}
+		for _, i := range l.instances {
+			d.after(l.random(time.Second), l.whileUp(i, func() { l.setEndpoints(i) }))
+		}
+	})
+}
+
+// callers sends sound requests, and ones with the deadly part until a time, at rates per second over the whole fleet.
+func (d *deadlyFleet) callers(soundRate float64, deadlyRate func() float64) {
+	parts := func() []uint64 { return []uint64{uint64(2 + d.rng.IntN(4)), uint64(10 + d.rng.IntN(160))} }
+	var sound, deadly func()
+	wait := func(rate float64) time.Duration {
+		return time.Duration(d.rng.ExpFloat64() / rate * float64(time.Second))
+	}
+	sound = func() {
+		d.after(wait(soundRate), sound)
+		d.call(parts())
+	}
+	deadly = func() {
+		rate := deadlyRate()
+		d.after(wait(max(rate, 1)), deadly)
+		if rate > 0 {
+			d.call(append(parts(), deadlyKey))
+		}
+	}
+	sound()
+	deadly()
+}
+
+func (d *deadlyFleet) begunShare(from, to clock.Instant) (share float64, n int) {
+	begun := 0
+	for _, o := range d.sound {
+		if o.at >= from && o.at < to {
+			n++
+			if o.begun {
+				begun++
+			}
+		}
+	}
+	return float64(begun) / float64(max(n, 1)), n
+}
+
+// deadlySeeds is set by hand for long runs, also of the size that takes too long for each run of the tests.
+var deadlySeeds = flag.Uint64("deadly-seeds", 0, "seeds of each size in the simulations of parts that crash endpoints")
+
+// Guards against endpoints that crash one after the other because instances send requests with the same part again and again: some have
+// not learned of the crashes, were restarted or cut off meanwhile, take a part for sound, or all try it at once after its block. Guards
+// as well against sound requests with the same first part that are rejected.
+func TestDeadlyPartIsContained(t *testing.T) {
+	for _, tc := range []struct {
+		regions, instances, endpoints int
+		seeds                         uint64
+	}{
+		{1, 1, 6, 4}, {2, 4, 12, 6}, {2, 36, 40, 1}, {2, 390, 60, 0},
+	} {
+		for seed := range max(tc.seeds, *deadlySeeds) {
+			t.Run(fmt.Sprintf("%d instances, seed %d", tc.instances, seed), func(t *testing.T) {
+				t.Parallel()
+				d := newDeadlyFleet(t, seed, tc.regions, tc.instances, tc.endpoints)
+				d.playDeadlyPart(seed%4 != 0)
+			})
+		}
+	}
+}
+
+func (d *deadlyFleet) playDeadlyPart(faults bool) {
+	d.t.Helper()
+	d.run(5 * time.Second)
+	rate := 0.0
+	d.callers(60, func() float64 { return rate })
+	d.run(10 * time.Second)
+	began := d.clk.Now()
+	const length = 55 * time.Second
+	if faults {
+		for _, l := range d.regions {
+			for at := time.Duration(0); at < length; at += l.random(6 * time.Second) {
+				d.after(at, l.fault)
+			}
+		}
+	}
+	rate = 1 + 4*d.rng.Float64()
+	d.run(length)
+	crashes := d.crashes
+	if len(crashes) == 0 {
+		d.t.Fatal("no endpoint crashed")
+	}
+	last := crashes[min(len(crashes), 5)-1]
+	counted := 0
+	var which []string
+	for _, a := range d.deadly {
+		if a.counted && a.at.Sub(last) > deadlyContact {
+			counted++
+			which = append(which, fmt.Sprint(a.at.Sub(began), " ", a.from))
+		}
+	}
+	if counted > maxDeadlySent {
+		d.t.Errorf("%d requests with the part reached endpoints later than %s after the fifth crash (at %s), at most %d may: %v", counted, deadlyContact, last.Sub(began), maxDeadlySent, which[:min(8, len(which))])
+	}
+	before, n := d.begunShare(0, began)
+	during, m := d.begunShare(last.Add(2*deadlyContact), d.clk.Now())
+	if n >= 20 && m >= 20 && during < before/2 {
+		d.t.Errorf("sound requests begin: %.2f of %d before, %.2f of %d beside those that crash endpoints", before, n, during, m)
+	}
+	d.t.Logf("%d crashes, %d late requests; sound requests begin: %.2f of %d before, %.2f of %d beside the others", len(crashes), counted, before, n, during, m)
+}
+
+// Guards against sound parts that stay blocked because a third of the endpoints crash at once, for a reason that no request has.
+func TestMassCrashBlocksNoPart(t *testing.T) {
+	for instances, seeds := range map[int]uint64{1: 3, 4: 3, 12: 1, 36: 0} {
+		for seed := range max(seeds, *deadlySeeds) {
+			t.Run(fmt.Sprintf("%d instances, seed %d", instances, seed), func(t *testing.T) {
+				t.Parallel()
+				d := newDeadlyFleet(t, seed, min(2, instances), instances, 30)
+				d.run(5 * time.Second)
+				d.callers(10+110*d.rng.Float64(), func() float64 { return 0 })
+				d.run(10 * time.Second)
+				for range 1 + seed%3 {
+					began := d.clk.Now()
+					before, _ := d.begunShare(0, began)
+					for _, l := range d.regions {
+						for _, n := range d.rng.Perm(len(l.endpoints))[:len(l.endpoints)/3] {
+							d.after(l.random(200*time.Millisecond), func() { d.crash(l, l.endpoints[n]) })
+						}
+					}
+					d.run(8 * time.Second)
+					if during, n := d.begunShare(began.Add(2*time.Second), d.clk.Now()); during < before/2 {
+						t.Errorf("sound requests begin: %.2f before, %.2f of %d after a mass crash", before, during, n)
+					}
+					for _, l := range d.regions {
+						for _, i := range l.instances {
+							for part, s := range i.guard.register.Standings() {
+								if s.Blocked {
+									t.Errorf("part %d is blocked at %s after a mass crash: %+v", part, i.name, s)
+								}
+							}
+						}
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -77,6 +77,7 @@
 	retry                         bool       // a retry of a request that was rejected before
 	limit                         knownLimit // of the endpoint when the request was sent
 	unread, copied                float64
+	blockedPart                   uint64 // the prompt part for which the request was rejected, 0: none
 	// viewAge is the age of the view of the region's other instances at the last decision, negative if nothing was received
 	// from them yet.
 	viewAge time.Duration
@@ -338,7 +339,15 @@
 	e := x.edge
 	self := e.options.Self.Region
 	now := e.clock.Now()
-	remotes := x.remotes()
+	verdict := e.guard.check(now, x.attempt.sharedParts)
+	if verdict.Blocked {
+		e.metrics.rejectedForPart()
+		return nil, blockedFailure(verdict)
+	}
+	var remotes []routing.RegionLoad
+	if !verdict.Trial { // it is the turn of this instance, not of one in another region
+		remotes = x.remotes()
+	}
 	in := triage.Input{Objective: x.attempt.onTimeBy.Sub(now), TimeLeft: x.deadline.Sub(now), Remote: x.offers(remotes)}
 	if x.mayServe(self) {
 		in.Local, in.LocalLate = e.pools.offers(&x.attempt, in.Objective)
@@ -424,6 +433,10 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	if f.kind == blocked {
+		x.outcome.blockedPart = f.part
+		return false
+	}
 	if f.kind == notPlaced {
 		return !f.final && x.hasRegionLeft()
 	}
@@ -510,5 +523,8 @@
 	if x.outcome.limit.limited {
 		fields = append(fields, zap.Float64("endpoint_limit", x.outcome.limit.perSecond))
 	}
+	if x.outcome.blockedPart != 0 {
+		fields = append(fields, zap.String("blocked_part", formatPart(x.outcome.blockedPart)))
+	}
 	e.requestLog.Info("request", fields...)
 }
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -484,6 +484,20 @@
 	return names, f.read
 }
 
+// memberNames returns the instances of all regions. This instance is one of them while its announcement is in the store.
+func (f *fleet) memberNames() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	names := make([]string, 0, len(f.members)+1)
+	if f.selfListed {
+		names = append(names, f.options.Self.Instance)
+	}
+	for name := range f.members {
+		names = append(names, name)
+	}
+	return names
+}
+
 // announce keeps this instance's key in the store until ctx ends, and then removes it.
 func (e *Edge) announce(ctx context.Context, a announcement) {
 	for ctx.Err() == nil {
--- a/internal/edge/limits_sim_test.go
+++ b/internal/edge/limits_sim_test.go
@@ -34,7 +34,9 @@
 
 // limitedRegion is a simulated region in which endpoints name limits.
 type limitedRegion struct {
-	eventLoop
+	*eventLoop
+	name      string
+	others    []*limitedRegion // that share its store and its clock
 	t         *testing.T
 	rng       *rand.Rand
 	conf      *catalog.Configuration
@@ -89,25 +91,38 @@
 const limitedService = "s"
 
 func newLimitedRegion(t *testing.T, seed uint64, instances, endpoints int, engine *catalog.Engine) *limitedRegion {
-	l := &limitedRegion{t: t, rng: rand.New(rand.NewPCG(seed, 1)), eventLoop: eventLoop{clk: &clock.Manual{}}}
+	l := &limitedRegion{t: t, rng: rand.New(rand.NewPCG(seed, 1)), eventLoop: &eventLoop{clk: &clock.Manual{}}, name: "south"}
 	l.clk.Advance(time.Hour)
+	l.populate(instances, endpoints, engine)
+	return l
+}
+
+// populate starts the instances of a region and lists its endpoints.
+func (l *limitedRegion) populate(instances, endpoints int, engine *catalog.Engine) {
 	var err error
 	l.conf, err = catalog.New(catalog.Declaration{Version: 1, Services: []*catalog.Service{{Name: limitedService, Engine: engine}}})
 	if err != nil {
-		t.Fatal(err)
+		l.t.Fatal(err)
 	}
 	for i := range endpoints {
 		l.endpoints = append(l.endpoints, &limitedEndpoint{Endpoint: catalog.Endpoint{
-			Incarnation: catalog.Incarnation{ID: fmt.Sprint("e", i), StartedAtMillis: 1}, Service: limitedService, Addr: fmt.Sprint("a", i), Slots: 64,
+			Incarnation: catalog.Incarnation{ID: fmt.Sprint(l.prefix(), "e", i), StartedAtMillis: 1}, Service: limitedService, Addr: fmt.Sprint("a", i), Slots: 64,
 		}})
 	}
 	for i := range instances {
-		l.instances = append(l.instances, &limitedInstance{name: fmt.Sprintf("i%03d", i)})
+		l.instances = append(l.instances, &limitedInstance{name: fmt.Sprintf("%si%03d", l.prefix(), i)})
 	}
 	for _, i := range l.instances {
 		l.startInstance(i)
 	}
-	return l
+}
+
+// prefix distinguishes the names of a region that has others beside it.
+func (l *limitedRegion) prefix() string {
+	if len(l.others) == 0 {
+		return ""
+	}
+	return l.name + "-"
 }
 
 func (l *limitedRegion) random(most time.Duration) time.Duration {
@@ -142,8 +157,8 @@
 func (l *limitedRegion) startInstance(i *limitedInstance) {
 	i.incarnation++
 	i.up, i.told, i.reportsTo = true, make(map[string]clock.Instant), nil
-	i.fleet = newTestFleetOf(l.t, l.clk, peer.Identity{Instance: i.name, Region: "south", DataCentre: "a", Incarnation: i.incarnation})
-	i.fleet.options.Regions = map[string]string{"a": "south"}
+	i.fleet = newTestFleetOf(l.t, l.clk, peer.Identity{Instance: i.name, Region: l.name, DataCentre: "a", Incarnation: i.incarnation})
+	i.fleet.options.Regions = map[string]string{"a": l.name}
 	i.Edge = testEdgeIn(l.t, i.fleet)
 	l.setEndpoints(i)
 	l.after(l.random(200*time.Millisecond), l.whileUp(i, func() { l.readStore(i) }))
@@ -173,7 +188,7 @@
 	}
 	var all mirror.Update
 	all.Reset = true
-	for _, o := range l.instances {
+	for _, o := range l.storeInstances() {
 		if o.leaseEnds > now {
 			all.Changes = append(all.Changes, platform.Change{Entry: platform.Entry{Key: InstancePrefix + o.name, Value: o.announcement}})
 		}
@@ -182,10 +197,19 @@
 	i.fleet.removeUnresponsive()
 }
 
+// storeInstances returns the instances of all regions.
+func (l *limitedRegion) storeInstances() []*limitedInstance {
+	all := slices.Clone(l.instances)
+	for _, o := range l.others {
+		all = append(all, o.instances...)
+	}
+	return all
+}
+
 // renew keeps an instance's key in the store.
 func (l *limitedRegion) renew(i *limitedInstance) {
 	if now := l.clk.Now(); now >= l.storeDown && !i.storeCut {
-		i.leaseEnds, i.announcement = now.Add(leaseTerm), encodeAnnouncement(l.t, i.name, "south", i.incarnation)
+		i.leaseEnds, i.announcement = now.Add(leaseTerm), encodeAnnouncement(l.t, i.name, l.name, i.incarnation)
 	}
 	l.after(renewInterval, l.whileUp(i, func() { l.renew(i) }))
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -27,6 +27,8 @@
 	toLimited     tally.Counter
 	crashed       tally.Counter
 	reset         tally.Counter
+	blocked       tally.Gauge
+	rejected      tally.Counter
 	mu            sync.Mutex
 	byStatus      map[int]statusMetrics
 }
@@ -43,6 +45,7 @@
 		viewAge: scope.Gauge("view_age_seconds"),
 		limited: scope.Gauge("limited_endpoints"), toLimited: scope.Counter("requests_to_limited_endpoints"),
 		crashed: scope.Counter("attempts_broken_by_crash"), reset: scope.Counter("attempts_broken_otherwise"),
+		blocked: scope.Gauge("blocked_prompt_parts"), rejected: scope.Counter("attempts_rejected_for_blocked_part"),
 		byStatus: make(map[int]statusMetrics),
 	}
 }
@@ -71,6 +74,12 @@
 	m.reset.Inc(1)
 }
 
+// blockedParts records how many prompt parts are blocked.
+func (m *metrics) blockedParts(n int) { m.blocked.Update(float64(n)) }
+
+// rejectedForPart records an attempt that was not sent because a part of its prompt is blocked.
+func (m *metrics) rejectedForPart() { m.rejected.Inc(1) }
+
 // request records an answered request. Status 0 means that the caller disconnected before the answer.
 func (m *metrics) request(status int, took time.Duration) {
 	m.mu.Lock()
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -32,6 +32,7 @@
 	view    *view
 	conns   *endpointconn.Pool
 	crashes *crashChecks
+	guard   *partGuard
 	mirrors map[string]*mirror.Mirror // by key prefix
 	feeds   map[string]*relayedFeed   // what the mirrors read, by key prefix
 	network Network
@@ -81,6 +82,8 @@
 	e.pools = newPools(o.Clock, o.Self.Instance)
 	e.conns = endpointconn.NewPool(o.Dial, o.Dialect.AnswerRequestID)
 	e.crashes = newCrashChecks(&e.options, e.metrics)
+	e.guard = newPartGuard(e.fleet, o.Self.Instance)
+	e.crashes.onCrash = e.endpointCrashed
 	e.view = newView(e)
 	network.Handle(serviceReport, e.view.serveReport)
 	network.Handle(serviceSummary, e.view.serveSummary)
@@ -206,6 +209,7 @@
 		e.metrics.connections(dialled, reused)
 		e.metrics.viewAge.Update(e.view.age(e.clock.Now()).Seconds())
 		e.pruneLimits()
+		e.pruneCrashes()
 	}
 }
 
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/crashguard"
 	"dogwoodknot.example/dogwoodknot/internal/core/fleetview"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
@@ -38,6 +39,8 @@
 	parentLostAt  clock.Instant // when the last stream to a parent ended
 	nextPart      int64         // number of the next prompt part to report
 	nextRejection int64         // number of the next rejection to report
+	// reportedCrashes and appliedCrashes are the versions up to which crashes have been passed to the node and taken from it.
+	reportedCrashes, appliedCrashes uint64
 
 	appliedAsOf atomic.Int64 // time of the view of the region that decisions are based on, 0: none
 }
@@ -97,6 +100,7 @@
 	e.quotaMu.Unlock()
 	now := e.clock.Now()
 	o.Limits = e.pools.limitStatements()
+	o.Crashes, v.reportedCrashes = e.guard.changes(v.reportedCrashes)
 	e.pools.each(func(name string, pool *servicePool) {
 		pool.OwnLoad(func(endpoint string, w placement.Load) {
 			if w != (placement.Load{}) {
@@ -158,8 +162,11 @@
 	rates, services := fleetview.RateInputs{Usage: v.node.PeerUsage(), Unresponsive: v.node.Unresponsive(now)}, v.node.RemoteServices()
 	newest, version := v.node.NewestConfig()
 	limits := v.node.Limits()
+	var crashes []crashguard.Crash
+	crashes, v.appliedCrashes = v.node.Crashes(v.appliedCrashes)
 	v.mu.Unlock()
 	e.mergeLimits(now, limits)
+	e.guard.merge(now, crashes)
 	v.appliedAsOf.Store(int64(rates.Usage[e.options.Self.Region].ReceivedAt))
 	e.fleet.recordStatuses(statuses)
 	e.fleet.recordServices(services, func(region string) clock.Instant { return rates.Usage[region].ReceivedAt })
--- a/internal/edge/view_test.go
+++ b/internal/edge/view_test.go
@@ -27,7 +27,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	e := &Edge{options: *f.options, clock: f.clk, log: zap.NewNop(), fleet: f.fleet, quota: fleetquota.New(), rejections: newRejections(f.clk),
-		pools: newPools(f.clk, f.options.Self.Instance), ctx: ctx, cancel: cancel}
+		pools: newPools(f.clk, f.options.Self.Instance), guard: newPartGuard(f.fleet, f.options.Self.Instance), ctx: ctx, cancel: cancel}
 	e.state = newState(&e.options)
 	e.view = newView(e)
 	f.onChange = e.updateSenders
