Prove the mechanisms that keep deadly prompt parts from engines

TestBlockedRequests asked for a request whose crashes another part explained, so that crashes at one moment could count twice; it asks for the right one now. The check after the wait for an endpoint was covered by the one before it: TestWaitingRequestWithBlockedPartIsNotSent waits for a place while the part is blocked, and passes; without the second check the request is sent.

--- a/internal/core/crashguard/register_test.go
+++ b/internal/core/crashguard/register_test.go
@@ -49,7 +49,7 @@
 		t.Error("blocked after two crashes")
 	}
 	r.crash(2, now.Add(50*time.Millisecond), first, deadly)
-	if r.blocks(now, deadly) {
+	if r.blocks(now, first, deadly) {
 		t.Error("two crashes at one moment count twice")
 	}
 	now = now.Add(time.Second)
--- a/internal/edge/crashes_test.go
+++ b/internal/edge/crashes_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +15,8 @@
 
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/placement"
+	"dogwoodknot.example/dogwoodknot/internal/endpointconn"
 )
 
 // Guards against a connection that was reset and counts as a crash, against a crash that goes unnoticed because the endpoint accepted
@@ -79,3 +83,69 @@
 		}
 	}
 }
+
+// Guards against a request that is sent although a part of its prompt was blocked while it waited for an endpoint, and against one that
+// then counts as in progress or as a failure of the endpoint.
+func TestWaitingRequestWithBlockedPartIsNotSent(t *testing.T) {
+	e, f := testEdge(t)
+	e.metrics = newMetrics(tally.NoopScope)
+	e.conns = endpointconn.NewPool(func(context.Context, string, string) (net.Conn, error) {
+		t.Error("the request is sent")
+		return nil, errors.New("refused")
+	}, func(http.Header) string { return "" })
+	e.options.Dialect = sendingDialect{}
+	conf, err := catalog.New(catalog.Declaration{Version: 1, Services: []*catalog.Service{{Name: "s"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.pools.set(conf, map[string][]catalog.Endpoint{"s": {{Incarnation: catalog.Incarnation{ID: "e"}, Service: "s", Addr: "a", Slots: 1}}})
+	now := f.clk.Now()
+	var running []placement.Choice
+	for { // until the endpoint has no capacity left
+		id := fmt.Sprint("r", len(running))
+		choice, reason := e.pools.place(t.Context(), &attempt{id: id, service: "s", work: placement.Request{ID: id}})
+		if reason != "" || len(running) > 100 {
+			break
+		}
+		running = append(running, choice)
+	}
+	parts := []uint64{1}
+	result := make(chan *failure, 1)
+	go func() {
+		_, failed := e.attemptLocal(t.Context(), &attempt{id: "2", service: "s", work: placement.Request{ID: "2"}, sharedParts: parts,
+			deadline: now.Add(time.Minute), placeBy: now.Add(time.Minute), waitUntil: now.Add(time.Minute)})
+		result <- failed
+	}()
+	waiting := func() (n int) {
+		e.pools.each(func(_ string, p *servicePool) { n = len(p.waiting) })
+		return n
+	}
+	for range 500 {
+		if waiting() == 1 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if waiting() != 1 {
+		t.Fatal("the request does not wait")
+	}
+	for n := range 3 {
+		now = f.clk.Advance(2 * time.Second)
+		e.guard.recordCrash(now, catalog.Incarnation{ID: fmt.Sprint("c", n)}, []brokenAttempt{{parts: parts, sentAt: now, brokeAt: now}})
+	}
+	for n, choice := range running {
+		e.pools.release("s", choice.Endpoint, fmt.Sprint("r", n), resultSucceeded)
+	}
+	failed := <-result
+	if failed == nil || failed.kind != blocked || failed.kind.mayHaveRun() || failed.retryAfter < 25*time.Second {
+		t.Errorf("result %+v", failed)
+	}
+	if sum := e.pools.loadFor(&attempt{service: "s"}); sum.Free != 1 || sum.Usable != 1 {
+		t.Errorf("load %+v after the rejection", sum)
+	}
+}
+
+// sendingDialect sets no headers of its own.
+type sendingDialect struct{ Dialect }
+
+func (sendingDialect) SetEndpointHeaders(http.Header, EndpointHead) {}
--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -116,4 +116,84 @@
 		Original: "o.Limits = e.pools.limitStatements()", Replacement: "o.Limits = nil",
 		Package: "./internal/edge", Run: "^TestLimitedEndpointStaysInUse$",
 	},
+	{
+		Condition: 7, Mechanism: "edge: a request is checked again after its wait for an endpoint",
+		File:     "internal/edge/attempt.go",
+		Original: `if v := e.guard.admit(e.clock.Now(), a.sharedParts); v.Blocked {`, Replacement: `if v := e.guard.admit(e.clock.Now(), nil); v.Blocked {`,
+		Package: "./internal/edge", Run: "^TestWaitingRequestWithBlockedPartIsNotSent$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: a request with a blocked part is rejected",
+		File:     "internal/core/crashguard/standing.go",
+		Original: `if len(r.byPart[part]) < minCrashes {`, Replacement: `if len(r.byPart[part]) >= 0 {`,
+		Package: "./platform", Run: "^TestPartThatCrashesEnginesIsNotSentAgain$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: a crash is confirmed by a connection",
+		File:     "internal/edge/crashes.go",
+		Original: `down := sleepErr == nil && !c.accepts(ctx, addr)`, Replacement: `down := sleepErr == nil || !c.accepts(ctx, addr)`,
+		Package: "./internal/edge", Run: "^TestCrashesAreToldFromResets$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: the second event shows life",
+		File:     "internal/edge/crashes.go",
+		Original: `const lifeEvents = 2`, Replacement: `const lifeEvents = 1`,
+		Package: "./internal/edge", Run: "^TestSecondEventShowsLife$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: instances tell each other of crashes",
+		File:     "internal/edge/view.go",
+		Original: `o.Crashes, v.reportedCrashes = e.guard.changes(v.reportedCrashes)`, Replacement: `_, v.reportedCrashes = e.guard.changes(v.reportedCrashes)`,
+		Package: "./internal/edge", Run: "^TestDeadlyPartIsContained$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: regions tell each other of crashes",
+		File:     "internal/core/fleetview/digest.go",
+		Original: `Crashes: l.sent.crashChanges(now, n.crashes),`, Replacement: ``,
+		Package: "./internal/core/fleetview", Run: "^TestCrashesReachAllInstances$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: crashes at one moment count once",
+		File:     "internal/core/crashguard/standing.go",
+		Original: `if c.At.Add(-c.Parts[part].Lead) < last && c.At.Sub(last) < separateAfter {`, Replacement: `if c.At < last {`,
+		Package: "./internal/core/crashguard", Run: "^TestBlockedRequests$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: another part explains crashes",
+		File:     "internal/core/crashguard/standing.go",
+		Original: `if !s.Blocked || r.explained(part, crashes, parts) {`, Replacement: `if !s.Blocked {`,
+		Package: "./internal/core/crashguard", Run: "^TestBlockedRequests$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: a part with life before needs more crashes",
+		File:     "internal/core/crashguard/standing.go",
+		Original: `if len(crashes) > 0 && crashes[0].Parts[part].WasAlive {`, Replacement: `if false {`,
+		Package: "./internal/core/crashguard", Run: "^TestPartWithLifeBeforeNeedsMoreCrashes$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: a sign of life clears a part",
+		File:     "internal/core/crashguard/register.go",
+		Original: `s.Cleared = true`, Replacement: `s.Cleared = false`,
+		Package: "./internal/core/crashguard", Run: "^TestBlockedRequests$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: one instance alone tries a blocked part",
+		File:     "internal/core/crashguard/standing.go",
+		Original: `case !mayTry(part, int64(since/Turn)):`, Replacement: `case since < 0:`,
+		Package: "./internal/core/crashguard", Run: "^TestBlockEndsWithOneTrialAtATime$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: a block grows with each trial that crashes",
+		File:     "internal/core/crashguard/standing.go",
+		Original: `block = min(2*block, maxBlock)`, Replacement: `block = min(block, maxBlock)`,
+		Package: "./internal/core/crashguard", Run: "^TestBlockEndsWithOneTrialAtATime$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: crashes expire",
+		File: "internal/core/crashguard/register.go",
+		Original: `		if now.Sub(c.At) > retention {
+			r.remove(c)`, Replacement: `		if false {
+			r.remove(c)`,
+		Package: "./internal/core/crashguard", Run: "^TestRegisterIsBounded$",
+	},
 }
