--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -26,7 +26,8 @@
 	header          http.Header // as sent to the endpoint, except for what the dialect sets
 	body            []byte
 	work            placement.Request
-	urgency         int // 0 is the most urgent
+	sharedParts     []uint64 // keys of the prompt parts that other requests may share, of all models alike
+	urgency         int      // 0 is the most urgent
 	hasUrgency      bool
 	onTimeBy        clock.Instant // when its first output must arrive to be on time
 	late            bool          // it is not expected to be on time
@@ -51,24 +52,28 @@
 // failureKind says how an attempt without an answer ended.
 type failureKind string
 
-// Kinds of failures. Only the first three guarantee that the request has not run.
+// Kinds of failures. Only the first four guarantee that the request has not run.
 const (
 	notPlaced failureKind = "not-placed" // no endpoint could take it
 	notSent   failureKind = "not-sent"   // no byte has reached the endpoint
 	notRun    failureKind = "not-run"    // the endpoint has declined it
+	blocked   failureKind = "blocked"    // it was not sent, since a part of its prompt is blocked
 	broken    failureKind = "broken"     // the connection broke; the request may have run
 	badAnswer failureKind = "bad-answer" // what was received is not the answer to the request, which may have run
 )
 
 // mayHaveRun reports whether the request may have run.
-func (k failureKind) mayHaveRun() bool { return k != notPlaced && k != notSent && k != notRun }
+func (k failureKind) mayHaveRun() bool {
+	return k != notPlaced && k != notSent && k != notRun && k != blocked
+}
 
 // failure describes an attempt without an answer.
 type failure struct {
 	kind       failureKind
 	endpoint   string // the one that was tried; empty for notPlaced
 	reason     string
-	retryAfter time.Duration // for notPlaced
+	retryAfter time.Duration // for notPlaced and blocked
+	part       uint64        // for blocked, 0 through another instance
 	final      bool          // no other region is tried
 	waiting    bool          // an endpoint of this region may still become available
 }
@@ -89,6 +94,10 @@
 
 // attemptLocal waits for an endpoint of this region and sends it the request.
 func (e *Edge) attemptLocal(ctx context.Context, a *attempt) (*reply, *failure) {
+	if v := e.guard.check(e.clock.Now(), a.sharedParts); v.Blocked {
+		e.metrics.rejectedForPart()
+		return nil, blockedFailure(v)
+	}
 	chosen, reason := e.pools.place(ctx, a)
 	if reason != "" {
 		return nil, &failure{kind: notPlaced, reason: string(reason), retryAfter: e.retryAfter(a.service)}
@@ -99,6 +108,12 @@
 		e.pools.release(a.service, endpoint, a.work.ID, resultNone)
 		return nil, &failure{kind: notPlaced, reason: "deadline", retryAfter: e.retryAfter(a.service)}
 	}
+	// The wait for an endpoint may have lasted longer than others needed to learn of a crash.
+	if v := e.guard.admit(e.clock.Now(), a.sharedParts); v.Blocked {
+		e.pools.release(a.service, endpoint, a.work.ID, resultNone)
+		e.metrics.rejectedForPart()
+		return nil, blockedFailure(v)
+	}
 	header := a.header.Clone()
 	e.options.Dialect.SetEndpointHeaders(header, EndpointHead{
 		Endpoint: chosen.ID, Organisation: a.organisation, Deadline: left, LastEventID: a.lastEventID, CopyFrom: chosen.CopyFrom,
@@ -113,7 +128,7 @@
 		ID: a.id, Method: a.method, URI: a.uri, Host: a.host, Header: header, Body: a.body, FreshConnection: a.freshConnection,
 	})
 	if err != nil {
-		return nil, e.sendFailure(ctx, a, chosen, err)
+		return nil, e.sendFailure(ctx, a, chosen, sentAt, err)
 	}
 	head := e.options.Dialect.ParseAnswer(resp.Status, resp.Header)
 	e.observeLimit(a.id, chosen.Incarnation, resp.Status, head, sentAt)
@@ -122,7 +137,8 @@
 	}
 	r := &reply{status: resp.Status, header: resp.Header, endpoint: chosen.ID, instance: e.options.Self.Instance, unread: chosen.PrefillTokens, copied: chosen.CopiedTokens,
 		limit: limit}
-	body := &endpointBody{ReadCloser: resp.Body, ctx: ctx, edge: e, attempt: a, endpoint: endpoint, result: healthResultOf(resp.Status, head)}
+	body := &endpointBody{ReadCloser: resp.Body, ctx: ctx, edge: e, attempt: a, endpoint: endpoint, addr: chosen.Addr, sentAt: sentAt,
+		succeeds: resp.Status < http.StatusMultipleChoices && head.Signed, framed: resp.Framed, result: healthResultOf(resp.Status, head)}
 	r.body = body
 	if kind, reason := classifyAnswer(resp.Status, resp.Header, head); kind != "" {
 		discardBody(body)
@@ -159,7 +175,7 @@
 }
 
 // sendFailure ends an attempt that failed before an answer began, and classifies the error.
-func (e *Edge) sendFailure(ctx context.Context, a *attempt, chosen placement.Choice, err error) *failure {
+func (e *Edge) sendFailure(ctx context.Context, a *attempt, chosen placement.Choice, sentAt clock.Instant, err error) *failure {
 	f := &failure{kind: broken, endpoint: chosen.ID, reason: err.Error()}
 	v := resultFailed
 	switch {
@@ -178,6 +194,9 @@
 	if v == resultUnreachable {
 		e.conns.CloseIdle(chosen.Addr)
 	}
+	if f.kind == broken && ctx.Err() == nil {
+		e.examineBroken(a, chosen.Incarnation, chosen.Addr, sentAt, f.reason)
+	}
 	e.pools.release(a.service, chosen.Endpoint, a.work.ID, v)
 	return f
 }
@@ -199,6 +218,11 @@
 	edge       *Edge
 	attempt    *attempt
 	endpoint   *placement.Endpoint
+	addr       string // of the endpoint
+	sentAt     clock.Instant
+	succeeds   bool // the head is that of a success
+	framed     bool // its end is known by a length or by chunks
+	life       lifeDetector
 	result     healthResult
 	begun      bool
 	lastOutput clock.Instant // of the last output
@@ -209,6 +233,9 @@
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
 		b.recordOutput(p[:n])
+		if b.life.read(p[:n]) {
+			b.recordLife()
+		}
 	}
 	if err != nil && err != io.EOF {
 		b.result = resultFailed
@@ -216,9 +243,33 @@
 			b.result = resultNone
 		}
 	}
+	if err != nil {
+		b.recordEnd(err)
+	}
 	return n, err
 }
 
+// recordLife records that the endpoint can run the request.
+func (b *endpointBody) recordLife() {
+	if b.succeeds {
+		b.edge.guard.recordLife(b.edge.clock.Now(), b.attempt.sharedParts)
+	}
+}
+
+// recordEnd examines an answer that has broken off without sign of life. The end of one without length or chunks may be that of its
+// endpoint.
+func (b *endpointBody) recordEnd(err error) {
+	if b.life.alive || b.ctx.Err() != nil {
+		return
+	}
+	if err == io.EOF && b.framed {
+		b.recordLife()
+		return
+	}
+	b.life.alive = true // it is examined once
+	b.edge.examineBroken(b.attempt, b.endpoint.Incarnation, b.addr, b.sentAt, "answer: "+err.Error())
+}
+
 // eventEnd ends each event of a stream.
 var eventEnd = []byte("\n\n")
 
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -78,6 +78,7 @@
 	retry                         bool       // a retry of a request that was rejected before
 	limit                         knownLimit // of the endpoint when the request was sent
 	unread, copied                float64
+	blockedPart                   uint64 // the prompt part for which the request was rejected, 0: none
 	// viewAge is the age of the view of the region's other instances at the last decision, negative if nothing was received
 	// from them yet.
 	viewAge time.Duration
@@ -187,7 +188,7 @@
 	x.attempt = attempt{
 		id: x.head.ID, service: x.service, organisation: organisation,
 		method: x.r.Method, uri: x.r.RequestURI, host: x.r.Host, header: x.forwardedHeader(), body: body,
-		work: work, urgency: urgency, hasUrgency: x.conf.Service(x.service).Engine != nil,
+		work: work, sharedParts: sharedParts(x.head.Parts), urgency: urgency, hasUrgency: x.conf.Service(x.service).Engine != nil,
 		freshConnection: !x.route.Retryable(), lastEventID: x.head.LastEventID, deadline: x.deadline.Add(-answerMargin), onTimeBy: x.onTimeBy(), excluded: map[string]bool{},
 	}
 	x.lastEventID = x.head.LastEventID
@@ -226,6 +227,16 @@
 	return w
 }
 
+// sharedParts returns the keys of the parts that other requests may share: all but the last, which belongs to the request or its session.
+// A part has the same key for all models.
+func sharedParts(parts []PromptPart) []uint64 {
+	var keys []uint64
+	for _, p := range parts[:max(0, len(parts)-1)] {
+		keys = append(keys, placement.PartKey("", p.ID))
+	}
+	return keys
+}
+
 // generationFraction is the fraction of a request's time that generating an answer of typical length may take. An answer half
 // as long again must fit too: one in six is longer than that.
 const generationFraction = 0.55
@@ -331,7 +342,15 @@
 	e := x.edge
 	self := e.options.Self.Region
 	now := e.clock.Now()
-	remotes := x.remotes()
+	verdict := e.guard.check(now, x.attempt.sharedParts)
+	if verdict.Blocked {
+		e.metrics.rejectedForPart()
+		return nil, blockedFailure(verdict)
+	}
+	var remotes []routing.RegionLoad
+	if !verdict.Trial { // it is the turn of this instance, not of one in another region
+		remotes = x.remotes()
+	}
 	in := triage.Input{Objective: x.attempt.onTimeBy.Sub(now), TimeLeft: x.deadline.Sub(now), Remote: x.offers(remotes)}
 	if x.mayServe(self) {
 		in.Local, in.LocalLate = e.pools.offers(&x.attempt, in.Objective)
@@ -417,6 +436,10 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	if f.kind == blocked {
+		x.outcome.blockedPart = f.part
+		return false
+	}
 	if f.kind == notPlaced {
 		return !f.final && x.hasRegionLeft()
 	}
@@ -503,5 +526,8 @@
 	if x.outcome.limit.limited {
 		fields = append(fields, zap.Float64("endpoint_limit", x.outcome.limit.perSecond))
 	}
+	if x.outcome.blockedPart != 0 {
+		fields = append(fields, zap.String("blocked_part", formatPart(x.outcome.blockedPart)))
+	}
 	e.requestLog.Info("request", fields...)
 }
