Join only what continues a stream that broke off

What callers saw: a stream had begun and broke off. If the endpoint that resumed it answered with 200 and another content type, the body stood inside the stream and a second head was attempted. Events of an error, the head of another response, and events after a gap were passed on, and an empty answer made the broken stream look complete. The same happened through an instance of another region.

Cause: an answer that resumes a stream was handled like a first one. Only its status was checked.

Change: a resumed stream goes on with the next numeric id, at most the largest step so far above the last one. An event with data and without id, a line with a field that the event format does not define, or an answer without any further event counts as broken off. A stream whose written events do not all have numeric ids is not resumed, since its parts cannot be joined.

Ruled out: endpoints that answer with an error status (checked before), ends inside an event, and resets of an answer without length, which were never complete (TestAnswersThatEndWithTheirConnection passes without the change, too).

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -52,8 +52,9 @@
 // request must be retried or given up.
 func (x *exchange) writeAnswer(r *reply) *failure {
 	defer r.body.Close()
-	if x.wroteHead && r.status != http.StatusOK {
-		return &failure{kind: broken, endpoint: r.endpoint, reason: "endpoint refused to resume with status " + strconv.Itoa(r.status)}
+	if x.wroteHead && (r.status != http.StatusOK || !isEventStream(r.header)) {
+		// Its head and body would stand inside the stream that the caller is reading.
+		return &failure{kind: broken, endpoint: r.endpoint, reason: "endpoint did not resume the stream, status " + strconv.Itoa(r.status)}
 	}
 	if isEventStream(r.header) && r.status == http.StatusOK {
 		return x.writeEvents(r)
@@ -133,13 +134,18 @@
 	x.w.WriteHeader(r.status)
 }
 
-// writeEvents writes the events of a stream as they arrive. Incomplete events are not written.
+// writeEvents writes the events of a stream as they arrive. Incomplete events are not written, and neither is anything that does not
+// continue the events that the caller has.
 func (x *exchange) writeEvents(r *reply) *failure {
 	events := sse.NewReader(r.body)
 	control := http.NewResponseController(x.w)
+	join := x.continuation()
 	for {
 		event, err := events.NextRaw()
 		if err == io.EOF {
+			if reason := join.checkEnd(); reason != "" {
+				return &failure{kind: broken, endpoint: r.endpoint, reason: reason}
+			}
 			if !x.wroteHead {
 				x.writeHead(r, unknownLength)
 			}
@@ -151,6 +157,9 @@
 		if x.alreadySent(event.ID) {
 			continue
 		}
+		if reason := join.check(event); reason != "" {
+			return &failure{kind: broken, endpoint: r.endpoint, reason: reason}
+		}
 		if !x.wroteHead {
 			x.writeHead(r, unknownLength)
 		}
@@ -162,10 +171,7 @@
 			x.outcome.reason = "caller has left"
 			return nil
 		}
-		x.events++
-		if event.ID != "" {
-			x.lastEventID = event.ID
-		}
+		x.recordEvent(event)
 	}
 }
 
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -58,6 +58,8 @@
 	declined    map[string]bool // regions that had no capacity for the request
 	wroteHead   bool
 	lastEventID string
+	eventStep   int64 // largest difference between the ids of successive events
+	unnumbered  bool  // an event without id was written
 	events      int
 
 	outcome outcome
@@ -424,7 +426,7 @@
 	if f.kind == notRun {
 		x.attempts++
 	}
-	if x.attempts >= x.route.MaxAttempts {
+	if x.attempts >= x.route.MaxAttempts || !x.canResume() {
 		return false
 	}
 	if f.kind.mayHaveRun() && !x.route.Retryable() {
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -58,12 +58,34 @@
 type Event struct {
 	ID  string // the value of its last id field, empty if it has none
 	Raw []byte // with the empty line that ends it
+	// Empty reports that the event has neither data nor an id, for example because it holds comments only. Callers ignore it.
+	Empty bool
+	// Foreign reports a line with a field that the format does not define, for example the head of another response.
+	Foreign bool
 }
 
+// addField records a line of the event without its end.
+func (e *Event) addField(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "id":
+		e.ID = string(bytes.TrimPrefix(value, []byte(" ")))
+		e.Empty = e.Empty && e.ID == ""
+	case "data":
+		e.Empty = false
+	case "", "event", "retry": // an empty name begins a comment
+	default:
+		e.Foreign = true
+	}
+}
+
+// byteOrderMark may precede a stream.
+var byteOrderMark = []byte("\ufeff")
+
 // NextRaw returns the next whole event with all its fields, for a reader that passes events on. Errors are
 // those of Next, and io.ErrUnexpectedEOF if the stream ends within an event.
 func (e *Reader) NextRaw() (Event, error) {
-	var event Event
+	event := Event{Empty: true}
 	for {
 		raw, err := e.rawLine()
 		if err == io.EOF && len(event.Raw)+len(raw) > 0 {
@@ -80,9 +102,7 @@
 		if len(line) == 0 {
 			return event, nil
 		}
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			event.ID = string(bytes.TrimPrefix(id, []byte(" ")))
-		}
+		event.addField(bytes.TrimPrefix(line, byteOrderMark))
 	}
 }
 
