Break the connection of a caller that has closed its own direction

What callers saw: a caller that closes its sending direction after the request keeps reading. net/http then cancels the request's context, the attempt ends, and the handler returned. A stream that had begun got its last chunk and looked complete. Before an answer had begun, the caller got an empty answer with status 200 that no endpoint had given.

Cause: answerFailure took an ended context for a closed connection and returned, and net/http completes the answer of a handler that returns.

Change: the handler is aborted in both cases, so that the connection breaks.

--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -437,12 +437,13 @@
 
 // answerFailure answers a request after its last attempt has failed.
 func (x *exchange) answerFailure(ctx context.Context, f *failure) {
-	if x.r.Context().Err() != nil {
+	callerLeft := x.r.Context().Err() != nil
+	if callerLeft {
 		x.outcome.reason = "caller has left"
-		return
 	}
-	if x.wroteHead {
-		// The answer has begun and cannot be completed. Only closing the connection shows that to the caller.
+	if x.wroteHead || callerLeft {
+		// An answer that has begun cannot be completed, and only closing the connection shows that. A caller may have closed only its
+		// own direction; returning would send it the end of the stream, or an empty answer with status 200.
 		panic(http.ErrAbortHandler)
 	}
 	if x.failed != nil {
