Believe an earlier refusal of an endpoint for no later request

What callers saw: an endpoint wrote an earlier refusal ("not run") without an id once more on a kept connection. The caller of the next request was told to send it again (503) although the request had run, and a non-idempotent request ran at a second endpoint.

Cause: an answer without an id was accepted as that of the current request on any connection.

Change: on a connection that was used before, only an answer that names the request's id is accepted. Others end the request as one that may have run. So does a head that holds the beginning of another one there: the cut refusal "Not-Run: " before an answer gave that answer its header. A connection is not used again for an id among the last 16 that it has carried, since an earlier answer could not be told from the new one.

Ruled out: refusals with the earlier request's id, before, with or after the next answer, whole or split over packets, interim answers, and bytes between the check of an idle connection and the write: these were skipped already, or the connection closed. Non-idempotent calls of internal/dispatch use no kept connections (callAt takes the unpooled transport).

--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -94,6 +95,7 @@
 	reader     *bufio.Reader
 	idleSince  time.Time // when it became idle, with monotonic clock reading
 	maxIdle    time.Duration
+	carried    []string // ids of the latest requests, at most maxCarried
 }
 
 // headReader reads a connection. While it is bounded, it fails with errHeadTooLarge once the allowed bytes have been read.
@@ -127,10 +129,12 @@
 
 // Do sends the request and reads the head of its response. When ctx ends, the connection is closed, also while the body is read.
 func (p *Pool) Do(ctx context.Context, addr string, req *Request) (*Response, error) {
-	c, err := p.get(ctx, addr, req.FreshConnection)
+	c, err := p.get(ctx, addr, req)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", addr), ErrNotSent)
 	}
+	reused := len(c.carried) > 0
+	c.recordCarried(req.ID)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	written, err := c.send(req)
 	if err != nil {
@@ -138,7 +142,7 @@
 		_ = c.Close()
 		return nil, sendError(err)
 	}
-	resp, err := p.readAnswer(c, req)
+	resp, err := p.readAnswer(c, req, reused)
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -197,8 +201,9 @@
 	return b.Bytes()
 }
 
-// readAnswer reads the head of the request's response and skips complete responses to earlier requests.
-func (p *Pool) readAnswer(c *conn, req *Request) (*http.Response, error) {
+// readAnswer reads the head of the request's response and skips complete responses to earlier requests. On a reused connection a
+// response without an id may be an earlier one that the endpoint has written again, so it is not accepted.
+func (p *Pool) readAnswer(c *conn, req *Request, reused bool) (*http.Response, error) {
 	c.headReader.remaining = maxHeadBytes
 	for range maxUnrelatedAnswers + 1 {
 		resp, err := c.readHead(req.Method)
@@ -208,12 +213,15 @@
 		if resp.StatusCode < http.StatusOK {
 			continue // 1xx: the final response follows
 		}
+		if reused && holdsHead(resp) {
+			break
+		}
 		id := p.answerID(resp.Header)
-		if id == "" || id == req.ID {
+		if id == req.ID || id == "" && !reused {
 			return resp, nil
 		}
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-			break // it lasts until the connection is closed, so no other response can follow
+		if id == "" || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			break // it cannot be skipped: it belongs to no known request, or lasts until the connection is closed
 		}
 		if _, err := io.CopyN(io.Discard, resp.Body, maxUnrelatedBytes); !errors.Is(err, io.EOF) {
 			break
@@ -222,6 +230,22 @@
 	return nil, errors.Mark(errors.New("answers belong to other requests"), ErrBadAnswer)
 }
 
+// holdsHead reports whether the status line or a header holds the beginning of another response: the part of an earlier response that
+// was written before it would give this one its status or headers.
+func holdsHead(resp *http.Response) bool {
+	if strings.Contains(resp.Status, "HTTP/1.") {
+		return true
+	}
+	for _, values := range resp.Header {
+		for _, v := range values {
+			if strings.Contains(v, "HTTP/1.") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func readError(err error) error {
 	var netErr net.Error
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) || errors.As(err, &netErr) {
@@ -252,13 +276,25 @@
 // freshMaxIdle is how long a connection may have been idle to be used for a request with FreshConnection set.
 const freshMaxIdle = 500 * time.Millisecond
 
-func (p *Pool) get(ctx context.Context, addr string, fresh bool) (*conn, error) {
+// maxCarried is the number of requests on a connection whose ids are remembered.
+const maxCarried = 16
+
+func (c *conn) recordCarried(id string) {
+	if len(c.carried) == maxCarried {
+		c.carried = append(c.carried[:0], c.carried[1:]...)
+	}
+	c.carried = append(c.carried, id)
+}
+
+// get returns an idle or a new connection. A connection that has carried a request of the same id is closed instead: the earlier
+// response could not be told from the one to this request.
+func (p *Pool) get(ctx context.Context, addr string, req *Request) (*conn, error) {
 	for {
-		c := p.takeIdle(addr, fresh)
+		c := p.takeIdle(addr, req.FreshConnection)
 		if c == nil {
 			break
 		}
-		if c.openAndUnread() {
+		if !slices.Contains(c.carried, req.ID) && c.openAndUnread() {
 			p.count(&p.reused)
 			return c, nil
 		}
