Bound the bytes of the changes that a mirror keeps for readers

A writer that renews a large entry again and again made each instance keep up to 3,000 of its values: with 1 MB each, 3 GB.

Cause: the changes kept for readers were bounded in number only.

Change: at most 8 MiB of values are kept. A reader that asks for an earlier change lists all keys, as after a compacted history.

Before: replica_test.go:140: changes of 100 MB are kept (100 renewals of 1 MB); after: TestLargeChangesAreNotAllKept passes.

--- a/internal/mirror/replica.go
+++ b/internal/mirror/replica.go
@@ -14,6 +14,9 @@
 const (
 	// maxChanges bounds the changes that are kept for readers: those of half a minute with a hundred endpoints.
 	maxChanges = 3000
+	// maxChangeBytes bounds the values of these changes: a writer may renew a large one again and again. A reader that asks for a
+	// change that is no longer kept lists all keys.
+	maxChangeBytes = 8 << 20
 	// maxAge is the age up to which the copy is served to readers, counted from the last answer of its source. It allows for one
 	// whole watch with its pause, and a failed call.
 	maxAge = watchWait + watchPause + 600*time.Millisecond
@@ -75,7 +78,7 @@
 	if first {
 		r.changes, r.base = nil, asOf
 	}
-	if drop := len(r.changes) - maxChanges; drop > 0 {
+	if drop := r.excessChanges(); drop > 0 {
 		r.base = r.changes[drop-1].visibleAt
 		r.changes = append([]positionedChange(nil), r.changes[drop:]...)
 	}
@@ -86,6 +89,17 @@
 	}
 }
 
+// excessChanges returns how many of the oldest changes are beyond what is kept for readers.
+func (r *replica) excessChanges() int {
+	size := 0
+	for i := len(r.changes) - 1; i >= 0; i-- {
+		if size += len(r.changes[i].Value); size > maxChangeBytes || len(r.changes)-i > maxChanges {
+			return i + 1
+		}
+	}
+	return 0
+}
+
 // record applies a change to the copy, and keeps it for readers if it matters to them.
 func (r *replica) record(c platform.Change, at int64) {
 	e, known := r.entries[c.Key]
--- a/internal/mirror/replica_test.go
+++ b/internal/mirror/replica_test.go
@@ -119,3 +119,30 @@
 		t.Errorf("the copy is %v, %v", entries, err)
 	}
 }
+
+// Guards against memory that grows with each renewal of a large entry, and against a reader that misses changes which were dropped.
+func TestLargeChangesAreNotAllKept(t *testing.T) {
+	clk := &clock.Manual{}
+	clk.Advance(time.Hour)
+	m := New(nil, "p/", clk, zap.NewNop(), func(Update) {}, nil)
+	m.update(Update{Reset: true}, 1)
+	const renewals = 100
+	for i := range int64(renewals) {
+		c := change("p/a", 2+i, false)
+		c.Value = make([]byte, 1<<20)
+		m.update(Update{Changes: []platform.Change{c}}, 2+i)
+	}
+	size := 0
+	for _, c := range m.replica.changes {
+		size += len(c.Value)
+	}
+	if size > maxChangeBytes {
+		t.Errorf("changes of %d MB are kept", size>>20)
+	}
+	if _, _, err := m.Watch(t.Context(), 1, time.Millisecond); !errors.Is(err, platform.ErrCompacted) {
+		t.Errorf("watch of changes that are not kept: %v", err)
+	}
+	if changes, _, err := m.Watch(t.Context(), renewals, time.Millisecond); err != nil || len(changes) != 1 {
+		t.Errorf("%d changes after the last but one, %v", len(changes), err)
+	}
+}
