Take no odd announcement for an instance

What could be seen: an announcement of another writer with a port out of range, an unknown region, an absurd bandwidth or bytes in place of a certificate became a member. Since all certificates are read as one text, such bytes hid the certificate that followed, so that no session with a good instance could be opened. An absurd bandwidth made it the root of its region. Each renewal and each list wrote a log line, and an instance whose key had become odd still counted as listed.

Cause: only the JSON, the incarnation and the presence of the peer address were checked.

Change: an announcement needs addresses with ports, a known region, a bandwidth in range, and one certificate that can be parsed, or none. One line is logged for each change of an announcement's error. An instance whose announcement has become odd counts as lapsed: it stays a member while messages of it arrive.

The tests' announcements now hold addresses ("10.0.0.1:1" in place of "p"); what they check is unchanged.

--- a/internal/edge/directory_test.go
+++ b/internal/edge/directory_test.go
@@ -51,7 +51,7 @@
 	f := newFleet(&Options{Self: peer.Identity{Instance: "self", Region: "south"}, Clock: clk, Log: zap.NewNop()})
 	f.onChange = func() {}
 	list := func(name string, leaving bool) platform.Change {
-		value, err := json.Marshal(announcement{Incarnation: 1, Region: "north", CallerAddr: name, PeerAddr: "p", Leaving: leaving})
+		value, err := json.Marshal(announcement{Incarnation: 1, Region: "north", CallerAddr: callerAddr(name), PeerAddr: "10.0.0.1:1", Leaving: leaving})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -61,7 +61,7 @@
 	f.apply(mirror.Update{Reset: true, Changes: []platform.Change{list("a", false), list("b", true)}})
 	own := candidate{addr: "self", region: "south", status: serving}
 	homes := func(region string) int { return map[string]int{"north": 1}[region] }
-	if got := resolve(append(f.candidates(), own), "north", homes); !slices.Equal(got, []string{"a"}) {
+	if got := resolve(append(f.candidates(), own), "north", homes); !slices.Equal(got, []string{callerAddr("a")}) {
 		t.Errorf("after the start: %v, want the listed instance that is not leaving", got)
 	}
 	clk.Advance(newInstanceGrace + time.Second)
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -87,7 +87,8 @@
 	read     bool                      // the announcements have been read at least once
 	// selfListed says that this instance's own announcement is in the store.
 	selfListed bool
-	onChange   func() // called without the lock after the set of members has changed
+	invalid    entryErrors // by name
+	onChange   func()      // called without the lock after the set of members has changed
 }
 
 // regionServices is the load of a remote region's services.
@@ -97,7 +98,7 @@
 }
 
 func newFleet(o *Options) *fleet {
-	return &fleet{options: o, log: o.Log, members: make(map[string]*member), services: make(map[string]regionServices)}
+	return &fleet{options: o, log: o.Log, members: make(map[string]*member), invalid: make(entryErrors), services: make(map[string]regionServices)}
 }
 
 // apply applies changes of the instances' keys in the store.
@@ -116,6 +117,7 @@
 			continue
 		}
 		if c.Deleted {
+			delete(f.invalid, name)
 			changed = f.expireAnnouncement(name) || changed
 			continue
 		}
@@ -127,6 +129,7 @@
 				changed = f.expireAnnouncement(name) || changed
 			}
 		}
+		f.invalid.retain(present)
 		changed = f.setSelfListed(f.selfListed && present[f.options.Self.Instance]) || !f.read || changed
 		f.read = true
 	}
@@ -141,10 +144,12 @@
 
 // applyAnnouncement applies the announcement of an instance and reports whether the members have changed.
 func (f *fleet) applyAnnouncement(name string, value []byte) bool {
-	var a announcement
-	if err := json.Unmarshal(value, &a); err != nil || a.PeerAddr == "" || a.Incarnation == 0 {
-		f.log.Warn("announcement of an instance is not valid; ignoring it", zap.String("peer", name), zap.Error(err))
-		return false
+	a, err := decodeAnnouncement(value, f.options.Regions)
+	if text, changed := f.invalid.record(name, err); changed {
+		f.log.Warn("announcement of an instance is not valid; ignoring it", zap.String("peer", name), zap.String("error", text))
+	}
+	if err != nil {
+		return f.expireAnnouncement(name)
 	}
 	m := f.members[name]
 	if m != nil && m.listed && m.Incarnation == a.Incarnation {
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -36,9 +38,17 @@
 	return &testFleet{fleet: f, clk: clk, t: t}
 }
 
+// callerAddr returns an address that differs for each name.
+func callerAddr(name string) string {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	sum := h.Sum64()
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(sum >> 16), byte(sum >> 8), byte(sum)}), 80).String()
+}
+
 func encodeAnnouncement(t *testing.T, name, region string, incarnation uint64) []byte {
 	t.Helper()
-	value, err := json.Marshal(announcement{Incarnation: incarnation, Region: region, CallerAddr: name, PeerAddr: "p"})
+	value, err := json.Marshal(announcement{Incarnation: incarnation, Region: region, CallerAddr: callerAddr(name), PeerAddr: "10.0.0.1:1"})
 	if err != nil {
 		t.Fatal(err)
 	}
