Take no odd entry for an endpoint, and let none hide a good one

What could be seen: entries of another writer with ports out of range, no port, host names, absurd slots, starts or cold phases, or ids with control characters were taken for endpoints. Entries that repeated a good endpoint's address with a later start took its place, even if they named no known service or data centre: requests to the good endpoint's service were refused. Errors held the whole document, so that log lines grew with it, and each renewal and each list of all keys wrote them again.

Cause: only the presence of the address was checked, slots below 1 counted as 1, and each listed entry counted as the newest at its address.

An entry counts at its address only if it names a known data centre and service. An entry that becomes odd is dropped at once, also right after an outage of the store.

Ruled out: JSON nested 40,000 levels, numbers of another type or out of the range of their type, and unreadable bytes were errors already; no process ended, and the list was followed. A configuration that cannot be used was and is kept out.

--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -35,6 +35,9 @@
 	endpoints map[string]listedEndpoint // by id
 	evacuated map[string]bool           // data centres that take no requests
 	graceEnds clock.Instant             // for endpoints that disappeared during an outage
+	invalid   entryErrors               // by id of the endpoint
+
+	invalidDocuments entryErrors // configurations by source
 
 	// onChange is called, without the lock, after the configuration or the usable endpoints have changed.
 	onChange func()
@@ -54,7 +57,8 @@
 }
 
 func newState(o *Options) *state {
-	return &state{options: o, log: o.Log, endpoints: make(map[string]listedEndpoint), evacuated: make(map[string]bool)}
+	return &state{options: o, log: o.Log, endpoints: make(map[string]listedEndpoint), invalid: make(entryErrors), invalidDocuments: make(entryErrors),
+		evacuated: make(map[string]bool)}
 }
 
 // version returns the version of the configuration in force, 0 before the first.
@@ -69,9 +73,13 @@
 // remains in force.
 func (s *state) accept(document []byte, source string) {
 	next, err := s.options.Documents.DecodeConfiguration(document)
+	s.mu.Lock()
+	text, changed := s.invalidDocuments.record(source, err)
+	s.mu.Unlock()
+	if changed {
+		s.log.Error("configuration cannot be used", zap.String("source", source), zap.String("error", text), zap.Int64("in_force", s.version()))
+	}
 	if err != nil {
-		s.log.Error("configuration cannot be used", zap.String("source", source), zap.Error(err),
-			zap.Int64("in_force", s.version()))
 		return
 	}
 	s.mu.Lock()
@@ -170,12 +178,14 @@
 		}
 		present[id] = true
 		if c.Deleted {
+			delete(s.invalid, id)
 			changed = s.removeEntry(id, now) || changed
 			continue
 		}
 		changed = s.applyEntry(id, c, now) || changed
 	}
 	if u.Reset {
+		s.invalid.retain(present)
 		for id := range s.endpoints {
 			if !present[id] {
 				changed = s.removeEntry(id, now) || changed
@@ -196,9 +206,15 @@
 		return false
 	}
 	next, err := s.options.Documents.DecodeEndpoint(id, c.Value, now)
+	if text, changed := s.invalid.record(id, err); changed {
+		s.log.Warn("endpoint entry cannot be used", zap.String("endpoint", id), zap.String("error", text), zap.Int64("revision", c.Revision))
+	}
 	if err != nil {
-		s.log.Warn("endpoint entry cannot be used", zap.Error(err), zap.Int64("revision", c.Revision))
-		return s.removeEntry(id, now)
+		// Its own writer no longer vouches for it, so it is not used for a moment longer after an outage either.
+		if known {
+			s.forgetEndpoint(id)
+		}
+		return known
 	}
 	s.endpoints[id] = listedEndpoint{Endpoint: next, revision: c.Revision}
 	same := known && !before.missing && equivalent(before.Endpoint, next)
@@ -242,20 +258,24 @@
 		time.AfterFunc(s.graceEnds.Sub(now), s.endGrace)
 		return false
 	}
-	delete(s.endpoints, id)
-	s.log.Info("endpoint gone", zap.String("endpoint", id), zap.String("service", e.Service))
+	s.forgetEndpoint(id)
 	return true
 }
 
+// forgetEndpoint removes an endpoint that is known. The caller holds mu.
+func (s *state) forgetEndpoint(id string) {
+	s.log.Info("endpoint gone", zap.String("endpoint", id), zap.String("service", s.endpoints[id].Service))
+	delete(s.endpoints, id)
+}
+
 // endGrace removes the endpoints that were not listed again after an outage.
 func (s *state) endGrace() {
 	s.mu.Lock()
 	changed := false
 	for id, e := range s.endpoints {
 		if e.missing {
-			delete(s.endpoints, id)
+			s.forgetEndpoint(id)
 			changed = true
-			s.log.Info("endpoint gone", zap.String("endpoint", id), zap.String("service", e.Service))
 		}
 	}
 	s.mu.Unlock()
@@ -268,9 +288,13 @@
 func (s *state) usable(region string) map[string][]catalog.Endpoint {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	conf := s.configuration.Load()
 	newest := make(map[string]int64, len(s.endpoints)) // by address: the start of the latest endpoint there
 	for _, e := range s.endpoints {
-		newest[e.Addr] = max(newest[e.Addr], e.StartedAtMillis)
+		// An entry that names no known service or data centre may come from another writer.
+		if s.options.Regions[e.DataCentre] != "" && (conf == nil || conf.Service(e.Service) != nil) {
+			newest[e.Addr] = max(newest[e.Addr], e.StartedAtMillis)
+		}
 	}
 	out := make(map[string][]catalog.Endpoint)
 	for _, e := range s.endpoints {
