Keep odd entries out of what instances pass on to each other

What could be seen: the instances of a region read the store through one of them. Four large values of another writer made its answer larger than a message between instances may be, so that all of them read the store themselves. A renewed entry that names no endpoint was passed on each time.

Change: the reader of the store drops values above 16 KiB, other than the operator's configuration: an entry of an endpoint has some hundred bytes. An entry that names no endpoint and follows one that names none is not passed on.

Ruled out: keys and ids that are not UTF-8 cannot end the feed, since JSON replaces such bytes before they reach it.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -200,6 +200,9 @@
 		return nil
 	}, func() (err error) {
 		entries, asOf, err = f.direct.ListAll(ctx, prefix)
+		for i := range entries {
+			f.bound(&entries[i])
+		}
 		return err
 	})
 	return entries, asOf, err
@@ -222,11 +225,22 @@
 		return nil
 	}, func() (err error) {
 		changes, asOf, err = f.direct.WatchPrefix(ctx, prefix, after, wait)
+		for i := range changes {
+			f.bound(&changes[i].Entry)
+		}
 		return err
 	})
 	return changes, asOf, err
 }
 
+// bound drops a value that is too large to be an entry of an endpoint or an instance. It could not be used, and a few of them would
+// make the answers to the instances that read through this one larger than a message may be.
+func (f *relayedFeed) bound(e *platform.Entry) {
+	if len(e.Value) > maxEntryBytes && !f.edge.options.Documents.IsConfiguration(e.Key) {
+		e.Value = nil
+	}
+}
+
 func (f *relayedFeed) call(ctx context.Context, name string, req *wire.EdgeFeedRequest, wait time.Duration) (*wire.EdgeFeedAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+relayGrace)
 	defer cancel()
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -241,7 +241,10 @@
 	now := s.options.Clock.Now()
 	a, errA := s.options.Documents.DecodeEndpoint(id, before.Value, now)
 	b, errB := s.options.Documents.DecodeEndpoint(id, after.Value, now)
-	return errA == nil && errB == nil && equivalent(a, b)
+	if errA != nil || errB != nil {
+		return errA != nil && errB != nil // neither names an endpoint
+	}
+	return equivalent(a, b)
 }
 
 // removeEntry removes an endpoint whose entry is gone, and reports whether that changes where requests may go. Right after an
