Use the endpoint that answers at an address that two entries name

What callers saw: a plausible entry of another writer repeated the address of a good endpoint with a later start. All requests to that address were declined as misdirected (421) and refused, and the good endpoint got none.

Cause: of the endpoints listed at an address only the one that was started last is used, whatever the address itself answers.

Change: an endpoint for which its address has answered that it is another one gives way to others listed there for 10 s, also when its entry is renewed.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -117,6 +117,9 @@
 	}
 	head := e.options.Dialect.ParseAnswer(resp.Status, resp.Header)
 	e.observeLimit(a.id, chosen.Incarnation, resp.Status, head, sentAt)
+	if resp.Status == http.StatusMisdirectedRequest {
+		e.state.recordMisdirected(chosen.Incarnation, chosen.Addr)
+	}
 	if head.ColdFor > 0 {
 		e.pools.recordCold(endpoint, head.ColdFor)
 	}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -54,8 +54,13 @@
 	catalog.Endpoint
 	revision int64
 	missing  bool // its entry has disappeared, but it is used until graceEnds
+	// elsewhereUntil is until when another endpoint is believed to have its address, because a request was declined as misdirected.
+	elsewhereUntil clock.Instant
 }
 
+// misdirectedFor is how long an endpoint that does not answer at its address gives way to others that are listed there.
+const misdirectedFor = 10 * time.Second
+
 func newState(o *Options) *state {
 	return &state{options: o, log: o.Log, endpoints: make(map[string]listedEndpoint), invalid: make(entryErrors), invalidDocuments: make(entryErrors),
 		evacuated: make(map[string]bool)}
@@ -216,7 +221,11 @@
 		}
 		return known
 	}
-	s.endpoints[id] = listedEndpoint{Endpoint: next, revision: c.Revision}
+	listed := listedEndpoint{Endpoint: next, revision: c.Revision}
+	if known && before.Incarnation == next.Incarnation && before.Addr == next.Addr {
+		listed.elsewhereUntil = before.elsewhereUntil
+	}
+	s.endpoints[id] = listed
 	same := known && !before.missing && equivalent(before.Endpoint, next)
 	if !known || !same {
 		s.log.Info("endpoint listed", zap.String("endpoint", id), zap.String("service", next.Service), zap.String("addr", next.Addr),
@@ -291,14 +300,7 @@
 func (s *state) usable(region string) map[string][]catalog.Endpoint {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	conf := s.configuration.Load()
-	newest := make(map[string]int64, len(s.endpoints)) // by address: the start of the latest endpoint there
-	for _, e := range s.endpoints {
-		// An entry that names no known service or data centre may come from another writer.
-		if s.options.Regions[e.DataCentre] != "" && (conf == nil || conf.Service(e.Service) != nil) {
-			newest[e.Addr] = max(newest[e.Addr], e.StartedAtMillis)
-		}
-	}
+	newest := s.newestByAddr()
 	out := make(map[string][]catalog.Endpoint)
 	for _, e := range s.endpoints {
 		// The entry of a crashed endpoint remains for seconds, even if another one has taken over its address.
@@ -309,6 +311,46 @@
 	return out
 }
 
+// newestByAddr returns the start of the latest endpoint at each address. An entry of another writer may repeat an address: those that
+// name no known service or data centre do not count, and those that were found not to be there count only if no other is listed there.
+func (s *state) newestByAddr() map[string]int64 {
+	conf, now := s.configuration.Load(), s.options.Clock.Now()
+	there, elsewhere := make(map[string]int64, len(s.endpoints)), make(map[string]int64)
+	for _, e := range s.endpoints {
+		if s.options.Regions[e.DataCentre] == "" || conf != nil && conf.Service(e.Service) == nil {
+			continue
+		}
+		starts := there
+		if now < e.elsewhereUntil {
+			starts = elsewhere
+		}
+		starts[e.Addr] = max(starts[e.Addr], e.StartedAtMillis)
+	}
+	for addr, start := range elsewhere {
+		if _, known := there[addr]; !known {
+			there[addr] = start
+		}
+	}
+	return there
+}
+
+// recordMisdirected records that another endpoint has answered at the address of an endpoint.
+func (s *state) recordMisdirected(endpoint catalog.Incarnation, addr string) {
+	now := s.options.Clock.Now()
+	s.mu.Lock()
+	e, known := s.endpoints[endpoint.ID]
+	changed := known && e.Incarnation == endpoint && e.Addr == addr && e.elsewhereUntil <= now
+	if changed {
+		e.elsewhereUntil = now.Add(misdirectedFor)
+		s.endpoints[endpoint.ID] = e
+		s.log.Info("another endpoint has the address of a listed one", zap.String("endpoint", endpoint.ID), zap.String("addr", addr))
+	}
+	s.mu.Unlock()
+	if changed {
+		s.onChange()
+	}
+}
+
 // serves reports whether a region has an endpoint of the service that may receive requests.
 func (s *state) serves(region, service string) bool {
 	s.mu.Lock()
