List what keeps odd entries, repeated refusals and broken streams apart, with mutations

Three entries of the mutation checker switch off the match of answers on used connections, the check for a gap in a resumed stream, and the break of a caller's connection; the entry for answers to other requests follows the changed line.

--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -17,9 +17,27 @@
 	{
 		Condition: 8, Mechanism: "edge: answers to other requests are passed over",
 		File:     "internal/endpointconn/conn.go",
-		Original: `if id == "" || id == req.ID {`, Replacement: `if id == "" || id != "" {`,
+		Original: `if id == req.ID || id == "" && !reused {`, Replacement: `if id == "" || id != "" {`,
 		Package: "./internal/endpointconn", Run: "^TestAnswersToOtherRequestsAreSkipped$",
 	},
+	{
+		Condition: 9, Mechanism: "edge: an answer without an id is believed on a new connection only",
+		File:     "internal/endpointconn/conn.go",
+		Original: `id == "" && !reused`, Replacement: `id == ""`,
+		Package: "./platform", Run: "^TestRepeatedRefusalOfARequestThatRan$",
+	},
+	{
+		Condition: 8, Mechanism: "edge: a resumed stream goes on with the next event",
+		File:     "internal/edge/continuation.go",
+		Original: "case !c.begun && id > c.last+c.step:", Replacement: "case !c.begun && id < 0:",
+		Package: "./platform", Run: "^TestAnswersThatResumeAStream$",
+	},
+	{
+		Condition: 8, Mechanism: "edge: the connection of a caller whose stream broke off is broken",
+		File:     "internal/edge/exchange.go",
+		Original: "if x.wroteHead || callerLeft {", Replacement: "if x.wroteHead && !callerLeft {",
+		Package: "./platform", Run: "^TestBrokenStreamOfACallerThatHasClosedItsDirection$",
+	},
 	{
 		Condition: 10, Mechanism: "edge: a request that may have run is not sent again unless it may be repeated",
 		File:     "internal/edge/exchange.go",
