Count attempts that broke before the head of their answer

Cause: an attempt was counted once the head of its answer had arrived, or if its endpoint had declined it. One that ended before the head (a closed connection, bytes that are no response, a success without signature, an unexpected encoding, a lost instance of another region) was not counted, though an endpoint may have run it. Only the retry budget and the number of endpoints then bounded the attempts. The same held for resumes of streams.

Now each attempt is counted in one place, exactly once: when its head has arrived, or when it ends without one, unless it certainly did not arrive (not placed, not sent). Declined attempts count as before.

Ruled out by the same tests: a non-idempotent request is sent to no second endpoint after an attempt that may have run, and an attempt that may have run never ends as a 503 of the instance, here or through another region. Through another region, the endpoint's answer is passed on or the attempt fails there without a repeat: serveAttempt makes one attempt, and a call between instances is started again only while nothing of it has been written.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -63,6 +63,9 @@
 // mayHaveRun reports whether the request may have run.
 func (k failureKind) mayHaveRun() bool { return k != notPlaced && k != notSent && k != notRun }
 
+// mayHaveArrived reports whether the request may have arrived at an endpoint, which may have declined it.
+func (k failureKind) mayHaveArrived() bool { return k == notRun || k.mayHaveRun() }
+
 // failure describes an attempt without an answer.
 type failure struct {
 	kind       failureKind
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -51,7 +51,7 @@
 	deadline     clock.Instant // when the caller must have its final answer
 
 	attempt     attempt
-	attempts    int // endpoints that the request has reached
+	attempts    int // endpoints that the request has reached or may have reached
 	unsent      int
 	mayHaveRun  bool            // an attempt may have run the request
 	failed      *failedAnswer   // an endpoint's error answer, written to the caller unless a retry succeeds
@@ -281,6 +281,9 @@
 		r, f := x.makeAttempt(ctx)
 		if f != nil {
 			x.outcome.reason, x.outcome.endpoint = f.reason, f.endpoint
+			if f.kind.mayHaveArrived() {
+				x.attempts++
+			}
 			if x.prepareRetry(ctx, f) {
 				continue
 			}
@@ -421,9 +424,6 @@
 		x.unsent++
 		return x.unsent <= maxUnsent
 	}
-	if f.kind == notRun {
-		x.attempts++
-	}
 	if x.attempts >= x.route.MaxAttempts {
 		return false
 	}
