Pass on no promise that a request has not run which its endpoint does not make

Callers got an endpoint's 503, 429 or 408 as it came, though only the mark of a request that has not run makes such a status a promise. Without the mark the endpoint may have run the request, and a caller who is told "not run" sends a non-idempotent one again.

Cause: classifyAnswer looked at the mark and the signature, not at what the status alone says to callers. Now a status that promises "not run" without the mark is a bad answer: idempotent requests are tried at another endpoint, and the caller gets 502 if that fails too. The endpoint's 500 and 504 are passed on as before, since they promise nothing.

Ruled out: a refused resume (503 without mark) ended as a cut stream before and after. 421 always means not run.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -140,6 +140,8 @@
 	switch {
 	case head.NotRun:
 		return notRun, "endpoint declined with " + http.StatusText(status)
+	case promisesNotRun(status):
+		return badAnswer, "endpoint answered with " + http.StatusText(status) + " but does not state that the request has not run"
 	case status < http.StatusMultipleChoices && !head.Signed:
 		return badAnswer, "success without the endpoint's signature"
 	case h.Get("Content-Encoding") != "":
@@ -148,6 +150,16 @@
 	return "", ""
 }
 
+// promisesNotRun reports whether a status promises a caller that its request has not run and never will. An endpoint makes that promise
+// only with AnswerHead.NotRun, so its status alone must not be passed on.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // healthResultOf returns what an answer shows about the health of its endpoint.
 func healthResultOf(status int, head AnswerHead) healthResult {
 	switch {
