Keep a stream whose resume was not sent from ending as not run

A stream that broke after tokens had been sent, and whose resume at the same endpoint could not be sent, ended with execution "not run" though the engine had run it and the caller had read part of it. The request was not cancelled at the engine either, which went on to generate.

Cause: runAttempt and cancelAt ask whether the error is an *unsentError, and streamAt returned that of the resume for the whole stream. It happens when the connection of the resume cannot be opened, and, found on the way, when BeforeSend refuses the resume because a key or a charge has lapsed.

Now the error of a resume keeps its cause and whether it is final, but is no *unsentError. Ruled out: a resume that the endpoint refuses (statusError) already kept the error of the broken stream.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -221,6 +221,49 @@
 	}
 }
 
+// Guards against a stream that is reported as not run, and that goes on at its engine, because it broke and its resume could not be sent.
+func TestUnsentResumeIsNotAnUnsentStream(t *testing.T) {
+	lapsed := &Error{Status: http.StatusServiceUnavailable, Code: "lapsed", Message: "lapsed", Execution: operations.NotRun}
+	for _, want := range []struct {
+		fault string
+		code  string
+	}{{"no connection", CodeEndpointError}, {"may not be sent any more", lapsed.Code}} {
+		var cut, refused atomic.Bool
+		f := newTestFleet(t, 1, 0, standin.EngineOptions{TokenInterval: 5 * time.Millisecond}, func(o *Options) {
+			o.MaxAttempts = 1
+			o.PollInterval = time.Hour // the next connection is that of the resume
+			o.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				if cut.CompareAndSwap(true, false) {
+					return nil, errors.New("no route")
+				}
+				return (&net.Dialer{}).DialContext(ctx, network, addr)
+			}
+		})
+		f.engines[0].SetFaults(standin.EngineFaults{Streams: []standin.StreamFault{{Kind: standin.StreamBreak, AfterTokens: 3}}})
+		c := call(1000)
+		c.BeforeSend = func() error {
+			if refused.Load() {
+				return lapsed
+			}
+			return nil
+		}
+		text, err := f.stream(context.Background(), c, func(int) {
+			cut.Store(want.code == CodeEndpointError)
+			refused.Store(want.code == lapsed.Code)
+		})
+		var e *Error
+		if !errors.As(err, &e) || e.Code != want.code || e.Execution != operations.Unknown || text == "" {
+			t.Errorf("%s: text %q, %+v, want execution %s", want.fault, text, err, operations.Unknown)
+		}
+		for deadline := time.Now().Add(2 * time.Second); f.engines[0].Counts().Cancelled == 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Errorf("%s: the stream is not cancelled at its engine", want.fault)
+				break
+			}
+		}
+	}
+}
+
 // Guards against a stream that is joined from different texts of two attempts, which no endpoint has generated.
 func TestDivergingRetryFails(t *testing.T) {
 	var n atomic.Int64
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -287,7 +287,7 @@
 		if resumeErr == nil {
 			return nil
 		}
-		err = resumeErr
+		err = resumeFailure(resumeErr)
 	}
 	if err != nil {
 		d.cancelAt(e, id, err)
@@ -295,6 +295,21 @@
 	return err
 }
 
+// resumeFailure returns the error of a stream whose resume failed with err. It is no *unsentError even if the resume was not sent, since
+// the request itself was.
+func resumeFailure(err error) error {
+	var unsent *unsentError
+	if !errors.As(err, &unsent) {
+		return err
+	}
+	cause := errors.Wrap(unsent.cause, "the stream could not be resumed")
+	var final *finalError
+	if errors.As(err, &final) {
+		return &finalError{cause}
+	}
+	return cause
+}
+
 // resumeTimeout limits the wait for the first event of a resumed stream. It is short since a resumed stream needs no prefill.
 const resumeTimeout = 2 * time.Second
 
