Let the reported prefill tokens of other instances expire

Without load published by the peers, an endpoint's report gives the load of the other instances. After 5 s without a report their requests counted as 0, but their prompt tokens waiting for prefill counted on until the next report, so new requests avoided an endpoint for load that had long been processed.

Cause: peerLoadAt asked for the age of the report only for the requests. Both now come from reportedPeerLoad, which checks the age once.

Before (TestReportedPeerLoadExpires): after the age limit: {requests:0 prefill:1000} After: the test passes, and all of dispatch with -race.

--- a/internal/dispatch/peerload.go
+++ b/internal/dispatch/peerload.go
@@ -255,7 +255,7 @@
 	if load, ok := d.publishedPeerLoad(e.config.Name, now); ok {
 		return load
 	}
-	return ownLoad{requests: e.state.reportedPeerRequests(now), prefill: e.state.peerPrefill}
+	return e.state.reportedPeerLoad(now)
 }
 
 // publishedPeerLoad returns the sum of the peers' published loads at an endpoint. It returns false if there are no peers, too many, or one
--- a/internal/dispatch/peerload_test.go
+++ b/internal/dispatch/peerload_test.go
@@ -154,3 +154,16 @@
 		t.Errorf("an engine that missed a poll is polled again after %v, want %v", got, base)
 	}
 }
+
+// Guards against prompt tokens from an outdated load report that keep requests away from an endpoint for good.
+func TestReportedPeerLoadExpires(t *testing.T) {
+	d := &Dispatcher{}
+	e := &endpoint{state: endpointState{reported: true, peerRequests: 2, peerPrefill: 1000}}
+	want := ownLoad{requests: 2, prefill: 1000}
+	if got := d.peerLoadAt(e, e.state.reportedAt.Add(maxReportAge)); got != want {
+		t.Errorf("at the age limit: %+v, want %+v", got, want)
+	}
+	if got := d.peerLoadAt(e, e.state.reportedAt.Add(maxReportAge+1)); got != (ownLoad{}) {
+		t.Errorf("after the age limit: %+v", got)
+	}
+}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -307,14 +307,15 @@
 	return c
 }
 
-// maxReportAge is the age up to which a load report is used for the number of other instances' requests.
+// maxReportAge is the age up to which a load report is used for the load of other instances.
 const maxReportAge = 5 * time.Second
 
-func (l *endpointState) reportedPeerRequests(now clock.Instant) int {
+// reportedPeerLoad returns the load of other instances from the last load report, which is 0 if that is too old.
+func (l *endpointState) reportedPeerLoad(now clock.Instant) ownLoad {
 	if !l.reported || now.Sub(l.reportedAt) > maxReportAge {
-		return 0
+		return ownLoad{}
 	}
-	return l.peerRequests
+	return ownLoad{requests: l.peerRequests, prefill: l.peerPrefill}
 }
 
 // release returns a slot and grants free slots to waiting requests.
