Drop the mark of a peer that has left for a full load message

An idle instance sent its remaining peers an empty message in every period, 24 a second instead of 2, once a peer had left whose last message had failed or been skipped. It is traffic within the limit for control messages, and each message makes the peers look through all pools.

Cause: publishLoad sends if any name is marked, and took the mark away only when it sent to that name. Marks of names that are no peers are now dropped before that.

--- a/internal/dispatch/peerload.go
+++ b/internal/dispatch/peerload.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -86,6 +88,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.peerLoads.peers = peers
+	maps.DeleteFunc(d.peerLoads.needsFull, func(name string, _ bool) bool { return !slices.Contains(peers, name) })
 	if len(peers) == 0 || len(peers) > maxSharingPeers {
 		return
 	}
--- a/internal/dispatch/peerload_test.go
+++ b/internal/dispatch/peerload_test.go
@@ -167,3 +167,22 @@
 		t.Errorf("after the age limit: %+v", got)
 	}
 }
+
+// Guards against empty messages to the remaining peers because a peer has left whose last message had failed.
+func TestLeftPeerIsNotOwedALoadMessage(t *testing.T) {
+	_, _, _, d := newPair(t)
+	sequence := func() uint64 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.peerLoads.sequence
+	}
+	waitFor(t, "the load is published", 2*fullLoadPeriod, func() bool { return sequence() > 0 })
+	d.mu.Lock()
+	d.peerLoads.needsFull["left"] = true
+	d.mu.Unlock()
+	before, period := sequence(), 2*fullLoadPeriod
+	time.Sleep(period)
+	if sent, limit := sequence()-before, uint64(period/fullLoadPeriod)+1; sent > limit {
+		t.Errorf("%d messages to the remaining peer of an idle instance in %v, want at most %d", sent, period, limit)
+	}
+}
