Revoke an unused issuer's lease also after its context has ended

If the context of an acquisition ended, for example because a write of the store was not answered in 2 s, the granted lease was not revoked: the call used the same context. If the write had taken effect, no instance of the region could issue orders until the lease expired after 15 s.

Now the revocation has a time of its own, at most storeTimeout. A lease whose grant was not answered still has to expire, since its id is not known.

--- a/internal/orderer/lease.go
+++ b/internal/orderer/lease.go
@@ -82,7 +82,7 @@
 	absent := platform.IfAbsent
 	revision, err := s.opts.Store.Put(ctx, s.issuerKey(), []byte(s.opts.Instance), platform.PutOptions{IfRevision: &absent, Lease: id})
 	if err != nil {
-		return errors.CombineErrors(err, s.opts.Store.Revoke(ctx, id))
+		return errors.CombineErrors(err, s.revokeUnused(ctx, id))
 	}
 	l := &lease{
 		id:      id,
@@ -91,13 +91,20 @@
 		renewAt: requestedAt.Add(renewEvery),
 	}
 	if err := s.takeOver(ctx, l); err != nil {
-		return errors.CombineErrors(err, s.opts.Store.Revoke(ctx, id))
+		return errors.CombineErrors(err, s.revokeUnused(ctx, id))
 	}
 	s.lease = l
 	s.opts.Log.Info("instance has acquired the issuer's lease and now issues the orders of its region", zap.String("region", s.opts.Region), zap.Int64("fencing", revision))
 	return nil
 }
 
+// revokeUnused revokes a lease whose acquisition failed, also if ctx has ended: that may be why it failed.
+func (s *Service) revokeUnused(ctx context.Context, id platform.LeaseID) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
+	defer cancel()
+	return s.opts.Store.Revoke(ctx, id)
+}
+
 // takeOver reads the predecessor's record and replaces it by one of this instance, before the first order.
 func (s *Service) takeOver(ctx context.Context, l *lease) error {
 	entry, err := s.opts.Store.Get(ctx, s.recordKey())
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -13,6 +14,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/config"
 	"dogwoodknot.example/dogwoodknot/internal/configsync"
 	"dogwoodknot.example/dogwoodknot/internal/core/orders"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
 	"dogwoodknot.example/dogwoodknot/internal/platform/memory"
 	"dogwoodknot.example/dogwoodknot/internal/standin"
 )
@@ -180,6 +182,53 @@
 	}
 }
 
+// stalledStore is a store whose first write of a key is not answered until its context ends. It counts the leases that exist.
+type stalledStore struct {
+	platform.Store
+	writing chan struct{} // closed when the write has begun
+	leases  int
+}
+
+func (s *stalledStore) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	id, err := s.Store.Grant(ctx, ttl)
+	if err == nil {
+		s.leases++
+	}
+	return id, err
+}
+
+func (s *stalledStore) Put(ctx context.Context, _ string, _ []byte, _ platform.PutOptions) (int64, error) {
+	close(s.writing)
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+func (s *stalledStore) Revoke(ctx context.Context, id platform.LeaseID) error {
+	err := s.Store.Revoke(ctx, id)
+	if err == nil {
+		s.leases--
+	}
+	return err
+}
+
+// Guards against a lease that nobody uses but that keeps all instances from issuing orders until it expires, because its acquisition
+// failed when its context ended.
+func TestUnusedLeaseIsRevoked(t *testing.T) {
+	source, _ := startFleet(t, 0, false, "1")
+	memoryStore := memory.NewStore(memory.StoreOptions{Clock: clock.Boot{}})
+	s := newService(t, memoryStore, source, "lima-1", 1)
+	store := &stalledStore{Store: memoryStore, writing: make(chan struct{})}
+	s.opts.Store = store
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-store.writing
+		cancel()
+	}()
+	if err := s.acquire(ctx); !errors.Is(err, context.Canceled) || store.leases != 0 {
+		t.Errorf("%d leases are left: %v", store.leases, err)
+	}
+}
+
 // Guards against attempts to acquire the lease that grow with the number of candidates, and against an expired lease that no candidate
 // tries to acquire.
 func TestFewCandidatesTryPerRound(t *testing.T) {
