Report the current term while generations cannot be reserved

The operator's view of a region's orders kept the fencing number and the blocked changes of an earlier term, or named no issuer, as long as the issuer could not reserve generations in the store.

Cause: round returned before it set the status. It now sets the term, without blocked changes: no change has been considered in such a round.

Before, in 3 of 3 runs of TestStatusWithoutReservedGenerations: status {Issuer:true Fencing:0 Blocked:[{Endpoint: Model: Reason:}]} of the issuer with fencing number 1 After: orderer passes in 2 of 2 runs with -race.

--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -229,6 +229,30 @@
 	}
 }
 
+// rejectingStore is a store that rejects all writes of keys.
+type rejectingStore struct{ platform.Store }
+
+func (rejectingStore) Put(context.Context, string, []byte, platform.PutOptions) (int64, error) {
+	return 0, platform.ErrUnavailable
+}
+
+// Guards against a status from an earlier term, in which other changes were blocked or this instance was not the issuer, while the
+// generations for new orders cannot be reserved.
+func TestStatusWithoutReservedGenerations(t *testing.T) {
+	source, _ := startFleet(t, 0, false, "1")
+	s := newService(t, memory.NewStore(memory.StoreOptions{Clock: clock.Boot{}}), source, "lima-1", 1)
+	if !s.ensureLease(t.Context()) {
+		t.Fatal("instance did not become the issuer")
+	}
+	s.setStatus(Status{Issuer: true, Fencing: s.lease.fencing - 1, Blocked: make([]orders.Blocked, 1)})
+	s.opts.Store = rejectingStore{s.opts.Store}
+	s.lease.reservedGeneration = s.issuer.Generation() - 1
+	s.round(t.Context())
+	if got := s.Status(); !got.Issuer || got.Fencing != s.lease.fencing || len(got.Blocked) != 0 {
+		t.Errorf("status %+v of the issuer with fencing number %d", got, s.lease.fencing)
+	}
+}
+
 // Guards against attempts to acquire the lease that grow with the number of candidates, and against an expired lease that no candidate
 // tries to acquire.
 func TestFewCandidatesTryPerRound(t *testing.T) {
--- a/internal/orderer/service.go
+++ b/internal/orderer/service.go
@@ -105,6 +105,7 @@
 	s.readStates(ctx, s.dueReads(endpoints))
 	if err := s.reserveGenerations(ctx); err != nil {
 		s.opts.Log.Warn("generations could not be reserved in the store; orders wait until the next round", zap.Error(err))
+		s.setStatus(Status{Issuer: true, Fencing: s.lease.fencing}) // no change was considered, so none is known to be blocked
 		return
 	}
 	out, blocked := s.issuer.Next(s.opts.Clock.Now())
