Log the silence of a new instance from when it was listed

The log lines "instance heard" and "instance lapsed" gave the time since the start of the clock as the silence of an instance that had not been received from before, which looks like a long cut in an incident.

Cause: the time was computed from a zero lastReceived. It is now counted from when the instance became a member.

--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -75,6 +75,14 @@
 	notParentUntil clock.Instant // until when it is not chosen as parent or root
 }
 
+// silenceAt returns the time from the last message of a member until now; from when it became one if there was no message yet.
+func (m *member) silenceAt(now clock.Instant) time.Duration {
+	if m.lastReceived == 0 {
+		return max(now.Sub(m.joined), 0) // another instance may have received the message before
+	}
+	return now.Sub(m.lastReceived)
+}
+
 // fleet is this instance's view of the other instances.
 type fleet struct {
 	options *Options
@@ -184,7 +192,7 @@
 		return false
 	}
 	m.listed = false
-	f.log.Info("instance lapsed", zap.String("peer", name), zap.Duration("heard_ago", f.options.Clock.Now().Sub(m.lastReceived)))
+	f.log.Info("instance lapsed", zap.String("peer", name), zap.Duration("heard_ago", m.silenceAt(f.options.Clock.Now())))
 	return true
 }
 
@@ -237,7 +245,7 @@
 		if m == nil || m.Incarnation != s.Incarnation || s.ReceivedAt < m.lastReceived {
 			continue
 		}
-		if gap := s.ReceivedAt.Sub(m.lastReceived); m.lastReceived == 0 || gap > unresponsiveAfter {
+		if gap := m.silenceAt(s.ReceivedAt); m.lastReceived == 0 || gap > unresponsiveAfter {
 			f.log.Info("instance heard", zap.String("peer", m.name), zap.Duration("silence", gap))
 		}
 		if s.Leaving && !m.leaving {
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/fleetview"
@@ -62,6 +63,36 @@
 	return m != nil && m.lastReceived == now
 }
 
+// Guards against log lines that give the time since the start of the clock as the silence of an instance that was never received from.
+func TestLoggedSilenceOfNewInstances(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	clk := &clock.Manual{}
+	clk.Advance(time.Hour)
+	f := &testFleet{fleet: newFleet(&Options{Self: peer.Identity{Instance: "self", Region: "south"}, Clock: clk, Log: zap.New(core)}), clk: clk, t: t}
+	f.onChange = func() {}
+	logged := func(message, field string) any {
+		entries := logs.FilterMessage(message).All()
+		return entries[len(entries)-1].ContextMap()[field]
+	}
+	f.list("n", "north")
+	clk.Advance(2 * time.Second)
+	f.receive("n")
+	if got := logged("instance heard", "silence"); got != 2*time.Second {
+		t.Errorf("silence of an instance that was listed 2 s ago: %v", got)
+	}
+	clk.Advance(3 * time.Second)
+	f.expire("n")
+	if got := logged("instance lapsed", "heard_ago"); got != 3*time.Second {
+		t.Errorf("an instance received from 3 s ago lapses %v after that", got)
+	}
+	f.list("m", "north")
+	clk.Advance(4 * time.Second)
+	f.expire("m")
+	if got := logged("instance lapsed", "heard_ago"); got != 4*time.Second {
+		t.Errorf("an instance that was listed 4 s ago and never received from lapses %v after that", got)
+	}
+}
+
 // Guards against requests that are rejected for a second after a restart of the whole fleet, because no message of another
 // region has been received yet (found in an incident of veletas: 129 rejections in the first 1.5 s).
 func TestListedRegionsTakeRequestsBeforeTheyAreHeard(t *testing.T) {
