Log that the store cannot be read through another instance

An instance that could reach neither the store nor an instance to read it through logged only the error of the store. The line for a read through another instance was written after one had been chosen.

Now the missing instance is logged at the same level.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -178,6 +178,7 @@
 func (f *relayedFeed) readThroughPeer(through func(name string) error) error {
 	name, ok := f.edge.fleet.storeReader()
 	if !ok {
+		f.edge.log.Debug("store cannot be read through another instance, since none is responsive", zap.String("prefix", f.prefix))
 		return errors.Mark(errors.New("no other instance is responsive"), platform.ErrUnavailable)
 	}
 	err := through(name)
