Remove fields that are written but never read

member.answered and member.answer in core/membership, and Ledger.complete in core/ratelimit. staticcheck is clean, and both packages pass with -race.

--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -174,10 +174,8 @@
 	// Probes by this instance.
 	role         role
 	nextProbe    clock.Instant
-	inFlight     bool // a probe has not been answered yet
-	failures     int  // consecutive failed probes
-	answered     bool // answer is set
-	answer       clock.Instant
+	inFlight     bool             // a probe has not been answered yet
+	failures     int              // consecutive failed probes
 	nextIndirect clock.Instant    // earliest time of the next indirect probe
 	pending      *pendingIndirect // nil if none is under way
 	unreachable  bool             // by this instance; others may reach it, or none could be asked
--- a/internal/core/membership/probe.go
+++ b/internal/core/membership/probe.go
@@ -108,7 +108,6 @@
 	m.failures = 0
 	m.pending = nil
 	c.setUnreachable(m, false)
-	m.answered, m.answer = true, now
 	m.lastContact, m.hasContact = now, true
 	var reports []Report
 	if answer.Leaving && !m.leaving {
--- a/internal/core/ratelimit/ledger.go
+++ b/internal/core/ratelimit/ledger.go
@@ -53,14 +53,12 @@
 
 // Ledger holds the slots, accounts and loans of one holder. It is not safe for concurrent use.
 type Ledger struct {
-	opts     Options
-	disabled disabledRules
-	slots    map[Slot]slotState
-	accounts map[string]*account
-	charges  map[uint64]charge
-	history  []appliedConfiguration // oldest first; the last one is in force
-	// complete reports that history starts with the holder's first configuration.
-	complete   bool
+	opts       Options
+	disabled   disabledRules
+	slots      map[Slot]slotState
+	accounts   map[string]*account
+	charges    map[uint64]charge
+	history    []appliedConfiguration // oldest first; the last one is in force
 	nextLoan   uint64
 	nextCharge uint64
 }
@@ -101,7 +99,6 @@
 		slots:    map[Slot]slotState{},
 		accounts: map[string]*account{},
 		charges:  map[uint64]charge{},
-		complete: true,
 		nextLoan: opts.FirstLoanID,
 	}
 }
@@ -132,7 +129,6 @@
 	l.history = append(l.history, appliedConfiguration{now, conf})
 	if len(l.history) > historyLimit {
 		l.history = append([]appliedConfiguration(nil), l.history[1:]...)
-		l.complete = false
 	}
 	sameRegions := len(l.history) > 1 && slices.Equal(l.history[len(l.history)-2].conf.Regions(), conf.Regions())
 	for name, a := range l.accounts {
