--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -26,6 +26,30 @@
 		Original: "if f.kind.mayHaveRun() && !x.route.Retryable() {", Replacement: "if false {",
 		Package: "./platform", Run: "^TestNonIdempotentRequestsRunOnce$",
 	},
+	{
+		Condition: 9, Mechanism: "edge: a status that promises not run is passed on only if its endpoint states it",
+		File:     "internal/edge/attempt.go",
+		Original: "case promisesNotRun(status):", Replacement: "case promisesNotRun(status) && head.NotRun:",
+		Package: "./platform", Run: "^TestAttemptsThatMayHaveRunAreCounted$",
+	},
+	{
+		Condition: 9, Mechanism: "a resume that was not sent does not make its stream one that was not sent",
+		File:     "internal/dispatch/model.go",
+		Original: "err = resumeFailure(resumeErr)", Replacement: "err = resumeErr",
+		Package: "./internal/dispatch", Run: "^TestUnsentResumeIsNotAnUnsentStream$",
+	},
+	{
+		Condition: 10, Mechanism: "edge: an attempt that may have run counts toward max_attempts",
+		File:     "internal/edge/attempt.go",
+		Original: "return k == notRun || k.mayHaveRun()", Replacement: "return k == notRun",
+		Package: "./platform", Run: "^TestAttemptsThatMayHaveRunAreCounted$",
+	},
+	{
+		Condition: 10, Mechanism: "edge: a declined attempt counts toward max_attempts",
+		File:     "internal/edge/attempt.go",
+		Original: "return k == notRun || k.mayHaveRun()", Replacement: "return k.mayHaveRun()",
+		Package: "./platform", Run: "^TestAttemptsThatMayHaveRunAreCounted$",
+	},
 	{
 		Condition: 12, Mechanism: "edge: a stopping instance refuses what may outlast it",
 		File:     "internal/edge/exchange.go",
