--- a/internal/dispatch/peerload.go
+++ b/internal/dispatch/peerload.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -86,6 +88,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.peerLoads.peers = peers
+	maps.DeleteFunc(d.peerLoads.needsFull, func(name string, _ bool) bool { return !slices.Contains(peers, name) })
 	if len(peers) == 0 || len(peers) > maxSharingPeers {
 		return
 	}
@@ -255,7 +258,7 @@
 	if load, ok := d.publishedPeerLoad(e.config.Name, now); ok {
 		return load
 	}
-	return ownLoad{requests: e.state.reportedPeerRequests(now), prefill: e.state.peerPrefill}
+	return e.state.reportedPeerLoad(now)
 }
 
 // publishedPeerLoad returns the sum of the peers' published loads at an endpoint. It returns false if there are no peers, too many, or one
