--- a/internal/dispatch/peerload_test.go
+++ b/internal/dispatch/peerload_test.go
@@ -154,3 +154,35 @@
 		t.Errorf("an engine that missed a poll is polled again after %v, want %v", got, base)
 	}
 }
+
+// Guards against prompt tokens from an outdated load report that keep requests away from an endpoint for good.
+func TestReportedPeerLoadExpires(t *testing.T) {
+	d := &Dispatcher{}
+	e := &endpoint{state: endpointState{reported: true, peerRequests: 2, peerPrefill: 1000}}
+	want := ownLoad{requests: 2, prefill: 1000}
+	if got := d.peerLoadAt(e, e.state.reportedAt.Add(maxReportAge)); got != want {
+		t.Errorf("at the age limit: %+v, want %+v", got, want)
+	}
+	if got := d.peerLoadAt(e, e.state.reportedAt.Add(maxReportAge+1)); got != (ownLoad{}) {
+		t.Errorf("after the age limit: %+v", got)
+	}
+}
+
+// Guards against empty messages to the remaining peers because a peer has left whose last message had failed.
+func TestLeftPeerIsNotOwedALoadMessage(t *testing.T) {
+	_, _, _, d := newPair(t)
+	sequence := func() uint64 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.peerLoads.sequence
+	}
+	waitFor(t, "the load is published", 2*fullLoadPeriod, func() bool { return sequence() > 0 })
+	d.mu.Lock()
+	d.peerLoads.needsFull["left"] = true
+	d.mu.Unlock()
+	before, period := sequence(), 2*fullLoadPeriod
+	time.Sleep(period)
+	if sent, limit := sequence()-before, uint64(period/fullLoadPeriod)+1; sent > limit {
+		t.Errorf("%d messages to the remaining peer of an idle instance in %v, want at most %d", sent, period, limit)
+	}
+}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -67,6 +67,9 @@
 	return k != notPlaced && k != notSent && k != notRun && k != blocked
 }
 
+// mayHaveArrived reports whether the request may have arrived at an endpoint, which may have declined it.
+func (k failureKind) mayHaveArrived() bool { return k == notRun || k.mayHaveRun() }
+
 // failure describes an attempt without an answer.
 type failure struct {
 	kind       failureKind
@@ -132,6 +135,9 @@
 	}
 	head := e.options.Dialect.ParseAnswer(resp.Status, resp.Header)
 	e.observeLimit(a.id, chosen.Incarnation, resp.Status, head, sentAt)
+	if resp.Status == http.StatusMisdirectedRequest {
+		e.state.recordMisdirected(chosen.Incarnation, chosen.Addr)
+	}
 	if head.ColdFor > 0 {
 		e.pools.recordCold(endpoint, head.ColdFor)
 	}
@@ -153,6 +159,8 @@
 	switch {
 	case head.NotRun:
 		return notRun, "endpoint declined with " + http.StatusText(status)
+	case promisesNotRun(status):
+		return badAnswer, "endpoint answered with " + http.StatusText(status) + " but does not state that the request has not run"
 	case status < http.StatusMultipleChoices && !head.Signed:
 		return badAnswer, "success without the endpoint's signature"
 	case h.Get("Content-Encoding") != "":
@@ -161,6 +169,16 @@
 	return "", ""
 }
 
+// promisesNotRun reports whether a status promises a caller that its request has not run and never will. An endpoint makes that promise
+// only with AnswerHead.NotRun, so its status alone must not be passed on.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // healthResultOf returns what an answer shows about the health of its endpoint.
 func healthResultOf(status int, head AnswerHead) healthResult {
 	switch {
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -51,7 +51,7 @@
 	deadline     clock.Instant // when the caller must have its final answer
 
 	attempt     attempt
-	attempts    int // endpoints that the request has reached
+	attempts    int // endpoints that the request has reached or may have reached
 	unsent      int
 	mayHaveRun  bool            // an attempt may have run the request
 	failed      *failedAnswer   // an endpoint's error answer, written to the caller unless a retry succeeds
@@ -59,6 +59,8 @@
 	wroteHead   bool
 	keep        func() bool // once the answer has begun, Edge.EndUnanswered does not end the request
 	lastEventID string
+	eventStep   int64 // largest difference between the ids of successive events
+	unnumbered  bool  // an event without id was written
 	events      int
 
 	outcome outcome
@@ -295,6 +297,9 @@
 		r, f := x.makeAttempt(ctx)
 		if f != nil {
 			x.outcome.reason, x.outcome.endpoint = f.reason, f.endpoint
+			if f.kind.mayHaveArrived() {
+				x.attempts++
+			}
 			if x.prepareRetry(ctx, f) {
 				continue
 			}
@@ -447,10 +452,7 @@
 		x.unsent++
 		return x.unsent <= maxUnsent
 	}
-	if f.kind == notRun {
-		x.attempts++
-	}
-	if x.attempts >= x.route.MaxAttempts {
+	if x.attempts >= x.route.MaxAttempts || !x.canResume() {
 		return false
 	}
 	if f.kind.mayHaveRun() && !x.route.Retryable() {
@@ -461,12 +463,13 @@
 
 // answerFailure answers a request after its last attempt has failed.
 func (x *exchange) answerFailure(ctx context.Context, f *failure) {
-	if x.r.Context().Err() != nil {
+	callerLeft := x.r.Context().Err() != nil
+	if callerLeft {
 		x.outcome.reason = "caller has left"
-		return
 	}
-	if x.wroteHead {
-		// The answer has begun and cannot be completed. Only closing the connection shows that to the caller.
+	if x.wroteHead || callerLeft {
+		// An answer that has begun cannot be completed, and only closing the connection shows that. A caller may have closed only its
+		// own direction; returning would send it the end of the stream, or an empty answer with status 200.
 		panic(http.ErrAbortHandler)
 	}
 	if x.failed != nil {
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -75,6 +75,14 @@
 	notParentUntil clock.Instant // until when it is not chosen as parent or root
 }
 
+// silenceAt returns the time from the last message of a member until now; from when it became one if there was no message yet.
+func (m *member) silenceAt(now clock.Instant) time.Duration {
+	if m.lastReceived == 0 {
+		return max(now.Sub(m.joined), 0) // another instance may have received the message before
+	}
+	return now.Sub(m.lastReceived)
+}
+
 // fleet is this instance's view of the other instances.
 type fleet struct {
 	options *Options
@@ -87,7 +95,8 @@
 	read     bool                      // the announcements have been read at least once
 	// selfListed says that this instance's own announcement is in the store.
 	selfListed bool
-	onChange   func() // called without the lock after the set of members has changed
+	invalid    entryErrors // by name
+	onChange   func()      // called without the lock after the set of members has changed
 }
 
 // regionServices is the load of a remote region's services.
@@ -97,7 +106,7 @@
 }
 
 func newFleet(o *Options) *fleet {
-	return &fleet{options: o, log: o.Log, members: make(map[string]*member), services: make(map[string]regionServices)}
+	return &fleet{options: o, log: o.Log, members: make(map[string]*member), invalid: make(entryErrors), services: make(map[string]regionServices)}
 }
 
 // apply applies changes of the instances' keys in the store.
@@ -116,6 +125,7 @@
 			continue
 		}
 		if c.Deleted {
+			delete(f.invalid, name)
 			changed = f.expireAnnouncement(name) || changed
 			continue
 		}
@@ -127,6 +137,7 @@
 				changed = f.expireAnnouncement(name) || changed
 			}
 		}
+		f.invalid.retain(present)
 		changed = f.setSelfListed(f.selfListed && present[f.options.Self.Instance]) || !f.read || changed
 		f.read = true
 	}
@@ -141,10 +152,12 @@
 
 // applyAnnouncement applies the announcement of an instance and reports whether the members have changed.
 func (f *fleet) applyAnnouncement(name string, value []byte) bool {
-	var a announcement
-	if err := json.Unmarshal(value, &a); err != nil || a.PeerAddr == "" || a.Incarnation == 0 {
-		f.log.Warn("announcement of an instance is not valid; ignoring it", zap.String("peer", name), zap.Error(err))
-		return false
+	a, err := decodeAnnouncement(value, f.options.Regions)
+	if text, changed := f.invalid.record(name, err); changed {
+		f.log.Warn("announcement of an instance is not valid; ignoring it", zap.String("peer", name), zap.String("error", text))
+	}
+	if err != nil {
+		return f.expireAnnouncement(name)
 	}
 	m := f.members[name]
 	if m != nil && m.listed && m.Incarnation == a.Incarnation {
@@ -184,7 +197,7 @@
 		return false
 	}
 	m.listed = false
-	f.log.Info("instance lapsed", zap.String("peer", name), zap.Duration("heard_ago", f.options.Clock.Now().Sub(m.lastReceived)))
+	f.log.Info("instance lapsed", zap.String("peer", name), zap.Duration("heard_ago", m.silenceAt(f.options.Clock.Now())))
 	return true
 }
 
@@ -237,7 +250,7 @@
 		if m == nil || m.Incarnation != s.Incarnation || s.ReceivedAt < m.lastReceived {
 			continue
 		}
-		if gap := s.ReceivedAt.Sub(m.lastReceived); m.lastReceived == 0 || gap > unresponsiveAfter {
+		if gap := m.silenceAt(s.ReceivedAt); m.lastReceived == 0 || gap > unresponsiveAfter {
 			f.log.Info("instance heard", zap.String("peer", m.name), zap.Duration("silence", gap))
 		}
 		if s.Leaving && !m.leaving {
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -3,10 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
+	"net/netip"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/fleetview"
@@ -36,9 +39,17 @@
 	return &testFleet{fleet: f, clk: clk, t: t}
 }
 
+// callerAddr returns an address that differs for each name.
+func callerAddr(name string) string {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	sum := h.Sum64()
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(sum >> 16), byte(sum >> 8), byte(sum)}), 80).String()
+}
+
 func encodeAnnouncement(t *testing.T, name, region string, incarnation uint64) []byte {
 	t.Helper()
-	value, err := json.Marshal(announcement{Incarnation: incarnation, Region: region, CallerAddr: name, PeerAddr: "p"})
+	value, err := json.Marshal(announcement{Incarnation: incarnation, Region: region, CallerAddr: callerAddr(name), PeerAddr: "10.0.0.1:1"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -62,6 +73,36 @@
 	return m != nil && m.lastReceived == now
 }
 
+// Guards against log lines that give the time since the start of the clock as the silence of an instance that was never received from.
+func TestLoggedSilenceOfNewInstances(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	clk := &clock.Manual{}
+	clk.Advance(time.Hour)
+	f := &testFleet{fleet: newFleet(&Options{Self: peer.Identity{Instance: "self", Region: "south"}, Clock: clk, Log: zap.New(core)}), clk: clk, t: t}
+	f.onChange = func() {}
+	logged := func(message, field string) any {
+		entries := logs.FilterMessage(message).All()
+		return entries[len(entries)-1].ContextMap()[field]
+	}
+	f.list("n", "north")
+	clk.Advance(2 * time.Second)
+	f.receive("n")
+	if got := logged("instance heard", "silence"); got != 2*time.Second {
+		t.Errorf("silence of an instance that was listed 2 s ago: %v", got)
+	}
+	clk.Advance(3 * time.Second)
+	f.expire("n")
+	if got := logged("instance lapsed", "heard_ago"); got != 3*time.Second {
+		t.Errorf("an instance received from 3 s ago lapses %v after that", got)
+	}
+	f.list("m", "north")
+	clk.Advance(4 * time.Second)
+	f.expire("m")
+	if got := logged("instance lapsed", "heard_ago"); got != 4*time.Second {
+		t.Errorf("an instance that was listed 4 s ago and never received from lapses %v after that", got)
+	}
+}
+
 // Guards against requests that are rejected for a second after a restart of the whole fleet, because no message of another
 // region has been received yet (found in an incident of veletas: 129 rejections in the first 1.5 s).
 func TestListedRegionsTakeRequestsBeforeTheyAreHeard(t *testing.T) {
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -35,6 +35,9 @@
 	endpoints map[string]listedEndpoint // by id
 	evacuated map[string]bool           // data centres that take no requests
 	graceEnds clock.Instant             // for endpoints that disappeared during an outage
+	invalid   entryErrors               // by id of the endpoint
+
+	invalidDocuments entryErrors // configurations by source
 
 	// onChange is called, without the lock, after the configuration or the usable endpoints have changed.
 	onChange func()
@@ -51,10 +54,16 @@
 	catalog.Endpoint
 	revision int64
 	missing  bool // its entry has disappeared, but it is used until graceEnds
+	// elsewhereUntil is until when another endpoint is believed to have its address, because a request was declined as misdirected.
+	elsewhereUntil clock.Instant
 }
 
+// misdirectedFor is how long an endpoint that does not answer at its address gives way to others that are listed there.
+const misdirectedFor = 10 * time.Second
+
 func newState(o *Options) *state {
-	return &state{options: o, log: o.Log, endpoints: make(map[string]listedEndpoint), evacuated: make(map[string]bool)}
+	return &state{options: o, log: o.Log, endpoints: make(map[string]listedEndpoint), invalid: make(entryErrors), invalidDocuments: make(entryErrors),
+		evacuated: make(map[string]bool)}
 }
 
 // version returns the version of the configuration in force, 0 before the first.
@@ -69,9 +78,13 @@
 // remains in force.
 func (s *state) accept(document []byte, source string) {
 	next, err := s.options.Documents.DecodeConfiguration(document)
+	s.mu.Lock()
+	text, changed := s.invalidDocuments.record(source, err)
+	s.mu.Unlock()
+	if changed {
+		s.log.Error("configuration cannot be used", zap.String("source", source), zap.String("error", text), zap.Int64("in_force", s.version()))
+	}
 	if err != nil {
-		s.log.Error("configuration cannot be used", zap.String("source", source), zap.Error(err),
-			zap.Int64("in_force", s.version()))
 		return
 	}
 	s.mu.Lock()
@@ -170,12 +183,14 @@
 		}
 		present[id] = true
 		if c.Deleted {
+			delete(s.invalid, id)
 			changed = s.removeEntry(id, now) || changed
 			continue
 		}
 		changed = s.applyEntry(id, c, now) || changed
 	}
 	if u.Reset {
+		s.invalid.retain(present)
 		for id := range s.endpoints {
 			if !present[id] {
 				changed = s.removeEntry(id, now) || changed
@@ -196,11 +211,21 @@
 		return false
 	}
 	next, err := s.options.Documents.DecodeEndpoint(id, c.Value, now)
+	if text, changed := s.invalid.record(id, err); changed {
+		s.log.Warn("endpoint entry cannot be used", zap.String("endpoint", id), zap.String("error", text), zap.Int64("revision", c.Revision))
+	}
 	if err != nil {
-		s.log.Warn("endpoint entry cannot be used", zap.Error(err), zap.Int64("revision", c.Revision))
-		return s.removeEntry(id, now)
+		// Its own writer no longer vouches for it, so it is not used for a moment longer after an outage either.
+		if known {
+			s.forgetEndpoint(id)
+		}
+		return known
+	}
+	listed := listedEndpoint{Endpoint: next, revision: c.Revision}
+	if known && before.Incarnation == next.Incarnation && before.Addr == next.Addr {
+		listed.elsewhereUntil = before.elsewhereUntil
 	}
-	s.endpoints[id] = listedEndpoint{Endpoint: next, revision: c.Revision}
+	s.endpoints[id] = listed
 	same := known && !before.missing && equivalent(before.Endpoint, next)
 	if !known || !same {
 		s.log.Info("endpoint listed", zap.String("endpoint", id), zap.String("service", next.Service), zap.String("addr", next.Addr),
@@ -225,7 +250,10 @@
 	now := s.options.Clock.Now()
 	a, errA := s.options.Documents.DecodeEndpoint(id, before.Value, now)
 	b, errB := s.options.Documents.DecodeEndpoint(id, after.Value, now)
-	return errA == nil && errB == nil && equivalent(a, b)
+	if errA != nil || errB != nil {
+		return errA != nil && errB != nil // neither names an endpoint
+	}
+	return equivalent(a, b)
 }
 
 // removeEntry removes an endpoint whose entry is gone, and reports whether that changes where requests may go. Right after an
@@ -242,20 +270,24 @@
 		time.AfterFunc(s.graceEnds.Sub(now), s.endGrace)
 		return false
 	}
-	delete(s.endpoints, id)
-	s.log.Info("endpoint gone", zap.String("endpoint", id), zap.String("service", e.Service))
+	s.forgetEndpoint(id)
 	return true
 }
 
+// forgetEndpoint removes an endpoint that is known. The caller holds mu.
+func (s *state) forgetEndpoint(id string) {
+	s.log.Info("endpoint gone", zap.String("endpoint", id), zap.String("service", s.endpoints[id].Service))
+	delete(s.endpoints, id)
+}
+
 // endGrace removes the endpoints that were not listed again after an outage.
 func (s *state) endGrace() {
 	s.mu.Lock()
 	changed := false
 	for id, e := range s.endpoints {
 		if e.missing {
-			delete(s.endpoints, id)
+			s.forgetEndpoint(id)
 			changed = true
-			s.log.Info("endpoint gone", zap.String("endpoint", id), zap.String("service", e.Service))
 		}
 	}
 	s.mu.Unlock()
@@ -268,10 +300,7 @@
 func (s *state) usable(region string) map[string][]catalog.Endpoint {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	newest := make(map[string]int64, len(s.endpoints)) // by address: the start of the latest endpoint there
-	for _, e := range s.endpoints {
-		newest[e.Addr] = max(newest[e.Addr], e.StartedAtMillis)
-	}
+	newest := s.newestByAddr()
 	out := make(map[string][]catalog.Endpoint)
 	for _, e := range s.endpoints {
 		// The entry of a crashed endpoint remains for seconds, even if another one has taken over its address.
@@ -282,6 +311,46 @@
 	return out
 }
 
+// newestByAddr returns the start of the latest endpoint at each address. An entry of another writer may repeat an address: those that
+// name no known service or data centre do not count, and those that were found not to be there count only if no other is listed there.
+func (s *state) newestByAddr() map[string]int64 {
+	conf, now := s.configuration.Load(), s.options.Clock.Now()
+	there, elsewhere := make(map[string]int64, len(s.endpoints)), make(map[string]int64)
+	for _, e := range s.endpoints {
+		if s.options.Regions[e.DataCentre] == "" || conf != nil && conf.Service(e.Service) == nil {
+			continue
+		}
+		starts := there
+		if now < e.elsewhereUntil {
+			starts = elsewhere
+		}
+		starts[e.Addr] = max(starts[e.Addr], e.StartedAtMillis)
+	}
+	for addr, start := range elsewhere {
+		if _, known := there[addr]; !known {
+			there[addr] = start
+		}
+	}
+	return there
+}
+
+// recordMisdirected records that another endpoint has answered at the address of an endpoint.
+func (s *state) recordMisdirected(endpoint catalog.Incarnation, addr string) {
+	now := s.options.Clock.Now()
+	s.mu.Lock()
+	e, known := s.endpoints[endpoint.ID]
+	changed := known && e.Incarnation == endpoint && e.Addr == addr && e.elsewhereUntil <= now
+	if changed {
+		e.elsewhereUntil = now.Add(misdirectedFor)
+		s.endpoints[endpoint.ID] = e
+		s.log.Info("another endpoint has the address of a listed one", zap.String("endpoint", endpoint.ID), zap.String("addr", addr))
+	}
+	s.mu.Unlock()
+	if changed {
+		s.onChange()
+	}
+}
+
 // serves reports whether a region has an endpoint of the service that may receive requests.
 func (s *state) serves(region, service string) bool {
 	s.mu.Lock()
--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -17,15 +17,57 @@
 	{
 		Condition: 8, Mechanism: "edge: answers to other requests are passed over",
 		File:     "internal/endpointconn/conn.go",
-		Original: `if id == "" || id == req.ID {`, Replacement: `if id == "" || id != "" {`,
+		Original: `if id == req.ID || id == "" && !reused {`, Replacement: `if id == "" || id != "" {`,
 		Package: "./internal/endpointconn", Run: "^TestAnswersToOtherRequestsAreSkipped$",
 	},
+	{
+		Condition: 9, Mechanism: "edge: an answer without an id is believed on a new connection only",
+		File:     "internal/endpointconn/conn.go",
+		Original: `id == "" && !reused`, Replacement: `id == ""`,
+		Package: "./platform", Run: "^TestRepeatedRefusalOfARequestThatRan$",
+	},
+	{
+		Condition: 8, Mechanism: "edge: a resumed stream goes on with the next event",
+		File:     "internal/edge/continuation.go",
+		Original: "case !c.begun && id > c.last+c.step:", Replacement: "case !c.begun && id < 0:",
+		Package: "./platform", Run: "^TestAnswersThatResumeAStream$",
+	},
+	{
+		Condition: 8, Mechanism: "edge: the connection of a caller whose stream broke off is broken",
+		File:     "internal/edge/exchange.go",
+		Original: "if x.wroteHead || callerLeft {", Replacement: "if x.wroteHead && !callerLeft {",
+		Package: "./platform", Run: "^TestBrokenStreamOfACallerThatHasClosedItsDirection$",
+	},
 	{
 		Condition: 10, Mechanism: "edge: a request that may have run is not sent again unless it may be repeated",
 		File:     "internal/edge/exchange.go",
 		Original: "if f.kind.mayHaveRun() && !x.route.Retryable() {", Replacement: "if false {",
 		Package: "./platform", Run: "^TestNonIdempotentRequestsRunOnce$",
 	},
+	{
+		Condition: 9, Mechanism: "edge: a status that promises not run is passed on only if its endpoint states it",
+		File:     "internal/edge/attempt.go",
+		Original: "case promisesNotRun(status):", Replacement: "case promisesNotRun(status) && head.NotRun:",
+		Package: "./platform", Run: "^TestAttemptsThatMayHaveRunAreCounted$",
+	},
+	{
+		Condition: 9, Mechanism: "a resume that was not sent does not make its stream one that was not sent",
+		File:     "internal/dispatch/model.go",
+		Original: "err = resumeFailure(resumeErr)", Replacement: "err = resumeErr",
+		Package: "./internal/dispatch", Run: "^TestUnsentResumeIsNotAnUnsentStream$",
+	},
+	{
+		Condition: 10, Mechanism: "edge: an attempt that may have run counts toward max_attempts",
+		File:     "internal/edge/attempt.go",
+		Original: "return k == notRun || k.mayHaveRun()", Replacement: "return k == notRun",
+		Package: "./platform", Run: "^TestAttemptsThatMayHaveRunAreCounted$",
+	},
+	{
+		Condition: 10, Mechanism: "edge: a declined attempt counts toward max_attempts",
+		File:     "internal/edge/attempt.go",
+		Original: "return k == notRun || k.mayHaveRun()", Replacement: "return k.mayHaveRun()",
+		Package: "./platform", Run: "^TestAttemptsThatMayHaveRunAreCounted$",
+	},
 	{
 		Condition: 12, Mechanism: "edge: a stopping instance refuses what may outlast it",
 		File:     "internal/edge/exchange.go",
