Read what endpoints ask of instances in their answers

An endpoint says in its answers that it is leaving (Server-Leaving), and one that turns a request away with 503 says for how long it wants nothing from that instance (Retry-After). No file knew the first, and the second was passed on to callers only.

internal/core/endpointnotice holds both by incarnation: leaving for as long as the incarnation lasts, a wait until its latest end, one minute at most. A package of its own beside endpointrate: a rate is shared by the instances of a region, is withdrawn by later answers and needs versions; a notice binds each instance by itself and is never withdrawn.

Server-Leaving: any value but "", "0" and "false". Retry-After: the longest decimal number above 0 of all values; signs, exponents, NaN, dates and text ask for nothing; what exceeds a minute counts as a minute. Nothing of a 421 counts, which another endpoint has sent. Tests cover each value, 4 MB of digits among them. Nothing uses the notices yet.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -15,6 +15,7 @@
 
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointnotice"
 	"dogwoodknot.example/dogwoodknot/internal/core/retrybudget"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/platform"
@@ -68,6 +69,8 @@
 	// RateLimit is the number of requests per second that the endpoint takes from all instances together, if RateLimited.
 	RateLimit   float64
 	RateLimited bool
+	// Notice is what the answer asks of the instance. An answer of another endpoint than the one that was meant asks nothing.
+	Notice endpointnotice.Said
 }
 
 // Dialect encodes and decodes the platform's HTTP headers.
