Send nothing to an endpoint after an answer says that it is leaving

Callers' requests reached an endpoint for seconds after it had said in its answers that it is leaving, until its entry in the store said so too. In touch or not with the store, an instance that has passed on such an answer is bound by it.

Cause: no answer was looked at for it. Ruled out: health and ejection, which answers with success or 429 leave untouched.

Each head of an answer is now read in Edge.send, also those of calls that list a cache and late answers to earlier requests on a connection, which count for the endpoint that the earlier request was meant for. Edge.send asks the register once a connection is open and before the first byte is sent; the choice of endpoints leaves out those that ask for no requests, and queued requests that no endpoint accepts go to another region or are rejected at once. Instances of a region tell each other in reports and digests, changes only. Idle connections are closed; requests in progress go on. An answer without the header does not bring the endpoint back: it may be older, and only a new incarnation ends the leaving.

--- a/internal/core/fleetview/changes.go
+++ b/internal/core/fleetview/changes.go
@@ -3,6 +3,7 @@
 import (
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointnotice"
 	"dogwoodknot.example/dogwoodknot/internal/core/endpointrate"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
@@ -37,6 +38,7 @@
 	statuses map[string]Status
 	loads    map[string]placement.Load
 	limits   map[string]endpointrate.Statement // by endpoint
+	notices  map[endpointnotice.Advice]bool
 }
 
 func newSentState() *sentState {
--- a/internal/core/fleetview/digest.go
+++ b/internal/core/fleetview/digest.go
@@ -51,6 +51,7 @@
 		state.Instances, _ = next.statusChanges(statuses)
 		state.Endpoints = next.loadChanges(load)
 		state.Limits = next.limitChanges(limits)
+		state.Notices = next.noticeChanges(n.notices.Advice(now))
 		state.Regions = n.regionStates(now, n.regionUsage.values, func(name string) map[string]float64 { return n.remoteRegions[name].forChildren.values })
 		if n.encodedComplete, err = proto.Marshal(state); err != nil {
 			return errors.Wrap(err, "encode the complete state")
@@ -61,12 +62,14 @@
 		n.sentToChildren.statusChanges(statuses)
 		n.sentToChildren.loadChanges(load)
 		n.sentToChildren.limitChanges(limits)
+		n.sentToChildren.noticeChanges(n.notices.Advice(now))
 		return nil
 	}
 	state.Complete = false
 	state.Instances, state.Gone = n.sentToChildren.statusChanges(statuses)
 	state.Endpoints = n.sentToChildren.loadChanges(load)
 	state.Limits = n.sentToChildren.limitChanges(limits)
+	state.Notices = n.sentToChildren.noticeChanges(n.notices.Advice(now))
 	state.Regions = n.regionStates(now, usageChanges, func(name string) map[string]float64 { return remoteUsage[name] })
 	n.encodedChanges, err = proto.Marshal(state)
 	return errors.Wrap(err, "encode the changes of the state")
--- a/internal/core/fleetview/node.go
+++ b/internal/core/fleetview/node.go
@@ -19,6 +19,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointnotice"
 	"dogwoodknot.example/dogwoodknot/internal/core/endpointrate"
 	"dogwoodknot.example/dogwoodknot/internal/core/fleetquota"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
@@ -43,6 +44,7 @@
 	Usage         map[string]float64        // tokens admitted since the start, by organisation; unchanged totals may be left out
 	Services      []*wire.EdgeServiceLoad
 	Limits        []endpointrate.Statement // that this instance knows of the region's endpoints
+	Notices       []endpointnotice.Advice  // that this instance knows of the region's endpoints
 	Events
 }
 
@@ -79,6 +81,7 @@
 	ownUsage       map[string]float64        // totals of the last SetOwnState
 	configVersion  int64
 	limits         *endpointrate.Register // of the region's endpoints
+	notices        *endpointnotice.Register
 
 	regionUsage    totals // usage by all instances of the region
 	peerUsage      totals // the same without this instance
@@ -115,6 +118,7 @@
 		self: self, sources: make(map[string]*Source), remoteRoots: make(map[string]*Source), summaryStreams: make(map[string]*SummaryStream),
 		ownUsage: make(map[string]float64), regionUsage: newTotals(), peerUsage: newTotals(), remoteRegions: make(map[string]*remoteRegion),
 		unsentUsage: make(map[string]float64), peerAverages: make(averages), limits: endpointrate.NewRegister(),
+		notices: endpointnotice.NewRegister(),
 	}
 	n.sources[self.Instance] = newSource(self)
 	return n
@@ -140,6 +144,9 @@
 	for _, s := range o.Limits {
 		n.limits.Merge(now, s)
 	}
+	for _, a := range o.Notices {
+		n.notices.Merge(now, a)
+	}
 	n.forwardEvents(o.Events)
 }
 
@@ -206,6 +213,9 @@
 	if err := n.mergeLimits(now, r.GetLimits()); err != nil {
 		return err
 	}
+	if err := n.mergeNotices(now, r.GetNotices()); err != nil {
+		return err
+	}
 	for _, earlier := range r.GetEarlier() {
 		if earlier.GetNumber() > received {
 			n.addReportedUsage(now, s, earlier.GetUses())
--- a/internal/core/fleetview/parent.go
+++ b/internal/core/fleetview/parent.go
@@ -123,6 +123,7 @@
 	n.addSubtreeLoad(now, load, nil)
 	r.Endpoints = parent.sent.loadChanges(load)
 	r.Limits = parent.sent.limitChanges(n.limits.Statements())
+	r.Notices = parent.sent.noticeChanges(n.notices.Advice(now))
 	r.Uses = encodeUsage(n.unsentUsage)
 	events := n.parentEvents.take()
 	r.Parts, r.Refusals = events.PromptParts, events.Rejections
@@ -187,6 +188,9 @@
 	if err := n.mergeLimits(now, s.GetLimits()); err != nil {
 		return Events{}, err
 	}
+	if err := n.mergeNotices(now, s.GetNotices()); err != nil {
+		return Events{}, err
+	}
 	acknowledged := n.acknowledge(d.GetAcknowledged())
 	for _, r := range s.GetRegions() {
 		n.receiveRegion(now, r, acknowledged, first)
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -14,6 +14,7 @@
 
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointnotice"
 	"dogwoodknot.example/dogwoodknot/internal/core/endpointrate"
 	"dogwoodknot.example/dogwoodknot/internal/core/routing"
 )
@@ -141,6 +142,7 @@
 	// departures is the rate at which this instance's requests leave the endpoints.
 	departures Rate
 	limiter    *endpointrate.Limiter // of endpoints that accept only a rate from all instances
+	notices    *endpointnotice.Register
 }
 
 // NewPool returns a pool without endpoints.
@@ -255,11 +257,15 @@
 type Reason string
 
 const (
-	NoEndpoint Reason = "no-endpoint" // none is listed, or all are excluded, draining or ejected
-	AllBusy    Reason = "all-busy"    // all usable endpoints have reached their limit of slots, memory or waiting time
-	AllLimited Reason = "all-limited" // usable endpoints accept only a request rate, of which this instance may use no more for now
+	NoEndpoint  Reason = "no-endpoint"  // none is listed, or all are excluded, draining or ejected
+	AllWithheld Reason = "all-withheld" // those that could be chosen ask for no requests
+	AllBusy     Reason = "all-busy"     // all usable endpoints have reached their limit of slots, memory or waiting time
+	AllLimited  Reason = "all-limited"  // usable endpoints accept only a request rate, of which this instance may use no more for now
 )
 
+// Transient reports whether an endpoint is expected to become available soon.
+func (r Reason) Transient() bool { return r == AllBusy || r == AllLimited }
+
 // Constraint restricts a choice.
 type Constraint struct {
 	// Excluded reports whether an endpoint must not be chosen because it was tried before. nil: none is excluded.
@@ -276,7 +282,7 @@
 	ejected := routing.Ejected(p.health, now)
 	prefixes := p.cachedPrefixes(now, req.Parts)
 	source := p.bestCopySource(prefixes, ejected)
-	sharing := p.slotSharing()
+	sharing := p.slotSharing(now)
 	maxTokens := math.Inf(1) // tokens that are processed within MaxWait
 	if c.MaxWait > 0 {
 		maxTokens = p.prefillRate.tokensIn(c.MaxWait)
@@ -285,6 +291,12 @@
 		if e.Draining || ejected[i] || c.Excluded != nil && c.Excluded(e.ID) {
 			continue
 		}
+		if !p.accepts(now, e) {
+			if reason == NoEndpoint {
+				reason = AllWithheld
+			}
+			continue
+		}
 		load, cached := e.load(), prefixes[i].tokens
 		if e.Health.Probing() && len(e.ownRequests) > 0 || !p.hasCapacity(now, e, load, req, cached, sharing) {
 			reason = mostTransient(reason, AllBusy)
@@ -347,12 +359,15 @@
 }
 
 // slotSharing returns how the slots of a plain service are shared.
-func (p *Pool) slotSharing() slotSharing {
+func (p *Pool) slotSharing(now clock.Instant) slotSharing {
 	if p.service.Engine != nil {
 		return slotSharing{}
 	}
 	slots, running := 0, 0
 	for _, e := range p.order {
+		if !p.accepts(now, e) {
+			continue
+		}
 		slots += e.Slots
 		running += e.load().Requests
 	}
@@ -385,7 +400,7 @@
 	}
 	var best copySource
 	for i, e := range p.order {
-		if ejected[i] {
+		if ejected[i] || p.notices.Notice(e.Incarnation).Leaving {
 			continue
 		}
 		if tokens := cached[i].copyable; tokens > best.tokens {
@@ -586,7 +601,9 @@
 	Free   int // endpoints that can take the request now
 	// Limited is the number of endpoints that accept only a request rate, of which this instance may use no more for now.
 	Limited int
-	Wait    time.Duration // shortest expected time to a first event over the usable endpoints, as if each had a free slot
+	// Withheld is the number of endpoints that ask for no requests.
+	Withheld int
+	Wait     time.Duration // shortest expected time to a first event over the usable endpoints, as if each had a free slot
 	// DepartureRate is the number of this instance's requests that leave the endpoints per second.
 	DepartureRate float64
 }
@@ -599,12 +616,16 @@
 	ejected := routing.Ejected(p.health, now)
 	prefixes := p.cachedPrefixes(now, req.Parts)
 	source := p.bestCopySource(prefixes, ejected)
-	sharing := p.slotSharing()
+	sharing := p.slotSharing(now)
 	shortest := time.Duration(math.MaxInt64)
 	for i, e := range p.order {
 		if e.Draining || ejected[i] || excluded(e.ID) {
 			continue
 		}
+		if !p.accepts(now, e) {
+			s.Withheld++
+			continue
+		}
 		if !p.withinRate(now, e) {
 			s.Limited++
 			continue
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointnotice"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 	"dogwoodknot.example/dogwoodknot/internal/endpointconn"
 )
@@ -71,6 +72,7 @@
 	retryAfter time.Duration // for notPlaced
 	final      bool          // no other region is tried
 	waiting    bool          // an endpoint of this region may still become available
+	notice     endpointnotice.Said
 }
 
 // reply is the head of an endpoint's answer. Closing the body ends the attempt.
@@ -85,6 +87,8 @@
 	unread, copied float64
 	// limit is the endpoint's when the request was sent; not known through another instance.
 	limit knownLimit
+	// notice is what the answer asks; not known through another instance.
+	notice endpointnotice.Said
 }
 
 // attemptLocal waits for an endpoint of this region and sends it the request.
@@ -109,24 +113,27 @@
 	if limit.limited {
 		e.metrics.sentToLimited()
 	}
-	resp, err := e.conns.Do(ctx, chosen.Addr, &endpointconn.Request{
+	resp, head, err := e.send(ctx, chosen.Incarnation, chosen.Addr, &endpointconn.Request{
 		ID: a.id, Method: a.method, URI: a.uri, Host: a.host, Header: header, Body: a.body, FreshConnection: a.freshConnection,
 	})
+	if errors.Is(err, errNoRequests) {
+		e.pools.release(a.service, endpoint, a.work.ID, resultNone)
+		return e.attemptLocal(ctx, a) // at another endpoint, if there is one
+	}
 	if err != nil {
 		return nil, e.sendFailure(ctx, a, chosen, err)
 	}
-	head := e.options.Dialect.ParseAnswer(resp.Status, resp.Header)
 	e.observeLimit(a.id, chosen.Incarnation, resp.Status, head, sentAt)
 	if head.ColdFor > 0 {
 		e.pools.recordCold(endpoint, head.ColdFor)
 	}
 	r := &reply{status: resp.Status, header: resp.Header, endpoint: chosen.ID, instance: e.options.Self.Instance, unread: chosen.PrefillTokens, copied: chosen.CopiedTokens,
-		limit: limit}
+		limit: limit, notice: head.Notice}
 	body := &endpointBody{ReadCloser: resp.Body, ctx: ctx, edge: e, attempt: a, endpoint: endpoint, result: healthResultOf(resp.Status, head)}
 	r.body = body
 	if kind, reason := classifyAnswer(resp.Status, resp.Header, head); kind != "" {
 		discardBody(body)
-		return nil, &failure{kind: kind, endpoint: chosen.ID, reason: reason}
+		return nil, &failure{kind: kind, endpoint: chosen.ID, reason: reason, notice: head.Notice}
 	}
 	return r, nil
 }
--- a/internal/edge/caches.go
+++ b/internal/edge/caches.go
@@ -61,14 +61,14 @@
 	ctx, cancel := context.WithTimeout(ctx, cacheListTimeout)
 	defer cancel()
 	sentAt := e.clock.Now()
-	resp, err := e.conns.Do(ctx, endpoint.Addr, &endpointconn.Request{
+	resp, head, err := e.send(ctx, endpoint.Incarnation, endpoint.Addr, &endpointconn.Request{
 		Method: http.MethodGet, URI: e.options.Dialect.CacheListPath(), Host: endpoint.Addr, Header: http.Header{},
 	})
 	if err != nil {
 		return nil, err
 	}
 	defer resp.Body.Close()
-	e.observeLimit("", endpoint.Incarnation, resp.Status, e.options.Dialect.ParseAnswer(resp.Status, resp.Header), sentAt)
+	e.observeLimit("", endpoint.Incarnation, resp.Status, head, sentAt)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCacheList))
 	if err != nil {
 		return nil, err
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -15,6 +15,7 @@
 
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointnotice"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 	"dogwoodknot.example/dogwoodknot/internal/core/routing"
 	"dogwoodknot.example/dogwoodknot/internal/core/triage"
@@ -76,6 +77,7 @@
 	rateLevel, rateShare          float64
 	retry                         bool       // a retry of a request that was rejected before
 	limit                         knownLimit // of the endpoint when the request was sent
+	notice                        endpointnotice.Said
 	unread, copied                float64
 	// viewAge is the age of the view of the region's other instances at the last decision, negative if nothing was received
 	// from them yet.
@@ -280,7 +282,7 @@
 		x.attempt.lastEventID = x.lastEventID
 		r, f := x.makeAttempt(ctx)
 		if f != nil {
-			x.outcome.reason, x.outcome.endpoint = f.reason, f.endpoint
+			x.outcome.reason, x.outcome.endpoint, x.outcome.notice = f.reason, f.endpoint, f.notice
 			if x.prepareRetry(ctx, f) {
 				continue
 			}
@@ -290,7 +292,7 @@
 		x.attempts++
 		x.outcome.endpoint, x.outcome.instance = r.endpoint, r.instance
 		x.outcome.unread, x.outcome.copied = r.unread, r.copied
-		x.outcome.limit = r.limit
+		x.outcome.limit, x.outcome.notice = r.limit, r.notice
 		if f = x.writeAnswer(r); f == nil {
 			return
 		}
@@ -344,21 +346,24 @@
 	case d.Action == triage.ServeLocally:
 		x.attempt.waitUntil = min(x.attempt.placeBy, now.Add(reconsiderInterval))
 		r, f := e.attemptLocal(ctx, &x.attempt)
-		if f != nil && f.kind == notPlaced && f.reason != string(placement.NoEndpoint) && e.clock.Now() < x.attempt.placeBy {
+		if f != nil && f.kind == notPlaced && f.reason != string(placement.NoEndpoint) && f.reason != string(placement.AllWithheld) && e.clock.Now() < x.attempt.placeBy {
 			f.waiting = true
 			return r, f
 		}
 		return r, x.recordDecline(f, self)
 	case !in.Local.Available && len(remotes) == 0:
-		return nil, &failure{kind: notPlaced, reason: x.unavailableReason(), retryAfter: noEndpointRetryAfter, final: true}
+		return nil, &failure{kind: notPlaced, reason: x.unavailableReason(), retryAfter: e.unavailableRetryAfter(x.service), final: true}
 	}
 	return nil, &failure{kind: notPlaced, reason: "expected wait is too long", retryAfter: d.RetryAfter, final: true}
 }
 
 // unavailableReason says why no region can serve the request.
 func (x *exchange) unavailableReason() string {
-	if x.edge.pools.loadFor(&x.attempt).Limited > 0 {
+	switch sum := x.edge.pools.loadFor(&x.attempt); {
+	case sum.Limited > 0:
 		return "endpoints accept no more requests at their limited rate"
+	case sum.Withheld > 0:
+		return "endpoints are leaving or ask to wait"
 	}
 	return "no region that may serve the request has endpoints"
 }
@@ -500,5 +505,8 @@
 	if x.outcome.limit.limited {
 		fields = append(fields, zap.Float64("endpoint_limit", x.outcome.limit.perSecond))
 	}
+	if x.outcome.notice != (endpointnotice.Said{}) {
+		fields = append(fields, zap.Bool("endpoint_leaving", x.outcome.notice.Leaving), zap.Duration("endpoint_wait", x.outcome.notice.Wait))
+	}
 	e.requestLog.Info("request", fields...)
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -25,6 +25,9 @@
 	viewAge       tally.Gauge
 	limited       tally.Gauge
 	toLimited     tally.Counter
+	leaving       tally.Gauge
+	waiting       tally.Gauge
+	withheld      tally.Counter
 	mu            sync.Mutex
 	byStatus      map[int]statusMetrics
 }
@@ -40,6 +43,7 @@
 		dialled: scope.Gauge("endpoint_requests_on_new_connections"), reused: scope.Gauge("endpoint_requests_on_kept_connections"),
 		viewAge: scope.Gauge("view_age_seconds"),
 		limited: scope.Gauge("limited_endpoints"), toLimited: scope.Counter("requests_to_limited_endpoints"),
+		leaving: scope.Gauge("leaving_endpoints"), waiting: scope.Gauge("waiting_endpoints"), withheld: scope.Counter("requests_withheld"),
 		byStatus: make(map[int]statusMetrics),
 	}
 }
@@ -59,6 +63,15 @@
 // sentToLimited records that a request is sent to an endpoint that has named a request rate.
 func (m *metrics) sentToLimited() { m.toLimited.Inc(1) }
 
+// notices records how many endpoints are leaving, and how many others ask to wait.
+func (m *metrics) notices(leaving, waiting int) {
+	m.leaving.Update(float64(leaving))
+	m.waiting.Update(float64(waiting))
+}
+
+// requestWithheld records that a request was not sent because its endpoint asked for none after it had been chosen.
+func (m *metrics) requestWithheld() { m.withheld.Inc(1) }
+
 // request records an answered request. Status 0 means that the caller disconnected before the answer.
 func (m *metrics) request(status int, took time.Duration) {
 	m.mu.Lock()
--- /dev/null
+++ b/internal/edge/notices.go
@@ -0,0 +1,172 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"dogwoodknot.example/dogwoodknot/internal/catalog"
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointnotice"
+	"dogwoodknot.example/dogwoodknot/internal/endpointconn"
+)
+
+// errNoRequests is returned instead of a response if the endpoint asks for no requests at the moment of sending.
+var errNoRequests = errors.New("endpoint asks for no requests")
+
+// send sends a request to an endpoint unless that asks for none once a connection is open, and records what it asks in its answer. An
+// answer that arrives after its attempt was given up counts too.
+func (e *Edge) send(ctx context.Context, endpoint catalog.Incarnation, addr string, req *endpointconn.Request) (*endpointconn.Response, AnswerHead, error) {
+	id := req.ID
+	req.BeforeSend = func() error {
+		if e.pools.accepts(endpoint) {
+			return nil
+		}
+		e.metrics.requestWithheld()
+		return errNoRequests
+	}
+	req.OnLateAnswer = func(status int, h http.Header) {
+		e.observeNotice(id, endpoint, endpointnotice.Said{Leaving: e.options.Dialect.ParseAnswer(status, h).Notice.Leaving})
+	}
+	resp, err := e.conns.Do(ctx, addr, req)
+	if err != nil {
+		return nil, AnswerHead{}, err
+	}
+	head := e.options.Dialect.ParseAnswer(resp.Status, resp.Header)
+	e.observeNotice(id, endpoint, endpointnotice.Said{Leaving: head.Notice.Leaving})
+	return resp, head, nil
+}
+
+// observeNotice records what an endpoint's answer asks.
+func (e *Edge) observeNotice(request string, endpoint catalog.Incarnation, said endpointnotice.Said) {
+	if said == (endpointnotice.Said{}) {
+		return
+	}
+	now := e.clock.Now()
+	if notice, changed := e.pools.observeNotice(now, endpoint, said); changed {
+		e.logNotice(now, endpoint, notice, zap.String("request", request))
+	}
+}
+
+// mergeNotices records what other instances know of endpoints.
+func (e *Edge) mergeNotices(now clock.Instant, advice []endpointnotice.Advice) {
+	for _, a := range advice {
+		if notice, changed := e.pools.mergeNotice(now, a); changed {
+			e.logNotice(now, a.Endpoint, notice, zap.Bool("told_by_instance", true))
+		}
+	}
+}
+
+func (e *Edge) logNotice(now clock.Instant, endpoint catalog.Incarnation, notice endpointnotice.Notice, source zap.Field) {
+	e.log.Info("endpoint asks for no requests", zap.String("endpoint", endpoint.ID), zap.Int64("born", endpoint.StartedAtMillis),
+		zap.Bool("leaving", notice.Leaving), zap.Duration("wait", max(0, notice.WaitUntil.Sub(now))), source)
+}
+
+// pruneNotices drops the notices that no longer bind.
+func (e *Edge) pruneNotices() {
+	now, listed := e.clock.Now(), e.state.listedIncarnations()
+	e.metrics.notices(e.pools.pruneNotices(now, listed))
+	e.view.pruneNotices(now, listed)
+}
+
+// mayKeepConnections returns a function that reports whether idle connections to an address are kept: one of the endpoints that are
+// listed there is not leaving.
+func (e *Edge) mayKeepConnections() func(addr string) bool {
+	e.state.mu.Lock()
+	endpoints := make([]catalog.Endpoint, 0, len(e.state.endpoints))
+	for _, listed := range e.state.endpoints {
+		endpoints = append(endpoints, listed.Endpoint)
+	}
+	e.state.mu.Unlock()
+	keep := make(map[string]bool, len(endpoints))
+	e.pools.mu.Lock()
+	defer e.pools.mu.Unlock()
+	for _, listed := range endpoints {
+		keep[listed.Addr] = keep[listed.Addr] || !e.pools.notices.Notice(listed.Incarnation).Leaving
+	}
+	return func(addr string) bool { return keep[addr] }
+}
+
+// unavailableRetryAfter returns the Retry-After of a request that no endpoint may get: the shortest time for which one of the service has
+// asked to wait, or noEndpointRetryAfter if none has.
+func (e *Edge) unavailableRetryAfter(service string) time.Duration {
+	wait := e.pools.shortestWait(service)
+	if wait <= 0 {
+		return noEndpointRetryAfter
+	}
+	return wait + time.Duration(float64(wait)*maxRetrySpread*rand.Float64())
+}
+
+// maxRetrySpread is the part of a time to wait by which returns of callers are spread, so that they do not come at the same moment.
+const maxRetrySpread = 0.25
+
+// accepts reports whether an endpoint accepts requests of this instance.
+func (p *pools) accepts(endpoint catalog.Incarnation) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.notices.Notice(endpoint).Accepts(p.clock.Now())
+}
+
+func (p *pools) observeNotice(now clock.Instant, endpoint catalog.Incarnation, said endpointnotice.Said) (endpointnotice.Notice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	notice, changed := p.notices.Observe(now, endpoint, said)
+	if changed {
+		p.dispatchAll()
+	}
+	return notice, changed
+}
+
+func (p *pools) mergeNotice(now clock.Instant, a endpointnotice.Advice) (endpointnotice.Notice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed := p.notices.Merge(now, a)
+	return p.notices.Notice(a.Endpoint), changed
+}
+
+// advice returns what this instance tells the others of its region.
+func (p *pools) advice(now clock.Instant) []endpointnotice.Advice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.notices.Advice(now)
+}
+
+// pruneNotices returns the numbers of endpoints that are leaving and that have asked to wait.
+func (p *pools) pruneNotices(now clock.Instant, listed func(catalog.Incarnation) bool) (leaving, waiting int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.notices.Prune(now, listed)
+	return p.notices.Counts(now)
+}
+
+// shortestWait returns the shortest time for which an endpoint of the service still asks to wait, 0 if none does.
+func (p *pools) shortestWait(service string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool := p.byService[service]
+	if pool == nil {
+		return 0
+	}
+	return pool.ShortestWait(p.clock.Now())
+}
+
+func (v *view) pruneNotices(now clock.Instant, listed func(catalog.Incarnation) bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.node.PruneNotices(now, listed)
+}
+
+// listedIncarnations returns a function that reports whether an incarnation of an endpoint is listed.
+func (s *state) listedIncarnations() func(catalog.Incarnation) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := make(map[catalog.Incarnation]bool, len(s.endpoints))
+	for _, e := range s.endpoints {
+		known[e.Incarnation] = true
+	}
+	return func(endpoint catalog.Incarnation) bool { return known[endpoint] }
+}
--- a/internal/edge/pools.go
+++ b/internal/edge/pools.go
@@ -9,6 +9,7 @@
 
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointnotice"
 	"dogwoodknot.example/dogwoodknot/internal/core/endpointrate"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 	"dogwoodknot.example/dogwoodknot/internal/core/triage"
@@ -39,6 +40,7 @@
 	byService map[string]*servicePool
 	newParts  numberedLog[endpointParts] // to be reported to the other instances of the region
 	limiter   *endpointrate.Limiter      // of endpoints that accept only a request rate
+	notices   *endpointnotice.Register   // of endpoints that ask for no requests
 }
 
 type servicePool struct {
@@ -53,12 +55,12 @@
 // waiter is a request in the queue for an endpoint.
 type waiter struct {
 	*attempt
-	placed chan placement.Choice // buffered for one value
+	placed chan placement.Choice // buffered for one value; closed if all endpoints ask for no requests
 }
 
 func newPools(c clock.Clock, self string) *pools {
 	return &pools{clock: c, byService: make(map[string]*servicePool), newParts: numberedLog[endpointParts]{maxEntries: maxNewParts},
-		limiter: endpointrate.NewLimiter(self)}
+		limiter: endpointrate.NewLimiter(self), notices: endpointnotice.NewRegister()}
 }
 
 // set replaces the services and their usable endpoints.
@@ -74,6 +76,7 @@
 		pool := p.byService[name]
 		if pool == nil {
 			pool = &servicePool{Pool: placement.NewPool(service, p.limiter), placementRates: make(map[rank]*placement.Rate)}
+			pool.SetNotices(p.notices)
 			p.byService[name] = pool
 		}
 		pool.service = service
@@ -104,7 +107,7 @@
 		return <-req.placed, ""
 	}
 	wait := a.waitUntil.Sub(p.clock.Now())
-	if reason == placement.NoEndpoint || wait <= 0 {
+	if !reason.Transient() || wait <= 0 {
 		p.mu.Unlock()
 		return placement.Choice{}, reason
 	}
@@ -114,7 +117,10 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
-	case c := <-req.placed:
+	case c, placed := <-req.placed:
+		if !placed {
+			return c, placement.AllWithheld
+		}
 		return c, ""
 	case <-timer.C:
 	case <-ctx.Done():
@@ -122,7 +128,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	select {
-	case c := <-req.placed:
+	case c, placed := <-req.placed:
+		if !placed {
+			return c, placement.AllWithheld
+		}
 		if ctx.Err() == nil {
 			return c, ""
 		}
@@ -226,7 +235,11 @@
 	}
 	pool.lastDispatch = now
 	for i, tried := 0, 0; i < len(pool.waiting) && tried < maxDispatchTries; tried++ {
-		if p.tryPlace(pool, pool.waiting[i]) == "" {
+		reason := p.tryPlace(pool, pool.waiting[i])
+		if reason == placement.AllWithheld {
+			close(pool.waiting[i].placed) // it goes to another region or is rejected now
+		}
+		if reason == "" || reason == placement.AllWithheld {
 			pool.waiting = slices.Delete(pool.waiting, i, i+1)
 			continue
 		}
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -199,11 +199,12 @@
 	for clock.Sleep(ctx, maintenanceInterval) == nil {
 		e.fleet.removeUnresponsive()
 		e.connectPartners(ctx)
-		e.conns.CloseUnused(e.state.knownAddr())
+		e.conns.CloseUnused(e.mayKeepConnections())
 		dialled, reused := e.conns.Counts()
 		e.metrics.connections(dialled, reused)
 		e.metrics.viewAge.Update(e.view.age(e.clock.Now()).Seconds())
 		e.pruneLimits()
+		e.pruneNotices()
 	}
 }
 
@@ -246,7 +247,7 @@
 func (e *Edge) retryAfter(service string) time.Duration {
 	sum := e.pools.loadFor(&attempt{service: service})
 	if sum.Usable == 0 {
-		return noEndpointRetryAfter
+		return e.unavailableRetryAfter(service)
 	}
 	return max(minRetryAfter, sum.Wait)
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -299,11 +299,6 @@
 	return s.options.Regions[e.DataCentre] == region && !s.evacuated[e.DataCentre] && !e.Draining
 }
 
-// knownAddr returns a function that reports whether an address is that of a listed endpoint.
-func (s *state) knownAddr() func(addr string) bool {
-	return s.listed(func(e catalog.Endpoint) string { return e.Addr })
-}
-
 // knownID returns a function that reports whether an id is that of a listed endpoint.
 func (s *state) knownID() func(id string) bool {
 	return s.listed(func(e catalog.Endpoint) string { return e.ID })
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -97,6 +97,7 @@
 	e.quotaMu.Unlock()
 	now := e.clock.Now()
 	o.Limits = e.pools.limitStatements()
+	o.Notices = e.pools.advice(now)
 	e.pools.each(func(name string, pool *servicePool) {
 		pool.OwnLoad(func(endpoint string, w placement.Load) {
 			if w != (placement.Load{}) {
@@ -157,9 +158,10 @@
 	statuses, peerLoad := v.node.Statuses(now), v.node.PeerLoad(now)
 	rates, services := fleetview.RateInputs{Usage: v.node.PeerUsage(), Unresponsive: v.node.Unresponsive(now)}, v.node.RemoteServices()
 	newest, version := v.node.NewestConfig()
-	limits := v.node.Limits()
+	limits, notices := v.node.Limits(), v.node.Notices(now)
 	v.mu.Unlock()
 	e.mergeLimits(now, limits)
+	e.mergeNotices(now, notices)
 	v.appliedAsOf.Store(int64(rates.Usage[e.options.Self.Region].ReceivedAt))
 	e.fleet.recordStatuses(statuses)
 	e.fleet.recordServices(services, func(region string) clock.Instant { return rates.Usage[region].ReceivedAt })
--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -60,6 +60,12 @@
 	// FreshConnection asks for a new connection or one that was used within the last half second. It is set for requests that must not be
 	// lost because the endpoint closes an idle connection at that moment.
 	FreshConnection bool
+	// BeforeSend, if not nil, is called once a connection is open and before the first byte is sent. If it returns an error, nothing is
+	// sent, and Do returns that error, marked ErrNotSent.
+	BeforeSend func() error
+	// OnLateAnswer, if not nil, is called with the head of a response to this request or an earlier one that arrives where the response
+	// to a later request on the connection is expected.
+	OnLateAnswer func(status int, h http.Header)
 }
 
 // Response is the head of a response. The caller must close Body.
@@ -94,6 +100,7 @@
 	reader     *bufio.Reader
 	idleSince  time.Time // when it became idle, with monotonic clock reading
 	maxIdle    time.Duration
+	onLate     func(status int, h http.Header) // of the last request, nil on a new connection
 }
 
 // headReader reads a connection. While it is bounded, it fails with errHeadTooLarge once the allowed bytes have been read.
@@ -131,6 +138,12 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", addr), ErrNotSent)
 	}
+	if req.BeforeSend != nil {
+		if err := req.BeforeSend(); err != nil {
+			_ = c.Close() // nothing else may use it while the endpoint wants no requests
+			return nil, errors.Mark(err, ErrNotSent)
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	written, err := c.send(req)
 	if err != nil {
@@ -145,7 +158,7 @@
 		return nil, err
 	}
 	body := &body{ReadCloser: resp.Body, pool: p, conn: c, stopCancel: stop, written: written, reusable: reusable(resp)}
-	c.maxIdle = maxIdleTime(resp.Header)
+	c.maxIdle, c.onLate = maxIdleTime(resp.Header), req.OnLateAnswer
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
@@ -212,6 +225,9 @@
 		if id == "" || id == req.ID {
 			return resp, nil
 		}
+		if c.onLate != nil {
+			c.onLate(resp.StatusCode, resp.Header)
+		}
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			break // it lasts until the connection is closed, so no other response can follow
 		}
--- a/internal/endpointconn/conn_test.go
+++ b/internal/endpointconn/conn_test.go
@@ -141,6 +141,51 @@
 	}
 }
 
+// Guards against a late response to an earlier request whose head is dropped, or is taken for one of the endpoint that the present
+// request is meant for: an address may have changed hands.
+func TestLateAnswersAreReported(t *testing.T) {
+	e := newScriptedEndpoint(t, func(_ int64, r *http.Request, _ string, c net.Conn) bool {
+		id := r.Header.Get("Id")
+		if id == "second" {
+			write(c, "HTTP/1.1 503 Late\r\nId: given-up\r\nNotice: late\r\nContent-Length: 0\r\n\r\n")
+		}
+		write(c, "%s", answerTo(id, "own"))
+		return true
+	})
+	p := newPool(t)
+	var got []string
+	for _, id := range []string{"first", "second", "third"} {
+		req := request(id)
+		req.OnLateAnswer = func(status int, h http.Header) { got = append(got, fmt.Sprint(id, " ", status, " ", h.Get("Notice"))) }
+		if body, err := do(t, p, e.addr, req); err != nil || body != "own" {
+			t.Fatalf("request %s: %q, %v", id, body, err)
+		}
+	}
+	if fmt.Sprint(got) != "[first 503 late]" || e.connections.Load() != 1 {
+		t.Errorf("late responses %q on %d connections", got, e.connections.Load())
+	}
+}
+
+// Guards against a request that is sent although its endpoint has asked for none while the connection was being opened.
+func TestNothingIsSentIfRefusedBefore(t *testing.T) {
+	reached := make(chan struct{}, 1)
+	e := newScriptedEndpoint(t, func(int64, *http.Request, string, net.Conn) bool {
+		reached <- struct{}{}
+		return false
+	})
+	refused := errors.New("refused")
+	req := request("r")
+	req.BeforeSend = func() error { return refused }
+	if _, err := do(t, newPool(t), e.addr, req); !errors.Is(err, refused) || !errors.Is(err, ErrNotSent) {
+		t.Errorf("%v", err)
+	}
+	select {
+	case <-reached:
+		t.Error("the request has reached the endpoint")
+	case <-time.After(50 * time.Millisecond):
+	}
+}
+
 // Guards against a request that is reported as not sent although it may have run, or as sent although it cannot have run.
 func TestOutcomeOfFailures(t *testing.T) {
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
