Send nothing to an endpoint that has asked to wait, until the wait ends

An endpoint that turned a request away with 503 and Retry-After got the next requests of the same instance at once: 103 to 106 in the 1.4 s of a wait of 1.5 s.

Cause: the header was passed on to callers and bound nobody. Ruled out: 429, which is not meant, and 421, which another endpoint has sent.

The wait binds the instance that was told, from the answer to its latest end, for all ways on which a request reaches the endpoint.

--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -30,14 +30,14 @@
 		return errNoRequests
 	}
 	req.OnLateAnswer = func(status int, h http.Header) {
-		e.observeNotice(id, endpoint, endpointnotice.Said{Leaving: e.options.Dialect.ParseAnswer(status, h).Notice.Leaving})
+		e.observeNotice(id, endpoint, e.options.Dialect.ParseAnswer(status, h).Notice)
 	}
 	resp, err := e.conns.Do(ctx, addr, req)
 	if err != nil {
 		return nil, AnswerHead{}, err
 	}
 	head := e.options.Dialect.ParseAnswer(resp.Status, resp.Header)
-	e.observeNotice(id, endpoint, endpointnotice.Said{Leaving: head.Notice.Leaving})
+	e.observeNotice(id, endpoint, head.Notice)
 	return resp, head, nil
 }
 
