Let endpoints leave and ask to wait in the soak

One endpoint after the other says that it is leaving, and starts again with another start time, or turns requests away with a time to wait. Endpoints do not see which instance a request comes from, so the bound allows one request of each caller for each instance during a wait, and for each instance that a fault has disturbed.

--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -47,6 +47,8 @@
 	seen                    atomic.Int64
 	drainedAt               atomic.Int64 // Unix nanoseconds of the acknowledged draining, 0: it is ready
 	limit                   limit
+	notice                  notice
+	born                    atomic.Int64 // its start as it tells it
 }
 
 // drainBound is when a draining endpoint must get no more requests.
@@ -64,7 +66,7 @@
 }
 
 func (e *endpoint) list(state string) {
-	entry := platformtest.EndpointEntry{Service: e.service, Addr: e.proxy.addr, DataCentre: e.dataCentre, Slots: 16, State: state}
+	entry := platformtest.EndpointEntry{Service: e.service, Addr: e.proxy.addr, DataCentre: e.dataCentre, Slots: 16, State: state, Born: e.born.Load()}
 	e.store.Put(platformtest.EndpointKey(e.id), entry.Encode())
 	if state == "ready" {
 		e.drainedAt.Store(0)
@@ -80,6 +82,11 @@
 		return
 	}
 	id, body := platformtest.RequestID(r.Header), readAll(r)
+	if e.notice.arrive(time.Now(), w.Header()) {
+		platformtest.Sign(w.Header(), id)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	e.ledger.mu.Lock()
 	e.ledger.runs[id]++
 	e.ledger.mu.Unlock()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -137,6 +137,7 @@
 func (s *soak) faults(ctx context.Context) {
 	var open sync.WaitGroup
 	open.Go(func() { s.nameLimits(ctx) })
+	open.Go(func() { s.askForNone(ctx) })
 	slots := make(chan struct{}, maxOverlap)
 	busy := make([]sync.Mutex, len(s.instances))
 	for end := time.Now().Add(s.options.Length); time.Now().Before(end) && ctx.Err() == nil; {
