--- a/internal/core/fleetview/changes.go
+++ b/internal/core/fleetview/changes.go
@@ -4,6 +4,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/crashguard"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointnotice"
 	"dogwoodknot.example/dogwoodknot/internal/core/endpointrate"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
@@ -39,6 +40,7 @@
 	loads    map[string]placement.Load
 	limits   map[string]endpointrate.Statement // by endpoint
 	crashes  uint64                            // version of this node's register up to which crashes were sent
+	notices  map[endpointnotice.Advice]bool
 }
 
 func newSentState() *sentState {
--- a/internal/core/fleetview/digest.go
+++ b/internal/core/fleetview/digest.go
@@ -52,6 +52,7 @@
 		state.Endpoints = next.loadChanges(load)
 		state.Limits = next.limitChanges(limits)
 		state.Crashes = next.crashChanges(now, n.crashes)
+		state.Notices = next.noticeChanges(n.notices.Advice(now))
 		state.Regions = n.regionStates(now, n.regionUsage.values, func(name string) map[string]float64 { return n.remoteRegions[name].forChildren.values })
 		if n.encodedComplete, err = proto.Marshal(state); err != nil {
 			return errors.Wrap(err, "encode the complete state")
@@ -63,6 +64,7 @@
 		n.sentToChildren.loadChanges(load)
 		n.sentToChildren.limitChanges(limits)
 		n.sentToChildren.crashChanges(now, n.crashes)
+		n.sentToChildren.noticeChanges(n.notices.Advice(now))
 		return nil
 	}
 	state.Complete = false
@@ -70,6 +72,7 @@
 	state.Endpoints = n.sentToChildren.loadChanges(load)
 	state.Limits = n.sentToChildren.limitChanges(limits)
 	state.Crashes = n.sentToChildren.crashChanges(now, n.crashes)
+	state.Notices = n.sentToChildren.noticeChanges(n.notices.Advice(now))
 	state.Regions = n.regionStates(now, usageChanges, func(name string) map[string]float64 { return remoteUsage[name] })
 	n.encodedChanges, err = proto.Marshal(state)
 	return errors.Wrap(err, "encode the changes of the state")
--- a/internal/core/fleetview/node.go
+++ b/internal/core/fleetview/node.go
@@ -20,6 +20,7 @@
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/crashguard"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointnotice"
 	"dogwoodknot.example/dogwoodknot/internal/core/endpointrate"
 	"dogwoodknot.example/dogwoodknot/internal/core/fleetquota"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
@@ -45,6 +46,7 @@
 	Services      []*wire.EdgeServiceLoad
 	Limits        []endpointrate.Statement // that this instance knows of the region's endpoints
 	Crashes       []crashguard.Crash       // that are new or have changed since the last call
+	Notices       []endpointnotice.Advice  // that this instance knows of the region's endpoints
 	Events
 }
 
@@ -82,6 +84,7 @@
 	configVersion  int64
 	limits         *endpointrate.Register // of the region's endpoints
 	crashes        *crashguard.Register   // of endpoints of all regions
+	notices        *endpointnotice.Register
 
 	regionUsage    totals // usage by all instances of the region
 	peerUsage      totals // the same without this instance
@@ -118,6 +121,7 @@
 		self: self, sources: make(map[string]*Source), remoteRoots: make(map[string]*Source), summaryStreams: make(map[string]*SummaryStream),
 		ownUsage: make(map[string]float64), regionUsage: newTotals(), peerUsage: newTotals(), remoteRegions: make(map[string]*remoteRegion),
 		unsentUsage: make(map[string]float64), peerAverages: make(averages), limits: endpointrate.NewRegister(), crashes: crashguard.NewRegister(),
+		notices: endpointnotice.NewRegister(),
 	}
 	n.sources[self.Instance] = newSource(self)
 	return n
@@ -146,6 +150,9 @@
 	for _, c := range o.Crashes {
 		n.crashes.Merge(now, c)
 	}
+	for _, a := range o.Notices {
+		n.notices.Merge(now, a)
+	}
 	n.forwardEvents(o.Events)
 }
 
@@ -215,6 +222,9 @@
 	if err := n.mergeCrashes(now, r.GetCrashes()); err != nil {
 		return err
 	}
+	if err := n.mergeNotices(now, r.GetNotices()); err != nil {
+		return err
+	}
 	for _, earlier := range r.GetEarlier() {
 		if earlier.GetNumber() > received {
 			n.addReportedUsage(now, s, earlier.GetUses())
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -32,6 +32,9 @@
 	reset          tally.Counter
 	blocked        tally.Gauge
 	rejected       tally.Counter
+	leaving        tally.Gauge
+	waiting        tally.Gauge
+	withheld       tally.Counter
 	mu             sync.Mutex
 	byStatus       map[int]statusMetrics
 }
@@ -49,6 +52,7 @@
 		limited: scope.Gauge("limited_endpoints"), toLimited: scope.Counter("requests_to_limited_endpoints"),
 		crashed: scope.Counter("attempts_broken_by_crash"), reset: scope.Counter("attempts_broken_otherwise"),
 		blocked: scope.Gauge("blocked_prompt_parts"), rejected: scope.Counter("attempts_rejected_for_blocked_part"),
+		leaving: scope.Gauge("leaving_endpoints"), waiting: scope.Gauge("waiting_endpoints"), withheld: scope.Counter("requests_withheld"),
 		byStatus: make(map[int]statusMetrics),
 	}
 }
@@ -86,6 +90,15 @@
 // rejectedForPart records an attempt that was not sent because a part of its prompt is blocked.
 func (m *metrics) rejectedForPart() { m.rejected.Inc(1) }
 
+// notices records how many endpoints are leaving, and how many others ask to wait.
+func (m *metrics) notices(leaving, waiting int) {
+	m.leaving.Update(float64(leaving))
+	m.waiting.Update(float64(waiting))
+}
+
+// requestWithheld records that a request was not sent because its endpoint asked for none after it had been chosen.
+func (m *metrics) requestWithheld() { m.withheld.Inc(1) }
+
 // request records an answered request. Status 0 means that the caller disconnected before the answer.
 func (m *metrics) request(status int, took time.Duration) {
 	m.mu.Lock()
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -101,6 +101,7 @@
 	now := e.clock.Now()
 	o.Limits = e.pools.limitStatements()
 	o.Crashes, v.reportedCrashes = e.guard.changes(v.reportedCrashes)
+	o.Notices = e.pools.advice(now)
 	e.pools.each(func(name string, pool *servicePool) {
 		pool.OwnLoad(func(endpoint string, w placement.Load) {
 			if w != (placement.Load{}) {
@@ -161,11 +162,12 @@
 	statuses, peerLoad := v.node.Statuses(now), v.node.PeerLoad(now)
 	rates, services := fleetview.RateInputs{Usage: v.node.PeerUsage(), Unresponsive: v.node.Unresponsive(now)}, v.node.RemoteServices()
 	newest, version := v.node.NewestConfig()
-	limits := v.node.Limits()
+	limits, notices := v.node.Limits(), v.node.Notices(now)
 	var crashes []crashguard.Crash
 	crashes, v.appliedCrashes = v.node.Crashes(v.appliedCrashes)
 	v.mu.Unlock()
 	e.mergeLimits(now, limits)
+	e.mergeNotices(now, notices)
 	e.guard.merge(now, crashes)
 	v.appliedAsOf.Store(int64(rates.Usage[e.options.Self.Region].ReceivedAt))
 	e.fleet.recordStatuses(statuses)
