--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -235,7 +235,7 @@
 		if id == req.ID || id == "" && !reused {
 			return resp, nil
 		}
-		if id != "" && c.onLate != nil {
+		if c.onLate != nil {
 			c.onLate(resp.StatusCode, resp.Header)
 		}
 		if id == "" || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
