--- a/internal/edgedaemon/daemon_test.go
+++ b/internal/edgedaemon/daemon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -219,3 +220,21 @@
 	}
 	stop(t, first)
 }
+
+// callInstance sends a caller's request to an instance and returns the status of its complete answer.
+func callInstance(t *testing.T, s Settings, id, path string, deadline time.Duration) (int, error) {
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.CallerAddr+path, strings.NewReader("x"))
+	if err != nil {
+		return 0, err
+	}
+	req.Host = "h"
+	platformtest.SetRequestHeaders(req.Header, id, "k")
+	platformtest.SetDeadline(req.Header, deadline)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
