Pass on events that hold fields of the platform's own

What callers would have seen: a stream broke off at an event with a line such as the change of the weights' version, which the protocol of the endpoints allows as the first line of an event.

Cause: the check that keeps heads and errors of other responses out of streams took each field that server-sent events do not define for foreign. Receivers ignore such fields.

Change: a line is foreign only if it has no colon or if what stands before it is no name.

Heads and error texts are still kept out.

--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -60,13 +60,14 @@
 	Raw []byte // with the empty line that ends it
 	// Empty reports that the event has neither data nor an id, for example because it holds comments only. Callers ignore it.
 	Empty bool
-	// Foreign reports a line with a field that the format does not define, for example the head of another response.
+	// Foreign reports a line that is no field: neither one that the format defines nor a name and a colon. It may be the head of another
+	// response.
 	Foreign bool
 }
 
 // addField records a line of the event without its end.
 func (e *Event) addField(line []byte) {
-	name, value, _ := bytes.Cut(line, []byte(":"))
+	name, value, named := bytes.Cut(line, []byte(":"))
 	switch string(name) {
 	case "id":
 		e.ID = string(bytes.TrimPrefix(value, []byte(" ")))
@@ -74,11 +75,16 @@
 	case "data":
 		e.Empty = false
 	case "", "event", "retry": // an empty name begins a comment
-	default:
-		e.Foreign = true
+	default: // receivers ignore fields that they do not know
+		e.Foreign = e.Foreign || !named || bytes.ContainsFunc(name, notInName)
 	}
 }
 
+// notInName reports whether a character does not occur in names of fields: they have letters, digits and the signs of header names.
+func notInName(c rune) bool {
+	return (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && c != '-' && c != '_' && c != '.'
+}
+
 // byteOrderMark may precede a stream.
 var byteOrderMark = []byte("\ufeff")
 
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -39,3 +39,23 @@
 		}
 	}
 }
+
+// Guards against an event with a field of the platform's own that counts as foreign, and against a head or an error of another response
+// that counts as an event.
+func TestForeignLines(t *testing.T) {
+	for block, foreign := range map[string]bool{
+		"x-model-version: 4\nid: 1\ndata: a\n\n":              false,
+		"id: 1\nx_other.field: text with spaces\ndata: a\n\n": false,
+		"data\nid: 1\n\n": false,
+		"HTTP/1.1 503 Service Unavailable\r\nA: b\r\n\r\n":       true,
+		"id: 1\ndata: a\nHTTP/1.1 200 OK: x\n\n":                 true,
+		"{\"error\": \"out of memory\"}\n\n":                     true,
+		"id: 1\ndata: a\nBad Gateway\n\n":                        true,
+		"<html><body style=\"color: red\">503</body></html>\n\n": true,
+	} {
+		event, err := NewReader(strings.NewReader(block)).NextRaw()
+		if err != nil || event.Foreign != foreign || string(event.Raw) != block {
+			t.Errorf("%q: foreign %v, error %v, want foreign %v", block, event.Foreign, err, foreign)
+		}
+	}
+}
