List the keys of endpoints and the names of members in one place each

Two functions of internal/edge that the work on notices and on crashing prompt parts had added were copies of state.listed and fleet.regionMembers with another key or another choice. Behaviour is unchanged; the test follows a renamed function.

--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -482,31 +482,31 @@
 }
 
 // regionMembers returns the instances of this region, which may send requests to the same endpoints, and false if the announcements
-// have not been read yet. This instance is one of them while its announcement is in the store, since the others go by that.
+// have not been read yet.
 func (f *fleet) regionMembers() (names []string, read bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.selfListed {
-		names = append(names, f.options.Self.Instance)
-	}
-	for name, m := range f.members {
-		if m.Region == f.options.Self.Region {
-			names = append(names, name)
-		}
-	}
-	return names, f.read
+	return f.namesWhere(func(m *member) bool { return m.Region == f.options.Self.Region }), f.read
 }
 
-// memberNames returns the instances of all regions. This instance is one of them while its announcement is in the store.
+// memberNames returns the instances of all regions.
 func (f *fleet) memberNames() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.namesWhere(func(*member) bool { return true })
+}
+
+// namesWhere returns the selected instances and this one. This one is left out while its announcement is not in the store, since the
+// others go by that. The caller holds mu.
+func (f *fleet) namesWhere(selected func(*member) bool) []string {
 	names := make([]string, 0, len(f.members)+1)
 	if f.selfListed {
 		names = append(names, f.options.Self.Instance)
 	}
-	for name := range f.members {
-		names = append(names, name)
+	for name, m := range f.members {
+		if selected(m) {
+			names = append(names, name)
+		}
 	}
 	return names
 }
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -68,7 +68,7 @@
 
 // pruneNotices drops the notices that no longer bind.
 func (e *Edge) pruneNotices() {
-	now, listed := e.clock.Now(), e.state.listedIncarnations()
+	now, listed := e.clock.Now(), e.state.knownIncarnation()
 	e.metrics.notices(e.pools.pruneNotices(now, listed))
 	e.view.pruneNotices(now, listed)
 }
@@ -159,14 +159,3 @@
 	defer v.mu.Unlock()
 	v.node.PruneNotices(now, listed)
 }
-
-// listedIncarnations returns a function that reports whether an incarnation of an endpoint is listed.
-func (s *state) listedIncarnations() func(catalog.Incarnation) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	known := make(map[catalog.Incarnation]bool, len(s.endpoints))
-	for _, e := range s.endpoints {
-		known[e.Incarnation] = true
-	}
-	return func(endpoint catalog.Incarnation) bool { return known[endpoint] }
-}
--- a/internal/edge/notices_test.go
+++ b/internal/edge/notices_test.go
@@ -25,7 +25,7 @@
 			t.Errorf("connections to %s are kept: %v", addr, keep(addr))
 		}
 	}
-	if leaving, waiting := e.pools.pruneNotices(now, e.state.listedIncarnations()); leaving != 2 || waiting != 1 {
+	if leaving, waiting := e.pools.pruneNotices(now, e.state.knownIncarnation()); leaving != 2 || waiting != 1 {
 		t.Errorf("%d endpoints leave and %d wait", leaving, waiting)
 	}
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -370,18 +370,23 @@
 
 // knownID returns a function that reports whether an id is that of a listed endpoint.
 func (s *state) knownID() func(id string) bool {
-	return s.listed(func(e catalog.Endpoint) string { return e.ID })
+	return listed(s, func(e catalog.Endpoint) string { return e.ID })
+}
+
+// knownIncarnation returns a function that reports whether an incarnation of an endpoint is listed.
+func (s *state) knownIncarnation() func(catalog.Incarnation) bool {
+	return listed(s, func(e catalog.Endpoint) catalog.Incarnation { return e.Incarnation })
 }
 
 // listed returns a function that reports whether a listed endpoint has the given key.
-func (s *state) listed(keyOf func(catalog.Endpoint) string) func(key string) bool {
+func listed[K comparable](s *state, keyOf func(catalog.Endpoint) K) func(key K) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known := make(map[string]bool, len(s.endpoints))
+	known := make(map[K]bool, len(s.endpoints))
 	for _, e := range s.endpoints {
 		known[keyOf(e.Endpoint)] = true
 	}
-	return func(key string) bool { return known[key] }
+	return func(key K) bool { return known[key] }
 }
 
 // terms returns the rates of all organisations.
