Send nothing once requests are given up at the end of a planned stop

Callers saw 504 for a request that had only waited for an endpoint: "status 504, want 503 or a complete answer" of TestStopAnswersRequestsThatWaitForAnEndpoint, now and then beside load. 504 promises nothing, so a caller of a request that may run only once cannot repeat it, although it could with 503.

Cause: at the end of the grace time Edge.EndUnanswered ends one context, from which each request's own context ends on a goroutine of its own. A request in progress that is given up early frees its place, the queue gives it to a request whose context has not ended yet, and that one is sent to the endpoint a moment before it is given up too: it ends as one that may have run. The same held for attempts made for instances of other regions, for repeats, and for resumes of streams that had begun, which end later than the other requests.

Ruled out: a request rejected too late (it waits far within its deadline), and an endpoint that takes it after the stop.

Fix: the pools are closed first. Requests in the queue are rejected there, and later ones get no endpoint here or in another region. A connection that was being opened sends nothing. A waiting attempt of another region ends with the error of a stopping instance, so that its own instance tries another one instead of taking the region for full.

TestStopAnswersRequestsThatWaitForAnEndpoint took 200 as well, for a request that got the place of one given up before it. That cannot happen any more: only 503 passes now, and the request may not reach the endpoint.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -79,6 +79,7 @@
 	retryAfter time.Duration // for notPlaced and blocked
 	part       uint64        // for blocked, 0 through another instance
 	final      bool          // no other region is tried
+	stopping   bool          // requests in progress here are given up, since the instance ends
 	waiting    bool          // an endpoint of this region may still become available
 	notice     endpointnotice.Said
 }
@@ -99,6 +100,14 @@
 	notice endpointnotice.Said
 }
 
+// stoppingReason is what callers are told of a request that was not sent since the instance ends.
+const stoppingReason = "instance is stopping"
+
+// stoppingFailure is the failure of a request that was not sent since requests in progress are given up.
+func stoppingFailure() *failure {
+	return &failure{kind: notPlaced, reason: stoppingReason, retryAfter: minRetryAfter, final: true, stopping: true}
+}
+
 // attemptLocal waits for an endpoint of this region and sends it the request.
 func (e *Edge) attemptLocal(ctx context.Context, a *attempt) (*reply, *failure) {
 	if v := e.guard.check(e.clock.Now(), a.sharedParts); v.Blocked {
@@ -106,6 +115,9 @@
 		return nil, blockedFailure(v)
 	}
 	chosen, reason := e.pools.place(ctx, a)
+	if reason == instanceStopping {
+		return nil, stoppingFailure()
+	}
 	if reason != "" {
 		return nil, &failure{kind: notPlaced, reason: string(reason), retryAfter: e.retryAfter(a.service)}
 	}
@@ -134,6 +146,10 @@
 	resp, head, err := e.send(ctx, chosen.Incarnation, chosen.Addr, &endpointconn.Request{
 		ID: a.id, Method: a.method, URI: a.uri, Host: a.host, Header: header, Body: a.body, FreshConnection: a.freshConnection,
 	})
+	if errors.Is(err, errStopping) {
+		e.pools.release(a.service, endpoint, a.work.ID, resultNone)
+		return nil, stoppingFailure()
+	}
 	if errors.Is(err, errNoRequests) {
 		e.pools.release(a.service, endpoint, a.work.ID, resultNone)
 		return e.attemptLocal(ctx, a) // at another endpoint, if there is one
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -347,6 +347,9 @@
 // with a failure marked as waiting, so that the region is chosen again.
 func (x *exchange) decideAndAttempt(ctx context.Context) (*reply, *failure) {
 	e := x.edge
+	if e.pools.isClosed() {
+		return nil, stoppingFailure()
+	}
 	self := e.options.Self.Region
 	now := e.clock.Now()
 	verdict := e.guard.check(now, x.attempt.sharedParts)
@@ -373,7 +376,7 @@
 	case d.Action == triage.ServeLocally:
 		x.attempt.waitUntil = min(x.attempt.placeBy, now.Add(reconsiderInterval))
 		r, f := e.attemptLocal(ctx, &x.attempt)
-		if f != nil && f.kind == notPlaced && f.reason != string(placement.NoEndpoint) && f.reason != string(placement.AllWithheld) && e.clock.Now() < x.attempt.placeBy {
+		if f != nil && f.kind == notPlaced && !f.final && f.reason != string(placement.NoEndpoint) && f.reason != string(placement.AllWithheld) && e.clock.Now() < x.attempt.placeBy {
 			f.waiting = true
 			return r, f
 		}
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -15,14 +15,21 @@
 	"dogwoodknot.example/dogwoodknot/internal/endpointconn"
 )
 
-// errNoRequests is returned instead of a response if the endpoint asks for no requests at the moment of sending.
-var errNoRequests = errors.New("endpoint asks for no requests")
+var (
+	// errNoRequests is returned instead of a response if the endpoint asks for no requests at the moment of sending.
+	errNoRequests = errors.New("endpoint asks for no requests")
+	// errStopping is returned instead of a response if requests in progress are given up at the moment of sending.
+	errStopping = errors.New(stoppingReason)
+)
 
-// send sends a request to an endpoint unless that asks for none once a connection is open, and records what it asks in its answer. An
-// answer that arrives after its attempt was given up counts too.
+// send sends a request to an endpoint, and records what it asks in its answer. It sends nothing if, once a connection is open, the
+// endpoint asks for no requests or requests in progress are given up. An answer that arrives after its attempt was given up counts too.
 func (e *Edge) send(ctx context.Context, endpoint catalog.Incarnation, addr string, req *endpointconn.Request) (*endpointconn.Response, AnswerHead, error) {
 	id := req.ID
 	req.BeforeSend = func() error {
+		if e.pools.isClosed() {
+			return errStopping
+		}
 		if e.pools.accepts(endpoint) {
 			return nil
 		}
--- a/internal/edge/pools.go
+++ b/internal/edge/pools.go
@@ -41,6 +41,7 @@
 	newParts  numberedLog[endpointParts] // to be reported to the other instances of the region
 	limiter   *endpointrate.Limiter      // of endpoints that accept only a request rate
 	notices   *endpointnotice.Register   // of endpoints that ask for no requests
+	closed    bool                       // no request gets an endpoint any more
 }
 
 type servicePool struct {
@@ -55,9 +56,19 @@
 // waiter is a request in the queue for an endpoint.
 type waiter struct {
 	*attempt
-	placed chan placement.Choice // buffered for one value; closed if all endpoints ask for no requests
+	placed   chan placement.Choice // buffered for one value; closed if the request was rejected
+	rejected placement.Reason      // why, once placed is closed
 }
 
+// reject ends the wait of a request that gets no endpoint.
+func (w *waiter) reject(reason placement.Reason) {
+	w.rejected = reason
+	close(w.placed)
+}
+
+// instanceStopping is the reason for which no endpoint is chosen once requests in progress are given up at the end of a planned stop.
+const instanceStopping placement.Reason = "instance-stopping"
+
 func newPools(c clock.Clock, self string) *pools {
 	return &pools{clock: c, byService: make(map[string]*servicePool), newParts: numberedLog[endpointParts]{maxEntries: maxNewParts},
 		limiter: endpointrate.NewLimiter(self), notices: endpointnotice.NewRegister()}
@@ -91,10 +102,33 @@
 	p.dispatchAll()
 }
 
+// close rejects the requests that wait for an endpoint and all later ones. What is in progress goes on.
+func (p *pools) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, pool := range p.byService {
+		for _, w := range pool.waiting {
+			w.reject(instanceStopping)
+		}
+		pool.waiting = nil
+	}
+}
+
+func (p *pools) isClosed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
+}
+
 // place waits for an endpoint until a.waitUntil or until ctx ends. The request counts as in progress at the returned endpoint
 // until release is called. If there is no endpoint, it returns the reason.
 func (p *pools) place(ctx context.Context, a *attempt) (placement.Choice, placement.Reason) {
 	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return placement.Choice{}, instanceStopping
+	}
 	pool := p.byService[a.service]
 	if pool == nil {
 		p.mu.Unlock()
@@ -119,7 +153,7 @@
 	select {
 	case c, placed := <-req.placed:
 		if !placed {
-			return c, placement.AllWithheld
+			return c, req.rejected
 		}
 		return c, ""
 	case <-timer.C:
@@ -130,7 +164,7 @@
 	select {
 	case c, placed := <-req.placed:
 		if !placed {
-			return c, placement.AllWithheld
+			return c, req.rejected
 		}
 		if ctx.Err() == nil {
 			return c, ""
@@ -237,7 +271,7 @@
 	for i, tried := 0, 0; i < len(pool.waiting) && tried < maxDispatchTries; tried++ {
 		reason := p.tryPlace(pool, pool.waiting[i])
 		if reason == placement.AllWithheld {
-			close(pool.waiting[i].placed) // it goes to another region or is rejected now
+			pool.waiting[i].reject(reason) // it goes to another region or is rejected now
 		}
 		if reason == "" || reason == placement.AllWithheld {
 			pool.waiting = slices.Delete(pool.waiting, i, i+1)
--- a/internal/edge/remote.go
+++ b/internal/edge/remote.go
@@ -231,6 +231,9 @@
 	defer keep()
 	r, f := e.attemptLocal(ctx, a)
 	keep()
+	if f != nil && f.stopping {
+		return "", f, peer.NewError(codeStopping, stoppingReason) // the calling instance tries another one of this region
+	}
 	if f != nil {
 		return f.endpoint, f, s.Send(encodeFailure(f))
 	}
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -166,8 +166,12 @@
 }
 
 // EndUnanswered gives up the requests and the attempts for other instances whose answer has not begun. They get an error, which tells
-// whether they may have run; a closed connection does not.
-func (e *Edge) EndUnanswered() { e.endUnanswered() }
+// whether they may have run; a closed connection does not. Nothing is sent to an endpoint from then on: a request that waits for one
+// would otherwise get the place of one that was given up, and end as one that may have run.
+func (e *Edge) EndUnanswered() {
+	e.pools.close()
+	e.endUnanswered()
+}
 
 // closing reports whether requests that may outlast the process are rejected.
 func (e *Edge) closing() bool { return e.endsAt.Load() != 0 }
--- a/internal/edgedaemon/waiting_test.go
+++ b/internal/edgedaemon/waiting_test.go
@@ -12,8 +12,8 @@
 	"dogwoodknot.example/dogwoodknot/platform/platformtest"
 )
 
-// Guards against a planned stop that closes the connections of requests which still wait for an endpoint: nothing has run them, and their
-// callers would get no answer.
+// Guards against a planned stop that closes the connections of requests which still wait for an endpoint, or sends them to one whose
+// requests it has given up: nothing has run them, and their callers would get no answer or one that does not say so.
 func TestStopAnswersRequestsThatWaitForAnEndpoint(t *testing.T) {
 	store := platformtest.NewStore(t)
 	s := settings(t, store.Addr)
@@ -21,6 +21,9 @@
 	arrived := make(chan struct{}, 8)
 	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
+		if platformtest.RequestID(r.Header) == "waiting" {
+			t.Error("the request that waits has reached the endpoint")
+		}
 		if r.URL.Path == "/once/long" {
 			arrived <- struct{}{}
 			<-r.Context().Done()
@@ -66,9 +69,8 @@
 		_ = d.Stop(ctx) // what still runs lasts longer than the grace time, which Stop reports
 	}()
 	time.Sleep(400 * time.Millisecond) // requests that may outlast the process are still taken
-	// It gets the slot of a request that was given up a moment before it, or nothing.
-	if got := <-start("waiting", "/once/"); got.err != nil || got.status != http.StatusServiceUnavailable && got.status != http.StatusOK {
-		t.Errorf("a request that waits for an endpoint at the end of the process: status %d, error %v, want 503 or a complete answer", got.status, got.err)
+	if got := <-start("waiting", "/once/"); got.err != nil || got.status != http.StatusServiceUnavailable {
+		t.Errorf("a request that waits for an endpoint at the end of the process: status %d, error %v, want 503", got.status, got.err)
 	}
 	for _, r := range []chan result{running, second} {
 		if got := <-r; got.err != nil || got.status != http.StatusGatewayTimeout {
--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -86,6 +86,12 @@
 		Original: "for d.edge.Forwarded() > 0 && ", Replacement: "for false && ",
 		Package: "./internal/edgedaemon", Run: "^TestStopWaitsForForwardedRequests$",
 	},
+	{
+		Condition: 9, Mechanism: "edge: nothing is sent once requests in progress are given up",
+		File:     "internal/edge/service.go",
+		Original: "\te.pools.close()\n", Replacement: "",
+		Package: "./internal/edge", Run: "^TestNothingIsSentOnceRequestsAreGivenUp$",
+	},
 	{
 		Condition: 13, Mechanism: "edge: only a higher version is accepted",
 		File:     "internal/edge/state.go",
