Answer a request of which nothing was sent as one that has not run

A caller whose time was up, or whose instance ended, while a connection to an endpoint was being opened got 504 instead of 503: it could not know that its request has not run, and its organisation was charged for it.

Cause: sendFailure classed each failure after the end of the request's context as one that may have run, also where the client for endpoints states that no byte was written. Found by reading, beside the trace of TestStopAnswersRequestsThatWaitForAnEndpoint.

Ruled out: 503 for a request that has run. The client marks an error as not sent only if the connection could not be opened or its first write wrote no byte.

Fix: such a failure is one of a request that was not sent; it still says nothing about the health of the endpoint. A connection that opens after the end of the context is closed unused, where before its close and the first write ran side by side.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -223,6 +223,9 @@
 	case ctx.Err() != nil:
 		v = resultNone
 		f.reason = ctx.Err().Error()
+		if errors.Is(err, endpointconn.ErrNotSent) {
+			f.kind = notSent
+		}
 	case errors.Is(err, endpointconn.ErrNotSent):
 		f.kind = notSent
 		v = resultUnreachable
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -23,13 +23,16 @@
 )
 
 // send sends a request to an endpoint, and records what it asks in its answer. It sends nothing if, once a connection is open, the
-// endpoint asks for no requests or requests in progress are given up. An answer that arrives after its attempt was given up counts too.
+// endpoint asks for no requests, requests in progress are given up or ctx has ended. An answer that arrives after its attempt was given up counts too.
 func (e *Edge) send(ctx context.Context, endpoint catalog.Incarnation, addr string, req *endpointconn.Request) (*endpointconn.Response, AnswerHead, error) {
 	id := req.ID
 	req.BeforeSend = func() error {
 		if e.pools.isClosed() {
 			return errStopping
 		}
+		if err := ctx.Err(); err != nil {
+			return err
+		}
 		if e.pools.accepts(endpoint) {
 			return nil
 		}
--- a/internal/edge/stopping_test.go
+++ b/internal/edge/stopping_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -131,3 +132,36 @@
 		t.Errorf("an attempt in another region ends with %+v", failed)
 	}
 }
+
+// Guards against a request that is answered as one that may have run although no byte of it was sent: its time was up, or it was given up,
+// while a connection was being opened.
+func TestRequestOfWhichNothingWasSentHasNotRun(t *testing.T) {
+	for name, opens := range map[string]bool{"the connection is not opened": false, "the connection is opened too late": true} {
+		ctx, cancel := context.WithCancel(t.Context())
+		received := make(chan int64, 1)
+		e, f := sendingEdge(t, func(context.Context) (net.Conn, error) {
+			cancel()
+			if !opens {
+				return nil, context.Canceled
+			}
+			own, endpoint := net.Pipe()
+			go func() {
+				n, _ := io.Copy(io.Discard, endpoint) // an error is a closed connection
+				received <- n
+			}()
+			return own, nil
+		})
+		_, failed := e.attemptLocal(ctx, newAttempt(f.clk.Now(), "r"))
+		if failed == nil || failed.kind != notSent || failed.kind.mayHaveRun() {
+			t.Errorf("%s: the request ends with %+v", name, failed)
+		}
+		if opens {
+			if n := <-received; n != 0 {
+				t.Errorf("%s: the endpoint has received %d bytes", name, n)
+			}
+		}
+		if sum := e.pools.loadFor(&attempt{service: "s"}); sum.Usable != 1 || sum.Free < 1 {
+			t.Errorf("%s: load %+v after the attempt", name, sum)
+		}
+	}
+}
