Send requests to a region whose root has not read its endpoints yet

An instance rejected requests with 503 "no region that may serve the request has endpoints" although another region could serve them, from the first message of that region until the second: 120 ms after a start, longer beside load. The same held for a whole region whose new root had not read the store yet, for as long as that took.

Cause: before the first message an instance counts as serving for 2 s after its listing, if the store lists endpoints there. A root sends its first summary as soon as it knows another root, often before it has read the configuration and its endpoints. That summary names no services and says "not ready"; the receiver took both for a statement about the region, and a list without services replaced what an earlier root had told.

Ruled out: a message on its way that says "no endpoints" truthfully. A root that has read its endpoints names each service, also those without usable endpoints.

Fix: a summary without services leaves what the region stated before in force until it is 1.2 s old. While nothing is known, instances that were listed within 2 s and are heard are used if the store lists endpoints there and no other instance of the region is usable.

Evidence: a trace of platform tests beside load (average 42 on 8 cores) showed instances that rejected requests with "heard, not ready, no services", 15 to 174 ms after the first message, while the store listed the endpoints.

--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -270,6 +270,10 @@
 		if at <= f.services[region].at {
 			continue
 		}
+		if len(list) == 0 {
+			// Its root has not read its endpoints yet. What the region said before holds until it is too old.
+			continue
+		}
 		loads := make(map[string]routing.RegionLoad, len(list))
 		for _, l := range list {
 			if l.GetUsable() > 0 {
@@ -401,13 +405,19 @@
 
 // newlyListed reports whether the instance was listed a moment ago and nothing has been received from it yet. It counts as
 // serving, because after a restart of the whole fleet the first messages take one or two wide-area round trips.
-func (m *member) newlyListed(now clock.Instant) bool {
-	return m.lastReceived == 0 && m.listed && !m.leaving && now.Sub(m.joined) <= newInstanceGrace && now >= m.avoidUntil
+func (m *member) newlyListed(now clock.Instant) bool { return m.lastReceived == 0 && m.starting(now) }
+
+// starting reports whether the instance was listed a moment ago and has not gone silent since. What has been received from it may have
+// been sent before it had read the configuration and its endpoints.
+func (m *member) starting(now clock.Instant) bool {
+	silent := m.lastReceived > 0 && now.Sub(m.lastReceived) > unresponsiveAfter
+	return m.listed && !m.leaving && !silent && now.Sub(m.joined) <= newInstanceGrace && now >= m.avoidUntil
 }
 
 // remoteRegions returns the load of each allowed remote region that serves the service, with an instance there to send the
 // request to. listed reports whether a region has endpoints of the service; it is used for instances from which no load has
-// been received yet.
+// been received yet. Those that have started and do not state yet that they are ready, or what their region serves, are used if a
+// region has no others: without them the request would be rejected.
 func (f *fleet) remoteRegions(service string, allowed, listed func(region string) bool) []routing.RegionLoad {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -420,20 +430,19 @@
 		services := f.services[region]
 		load, serves := services.load[service]
 		load.Age = now.Sub(services.at)
-		var usable []*member
-		for _, m := range members {
-			if len(usable) == partnersPerRegion {
-				break
-			}
-			if m.usable(now) && serves && load.Age <= unresponsiveAfter || m.newlyListed(now) && listed(region) {
-				usable = append(usable, m)
-			}
+		known := services.at > 0 && load.Age <= unresponsiveAfter
+		serves = serves && known
+		usable := firstPartners(members, func(m *member) bool {
+			return m.usable(now) && serves || m.newlyListed(now) && listed(region)
+		})
+		if len(usable) == 0 && (serves || !known && listed(region)) {
+			usable = firstPartners(members, func(m *member) bool { return m.starting(now) })
 		}
 		if len(usable) == 0 {
 			continue
 		}
 		chosen := usable[rand.IntN(len(usable))]
-		if chosen.lastReceived == 0 {
+		if chosen.lastReceived == 0 || !serves {
 			load = routing.RegionLoad{Region: region, OneWay: assumedOneWay}
 		}
 		load.Instance = chosen.name
@@ -443,6 +452,20 @@
 	return out
 }
 
+// firstPartners returns the first selected instances of a remote region, at most as many as requests are sent to.
+func firstPartners(members []*member, selected func(*member) bool) []*member {
+	var out []*member
+	for _, m := range members {
+		if len(out) == partnersPerRegion {
+			break
+		}
+		if selected(m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // partnerNames returns the remote instances that requests are sent to.
 func (f *fleet) partnerNames() []string {
 	f.mu.Lock()
@@ -450,12 +473,8 @@
 	now := f.options.Clock.Now()
 	var out []string
 	for _, members := range f.partners {
-		n := 0
-		for _, m := range members {
-			if n < partnersPerRegion && (m.usable(now) || m.newlyListed(now)) {
-				out = append(out, m.name)
-				n++
-			}
+		for _, m := range firstPartners(members, func(m *member) bool { return m.usable(now) || m.starting(now) }) {
+			out = append(out, m.name)
 		}
 	}
 	return out
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -225,3 +226,60 @@
 		break
 	}
 }
+
+// Guards against requests that are rejected until the second message of another region, because its first one was sent before its root
+// had read the configuration and its endpoints; also after another instance has become its root. And against a region that is offered
+// although it states that it cannot serve, or states nothing for too long.
+func TestRegionWhoseRootHasNotReadItsEndpoints(t *testing.T) {
+	all := func(string) bool { return true }
+	type message struct {
+		from     string
+		ready    bool
+		services []*wire.EdgeServiceLoad
+	}
+	serving, other := []*wire.EdgeServiceLoad{{Name: "s", Usable: 3, WaitMillis: 20}}, []*wire.EdgeServiceLoad{{Name: "o", Usable: 1}, {Name: "s"}}
+	const soon = 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		instances []string
+		messages  []message // one each soon, after the listing of the instances
+		then      time.Duration
+		unlisted  bool // the store lists no endpoints of the service there
+		want      string
+		wait      time.Duration
+	}{
+		"nothing read":                      {[]string{"n"}, []message{{"n", false, nil}}, 0, false, "n", 0},
+		"nothing read, no endpoints listed": {[]string{"n"}, []message{{"n", false, nil}}, 0, true, "", 0},
+		"endpoints not read":                {[]string{"n"}, []message{{"n", true, nil}}, 0, false, "n", 0},
+		"endpoints read":                    {[]string{"n"}, []message{{"n", false, nil}, {"n", true, serving}}, 0, false, "n", 20 * time.Millisecond},
+		"endpoints read, not ready":         {[]string{"n"}, []message{{"n", false, nil}, {"n", false, serving}}, 0, false, "n", 20 * time.Millisecond},
+		"other endpoints read":              {[]string{"n"}, []message{{"n", false, nil}, {"n", true, other}}, 0, false, "", 0},
+		"silent":                            {[]string{"n"}, []message{{"n", false, nil}}, unresponsiveAfter + time.Millisecond, false, "", 0},
+		"not ready for long":                {[]string{"n"}, slices.Repeat([]message{{"n", false, nil}}, int(newInstanceGrace/soon)+1), 0, false, "", 0},
+		"one ready, one not":                {[]string{"m", "n"}, []message{{"m", true, serving}, {"n", false, nil}}, 0, false, "m", 20 * time.Millisecond},
+		"new root":                          {[]string{"m"}, append(slices.Repeat([]message{{"m", true, serving}}, 50), message{"m", true, nil}), 0, false, "m", 20 * time.Millisecond},
+		"new root, for long":                {[]string{"m"}, append(slices.Repeat([]message{{"m", true, serving}}, 50), slices.Repeat([]message{{"m", true, nil}}, int(unresponsiveAfter/soon)+1)...), 0, false, "", 0},
+	} {
+		f := newTestFleet(t)
+		for _, instance := range c.instances {
+			f.list(instance, "north")
+		}
+		for _, m := range c.messages {
+			now := f.clk.Advance(soon)
+			f.recordStatuses(map[string]fleetview.ReceivedStatus{m.from: {Status: fleetview.Status{Incarnation: 1, Ready: m.ready}, ReceivedAt: now}})
+			f.recordServices(map[string][]*wire.EdgeServiceLoad{"north": m.services}, func(string) clock.Instant { return now })
+		}
+		f.clk.Advance(c.then)
+		for range 20 { // the instance is chosen at random
+			got := f.remoteRegions("s", all, func(string) bool { return !c.unlisted })
+			switch {
+			case c.want == "" && len(got) != 0:
+				t.Errorf("%s: %+v is offered", name, got)
+			case c.want != "" && (len(got) != 1 || got[0].Instance != c.want || got[0].Region != "north" || got[0].Wait != c.wait):
+				t.Errorf("%s: %+v is offered, want %s with a wait of %s", name, got, c.want, c.wait)
+			default:
+				continue
+			}
+			break
+		}
+	}
+}
