Keep crashes that block a prompt part when others need room

What callers would have seen: a blocked part was sent again, and crashed engines, after 512 crashes for other reasons.

Cause: the oldest crashes gave way, and those are the ones that began the block. Two things follow: the block is computed from the later ones alone, so that it begins at 30 s again, and with less than three left the part is not blocked at all.

Ruled out: a larger register. It only takes longer to fill; digests to new children grow with it.

Change: a crash gives way only if no part has three crashes or more that count against it, one of them this one; the oldest of all gives way if there is no other. Registers that receive the same crashes in another order agree as before, since a crash that ranks below all others is not taken.

--- a/internal/core/crashguard/register.go
+++ b/internal/core/crashguard/register.go
@@ -20,7 +20,7 @@
 
 const (
 	// MaxCrashes, maxParts and maxLives bound the crashes that are kept, the parts of one crash, and the parts whose last sign of life is
-	// kept. The oldest crashes and signs of life give way.
+	// kept. The oldest signs of life give way, and the oldest crashes that block no part.
 	MaxCrashes = 512
 	maxParts   = 64
 	maxLives   = 8192
@@ -90,7 +90,7 @@
 	changed := false
 	switch {
 	case known == nil:
-		if len(r.crashes) >= MaxCrashes && !r.removeOldest(c.At) {
+		if len(r.crashes) >= MaxCrashes && !r.makeRoom(c) {
 			return false
 		}
 		known = &Crash{Endpoint: c.Endpoint, At: min(c.At, now), Parts: make(map[uint64]Suspect)}
@@ -161,21 +161,48 @@
 	}
 }
 
-// removeOldest makes room for a crash at a time. It returns false if all others are newer.
-func (r *Register) removeOldest(at clock.Instant) bool {
-	var oldest *Crash
-	for _, c := range r.crashes {
-		if oldest == nil || c.At < oldest.At {
-			oldest = c
+// makeRoom removes the oldest crash that blocks no part, or else the oldest of all. It returns false if the new crash ranks below that
+// one. Without crashes that block a part, its block would end early.
+func (r *Register) makeRoom(c Crash) bool {
+	counts := make(map[uint64]int) // of the crashes that count against a part
+	blocks := func(c *Crash, need int) bool {
+		for part, s := range c.Parts {
+			if s.Cleared {
+				continue
+			}
+			n, known := counts[part]
+			if !known {
+				n = r.countUncleared(part, minCrashes)
+				counts[part] = n
+			}
+			if n >= need {
+				return true
+			}
 		}
+		return false
 	}
-	if oldest.At >= at {
+	var lowest *Crash
+	lowestBlocks := false
+	for _, o := range r.crashes {
+		if b := blocks(o, minCrashes); lowest == nil || ranksBelow(o.At, b, lowest.At, lowestBlocks) {
+			lowest, lowestBlocks = o, b
+		}
+	}
+	if !ranksBelow(lowest.At, lowestBlocks, c.At, blocks(&c, minCrashes-1)) {
 		return false
 	}
-	r.remove(oldest)
+	r.remove(lowest)
 	return true
 }
 
+// ranksBelow reports whether a crash gives way to another.
+func ranksBelow(at clock.Instant, blocking bool, otherAt clock.Instant, otherBlocking bool) bool {
+	if blocking != otherBlocking {
+		return otherBlocking
+	}
+	return at < otherAt
+}
+
 func (r *Register) remove(c *Crash) {
 	delete(r.crashes, c.Endpoint)
 	for part := range c.Parts {
@@ -200,6 +227,18 @@
 	return out
 }
 
+// countUncleared counts the crashes that count against a part, up to a number.
+func (r *Register) countUncleared(part uint64, most int) (n int) {
+	for _, c := range r.byPart[part] {
+		if !c.Parts[part].Cleared {
+			if n++; n == most {
+				break
+			}
+		}
+	}
+	return n
+}
+
 // uncleared returns the crashes that count against a part, in the order of time.
 func (r *Register) uncleared(part uint64) []*Crash {
 	var out []*Crash
--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -242,6 +242,12 @@
 		Original: `trials = min(trials+1, len(blocks)-1)`, Replacement: `trials = min(trials, len(blocks)-1)`,
 		Package: "./internal/core/crashguard", Run: "^TestBlockEndsWithOneTrialAtATime$",
 	},
+	{
+		Condition: 7, Mechanism: "edge: crashes that block a part are kept",
+		File:     "internal/core/crashguard/register.go",
+		Original: `	if blocking != otherBlocking {`, Replacement: `	if false {`,
+		Package: "./internal/core/crashguard", Run: "^TestFewTrialsInADay$",
+	},
 	{
 		Condition: 7, Mechanism: "edge: crashes expire",
 		File: "internal/core/crashguard/register.go",
