Find a crashing prompt part among many others at an endpoint

What callers would have seen: a part that crashes engines was not found, and crashed more of them, while engines had many requests in progress.

Cause: 64 parts were kept of a crash, those that were recorded first. An engine with 64 places and a queue may have more requests without a sign of life, each with several parts, and parts that had shown life since the crash kept their place.

Ruled out: keeping all parts. A digest for a new child holds all crashes; at 128 parts it stays below 2 MB of the 5 MB that a message may have.

Change: 128 parts are kept, and a part that the crash does not count against any more gives way to a new one.

--- a/internal/core/crashguard/register.go
+++ b/internal/core/crashguard/register.go
@@ -20,9 +20,10 @@
 
 const (
 	// MaxCrashes, maxParts and maxLives bound the crashes that are kept, the parts of one crash, and the parts whose last sign of life is
-	// kept. The oldest signs of life give way, and the oldest crashes that block no part.
+	// kept. The oldest signs of life give way, the oldest crashes that block no part, and the parts that a crash does not count against.
+	// An engine may have more requests without a sign of life than places. The largest message stays below 2 MB.
 	MaxCrashes = 512
-	maxParts   = 64
+	maxParts   = 128
 	maxLives   = 8192
 	// retention is how long a crash counts. It holds several blocks of the longest kind, so that a part that crashes each trial stays
 	// blocked: with an hour, and blocks of 10 min, the first crashes expired, blocks began at 30 s again, and 88 trials came in a day.
@@ -111,9 +112,6 @@
 
 func (r *Register) mergePart(c *Crash, part uint64, s Suspect) bool {
 	before, known := c.Parts[part]
-	if !known && len(c.Parts) >= maxParts {
-		return false
-	}
 	after := before
 	if s.Lead >= before.Lead+minTimeStep || !known {
 		after.Lead = s.Lead
@@ -121,7 +119,7 @@
 	life, seen := r.lives.Peek(part)
 	after.Cleared = before.Cleared || s.Cleared || seen && life > c.At
 	after.WasAlive = before.WasAlive || s.WasAlive || seen && life <= c.At && c.At.Sub(life) <= aliveBefore
-	if known && after == before {
+	if known && after == before || !known && len(c.Parts) >= maxParts && (after.Cleared || !r.forgetCleared(c)) {
 		return false
 	}
 	c.Parts[part] = after
@@ -131,6 +129,18 @@
 	return true
 }
 
+// forgetCleared removes a part that a crash does not count against, and reports whether there was one.
+func (r *Register) forgetCleared(c *Crash) bool {
+	for _, part := range slices.Sorted(maps.Keys(c.Parts)) {
+		if c.Parts[part].Cleared {
+			delete(c.Parts, part)
+			r.forgetPart(part, c)
+			return true
+		}
+	}
+	return false
+}
+
 // RecordLife records that a request with the parts has shown life, and reports whether that clears a crash of one of them.
 func (r *Register) RecordLife(now clock.Instant, parts []uint64) (changed bool) {
 	for _, part := range parts {
@@ -206,10 +216,14 @@
 func (r *Register) remove(c *Crash) {
 	delete(r.crashes, c.Endpoint)
 	for part := range c.Parts {
-		r.byPart[part] = slices.DeleteFunc(r.byPart[part], func(o *Crash) bool { return o == c })
-		if len(r.byPart[part]) == 0 {
-			delete(r.byPart, part)
-		}
+		r.forgetPart(part, c)
+	}
+}
+
+func (r *Register) forgetPart(part uint64, c *Crash) {
+	r.byPart[part] = slices.DeleteFunc(r.byPart[part], func(o *Crash) bool { return o == c })
+	if len(r.byPart[part]) == 0 {
+		delete(r.byPart, part)
 	}
 }
 
--- a/internal/core/crashguard/register_test.go
+++ b/internal/core/crashguard/register_test.go
@@ -289,3 +289,22 @@
 		}
 	}
 }
+// Guards against a part that is not found since many others were in progress at each endpoint that it crashed.
+func TestDeadlyPartAmongMany(t *testing.T) {
+	r, now := NewRegister(), start
+	next := uint64(1000)
+	for n := range minCrashes {
+		now = now.Add(2 * time.Second)
+		sound := make([]uint64, 0, 3*maxParts/2)
+		for range cap(sound) {
+			next++
+			sound = append(sound, next)
+		}
+		r.crash(n, now, sound[:maxParts]...)
+		r.RecordLife(now.Add(time.Millisecond), sound[:maxParts])
+		r.crash(n, now.Add(2*time.Millisecond), append(sound[maxParts:], deadly)...)
+	}
+	if !r.blocks(now.Add(time.Second), other, deadly) {
+		t.Errorf("not blocked after %d crashes with %d other parts each", minCrashes, 3*maxParts/2)
+	}
+}
