Try prompt parts that come together in the turn of one of them

What callers would have seen: two parts that come together stayed blocked for as long as crashes are kept, also once no engine crashed on them any more. And at the end of a block two requests with different parts of such a pair could be sent at once.

Cause: each blocked part of a request had to have its turn at the same instance at the same time; the turns of two parts go by different ranks. Of the parts that a request tried only the last one was recorded, so that another request with the other part was a second trial.

Change: of the blocked parts of a request the one with the most crashes decides, and all of them count as tried.

Evidence: TestPartsThatAreTogetherAreTriedOnce failed (tried by no instance) and passes; TestTrialOfSeveralPartsIsOneTrial failed with the record of one part only (a request with the other part is sent beside the trial) and passes. The mutation entry for turns quotes the new condition.

--- a/internal/core/crashguard/register_test.go
+++ b/internal/core/crashguard/register_test.go
@@ -289,6 +289,7 @@
 		}
 	}
 }
+
 // Guards against a part that is not found since many others were in progress at each endpoint that it crashed.
 func TestDeadlyPartAmongMany(t *testing.T) {
 	r, now := NewRegister(), start
@@ -308,3 +309,43 @@
 		t.Errorf("not blocked after %d crashes with %d other parts each", minCrashes, 3*maxParts/2)
 	}
 }
+
+// Guards against parts that are always together and are never tried, since one instance would need the turns of both at once; and against
+// two instances that try the same part at once, since their requests have other blocked parts beside it.
+func TestPartsThatAreTogetherAreTriedOnce(t *testing.T) {
+	r, now := NewRegister(), start
+	for n := range minCrashes + 1 {
+		now = now.Add(2 * time.Second)
+		r.crash(n, now, first, deadly)
+	}
+	tried := make(map[string]int)
+	for at := now.Add(blocks[0]); at < now.Add(blocks[0]+8*Turn); at = at.Add(time.Second) {
+		for _, request := range [][]uint64{{first, deadly}, {deadly, first}} {
+			for _, instance := range []uint64{first, deadly} { // each part has its turns at another instance
+				v := r.Check(at, request, func(part uint64, turn int64) bool {
+					return turn%4 == int64(part) && part == instance
+				})
+				if v.Trial {
+					tried[fmt.Sprint(instance)]++
+					if len(v.Tried) != 2 {
+						t.Errorf("the trial is one of the parts %v", v.Tried)
+					}
+				}
+			}
+		}
+	}
+	if len(tried) != 1 {
+		t.Errorf("tried by the instances %v, want one", tried)
+	}
+	r.crash(10, now, other, deadly) // in more crashes than the other
+	for _, request := range [][]uint64{{first, deadly}, {deadly}} {
+		asked := uint64(0)
+		r.Check(now.Add(blocks[0]+time.Second), request, func(part uint64, _ int64) bool {
+			asked = part
+			return true
+		})
+		if asked != deadly {
+			t.Errorf("a request with parts %v is tried in the turn of part %d", request, asked)
+		}
+	}
+}
--- a/internal/core/crashguard/standing.go
+++ b/internal/core/crashguard/standing.go
@@ -96,15 +96,19 @@
 // Verdict says whether a request may be sent.
 type Verdict struct {
 	Blocked    bool
-	Part       uint64        // the one that blocks the request, or that it tries
+	Part       uint64        // the one that blocks the request, or in whose turn it is sent
 	RetryAfter time.Duration // until the request may be tried, if it is blocked
-	Trial      bool          // the request tries a part whose block has run out
+	Trial      bool          // the request tries parts whose blocks have run out
+	Tried      []uint64      // these parts
 }
 
 // Check decides on a request with the given parts that other requests may share. mayTry reports whether this instance may send a request
-// that tries a part in a turn; turns are numbered from 0 since the end of the part's block.
+// that tries a part in a turn; turns are numbered from 0 since the end of the part's block. Of several parts that a request tries, the
+// one with the most crashes decides, so that requests with other parts beside it are tried in the same turns.
 func (r *Register) Check(now clock.Instant, parts []uint64, mayTry func(part uint64, turn int64) bool) Verdict {
 	var v Verdict
+	var decides Standing
+	most := 0
 	for _, part := range parts {
 		if len(r.byPart[part]) < minCrashes {
 			continue
@@ -114,16 +118,23 @@
 		if !s.Blocked || r.explained(part, crashes, parts) {
 			continue
 		}
-		since := now.Sub(s.Until)
-		switch {
-		case since < 0:
-			v = Verdict{Blocked: true, Part: part, RetryAfter: max(v.RetryAfter, -since)}
-		case !mayTry(part, int64(since/Turn)):
-			v = Verdict{Blocked: true, Part: part, RetryAfter: max(v.RetryAfter, Turn-since%Turn)}
-		case !v.Blocked:
-			v = Verdict{Trial: true, Part: part}
+		if left := s.Until.Sub(now); left > 0 {
+			v = Verdict{Blocked: true, Part: part, RetryAfter: max(v.RetryAfter, left)}
 		}
+		v.Tried = append(v.Tried, part)
+		if len(crashes) > most || len(crashes) == most && part < decides.Part {
+			decides, most = s, len(crashes)
+		}
+	}
+	if v.Blocked || most == 0 {
+		v.Tried = nil
+		return v
+	}
+	since := now.Sub(decides.Until)
+	if !mayTry(decides.Part, int64(since/Turn)) {
+		return Verdict{Blocked: true, Part: decides.Part, RetryAfter: Turn - since%Turn}
 	}
+	v.Trial, v.Part = true, decides.Part
 	return v
 }
 
--- a/internal/edge/crashes_test.go
+++ b/internal/edge/crashes_test.go
@@ -149,3 +149,30 @@
 type sendingDialect struct{ Dialect }
 
 func (sendingDialect) SetEndpointHeaders(http.Header, EndpointHead) {}
+
+// Guards against a request that tries two parts and is sent once more, or after which another request with one of them is sent, before the
+// crash of its endpoint is confirmed.
+func TestTrialOfSeveralPartsIsOneTrial(t *testing.T) {
+	e, f := testEdge(t)
+	f.setSelfListed(true)
+	now := f.clk.Now()
+	began := now
+	for n := range 9 { // each part has three crashes without the other
+		now = f.clk.Advance(time.Second)
+		parts := [][]uint64{{1, 2}, {1}, {2}}[n%3]
+		e.guard.recordCrash(now, catalog.Incarnation{ID: fmt.Sprint("c", n)}, []brokenAttempt{{parts: parts, sentAt: now, brokeAt: now}})
+	}
+	for now = f.clk.Advance(time.Minute); e.guard.check(now, []uint64{1, 2}).Blocked; now = f.clk.Advance(time.Second) {
+		if now > began.Add(2*time.Minute) {
+			t.Fatal("no trial within a minute")
+		}
+	}
+	if v := e.guard.admit(now, []uint64{1, 2}); !v.Trial {
+		t.Fatalf("no trial: %+v", v)
+	}
+	for _, parts := range [][]uint64{{1, 2}, {1}, {2}} {
+		if v := e.guard.admit(now.Add(time.Millisecond), parts); !v.Blocked {
+			t.Errorf("a request with parts %v is sent beside the trial", parts)
+		}
+	}
+}
--- a/internal/edge/crashguard.go
+++ b/internal/edge/crashguard.go
@@ -54,8 +54,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	v := g.checkLocked(now, parts)
-	if v.Trial {
-		g.trials[v.Part] = now
+	for _, part := range v.Tried {
+		g.trials[part] = now
 	}
 	return v
 }
--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -233,7 +233,7 @@
 	{
 		Condition: 7, Mechanism: "edge: one instance alone tries a blocked part",
 		File:     "internal/core/crashguard/standing.go",
-		Original: `case !mayTry(part, int64(since/Turn)):`, Replacement: `case since < 0:`,
+		Original: `!mayTry(decides.Part, int64(since/Turn))`, Replacement: `since < 0`,
 		Package: "./internal/core/crashguard", Run: "^TestBlockEndsWithOneTrialAtATime$",
 	},
 	{
