Let the outcome of a trial be known before the next instance's turn

Cause: an instance could send its trial at any moment of its turn of 10 s, and the next one sent its own as soon as its turn began. Until a trial's crash is known everywhere, its request waits at the engine, the crash is confirmed (up to 0.55 s), and reports, digests and summaries pass it on.

Ruled out: telling others that a trial has been sent. It takes as long as telling them of the crash, and a message more.

Change: a turn lasts 15 s, and its instance sends in the first 5 s of it. A part whose requests come rarely waits longer for a trial.

Evidence: TestTurnsLeaveTimeToLearn failed (trials 2 s and 10 s after the block) and passes.

--- a/internal/core/crashguard/register_test.go
+++ b/internal/core/crashguard/register_test.go
@@ -310,6 +310,43 @@
 	}
 }
 
+// Guards against trials of the same part by several instances: the next one's turn begins before it can know that the trial of the one
+// before, which may come at any moment of its turn, has crashed an endpoint.
+func TestTurnsLeaveTimeToLearn(t *testing.T) {
+	const known = 8 * time.Second // from when a trial is sent until all know of its crash
+	const step = 100 * time.Millisecond
+	for offset := time.Duration(0); offset < 2*Turn; offset += step {
+		registers := []*Register{NewRegister(), NewRegister()}
+		var now clock.Instant
+		for n := range minCrashes {
+			now = start.Add(time.Duration(n) * 2 * time.Second)
+			for _, r := range registers {
+				r.crash(n, now, deadly)
+			}
+		}
+		// The first request comes to each instance after an offset, then one in each step.
+		ends := now.Add(blocks[0])
+		var sent []time.Duration
+		for at := ends.Add(offset); at < ends.Add(offset+6*Turn); at = at.Add(step) {
+			for n, r := range registers {
+				v := r.Check(at, []uint64{deadly}, func(_ uint64, turn int64) bool { return turn%2 == int64(n) })
+				if !v.Trial {
+					continue
+				}
+				if sent = append(sent, at.Sub(ends)); len(sent) == 1 {
+					r.crash(10, at, deadly)
+				}
+			}
+			if len(sent) > 0 && at.Sub(ends)-sent[0] >= known {
+				break
+			}
+		}
+		if len(sent) != 1 {
+			t.Fatalf("trials at %v after the block, want one", sent)
+		}
+	}
+}
+
 // Guards against parts that are always together and are never tried, since one instance would need the turns of both at once; and against
 // two instances that try the same part at once, since their requests have other blocked parts beside it.
 func TestPartsThatAreTogetherAreTriedOnce(t *testing.T) {
--- a/internal/core/crashguard/standing.go
+++ b/internal/core/crashguard/standing.go
@@ -18,8 +18,10 @@
 	// trialSkew is by how much the end of a block may differ between instances, which know the times of crashes with different delays. A
 	// crash that comes this long before the end was caused by a trial too, or else some instances would extend the block and others not.
 	trialSkew = 5 * time.Second
-	// Turn is how long one instance alone may try a part once its block has run out, until it is the next one's turn.
-	Turn = 10 * time.Second
+	// Turn is the time of one instance alone to try a part once its block has run out, until it is the next one's turn. It sends its request
+	// in the first part of it, turnOpen, so that the next instance knows by its own turn that the request has crashed an endpoint.
+	Turn     = 15 * time.Second
+	turnOpen = 5 * time.Second
 )
 
 // blocks are how long a part is blocked: at first, and after each trial that crashed an endpoint again. Operators accept three more
@@ -131,7 +133,7 @@
 		return v
 	}
 	since := now.Sub(decides.Until)
-	if !mayTry(decides.Part, int64(since/Turn)) {
+	if since%Turn >= turnOpen || !mayTry(decides.Part, int64(since/Turn)) {
 		return Verdict{Blocked: true, Part: decides.Part, RetryAfter: Turn - since%Turn}
 	}
 	v.Trial, v.Part = true, decides.Part
--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -236,6 +236,12 @@
 		Original: `!mayTry(decides.Part, int64(since/Turn))`, Replacement: `since < 0`,
 		Package: "./internal/core/crashguard", Run: "^TestBlockEndsWithOneTrialAtATime$",
 	},
+	{
+		Condition: 7, Mechanism: "edge: a trial is sent early in a turn",
+		File:     "internal/core/crashguard/standing.go",
+		Original: `since%Turn >= turnOpen`, Replacement: `false`,
+		Package: "./internal/core/crashguard", Run: "^TestTurnsLeaveTimeToLearn$",
+	},
 	{
 		Condition: 7, Mechanism: "edge: a block grows with each trial that crashes",
 		File:     "internal/core/crashguard/standing.go",
