--- a/internal/core/crashguard/register.go
+++ b/internal/core/crashguard/register.go
@@ -20,13 +20,14 @@
 
 const (
 	// MaxCrashes, maxParts and maxLives bound the crashes that are kept, the parts of one crash, and the parts whose last sign of life is
-	// kept. The oldest crashes and signs of life give way.
+	// kept. The oldest signs of life give way, the oldest crashes that block no part, and the parts that a crash does not count against.
+	// An engine may have more requests without a sign of life than places. The largest message stays below 2 MB.
 	MaxCrashes = 512
-	maxParts   = 64
+	maxParts   = 128
 	maxLives   = 8192
 	// retention is how long a crash counts. It holds several blocks of the longest kind, so that a part that crashes each trial stays
-	// blocked.
-	retention = time.Hour
+	// blocked: with an hour, and blocks of 10 min, the first crashes expired, blocks began at 30 s again, and 88 trials came in a day.
+	retention = 4 * 24 * time.Hour
 	// aliveBefore is how long before a crash a sign of life is taken into account.
 	aliveBefore = 30 * time.Second
 	// minTimeStep is the smallest correction of a time that is recorded and passed on. Ages that pass through several instances
@@ -90,7 +91,7 @@
 	changed := false
 	switch {
 	case known == nil:
-		if len(r.crashes) >= MaxCrashes && !r.removeOldest(c.At) {
+		if len(r.crashes) >= MaxCrashes && !r.makeRoom(c) {
 			return false
 		}
 		known = &Crash{Endpoint: c.Endpoint, At: min(c.At, now), Parts: make(map[uint64]Suspect)}
@@ -111,9 +112,6 @@
 
 func (r *Register) mergePart(c *Crash, part uint64, s Suspect) bool {
 	before, known := c.Parts[part]
-	if !known && len(c.Parts) >= maxParts {
-		return false
-	}
 	after := before
 	if s.Lead >= before.Lead+minTimeStep || !known {
 		after.Lead = s.Lead
@@ -121,7 +119,7 @@
 	life, seen := r.lives.Peek(part)
 	after.Cleared = before.Cleared || s.Cleared || seen && life > c.At
 	after.WasAlive = before.WasAlive || s.WasAlive || seen && life <= c.At && c.At.Sub(life) <= aliveBefore
-	if known && after == before {
+	if known && after == before || !known && len(c.Parts) >= maxParts && (after.Cleared || !r.forgetCleared(c)) {
 		return false
 	}
 	c.Parts[part] = after
@@ -131,6 +129,18 @@
 	return true
 }
 
+// forgetCleared removes a part that a crash does not count against, and reports whether there was one.
+func (r *Register) forgetCleared(c *Crash) bool {
+	for _, part := range slices.Sorted(maps.Keys(c.Parts)) {
+		if c.Parts[part].Cleared {
+			delete(c.Parts, part)
+			r.forgetPart(part, c)
+			return true
+		}
+	}
+	return false
+}
+
 // RecordLife records that a request with the parts has shown life, and reports whether that clears a crash of one of them.
 func (r *Register) RecordLife(now clock.Instant, parts []uint64) (changed bool) {
 	for _, part := range parts {
@@ -161,28 +171,59 @@
 	}
 }
 
-// removeOldest makes room for a crash at a time. It returns false if all others are newer.
-func (r *Register) removeOldest(at clock.Instant) bool {
-	var oldest *Crash
-	for _, c := range r.crashes {
-		if oldest == nil || c.At < oldest.At {
-			oldest = c
+// makeRoom removes the oldest crash that blocks no part, or else the oldest of all. It returns false if the new crash ranks below that
+// one. Without crashes that block a part, its block would end early.
+func (r *Register) makeRoom(c Crash) bool {
+	counts := make(map[uint64]int) // of the crashes that count against a part
+	blocks := func(c *Crash, need int) bool {
+		for part, s := range c.Parts {
+			if s.Cleared {
+				continue
+			}
+			n, known := counts[part]
+			if !known {
+				n = r.countUncleared(part, minCrashes)
+				counts[part] = n
+			}
+			if n >= need {
+				return true
+			}
+		}
+		return false
+	}
+	var lowest *Crash
+	lowestBlocks := false
+	for _, o := range r.crashes {
+		if b := blocks(o, minCrashes); lowest == nil || ranksBelow(o.At, b, lowest.At, lowestBlocks) {
+			lowest, lowestBlocks = o, b
 		}
 	}
-	if oldest.At >= at {
+	if !ranksBelow(lowest.At, lowestBlocks, c.At, blocks(&c, minCrashes-1)) {
 		return false
 	}
-	r.remove(oldest)
+	r.remove(lowest)
 	return true
 }
 
+// ranksBelow reports whether a crash gives way to another.
+func ranksBelow(at clock.Instant, blocking bool, otherAt clock.Instant, otherBlocking bool) bool {
+	if blocking != otherBlocking {
+		return otherBlocking
+	}
+	return at < otherAt
+}
+
 func (r *Register) remove(c *Crash) {
 	delete(r.crashes, c.Endpoint)
 	for part := range c.Parts {
-		r.byPart[part] = slices.DeleteFunc(r.byPart[part], func(o *Crash) bool { return o == c })
-		if len(r.byPart[part]) == 0 {
-			delete(r.byPart, part)
-		}
+		r.forgetPart(part, c)
+	}
+}
+
+func (r *Register) forgetPart(part uint64, c *Crash) {
+	r.byPart[part] = slices.DeleteFunc(r.byPart[part], func(o *Crash) bool { return o == c })
+	if len(r.byPart[part]) == 0 {
+		delete(r.byPart, part)
 	}
 }
 
@@ -200,6 +241,18 @@
 	return out
 }
 
+// countUncleared counts the crashes that count against a part, up to a number.
+func (r *Register) countUncleared(part uint64, most int) (n int) {
+	for _, c := range r.byPart[part] {
+		if !c.Parts[part].Cleared {
+			if n++; n == most {
+				break
+			}
+		}
+	}
+	return n
+}
+
 // uncleared returns the crashes that count against a part, in the order of time.
 func (r *Register) uncleared(part uint64) []*Crash {
 	var out []*Crash
--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -239,15 +239,27 @@
 	{
 		Condition: 7, Mechanism: "edge: one instance alone tries a blocked part",
 		File:     "internal/core/crashguard/standing.go",
-		Original: `case !mayTry(part, int64(since/Turn)):`, Replacement: `case since < 0:`,
+		Original: `!mayTry(decides.Part, int64(since/Turn))`, Replacement: `since < 0`,
 		Package: "./internal/core/crashguard", Run: "^TestBlockEndsWithOneTrialAtATime$",
 	},
+	{
+		Condition: 7, Mechanism: "edge: a trial is sent early in a turn",
+		File:     "internal/core/crashguard/standing.go",
+		Original: `since%Turn >= turnOpen`, Replacement: `false`,
+		Package: "./internal/core/crashguard", Run: "^TestTurnsLeaveTimeToLearn$",
+	},
 	{
 		Condition: 7, Mechanism: "edge: a block grows with each trial that crashes",
 		File:     "internal/core/crashguard/standing.go",
-		Original: `block = min(2*block, maxBlock)`, Replacement: `block = min(block, maxBlock)`,
+		Original: `trials = min(trials+1, len(blocks)-1)`, Replacement: `trials = min(trials, len(blocks)-1)`,
 		Package: "./internal/core/crashguard", Run: "^TestBlockEndsWithOneTrialAtATime$",
 	},
+	{
+		Condition: 7, Mechanism: "edge: crashes that block a part are kept",
+		File:     "internal/core/crashguard/register.go",
+		Original: `	if blocking != otherBlocking {`, Replacement: `	if false {`,
+		Package: "./internal/core/crashguard", Run: "^TestFewTrialsInADay$",
+	},
 	{
 		Condition: 7, Mechanism: "edge: crashes expire",
 		File: "internal/core/crashguard/register.go",
