Keep connections of callers that take no bytes for some seconds

What callers saw: a connection that was reset, with the answer broken off or missing, when its bytes were not acknowledged for 1.5 s: a caller that reads slowly, a full link, or a network that loses the same packet several times. The endpoint had run the request.

Cause: sockets of callers had the time-outs of connections to endpoints, to other instances and to the store: TCP_USER_TIMEOUT of 1.5 s, and keep-alive probes that end an idle connection within about 3 s. These are for connections that can be opened again at another place. An answer has only the connection that its caller waits on, and the kernel counts a full receive window of the caller as unacknowledged too.

A caller that has closed its connection is noticed as before; only one that vanishes without a word is noticed later.

Ruled out: a time-out of the server. net/http clears the deadline for headers once they are read, and no deadline for writes is set.

That this broke requests on a user's site is not shown.

--- a/internal/edgedaemon/daemon.go
+++ b/internal/edgedaemon/daemon.go
@@ -164,7 +164,11 @@
 		listen[d.settings.MetricsAddr] = d.server(d.metrics.Handler)
 	}
 	for addr, server := range listen {
-		listener, err := netdial.ListenConfig().Listen(context.Background(), "tcp", addr)
+		config := netdial.ListenConfig()
+		if server == d.callers {
+			config = netdial.CallerListenConfig()
+		}
+		listener, err := config.Listen(context.Background(), "tcp", addr)
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", addr)
 		}
