Answer requests that were read while a planned stop closes connections

What callers saw: a connection that was closed without an answer although the instance had read the whole request, at the end of a planned stop. Nothing had run the request, but only a status tells a caller so.

Cause: http.Server.Shutdown. From its call on, the server closes each connection after it has read a request from it, and its look for idle connections also closes those whose request has been read and has not reached the handler: net/http reports "idle" until then. The more requests wait for processor time, the longer that takes.

Now the daemon keeps the connections of callers itself: it closes the listener, makes reads fail on connections that wait for a request and have nothing to read, and leaves the others to their handlers, which answer with 503 or, if the request is short enough, with the endpoint's answer. A read that fails after the head has been read has no effect. A new connection has a second to send its request. netdial.Readable, which was part of endpointconn, no longer waits for another reader of the connection; on a connection of a caller it waited for the next request.

Ruled out: SetKeepAlivesEnabled(false) closes idle connections in the same way.

Two entries of the mutation checker, the tests fail without them. It is not shown that this is what users saw on a large site.

--- a/internal/edgedaemon/callers_test.go
+++ b/internal/edgedaemon/callers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -96,18 +98,150 @@
 	stop(t, d)
 }
 
-// Guards against a request that is read and gets no answer, because its connection was open without a request when the planned stop
-// reached its last phase.
-func TestRequestAfterTheLastPhaseOfAStopBeganIsAnswered(t *testing.T) {
-	d, s := startServing(t, 4, func(w http.ResponseWriter, r *http.Request) {
+// Guards against a request that is read and gets no answer, because the instance had begun to close its connections when it came on a
+// new connection.
+func TestRequestOnANewConnectionAtTheEndOfAStopIsAnswered(t *testing.T) {
+	const grace = 4
+	d, s := startServing(t, grace, func(w http.ResponseWriter, r *http.Request) {
 		platformtest.Sign(w.Header(), platformtest.RequestID(r.Header))
-		if r.URL.Path == "/once/long" {
-			time.Sleep(3 * time.Second)
-		}
 	})
-	long := dialCaller(t, s)
-	fresh := dialCaller(t, s)
-	writeRequest(t, long, "long", "/once/long", 20*time.Second)
-	_ = fresh
-	stop(t, d)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		stop(t, d)
+	}()
+	closing := time.Duration(grace * idleStopFraction * float64(time.Second))
+	time.Sleep(closing - newConnectionGrace/2)
+	c := dialCaller(t, s)
+	time.Sleep(newConnectionGrace * 3 / 4)
+	writeRequest(t, c, "late", "/once/", 5*time.Second)
+	checkAnswered(t, c, http.StatusServiceUnavailable)
+	<-stopped
+}
+
+// checkAnswered checks that a complete answer with a status arrives.
+func checkAnswered(t *testing.T, c net.Conn, want int) {
+	t.Helper()
+	if err := c.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != want {
+		t.Errorf("the answer has status %d and ends with error %v, want %d", resp.StatusCode, err, want)
+	}
+}
+
+// slowReads is a listener whose connections hold back what they have read.
+type slowReads struct {
+	net.Listener
+	arrived chan struct{} // one value for each read that is held back
+	release chan struct{}
+	after   int // number of reads that are not held back
+}
+
+func (l *slowReads) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &slowReadConn{Conn: c, listener: l}, nil
+}
+
+type slowReadConn struct {
+	net.Conn
+	listener *slowReads
+	reads    int
+}
+
+func (c *slowReadConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		if c.reads++; c.reads > c.listener.after {
+			c.listener.arrived <- struct{}{}
+			<-c.listener.release
+		}
+	}
+	return n, err
+}
+
+// Guards against a connection that is closed as idle while its next request has been read and has not begun, as http.Server.Shutdown does.
+func TestDrainAnswersARequestThatWasReadOnAnIdleConnection(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := &slowReads{Listener: tcp, arrived: make(chan struct{}, 1), release: make(chan struct{}), after: 1}
+	s := newCallerServer(&http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil || r.Context().Err() != nil {
+			w.WriteHeader(http.StatusBadRequest)
+		}
+	})})
+	s.listener = listener
+	served := make(chan error, 1)
+	go func() { served <- s.server.Serve(listener) }()
+	c := dialCaller(t, Settings{CallerAddr: tcp.Addr().String()})
+	writeRequest(t, c, "first", "/", time.Second)
+	checkAnswered(t, c, http.StatusOK)
+	writeRequest(t, c, "second", "/", time.Second)
+	<-listener.arrived
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	drained := make(chan error, 1)
+	go func() { drained <- s.drain(ctx) }()
+	time.Sleep(3 * stopPollInterval)
+	close(listener.release)
+	checkAnswered(t, c, http.StatusOK)
+	if err := <-drained; err != nil {
+		t.Errorf("drain: %v", err)
+	}
+	if err := <-served; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("serve: %v", err)
+	}
+}
+
+// Guards against a drain that waits for callers which keep connections open without a request.
+func TestDrainClosesConnectionsWithoutARequest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newCallerServer(&http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Handler: http.NotFoundHandler()})
+	s.listener = listener
+	go func() { _ = s.server.Serve(listener) }() // it ends with the listener
+	idle := dialCaller(t, Settings{CallerAddr: listener.Addr().String()})
+	writeRequest(t, idle, "first", "/", time.Second)
+	checkAnswered(t, idle, http.StatusNotFound)
+	dialCaller(t, Settings{CallerAddr: listener.Addr().String()}) // it sends nothing
+	ctx, cancel := context.WithTimeout(t.Context(), 3*newConnectionGrace)
+	defer cancel()
+	if err := s.drain(ctx); err != nil {
+		t.Errorf("drain: %v", err)
+	}
+}
+
+// Guards against a request that ends as if its caller had left, because its connection was to be closed as idle between the end of its head
+// and the state that net/http reports then.
+func TestRequestThatHasBegunIsNotEndedAsIdle(t *testing.T) {
+	s := newCallerServer(&http.Server{})
+	c, caller := net.Pipe()
+	defer c.Close()
+	defer caller.Close()
+	for _, state := range []http.ConnState{http.StateNew, http.StateActive, http.StateIdle} {
+		s.recordState(c, state)
+	}
+	if open := s.endWaits(); open != 1 {
+		t.Errorf("%d connections are open, want 1", open)
+	}
+	s.recordState(c, http.StateActive)
+	go func() { _, _ = io.WriteString(caller, "body") }()
+	if _, err := io.ReadFull(c, make([]byte, 4)); err != nil {
+		t.Errorf("the request's body cannot be read: %v", err)
+	}
+	s.recordState(c, http.StateClosed)
+	if open := s.endWaits(); open != 0 {
+		t.Errorf("%d connections are open, want 0", open)
+	}
 }
--- a/internal/edgedaemon/daemon.go
+++ b/internal/edgedaemon/daemon.go
@@ -68,7 +68,7 @@
 	edge      *edge.Edge
 	identity  peer.PEM
 	servers   []*http.Server
-	callers   *http.Server
+	callers   *callerServer
 	inFlight  atomic.Int64
 	hangup    chan os.Signal
 }
@@ -155,8 +155,8 @@
 	d.transport.Start()
 	d.edge.Start(d.identity.Certificate)
 	calls := platform.NewHandler(d.edge.Ready, d.edge)
-	d.callers = d.server(http.HandlerFunc(d.serveCaller))
-	listen := map[string]*http.Server{d.settings.CallerAddr: d.callers, d.settings.ReadyAddr: d.server(calls)}
+	d.callers = newCallerServer(d.server(http.HandlerFunc(d.serveCaller)))
+	listen := map[string]*http.Server{d.settings.CallerAddr: d.callers.server, d.settings.ReadyAddr: d.server(calls)}
 	if d.settings.DirectoryAddr != d.settings.ReadyAddr {
 		listen[d.settings.DirectoryAddr] = d.server(calls)
 	}
@@ -165,14 +165,16 @@
 	}
 	for addr, server := range listen {
 		config := netdial.ListenConfig()
-		if server == d.callers {
+		if server == d.callers.server {
 			config = netdial.CallerListenConfig()
 		}
 		listener, err := config.Listen(context.Background(), "tcp", addr)
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", addr)
 		}
-		if server != d.callers {
+		if server == d.callers.server {
+			d.callers.listener = listener
+		} else {
 			d.servers = append(d.servers, server)
 		}
 		go d.serve(server, listener)
@@ -188,7 +190,7 @@
 }
 
 func (d *Daemon) serve(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		d.log.Error("server stopped unexpectedly; its address is not served any more", zap.Stringer("addr", listener.Addr()), zap.Error(err))
 	}
 }
@@ -232,12 +234,10 @@
 	d.edge.DeclineForwardedBeyond(clock.Boot{}.Now())
 	for d.edge.Forwarded() > 0 && clock.Sleep(waitCtx, stopPollInterval) == nil {
 	}
-	if waitCtx.Err() != nil {
-		d.edge.EndUnanswered()
-	}
-	err := d.callers.Shutdown(ctx)
+	defer context.AfterFunc(waitCtx, d.edge.EndUnanswered)()
+	err := d.callers.drain(ctx)
 	unfinished := d.inFlight.Load()
-	err = errors.CombineErrors(err, d.callers.Close())
+	err = errors.CombineErrors(err, d.callers.server.Close())
 	unfinishedForwarded := d.edge.Forwarded()
 	d.edge.Close()
 	err = errors.CombineErrors(err, d.transport.Close(ctx))
--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"dogwoodknot.example/dogwoodknot/internal/netdial"
 )
 
 var (
@@ -377,7 +379,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	return !readable(c.Conn)
+	return !netdial.Readable(c.Conn)
 }
 
 // put returns a connection to the pool after a complete response.
--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -86,6 +86,18 @@
 		Original: "for d.edge.Forwarded() > 0 && ", Replacement: "for false && ",
 		Package: "./internal/edgedaemon", Run: "^TestStopWaitsForForwardedRequests$",
 	},
+	{
+		Condition: 12, Mechanism: "edge: a planned stop answers requests that have been read",
+		File:     "internal/edgedaemon/callers.go",
+		Original: "for s.endWaits() > 0 {", Replacement: "if err := s.server.Shutdown(ctx); err != nil {\n\t\treturn err\n\t}\n\tfor s.endWaits() > 0 {",
+		Package: "./internal/edgedaemon", Run: "^TestDrainAnswersARequestThatWasReadOnAnIdleConnection$",
+	},
+	{
+		Condition: 12, Mechanism: "edge: a request that is read while its connection is closed as idle goes on",
+		File:     "internal/edgedaemon/callers.go",
+		Original: "_ = c.SetReadDeadline(time.Time{})", Replacement: "_ = c",
+		Package: "./internal/edgedaemon", Run: "^TestRequestThatHasBegunIsNotEndedAsIdle$",
+	},
 	{
 		Condition: 13, Mechanism: "edge: only a higher version is accepted",
 		File:     "internal/edge/state.go",
--- a/internal/endpointconn/readable.go
+++ b/internal/netdial/readable.go
@@ -1,4 +1,4 @@
-package endpointconn
+package netdial
 
 import (
 	"net"
@@ -7,8 +7,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// readable reports whether bytes or an end of file have arrived on the connection. It peeks, so no byte is consumed.
-func readable(c net.Conn) bool {
+// Readable reports whether bytes or an end of file have arrived on the connection. It peeks, so no byte is consumed.
+func Readable(c net.Conn) bool {
 	raw, ok := c.(syscall.Conn)
 	if !ok {
 		return false // a test's connection without file descriptor
@@ -18,11 +18,11 @@
 		return true
 	}
 	found := false
-	err = control.Read(func(fd uintptr) bool {
+	// RawConn.Read would wait for another goroutine that reads the connection.
+	err = control.Control(func(fd uintptr) {
 		var peek [1]byte
 		n, _, recvErr := unix.Recvfrom(int(fd), peek[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		found = n > 0 || recvErr == nil || recvErr != unix.EAGAIN
-		return true
 	})
 	return found || err != nil
 }
