Reject requests that outlast a planned stop within 3 s of the signal

What callers saw: a stream that an instance took more than 3 s after its SIGTERM and cut at its end. The platform excuses the cut only of requests that were sent no later than 3 s after the signal.

Cause: rejections began after 0.34 of the grace time. That is 2.72 s of 8 s, and more than 3 s with a grace time from 8.9 s on. It is counted from when the process handles the signal: stops of a busy site ended 7.3 to 7.5 s after the signal instead of 7.3 s, so that up to 0.2 s of the remaining 0.28 s were used.

Now they begin 2.4 s after the stop has begun, or after 0.34 of a shorter grace time. Callers that use an older answer of the directory for these 0.3 s get 503, which says that nothing has run the request.

Evidence: TestLongRequestsAreRejectedInTime failed before (status 200, want 503) and passes now, with -race.

--- a/internal/edgedaemon/callers_test.go
+++ b/internal/edgedaemon/callers_test.go
@@ -245,3 +245,26 @@
 		t.Errorf("%d connections are open, want 0", open)
 	}
 }
+
+// Guards against a request that is taken so late in a planned stop that the platform expects its whole answer, and that is cut at the end of
+// the process: a fraction of a longer grace time, or a stop that begins late, is more than the 3 s that the platform allows.
+func TestLongRequestsAreRejectedInTime(t *testing.T) {
+	const grace = 8.5
+	d, s := startServing(t, grace, func(w http.ResponseWriter, r *http.Request) {
+		platformtest.Sign(w.Header(), platformtest.RequestID(r.Header))
+	})
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(2*grace*float64(time.Second)))
+		defer cancel()
+		if err := d.Stop(ctx); err != nil {
+			t.Errorf("stop: %v", err)
+		}
+	}()
+	time.Sleep(2650 * time.Millisecond) // the request may last 5 s, which is longer than the process
+	if got, err := callInstance(t, s, "long", "/once/", 5*time.Second); err != nil || got != http.StatusServiceUnavailable {
+		t.Errorf("status %d, error %v, want 503", got, err)
+	}
+	<-stopped
+}
--- a/internal/edgedaemon/daemon.go
+++ b/internal/edgedaemon/daemon.go
@@ -27,6 +27,9 @@
 	// rejectFraction is the fraction of the grace time after which a planned stop rejects requests that may outlast the process:
 	// callers cache an answer of the directory for a few seconds, and the longest streams need the rest.
 	rejectFraction = 0.34
+	// maxRejectDelay bounds the time until then. The platform expects a whole answer to what was sent more than 3 s after the signal; a busy
+	// process begins its stop some 0.2 s after the signal, and its timers are late as well.
+	maxRejectDelay = 2400 * time.Millisecond
 	// idleStopFraction is the fraction of the grace time after which the process ends as soon as no request is in flight.
 	idleStopFraction = 0.6
 	// stopPollInterval is the interval of checks whether requests are still in flight.
@@ -223,7 +226,7 @@
 	waitCtx, cancelWait := context.WithTimeout(ctx, grace-killReserve-answerReserve)
 	defer cancelWait()
 	// An error means that the grace time is over, which the following steps check themselves.
-	_ = clock.Sleep(waitCtx, time.Duration(float64(grace)*rejectFraction))
+	_ = clock.Sleep(waitCtx, min(maxRejectDelay, time.Duration(float64(grace)*rejectFraction)))
 	d.edge.RejectBeyond(end)
 	for time.Since(began) < time.Duration(float64(grace)*idleStopFraction) || d.inFlight.Load() > 0 {
 		if clock.Sleep(waitCtx, stopPollInterval) != nil {
