Give simulated instances the changes of the store

The mirror gives the instances of the product differences after its first list (TestRelistSendsDifferences), so the models now do the same.

--- a/internal/edge/limits_sim_test.go
+++ b/internal/edge/limits_sim_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -82,6 +83,7 @@
 	excused      clock.Instant            // until when a fault excuses it
 	told         map[string]clock.Instant // by endpoint: when it first passed on an answer with a limit
 	announcement []byte                   // in the store
+	known        map[string][]byte        // announcements that it has read, by instance
 	leaseEnds    clock.Instant            // of its key in the store
 	reportsTo    *limitedInstance
 	source       *fleetview.Source // at reportsTo
@@ -156,7 +158,7 @@
 
 func (l *limitedRegion) startInstance(i *limitedInstance) {
 	i.incarnation++
-	i.up, i.told, i.reportsTo = true, make(map[string]clock.Instant), nil
+	i.up, i.told, i.reportsTo, i.known = true, make(map[string]clock.Instant), nil, nil
 	i.fleet = newTestFleetOf(l.t, l.clk, peer.Identity{Instance: i.name, Region: l.name, DataCentre: "a", Incarnation: i.incarnation})
 	i.fleet.options.Regions = map[string]string{"a": l.name}
 	i.Edge = testEdgeIn(l.t, i.fleet)
@@ -186,15 +188,30 @@
 	if now < l.storeDown {
 		return
 	}
-	var all mirror.Update
-	all.Reset = true
+	i.fleet.apply(l.announcements(i))
+	i.fleet.removeUnresponsive()
+}
+
+// announcements returns what has changed in the store since an instance has read it, as the mirror does: at first all.
+func (l *limitedRegion) announcements(i *limitedInstance) mirror.Update {
+	u := mirror.Update{Reset: i.known == nil}
+	present := make(map[string][]byte)
 	for _, o := range l.storeInstances() {
-		if o.leaseEnds > now {
-			all.Changes = append(all.Changes, platform.Change{Entry: platform.Entry{Key: InstancePrefix + o.name, Value: o.announcement}})
+		if o.leaseEnds <= l.clk.Now() {
+			continue
+		}
+		present[o.name] = o.announcement
+		if known, ok := i.known[o.name]; !ok || !bytes.Equal(known, o.announcement) {
+			u.Changes = append(u.Changes, platform.Change{Entry: platform.Entry{Key: InstancePrefix + o.name, Value: o.announcement}})
 		}
 	}
-	i.fleet.apply(all)
-	i.fleet.removeUnresponsive()
+	for name := range i.known {
+		if _, ok := present[name]; !ok {
+			u.Changes = append(u.Changes, platform.Change{Entry: platform.Entry{Key: InstancePrefix + name}, Deleted: true})
+		}
+	}
+	i.known = present
+	return u
 }
 
 // storeInstances returns the instances of all regions.
