Play notices of endpoints across regions

The model test of endpoints that leave and ask to wait had one region. Now it also plays two and three: a third of the requests is passed on through an instance of another region, as far as the product offers one (fleet.remoteRegions), and all endpoints of a region leave at once. It reports requests that reach an endpoint through another region after that instance was told, and a region that is offered although none of its endpoints accepts requests.

The instances of simulated regions did not know those of other regions: their settings named their own region only, so they took the announcements for odd ones, and they never were ready. Both are set now, for the model of deadly parts as well. The exchange between regions stands in one place for both models.

--- a/internal/edge/deadlypart_sim_test.go
+++ b/internal/edge/deadlypart_sim_test.go
@@ -11,9 +11,7 @@
 
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/clock"
-	"dogwoodknot.example/dogwoodknot/internal/core/fleetview"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
-	"dogwoodknot.example/dogwoodknot/internal/peer"
 )
 
 // The tests of this file run the instances of two regions in virtual time: the real decisions on requests, their placement and the
@@ -30,12 +28,8 @@
 
 // deadlyFleet is a simulated fleet with endpoints that crash when they begin to answer a request with deadlyKey.
 type deadlyFleet struct {
-	*eventLoop
-	t        *testing.T
-	rng      *rand.Rand
-	regions  []*limitedRegion
+	*regionSet
 	state    map[*limitedEndpoint]*deadlyEndpoint
-	links    map[string]*summaryLink // by both regions
 	crashes  []clock.Instant
 	deadly   []deadlyArrival // of requests with the deadly part
 	sound    []soundOutcome
@@ -60,14 +54,6 @@
 	running  map[string]func() // by request: tells its sender that the connection has ended
 }
 
-// summaryLink is a stream of summaries between two roots.
-type summaryLink struct {
-	from, to       *limitedInstance
-	fromInc, toInc uint64
-	link           *fleetview.SummaryStream
-	source         *fleetview.Source
-}
-
 // partsRequest is a request of a caller.
 type partsRequest struct {
 	id       string
@@ -80,74 +66,16 @@
 }
 
 func newDeadlyFleet(t *testing.T, seed uint64, regions, instances, endpoints int) *deadlyFleet {
-	d := &deadlyFleet{t: t, rng: rand.New(rand.NewPCG(seed, 2)), eventLoop: &eventLoop{clk: &clock.Manual{}},
-		state: make(map[*limitedEndpoint]*deadlyEndpoint), links: make(map[string]*summaryLink)}
-	d.clk.Advance(2 * time.Hour)
-	for n := range regions {
-		d.regions = append(d.regions, &limitedRegion{t: t, rng: d.rng, eventLoop: d.eventLoop, name: fmt.Sprint("r", n), callerRate: 1})
-	}
-	for n, l := range d.regions {
-		for _, o := range d.regions {
-			if o != l {
-				l.others = append(l.others, o)
-			}
-		}
-		l.populate((instances+n)/regions, endpoints/regions, nil)
+	d := &deadlyFleet{regionSet: newRegionSet(t, rand.New(rand.NewPCG(seed, 2)), regions), state: make(map[*limitedEndpoint]*deadlyEndpoint)}
+	d.populate(instances, endpoints, nil)
+	for _, l := range d.regions {
 		for _, e := range l.endpoints {
 			d.state[e] = &deadlyEndpoint{running: make(map[string]func())}
 		}
 	}
-	d.after(summaryInterval, d.summaries)
 	return d
 }
 
-func (d *deadlyFleet) run(length time.Duration) {
-	end := d.clk.Now().Add(length)
-	for d.events.Len() > 0 && d.events[0].at <= end {
-		d.runNext()
-	}
-	d.clk.Advance(end.Sub(d.clk.Now()))
-}
-
-func (l *limitedRegion) root(now clock.Instant) *limitedInstance {
-	for _, i := range l.instances {
-		if i.up && now >= i.frozenUntil && !i.peersCut && i.view.node.IsRoot() {
-			if name, has := i.fleet.parent(); !has || name == i.name {
-				return i
-			}
-		}
-	}
-	return nil
-}
-
-// summaries exchanges summaries between the roots of the regions.
-func (d *deadlyFleet) summaries() {
-	d.after(summaryInterval, d.summaries)
-	now := d.clk.Now()
-	for _, l := range d.regions {
-		for _, o := range l.others {
-			from, to := l.root(now), o.root(now)
-			if from == nil || to == nil {
-				continue
-			}
-			key := l.name + o.name
-			k := d.links[key]
-			if k == nil || k.from != from || k.to != to || k.fromInc != from.incarnation || k.toInc != to.incarnation {
-				k = &summaryLink{from: from, to: to, fromInc: from.incarnation, toInc: to.incarnation}
-				k.link = from.view.node.OpenSummaries(now, o.name)
-				k.source = to.view.node.AddRemoteRoot(peer.Identity{Instance: from.name, Region: l.name, Incarnation: from.incarnation})
-				d.links[key] = k
-			}
-			s := from.view.node.NextSummary(now, k.link)
-			d.after(80*time.Millisecond, o.whileUp(to, func() {
-				if d.links[key] == k && to.view.node.ReceiveSummary(d.clk.Now(), k.source, s) != nil {
-					delete(d.links, key)
-				}
-			}))
-		}
-	}
-}
-
 // inTouch reports whether an instance, its links and the store had no fault for the contact time.
 func (d *deadlyFleet) inTouch(i *limitedInstance) bool {
 	const settling = time.Second // is included in excused
--- a/internal/edge/limits_sim_test.go
+++ b/internal/edge/limits_sim_test.go
@@ -161,7 +161,12 @@
 	i.up, i.told, i.reportsTo, i.known = true, make(map[string]clock.Instant), nil, nil
 	i.fleet = newTestFleetOf(l.t, l.clk, peer.Identity{Instance: i.name, Region: l.name, DataCentre: "a", Incarnation: i.incarnation})
 	i.fleet.options.Regions = map[string]string{"a": l.name}
+	for _, o := range l.others {
+		i.fleet.options.Regions["a of "+o.name] = o.name
+	}
 	i.Edge = testEdgeIn(l.t, i.fleet)
+	i.state.configuration.Store(&inForce{Configuration: l.conf})
+	i.state.endpointsRead.Store(true)
 	l.setEndpoints(i)
 	l.after(l.random(200*time.Millisecond), l.whileUp(i, func() { l.readStore(i) }))
 	l.after(300*time.Millisecond, l.whileUp(i, func() { l.renew(i) }))
--- a/internal/edge/notices_sim_test.go
+++ b/internal/edge/notices_sim_test.go
@@ -3,7 +3,9 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +13,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/endpointnotice"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
+	"dogwoodknot.example/dogwoodknot/internal/core/routing"
 )
 
 // Bounds of a region whose endpoints ask for no requests.
@@ -20,6 +23,9 @@
 	noticeSlack = 500 * time.Millisecond
 	// adviceBound is when no instance may send to a leaving endpoint any more after one has been told, if there are no faults.
 	adviceBound = 2 * time.Second
+	// offerBound is when no instance may pass a request on to a region any more after its last endpoint has told one of the region that
+	// it is leaving, if there are no faults.
+	offerBound = adviceBound + unresponsiveAfter
 	// noticeSettling is how long before the end of a run faults end and endpoints stop asking to wait.
 	noticeSettling = 12 * time.Second
 )
@@ -27,15 +33,17 @@
 // noticeRegion is a simulated region in which endpoints leave and ask to wait.
 type noticeRegion struct {
 	*limitedRegion
-	faults   bool
-	leaving  map[catalog.Incarnation]bool
-	busy     map[catalog.Incarnation]clock.Instant // until when an endpoint asks to wait
-	told     map[toldKey]toldNotice
-	advised  map[catalog.Incarnation]toldKey // an instance that knows of the leaving, most recently told
-	servedBy map[catalog.Incarnation]int
-	asked    int // answers with a notice
-	withheld int // requests that were placed and not sent
-	failure  string
+	neighbours []*noticeRegion // that may pass requests on to it
+	faults     bool
+	leaving    map[catalog.Incarnation]bool
+	busy       map[catalog.Incarnation]clock.Instant // until when an endpoint asks to wait
+	told       map[toldKey]toldNotice
+	advised    map[catalog.Incarnation]toldKey // an instance that knows of the leaving, most recently told
+	servedBy   map[catalog.Incarnation]int
+	asked      int // answers with a notice
+	withheld   int // requests that were placed and not sent
+	passedOn   int // requests of other regions
+	failure    string
 }
 
 type toldKey struct {
@@ -56,7 +64,7 @@
 	}
 }
 
-// request is a caller's request at an instance; from another region it may wait longer for an endpoint.
+// callers sends requests to an instance. Some are passed on to another region.
 func (l *noticeRegion) callers(i *limitedInstance, perSecond float64) {
 	l.after(time.Duration(l.rng.ExpFloat64()/perSecond*float64(time.Second)), func() {
 		l.callers(i, perSecond)
@@ -69,11 +77,68 @@
 			maxWait = 2 * time.Second
 		}
 		id := fmt.Sprint("r", l.seq)
-		l.place(i, &attempt{id: id, service: limitedService, excluded: map[string]bool{}, waitUntil: l.clk.Now().Add(maxWait),
-			work: placement.Request{ID: id, PromptTokens: 100, OutputTokens: 50}}, l.clk.Now())
+		a := &attempt{id: id, service: limitedService, excluded: map[string]bool{}, waitUntil: l.clk.Now().Add(maxWait),
+			work: placement.Request{ID: id, PromptTokens: 100, OutputTokens: 50}}
+		if len(l.neighbours) > 0 && l.rng.IntN(3) == 0 {
+			l.passOn(i, a)
+			return
+		}
+		l.place(i, a, l.clk.Now())
+	})
+}
+
+// passOn sends a request through an instance of a region that offers its endpoints.
+func (l *noticeRegion) passOn(i *limitedInstance, a *attempt) {
+	now := l.clk.Now()
+	all := func(string) bool { return true }
+	to := l.neighbours[l.rng.IntN(len(l.neighbours))]
+	through := to.instances[l.rng.IntN(len(to.instances))]
+	offered := slices.ContainsFunc(i.fleet.remoteRegions(limitedService, all, all), func(r routing.RegionLoad) bool { return r.Region == to.name })
+	if !offered || !i.reaches(through, now) {
+		return
+	}
+	if since, all := to.allLeaveSince(); all && !l.faults && now > since.Add(offerBound) {
+		l.fail("%s passes a request on to region %s, all of whose endpoints have been leaving for %s", i.name, to.name, now.Sub(since))
+	}
+	l.after(40*time.Millisecond+l.random(20*time.Millisecond), to.whileUp(through, func() {
+		a.waitUntil = l.clk.Now().Add(time.Second)
+		to.passedOn++
+		to.place(through, a, now)
+	}))
+}
+
+// allLeaveSince returns since when an instance has known of each of the endpoints that it is leaving, and false if one is not.
+func (l *noticeRegion) allLeaveSince() (since clock.Instant, all bool) {
+	for _, e := range l.endpoints {
+		by, known := l.advised[e.Incarnation]
+		if !known {
+			return 0, false
+		}
+		since = max(since, l.told[by].leavingAt)
+	}
+	return since, true
+}
+
+// allLeave makes all endpoints leave, and start again after a while.
+func (l *noticeRegion) allLeave() {
+	for _, e := range l.endpoints {
+		l.leaving[e.Incarnation] = true
+	}
+	l.after(6*time.Second, func() {
+		for _, e := range l.endpoints {
+			e.StartedAtMillis++
+		}
+		l.listAgain(time.Second)
 	})
 }
 
+// listAgain gives the instances the endpoints within a time.
+func (l *noticeRegion) listAgain(within time.Duration) {
+	for _, i := range l.instances {
+		l.after(l.random(within), l.whileUp(i, func() { l.setEndpoints(i) }))
+	}
+}
+
 // place sends a request to the endpoint that the instance chooses, after a wait in its queue if need be.
 func (l *noticeRegion) place(i *limitedInstance, a *attempt, received clock.Instant) {
 	w := &waiter{attempt: a, placed: make(chan placement.Choice, 1)}
@@ -241,9 +306,7 @@
 			return
 		}
 		e.StartedAtMillis++
-		for _, o := range l.instances {
-			l.after(l.random(time.Second), l.whileUp(o, func() { l.setEndpoints(o) }))
-		}
+		l.listAgain(time.Second)
 	default:
 		l.busy[e.Incarnation] = now.Add(100*time.Millisecond + l.random(8*time.Second))
 	}
@@ -259,30 +322,82 @@
 func TestNoticesHoldAcrossInstances(t *testing.T) {
 	engine := &catalog.Engine{Slots: 8, KVCacheTokens: 400_000, EventTokens: 7}
 	for _, tc := range []struct {
-		instances, endpoints int
-		seeds                uint64
-		engine               *catalog.Engine
+		regions, instances, endpoints int
+		seeds                         uint64
+		engine                        *catalog.Engine
 	}{
-		{instances: 1, endpoints: 2, seeds: 4}, {instances: 4, endpoints: 5, seeds: 6, engine: engine}, {instances: 36, endpoints: 12, seeds: 2}, {instances: 390, endpoints: 30},
+		{regions: 1, instances: 1, endpoints: 2, seeds: 4}, {regions: 1, instances: 4, endpoints: 5, seeds: 6, engine: engine},
+		{regions: 1, instances: 36, endpoints: 12, seeds: 2}, {regions: 1, instances: 390, endpoints: 30},
+		{regions: 2, instances: 4, endpoints: 8, seeds: 6, engine: engine}, {regions: 3, instances: 36, endpoints: 18, seeds: 2}, {regions: 3, instances: 390, endpoints: 36},
 	} {
 		for seed := range max(tc.seeds, *noticeSeeds) {
-			t.Run(fmt.Sprintf("%d instances, seed %d", tc.instances, seed), func(t *testing.T) {
+			name := fmt.Sprintf("%d instances, seed %d", tc.instances, seed)
+			if tc.regions > 1 {
+				name = fmt.Sprintf("%d regions, %s", tc.regions, name)
+			}
+			t.Run(name, func(t *testing.T) {
 				t.Parallel()
-				l := &noticeRegion{
-					limitedRegion: newLimitedRegion(t, seed, tc.instances, tc.endpoints, tc.engine), faults: seed%2 == 1, leaving: make(map[catalog.Incarnation]bool),
-					busy: make(map[catalog.Incarnation]clock.Instant), told: make(map[toldKey]toldNotice), advised: make(map[catalog.Incarnation]toldKey),
-					servedBy: make(map[catalog.Incarnation]int),
+				if tc.regions == 1 {
+					newNoticeRegion(newLimitedRegion(t, seed, tc.instances, tc.endpoints, tc.engine), seed).play(20 * time.Second)
+					return
 				}
-				l.play(20 * time.Second)
+				set := newRegionSet(t, rand.New(rand.NewPCG(seed, 3)), tc.regions)
+				set.populate(tc.instances, tc.endpoints, tc.engine)
+				playRegions(set, seed, 20*time.Second)
 			})
 		}
 	}
 }
 
+func newNoticeRegion(l *limitedRegion, seed uint64) *noticeRegion {
+	return &noticeRegion{
+		limitedRegion: l, faults: seed%2 == 1, leaving: make(map[catalog.Incarnation]bool),
+		busy: make(map[catalog.Incarnation]clock.Instant), told: make(map[toldKey]toldNotice), advised: make(map[catalog.Incarnation]toldKey),
+		servedBy: make(map[catalog.Incarnation]int),
+	}
+}
+
+// playRegions plays regions that pass requests on to each other.
+func playRegions(set *regionSet, seed uint64, length time.Duration) {
+	var regions []*noticeRegion
+	for _, l := range set.regions {
+		regions = append(regions, newNoticeRegion(l, seed))
+	}
+	for n, l := range regions {
+		l.neighbours = slices.Concat(regions[:n], regions[n+1:])
+	}
+	set.run(5 * time.Second)
+	for _, l := range regions {
+		l.begin(length, 150/float64(len(regions)))
+	}
+	set.after(set.regions[0].random(length/2), regions[0].allLeave)
+	set.run(length)
+	for _, l := range regions {
+		l.settle()
+	}
+	set.run(noticeSettling)
+	for _, l := range regions {
+		l.finish()
+		if l.passedOn == 0 {
+			l.t.Errorf("no request of another region reaches region %s", l.name)
+		}
+		l.t.Logf("%d requests of other regions reach region %s", l.passedOn, l.name)
+	}
+}
+
 func (l *noticeRegion) play(length time.Duration) {
 	l.run(5 * time.Second)
+	l.begin(length, 150)
+	l.run(length)
+	l.settle()
+	l.run(noticeSettling)
+	l.finish()
+}
+
+// begin sends requests, a number per second, and lets endpoints leave and ask to wait for a time.
+func (l *noticeRegion) begin(length time.Duration, perSecond float64) {
 	for _, i := range l.instances {
-		l.callers(i, 150/float64(len(l.instances)))
+		l.callers(i, perSecond/float64(len(l.instances)))
 	}
 	for at := time.Duration(0); at < length; at += l.random(2 * time.Second) {
 		l.after(at, l.disturbEndpoint)
@@ -290,7 +405,10 @@
 			l.after(at+l.random(time.Second), l.disturbInstances)
 		}
 	}
-	l.run(length)
+}
+
+// settle checks what the region offers and starts all its endpoints again.
+func (l *noticeRegion) settle() {
 	// The root offers other regions nothing if no endpoint accepts requests of it.
 	for _, i := range l.instances {
 		if sum := i.pools.byService[limitedService].worstLoad(l.clk.Now()); l.allWithheld(i) && sum.Usable > 0 {
@@ -303,7 +421,10 @@
 	for _, i := range l.instances {
 		l.after(time.Second, l.whileUp(i, func() { l.setEndpoints(i) }))
 	}
-	l.run(noticeSettling)
+}
+
+// finish checks that the new endpoints are used.
+func (l *noticeRegion) finish() {
 	served := 0
 	for _, e := range l.endpoints {
 		served += l.servedBy[e.Incarnation]
