Keep fields that belong to no event out of resumed streams

In a test, a stream that had broken off and was resumed by an endpoint whose body held "error: out of memory" or header lines such as Content-Type passed these lines on, in the middle of the stream or at its end, which then looked complete.

Cause: a line with a name and a colon is a field of an event, known or not, and a block with neither data nor an id counts as empty, as one with only comments does; empty blocks were passed on unchecked. Status lines, JSON and HTML were kept out, text of the form "name: text" was not.

Ruled out with new cases of the same test: a resume that is answered with an encoding, with 204, or with 206 and events; none reaches the caller, here and through an instance of another region.

Evidence: "header lines in the body", "error line" and "error line after event" of TestAnswersThatResumeAStream failed both ways ('the caller reads "...id: 3\ndata: event 3\n\nerror: out of memory\n\n", complete is true') and pass now.

Why this works: fields of the platform's own stand in events, which have an id (TestEventsWithTheirOwnFieldsArePassedOn still passes). A block that has unknown fields only is no part of the stream, so the answer counts as broken like one with a foreign line. First answers are passed on as before.

--- a/internal/edge/continuation.go
+++ b/internal/edge/continuation.go
@@ -28,6 +28,9 @@
 	if event.Foreign {
 		return "endpoint has sent lines that are no event"
 	}
+	if c.resumed && event.Empty && event.Unknown {
+		return "resumed stream holds fields that belong to no event" // an error text, or the headers of another answer
+	}
 	if !c.resumed || event.Empty {
 		return ""
 	}
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -63,6 +63,8 @@
 	// Foreign reports a line that is no field: neither one that the format defines nor a name and a colon. It may be the head of another
 	// response.
 	Foreign bool
+	// Unknown reports a field that the format does not define. Receivers ignore it.
+	Unknown bool
 }
 
 // addField records a line of the event without its end.
@@ -75,7 +77,8 @@
 	case "data":
 		e.Empty = false
 	case "", "event", "retry": // an empty name begins a comment
-	default: // receivers ignore fields that they do not know
+	default:
+		e.Unknown = true
 		e.Foreign = e.Foreign || !named || bytes.ContainsFunc(name, notInName)
 	}
 }
