Read what endpoints ask from trailers

An endpoint that is leaving and says so only at the end of a chunked answer, in its trailer, went on getting requests.

Cause: Edge.send read the heads of answers, those of late answers included, and no trailers; endpointconn did not hand them on.

Evidence: TestLeavingIsReadFromTrailers failed for a plain answer and a stream ('30 requests reach the endpoint after its answer'). Answers that end with their connection, plain and as a stream, are new cases of TestLeavingEndpointGetsNothing and passed at once.

Why this works: the trailer is given to the function that reads late answers, once the body was read to its end, so it is recorded before the caller's answer is complete. net/http reads a trailer from the connection's buffer of 4 KiB and fails on a longer one, so its size is bounded.

--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -18,8 +18,8 @@
 // errNoRequests is returned instead of a response if the endpoint asks for no requests at the moment of sending.
 var errNoRequests = errors.New("endpoint asks for no requests")
 
-// send sends a request to an endpoint unless that asks for none once a connection is open, and records what it asks in its answer. An
-// answer that arrives after its attempt was given up counts too.
+// send sends a request to an endpoint unless that asks for none once a connection is open, and records what it asks in the head and the
+// trailer of its answer. An answer that arrives after its attempt was given up counts too.
 func (e *Edge) send(ctx context.Context, endpoint catalog.Incarnation, addr string, req *endpointconn.Request) (*endpointconn.Response, AnswerHead, error) {
 	id := req.ID
 	req.BeforeSend = func() error {
@@ -32,6 +32,7 @@
 	req.OnLateAnswer = func(status int, h http.Header) {
 		e.observeNotice(id, endpoint, e.options.Dialect.ParseAnswer(status, h).Notice)
 	}
+	req.OnTrailer = req.OnLateAnswer
 	resp, err := e.conns.Do(ctx, addr, req)
 	if err != nil {
 		return nil, AnswerHead{}, err
--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -67,6 +67,8 @@
 	// OnLateAnswer, if not nil, is called with the head of a response to this request or an earlier one that arrives where the response
 	// to a later request on the connection is expected.
 	OnLateAnswer func(status int, h http.Header)
+	// OnTrailer, if not nil, is called with the trailer of the response, if it has one, once the body was read to its end.
+	OnTrailer func(status int, trailer http.Header)
 }
 
 // Response is the head of a response. The caller must close Body.
@@ -164,6 +166,13 @@
 		return nil, err
 	}
 	body := &body{ReadCloser: resp.Body, pool: p, conn: c, stopCancel: stop, written: written, reusable: reusable(resp)}
+	if req.OnTrailer != nil {
+		body.onEnd = func() {
+			if len(resp.Trailer) > 0 {
+				req.OnTrailer(resp.StatusCode, resp.Trailer)
+			}
+		}
+	}
 	c.maxIdle, c.onLate = maxIdleTime(resp.Header), req.OnLateAnswer
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0}, nil
 }
@@ -435,6 +444,7 @@
 	stopCancel func() bool
 	written    chan error
 	reusable   bool
+	onEnd      func() // nil if nothing is to be done
 	complete   bool
 	once       sync.Once
 }
@@ -443,6 +453,9 @@
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
+		if !b.complete && b.onEnd != nil {
+			b.onEnd()
+		}
 		b.complete = true
 		return n, io.EOF
 	}
