Tell callers of the last declined attempt how long endpoints want nothing

What callers saw: their request was the one that an endpoint turned away with 503 and a time to wait, no attempt was left, and they were told to return after 0.1 s. There they were refused, with the right time, so that a return of theirs was used up for nothing.

Cause: answerFailure took the time from failures that found no endpoint; one that an endpoint had declined carried none, so minRetryAfter applied. With an attempt left the next placement gave the right time.

Evidence: TestDeclinedRequestsLearnHowLongToWait failed here and through an instance of another region ('retry after "0.1", want 1.80 to 2.50 s'). Its third case, another region with a free endpoint, passed before; it fails ('retry after "2.2...') if other regions are not looked at.

Why this works: attemptLocal adds the time if no endpoint of its region accepts requests, with the spread that other refusals have; it reaches the other instance with the failure. The instance that answers ignores it if a region is left that could serve the caller's next request.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -76,7 +76,8 @@
 	kind       failureKind
 	endpoint   string // the one that was tried; empty for notPlaced
 	reason     string
-	retryAfter time.Duration // for notPlaced and blocked
+	region     string        // in which the attempt was made
+	retryAfter time.Duration // for notPlaced and blocked; for notRun if all endpoints of the region ask for no requests
 	part       uint64        // for blocked, 0 through another instance
 	final      bool          // no other region is tried
 	waiting    bool          // an endpoint of this region may still become available
@@ -155,7 +156,11 @@
 	r.body = body
 	if kind, reason := classifyAnswer(resp.Status, resp.Header, head); kind != "" {
 		discardBody(body)
-		return nil, &failure{kind: kind, endpoint: chosen.ID, reason: reason, notice: head.Notice}
+		f := &failure{kind: kind, endpoint: chosen.ID, reason: reason, notice: head.Notice}
+		if sum := e.pools.loadFor(&attempt{service: a.service}); kind == notRun && sum.Usable == 0 && sum.Withheld > 0 {
+			f.retryAfter = e.unavailableRetryAfter(a.service)
+		}
+		return nil, f
 	}
 	return r, nil
 }
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -405,17 +405,37 @@
 	return out
 }
 
-// recordDecline records that a region had no capacity for the request, if that is the failure. It returns f.
+// recordDecline records in which region an attempt has failed, and that it had no capacity for the request if that is the failure. It
+// returns f.
 func (x *exchange) recordDecline(f *failure, region string) *failure {
-	if f != nil && f.kind == notPlaced {
-		if x.declined == nil {
-			x.declined = make(map[string]bool)
-		}
-		x.declined[region] = true
+	if f == nil {
+		return nil
+	}
+	f.region = region
+	if f.kind == notPlaced {
+		x.setDeclined(region)
 	}
 	return f
 }
 
+func (x *exchange) setDeclined(region string) {
+	if x.declined == nil {
+		x.declined = make(map[string]bool)
+	}
+	x.declined[region] = true
+}
+
+// retryAfter returns when the caller of a request that has not run should retry.
+func (x *exchange) retryAfter(f *failure) time.Duration {
+	if f.kind == notRun && f.retryAfter > 0 {
+		// All endpoints of that region ask for none. Another region may, although this request has no attempt left.
+		if x.setDeclined(f.region); x.hasRegionLeft() {
+			return minRetryAfter
+		}
+	}
+	return max(f.retryAfter, minRetryAfter)
+}
+
 // hasRegionLeft reports whether any region is left that may take a request which one has declined.
 func (x *exchange) hasRegionLeft() bool {
 	return x.mayServe(x.edge.options.Self.Region) && x.edge.pools.loadFor(&x.attempt).Usable > 0 ||
@@ -483,7 +503,7 @@
 	}
 	if !x.mayHaveRun {
 		x.refund()
-		retryAfter := max(f.retryAfter, minRetryAfter)
+		retryAfter := x.retryAfter(f)
 		x.edge.rejections.add(x.attempt.work.Parts, x.firstArrived, retryAfter)
 		x.reject(http.StatusServiceUnavailable, f.reason, retryAfter)
 		return
