--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -22,8 +22,9 @@
 	errStopping = errors.New(stoppingReason)
 )
 
-// send sends a request to an endpoint, and records what it asks in its answer. It sends nothing if, once a connection is open, the
-// endpoint asks for no requests, requests in progress are given up or ctx has ended. An answer that arrives after its attempt was given up counts too.
+// send sends a request to an endpoint, and records what it asks in the head and the trailer of its answer. It sends nothing if, once a
+// connection is open, the endpoint asks for no requests, requests in progress are given up or ctx has ended. An answer that arrives
+// after its attempt was given up counts too.
 func (e *Edge) send(ctx context.Context, endpoint catalog.Incarnation, addr string, req *endpointconn.Request) (*endpointconn.Response, AnswerHead, error) {
 	id := req.ID
 	req.BeforeSend = func() error {
@@ -42,6 +43,7 @@
 	req.OnLateAnswer = func(status int, h http.Header) {
 		e.observeNotice(id, endpoint, e.options.Dialect.ParseAnswer(status, h).Notice)
 	}
+	req.OnTrailer = req.OnLateAnswer
 	resp, err := e.conns.Do(ctx, addr, req)
 	if err != nil {
 		return nil, AnswerHead{}, err
