Read the rest of a rejected request before its connection is closed

What callers saw: a reset in place of the end of the connection, which may overtake the answer on the way, after a request that asked for its connection to be closed and was rejected before its body had been read: 401, 404, and 503 without a configuration or at a planned stop.

Cause: net/http reads the rest of a body of up to 256 KB after an answer, but not if the caller has asked for the connection to be closed. It reads 4 KB at a time, so that longer requests left bytes unread, and closing a connection with unread bytes resets it.

Now a rejection is flushed, and what arrives of the body within a second is read. A caller that waits for leave to send its body does not get it, since net/http withdraws that with the answer's head.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -18,6 +18,8 @@
 	// maxBufferedBody is the size up to which an answer is buffered completely before it is written to the caller, so that the
 	// request can be retried if the answer breaks off. Plain services answer with a few kilobytes.
 	maxBufferedBody = 64 << 10
+	// readRestTimeout bounds the wait for the rest of a rejected request: some round trips over a wide area, with a packet sent again.
+	readRestTimeout = time.Second
 )
 
 // errorBody is the body of the errors that the gateway itself answers with.
@@ -45,9 +47,23 @@
 	x.w.WriteHeader(status)
 	// A caller that has disconnected does not need the answer.
 	_, _ = x.w.Write(body)
+	if x.r.Close {
+		x.readRest()
+	}
 	return false
 }
 
+// readRest reads the rest of the request's body after the answer. A connection that is closed with bytes unread is reset, and the reset may
+// overtake the answer. net/http reads the rest itself unless the caller has asked for the connection to be closed.
+func (x *exchange) readRest() {
+	control := http.NewResponseController(x.w)
+	if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(readRestTimeout)) != nil {
+		return // the caller has left
+	}
+	// What is left after that belongs to a caller that does not take the answer.
+	_, _ = io.CopyN(io.Discard, x.r.Body, defaultMaxBodyBytes)
+}
+
 // writeAnswer writes an endpoint's answer to the caller. It returns a failure if the answer is not complete, so that the
 // request must be retried or given up.
 func (x *exchange) writeAnswer(r *reply) *failure {
--- a/internal/edgedaemon/callers_test.go
+++ b/internal/edgedaemon/callers_test.go
@@ -268,3 +268,38 @@
 	}
 	<-stopped
 }
+
+// Guards against an answer that is lost by a reset, since the connection is closed with a part of the request unread: a request that asks
+// for the connection to be closed, and is rejected before its body has been read. A caller that waits for leave to send the body must not
+// get it behind the answer.
+func TestRejectionOfALongRequestReachesItsCaller(t *testing.T) {
+	d, s := startServing(t, 2, func(w http.ResponseWriter, r *http.Request) {
+		platformtest.Sign(w.Header(), platformtest.RequestID(r.Header))
+	})
+	for name, header := range map[string]string{"sends": "", "waits": "Expect: 100-continue\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			c := dialCaller(t, s)
+			body := strings.Repeat("x", 200<<10)
+			if _, err := fmt.Fprintf(c, "POST /nowhere/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\n%sContent-Length: %d\r\n\r\n", header, len(body)); err != nil {
+				t.Fatal(err)
+			}
+			if header == "" {
+				if _, err := io.WriteString(c, body); err != nil {
+					t.Fatal(err)
+				}
+			}
+			reader := bufio.NewReader(c)
+			resp, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatalf("no answer: %v", err)
+			}
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusNotFound {
+				t.Errorf("status %d, error %v, want 404", resp.StatusCode, err)
+			}
+			if rest, err := io.ReadAll(reader); err != nil || len(rest) > 0 {
+				t.Errorf("the connection ends with %q and error %v, want its end", rest, err)
+			}
+		})
+	}
+	stop(t, d)
+}
