Follow the instance list beside odd rows

What callers saw: nothing; shown by a test only. If another writer left one row in the instance list of dogwoodknot that could not be read, no instance of any region followed the list any more, so that instances that left, were new or had restarted stayed unknown until the row was gone. A row whose port is out of range counted as an instance.

Cause: the list was decoded as a whole, and encoding/json fails on the first value of another type or range, and on a text that is nested more than 10,000 levels deep anywhere.

Ruled out: dogwood-edge, whose entries are values of their own (TestOddEntriesBesideGoodOnes), and the values of the other daemon's store, which are encoded bytes to the list that holds them.

Evidence: all ten cases of TestOddRowsHideNoOthers failed, among them numbers out of range, other types, 100,000 levels, ports 0 and 65536 ('[], version 0, GET /v1/instances: answer is not valid: invalid character "[" exceeded max depth').

Why this works: rows are decoded one by one, values below 16 levels are replaced by null before, and a row without a name, or of an entry instance with an address that is no IP address and port, is left out. Rows of endpoints are kept whatever their addresses, since their state says whether they leave. Open: the client has no log, so that rows which are left out leave no trace there.

--- a/internal/platform/client_services.go
+++ b/internal/platform/client_services.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
+	"net/netip"
 	"net/url"
 )
 
@@ -28,18 +30,72 @@
 	Instances []ListedInstance `json:"instances"`
 }
 
-// Instances implements InstanceList.
+// Instances implements InstanceList. Rows that another writer may have left name no instance, and hide no others.
 func (l *InstanceListClient) Instances(ctx context.Context) ([]ListedInstance, int64, error) {
 	in := call{method: http.MethodGet, path: "/v1/instances"}
 	a, err := l.do(ctx, in)
 	if err != nil {
 		return nil, 0, err
 	}
-	var out InstancesJSON
+	var out struct {
+		Version   int64             `json:"version"`
+		Instances []json.RawMessage `json:"instances"`
+	}
+	a.body = withoutDeepValues(a.body)
 	if err := decode(in, a, &out); err != nil {
 		return nil, 0, err
 	}
-	return out.Instances, out.Version, nil
+	rows := make([]ListedInstance, 0, len(out.Instances))
+	for _, raw := range out.Instances {
+		var row ListedInstance
+		if json.Unmarshal(raw, &row) == nil && row.usable() {
+			rows = append(rows, row)
+		}
+	}
+	return rows, out.Version, nil
+}
+
+// usable reports whether the row names an instance that can be reached.
+func (l *ListedInstance) usable() bool {
+	if l.Name == "" {
+		return false
+	}
+	for _, addr := range []string{l.CallerAddr, l.PeerAddr, l.OperatorAddr} {
+		if l.Kind != KindEntry || addr == "" {
+			continue
+		}
+		if parsed, err := netip.ParseAddrPort(addr); err != nil || parsed.Port() == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// maxNesting is the number of levels up to which values of a list are kept. Its rows have two levels.
+const maxNesting = 16
+
+// withoutDeepValues returns a JSON text with null in place of values that are nested too deeply: encoding/json rejects a whole text above
+// 10,000 levels.
+func withoutDeepValues(text []byte) []byte {
+	out := make([]byte, 0, len(text))
+	depth, inString, escaped := 0, false, false
+	for _, c := range text {
+		opens, closes := !inString && (c == '[' || c == '{'), !inString && (c == ']' || c == '}')
+		if opens {
+			if depth++; depth == maxNesting+1 {
+				out = append(out, "null"...)
+			}
+		}
+		if depth <= maxNesting {
+			out = append(out, c)
+		}
+		if closes {
+			depth--
+		}
+		inString = inString != (c == '"' && !escaped)
+		escaped = inString && c == '\\' && !escaped
+	}
+	return out
 }
 
 // Announce implements InstanceList.
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -85,6 +85,38 @@
 	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
 }
 
+// Guards against instances that stop following the list because another writer has left one row among the others that cannot be read, or
+// that names an address which nobody can reach.
+func TestOddRowsHideNoOthers(t *testing.T) {
+	const good = `{"name":"good","kind":"entry","region":"north","data_centre":"a","incarnation":1,"caller_addr":"10.0.0.1:80","peer_addr":"10.0.0.1:81","state":"live"}`
+	for name, odd := range map[string]string{
+		"number too large":      strings.Replace(good, `"incarnation":1`, `"incarnation":1e999`, 1),
+		"number of more bits":   strings.Replace(good, `"incarnation":1`, `"incarnation":18446744073709551616`, 1),
+		"another type":          strings.Replace(good, `"north"`, `["north"]`, 1),
+		"no object":             `"good"`,
+		"null":                  `null`,
+		"without a name":        strings.Replace(good, `"good"`, `""`, 1),
+		"port out of range":     strings.Replace(good, `:81`, `:65536`, 1),
+		"callers' port is 0":    strings.Replace(good, `:80"`, `:0"`, 1),
+		"deeply nested":         strings.Replace(good, `"live"`, strings.Repeat("[", 100_000)+strings.Repeat("]", 100_000), 1),
+		"nested beside strings": strings.Replace(good, `"state"`, `"x":`+strings.Repeat(`{"a\"]}":[`, 20_000)+strings.Repeat("]}", 20_000)+`,"state":1,"y"`, 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				fmt.Fprintf(w, `{"version":7,"instances":[%s,%s]}`, odd, good)
+			}))
+			defer server.Close()
+			c, err := platform.NewInstanceListClient(platform.ClientOptions{URL: server.URL})
+			check(t, err)
+			defer c.Close()
+			rows, version, err := c.Instances(context.Background())
+			if err != nil || version != 7 || len(rows) != 1 || rows[0].Name != "good" || rows[0].PeerAddr != "10.0.0.1:81" {
+				t.Errorf("%.300s, version %d, %.300s", fmt.Sprint(rows), version, fmt.Sprint(err))
+			}
+		})
+	}
+}
+
 // Guards against a service that cannot be reached being reported as an unknown outcome.
 func TestClientRefusedConnection(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
