--- a/internal/edge/deadlypart_sim_test.go
+++ b/internal/edge/deadlypart_sim_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"maps"
@@ -25,7 +26,8 @@
 const (
 	deadlyContact = 6 * time.Second
 	maxDeadlySent = 3
-	deadlyKey     = uint64(1) << 60
+	deadlyKey     = uint64(1) << 60 // and the keys after it
+	deadlyKeys    = 4
 )
 
 // deadlyFleet is a simulated fleet with endpoints that crash when they begin to answer a request with deadlyKey.
@@ -36,15 +38,23 @@
 	regions  []*limitedRegion
 	state    map[*limitedEndpoint]*deadlyEndpoint
 	links    map[string]*summaryLink // by both regions
-	crashes  []clock.Instant
+	crashes  []deadlyCrash
 	deadly   []deadlyArrival // of requests with the deadly part
 	sound    []soundOutcome
 	requests int
+	cutUntil map[string]clock.Instant // by both regions: until when nothing passes between them
+}
+
+// deadlyCrash is the crash of an endpoint by a part, 0 for another reason.
+type deadlyCrash struct {
+	at   clock.Instant
+	part uint64
 }
 
 type deadlyArrival struct {
 	at      clock.Instant
 	from    string
+	part    uint64
 	counted bool // its sender was in touch
 }
 
@@ -72,7 +82,7 @@
 type partsRequest struct {
 	id       string
 	parts    []uint64
-	deadly   bool
+	deadly   uint64 // the part that crashes endpoints, 0 for none
 	attempts int
 	excluded map[string]bool
 	started  clock.Instant
@@ -81,7 +91,8 @@
 
 func newDeadlyFleet(t *testing.T, seed uint64, regions, instances, endpoints int) *deadlyFleet {
 	d := &deadlyFleet{t: t, rng: rand.New(rand.NewPCG(seed, 2)), eventLoop: &eventLoop{clk: &clock.Manual{}},
-		state: make(map[*limitedEndpoint]*deadlyEndpoint), links: make(map[string]*summaryLink)}
+		state: make(map[*limitedEndpoint]*deadlyEndpoint), links: make(map[string]*summaryLink),
+		cutUntil: make(map[string]clock.Instant)}
 	d.clk.Advance(2 * time.Hour)
 	for n := range regions {
 		d.regions = append(d.regions, &limitedRegion{t: t, rng: d.rng, eventLoop: d.eventLoop, name: fmt.Sprint("r", n), callerRate: 1})
@@ -127,10 +138,14 @@
 	for _, l := range d.regions {
 		for _, o := range l.others {
 			from, to := l.root(now), o.root(now)
+			key := l.name + o.name
+			if now < d.cutUntil[key] {
+				delete(d.links, key)
+				continue
+			}
 			if from == nil || to == nil {
 				continue
 			}
-			key := l.name + o.name
 			k := d.links[key]
 			if k == nil || k.from != from || k.to != to || k.fromInc != from.incarnation || k.toInc != to.incarnation {
 				k = &summaryLink{from: from, to: to, fromInc: from.incarnation, toInc: to.incarnation}
@@ -168,13 +183,16 @@
 		return
 	}
 	d.requests++
-	r := &partsRequest{id: fmt.Sprint("q", d.requests), parts: parts, deadly: slices.Contains(parts, deadlyKey), excluded: make(map[string]bool), started: d.clk.Now()}
+	r := &partsRequest{id: fmt.Sprint("q", d.requests), parts: parts, excluded: make(map[string]bool), started: d.clk.Now()}
+	if last := parts[len(parts)-1]; last >= deadlyKey {
+		r.deadly = last
+	}
 	r.counted = d.inTouch(i)
 	d.attempt(l, i, r)
 }
 
 func (d *deadlyFleet) record(r *partsRequest, begun bool) {
-	if !r.deadly && r.counted && r.attempts <= 1 {
+	if r.deadly == 0 && r.counted && r.attempts <= 1 {
 		d.sound = append(d.sound, soundOutcome{r.started, begun})
 	}
 }
@@ -227,8 +245,8 @@
 		d.unsent(l, i, a, c, r)
 		return
 	}
-	if r.deadly {
-		d.deadly = append(d.deadly, deadlyArrival{d.clk.Now(), i.name, d.inTouch(i)})
+	if r.deadly != 0 {
+		d.deadly = append(d.deadly, deadlyArrival{d.clk.Now(), i.name, r.deadly, d.inTouch(i)})
 	}
 	endpoint := e.Incarnation
 	s.running[a.id] = l.whileUp(i, func() { d.broken(l, i, a, c, r, endpoint, sentAt) })
@@ -236,8 +254,8 @@
 		if s.running[a.id] == nil {
 			return
 		}
-		if r.deadly {
-			d.crash(l, e)
+		if r.deadly != 0 {
+			d.crash(l, e, r.deadly)
 			return
 		}
 		d.after(time.Millisecond, l.whileUp(i, func() {
@@ -268,13 +286,13 @@
 }
 
 // crash ends an endpoint with all that is in progress there. It is back with another id some seconds later.
-func (d *deadlyFleet) crash(l *limitedRegion, e *limitedEndpoint) {
+func (d *deadlyFleet) crash(l *limitedRegion, e *limitedEndpoint, part uint64) {
 	s := d.state[e]
 	if s.down {
 		return
 	}
 	s.down = true
-	d.crashes = append(d.crashes, d.clk.Now())
+	d.crashes = append(d.crashes, deadlyCrash{d.clk.Now(), part})
 	for _, id := range slices.Sorted(maps.Keys(s.running)) {
 		d.after(time.Millisecond+l.random(time.Millisecond), s.running[id])
 	}
@@ -289,10 +307,11 @@
 	})
 }
 
-// callers sends sound requests, and ones with the deadly part until a time, at rates per second over the whole fleet.
-func (d *deadlyFleet) callers(soundRate float64, deadlyRate func() float64) {
+// callers sends sound requests, and ones with each deadly part at the rate of its number, at rates per second over the whole fleet.
+func (d *deadlyFleet) callers(soundRate float64, deadlyRate func(part int) float64) {
 	parts := func() []uint64 { return []uint64{uint64(2 + d.rng.IntN(4)), uint64(10 + d.rng.IntN(160))} }
-	var sound, deadly func()
+	var sound func()
+	var deadly func(part int)
 	wait := func(rate float64) time.Duration {
 		return time.Duration(d.rng.ExpFloat64() / rate * float64(time.Second))
 	}
@@ -300,15 +319,17 @@
 		d.after(wait(soundRate), sound)
 		d.call(parts())
 	}
-	deadly = func() {
-		rate := deadlyRate()
-		d.after(wait(max(rate, 1)), deadly)
+	deadly = func(part int) {
+		rate := deadlyRate(part)
+		d.after(wait(cmp.Or(rate, 1)), func() { deadly(part) })
 		if rate > 0 {
-			d.call(append(parts(), deadlyKey))
+			d.call(append(parts(), deadlyKey+uint64(part)))
 		}
 	}
 	sound()
-	deadly()
+	for part := range deadlyKeys {
+		deadly(part)
+	}
 }
 
 func (d *deadlyFleet) begunShare(from, to clock.Instant) (share float64, n int) {
@@ -327,52 +348,105 @@
 // deadlySeeds is set by hand for long runs, also of the size that takes too long for each run of the tests.
 var deadlySeeds = flag.Uint64("deadly-seeds", 0, "seeds of each size in the simulations of parts that crash endpoints")
 
+// deadlyDay is a day of the simulations.
+type deadlyDay struct {
+	regions, instances, endpoints int
+	seeds                         uint64 // of each run of the tests
+	length                        time.Duration
+	faultGap                      time.Duration // the longest time between two faults in a region, 0 for none
+	regionFaults                  bool          // of roots, of whole regions and of links between them, too
+	parts                         int
+	rate                          float64 // of requests with each part, 0 for 1 to 5 a second
+	soundRate                     float64
+}
+
+func (day deadlyDay) String() string {
+	return fmt.Sprintf("%d regions, %d instances, %s, faults %s %v, %d parts, rate %g", day.regions, day.instances, day.length, day.faultGap, day.regionFaults, day.parts, day.rate)
+}
+
 // Guards against endpoints that crash one after the other because instances send requests with the same part again and again: some have
 // not learned of the crashes, were restarted or cut off meanwhile, take a part for sound, or all try it at once after its block. Guards
 // as well against sound requests with the same first part that are rejected.
 func TestDeadlyPartIsContained(t *testing.T) {
-	for _, tc := range []struct {
-		regions, instances, endpoints int
-		seeds                         uint64
-	}{
-		{1, 1, 6, 4}, {2, 4, 12, 6}, {2, 36, 40, 1}, {2, 390, 60, 0},
+	const usual, often, seldom, sound = 55 * time.Second, 6 * time.Second, 25 * time.Second, 60
+	for _, day := range []deadlyDay{
+		{1, 1, 6, 4, usual, often, false, 1, 0, sound},
+		{2, 4, 12, 6, usual, often, false, 1, 0, sound},
+		{2, 36, 40, 1, usual, often, false, 1, 0, sound},
+		{2, 390, 60, 0, usual, often, false, 1, 0, sound},
+		// With rare faults most instances are in touch, so that their requests count.
+		{3, 6, 12, 2, usual, seldom, true, 1, 0, sound},
+		{3, 6, 12, 2, usual, seldom, true, 1, 0.5, sound},
+		{3, 9, 30, 0, 2 * usual, seldom, true, 2, 0, sound},
+		{3, 36, 40, 0, 2 * usual, seldom, true, 2, 0, sound},
+		{3, 390, 60, 0, 2 * usual, often, true, 2, 0, sound},
+		// Several blocks.
+		{2, 2, 6, 1, 20 * time.Minute, 0, false, 1, 1, 2},
+		{3, 6, 12, 0, 40 * time.Minute, 5 * time.Minute, true, 4, 0.5, 10},
 	} {
-		for seed := range max(tc.seeds, *deadlySeeds) {
-			t.Run(fmt.Sprintf("%d instances, seed %d", tc.instances, seed), func(t *testing.T) {
+		for seed := range max(day.seeds, *deadlySeeds) {
+			t.Run(fmt.Sprintf("%s, seed %d", day, seed), func(t *testing.T) {
 				t.Parallel()
-				d := newDeadlyFleet(t, seed, tc.regions, tc.instances, tc.endpoints)
-				d.playDeadlyPart(seed%4 != 0)
+				d := newDeadlyFleet(t, seed, day.regions, day.instances, day.endpoints)
+				if seed%4 == 0 {
+					day.faultGap, day.regionFaults = 0, false
+				}
+				d.playDeadlyPart(day)
 			})
 		}
 	}
 }
 
-func (d *deadlyFleet) playDeadlyPart(faults bool) {
+func (d *deadlyFleet) playDeadlyPart(day deadlyDay) {
 	d.t.Helper()
 	d.run(5 * time.Second)
-	rate := 0.0
-	d.callers(60, func() float64 { return rate })
+	rates := make([]float64, deadlyKeys)
+	d.callers(day.soundRate, func(part int) float64 { return rates[part] })
 	d.run(10 * time.Second)
 	began := d.clk.Now()
-	const length = 55 * time.Second
-	if faults {
+	if day.faultGap > 0 {
 		for _, l := range d.regions {
-			for at := time.Duration(0); at < length; at += l.random(6 * time.Second) {
+			for at := time.Duration(0); at < day.length; at += l.random(day.faultGap) {
 				d.after(at, l.fault)
 			}
 		}
 	}
-	rate = 1 + 4*d.rng.Float64()
-	d.run(length)
-	crashes := d.crashes
+	if day.regionFaults {
+		for at := 10 * time.Second; at < day.length; at += time.Duration(d.rng.Int64N(int64(3 * day.faultGap))) {
+			d.after(at, d.regionFault)
+		}
+	}
+	for part := range day.parts {
+		rate := cmp.Or(day.rate, 1+4*d.rng.Float64())
+		d.after(time.Duration(part)*day.length/8, func() { rates[part] = rate })
+	}
+	d.run(day.length)
+	for part := range day.parts {
+		d.checkPart(deadlyKey+uint64(part), began)
+	}
+}
+
+// checkPart checks the bounds for a part.
+func (d *deadlyFleet) checkPart(part uint64, began clock.Instant) {
+	d.t.Helper()
+	var crashes []clock.Instant
+	for _, c := range d.crashes {
+		if c.part == part {
+			crashes = append(crashes, c.at)
+		}
+	}
 	if len(crashes) == 0 {
 		d.t.Fatal("no endpoint crashed")
 	}
 	last := crashes[min(len(crashes), 5)-1]
-	counted := 0
+	counted, late := 0, 0
 	var which []string
 	for _, a := range d.deadly {
-		if a.counted && a.at.Sub(last) > deadlyContact {
+		if a.part != part || a.at.Sub(last) <= deadlyContact {
+			continue
+		}
+		late++
+		if a.counted {
 			counted++
 			which = append(which, fmt.Sprint(a.at.Sub(began), " ", a.from))
 		}
@@ -385,7 +459,51 @@
 	if n >= 20 && m >= 20 && during < before/2 {
 		d.t.Errorf("sound requests begin: %.2f of %d before, %.2f of %d beside those that crash endpoints", before, n, during, m)
 	}
-	d.t.Logf("%d crashes, %d late requests; sound requests begin: %.2f of %d before, %.2f of %d beside the others", len(crashes), counted, before, n, during, m)
+	d.t.Logf("%d crashes, %d late requests, %d of them from instances in touch; sound requests begin: %.2f of %d before, %.2f of %d beside the others", len(crashes), late, counted, before, n, during, m)
+}
+
+// regionFault injects a fault that concerns a whole region: its root is lost, all its instances restart, it is cut off from the others and
+// from the store, or nothing passes between two regions that both reach the store, which is in the first one.
+func (d *deadlyFleet) regionFault() {
+	now := d.clk.Now()
+	l := d.regions[d.rng.IntN(len(d.regions))]
+	length := time.Second + l.random(20*time.Second)
+	restart := func(i *limitedInstance, length time.Duration) {
+		if i.up && !i.leaves {
+			i.up = false
+			i.excuse(now.Add(length + 300*time.Millisecond))
+			d.after(length, func() { l.startInstance(i) })
+		}
+	}
+	cut := func(a, b *limitedRegion) {
+		d.cutUntil[a.name+b.name], d.cutUntil[b.name+a.name] = now.Add(length), now.Add(length)
+	}
+	switch d.rng.IntN(4) {
+	case 0:
+		if root := l.root(now); root != nil {
+			restart(root, length)
+		}
+	case 1:
+		for _, i := range l.instances {
+			restart(i, 500*time.Millisecond+l.random(3*time.Second))
+		}
+	case 2:
+		if l == d.regions[0] {
+			return
+		}
+		for _, o := range l.others {
+			cut(l, o)
+		}
+		for _, i := range l.instances {
+			i.storeCut = true
+			i.excuse(now.Add(length))
+			d.after(length, func() { i.storeCut = false })
+		}
+	case 3:
+		if len(d.regions) > 2 {
+			cut(d.regions[1], d.regions[2])
+		}
+	}
 }
 
 // Guards against sound parts that stay blocked because a third of the endpoints crash at once, for a reason that no request has.
@@ -396,14 +514,14 @@
 				t.Parallel()
 				d := newDeadlyFleet(t, seed, min(2, instances), instances, 30)
 				d.run(5 * time.Second)
-				d.callers(10+110*d.rng.Float64(), func() float64 { return 0 })
+				d.callers(10+110*d.rng.Float64(), func(int) float64 { return 0 })
 				d.run(10 * time.Second)
 				for range 1 + seed%3 {
 					began := d.clk.Now()
 					before, _ := d.begunShare(0, began)
 					for _, l := range d.regions {
 						for _, n := range d.rng.Perm(len(l.endpoints))[:len(l.endpoints)/3] {
-							d.after(l.random(200*time.Millisecond), func() { d.crash(l, l.endpoints[n]) })
+							d.after(l.random(200*time.Millisecond), func() { d.crash(l, l.endpoints[n], 0) })
 						}
 					}
 					d.run(8 * time.Second)
--- a/internal/edge/limits_sim_test.go
+++ b/internal/edge/limits_sim_test.go
@@ -159,6 +159,9 @@
 	i.up, i.told, i.reportsTo = true, make(map[string]clock.Instant), nil
 	i.fleet = newTestFleetOf(l.t, l.clk, peer.Identity{Instance: i.name, Region: l.name, DataCentre: "a", Incarnation: i.incarnation})
 	i.fleet.options.Regions = map[string]string{"a": l.name}
+	for _, o := range l.others {
+		i.fleet.options.Regions["a-"+o.name] = o.name // or else their announcements are not valid
+	}
 	i.Edge = testEdgeIn(l.t, i.fleet)
 	l.setEndpoints(i)
 	l.after(l.random(200*time.Millisecond), l.whileUp(i, func() { l.readStore(i) }))
