Reset connections of HTTP/1.0 callers whose answer broke off

What callers of HTTP/1.0 saw: a stream that its endpoint broke off, or a long body that was reset, ended like a complete one. The protocol names HTTP/1.1, but requests of HTTP/1.0 are served.

Cause: an answer without length goes to such a caller without chunks, so that it ends with the connection, and a broken answer was ended by an ordinary close.

Ruled out: rejecting HTTP/1.0, which would refuse requests that are served today.

Change: the connection of such a caller is reset. Others are closed as before; the missing last chunk or length shows them that the answer broke off.

Evidence: TestBrokenAnswersToCallersOfHTTP10 failed in three of seven cases ("complete is true, want false": a stream that ends inside an event, a stream and a long body that were reset) and passes. Tests of callers that have closed their own direction pass.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -108,11 +108,25 @@
 	}
 	if _, err := io.Copy(x.w, r.body); err != nil {
 		x.outcome.reason = "answer broke off: " + err.Error()
-		panic(http.ErrAbortHandler)
+		x.breakOff()
 	}
 	return nil
 }
 
+// breakOff ends the connection to the caller, and the request, in an answer that cannot be completed. A caller of HTTP/1.0 takes the end of
+// the connection for that of the answer unless it is reset, since its answer has no chunks.
+func (x *exchange) breakOff() {
+	if !x.r.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(x.w).Hijack(); err == nil {
+			if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+				_ = tcp.SetLinger(0) // fails only if the connection has ended
+			}
+			_ = conn.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // unknownLength is the length of a body that is written to the caller as it arrives.
 const unknownLength = -1
 
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -475,7 +475,7 @@
 	if x.wroteHead || callerLeft {
 		// An answer that has begun cannot be completed, and only closing the connection shows that. A caller may have closed only its
 		// own direction; returning would send it the end of the stream, or an empty answer with status 200.
-		panic(http.ErrAbortHandler)
+		x.breakOff()
 	}
 	if x.failed != nil {
 		x.writeFailedAnswer()
