--- a/internal/edge/regions_sim_test.go
+++ b/internal/edge/regions_sim_test.go
@@ -19,6 +19,8 @@
 	rng     *rand.Rand
 	regions []*limitedRegion
 	links   map[string]*summaryLink // by both regions
+	// cutUntil is until when nothing passes between two regions, by both.
+	cutUntil map[string]clock.Instant
 }
 
 // summaryLink is a stream of summaries between two roots.
@@ -30,7 +32,8 @@
 }
 
 func newRegionSet(t *testing.T, rng *rand.Rand, regions int) *regionSet {
-	r := &regionSet{t: t, rng: rng, eventLoop: &eventLoop{clk: &clock.Manual{}}, links: make(map[string]*summaryLink)}
+	r := &regionSet{t: t, rng: rng, eventLoop: &eventLoop{clk: &clock.Manual{}}, links: make(map[string]*summaryLink),
+		cutUntil: make(map[string]clock.Instant)}
 	r.clk.Advance(2 * time.Hour)
 	for n := range regions {
 		r.regions = append(r.regions, &limitedRegion{t: t, rng: rng, eventLoop: r.eventLoop, name: fmt.Sprint("r", n), callerRate: 1})
@@ -79,10 +82,14 @@
 	for _, l := range r.regions {
 		for _, o := range l.others {
 			from, to := l.root(now), o.root(now)
+			key := l.name + o.name
+			if now < r.cutUntil[key] {
+				delete(r.links, key)
+				continue
+			}
 			if from == nil || to == nil {
 				continue
 			}
-			key := l.name + o.name
 			k := r.links[key]
 			if k == nil || k.from != from || k.to != to || k.fromInc != from.incarnation || k.toInc != to.incarnation {
 				k = &summaryLink{from: from, to: to, fromInc: from.incarnation, toInc: to.incarnation}
