Give the scripts of dogwoodctl more time for a call to their stand-ins

TestScripts failed once beside load: "read the head: GET /v1/kv/config%2Fhead: ... context deadline exceeded" in the scripts diff and organisation.

Cause, a fault of the test: the stand-ins are part of the test process, and the commands, processes of their own, waited 2 s for an answer. Beside load a process gets no processor time for longer (up to 7.6 s were measured in tests of ./platform at a load average of 40 on 8 cores). The default of dogwoodctl is 5 s.

Ruled out: a stand-in that is down or loses answers on purpose. It answers such calls at once, and the scripts that ask for that are others.

Fix: a minute for a call. No script tests how long a call may take, and TestWaitEnds sets its own time.

--- a/cmd/dogwoodctl/main_test.go
+++ b/cmd/dogwoodctl/main_test.go
@@ -54,6 +54,10 @@
 	beforeHead func()
 }
 
+// callTimeout bounds a call of the scripts to a stand-in, which answers at once also when it is down. 2 s were too short: beside load the
+// process with the stand-ins may get no processor time for longer.
+const callTimeout = time.Minute
+
 type siteKey struct{}
 
 func setup(env *testscript.Env) error {
@@ -81,7 +85,7 @@
 	env.Setenv("DOGWOODKNOT_INSTANCES", s.listURL)
 	env.Setenv("DOGWOODKNOT_AUTHOR", "ana")
 	env.Setenv("DOGWOODKNOT_RETRY_FOR", "1s")
-	env.Setenv("DOGWOODKNOT_TIMEOUT", "2s")
+	env.Setenv("DOGWOODKNOT_TIMEOUT", callTimeout.String())
 	env.Values[siteKey{}] = s
 	env.Defer(s.stopAll)
 	return nil
