--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -32,6 +32,12 @@
 		Original: "case !c.begun && id > c.last+c.step:", Replacement: "case !c.begun && id < 0:",
 		Package: "./platform", Run: "^TestAnswersThatResumeAStream$",
 	},
+	{
+		Condition: 8, Mechanism: "edge: a resumed stream holds no fields that belong to no event",
+		File:     "internal/edge/continuation.go",
+		Original: "if c.resumed && event.Empty && event.Unknown {", Replacement: "if c.resumed && event.Empty && event.Unknown && event.Foreign {",
+		Package: "./platform", Run: "^TestAnswersThatResumeAStream$",
+	},
 	{
 		Condition: 8, Mechanism: "edge: the connection of a caller whose stream broke off is broken",
 		File:     "internal/edge/exchange.go",
@@ -256,6 +262,27 @@
 		Original: "\te.observeNotice(id, endpoint, head.Notice)\n", Replacement: "",
 		Package: "./platform", Run: "^TestLeavingEndpointGetsNothing$",
 	},
+	{
+		Condition: 11, Mechanism: "edge: the trailer of an answer is read for what its endpoint asks",
+		File:     "internal/edge/notices.go",
+		Original: "\treq.OnTrailer = req.OnLateAnswer\n", Replacement: "",
+		Package: "./platform", Run: "^TestLeavingIsReadFromTrailers$",
+	},
+	{
+		Condition: 11, Mechanism: "edge: a declined request's caller learns how long endpoints want nothing",
+		File:     "internal/edge/attempt.go",
+		Original: "\t\t\tf.retryAfter = e.unavailableRetryAfter(a.service)\n", Replacement: "",
+		Package: "./platform", Run: "^TestDeclinedRequestsLearnHowLongToWait$",
+	},
+	{
+		Condition: 11, Mechanism: "edge: regions are not offered endpoints that ask for no requests",
+		File: "internal/core/placement/placement.go",
+		Original: `		if !p.accepts(now, e) {
+			s.Withheld++
+			continue`, Replacement: `		if !p.accepts(now, e) {
+			s.Withheld++`,
+		Package: "./internal/edge", Run: "^TestNoticesHoldAcrossInstances$/^[23]_regions",
+	},
 	{
 		Condition: 11, Mechanism: "edge: an answer that says nothing does not bring a leaving endpoint back",
 		File:     "internal/core/endpointnotice/register.go",
