--- a/internal/core/crashguard/standing.go
+++ b/internal/core/crashguard/standing.go
@@ -76,9 +76,10 @@
 		if c.At <= began {
 			continue
 		}
+		// An earlier one is of a request that was on its way when the block began, or whose instance did not know of the block.
 		if c.At > s.Until.Add(-trialSkew) {
 			trials = min(trials+1, len(blocks)-1)
-		} // or else its request was on its way when the block began, or its instance did not know of it
+		}
 		s.Until = max(s.Until, c.At.Add(blocks[trials]))
 	}
 	return s
