--- a/internal/edge/deadlypart_sim_test.go
+++ b/internal/edge/deadlypart_sim_test.go
@@ -309,11 +309,12 @@
 		for seed := range max(day.seeds, *deadlySeeds) {
 			t.Run(fmt.Sprintf("%s, seed %d", day, seed), func(t *testing.T) {
 				t.Parallel()
-				d := newDeadlyFleet(t, seed, day.regions, day.instances, day.endpoints)
+				played := day // the seeds of a day run at the same time
 				if seed%4 == 0 {
-					day.faultGap, day.regionFaults = 0, false
+					played.faultGap, played.regionFaults = 0, false
 				}
-				d.playDeadlyPart(day)
+				d := newDeadlyFleet(t, seed, played.regions, played.instances, played.endpoints)
+				d.playDeadlyPart(played)
 			})
 		}
 	}
