--- a/internal/edge/deadlypart_sim_test.go
+++ b/internal/edge/deadlypart_sim_test.go
@@ -292,19 +292,19 @@
 func TestDeadlyPartIsContained(t *testing.T) {
 	const usual, often, seldom, sound = 55 * time.Second, 6 * time.Second, 25 * time.Second, 60
 	for _, day := range []deadlyDay{
-		{1, 1, 6, 4, usual, often, false, 1, 0, sound},
-		{2, 4, 12, 6, usual, often, false, 1, 0, sound},
-		{2, 36, 40, 1, usual, often, false, 1, 0, sound},
-		{2, 390, 60, 0, usual, often, false, 1, 0, sound},
+		{regions: 1, instances: 1, endpoints: 6, seeds: 4, length: usual, faultGap: often, parts: 1, soundRate: sound},
+		{regions: 2, instances: 4, endpoints: 12, seeds: 6, length: usual, faultGap: often, parts: 1, soundRate: sound},
+		{regions: 2, instances: 36, endpoints: 40, seeds: 1, length: usual, faultGap: often, parts: 1, soundRate: sound},
+		{regions: 2, instances: 390, endpoints: 60, length: usual, faultGap: often, parts: 1, soundRate: sound},
 		// With rare faults most instances are in touch, so that their requests count.
-		{3, 6, 12, 2, usual, seldom, true, 1, 0, sound},
-		{3, 6, 12, 2, usual, seldom, true, 1, 0.5, sound},
-		{3, 9, 30, 0, 2 * usual, seldom, true, 2, 0, sound},
-		{3, 36, 40, 0, 2 * usual, seldom, true, 2, 0, sound},
-		{3, 390, 60, 0, 2 * usual, often, true, 2, 0, sound},
+		{regions: 3, instances: 6, endpoints: 12, seeds: 2, length: usual, faultGap: seldom, regionFaults: true, parts: 1, soundRate: sound},
+		{regions: 3, instances: 6, endpoints: 12, seeds: 2, length: usual, faultGap: seldom, regionFaults: true, parts: 1, rate: 0.5, soundRate: sound},
+		{regions: 3, instances: 9, endpoints: 30, length: 2 * usual, faultGap: seldom, regionFaults: true, parts: 2, soundRate: sound},
+		{regions: 3, instances: 36, endpoints: 40, length: 2 * usual, faultGap: seldom, regionFaults: true, parts: 2, soundRate: sound},
+		{regions: 3, instances: 390, endpoints: 60, length: 2 * usual, faultGap: often, regionFaults: true, parts: 2, soundRate: sound},
 		// Several blocks.
-		{2, 2, 6, 1, 20 * time.Minute, 0, false, 1, 1, 2},
-		{3, 6, 12, 0, 40 * time.Minute, 5 * time.Minute, true, 4, 0.5, 10},
+		{regions: 2, instances: 2, endpoints: 6, seeds: 1, length: 20 * time.Minute, parts: 1, rate: 1, soundRate: 2},
+		{regions: 3, instances: 6, endpoints: 12, length: 40 * time.Minute, faultGap: 5 * time.Minute, regionFaults: true, parts: 4, rate: 0.5, soundRate: 10},
 	} {
 		for seed := range max(day.seeds, *deadlySeeds) {
 			t.Run(fmt.Sprintf("%s, seed %d", day, seed), func(t *testing.T) {
