--- a/internal/edgedaemon/callers_test.go
+++ b/internal/edgedaemon/callers_test.go
@@ -18,8 +18,8 @@
 	"dogwoodknot.example/dogwoodknot/platform/platformtest"
 )
 
-// startServing returns an instance that serves the route /once/ with an endpoint.
-func startServing(t *testing.T, grace float64, endpoint http.HandlerFunc) (*Daemon, Settings) {
+// startServing returns an instance that serves the route /once/ with an endpoint of a number of slots.
+func startServing(t *testing.T, grace float64, slots int, endpoint http.HandlerFunc) (*Daemon, Settings) {
 	t.Helper()
 	store := platformtest.NewStore(t)
 	s := settings(t, store.Addr)
@@ -27,7 +27,7 @@
 	server := httptest.NewServer(endpoint)
 	t.Cleanup(server.Close)
 	store.Put(platformtest.EndpointKey("e1"), platformtest.EndpointEntry{
-		Service: "plain", Addr: strings.TrimPrefix(server.URL, "http://"), DataCentre: "north-a", Slots: 8, State: "ready",
+		Service: "plain", Addr: strings.TrimPrefix(server.URL, "http://"), DataCentre: "north-a", Slots: slots, State: "ready",
 	}.Encode())
 	store.Put(platformtest.ConfigurationKey, platformtest.Configuration{Version: 1, Organisation: "o", Key: "k", Host: "h",
 		Routes: []platformtest.Route{{Prefix: "/once/", Kind: "non_idempotent", Service: "plain"}}}.Encode())
@@ -74,7 +74,7 @@
 // connection was reset after 1.5 s without an acknowledgement, as one to an unresponsive endpoint is.
 func TestSlowCallerGetsItsAnswer(t *testing.T) {
 	const size = 256 << 10 // more than the caller's buffer holds
-	d, s := startServing(t, 4, func(w http.ResponseWriter, r *http.Request) {
+	d, s := startServing(t, 4, 8, func(w http.ResponseWriter, r *http.Request) {
 		platformtest.Sign(w.Header(), platformtest.RequestID(r.Header))
 		if r.URL.Path != "/once/large" {
 			return
@@ -102,7 +102,7 @@
 // new connection.
 func TestRequestOnANewConnectionAtTheEndOfAStopIsAnswered(t *testing.T) {
 	const grace = 4
-	d, s := startServing(t, grace, func(w http.ResponseWriter, r *http.Request) {
+	d, s := startServing(t, grace, 8, func(w http.ResponseWriter, r *http.Request) {
 		platformtest.Sign(w.Header(), platformtest.RequestID(r.Header))
 	})
 	stopped := make(chan struct{})
@@ -250,7 +250,7 @@
 // the process: a fraction of a longer grace time, or a stop that begins late, is more than the 3 s that the platform allows.
 func TestLongRequestsAreRejectedInTime(t *testing.T) {
 	const grace = 8.5
-	d, s := startServing(t, grace, func(w http.ResponseWriter, r *http.Request) {
+	d, s := startServing(t, grace, 8, func(w http.ResponseWriter, r *http.Request) {
 		platformtest.Sign(w.Header(), platformtest.RequestID(r.Header))
 	})
 	stopped := make(chan struct{})
@@ -273,7 +273,7 @@
 // for the connection to be closed, and is rejected before its body has been read. A caller that waits for leave to send the body must not
 // get it behind the answer.
 func TestRejectionOfALongRequestReachesItsCaller(t *testing.T) {
-	d, s := startServing(t, 4, func(w http.ResponseWriter, r *http.Request) {
+	d, s := startServing(t, 4, 8, func(w http.ResponseWriter, r *http.Request) {
 		platformtest.Sign(w.Header(), platformtest.RequestID(r.Header))
 	})
 	for name, header := range map[string]string{"sends": "", "waits": "Expect: 100-continue\r\n"} {
--- a/internal/edgedaemon/waiting_test.go
+++ b/internal/edgedaemon/waiting_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
@@ -15,11 +13,8 @@
 // Guards against a planned stop that closes the connections of requests which still wait for an endpoint, or sends them to one whose
 // requests it has given up: nothing has run them, and their callers would get no answer or one that does not say so.
 func TestStopAnswersRequestsThatWaitForAnEndpoint(t *testing.T) {
-	store := platformtest.NewStore(t)
-	s := settings(t, store.Addr)
-	s.Grace = 2
 	arrived := make(chan struct{}, 8)
-	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	d, s := startServing(t, 2, 1, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		if platformtest.RequestID(r.Header) == "waiting" {
 			t.Error("the request that waits has reached the endpoint")
@@ -30,22 +25,8 @@
 			return
 		}
 		platformtest.Sign(w.Header(), platformtest.RequestID(r.Header))
-	}))
-	defer endpoint.Close()
-	store.Put(platformtest.EndpointKey("e1"), platformtest.EndpointEntry{
-		Service: "plain", Addr: strings.TrimPrefix(endpoint.URL, "http://"), DataCentre: "north-a", Slots: 1, State: "ready",
-	}.Encode())
-	store.Put(platformtest.ConfigurationKey, platformtest.Configuration{Version: 1, Organisation: "o", Key: "k", Host: "h",
-		Routes: []platformtest.Route{{Prefix: "/once/", Kind: "non_idempotent", Service: "plain"}}}.Encode())
-	d, err := New(s)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := d.Start(); err != nil {
-		t.Fatal(err)
-	}
+	})
 	call := func(id, path string) (int, error) { return callInstance(t, s, id, path, 5*time.Second) }
-	waitFor(t, "the instance does not serve", func() bool { got, _ := call("probe", "/once/"); return got == http.StatusOK })
 	type result struct {
 		status int
 		err    error
