Review: a fourth case, a crashing prompt part behind 66 others

Claimed: a prompt part that crashes runners and stands behind more parts than are read is never blocked (BUDGET).

--- a/review/cases/bed.go
+++ b/review/cases/bed.go
@@ -2,8 +2,8 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -34,7 +34,7 @@
 	runners  []*runner
 	machines []*machine
 	zones    map[string]string // region by zone
-	used     map[string]bool   // addresses of machines
+	nextPort int               // from which on ports are tried
 
 	mu       sync.Mutex
 	sent     map[string]time.Time
@@ -44,7 +44,7 @@
 }
 
 func newBed(binary string, r *record, trouble bool) (*bed, error) {
-	b := &bed{binary: binary, record: r, trouble: trouble, used: make(map[string]bool), sent: make(map[string]time.Time), answers: make(map[string]int)}
+	b := &bed{binary: binary, record: r, trouble: trouble, sent: make(map[string]time.Time), answers: make(map[string]int)}
 	var err error
 	b.store, err = startStore(r)
 	return b, err
@@ -97,26 +97,28 @@
 	ended chan struct{}
 }
 
-// freeAddr returns a loopback address on which nothing listens, below the ports that the system hands out by itself. No address is
-// returned twice.
+// Ports of machines lie below those that the system hands out by itself. Each process of this program begins at a place of its own.
+const (
+	firstPort  = 20000
+	portPlaces = 200
+	portsEach  = 60
+	portsEnd   = firstPort + portPlaces*portsEach // end of all places
+)
+
+// freeAddr returns the next loopback address on which nothing listens.
 func (b *bed) freeAddr() (string, error) {
-	var last error
-	for range 200 {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000)))
+	if b.nextPort == 0 {
+		b.nextPort = firstPort + os.Getpid()%portPlaces*portsEach
+	}
+	for ; b.nextPort < portsEnd; b.nextPort++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", b.nextPort))
 		if err != nil {
-			last = err
-			continue
-		}
-		addr := l.Addr().String()
-		if err := l.Close(); err != nil {
-			return "", err
-		}
-		if !b.used[addr] {
-			b.used[addr] = true
-			return addr, nil
+			continue // in use
 		}
+		b.nextPort++
+		return l.Addr().String(), l.Close()
 	}
-	return "", last
+	return "", errors.New("no free port")
 }
 
 func (b *bed) newMachine(name, zone string) (*machine, error) {
@@ -184,6 +186,11 @@
 func (m *machine) awaitReady(within time.Duration) error {
 	client := http.Client{Timeout: time.Second}
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		select {
+		case <-m.ended:
+			return fmt.Errorf("machine %s has ended by itself", m.name)
+		default:
+		}
 		resp, err := client.Get("http://" + m.ready + "/api/ready")
 		if err != nil {
 			continue
--- a/review/cases/client.go
+++ b/review/cases/client.go
@@ -58,9 +58,8 @@
 	}}}
 }
 
-// send sends one request with a prompt part between the shared one and its own, if middle is not empty. It returns the status, 0 if
-// there was no whole answer.
-func (c *client) send(middle string) int {
+// send sends one request, with prompt parts between the shared one and its own. It returns the status, 0 if there was no whole answer.
+func (c *client) send(middle ...string) int {
 	c.mu.Lock()
 	c.n++
 	id := fmt.Sprintf("%s-%d", c.name, c.n)
@@ -72,8 +71,8 @@
 		panic(err) // the address is that of a listener
 	}
 	parts := fmt.Sprintf("%s:%d", sharedPart, sharedTokens)
-	if middle != "" {
-		parts += "," + middle + ":400"
+	for _, part := range middle {
+		parts += "," + part + ":40"
 	}
 	req.Host = hostName
 	req.GetBody = nil // net/http must not send it again by itself
@@ -116,7 +115,7 @@
 		for {
 			select {
 			case <-tick.C:
-				all.Go(func() { c.send("") })
+				all.Go(func() { c.send() })
 			case <-ctx.Done():
 				return
 			}
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(*bed) error{
 	"parallel-prompts": parallelPrompts,
 	"late-write":       lateWrite,
+	"many-parts":       manyParts,
 	"evacuation":       evacuation,
 }
 
