--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -31,6 +31,7 @@
 	"parallel-prompts": parallelPrompts,
 	"late-write":       lateWrite,
 	"many-parts":       manyParts,
+	"restarts":         restarts,
 	"evacuation":       evacuation,
 }
 
--- a/review/cases/prompts.go
+++ b/review/cases/prompts.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -124,3 +125,43 @@
 	}
 	return b.judgeCrashes()
 }
+
+// restarts: requests with the part that crashes runners come one at a time, seldom, and all machines are killed at once now and then.
+// BUDGET.
+func restarts(b *bed) error {
+	const (
+		period   = 7 * time.Second
+		requests = 10
+	)
+	clients, stop, err := b.startSheet()
+	if err != nil {
+		return err
+	}
+	defer stop()
+	b.mu.Lock()
+	for _, n := range b.runners {
+		n.crashesOn = crashPart // also without the disruption, which are the kills here
+	}
+	b.mu.Unlock()
+	for n := range requests {
+		if b.trouble && (n == 3 || n == 6) {
+			b.record.say("all machines are killed")
+			for _, m := range b.machines {
+				m.signal(syscall.SIGKILL)
+			}
+			for _, m := range b.machines {
+				<-m.ended
+			}
+			time.Sleep(500 * time.Millisecond)
+			for _, m := range b.machines {
+				if err := m.start(false); err != nil {
+					return err
+				}
+			}
+		}
+		time.Sleep(period)
+		b.record.say("request %d with part %s", n, crashPart)
+		b.record.say("request %d is answered with %d", n, clients[n%len(clients)].send(crashPart))
+	}
+	return b.judgeCrashes()
+}
