--- a/review/cases/bed.go
+++ b/review/cases/bed.go
@@ -139,8 +139,8 @@
 	if err != nil {
 		return err
 	}
-	m.cmd = exec.Command(m.bed.binary)
-	m.cmd.Env = []string{
+	cmd := exec.Command(m.bed.binary)
+	cmd.Env = []string{
 		"DOGWOOD_EDGE_NAME=" + m.name, "DOGWOOD_EDGE_REGION=" + m.bed.zones[m.zone], "DOGWOOD_EDGE_DATA_CENTRE=" + m.zone,
 		"DOGWOOD_EDGE_REGIONS=" + string(zones), "DOGWOOD_EDGE_CALLER_ADDR=" + m.caller, "DOGWOOD_EDGE_READY_ADDR=" + m.ready,
 		"DOGWOOD_EDGE_DIRECTORY_ADDR=" + m.directory, "DOGWOOD_EDGE_PEER_ADDR=" + m.peer, "DOGWOOD_EDGE_METRICS_ADDR=" + m.metrics,
@@ -153,18 +153,18 @@
 		if err != nil {
 			return err
 		}
-		m.cmd.Stdout, m.cmd.Stderr = f, f
+		cmd.Stdout, cmd.Stderr = f, f
 	}
-	if err := m.cmd.Start(); err != nil {
+	if err := cmd.Start(); err != nil {
 		return err
 	}
-	m.bed.record.say("machine %s starts, pid %d", m.name, m.cmd.Process.Pid)
+	m.bed.record.say("machine %s starts, pid %d", m.name, cmd.Process.Pid)
 	ended := make(chan struct{})
-	m.ended = ended
-	go func(cmd *exec.Cmd) {
+	m.cmd, m.ended = cmd, ended
+	go func() {
 		_ = cmd.Wait() // how it ended doesn't matter
 		close(ended)
-	}(m.cmd)
+	}()
 	return nil
 }
 
