--- a/review/cases/quota.go
+++ b/review/cases/quota.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// Rate and burst of the tenant in the example of the operator's document.
+// Rate of the tenant as in the example of the operator's document, and a burst of a quarter of a second.
 const (
 	tenantRate  = 632_133.0
-	tenantBurst = 632_133.0
+	tenantBurst = 158_033.0
 )
 
 // quotaAllowed is the number of a tenant's tokens that may arrive in a window.
