--- a/review/cases/client.go
+++ b/review/cases/client.go
@@ -15,7 +15,6 @@
 const (
 	hostName = "ficu95.example"
 	apiKey   = "i9n73hh2b9wu3fexd9dn"
-	tenant   = "huka270"
 	service  = "huvo11a"
 	// sharedPart is the prompt part that all requests share.
 	sharedPart = "5c1e07a2"
@@ -25,22 +24,6 @@
 	deadline                              = 4 * time.Second
 )
 
-// configuration returns the operator's document: one stream route and one tenant, with the figures of the examples in PROTOCOL.md
-// and SYSTEM.md.
-func configuration(rate, burst float64) map[string]any {
-	return map[string]any{
-		"version": 7,
-		"routes": []map[string]any{{"name": "r-828m82t", "host": hostName, "prefix": "/pufi791/", "kind": "stream", "timeout_ms": 4000,
-			"slo_ms": 800, "priority": 0, "service": service, "max_attempts": 1, "public": false, "sticky": true, "resumable": false,
-			"gap_target_ms": 400, "home_regions": []string{}}},
-		"services": []map[string]any{{"name": service, "health_path": "/health", "max_conns": 630, "cold_s": 3.0, "cold_rate_s": 3.8,
-			"engine": map[string]any{"slots": runnerSlots, "kv_capacity": 377567, "kv_bytes": 18432, "stride": 7}}},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": tenant, "api_keys": []string{apiKey}, "unit": "tokens", "plain_tokens": 200, "rate_per_s": rate,
-			"burst": burst}},
-	}
-}
-
 // client sends requests to one machine on kept connections.
 type client struct {
 	bed  *bed
@@ -77,10 +60,10 @@
 	req.Host = hostName
 	req.GetBody = nil // net/http must not send it again by itself
 	for name, value := range map[string]string{
-		"X-Dogwoodknot-Attempt-Id": id, "Authorization": "Bearer " + apiKey,
-		"X-Dogwoodknot-Deadline-Ms": strconv.FormatInt(deadline.Milliseconds(), 10), "X-Dogwoodknot-Model": "m",
-		"X-Dogwoodknot-Token-Counts":  fmt.Sprintf("%d,%d", sharedTokens+ownTokens, outputTokens),
-		"X-Dogwoodknot-Prompt-Prefix": fmt.Sprintf("%s,%x:%d", parts, time.Now().UnixNano(), ownTokens),
+		wire("request id"): id, "Authorization": "Bearer " + apiKey,
+		wire("deadline"): strconv.FormatInt(deadline.Milliseconds(), 10), wire("model"): "m",
+		wire("token counts"): fmt.Sprintf("%d,%d", sharedTokens+ownTokens, outputTokens),
+		wire("prompt parts"): fmt.Sprintf("%s,%x:%d", parts, time.Now().UnixNano(), ownTokens),
 	} {
 		req.Header.Set(name, value)
 	}
--- a/review/cases/evacuation.go
+++ b/review/cases/evacuation.go
@@ -7,11 +7,11 @@
 
 const (
 	coldPeriod = 3 * time.Second // cold_s
-	coldRate   = 3.8             // cold_rate_s
+	coldRate   = 3.8             // requests a second that a cold runner takes
 )
 
 // evacuation: a zone is evacuated and taken back, and its runners are cold from then on. FAILBACK: a cold runner gets no more requests
-// in one second than cold_rate_s x cold_excess + cold_slack.
+// in one second than its cold rate x cold_excess + cold_slack.
 func evacuation(b *bed) error {
 	const (
 		zone, rounds  = "lima-a", 7
@@ -20,7 +20,7 @@
 		betweenRounds = 6 * time.Second
 	)
 	b.zones = map[string]string{zone: "lima", "arequipa-a": "arequipa"}
-	b.store.put("op/config", configuration(5_000_000, 5_000_000))
+	b.store.put(wire("configuration"), configuration(5_000_000, 5_000_000))
 	var runners []*runner
 	for i := range 5 {
 		n, err := b.startRunner(service, zone, time.Duration(i)*heartbeat/5)
@@ -53,7 +53,7 @@
 	worst := 0
 	for round := range rounds {
 		if b.trouble {
-			b.store.put("op/evacuate/"+zone, map[string]any{})
+			b.store.put(wire("evacuation")+zone, map[string]any{})
 			b.record.say("round %d: %s is evacuated", round, zone)
 		}
 		time.Sleep(evacuatedFor)
@@ -62,7 +62,7 @@
 			for _, n := range runners {
 				n.becomeCold(coldPeriod)
 			}
-			b.store.remove("op/evacuate/" + zone)
+			b.store.remove(wire("evacuation") + zone)
 			b.record.say("round %d: %s is taken back, its runners are cold for %s", round, zone, coldPeriod)
 		}
 		time.Sleep(betweenRounds)
--- a/review/cases/prompts.go
+++ b/review/cases/prompts.go
@@ -19,7 +19,7 @@
 // returns a client for each machine.
 func (b *bed) startSheet() (clients []*client, stop func(), err error) {
 	b.zones = map[string]string{"lima-a": "lima", "arequipa-a": "arequipa", "cusco-a": "cusco"}
-	b.store.put("op/config", configuration(5_000_000, 5_000_000))
+	b.store.put(wire("configuration"), configuration(5_000_000, 5_000_000))
 	for zone, runners := range map[string]int{"lima-a": 5, "arequipa-a": 4, "cusco-a": 3} {
 		for i := range runners {
 			n, err := b.startRunner(service, zone, time.Duration(i)*heartbeat/5)
--- a/review/cases/quota.go
+++ b/review/cases/quota.go
@@ -55,7 +55,7 @@
 // twoRegions starts a machine and runners in each of two regions. The runners of both can serve the whole rate.
 func (b *bed) twoRegions() (one, other *machine, err error) {
 	b.zones = map[string]string{"lima-a": "lima", "arequipa-a": "arequipa"}
-	b.store.put("op/config", configuration(tenantRate, tenantBurst))
+	b.store.put(wire("configuration"), configuration(tenantRate, tenantBurst))
 	for _, zone := range []string{"lima-a", "arequipa-a"} {
 		for i := range 6 {
 			if _, err := b.startRunner(service, zone, time.Duration(i)*heartbeat/6); err != nil {
--- a/review/cases/runner.go
+++ b/review/cases/runner.go
@@ -93,7 +93,7 @@
 	n.sequence++
 	cold := max(0, time.Until(n.coldUntil).Milliseconds())
 	n.bed.store.put("servers/"+n.id, map[string]any{"service": n.service, "addr": n.addr, "zone": n.zone, "version": "v1",
-		"slots": runnerSlots, "state": "ready", "cold_left_ms": cold, "sequence": n.sequence, "born": n.born})
+		"slots": runnerSlots, "state": "ready", wire("cold left"): cold, "sequence": n.sequence, "born": n.born})
 	if cold > 0 {
 		n.bed.record.add("runner %s writes its entry, cold for %d ms", n.id, cold)
 	}
@@ -171,12 +171,12 @@
 		answer(w, http.StatusOK, map[string]any{"epoch": 1, "next": 1, "held": [][]any{}})
 		return
 	}
-	a := arrival{id: r.Header.Get("X-Dogwoodknot-Attempt-Id"), runner: n.name(), at: time.Now()}
+	a := arrival{id: r.Header.Get(wire("request id")), runner: n.name(), at: time.Now()}
 	a.sent = n.bed.sentAt(a.id)
-	prompt, output, _ := strings.Cut(r.Header.Get("X-Dogwoodknot-Token-Counts"), ",")
+	prompt, output, _ := strings.Cut(r.Header.Get(wire("token counts")), ",")
 	a.tokens = number(prompt) + number(output)
 	unread := number(prompt)
-	for part := range strings.SplitSeq(r.Header.Get("X-Dogwoodknot-Prompt-Prefix"), ",") {
+	for part := range strings.SplitSeq(r.Header.Get(wire("prompt parts")), ",") {
 		id, tokens, _ := strings.Cut(part, ":")
 		a.parts += id + " "
 		if id == sharedPart {
@@ -185,10 +185,10 @@
 	}
 	_, _ = io.Copy(io.Discard, r.Body) // a cut body shows at the next write
 	h := w.Header()
-	h.Set("X-Dogwoodknot-Attempt-Id", a.id)
-	if want := r.Header.Get("X-Dogwoodknot-Expect-Instance"); want != "" && want != a.runner {
+	h.Set(wire("request id"), a.id)
+	if want := r.Header.Get(wire("expected runner")); want != "" && want != a.runner {
 		n.bed.record.add("runner %s declines %s with 421", a.runner, a.id)
-		h.Set("X-Dogwoodknot-Not-Run", "1")
+		h.Set(wire("not run"), "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -212,8 +212,8 @@
 		n.crash(a.runner)
 		return
 	}
-	h.Set("X-Dogwoodknot-Answer-Stamp", "stamp-"+a.id)
-	h.Set("X-Dogwoodknot-Instance-Load", fmt.Sprintf("%d,0,%d", load, runnerSlots))
+	h.Set(wire("signature"), "stamp-"+a.id)
+	h.Set(wire("load"), fmt.Sprintf("%d,0,%d", load, runnerSlots))
 	h.Set("Content-Type", "text/event-stream")
 	for event := 1; event <= streamEvents; event++ {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", event, a.id); err != nil {
--- a/review/cases/store.go
+++ b/review/cases/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -50,7 +51,7 @@
 	s := &store{record: r, rev: 1, items: make(map[string]item), leases: make(map[int64]lease), changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	for pattern, handler := range map[string]http.HandlerFunc{
-		"GET /api/kv-key": s.get, "GET /api/kv-range": s.list, "GET /api/kv-watch": s.watch, "POST /api/kv-txn": s.txn,
+		"GET /api/kv-key": s.get, wire("range"): s.list, wire("watch"): s.watch, wire("transaction"): s.txn,
 		"POST /api/kv-lease": s.grant, "POST /api/kv-keep/{id}": s.renew, "DELETE /api/kv-lease-end/{id}": s.endLeaseCall,
 	} {
 		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
@@ -219,10 +220,10 @@
 }
 
 type transaction struct {
-	ExpectRev []struct {
+	expected []struct {
 		Key string `json:"key"`
 		Rev int64  `json:"rev"`
-	} `json:"expect_rev"`
+	}
 	Puts []struct {
 		Key   string `json:"key"`
 		Value []byte `json:"value"`
@@ -231,6 +232,23 @@
 	Deletes []string `json:"deletes"`
 }
 
+func readTransaction(r io.Reader) (t transaction, err error) {
+	body, err := io.ReadAll(r)
+	if err != nil {
+		return t, err
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return t, err
+	}
+	if expected := fields[wire("expected revisions")]; expected != nil {
+		if err := json.Unmarshal(expected, &t.expected); err != nil {
+			return t, err
+		}
+	}
+	return t, json.Unmarshal(body, &t)
+}
+
 func (t *transaction) keys() []string {
 	keys := append([]string(nil), t.Deletes...)
 	for _, p := range t.Puts {
@@ -240,8 +258,8 @@
 }
 
 func (s *store) txn(w http.ResponseWriter, r *http.Request) {
-	var t transaction
-	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+	t, err := readTransaction(r.Body)
+	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -269,7 +287,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	for _, e := range t.ExpectRev {
+	for _, e := range t.expected {
 		if s.items[e.Key].Rev != e.Rev {
 			return http.StatusPreconditionFailed, map[string]any{"items": []item{s.items[e.Key]}}
 		}
