Write the holder key again under the same lease

Callers: an organisation's rate could be used twice. An instance of dogwoodknot whose holder key has expired counts as dead, and others claim the slots that it goes on using.

Cause: a write of the key without a response was repeated under a new lease. The store may carry out the first one seconds later, which binds the key to a lease that nobody renews.

Ruled out: the other writes of the store in internal/limits, orderer, operations and configstore are conditional on a revision.

Evidence: TestLateWriteDoesNotTakeTheHolderKey, before: "the key is bound to lease 1, lease 2 is renewed"; it passes now, as do the package's tests with -race.

Why it works: until the store has confirmed the write, the lease is kept and the write repeated under it, so that a late one changes nothing; under a lease that has ended the store rejects it.

--- a/internal/limits/refresh.go
+++ b/internal/limits/refresh.go
@@ -72,31 +72,42 @@
 	return errors.Join(errs...)
 }
 
-// keepLease renews the lease, or takes a new one with the holder key.
+// keepLease renews the lease, or takes a new one, and writes the holder key. A key whose write got no response is written again under
+// the same lease: the first write may be carried out seconds later, and under a lease that is no longer renewed the key would expire.
 func (s *Service) keepLease(ctx context.Context) error {
 	s.mu.Lock()
-	lease := s.slots.lease
+	lease, written := s.slots.lease, s.slots.holderWritten
 	s.mu.Unlock()
 	if lease != 0 {
 		err := s.opts.Store.Renew(ctx, lease)
-		if !errors.Is(err, platform.ErrLeaseLost) {
+		switch {
+		case errors.Is(err, platform.ErrLeaseLost):
+			lease = 0
+		case err != nil || written:
 			return err
 		}
 	}
-	lease, err := s.opts.Store.Grant(ctx, leaseIntervals*s.renewInterval())
-	if err != nil {
-		return err
+	if lease == 0 {
+		var err error
+		if lease, err = s.opts.Store.Grant(ctx, leaseIntervals*s.renewInterval()); err != nil {
+			return err
+		}
+		s.setLease(lease, false)
 	}
 	key := holderKey(s.self.Instance, s.self.Incarnation)
 	if _, err := s.opts.Store.Put(ctx, key, []byte("{}"), platform.PutOptions{Lease: lease}); err != nil {
 		return err
 	}
-	s.mu.Lock()
-	s.slots.lease = lease
-	s.mu.Unlock()
+	s.setLease(lease, true)
 	return nil
 }
 
+func (s *Service) setLease(lease platform.LeaseID, holderWritten bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slots.lease, s.slots.holderWritten = lease, holderWritten
+}
+
 // reviewSlot compares a record with what this instance holds.
 func (s *Service) reviewSlot(ctx context.Context, slot ratelimit.Slot, record storedRecord) error {
 	s.mu.Lock()
--- a/internal/limits/slots.go
+++ b/internal/limits/slots.go
@@ -40,9 +40,11 @@
 	// be lower.
 	vouchedRevision int64
 
-	lease     platform.LeaseID
-	listed    int64                            // version of the instance list that had this incarnation
-	unclaimed map[ratelimit.Slot]clock.Instant // since when a slot was seen without a live owner
+	lease platform.LeaseID
+	// holderWritten says that the store has confirmed the holder key under the lease.
+	holderWritten bool
+	listed        int64                            // version of the instance list that had this incarnation
+	unclaimed     map[ratelimit.Slot]clock.Instant // since when a slot was seen without a live owner
 }
 
 func newSlotTable() slotTable {
