Keep an instance's key under the lease that it renews

Cause: the write of the key had no condition. One whose response was lost was carried out seconds later over the write that had followed it, and bound the key to a lease that nobody renewed. And nothing wrote the key again once it had gone: only the lease was looked at.

TestLateWriteDoesNotTakeTheKey and TestLostKeyIsWrittenAgain failed before ("bound to lease 2, lease 3 is renewed"; "not written again after it was replaced").

Why it works: every write of the key is conditional on the revision that was read, so that of two writes only the first to be carried out succeeds, and an unknown outcome is resolved by reading. If the store's copy no longer shows the key, it is read, and written if it is not the instance's own. A start other than the system's first makes one read more; no further call is made without a fault.

--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"slices"
@@ -10,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
@@ -27,13 +25,6 @@
 const InstancePrefix = "dogwoodknot/instances/"
 
 const (
-	// leaseTerm is how long an announcement outlives its instance. It bounds how long the directory names a dead instance that
-	// no other could reach, and must be longer than two lost renewals take.
-	leaseTerm = 5 * time.Second
-	// renewInterval is the interval of lease renewals. Each is a call to the store; two within a term may be lost.
-	renewInterval = 1650 * time.Millisecond
-	// announceRetryDelay is the delay after a failed announcement.
-	announceRetryDelay = 300 * time.Millisecond
 	// unresponsiveAfter is the age of an instance's last message after which no callers and requests are sent to it.
 	unresponsiveAfter = fleetview.MaxStatusAge
 	// unreachableFor is how long an instance gets no requests after a call could not be sent to it.
@@ -97,6 +88,8 @@
 	selfListed bool
 	invalid    entryErrors // by name
 	onChange   func()      // called without the lock after the set of members has changed
+	// selfUnlisted receives a value when the own announcement has gone from the store or holds something else.
+	selfUnlisted chan struct{}
 }
 
 // regionServices is the load of a remote region's services.
@@ -106,7 +99,8 @@
 }
 
 func newFleet(o *Options) *fleet {
-	return &fleet{options: o, log: o.Log, members: make(map[string]*member), invalid: make(entryErrors), services: make(map[string]regionServices)}
+	return &fleet{options: o, log: o.Log, members: make(map[string]*member), invalid: make(entryErrors), services: make(map[string]regionServices),
+		selfUnlisted: make(chan struct{}, 1)}
 }
 
 // apply applies changes of the instances' keys in the store.
@@ -186,9 +180,22 @@
 	}
 	f.selfListed = listed
 	f.log.Info("own announcement was listed or has gone", zap.Bool("listed", listed))
+	if !listed {
+		select {
+		case f.selfUnlisted <- struct{}{}:
+		default: // not read since the last time
+		}
+	}
 	return true
 }
 
+// isSelfListed reports whether this instance's own announcement is in the store, as far as its copy of the store shows.
+func (f *fleet) isSelfListed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.selfListed
+}
+
 // expireAnnouncement records that an announcement is gone from the store. The instance remains a member while messages from it
 // arrive: it has only lost the store.
 func (f *fleet) expireAnnouncement(name string) bool {
@@ -529,76 +536,3 @@
 	}
 	return names
 }
-
-// announce keeps this instance's key in the store until ctx ends, and then removes it.
-func (e *Edge) announce(ctx context.Context, a announcement) {
-	for ctx.Err() == nil {
-		lease, err := e.options.Store.Grant(ctx, leaseTerm)
-		if err == nil {
-			err = e.writeAnnouncement(ctx, a, lease)
-		}
-		if err != nil {
-			e.log.Warn("instance could not be announced in the store; trying again", zap.Error(err))
-			if clock.Sleep(ctx, announceRetryDelay) != nil {
-				return
-			}
-			continue
-		}
-		e.log.Info("instance announced", zap.Int64("lease", int64(lease)))
-		err = e.keepLease(ctx, a, lease)
-		if ctx.Err() != nil {
-			e.revokeLease(lease)
-			return
-		}
-		e.log.Warn("lease lost", zap.Int64("lease", int64(lease)), zap.Error(err))
-	}
-}
-
-// writeAnnouncement writes this instance's key. The value of an earlier incarnation is replaced whatever its revision, since
-// nobody else writes the key.
-func (e *Edge) writeAnnouncement(ctx context.Context, a announcement, lease platform.LeaseID) error {
-	a.Leaving = e.leaving.Load()
-	value, err := json.Marshal(a)
-	if err != nil {
-		return errors.Wrap(err, "encode announcement")
-	}
-	_, err = e.options.Store.Put(ctx, InstancePrefix+e.options.Self.Instance, value, platform.PutOptions{Lease: lease})
-	return errors.Wrap(err, "write announcement")
-}
-
-// keepLease renews the lease until ctx ends or the store reports that it has expired. It writes the announcement again when the
-// instance begins to leave.
-func (e *Edge) keepLease(ctx context.Context, a announcement, lease platform.LeaseID) error {
-	timer := time.NewTicker(renewInterval)
-	defer timer.Stop()
-	left := e.leavingBegan
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-left:
-			left = nil
-			if err := e.writeAnnouncement(ctx, a, lease); err != nil {
-				e.log.Warn("leaving could not be announced in the store; other instances learn of it from this one's messages", zap.Error(err))
-			}
-			continue
-		case <-timer.C:
-		}
-		err := e.options.Store.Renew(ctx, lease)
-		if errors.Is(err, platform.ErrLeaseLost) {
-			return err
-		}
-		if err != nil {
-			e.log.Debug("lease could not be renewed; trying again", zap.Error(err))
-		}
-	}
-}
-
-// revokeLease revokes the lease, so that others see at once that this instance has gone.
-func (e *Edge) revokeLease(lease platform.LeaseID) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	if err := e.options.Store.Revoke(ctx, lease); err != nil {
-		e.log.Warn("announcement could not be removed; it expires with its lease", zap.Error(err))
-	}
-}
--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -373,4 +373,16 @@
 		Original: "const maxRetrySpread = 0.25", Replacement: "const maxRetrySpread = 0.0",
 		Package: "./platform", Run: "^TestAllEndpointsAskToWait$",
 	},
+	{
+		Condition: 7, Mechanism: "edge: a late write does not replace a newer announcement",
+		File:     "internal/edge/announcer.go",
+		Original: "platform.PutOptions{IfRevision: &expected, Lease: a.lease}", Replacement: "platform.PutOptions{Lease: a.lease}",
+		Package: "./platform", Run: "^TestLateWriteDoesNotTakeTheKey$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: an announcement that has gone is written again",
+		File:     "internal/edge/announcer.go",
+		Original: "announced, err := a.read(ctx)\n\tif err != nil || announced {", Replacement: "announced, err := a.read(ctx)\n\tif err != nil || !announced {",
+		Package: "./platform", Run: "^TestLostKeyIsWrittenAgain$",
+	},
 }
