Count crashes that a prompt part causes side by side

Cause: crashes within a second count as one unless the later request was sent after the earlier crash, so that an event which ends many endpoints blocks no sound part. Requests that are sent side by side crash side by side, and three groups of them were needed.

Ruled out: instances that learn too late; a register that knows all crashes did not block either.

Why it works: a crash counts by itself once endpoints have run requests for 2 s since and the part has not shown life, if the part was in half or more of the crashes around it; five of these block. After a mass crash a part of many requests shows life within that time, and a part of few is in few of the crashes.

--- a/internal/core/crashguard/register.go
+++ b/internal/core/crashguard/register.go
@@ -44,6 +44,9 @@
 	// Grouped says that the crash counts together with an earlier one of the part. Times differ between registers by less than
 	// minTimeStep, so that one decides and the others follow.
 	Grouped bool
+	// Single says that the crash counts by itself, whatever other crashes there were at its time: the part was in most of these, and
+	// endpoints have gone on to run requests since.
+	Single bool
 }
 
 // Crash is the crash of an incarnation of an endpoint.
@@ -53,12 +56,16 @@
 	Parts    map[uint64]Suspect
 	// Version grows with each change of the crash here. Registers of different instances number their changes independently.
 	Version uint64
+
+	firstLife clock.Instant // first sign of life after the crash that this instance has seen, 0: none
+	outlived  bool          // there were signs of life for outlivedAfter
 }
 
 // Register holds the crashes that are known.
 type Register struct {
 	crashes map[catalog.Incarnation]*Crash
 	byPart  map[uint64][]*Crash
+	recent  []*Crash                              // those that were not outlived yet
 	lives   *simplelru.LRU[uint64, clock.Instant] // last sign of life that this instance has seen, by part
 	version uint64
 }
@@ -99,6 +106,7 @@
 		}
 		known = &Crash{Endpoint: c.Endpoint, At: min(c.At, now), Parts: make(map[uint64]Suspect)}
 		r.crashes[c.Endpoint] = known
+		r.recent = append(r.recent, known)
 		changed = true
 	case c.At <= known.At.Add(-minTimeStep):
 		known.At = c.At
@@ -110,6 +118,9 @@
 	if changed {
 		r.touch(known)
 		r.groupNear(known)
+		if known.outlived {
+			r.judgeSingle(known)
+		}
 	}
 	return changed
 }
@@ -159,6 +170,7 @@
 		after.Lead = s.Lead
 	}
 	life, seen := r.lives.Peek(part)
+	after.Single = before.Single || s.Single
 	after.Grouped = before.Grouped || s.Grouped
 	after.Cleared = before.Cleared || s.Cleared || seen && life > c.At
 	after.WasAlive = before.WasAlive || s.WasAlive || seen && life <= c.At && c.At.Sub(life) <= aliveBefore
@@ -184,7 +196,7 @@
 	return false
 }
 
-// RecordLife records that a request with the parts has shown life, and reports whether that clears a crash of one of them.
+// RecordLife records that a request with the parts has shown life, and reports whether that changes a crash.
 func (r *Register) RecordLife(now clock.Instant, parts []uint64) (changed bool) {
 	for _, part := range parts {
 		r.lives.Add(part, now)
@@ -197,9 +209,54 @@
 			}
 		}
 	}
+	return r.outlive(now) || changed
+}
+
+// outlive records a sign of life for the crashes before it, and reports whether that changes one of them.
+func (r *Register) outlive(now clock.Instant) (changed bool) {
+	for _, c := range slices.Clone(r.recent) {
+		switch {
+		case now < c.At:
+		case c.firstLife == 0:
+			c.firstLife = now
+		case now.Sub(c.firstLife) >= outlivedAfter:
+			c.outlived = true
+			r.forgetRecent(c)
+			changed = r.judgeSingle(c) || changed
+		}
+	}
 	return changed
 }
 
+// judgeSingle decides for which parts an outlived crash counts by itself, and reports whether there is a new one.
+func (r *Register) judgeSingle(c *Crash) (changed bool) {
+	near := r.near(c)
+	for part, s := range c.Parts {
+		if s.Cleared || s.Single {
+			continue
+		}
+		with := 0
+		for _, o := range near {
+			if other, has := o.Parts[part]; has && !other.Cleared {
+				with++
+			}
+		}
+		if 2*with >= len(near) {
+			s.Single = true
+			c.Parts[part] = s
+			changed = true
+		}
+	}
+	if changed {
+		r.touch(c)
+	}
+	return changed
+}
+
+func (r *Register) forgetRecent(c *Crash) {
+	r.recent = slices.DeleteFunc(r.recent, func(o *Crash) bool { return o == c })
+}
+
 func (r *Register) touch(c *Crash) {
 	r.version++
 	c.Version = r.version
@@ -258,6 +315,7 @@
 
 func (r *Register) remove(c *Crash) {
 	delete(r.crashes, c.Endpoint)
+	r.forgetRecent(c)
 	for part := range c.Parts {
 		r.forgetPart(part, c)
 	}
--- a/internal/core/crashguard/register_test.go
+++ b/internal/core/crashguard/register_test.go
@@ -100,6 +100,56 @@
 	}
 }
 
+// Guards against requests that are sent side by side, whose crashes count as one for each group of them, so that group after group reaches
+// endpoints; and against sound parts that are blocked because many endpoints crashed at once.
+func TestCrashesSideBySide(t *testing.T) {
+	for _, c := range []struct {
+		what                   string
+		with, without, groups  int  // endpoints that crash with the part and without it, at the same time
+		runsOthers, showsLife  bool // after each group
+		wantBlocked, wasShared bool
+	}{
+		{what: "five at once", with: 5, groups: 1, runsOthers: true, wantBlocked: true},
+		{what: "five at once, of a part with life before", with: 5, groups: 1, runsOthers: true, wasShared: true, wantBlocked: true},
+		{what: "five at once beside others", with: 5, without: 5, groups: 1, runsOthers: true, wantBlocked: true},
+		{what: "three, then two", with: 3, groups: 2, runsOthers: true, wantBlocked: true},
+		{what: "four at once", with: 4, groups: 1, runsOthers: true},
+		{what: "all endpoints are down since", with: 12, groups: 1},
+		{what: "a few of many endpoints that crash at once", with: 5, without: 7, groups: 2, runsOthers: true},
+		{what: "all endpoints, and the part shows life after", with: 12, groups: 2, runsOthers: true, showsLife: true},
+	} {
+		t.Run(c.what, func(t *testing.T) {
+			r, now, n := NewRegister(), start, 0
+			if c.wasShared {
+				r.RecordLife(now, []uint64{deadly})
+			}
+			for range c.groups {
+				now = now.Add(5 * time.Second)
+				for i := range c.with + c.without {
+					part := deadly
+					if i >= c.with {
+						part = first
+					}
+					n++
+					r.crash(n, now.Add(time.Duration(i)*time.Millisecond), part, uint64(100+n))
+				}
+				for _, wait := range []time.Duration{time.Second, outlivedAfter} {
+					now = now.Add(wait)
+					if c.runsOthers {
+						r.RecordLife(now, []uint64{other})
+					}
+				}
+				if c.showsLife {
+					r.RecordLife(now, []uint64{deadly})
+				}
+			}
+			if got := r.blocks(now, deadly); got != c.wantBlocked {
+				t.Errorf("blocked: %v, %+v", got, r.Standing(deadly))
+			}
+		})
+	}
+}
+
 // Guards against a block that never ends, that ends for several requests or instances at once, or that does not grow with each trial.
 func TestBlockEndsWithOneTrialAtATime(t *testing.T) {
 	r, now := NewRegister(), start
--- a/internal/core/crashguard/standing.go
+++ b/internal/core/crashguard/standing.go
@@ -12,6 +12,12 @@
 	// shortly before the first of them.
 	minCrashes      = 3
 	minCrashesAlive = 6
+	// minSingle is the number of crashes that count by themselves at which a part is blocked, also if they came side by side. Operators
+	// accept no requests with the part, but for a few, after that many crashes.
+	minSingle = 5
+	// outlivedAfter is how long endpoints must have run requests since a crash until it is outlived. When all endpoints have crashed, the
+	// parts of many requests show life in that time.
+	outlivedAfter = 2 * time.Second
 	// separateAfter is the time between two crashes from which on they count as successive, also if the requests of the second were sent
 	// before the first: endpoints that fail for one common reason do so within it.
 	separateAfter = time.Second
@@ -55,9 +61,25 @@
 	return out, grouped
 }
 
-func countSuccessive(part uint64, crashes []*Crash) int {
-	counted, _ := successive(part, crashes)
-	return len(counted)
+// suffices reports whether crashes are enough to block a part, and the time of the one that was: a number of successive ones, or minSingle
+// that count by themselves. Requests that are sent side by side crash their endpoints side by side.
+func suffices(part uint64, crashes []*Crash, successiveNeeded int) (at clock.Instant, enough bool) {
+	if counted, _ := successive(part, crashes); len(counted) >= successiveNeeded {
+		at, enough = counted[successiveNeeded-1].At, true
+	}
+	single := 0
+	for _, c := range crashes {
+		if c.Parts[part].Single {
+			single++
+		}
+		if single == minSingle {
+			if !enough || c.At < at {
+				at = c.At
+			}
+			return at, true
+		}
+	}
+	return at, enough
 }
 
 // Standing returns what the crashes say about a part.
@@ -72,12 +94,12 @@
 	if len(crashes) > 0 && crashes[0].Parts[part].WasAlive {
 		need = minCrashesAlive
 	}
-	if len(counted) < need {
+	began, blocked := suffices(part, crashes, need)
+	if !blocked {
 		return s
 	}
 	s.Blocked = true
 	trials := 0
-	began := counted[need-1].At
 	s.Until = began.Add(blocks[trials])
 	for _, c := range crashes {
 		if c.At <= began {
@@ -169,7 +191,7 @@
 
 func (r *Register) explains(other, part uint64, crashes []*Crash) bool {
 	others := r.uncleared(other)
-	if countSuccessive(other, others) < minCrashes {
+	if _, enough := suffices(other, others, minCrashes); !enough {
 		return false
 	}
 	var without []*Crash
@@ -178,5 +200,6 @@
 			without = append(without, c)
 		}
 	}
-	return len(without) == 0 || len(others) >= len(crashes) && countSuccessive(part, without) < minCrashes
+	_, enough := suffices(part, without, minCrashes)
+	return !enough && (len(without) == 0 || len(others) >= len(crashes))
 }
--- a/internal/core/fleetview/changes.go
+++ b/internal/core/fleetview/changes.go
@@ -117,7 +117,7 @@
 		out := &wire.EdgeEndpointCrash{Id: c.Endpoint.ID, StartedMillis: c.Endpoint.StartedAtMillis, AgeMillis: uint32(max(0, now.Sub(c.At)).Milliseconds())}
 		for key, s := range c.Parts {
 			out.Parts = append(out.Parts, &wire.EdgeSuspectPart{Key: key, LeadMillis: uint32(max(0, s.Lead).Milliseconds()),
-				WasAlive: s.WasAlive, Cleared: s.Cleared, Grouped: s.Grouped})
+				WasAlive: s.WasAlive, Cleared: s.Cleared, Grouped: s.Grouped, Single: s.Single})
 		}
 		changed = append(changed, out)
 	}
@@ -133,7 +133,8 @@
 	for _, c := range crashes {
 		parts := make(map[uint64]crashguard.Suspect, len(c.GetParts()))
 		for _, p := range c.GetParts() {
-			parts[p.GetKey()] = crashguard.Suspect{Lead: millis(p.GetLeadMillis()), WasAlive: p.GetWasAlive(), Cleared: p.GetCleared(), Grouped: p.GetGrouped()}
+			parts[p.GetKey()] = crashguard.Suspect{Lead: millis(p.GetLeadMillis()), WasAlive: p.GetWasAlive(), Cleared: p.GetCleared(),
+				Grouped: p.GetGrouped(), Single: p.GetSingle()}
 		}
 		n.crashes.Merge(now, crashguard.Crash{
 			Endpoint: catalog.Incarnation{ID: c.GetId(), StartedAtMillis: c.GetStartedMillis()}, At: now.Add(-millis(c.GetAgeMillis())), Parts: parts,
--- a/internal/edge/deadlypart_sim_test.go
+++ b/internal/edge/deadlypart_sim_test.go
@@ -36,6 +36,7 @@
 	deadly   []deadlyArrival // of requests with the deadly part
 	sound    []soundOutcome
 	requests int
+	atOnce   int // requests with a deadly part that come at the same time
 }
 
 // deadlyCrash is the crash of an endpoint by a part, 0 for another reason.
@@ -245,7 +246,9 @@
 		rate := deadlyRate(part)
 		d.after(wait(cmp.Or(rate, 1)), func() { deadly(part) })
 		if rate > 0 {
-			d.call(append(parts(), deadlyKey+uint64(part)))
+			for range max(d.atOnce, 1) {
+				d.call(append(parts(), deadlyKey+uint64(part)))
+			}
 		}
 	}
 	sound()
@@ -279,11 +282,13 @@
 	regionFaults                  bool          // of roots, of whole regions and of links between them, too
 	parts                         int
 	rate                          float64 // of requests with each part, 0 for 1 to 5 a second
+	atOnce                        int     // requests with a part that come at the same time, 0 for one
 	soundRate                     float64
 }
 
 func (day deadlyDay) String() string {
-	return fmt.Sprintf("%d regions, %d instances, %s, faults %s %v, %d parts, rate %g", day.regions, day.instances, day.length, day.faultGap, day.regionFaults, day.parts, day.rate)
+	return fmt.Sprintf("%d regions, %d instances, %s, faults %s %v, %d parts, rate %g, %d at once", day.regions, day.instances, day.length, day.faultGap,
+		day.regionFaults, day.parts, day.rate, max(day.atOnce, 1))
 }
 
 // Guards against endpoints that crash one after the other because instances send requests with the same part again and again: some have
@@ -302,6 +307,12 @@
 		{regions: 3, instances: 9, endpoints: 30, length: 2 * usual, faultGap: seldom, regionFaults: true, parts: 2, soundRate: sound},
 		{regions: 3, instances: 36, endpoints: 40, length: 2 * usual, faultGap: seldom, regionFaults: true, parts: 2, soundRate: sound},
 		{regions: 3, instances: 390, endpoints: 60, length: 2 * usual, faultGap: often, regionFaults: true, parts: 2, soundRate: sound},
+		// Requests with the part come side by side, so that several endpoints crash at once.
+		{regions: 1, instances: 1, endpoints: 6, seeds: 4, length: usual, faultGap: often, parts: 1, rate: 0.12, atOnce: 4, soundRate: 20},
+		{regions: 3, instances: 4, endpoints: 12, seeds: 8, length: usual, parts: 1, rate: 0.12, atOnce: 6, soundRate: 40},
+		{regions: 3, instances: 6, endpoints: 12, seeds: 4, length: usual, faultGap: seldom, regionFaults: true, parts: 1, rate: 0.3, atOnce: 20, soundRate: sound},
+		{regions: 2, instances: 36, endpoints: 40, seeds: 1, length: usual, faultGap: often, parts: 2, rate: 0.2, atOnce: 60, soundRate: sound},
+		{regions: 3, instances: 4, endpoints: 12, seeds: 1, length: usual, parts: 1, rate: 0.12, atOnce: 6, soundRate: 2},
 		// Several blocks.
 		{regions: 2, instances: 2, endpoints: 6, seeds: 1, length: 20 * time.Minute, parts: 1, rate: 1, soundRate: 2},
 		{regions: 3, instances: 6, endpoints: 12, length: 40 * time.Minute, faultGap: 5 * time.Minute, regionFaults: true, parts: 4, rate: 0.5, soundRate: 10},
@@ -324,6 +335,7 @@
 	d.t.Helper()
 	d.run(5 * time.Second)
 	rates := make([]float64, deadlyKeys)
+	d.atOnce = max(day.atOnce, 1)
 	d.callers(day.soundRate, func(part int) float64 { return rates[part] })
 	d.run(10 * time.Second)
 	began := d.clk.Now()
@@ -429,39 +441,59 @@
 	}
 }
 
-// Guards against sound parts that stay blocked because a third of the endpoints crash at once, for a reason that no request has.
+// Guards against sound parts that stay blocked because many endpoints, or all of a region or of the fleet, crash at once, for a reason that
+// no request has.
 func TestMassCrashBlocksNoPart(t *testing.T) {
-	for instances, seeds := range map[int]uint64{1: 3, 4: 3, 12: 1, 36: 0} {
-		for seed := range max(seeds, *deadlySeeds) {
-			t.Run(fmt.Sprintf("%d instances, seed %d", instances, seed), func(t *testing.T) {
-				t.Parallel()
-				d := newDeadlyFleet(t, seed, min(2, instances), instances, 30)
-				d.run(5 * time.Second)
-				d.callers(10+110*d.rng.Float64(), func(int) float64 { return 0 })
-				d.run(10 * time.Second)
-				for range 1 + seed%3 {
-					began := d.clk.Now()
-					before, _ := d.begunShare(0, began)
-					for _, l := range d.regions {
-						for _, n := range d.rng.Perm(len(l.endpoints))[:len(l.endpoints)/3] {
-							d.after(l.random(200*time.Millisecond), func() { d.crash(l, l.endpoints[n], 0) })
-						}
-					}
-					d.run(8 * time.Second)
-					if during, n := d.begunShare(began.Add(2*time.Second), d.clk.Now()); during < before/2 {
-						t.Errorf("sound requests begin: %.2f before, %.2f of %d after a mass crash", before, during, n)
-					}
-					for _, l := range d.regions {
-						for _, i := range l.instances {
-							for part, s := range i.guard.register.Standings() {
-								if s.Blocked {
-									t.Errorf("part %d is blocked at %s after a mass crash: %+v", part, i.name, s)
-								}
-							}
-						}
+	// Endpoints are back 4 s after the crash, and all instances know that within another second.
+	const allBack = 5 * time.Second
+	for what, c := range map[string]massCrash{
+		"a third":  {func(_, endpoints int) int { return endpoints / 3 }, 2 * time.Second},
+		"a region": {func(region, endpoints int) int { return endpoints * max(1-region, 0) }, allBack},
+		"all":      {func(_, endpoints int) int { return endpoints }, allBack},
+	} {
+		for instances, seeds := range map[int]uint64{1: 3, 4: 3, 12: 1, 36: 0} {
+			for seed := range max(seeds, *deadlySeeds) {
+				t.Run(fmt.Sprintf("%s, %d instances, seed %d", what, instances, seed), func(t *testing.T) {
+					t.Parallel()
+					d := newDeadlyFleet(t, seed, min(2, instances), instances, 30)
+					d.run(5 * time.Second)
+					d.callers(10+110*d.rng.Float64(), func(int) float64 { return 0 })
+					d.run(10 * time.Second)
+					for range 1 + seed%3 {
+						d.playMassCrash(c)
 					}
+				})
+			}
+		}
+	}
+}
+
+// massCrash is a crash of many endpoints within 200 ms.
+type massCrash struct {
+	crashing func(region, endpoints int) int // number of endpoints of a region that crash
+	recovery time.Duration                   // after which as many sound requests as before begin
+}
+
+func (d *deadlyFleet) playMassCrash(c massCrash) {
+	d.t.Helper()
+	began := d.clk.Now()
+	before, _ := d.begunShare(0, began)
+	for region, l := range d.regions {
+		for _, n := range d.rng.Perm(len(l.endpoints))[:c.crashing(region, len(l.endpoints))] {
+			d.after(l.random(200*time.Millisecond), func() { d.crash(l, l.endpoints[n], 0) })
+		}
+	}
+	d.run(8 * time.Second)
+	if during, n := d.begunShare(began.Add(c.recovery), d.clk.Now()); during < before/2 {
+		d.t.Errorf("sound requests begin: %.2f before, %.2f of %d after a mass crash", before, during, n)
+	}
+	for _, l := range d.regions {
+		for _, i := range l.instances {
+			for part, s := range i.guard.register.Standings() {
+				if s.Blocked {
+					d.t.Errorf("part %d is blocked at %s after a mass crash: %+v", part, i.name, s)
 				}
-			})
+			}
 		}
 	}
 }
