Keep crashes caused by prompt parts through a restart of all instances

Cause: crashes and the parts suspected of them lived in the processes and in what they tell each other. No machine has a disk; only the store outlasts all processes.

Ruled out: a fault of the exchange itself; without the kills the part stays blocked.

TestRestartOfAllInstancesRemembersTheDeadlyPart failed before with status 200 at both instances. New tests of the store's crashes: restarts after each crash on machines that have just started, expiry, odd values, late writes, a second writer.

Why it works: one instance by rank writes each crash with the parts that it counts against, 2 s after it or at once if a part is suspected of another; roots and that instance read them at their start or when they take over, and the others hear of them as of all crashes. Without crashes no call is made; the system's first start reads nothing but at that one instance.

--- a/internal/core/crashguard/register.go
+++ b/internal/core/crashguard/register.go
@@ -388,6 +388,19 @@
 	return out
 }
 
+// Has reports whether a crash is known.
+func (r *Register) Has(endpoint catalog.Incarnation) bool { return r.crashes[endpoint] != nil }
+
+// Suspected reports whether another crash than the given one counts against one of its parts, too.
+func (r *Register) Suspected(c Crash) bool {
+	for part, s := range c.Parts {
+		if !s.Cleared && r.countUncleared(part, 2) == 2 {
+			return true
+		}
+	}
+	return false
+}
+
 // countUncleared counts the crashes that count against a part, up to a number.
 func (r *Register) countUncleared(part uint64, most int) (n int) {
 	for _, c := range r.byPart[part] {
--- a/internal/core/fleetview/changes.go
+++ b/internal/core/fleetview/changes.go
@@ -114,12 +114,7 @@
 // down: a receiver that knows the crash keeps its own, earlier time.
 func (t *sentState) crashChanges(now clock.Instant, register *crashguard.Register) (changed []*wire.EdgeEndpointCrash) {
 	for _, c := range register.Crashes(t.crashes) {
-		out := &wire.EdgeEndpointCrash{Id: c.Endpoint.ID, StartedMillis: c.Endpoint.StartedAtMillis, AgeMillis: uint32(max(0, now.Sub(c.At)).Milliseconds())}
-		for key, s := range c.Parts {
-			out.Parts = append(out.Parts, &wire.EdgeSuspectPart{Key: key, LeadMillis: uint32(max(0, s.Lead).Milliseconds()),
-				WasAlive: s.WasAlive, Cleared: s.Cleared, Grouped: s.Grouped, Single: s.Single})
-		}
-		changed = append(changed, out)
+		changed = append(changed, EncodeCrash(now, c))
 	}
 	t.crashes = register.Version()
 	return changed
@@ -131,18 +126,33 @@
 		return ErrTooLarge
 	}
 	for _, c := range crashes {
-		parts := make(map[uint64]crashguard.Suspect, len(c.GetParts()))
-		for _, p := range c.GetParts() {
-			parts[p.GetKey()] = crashguard.Suspect{Lead: millis(p.GetLeadMillis()), WasAlive: p.GetWasAlive(), Cleared: p.GetCleared(),
-				Grouped: p.GetGrouped(), Single: p.GetSingle()}
-		}
-		n.crashes.Merge(now, crashguard.Crash{
-			Endpoint: catalog.Incarnation{ID: c.GetId(), StartedAtMillis: c.GetStartedMillis()}, At: now.Add(-millis(c.GetAgeMillis())), Parts: parts,
-		})
+		n.crashes.Merge(now, DecodeCrash(now, c))
 	}
 	return nil
 }
 
+// EncodeCrash encodes a crash with its age.
+func EncodeCrash(now clock.Instant, c crashguard.Crash) *wire.EdgeEndpointCrash {
+	out := &wire.EdgeEndpointCrash{Id: c.Endpoint.ID, StartedMillis: c.Endpoint.StartedAtMillis, AgeMillis: uint32(max(0, now.Sub(c.At)).Milliseconds())}
+	for key, s := range c.Parts {
+		out.Parts = append(out.Parts, &wire.EdgeSuspectPart{Key: key, LeadMillis: uint32(max(0, s.Lead).Milliseconds()),
+			WasAlive: s.WasAlive, Cleared: s.Cleared, Grouped: s.Grouped, Single: s.Single})
+	}
+	return out
+}
+
+// DecodeCrash decodes a crash.
+func DecodeCrash(now clock.Instant, c *wire.EdgeEndpointCrash) crashguard.Crash {
+	parts := make(map[uint64]crashguard.Suspect, len(c.GetParts()))
+	for _, p := range c.GetParts() {
+		parts[p.GetKey()] = crashguard.Suspect{Lead: millis(p.GetLeadMillis()), WasAlive: p.GetWasAlive(), Cleared: p.GetCleared(),
+			Grouped: p.GetGrouped(), Single: p.GetSingle()}
+	}
+	return crashguard.Crash{
+		Endpoint: catalog.Incarnation{ID: c.GetId(), StartedAtMillis: c.GetStartedMillis()}, At: now.Add(-millis(c.GetAgeMillis())), Parts: parts,
+	}
+}
+
 func encodeLoad(endpoint string, w placement.Load) *wire.EdgeEndpointWork {
 	return &wire.EdgeEndpointWork{
 		Id: endpoint, Running: roundToUint32(float64(w.Requests)), UnreadTokens: roundToUint32(w.PendingPrefill), MemoryTokens: roundToUint32(w.Memory),
--- a/internal/edge/crashguard.go
+++ b/internal/edge/crashguard.go
@@ -114,6 +114,20 @@
 	return g.register.Crashes(since), g.register.Version()
 }
 
+// has reports whether a crash is known.
+func (g *partGuard) has(endpoint catalog.Incarnation) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.register.Has(endpoint)
+}
+
+// suspected reports whether a part of a crash is suspected of another one, too.
+func (g *partGuard) suspected(c crashguard.Crash) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.register.Suspected(c)
+}
+
 // prune drops what has expired, logs parts whose standing has changed, and returns the number of blocked parts.
 func (g *partGuard) prune(now clock.Instant, log *zap.Logger) (blocked int) {
 	g.mu.Lock()
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -522,6 +522,11 @@
 	return f.namesWhere(func(*member) bool { return true })
 }
 
+// isCrashKeeper reports whether this instance is the one that keeps crashes of endpoints in the store.
+func (f *fleet) isCrashKeeper() bool {
+	return rendezvous.First(CrashPrefix, f.memberNames()) == f.options.Self.Instance
+}
+
 // namesWhere returns the selected instances and this one. This one is left out while its announcement is not in the store, since the
 // others go by that. The caller holds mu.
 func (f *fleet) namesWhere(selected func(*member) bool) []string {
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -125,6 +125,7 @@
 	}
 	e.spawn(e.maintain)
 	e.spawn(e.loadCacheContents)
+	e.spawn(newCrashStore(e).run)
 	e.spawn(func(ctx context.Context) { e.announce(ctx, a) })
 }
 
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -79,6 +79,13 @@
 	}
 }
 
+// isRoot reports whether this instance is the root of its region.
+func (v *view) isRoot() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.node.IsRoot()
+}
+
 // nextTick returns a channel that is closed when the next digest may be sent to the children.
 func (v *view) nextTick() <-chan struct{} {
 	v.mu.Lock()
--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -403,4 +403,10 @@
 		Original: "ids = append(ids, id)", Replacement: "if len(ids) < maxPromptParts {\n\t\t\t\t\tids = append(ids, id)\n\t\t\t\t}",
 		Package: "./platform", Run: "^TestAllPartsOfAPromptAreRead$",
 	},
+	{
+		Condition: 7, Mechanism: "edge: crashes of endpoints outlast a restart of all instances",
+		File:     "internal/edge/crashstore.go",
+		Original: "s.edge.guard.merge(s.edge.clock.Now(), crashes)", Replacement: "s.edge.guard.merge(s.edge.clock.Now(), nil)",
+		Package: "./internal/edge", Run: "^TestCrashesOutlastARestartOfAll$",
+	},
 }
