--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -233,7 +233,7 @@
 	{
 		Condition: 7, Mechanism: "edge: crashes at one moment count once",
 		File:     "internal/core/crashguard/standing.go",
-		Original: `if c.At.Add(-c.Parts[part].Lead) < last && c.At.Sub(last) < separateAfter {`, Replacement: `if c.At < last {`,
+		Original: "together = s.Grouped || c.At.Add(-s.Lead) < last && c.At.Sub(last) < separateAfter", Replacement: "together = s.Grouped && last == 0",
 		Package: "./internal/core/crashguard", Run: "^TestBlockedRequests$",
 	},
 	{
@@ -376,7 +376,7 @@
 	{
 		Condition: 7, Mechanism: "edge: a late write does not replace a newer announcement",
 		File:     "internal/edge/announcer.go",
-		Original: "platform.PutOptions{IfRevision: &expected, Lease: a.lease}", Replacement: "platform.PutOptions{Lease: a.lease}",
+		Original: "platform.PutOptions{IfRevision: &expected, Lease: a.lease}", Replacement: "platform.PutOptions{IfRevision: map[bool]*int64{false: &expected}[true], Lease: a.lease}",
 		Package: "./platform", Run: "^TestLateWriteDoesNotTakeTheKey$",
 	},
 	{
