Reject a request whose body arrives after a stop has begun to reject long ones

Cause: whether a request may outlast the process was decided before its body was read, and not again after it.

TestRequestsLateInAStopAreAnswered sends 12 at a time on new and kept connections through a grace time of 6 s, to endpoints that are silent, slow or stop in the middle of the answer: all that were passed on were answered. Its first form reported cuts at 5 s, where the test itself had ended the stop.

Evidence: TestRequestWhoseBodyArrivesInAStopIsRejected failed before (200, passed on) and passes now.

Why it works: nothing has been sent when the body is complete, so that 503 is true then, and the caller has the most time left to go elsewhere.

--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -131,19 +131,31 @@
 		return x.reject(http.StatusBadRequest, err.Error(), 0)
 	}
 	x.setDeadline()
-	if end := clock.Instant(e.endsAt.Load()); end > 0 && x.deadline > end {
-		return x.reject(http.StatusServiceUnavailable, "instance is stopping before the request would end", minRetryAfter)
+	if x.mayOutlastProcess() {
+		return x.reject(http.StatusServiceUnavailable, beyondStopReason, minRetryAfter)
 	}
 	body, ok := x.readBody()
 	if !ok {
 		return false
 	}
+	if x.mayOutlastProcess() { // the stop has begun while the body arrived
+		return x.reject(http.StatusServiceUnavailable, beyondStopReason, minRetryAfter)
+	}
 	x.service = x.route.Service(x.head.ID)
 	x.homes, x.homeBound = catalog.AllowedRegions(x.route, x.org)
 	x.prepareAttempt(body)
 	return x.admitByRate()
 }
 
+// beyondStopReason is what callers are told of a request that may outlast the process.
+const beyondStopReason = "instance is stopping before the request would end"
+
+// mayOutlastProcess reports whether the instance rejects requests that may last beyond its end, and this is one of them.
+func (x *exchange) mayOutlastProcess() bool {
+	end := clock.Instant(x.edge.endsAt.Load())
+	return end > 0 && x.deadline > end
+}
+
 // setDeadline computes when the caller must have its final answer: at its deadline or at the route's timeout.
 func (x *exchange) setDeadline() {
 	left := x.route.Timeout
