Check a lost announcement at the rate of renewals while the store rejects calls

Callers: none affected.

Cause: each failed check was repeated after the delay that is meant for writes that may succeed soon.

Evidence: by reading; TestLostKeyIsWrittenAgain and TestLateWriteDoesNotTakeTheKey pass as before.

Why it works: only a conflict or an unknown outcome is repeated after 300 ms, everything else with the next renewal that succeeds.

--- a/internal/edge/announcer.go
+++ b/internal/edge/announcer.go
@@ -122,7 +122,8 @@
 	timer := time.NewTicker(renewInterval)
 	defer timer.Stop()
 	left := e.leavingBegan
-	var retry <-chan time.Time // after a failed write
+	outdated := false          // the key could not be brought up to date
+	var retry <-chan time.Time // before the next renewal, after a write that may succeed soon
 	for {
 		var err error
 		select {
@@ -137,30 +138,27 @@
 			retry = nil
 			err = a.restore(ctx)
 		case <-timer.C:
-			if err = a.renew(ctx); err == nil && !e.fleet.isSelfListed() {
+			renewed := e.options.Store.Renew(ctx, a.lease)
+			if renewed != nil && !errors.Is(renewed, platform.ErrLeaseLost) {
+				e.log.Debug("lease could not be renewed; trying again", zap.Error(renewed))
+				continue
+			}
+			if err = renewed; err == nil && (outdated || !e.fleet.isSelfListed()) {
 				err = a.restore(ctx) // the copy of the store may have missed that the key was there
 			}
 		}
 		if errors.Is(err, platform.ErrLeaseLost) {
 			return err
 		}
-		if err != nil && ctx.Err() == nil {
+		if outdated = err != nil; outdated && ctx.Err() == nil {
 			e.log.Warn("announcement could not be written; trying again", zap.Bool("leaving", e.leaving.Load()), zap.Error(err))
+		}
+		if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnknownOutcome) {
 			retry = time.After(announceRetryDelay)
 		}
 	}
 }
 
-// renew renews the lease. It returns an error only if the store has ended the lease: a failed call is repeated with the next renewal.
-func (a *announcer) renew(ctx context.Context) error {
-	err := a.edge.options.Store.Renew(ctx, a.lease)
-	if err == nil || errors.Is(err, platform.ErrLeaseLost) {
-		return err
-	}
-	a.edge.log.Debug("lease could not be renewed; trying again", zap.Error(err))
-	return nil
-}
-
 // revokeLease revokes the lease, so that others see at once that this instance has gone.
 func (e *Edge) revokeLease(lease platform.LeaseID) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
