Let requests without shared prompt parts show that endpoints run again

Cause: signs of life of requests without shared parts were left out, so that no crash counted as outlived.

Evidence: TestCrashesSideBySide has its other requests without shared parts now; its register passes before and after, the omission was in partGuard.recordLife. Found by reading; no case with processes was run.

Why it works: while a crash is known, the life of every request with a prompt counts. Plain requests show nothing about engines, and without crashes nothing more is done.

--- a/internal/core/crashguard/register_test.go
+++ b/internal/core/crashguard/register_test.go
@@ -136,7 +136,7 @@
 				for _, wait := range []time.Duration{time.Second, outlivedAfter} {
 					now = now.Add(wait)
 					if c.runsOthers {
-						r.RecordLife(now, []uint64{other})
+						r.RecordLife(now, nil) // of a request whose parts are its own
 					}
 				}
 				if c.showsLife {
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -300,7 +300,8 @@
 
 // recordLife records that the endpoint can run the request.
 func (b *endpointBody) recordLife() {
-	if b.succeeds {
+	hasPrompt := len(b.attempt.sharedParts) > 0 || len(b.attempt.work.Parts) > 0
+	if b.succeeds && hasPrompt {
 		b.edge.guard.recordLife(b.edge.clock.Now(), b.attempt.sharedParts)
 	}
 }
--- a/internal/edge/crashguard.go
+++ b/internal/edge/crashguard.go
@@ -84,9 +84,9 @@
 	g.crashes.Store(int64(g.register.Len()))
 }
 
-// recordLife records that a request with the parts has shown that an endpoint can run it.
+// recordLife records that a request with a prompt has shown that an endpoint can run it. The parts are those that other requests may share.
 func (g *partGuard) recordLife(now clock.Instant, parts []uint64) {
-	if len(parts) == 0 {
+	if len(parts) == 0 && g.crashes.Load() == 0 {
 		return
 	}
 	g.mu.Lock()
