Count a request of the test's engine out before its last event

Cause: the test's engine counted a request out after its handler had returned. The caller may have the last event, and the stop may have ended, before that.

The check is as strict: a request counts as in flight until its last event is written, and the test still asks for a whole stream.

--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -397,11 +397,12 @@
 		e.breaks--
 	}
 	e.mu.Unlock()
-	defer func() {
+	countOut := sync.OnceFunc(func() {
 		e.mu.Lock()
 		e.active--
 		e.mu.Unlock()
-	}()
+	})
+	defer countOut()
 	var req struct {
 		Stream bool   `json:"stream"`
 		Model  string `json:"model"`
@@ -412,7 +413,7 @@
 	}
 	chat := strings.Contains(r.URL.Path, "chat")
 	if req.Stream {
-		e.stream(w, r, chat, 0, breakNow)
+		e.stream(w, r, chat, 0, breakNow, countOut)
 		return
 	}
 	for range e.tokens {
@@ -456,7 +457,8 @@
 	}
 }
 
-func (e *engine) stream(w http.ResponseWriter, r *http.Request, chat bool, from int, breakNow bool) {
+// stream writes the events of an answer. It calls beforeEnd before the last one: a caller may have that before the handler returns.
+func (e *engine) stream(w http.ResponseWriter, r *http.Request, chat bool, from int, breakNow bool, beforeEnd func()) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	id := "c-" + r.Header.Get("X-Request-Id")
 	flush := func(format string, args ...any) {
@@ -490,6 +492,7 @@
 		flush(`{"id":"c","object":"text_completion","index_from":%d,"choices":[{"index":0,"text":"","finish_reason":"stop"}]}`, e.tokens)
 	}
 	flush(`{"id":"c","object":"chat.completion.chunk","index_from":%d,"choices":[],"usage":{"prompt_tokens":7,"completion_tokens":%d,"total_tokens":%d}}`, e.tokens, e.tokens, 7+e.tokens)
+	beforeEnd()
 	flush("[DONE]")
 }
 
@@ -505,7 +508,7 @@
 		return
 	}
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
-	e.stream(w, r, true, from, false)
+	e.stream(w, r, true, from, false, func() {})
 }
 
 func (e *engine) cancel(w http.ResponseWriter, r *http.Request) {
