Keep an evacuation's state and its revision in one change

No change of behaviour.

Run: internal/edge with TestEntriesFromBeforeTheEndOfAnEvacuation, all pass.

--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -59,6 +59,12 @@
 	elsewhereUntil clock.Instant
 }
 
+// evacuationChange says whether a data centre takes no requests, as of a revision of the store.
+type evacuationChange struct {
+	evacuated bool
+	revision  int64
+}
+
 // evacuationEnd is when a data centre has begun to take requests again.
 type evacuationEnd struct {
 	at       clock.Instant // when this instance learned of it
@@ -108,55 +114,54 @@
 
 // applyOperator applies changes of the operators' keys.
 func (s *state) applyOperator(u mirror.Update) {
-	evacuated := make(map[string]bool)
-	revisions := make(map[string]int64)
-	configured := false
+	changes := make(map[string]evacuationChange)
 	for _, c := range u.Changes {
 		if s.options.Documents.IsConfiguration(c.Key) && !c.Deleted {
 			s.accept(c.Value, "store")
 			continue
 		}
 		if dataCentre, ok := s.options.Documents.EvacuatedDataCentre(c.Key); ok {
-			evacuated[dataCentre] = !c.Deleted
-			revisions[dataCentre] = c.Revision
-			configured = true
+			changes[dataCentre] = evacuationChange{!c.Deleted, c.Revision}
 		}
 	}
-	if !configured && !u.Reset {
-		return
+	if len(changes) > 0 || u.Reset {
+		s.evacuate(changes, u)
 	}
+}
+
+// evacuate sets which data centres take no requests. With a reset, those that changes does not name take requests again. The whole
+// evacuation of one that takes requests again may lie between two reads.
+func (s *state) evacuate(changes map[string]evacuationChange, u mirror.Update) {
+	s.mu.Lock()
+	changed := false
 	if u.Reset {
-		s.mu.Lock()
 		for dataCentre := range s.evacuated {
-			if !evacuated[dataCentre] {
-				evacuated[dataCentre], revisions[dataCentre] = false, u.AsOf
+			if _, named := changes[dataCentre]; !named {
+				changes[dataCentre] = evacuationChange{false, u.AsOf}
 			}
 		}
-		s.mu.Unlock()
 	}
-	s.evacuate(evacuated, revisions)
-}
-
-// evacuate sets which data centres take no requests, with the revision of each change. The whole evacuation of one that takes requests
-// again may lie between two reads.
-func (s *state) evacuate(changes map[string]bool, revisions map[string]int64) {
-	s.mu.Lock()
-	changed := false
-	for dataCentre, out := range changes {
-		if out && s.evacuated[dataCentre] || !out && !s.evacuated[dataCentre] && revisions[dataCentre] <= s.returned[dataCentre].revision {
-			continue // known already
+	for dataCentre, c := range changes {
+		wasEvacuated := s.evacuated[dataCentre]
+		if !c.evacuated && c.revision > s.returned[dataCentre].revision {
+			wasEvacuated = true // perhaps between two reads only
+		}
+		if c.evacuated == wasEvacuated {
+			continue
 		}
 		changed = true
-		s.log.Info("data centre evacuation", zap.String("data_centre", dataCentre), zap.Bool("evacuated", out))
-		if out {
+		s.log.Info("data centre evacuation", zap.String("data_centre", dataCentre), zap.Bool("evacuated", c.evacuated))
+		if c.evacuated {
 			s.evacuated[dataCentre] = true
 			continue
 		}
 		delete(s.evacuated, dataCentre)
-		s.returned[dataCentre] = evacuationEnd{s.options.Clock.Now(), revisions[dataCentre]}
+		s.returned[dataCentre] = evacuationEnd{s.options.Clock.Now(), c.revision}
 		for id, e := range s.endpoints {
-			e.ColdUntil = s.coldUntil(e)
-			s.endpoints[id] = e
+			if e.DataCentre == dataCentre {
+				e.ColdUntil = s.coldUntil(e)
+				s.endpoints[id] = e
+			}
 		}
 	}
 	s.mu.Unlock()
