Compute successive crashes once, and reject at a stop in one place

No change of behaviour. The standing of a part sorted its crashes into successive ones twice, on the path of requests; two places rejected a request that may outlast the process; the keys of shared parts were collected with a special case for none; and an instance that is not the keeper kept the store's crashes that it had read, which it reads anew when it becomes the keeper.

Run: internal/core/crashguard, internal/edge and internal/edgedaemon, all pass.

--- a/internal/core/crashguard/standing.go
+++ b/internal/core/crashguard/standing.go
@@ -61,10 +61,10 @@
 	return out, grouped
 }
 
-// suffices reports whether crashes are enough to block a part, and the time of the one that was: a number of successive ones, or minSingle
-// that count by themselves. Requests that are sent side by side crash their endpoints side by side.
-func suffices(part uint64, crashes []*Crash, successiveNeeded int) (at clock.Instant, enough bool) {
-	if counted, _ := successive(part, crashes); len(counted) >= successiveNeeded {
+// suffices reports whether crashes are enough to block a part, and the time of the one that was: a number of the given successive ones, or
+// minSingle that count by themselves. Requests that are sent side by side crash their endpoints side by side.
+func suffices(part uint64, crashes, counted []*Crash, successiveNeeded int) (at clock.Instant, enough bool) {
+	if len(counted) >= successiveNeeded {
 		at, enough = counted[successiveNeeded-1].At, true
 	}
 	single := 0
@@ -94,11 +94,10 @@
 	if len(crashes) > 0 && crashes[0].Parts[part].WasAlive {
 		need = minCrashesAlive
 	}
-	began, blocked := suffices(part, crashes, need)
-	if !blocked {
+	var began clock.Instant
+	if began, s.Blocked = suffices(part, crashes, counted, need); !s.Blocked {
 		return s
 	}
-	s.Blocked = true
 	trials := 0
 	s.Until = began.Add(blocks[trials])
 	for _, c := range crashes {
@@ -191,7 +190,7 @@
 
 func (r *Register) explains(other, part uint64, crashes []*Crash) bool {
 	others := r.uncleared(other)
-	if _, enough := suffices(other, others, minCrashes); !enough {
+	if !explainsBlock(other, others) {
 		return false
 	}
 	var without []*Crash
@@ -200,6 +199,12 @@
 			without = append(without, c)
 		}
 	}
-	_, enough := suffices(part, without, minCrashes)
-	return !enough && (len(without) == 0 || len(others) >= len(crashes))
+	return !explainsBlock(part, without) && (len(without) == 0 || len(others) >= len(crashes))
+}
+
+// explainsBlock reports whether crashes are enough to block a part that had shown no life before.
+func explainsBlock(part uint64, crashes []*Crash) bool {
+	counted, _ := successive(part, crashes)
+	_, enough := suffices(part, crashes, counted, minCrashes)
+	return enough
 }
--- a/internal/edge/crashstore.go
+++ b/internal/edge/crashstore.go
@@ -44,9 +44,9 @@
 type crashStore struct {
 	edge   *Edge
 	wall   func() time.Time
-	read   bool // the store's crashes were read once, or there were none at the first start
-	keeper bool // this instance is the keeper and has read the store's crashes since it became so
-	stored map[catalog.Incarnation]storedCrash
+	read   bool                                // the store's crashes were read once, or there were none at the first start
+	keeper bool                                // this instance is the keeper and has read the store's crashes since it became so
+	stored map[catalog.Incarnation]storedCrash // at the keeper
 	// changed are the crashes that may differ from the store, as of version of the register.
 	changed map[catalog.Incarnation]crashguard.Crash
 	version uint64
@@ -89,6 +89,7 @@
 		s.read, s.keeper, s.version, s.changed = true, keeper, 0, make(map[catalog.Incarnation]crashguard.Crash)
 	}
 	if !s.keeper {
+		s.stored, s.changed = nil, nil // read anew once this instance is the keeper
 		return nil
 	}
 	crashes, version := e.guard.changes(s.version)
--- a/internal/edge/deadlypart_sim_test.go
+++ b/internal/edge/deadlypart_sim_test.go
@@ -36,7 +36,7 @@
 	deadly   []deadlyArrival // of requests with the deadly part
 	sound    []soundOutcome
 	requests int
-	atOnce   int // requests with a deadly part that come at the same time
+	atOnce   int // requests with a deadly part that come at the same time, 0 for one
 }
 
 // deadlyCrash is the crash of an endpoint by a part, 0 for another reason.
@@ -335,7 +335,7 @@
 	d.t.Helper()
 	d.run(5 * time.Second)
 	rates := make([]float64, deadlyKeys)
-	d.atOnce = max(day.atOnce, 1)
+	d.atOnce = day.atOnce
 	d.callers(day.soundRate, func(part int) float64 { return rates[part] })
 	d.run(10 * time.Second)
 	began := d.clk.Now()
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -131,29 +131,25 @@
 		return x.reject(http.StatusBadRequest, err.Error(), 0)
 	}
 	x.setDeadline()
-	if x.mayOutlastProcess() {
-		return x.reject(http.StatusServiceUnavailable, beyondStopReason, minRetryAfter)
+	if !x.admitBeforeStop() {
+		return false
 	}
 	body, ok := x.readBody()
-	if !ok {
+	if !ok || !x.admitBeforeStop() { // a stop may have begun while the body arrived
 		return false
 	}
-	if x.mayOutlastProcess() { // the stop has begun while the body arrived
-		return x.reject(http.StatusServiceUnavailable, beyondStopReason, minRetryAfter)
-	}
 	x.service = x.route.Service(x.head.ID)
 	x.homes, x.homeBound = catalog.AllowedRegions(x.route, x.org)
 	x.prepareAttempt(body)
 	return x.admitByRate()
 }
 
-// beyondStopReason is what callers are told of a request that may outlast the process.
-const beyondStopReason = "instance is stopping before the request would end"
-
-// mayOutlastProcess reports whether the instance rejects requests that may last beyond its end, and this is one of them.
-func (x *exchange) mayOutlastProcess() bool {
-	end := clock.Instant(x.edge.endsAt.Load())
-	return end > 0 && x.deadline > end
+// admitBeforeStop rejects a request that may outlast the process, once a stop has set its end. It returns false if it has.
+func (x *exchange) admitBeforeStop() bool {
+	if end := clock.Instant(x.edge.endsAt.Load()); end > 0 && x.deadline > end {
+		return x.reject(http.StatusServiceUnavailable, "instance is stopping before the request would end", minRetryAfter)
+	}
+	return true
 }
 
 // setDeadline computes when the caller must have its final answer: at its deadline or at the route's timeout.
@@ -246,13 +242,9 @@
 // sharedParts returns the keys of the parts that other requests may share: all but the last, which belongs to the request or its session.
 // A part has the same key for all models.
 func sharedParts(ids []string) []uint64 {
-	shared := ids[:max(0, len(ids)-1)]
-	if len(shared) == 0 {
-		return nil
-	}
-	keys := make([]uint64, len(shared))
-	for i, id := range shared {
-		keys[i] = placement.PartKey("", id)
+	var keys []uint64
+	for _, id := range ids[:max(0, len(ids)-1)] {
+		keys = append(keys, placement.PartKey("", id))
 	}
 	return keys
 }
