--- a/internal/edge/crashstore_test.go
+++ b/internal/edge/crashstore_test.go
@@ -1,12 +1,10 @@
 package edge
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
@@ -126,17 +124,15 @@
 // Guards against a late write or one of another instance that brings back a crash, or hides one.
 func TestStoredCrashesAreWrittenUnderTheirRevision(t *testing.T) {
 	memoryStore := memory.NewStore(memory.StoreOptions{})
-	store := &lateCrashStore{Store: memoryStore, lose: 1}
+	store := &memory.LateStore{Store: memoryStore, Lose: 1}
 	k := newCrashKeeper(t, store, time.Unix(1e9, 0), time.Hour)
 	k.crash(1, 5, 6)
 	k.run(5 * time.Second)
 	k.edge.guard.recordLife(k.clk.Now(), []uint64{5, 6})
 	k.run(6 * time.Second)
-	for _, late := range store.late {
-		late()
-	}
-	if k.run(crashRemovalDelay); len(store.late) != 1 || k.keys() != 0 {
-		t.Errorf("%d keys after %d late writes", k.keys(), len(store.late))
+	late := store.CarryOut()
+	if k.run(crashRemovalDelay); late != 1 || k.keys() != 0 {
+		t.Errorf("%d keys after %d late writes", k.keys(), late)
 	}
 	other := newCrashKeeper(t, memoryStore, time.Unix(1e9, 0), time.Hour)
 	other.run(time.Second)
@@ -148,19 +144,3 @@
 		t.Error("what another instance has written is not known")
 	}
 }
-
-// lateCrashStore loses the responses of writes, which are carried out late.
-type lateCrashStore struct {
-	platform.Store
-	lose int
-	late []func()
-}
-
-func (s *lateCrashStore) Put(ctx context.Context, key string, value []byte, opts platform.PutOptions) (int64, error) {
-	if s.lose == 0 {
-		return s.Store.Put(ctx, key, value, opts)
-	}
-	s.lose--
-	s.late = append(s.late, func() { _, _ = s.Store.Put(ctx, key, value, opts) }) // nobody receives the outcome
-	return 0, errors.Mark(errors.New("no response"), platform.ErrUnknownOutcome)
-}
--- a/internal/edgedaemon/callers_test.go
+++ b/internal/edgedaemon/callers_test.go
@@ -256,11 +256,7 @@
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(2*grace*float64(time.Second)))
-		defer cancel()
-		if err := d.Stop(ctx); err != nil {
-			t.Errorf("stop: %v", err)
-		}
+		stopWithin(t, d, time.Duration(2*grace*float64(time.Second)))
 	}()
 	time.Sleep(2650 * time.Millisecond) // the request may last 5 s, which is longer than the process
 	if got, err := callInstance(t, s, "long", "/once/", 5*time.Second); err != nil || got != http.StatusServiceUnavailable {
--- a/internal/edgedaemon/daemon_test.go
+++ b/internal/edgedaemon/daemon_test.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -18,31 +15,15 @@
 	"dogwoodknot.example/dogwoodknot/platform/platformtest"
 )
 
-// Ports of the tests lie below those that the system hands out for outgoing connections, one of which could otherwise take a port before
-// the test listens there.
-const firstPort, ports = 10_000, 6_000
+var testPorts = platformtest.NewPorts(10_000, 6_000)
 
-// portsTried begins at a place of its own in each run.
-var portsTried = func() *atomic.Int64 {
-	n := new(atomic.Int64)
-	n.Store(rand.Int64N(ports))
-	return n
-}()
-
-// freeAddr returns an address on which nothing listens, another one at each call.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	var last error
-	for range 100 {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+portsTried.Add(1)%ports))
-		if err == nil {
-			defer l.Close()
-			return l.Addr().String()
-		}
-		last = err
+	addr, err := testPorts.FreeAddr()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal(last)
-	return ""
+	return addr
 }
 
 func settings(t *testing.T, store string) Settings {
@@ -99,7 +80,12 @@
 
 func stop(t *testing.T, d *Daemon) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	stopWithin(t, d, 5*time.Second)
+}
+
+func stopWithin(t *testing.T, d *Daemon, limit time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	if err := d.Stop(ctx); err != nil {
 		t.Errorf("stop: %v", err)
--- a/internal/edgedaemon/latestop_test.go
+++ b/internal/edgedaemon/latestop_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -51,11 +50,7 @@
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		ctx, cancel := context.WithTimeout(context.Background(), 2*grace*time.Second)
-		defer cancel()
-		if err := d.Stop(ctx); err != nil {
-			t.Errorf("stop: %v", err)
-		}
+		stopWithin(t, d, 2*grace*time.Second)
 	}()
 	unanswered, answered, late := 0, 0, 0
 	var all sync.WaitGroup
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -140,7 +139,7 @@
 	in := &instance{name: name, dataCentre: dataCentre, options: &s.options, report: s.ledger.report}
 	var err error
 	for _, addr := range []*string{&in.caller, &in.ready, &in.directory, &in.peerReal} {
-		if *addr, err = freeAddr(); err != nil {
+		if *addr, err = instancePorts.FreeAddr(); err != nil {
 			return nil, err
 		}
 	}
@@ -151,25 +150,8 @@
 	return in, err
 }
 
-// Ports of instances. They lie below those that the system hands out for outgoing connections, which could take the port of an
-// instance while it is down.
-const (
-	firstPort = 20000
-	ports     = 12000
-)
-
-// freeAddr returns a loopback address on which nothing listens.
-func freeAddr() (string, error) {
-	var last error
-	for range 100 {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
-		if err == nil {
-			return l.Addr().String(), l.Close()
-		}
-		last = err
-	}
-	return "", errors.Wrap(last, "find a free port")
-}
+// instancePorts are the ports of instances, which keep them through restarts.
+var instancePorts = platformtest.NewPorts(20_000, 12_000)
 
 func (in *instance) start() error {
 	in.mu.Lock()
