Count crashes of engines whose callers left with the first byte

Cause: an attempt whose caller had left was never examined, whatever its endpoint did then. A caller that leaves with the first event of an answer does so a moment before the engine crashes on its request; the crash counted for nothing, and the prompt part was sent on.

Ruled out: sends that were slow (each took 60 to 160 ms in the traces), engines that were all down, and a part that had shown life: after nine crashes of engines the part was still not blocked.

Change: an attempt that is given up after its answer has begun and before a sign of life is examined like one that broke. Attempts that are given up before an answer begins are not examined, as before.

Measured: TestDeadlyPartOfCallersThatLeave fails without the change (nine requests have reached engines, not blocked) and passes with it.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -244,7 +244,7 @@
 		e.conns.CloseIdle(chosen.Addr)
 	}
 	if f.kind == broken && ctx.Err() == nil {
-		e.examineBroken(a, chosen.Incarnation, chosen.Addr, sentAt, f.reason)
+		e.examineBroken(a, chosen.Incarnation, chosen.Addr, sentAt, false, f.reason)
 	}
 	e.pools.release(a.service, chosen.Endpoint, a.work.ID, v)
 	return f
@@ -275,6 +275,7 @@
 	result     healthResult
 	begun      bool
 	lastOutput clock.Instant // of the last output
+	ended      bool          // the end of the answer was recorded
 	closed     bool
 }
 
@@ -306,18 +307,23 @@
 	}
 }
 
-// recordEnd examines an answer that has broken off without sign of life. The end of one without length or chunks may be that of its
-// endpoint.
+// errGivenUp is the end of an answer that is closed before it was read to its end.
+var errGivenUp = errors.New("answer was given up")
+
+// recordEnd examines an answer that has ended without sign of life. The end of one without length or chunks may be that of its endpoint. A
+// caller that leaves once the answer has begun may do so a moment before the endpoint crashes on its request.
 func (b *endpointBody) recordEnd(err error) {
-	if b.life.alive || b.ctx.Err() != nil {
+	if b.ended || b.life.alive {
 		return
 	}
-	if err == io.EOF && b.framed {
+	b.ended = true
+	givenUp := err == errGivenUp || b.ctx.Err() != nil
+	switch {
+	case err == io.EOF && b.framed:
 		b.recordLife()
-		return
+	case b.begun || !givenUp:
+		b.edge.examineBroken(b.attempt, b.endpoint.Incarnation, b.addr, b.sentAt, givenUp, "answer: "+err.Error())
 	}
-	b.life.alive = true // it is examined once
-	b.edge.examineBroken(b.attempt, b.endpoint.Incarnation, b.addr, b.sentAt, "answer: "+err.Error())
 }
 
 // eventEnd ends each event of a stream.
@@ -341,6 +347,7 @@
 		return nil
 	}
 	b.closed = true
+	b.recordEnd(errGivenUp)
 	err := b.ReadCloser.Close()
 	b.edge.pools.release(b.attempt.service, b.endpoint, b.attempt.work.ID, b.result)
 	return err
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -28,12 +28,13 @@
 	maxBrokenPerCheck   = 256
 )
 
-// brokenAttempt is an attempt whose connection ended before the request showed that the endpoint can run it.
+// brokenAttempt is an attempt that ended before the request showed that the endpoint can run it.
 type brokenAttempt struct {
 	request string
 	parts   []uint64 // that other requests may share
 	sentAt  clock.Instant
 	brokeAt clock.Instant
+	givenUp bool // its caller had left, or the answer was not needed any more
 	reason  string
 }
 
@@ -140,6 +141,9 @@
 
 func (c *crashChecks) report(endpoint catalog.Incarnation, attempts []brokenAttempt, crashed bool) {
 	for _, b := range attempts {
+		if b.givenUp && !crashed {
+			continue
+		}
 		c.log.Info("attempt broke without sign of life", zap.String("request", b.request), zap.String("endpoint", endpoint.ID),
 			zap.Int64("born", endpoint.StartedAtMillis), zap.Bool("endpoint_crashed", crashed), zap.Duration("after", b.brokeAt.Sub(b.sentAt)),
 			zap.Int("shared_parts", len(b.parts)), zap.String("reason", b.reason))
@@ -150,12 +154,12 @@
 	}
 }
 
-// examineBroken checks whether the endpoint of an attempt has crashed, after its connection has ended.
-func (e *Edge) examineBroken(a *attempt, endpoint catalog.Incarnation, addr string, sentAt clock.Instant, reason string) {
+// examineBroken checks whether the endpoint of an attempt has crashed, after its connection has ended or the attempt was given up.
+func (e *Edge) examineBroken(a *attempt, endpoint catalog.Incarnation, addr string, sentAt clock.Instant, givenUp bool, reason string) {
 	if e.ctx.Err() != nil {
 		return
 	}
-	e.crashes.examine(e.spawn, endpoint, addr, brokenAttempt{request: a.id, parts: a.sharedParts, sentAt: sentAt, brokeAt: e.clock.Now(), reason: reason})
+	e.crashes.examine(e.spawn, endpoint, addr, brokenAttempt{request: a.id, parts: a.sharedParts, sentAt: sentAt, brokeAt: e.clock.Now(), givenUp: givenUp, reason: reason})
 }
 
 // lifeDetector finds the sign of life in an answer: its second event, or its end. An endpoint that crashes on a request may have sent the
