Tell connections of the integration tests apart by their addresses

Cause: the fault proxy of the integration tests finds the process of a connection in the kernel's table by its two ports. All proxies of instances listen at one port of different addresses, and the kernel gives one source port to several connections with different destinations. A connection was then taken for that of another process: its bytes were counted, and its cuts made, on another link.

Change: the whole addresses are compared.

TestConnectionsWithTheSamePortsAreToldApart fails with ports alone and passes with addresses, five times.

Conclusion: a fault of the tests. That it was the cause of this one failure is likely and not shown: its connections were not kept.

--- a/internal/integration/network_test.go
+++ b/internal/integration/network_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"bufio"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
+	"testing"
 	"time"
 )
 
@@ -366,7 +369,7 @@
 const attributeTries = 20
 
 func (n *network) attribute(c net.Conn) string {
-	inode, err := socketInode(c.RemoteAddr().(*net.TCPAddr).Port, c.LocalAddr().(*net.TCPAddr).Port)
+	inode, err := socketInode(c.RemoteAddr().(*net.TCPAddr).AddrPort(), c.LocalAddr().(*net.TCPAddr).AddrPort())
 	if err != nil {
 		return otherProcess
 	}
@@ -380,8 +383,9 @@
 	return otherProcess
 }
 
-// socketInode returns the inode of the connected socket with the given ports, as seen by its owner.
-func socketInode(local, remote int) (string, error) {
+// socketInode returns the inode of the connected socket with the given IPv4 addresses, as seen by its owner. Ports alone do not identify a
+// connection: the kernel gives one port to several connections with different destinations.
+func socketInode(local, remote netip.AddrPort) (string, error) {
 	f, err := os.Open("/proc/self/net/tcp")
 	if err != nil {
 		return "", err
@@ -390,21 +394,17 @@
 	lines := bufio.NewScanner(f)
 	for lines.Scan() {
 		fields := strings.Fields(lines.Text())
-		if len(fields) > 9 && portOf(fields[1]) == local && portOf(fields[2]) == remote {
+		if len(fields) > 9 && fields[1] == tableAddress(local) && fields[2] == tableAddress(remote) {
 			return fields[9], nil
 		}
 	}
-	return "", fmt.Errorf("no socket has local port %d and remote port %d: %w", local, remote, io.EOF)
+	return "", fmt.Errorf("no socket is connected from %s to %s: %w", local, remote, io.EOF)
 }
 
-// portOf reads the port of an address in /proc/net/tcp.
-func portOf(address string) int {
-	_, port, _ := strings.Cut(address, ":")
-	n, err := strconv.ParseInt(port, 16, 32)
-	if err != nil {
-		return -1
-	}
-	return int(n)
+// tableAddress returns an IPv4 address as /proc/net/tcp has it: as a number in the byte order of the machine.
+func tableAddress(a netip.AddrPort) string {
+	ip := a.Addr().Unmap().As4()
+	return fmt.Sprintf("%08X:%04X", binary.NativeEndian.Uint32(ip[:]), a.Port())
 }
 
 func holds(pid int, inode string) bool {
@@ -420,3 +420,46 @@
 	}
 	return false
 }
+
+// Guards against a connection that is taken for one of another process, whose cuts and counts then apply to it, because both have the same
+// ports.
+func TestConnectionsWithTheSamePortsAreToldApart(t *testing.T) {
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	port := server.Addr().(*net.TCPAddr).Port
+	other, err := net.Listen("tcp", fmt.Sprintf("127.0.0.2:%d", port))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	var local *net.TCPAddr
+	for _, destination := range []net.Listener{server, other} {
+		// The kernel lets both connections have one source port; tests get the same with two source addresses.
+		dialer := &net.Dialer{}
+		if local != nil {
+			dialer.LocalAddr = &net.TCPAddr{IP: net.IPv4(127, 0, 0, 3), Port: local.Port}
+		}
+		c, err := dialer.Dial("tcp", destination.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		local = c.LocalAddr().(*net.TCPAddr)
+		f, err := c.(*net.TCPConn).File()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		var own syscall.Stat_t
+		if err := syscall.Fstat(int(f.Fd()), &own); err != nil {
+			t.Fatal(err)
+		}
+		inode, err := socketInode(local.AddrPort(), destination.Addr().(*net.TCPAddr).AddrPort())
+		if want := fmt.Sprint(own.Ino); inode != want {
+			t.Errorf("connection %s to %s: inode %q, want %s: %v", local, destination.Addr(), inode, want, err)
+		}
+	}
+}
