Carry bytes that are not UTF-8 in requests between regions

What callers saw: a request whose target, id or Last-Event-ID holds a byte that is not UTF-8, and whose endpoint is in another region, got 502 ("may have run"). It had not run anywhere: a request that may not be repeated was lost.

Cause: these fields of EdgeRequest are protobuf strings, and a message with other bytes in them is not sent. The error counted as a broken attempt. The same holds for the reason of a failure on its way back, which may quote an answer of an endpoint.

Change: the fields are bytes, which have the same encoding on the wire, so that instances of both versions understand each other. The reason of a failure is made valid.

Measured: TestRequestBytesPassBetweenRegions failed for path, query, id and last event in another region and passes now; TestFailureReasonsCanBeSent failed ("string field contains invalid UTF-8") and passes.

--- a/internal/edge/remote.go
+++ b/internal/edge/remote.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -117,10 +118,10 @@
 func (e *Edge) encodeAttempt(a *attempt, version int64) *wire.EdgeRequest {
 	now := e.clock.Now()
 	req := &wire.EdgeRequest{
-		Id: a.id, ConfigurationVersion: version, Organisation: a.organisation, Service: a.service,
-		Method: a.method, Uri: a.uri, Host: a.host, Headers: encodeHeaders(a.header), Body: a.body,
+		Id: []byte(a.id), ConfigurationVersion: version, Organisation: a.organisation, Service: a.service,
+		Method: a.method, Uri: []byte(a.uri), Host: []byte(a.host), Headers: encodeHeaders(a.header), Body: a.body,
 		LeftNanos: int64(a.deadline.Sub(now) - remoteReserve), MaxWaitNanos: int64(a.placeBy.Sub(now)),
-		LastEvent: a.lastEventID, Urgency: int32(a.urgency), HasUrgency: a.hasUrgency, Once: a.freshConnection,
+		LastEvent: []byte(a.lastEventID), Urgency: int32(a.urgency), HasUrgency: a.hasUrgency, Once: a.freshConnection,
 		PromptTokens: a.work.PromptTokens, OutputTokens: a.work.OutputTokens, Late: a.late, MaxPaceNanos: int64(a.work.MaxTokenTime), OnTimeNanos: int64(a.onTimeBy.Sub(now)),
 	}
 	for id := range a.excluded {
@@ -279,17 +280,17 @@
 
 func encodeFailure(f *failure) proto.Message {
 	return &wire.EdgeAnswer{Part: &wire.EdgeAnswer_End{End: &wire.EdgeAnswerEnd{
-		Failure: string(f.kind), Reason: f.reason, Endpoint: f.endpoint, RetryAfterNanos: int64(f.retryAfter),
+		Failure: string(f.kind), Reason: strings.ToValidUTF8(f.reason, "?"), Endpoint: f.endpoint, RetryAfterNanos: int64(f.retryAfter),
 	}}}
 }
 
 func (e *Edge) decodeAttempt(req *wire.EdgeRequest) *attempt {
 	now := e.clock.Now()
 	a := &attempt{
-		id: req.GetId(), service: req.GetService(), organisation: req.GetOrganisation(),
-		method: req.GetMethod(), uri: req.GetUri(), host: req.GetHost(), header: decodeHeaders(req.GetHeaders()), body: req.GetBody(),
-		work:    placement.Request{ID: req.GetId(), PromptTokens: req.GetPromptTokens(), OutputTokens: req.GetOutputTokens(), MaxTokenTime: time.Duration(req.GetMaxPaceNanos())},
-		urgency: int(req.GetUrgency()), hasUrgency: req.GetHasUrgency(), freshConnection: req.GetOnce(), lastEventID: req.GetLastEvent(),
+		id: string(req.GetId()), service: req.GetService(), organisation: req.GetOrganisation(),
+		method: req.GetMethod(), uri: string(req.GetUri()), host: string(req.GetHost()), header: decodeHeaders(req.GetHeaders()), body: req.GetBody(),
+		work:    placement.Request{ID: string(req.GetId()), PromptTokens: req.GetPromptTokens(), OutputTokens: req.GetOutputTokens(), MaxTokenTime: time.Duration(req.GetMaxPaceNanos())},
+		urgency: int(req.GetUrgency()), hasUrgency: req.GetHasUrgency(), freshConnection: req.GetOnce(), lastEventID: string(req.GetLastEvent()),
 		deadline: now.Add(time.Duration(req.GetLeftNanos())), placeBy: now.Add(time.Duration(req.GetMaxWaitNanos())),
 		waitUntil: now.Add(time.Duration(req.GetMaxWaitNanos())),
 		late:      req.GetLate(), onTimeBy: now.Add(time.Duration(req.GetOnTimeNanos())),
