Carry header bytes that are not UTF-8 between instances of the daemon

What callers saw: a plain request with such a byte in Content-Type or Accept, served in another region, got 502 "unknown" and had run nowhere. A booking with an idempotency key whose owner is another instance was not run, or had run and its answer, with such a byte in a header, did not come back.

Ruled out: path and query (the gateway escapes such bytes), answers that pass without a key (ForwardHeader holds bytes).

Change: the fields are bytes, with the same encoding on the wire.

Measured: TestHeaderBytesPassToAnotherRegion failed with 502 and passes; TestForwardToOwner and nine others of internal/operations failed on the new content type of their requests and answers and pass.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -190,7 +190,7 @@
 
 func (g *Gateway) forwardService(c *call, instance, route string, sc *dispatch.ServiceCall) (*operations.Answer, operations.Execution, error) {
 	head := &wire.ForwardHead{
-		Route: route, Method: sc.Method, Path: sc.Path, ContentType: sc.ContentType, Accept: sc.Accept,
+		Route: route, Method: sc.Method, Path: sc.Path, ContentType: []byte(sc.ContentType), Accept: []byte(sc.Accept),
 	}
 	a, _, err := g.forwardUnary(c, instance, head, sc.Body, sc.BeforeSend)
 	if err != nil {
@@ -381,7 +381,7 @@
 	route := findRoute(c.view.General(), head.Route)
 	sc := &dispatch.ServiceCall{
 		ID: c.id, Organisation: c.organisation(), Weight: c.weight(), Service: route.Service, Method: head.Method,
-		Path: head.Path, ContentType: head.ContentType, Accept: head.Accept, Body: body, Idempotent: route.Idempotent,
+		Path: head.Path, ContentType: string(head.ContentType), Accept: string(head.Accept), Body: body, Idempotent: route.Idempotent,
 		BeforeSend: c.beforeSend,
 	}
 	if !sc.Idempotent {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -267,6 +267,19 @@
 	}
 }
 
+// Guards against a request that is not sent to another region because a header holds bytes that are not UTF-8.
+func TestHeaderBytesPassToAnotherRegion(t *testing.T) {
+	const contentType, accept = "application/json; name=caf\xe9", "text/\xff"
+	s := newService(t)
+	lima, _, _ := twoRegions(t, newEngine(t), s)
+	if a := lima.request(t, "POST", "/deposits/7", workshopKey, "{}", "Content-Type", contentType, "Accept", accept); a.status != 200 {
+		t.Fatalf("%d %s", a.status, a.body)
+	}
+	if h := s.executions()[0].header; h.Get("Content-Type") != contentType || h.Get("Accept") != accept {
+		t.Errorf("the service got %v", h)
+	}
+}
+
 // Guards against requests of home-bound organisations and services that leave their region, and against forwarded requests that
 // are forwarded again.
 func TestHomeBoundRequestsStayInRegion(t *testing.T) {
--- a/internal/operations/fakes_test.go
+++ b/internal/operations/fakes_test.go
@@ -331,7 +331,7 @@
 	e.mu.Unlock()
 	notify(after, name)
 	notify(answer, name)
-	return &Answer{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/plain"}}, Body: fmt.Appendf(nil, "%s %d", name, n)}, Ran, nil
+	return &Answer{Status: http.StatusOK, Header: http.Header{"Content-Type": {testContentType}}, Body: fmt.Appendf(nil, "%s %d", name, n)}, Ran, nil
 }
 
 func notify(f func(string), name string) {
@@ -459,6 +459,9 @@
 }
 
 // do sends the request that is named by body.
+// testContentType is that of requests and answers. Headers may hold bytes that are not UTF-8.
+const testContentType = "text/plain; name=caf\xe9"
+
 func (i *instance) do(key, body string) Outcome {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
@@ -469,11 +472,11 @@
 	req := Request{
 		Organisation: testOrg,
 		Key:          key,
-		BodyDigest:   Digest(testOrg, http.MethodPost, "/deposits", "text/plain", []byte(body)),
+		BodyDigest:   Digest(testOrg, http.MethodPost, "/deposits", testContentType, []byte(body)),
 		Method:       http.MethodPost,
 		Path:         "/deposits",
 		// The label tells attempts apart. The route is not part of the digest.
-		Forwardable: &ForwardedRequest{Route: label, Method: http.MethodPost, Path: "/deposits", ContentType: "text/plain", Body: []byte(body)},
+		Forwardable: &ForwardedRequest{Route: label, Method: http.MethodPost, Path: "/deposits", ContentType: testContentType, Body: []byte(body)},
 	}
 	return i.Do(ctx, req, func(ctx context.Context) (*Answer, Execution, error) { return i.f.endpoint.run(ctx, body, label) })
 }
--- a/internal/operations/forward.go
+++ b/internal/operations/forward.go
@@ -43,7 +43,7 @@
 		Route:        c.forward.Route,
 		Method:       c.forward.Method,
 		Path:         c.forward.Path,
-		ContentType:  c.forward.ContentType,
+		ContentType:  []byte(c.forward.ContentType),
 		Body:         firstPart(c.forward.Body),
 		BodyBytes:    int64(len(c.forward.Body)),
 	}
@@ -154,7 +154,7 @@
 		Route:       req.GetRoute(),
 		Method:      req.GetMethod(),
 		Path:        req.GetPath(),
-		ContentType: req.GetContentType(),
+		ContentType: string(req.GetContentType()),
 		Body:        req.GetBody(),
 	}
 	c.run = func(ctx context.Context) (*Answer, Execution, error) {
@@ -203,7 +203,11 @@
 			BodyBytes: int64(len(o.Answer.Body)),
 		}
 		for name, values := range o.Answer.Header {
-			resp.Answer.Headers = append(resp.Answer.Headers, &wire.OperationHeader{Name: name, Values: values})
+			h := &wire.OperationHeader{Name: name}
+			for _, v := range values {
+				h.Values = append(h.Values, []byte(v))
+			}
+			resp.Answer.Headers = append(resp.Answer.Headers, h)
 		}
 	}
 	return resp
@@ -221,7 +225,9 @@
 	if a := resp.GetAnswer(); a != nil {
 		o.Answer = &Answer{Status: int(a.GetStatus()), Header: http.Header{}, Body: a.GetBody()}
 		for _, h := range a.GetHeaders() {
-			o.Answer.Header[h.GetName()] = h.GetValues()
+			for _, v := range h.GetValues() {
+				o.Answer.Header[h.GetName()] = append(o.Answer.Header[h.GetName()], string(v))
+			}
 		}
 	}
 	return o
--- a/internal/operations/service_test.go
+++ b/internal/operations/service_test.go
@@ -52,15 +52,20 @@
 	}
 }
 
-// Guards against running a request at an instance that does not own its key.
+// Guards against running a request at an instance that does not own its key, and against one that does not reach the owner, or whose answer
+// does not come back, because a header holds bytes that are not UTF-8.
 func TestForwardToOwner(t *testing.T) {
 	f, a := startOwner(t)
 	b := f.start("lima-2")
 	key := newKey(t)
-	expect(t, b.doReady(key, "deposit"), Ran, "")
-	o := a.do(key, "deposit")
+	o := b.doReady(key, "deposit")
+	expect(t, o, Ran, "")
+	if o.Answer.Header.Get("Content-Type") != testContentType {
+		t.Fatalf("answer through another instance: %+v", o)
+	}
+	o = a.do(key, "deposit")
 	expect(t, o, Ran, "")
-	if !o.Repeat || o.Answer.Header.Get("Content-Type") != "text/plain" {
+	if !o.Repeat || o.Answer.Header.Get("Content-Type") != testContentType {
 		t.Fatalf("repeat at the owner: %+v", o)
 	}
 	expect(t, b.do(key, "other"), NotRun, CodeReused)
