--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/endpointnotice"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
@@ -167,7 +168,7 @@
 	}
 	r := &reply{status: resp.Status, header: resp.Header, endpoint: chosen.ID, instance: e.options.Self.Instance, unread: chosen.PrefillTokens, copied: chosen.CopiedTokens,
 		limit: limit, notice: head.Notice}
-	body := &endpointBody{ReadCloser: resp.Body, ctx: ctx, edge: e, attempt: a, endpoint: endpoint, addr: chosen.Addr, sentAt: sentAt,
+	body := &endpointBody{ReadCloser: resp.Body, ctx: ctx, edge: e, attempt: a, endpoint: endpoint, incarnation: chosen.Incarnation, addr: chosen.Addr, sentAt: sentAt,
 		succeeds: resp.Status < http.StatusMultipleChoices && head.Signed, framed: resp.Framed, result: healthResultOf(resp.Status, head)}
 	r.body = body
 	if kind, reason := classifyAnswer(resp.Status, resp.Header, head); kind != "" {
@@ -263,20 +264,22 @@
 // the request in the pools.
 type endpointBody struct {
 	io.ReadCloser
-	ctx        context.Context // of the attempt
-	edge       *Edge
-	attempt    *attempt
-	endpoint   *placement.Endpoint
-	addr       string // of the endpoint
-	sentAt     clock.Instant
-	succeeds   bool // the head is that of a success
-	framed     bool // its end is known by a length or by chunks
-	life       lifeDetector
-	result     healthResult
-	begun      bool
-	lastOutput clock.Instant // of the last output
-	ended      bool          // the end of the answer was recorded
-	closed     bool
+	ctx      context.Context // of the attempt
+	edge     *Edge
+	attempt  *attempt
+	endpoint *placement.Endpoint // its description may be replaced at any time
+	// incarnation and addr are those that the request was sent to.
+	incarnation catalog.Incarnation
+	addr        string
+	sentAt      clock.Instant
+	succeeds    bool // the head is that of a success
+	framed      bool // its end is known by a length or by chunks
+	life        lifeDetector
+	result      healthResult
+	begun       bool
+	lastOutput  clock.Instant // of the last output
+	ended       bool          // the end of the answer was recorded
+	closed      bool
 }
 
 func (b *endpointBody) Read(p []byte) (int, error) {
@@ -322,7 +325,7 @@
 	case err == io.EOF && b.framed:
 		b.recordLife()
 	case b.begun || !givenUp:
-		b.edge.examineBroken(b.attempt, b.endpoint.Incarnation, b.addr, b.sentAt, givenUp, "answer: "+err.Error())
+		b.edge.examineBroken(b.attempt, b.incarnation, b.addr, b.sentAt, givenUp, "answer: "+err.Error())
 	}
 }
 
--- a/internal/edge/crashes_test.go
+++ b/internal/edge/crashes_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -176,3 +178,26 @@
 		}
 	}
 }
+
+// Guards against an answer that breaks off while the entry of its endpoint is replaced, and is examined with a description that is being
+// written. The race detector shows it.
+func TestAnswerBreaksWhileItsEntryChanges(t *testing.T) {
+	described := []catalog.Endpoint{{Incarnation: catalog.Incarnation{ID: "e", StartedAtMillis: 1}, Addr: "a"}}
+	pool := placement.NewPool(&catalog.Service{}, nil)
+	pool.SetEndpoints(described)
+	crashed := make(chan catalog.Incarnation, 1)
+	o := &Options{Clock: clock.Boot{}, Log: zap.NewNop(), Dial: func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") }}
+	e := &Edge{ctx: t.Context(), clock: o.Clock, crashes: newCrashChecks(o, newMetrics(tally.NoopScope))}
+	e.crashes.onCrash = func(endpoint catalog.Incarnation, _ []brokenAttempt) { crashed <- endpoint }
+	body := &endpointBody{
+		ReadCloser: io.NopCloser(iotest.ErrReader(io.ErrUnexpectedEOF)), ctx: t.Context(), edge: e, attempt: &attempt{},
+		endpoint: pool.Endpoint("e"), incarnation: described[0].Incarnation, addr: "a",
+	}
+	var running sync.WaitGroup
+	running.Go(func() { pool.SetEndpoints(described) })
+	running.Go(func() { _, _ = body.Read(make([]byte, 1)) })
+	running.Wait()
+	if endpoint := <-crashed; endpoint != described[0].Incarnation {
+		t.Errorf("the crash of %v was recorded", endpoint)
+	}
+}
