Send more requests over the cut in the test of true rejections

Cause: TestNotRunIsTrue checks that a cut held bytes back. All four callers of the cut instance may be waiting then for answers that were dropped before the cut, and nothing is sent over the link for its second. On a busy machine the faults are used up late: a trial beside 8 busy processes and a second deployment logged the calls in progress after the cut's second. At cusco-1 three of the four were older than the cut in one run, and in the other all four, 1.04 to 1.83 s.

Ruled out: an untrue answer (none was seen), a cut of other links. Connections taken for another process's, mended before, act likewise: with ports alone they were not held by the cut, once in some hundred connections.

Change: the test sends further requests through the instance until bytes are held, for 2 s at most. The check is as before, and their answers are checked like all others.

The failure itself, seen once on 2026-12-04, was not reproduced.

--- a/internal/integration/serving_test.go
+++ b/internal/integration/serving_test.go
@@ -25,15 +25,18 @@
 		callers sync.WaitGroup
 		number  atomic.Int64
 	)
+	book := func(i *instance) {
+		body := fmt.Sprintf(`{"once":%d}`, number.Add(1))
+		a := d.book(i, "general", "", body)
+		mu.Lock()
+		defer mu.Unlock()
+		answers[body] = a
+	}
 	for _, i := range d.instances {
 		for range 4 {
 			callers.Go(func() {
 				for !ended.Load() {
-					body := fmt.Sprintf(`{"once":%d}`, number.Add(1))
-					a := d.book(i, "general", "", body)
-					mu.Lock()
-					answers[body] = a
-					mu.Unlock()
+					book(i)
 					time.Sleep(5 * time.Millisecond)
 				}
 			})
@@ -56,6 +59,11 @@
 	heldBack := d.network.heldBetween("cusco-1", "service-cusco")
 	d.network.cut("cusco-1", "service-cusco")
 	time.Sleep(time.Second)
+	// On a busy machine answers are dropped late, and all callers of the instance may be waiting for answers from before the cut.
+	for n := 0; !heldBack() && n < 100; n++ {
+		callers.Go(func() { book(d.instance("cusco-1")) })
+		time.Sleep(20 * time.Millisecond)
+	}
 	if !heldBack() {
 		t.Error("the cut was not in place")
 	}
