Avoid no instance because a caller has left

What callers saw: requests that only one instance of another region could take were rejected for up to 0.5 s, although that instance could be reached.

Cause: an attempt whose call could not be opened marked the instance as unreachable, also if the call was not opened because its own caller had left. Found by reading.

Ruled out: a call that is not opened by its deadline; it still marks the instance, since connecting may have taken the time.

Measured: TestCallerThatLeavesMakesNoInstanceUnreachable failed and passes; it also checks that an instance which cannot be reached is avoided.

--- a/internal/edge/remote.go
+++ b/internal/edge/remote.go
@@ -61,8 +61,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	stream, err := e.network.Open(ctx, instance, serviceAttempt)
 	if err != nil {
+		if !errors.Is(ctx.Err(), context.Canceled) { // the caller has not left
+			e.fleet.markUnreachable(instance)
+		}
 		cancel()
-		e.fleet.markUnreachable(instance)
 		return nil, &failure{kind: notSent, reason: "instance " + instance + ": " + err.Error()}
 	}
 	if err := stream.Send(e.encodeAttempt(a, version)); err != nil {
