--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -415,4 +415,16 @@
 		Original: "if !ok || e.revision > end.revision || conf == nil {", Replacement: "if !ok || e.revision > 0 || conf == nil {",
 		Package: "./internal/edge", Run: "^TestEntriesFromBeforeTheEndOfAnEvacuation$",
 	},
+	{
+		Condition: 7, Mechanism: "edge: an answer that its caller gives up before a sign of life is examined",
+		File:     "internal/edge/attempt.go",
+		Original: "case b.begun || !givenUp:", Replacement: "case !givenUp:",
+		Package: "./platform", Run: "^TestDeadlyPartOfCallersThatLeave$",
+	},
+	{
+		Condition: 9, Mechanism: "edge: a caller that leaves makes no instance unreachable",
+		File:     "internal/edge/remote.go",
+		Original: "if !errors.Is(ctx.Err(), context.Canceled) { // the caller has not left", Replacement: "if true {",
+		Package: "./internal/edge", Run: "^TestCallerThatLeavesMakesNoInstanceUnreachable$",
+	},
 }
