Say once in the log that an answer was given up

Cause: the reason of such an attempt read "answer: answer was given up", since all reasons of this kind begin with "answer: ". Found by reading; no check depends on it. The tests of internal/edge on crashes and answers pass.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -311,7 +311,7 @@
 }
 
 // errGivenUp is the end of an answer that is closed before it was read to its end.
-var errGivenUp = errors.New("answer was given up")
+var errGivenUp = errors.New("given up")
 
 // recordEnd examines an answer that has ended without sign of life. The end of one without length or chunks may be that of its endpoint. A
 // caller that leaves once the answer has begun may do so a moment before the endpoint crashes on its request.
