Log what was known of an endpoint when a request was sent to it

Cause: the line of a request named its endpoint, but neither the start that was known of it nor whether it counted as limited to a rate, so the logs could not tell whether a cold engine got too many requests under its old start or beyond the rate.

Change: the lines of requests and of attempts for other instances hold endpoint_born, rate_limited and connected_for, the age of the connection.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/clock"
@@ -46,6 +47,7 @@
 	excluded        map[string]bool
 	queuedSince     clock.Instant // when it began to wait for an endpoint, 0 if it does not wait
 	waited          time.Duration // for the last endpoint
+	sent            sentTo        // of the last try here
 }
 
 // lateUrgency is added to the urgency of requests that are late already, so that engines begin with those that can be on time.
@@ -113,6 +115,22 @@
 	notice endpointnotice.Said
 }
 
+// sentTo is what was believed of an endpoint when a request was sent to it.
+type sentTo struct {
+	incarnation  catalog.Incarnation
+	rateLimited  bool          // it accepted only a request rate when it was chosen
+	connectedFor time.Duration // age of the connection when the answer began, 0 without one
+}
+
+// fields returns the log fields of a request that was sent, none if that is not known.
+func (s sentTo) fields() []zap.Field {
+	if s.incarnation.ID == "" {
+		return nil
+	}
+	return []zap.Field{zap.Int64("endpoint_born", s.incarnation.StartedAtMillis), zap.Bool("rate_limited", s.rateLimited),
+		zap.Duration("connected_for", s.connectedFor)}
+}
+
 // stoppingReason is what callers are told of a request that was not sent since the instance ends.
 const stoppingReason = "instance is stopping"
 
@@ -155,6 +173,7 @@
 		e.metrics.keptFromStreams()
 	}
 	sentAt := e.clock.Now()
+	a.sent = sentTo{incarnation: chosen.Incarnation, rateLimited: chosen.RateLimited}
 	limit := e.pools.limitOf(chosen.Incarnation)
 	if limit.limited {
 		e.metrics.sentToLimited()
@@ -173,6 +192,7 @@
 	if err != nil {
 		return nil, e.sendFailure(ctx, a, chosen, sentAt, err)
 	}
+	a.sent.connectedFor = resp.ConnectedFor
 	e.observeLimit(a.id, chosen.Incarnation, resp.Status, head, sentAt)
 	if resp.Status == http.StatusMisdirectedRequest {
 		e.state.recordMisdirected(chosen.Incarnation, chosen.Addr)
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -296,7 +296,7 @@
 	x.keep = context.AfterFunc(e.unanswered, cancel)
 	defer x.keep()
 	for {
-		x.attempt.lastEventID = x.lastEventID
+		x.attempt.lastEventID, x.attempt.sent = x.lastEventID, sentTo{}
 		r, f := x.makeAttempt(ctx)
 		if f != nil {
 			x.outcome.reason, x.outcome.endpoint, x.outcome.notice = f.reason, f.endpoint, f.notice
@@ -567,6 +567,7 @@
 	if x.outcome.limit.limited {
 		fields = append(fields, zap.Float64("endpoint_limit", x.outcome.limit.perSecond))
 	}
+	fields = append(fields, x.attempt.sent.fields()...)
 	if x.outcome.blockedPart != 0 {
 		fields = append(fields, zap.String("blocked_part", formatPart(x.outcome.blockedPart)))
 	}
--- a/internal/edge/remote.go
+++ b/internal/edge/remote.go
@@ -294,7 +294,7 @@
 	case err != nil:
 		fields = append(fields, zap.String("failure", "answer could not be sent to the calling instance"))
 	}
-	e.requestLog.Info("attempt for another instance", append(fields, zap.Error(err))...)
+	e.requestLog.Info("attempt for another instance", append(append(fields, a.sent.fields()...), zap.Error(err))...)
 }
 
 func encodeFailure(f *failure) proto.Message {
--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -83,6 +83,8 @@
 	Body io.ReadCloser
 	// Framed says that a length or chunks tell where Body ends. Otherwise its end is that of the connection.
 	Framed bool
+	// ConnectedFor is how long the connection had been open when the head arrived. The process that answers has run for at least as long.
+	ConnectedFor time.Duration
 }
 
 // Pool is a client with a pool of connections to endpoints. It is safe for concurrent use.
@@ -106,6 +108,7 @@
 	net.Conn
 	headReader *headReader
 	addr       string
+	openedAt   time.Time // with monotonic clock reading
 	reader     *bufio.Reader
 	idleSince  time.Time // when it became idle, with monotonic clock reading
 	maxIdle    time.Duration
@@ -178,7 +181,8 @@
 		}
 	}
 	c.maxIdle, c.onLate = maxIdleTime(resp.Header), req.OnLateAnswer
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+		ConnectedFor: time.Since(c.openedAt)}, nil
 }
 
 // errNothingWritten marks a failed send of which no byte was written.
@@ -355,7 +359,7 @@
 	}
 	p.count(&p.dialled)
 	heads := &headReader{Conn: raw}
-	return &conn{Conn: raw, headReader: heads, addr: addr, reader: bufio.NewReaderSize(heads, readBuffer)}, nil
+	return &conn{Conn: raw, headReader: heads, addr: addr, openedAt: time.Now(), reader: bufio.NewReaderSize(heads, readBuffer)}, nil
 }
 
 func (p *Pool) count(counter *int64) {
