Send endpoints that may have restarted no more than their cold rate

What callers saw: an engine that had crashed and started again under its old id got 9 to 12 requests in its first second (8.2 allowed), and now and then crashed of them, so that their streams broke off.

Cause: instances go by an engine's entry until they have read its new one, 0.3 to 0.5 s after its start. Its id and its address are the same, so that nothing declined these requests, and it looked idle. That it had crashed was known only as failures, of which a third of a service's engines at most may be left out.

Ruled out: senders that add up to more than the rate, entries that do not say that the engine is cold.

Change: a connection of an endpoint that ends without a reason, or that cannot be opened, raises a suspicion against its incarnation, which instances of the region exchange like rates that endpoints name. A suspected endpoint counts as cold. Output on a connection that is older than the suspicion dispels it, since a connection does not outlast its process; otherwise it ends with the entry of another start, or a cold period after the first answer. A request that was chosen at any rate is placed anew if its endpoint is suspected, or has restarted, once a connection is open. Services without a cold rate are not concerned.

TestAnswerBreaksWhileItsEntryChanges needs the pools that the examined code now uses; what it checks is unchanged. TestInstancesAgreeOnStatements covers suspicions too.

--- a/internal/core/endpointrate/limiter.go
+++ b/internal/core/endpointrate/limiter.go
@@ -23,11 +23,12 @@
 }
 
 // Rate returns the request rate that the endpoint accepts from all instances: the lower one of what it has named and of coldRate,
-// which counts while it is cold. limited is false if it has no limit.
+// which counts while it is cold, or may be since it may have restarted. limited is false if it has no limit.
 func (l *Limiter) Rate(endpoint catalog.Incarnation, cold bool, coldRate float64) (perSecond float64, limited bool) {
 	if l.Statements.limited > 0 {
 		perSecond, limited = l.Statements.Limit(endpoint)
 	}
+	cold = cold || l.Statements.MayHaveRestarted(endpoint)
 	if cold && coldRate > 0 && (!limited || coldRate < perSecond) {
 		return coldRate, true
 	}
--- a/internal/core/endpointrate/register.go
+++ b/internal/core/endpointrate/register.go
@@ -1,7 +1,8 @@
 // Package endpointrate keeps the instances of a region together within the request rate that an endpoint accepts from all of them.
 // An endpoint limits its rate while it is cold, and whenever its answers name a limit.
 //
-// A Register holds what endpoints have stated. Instances exchange their statements and keep the newest of each endpoint, in any
+// A Register holds what endpoints have stated, and which may have restarted: until its new entry is read, an endpoint that has started
+// again under its old id looks like the one before, which was not cold. Instances exchange their statements and keep the newest of each endpoint, in any
 // order and however often they receive it. The package does no I/O, reads no clock and is not safe for concurrent use.
 package endpointrate
 
@@ -15,24 +16,53 @@
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 )
 
-// Statement is what an incarnation of an endpoint has stated about the request rate that it accepts.
+// Statement is what is known of the request rate that an incarnation of an endpoint accepts.
 type Statement struct {
 	Endpoint catalog.Incarnation
 	Limited  bool
 	Limit    float64 // requests per second from all instances together, if Limited
-	// Version orders the statements of an incarnation. An instance that observes a change uses the next version.
+	// Version orders what an incarnation has stated of its limit. An instance that observes a change uses the next version.
 	Version uint64
+	Restart Suspicion
 }
 
-// supersedes reports whether s replaces o. Of two changes that instances have observed at the same time, the stricter one counts:
-// if it is outdated, the endpoint's next answer corrects it.
-func (s Statement) supersedes(o Statement) bool {
-	if order := cmp.Or(cmp.Compare(s.Endpoint.StartedAtMillis, o.Endpoint.StartedAtMillis), cmp.Compare(s.Version, o.Version)); order != 0 {
-		return order > 0
+// Suspicion says whether an incarnation may have ended, so that another one may be at its address.
+type Suspicion struct {
+	Raised  bool
+	Version uint64 // orders the suspicions of an incarnation, 0: none was ever raised
+}
+
+// supersedes reports whether s replaces o: the later one does, and of two of the same version the one that is raised.
+func (s Suspicion) supersedes(o Suspicion) bool {
+	return s.Version > o.Version || s.Version == o.Version && s.Raised && !o.Raised
+}
+
+// limitSupersedes reports whether the limit of s replaces that of o, a statement of the same incarnation. Of two changes that instances
+// have observed at the same time, the stricter one counts: if it is outdated, the endpoint's next answer corrects it.
+func (s Statement) limitSupersedes(o Statement) bool {
+	if s.Version != o.Version {
+		return s.Version > o.Version
 	}
 	return s.rate() < o.rate()
 }
 
+// mergedWith returns what two statements of an endpoint say together: those of a later incarnation replace the others.
+func (s Statement) mergedWith(o Statement) Statement {
+	switch order := cmp.Compare(s.Endpoint.StartedAtMillis, o.Endpoint.StartedAtMillis); {
+	case order > 0:
+		return s
+	case order < 0:
+		return o
+	}
+	if o.limitSupersedes(s) {
+		s.Limited, s.Limit, s.Version = o.Limited, o.Limit, o.Version
+	}
+	if o.Restart.supersedes(s.Restart) {
+		s.Restart = o.Restart
+	}
+	return s
+}
+
 func (s Statement) rate() float64 {
 	if !s.Limited {
 		return math.Inf(1)
@@ -46,13 +76,17 @@
 
 // Register holds the newest statement of each endpoint.
 type Register struct {
-	entries map[string]*entry // by the endpoint's id
-	limited int               // number of entries with a limit
+	entries   map[string]*entry // by the endpoint's id
+	limited   int               // number of entries with a limit
+	suspected int               // number of entries with a raised suspicion
 }
 
 type entry struct {
 	Statement
-	statedAt   clock.Instant // when a limit was last named, as far as this instance knows
+	statedAt    clock.Instant // when a limit was last named, as far as this instance knows
+	suspectedAt clock.Instant // when the suspicion was last raised here, or arrived
+	// warmAt is when an incarnation that was started after the crash is no longer cold, if an answer has arrived since; 0 without one.
+	warmAt     clock.Instant
 	lastListed clock.Instant
 }
 
@@ -85,24 +119,36 @@
 
 // Merge records a statement that another instance has observed, and reports whether it is newer than the one before.
 func (r *Register) Merge(now clock.Instant, s Statement) bool {
-	e := r.entries[s.Endpoint.ID]
-	if e == nil {
+	e, known := r.entries[s.Endpoint.ID]
+	if !known {
 		e = &entry{Statement: Statement{Endpoint: s.Endpoint}, lastListed: now}
 		r.entries[s.Endpoint.ID] = e
-	} else if !s.supersedes(e.Statement) {
-		return false
 	}
-	if e.Limited {
-		r.limited--
+	before, next := e.Statement, e.mergedWith(s)
+	if known && next == before {
+		return false
 	}
-	e.Statement = s
-	if s.Limited {
-		r.limited++
+	r.count(before, -1)
+	e.Statement = next
+	r.count(next, 1)
+	if next.Limited && (next.Version != before.Version || next.Endpoint != before.Endpoint || next.Limit != before.Limit) {
 		e.statedAt = now
 	}
+	if next.Restart != before.Restart || next.Endpoint != before.Endpoint {
+		e.suspectedAt, e.warmAt = now, 0
+	}
 	return true
 }
 
+func (r *Register) count(s Statement, n int) {
+	if s.Limited {
+		r.limited += n
+	}
+	if s.Restart.Raised {
+		r.suspected += n
+	}
+}
+
 // Limit returns the limit that the endpoint has named, and false if it names none.
 func (r *Register) Limit(endpoint catalog.Incarnation) (perSecond float64, limited bool) {
 	e := r.entries[endpoint.ID]
@@ -138,9 +184,7 @@
 		if now.Sub(e.lastListed) <= unlistedTTL {
 			continue
 		}
-		if e.Limited {
-			r.limited--
-		}
+		r.count(e.Statement, -1)
 		delete(r.entries, id)
 	}
 }
--- a/internal/core/endpointrate/register_test.go
+++ b/internal/core/endpointrate/register_test.go
@@ -66,6 +66,18 @@
 				continue
 			}
 			e := catalog.Incarnation{ID: "e", StartedAtMillis: rapid.Int64Range(1, 2).Draw(t, "incarnation")}
+			switch rapid.SampledFrom([]string{"answer", "break", "output", "list"}).Draw(t, "seen") {
+			case "break":
+				all[i].Suspect(now, e)
+				continue
+			case "output":
+				all[i].RecordOutput(now, e, now.Add(-rapid.SampledFrom([]time.Duration{0, time.Hour}).Draw(t, "connected for")), time.Millisecond)
+				all[i].EndSuspicions(now)
+				continue
+			case "list":
+				all[i].Replace(now, e)
+				continue
+			}
 			all[i].Observe(now, e, now.Add(-rapid.SampledFrom([]time.Duration{time.Microsecond, time.Second}).Draw(t, "age")),
 				float64(rapid.IntRange(0, 2).Draw(t, "limit")), rapid.Bool().Draw(t, "limited"))
 		}
--- a/internal/core/fleetview/changes.go
+++ b/internal/core/fleetview/changes.go
@@ -95,6 +95,7 @@
 		t.limits[s.Endpoint.ID] = s
 		changed = append(changed, &wire.EdgeEndpointLimit{
 			Id: s.Endpoint.ID, StartedMillis: s.Endpoint.StartedAtMillis, Limited: s.Limited, PerSecond: s.Limit, Version: s.Version,
+			MayHaveRestarted: s.Restart.Raised, RestartVersion: s.Restart.Version,
 		})
 	}
 	return changed
@@ -106,6 +107,7 @@
 		n.limits.Merge(now, endpointrate.Statement{
 			Endpoint: catalog.Incarnation{ID: l.GetId(), StartedAtMillis: l.GetStartedMillis()},
 			Limited:  l.GetLimited(), Limit: l.GetPerSecond(), Version: l.GetVersion(),
+			Restart: endpointrate.Suspicion{Raised: l.GetMayHaveRestarted(), Version: l.GetRestartVersion()},
 		})
 	}
 	if n.limits.Len() > maxEndpoints {
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -180,12 +180,13 @@
 	}
 	resp, head, err := e.send(ctx, chosen.Incarnation, chosen.Addr, &endpointconn.Request{
 		ID: a.id, Method: a.method, URI: a.uri, Host: a.host, Header: header, Parts: a.body, FreshConnection: a.freshConnection,
-	})
+		OnIdleClosed: func() { e.suspectRestart(a, chosen.Incarnation, "idle connection closed by the endpoint") },
+	}, func() bool { return e.pools.mayReceive(a.service, chosen) })
 	if errors.Is(err, errStopping) {
 		e.pools.release(a.service, endpoint, a.work.ID, resultNone)
 		return nil, stoppingFailure()
 	}
-	if errors.Is(err, errNoRequests) {
+	if errors.Is(err, errWithheld) {
 		e.pools.release(a.service, endpoint, a.work.ID, resultNone)
 		return e.attemptLocal(ctx, a) // at another endpoint, if there is one
 	}
@@ -206,6 +207,7 @@
 	r := &reply{status: resp.Status, header: resp.Header, endpoint: chosen.ID, instance: e.options.Self.Instance, unread: chosen.PrefillTokens, copied: chosen.CopiedTokens,
 		pace: chosen.Pace, keptFromStreams: chosen.KeptFromStreams, limit: limit, notice: head.Notice}
 	body := &endpointBody{ReadCloser: resp.Body, ctx: ctx, edge: e, attempt: a, endpoint: endpoint, incarnation: chosen.Incarnation, addr: chosen.Addr, sentAt: sentAt,
+		connectedAt: e.clock.Now().Add(-resp.ConnectedFor), open: resp.Open,
 		succeeds: resp.Status < http.StatusMultipleChoices && head.Signed, framed: resp.Framed, result: healthResultOf(resp.Status, head)}
 	r.body = body
 	if kind, reason := classifyAnswer(resp.Status, resp.Header, head); kind != "" {
@@ -281,6 +283,9 @@
 	if v == resultUnreachable {
 		e.conns.CloseIdle(chosen.Addr)
 	}
+	if (f.kind == broken || f.kind == notSent) && ctx.Err() == nil {
+		e.suspectRestart(a, chosen.Incarnation, f.reason)
+	}
 	if f.kind == broken && ctx.Err() == nil {
 		e.examineBroken(a, chosen.Incarnation, chosen.Addr, sentAt, false, f.reason)
 	}
@@ -309,8 +314,10 @@
 	incarnation catalog.Incarnation
 	addr        string
 	sentAt      clock.Instant
-	succeeds    bool // the head is that of a success
-	framed      bool // its end is known by a length or by chunks
+	connectedAt clock.Instant // when its connection was opened
+	open        func() bool   // whether the endpoint has not closed the connection yet
+	succeeds    bool          // the head is that of a success
+	framed      bool          // its end is known by a length or by chunks
 	life        lifeDetector
 	result      healthResult
 	begun       bool
@@ -331,6 +338,8 @@
 		b.result = resultFailed
 		if b.ctx.Err() != nil {
 			b.result = resultNone
+		} else {
+			b.edge.suspectRestart(b.attempt, b.incarnation, "answer: "+err.Error())
 		}
 	}
 	if err != nil {
@@ -372,6 +381,7 @@
 // recordOutput records the first output of the request, and the pace of the engine after that.
 func (b *endpointBody) recordOutput(part []byte) {
 	now := b.edge.clock.Now()
+	b.edge.recordContinuity(b)
 	if !b.begun {
 		b.begun = true
 		b.edge.pools.recordStart(b.attempt.service, b.endpoint, b.attempt.work.ID)
--- a/internal/edge/caches.go
+++ b/internal/edge/caches.go
@@ -63,7 +63,7 @@
 	sentAt := e.clock.Now()
 	resp, head, err := e.send(ctx, endpoint.Incarnation, endpoint.Addr, &endpointconn.Request{
 		Method: http.MethodGet, URI: e.options.Dialect.CacheListPath(), Host: endpoint.Addr, Header: http.Header{},
-	})
+	}, func() bool { return e.pools.accepts(endpoint.Incarnation) })
 	if err != nil {
 		return nil, err
 	}
--- a/internal/edge/crashes_test.go
+++ b/internal/edge/crashes_test.go
@@ -187,7 +187,7 @@
 	pool.SetEndpoints(described)
 	crashed := make(chan catalog.Incarnation, 1)
 	o := &Options{Clock: clock.Boot{}, Log: zap.NewNop(), Dial: func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") }}
-	e := &Edge{ctx: t.Context(), clock: o.Clock, crashes: newCrashChecks(o, newMetrics(tally.NoopScope))}
+	e := &Edge{ctx: t.Context(), clock: o.Clock, log: o.Log, pools: newPools(o.Clock, "self"), crashes: newCrashChecks(o, newMetrics(tally.NoopScope))}
 	e.crashes.onCrash = func(endpoint catalog.Incarnation, _ []brokenAttempt) { crashed <- endpoint }
 	body := &endpointBody{
 		ReadCloser: io.NopCloser(iotest.ErrReader(io.ErrUnexpectedEOF)), ctx: t.Context(), edge: e, attempt: &attempt{},
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -29,10 +29,19 @@
 // mergeLimits records what other instances know of the request rates that endpoints accept.
 func (e *Edge) mergeLimits(now clock.Instant, statements []endpointrate.Statement) {
 	for _, s := range statements {
-		before, changed := e.pools.updateLimit(s.Endpoint, func(r *endpointrate.Register) bool { return r.Merge(now, s) })
-		if changed {
+		var suspected, suspect bool
+		before, changed := e.pools.updateLimit(s.Endpoint, func(r *endpointrate.Register) bool {
+			suspected = r.MayHaveRestarted(s.Endpoint)
+			changed := r.Merge(now, s)
+			suspect = r.MayHaveRestarted(s.Endpoint)
+			return changed
+		})
+		if changed && before != (knownLimit{s.Limit, s.Limited}) {
 			e.logLimit(s.Endpoint, before, s.Limit, s.Limited, zap.Uint64("version", s.Version))
 		}
+		if suspect != suspected {
+			e.logSuspicion(s.Endpoint, suspect, "told by another instance")
+		}
 	}
 }
 
@@ -85,12 +94,12 @@
 	e.view.pruneLimits(now, listed)
 }
 
-// pruneLimits drops the limits of endpoints that have gone and returns the number of endpoints that name one.
-func (p *pools) pruneLimits(now clock.Instant, listed func(id string) bool) int {
+// pruneLimits drops the limits of endpoints that have gone and returns the numbers of endpoints that name one and that may have restarted.
+func (p *pools) pruneLimits(now clock.Instant, listed func(id string) bool) (limited, suspected int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limiter.Prune(now, listed)
-	return p.limiter.Statements.Limited()
+	return p.limiter.Statements.Limited(), p.limiter.Statements.Suspected()
 }
 
 func (v *view) pruneLimits(now clock.Instant, listed func(id string) bool) {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -31,6 +31,7 @@
 	treeRole       tally.Gauge
 	treeChildren   tally.Gauge
 	limited        tally.Gauge
+	suspected      tally.Gauge // endpoints that may have restarted
 	toLimited      tally.Counter
 	crashed        tally.Counter
 	reset          tally.Counter
@@ -69,7 +70,7 @@
 		scope: scope, inFlightGauge: scope.Gauge("requests_in_flight"), forwardedGauge: scope.Gauge("forwarded_attempts_in_flight"),
 		dialled: scope.Gauge("endpoint_requests_on_new_connections"), reused: scope.Gauge("endpoint_requests_on_kept_connections"),
 		viewAge: scope.Gauge("view_age_seconds"), treeRole: scope.Gauge("tree_role"), treeChildren: scope.Gauge("tree_children"),
-		limited: scope.Gauge("limited_endpoints"), toLimited: scope.Counter("requests_to_limited_endpoints"),
+		limited: scope.Gauge("limited_endpoints"), suspected: scope.Gauge("endpoints_that_may_have_restarted"), toLimited: scope.Counter("requests_to_limited_endpoints"),
 		crashed: scope.Counter("attempts_broken_by_crash"), reset: scope.Counter("attempts_broken_otherwise"),
 		blocked: scope.Gauge("blocked_prompt_parts"), rejected: scope.Counter("attempts_rejected_for_blocked_part"),
 		leaving: scope.Gauge("leaving_endpoints"), waiting: scope.Gauge("waiting_endpoints"), withheld: scope.Counter("requests_withheld"),
@@ -102,8 +103,11 @@
 	m.treeChildren.Update(float64(children))
 }
 
-// limitedEndpoints records how many endpoints name a request rate.
-func (m *metrics) limitedEndpoints(n int) { m.limited.Update(float64(n)) }
+// limitedEndpoints records how many endpoints name a request rate, and how many may have restarted.
+func (m *metrics) limitedEndpoints(limited, suspected int) {
+	m.limited.Update(float64(limited))
+	m.suspected.Update(float64(suspected))
+}
 
 // sentToLimited records that a request is sent to an endpoint that has named a request rate.
 func (m *metrics) sentToLimited() { m.toLimited.Inc(1) }
@@ -129,7 +133,7 @@
 	m.waiting.Update(float64(waiting))
 }
 
-// requestWithheld records that a request was not sent because its endpoint asked for none after it had been chosen.
+// requestWithheld records that a request was not sent because its endpoint asked for none, or may have restarted, after it had been chosen.
 func (m *metrics) requestWithheld() { m.withheld.Inc(1) }
 
 // sharing records how many choices of an engine have found only capacity of which this instance had used its share, and the largest
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -16,16 +16,16 @@
 )
 
 var (
-	// errNoRequests is returned instead of a response if the endpoint asks for no requests at the moment of sending.
-	errNoRequests = errors.New("endpoint asks for no requests")
+	// errWithheld is returned instead of a response if the endpoint must not get the request any more at the moment of sending.
+	errWithheld = errors.New("endpoint must not get the request any more")
 	// errStopping is returned instead of a response if requests in progress are given up at the moment of sending.
 	errStopping = errors.New(stoppingReason)
 )
 
 // send sends a request to an endpoint, and records what it asks in the head and the trailer of its answer. It sends nothing if, once a
-// connection is open, the endpoint asks for no requests, requests in progress are given up or ctx has ended. An answer that arrives
-// after its attempt was given up counts too.
-func (e *Edge) send(ctx context.Context, endpoint catalog.Incarnation, addr string, req *endpointconn.Request) (*endpointconn.Response, AnswerHead, error) {
+// connection is open, mayReceive returns false, requests in progress are given up or ctx has ended. An answer that arrives after its
+// attempt was given up counts too.
+func (e *Edge) send(ctx context.Context, endpoint catalog.Incarnation, addr string, req *endpointconn.Request, mayReceive func() bool) (*endpointconn.Response, AnswerHead, error) {
 	id := req.ID
 	req.BeforeSend = func() error {
 		if e.pools.isClosed() {
@@ -34,11 +34,11 @@
 		if err := ctx.Err(); err != nil {
 			return err
 		}
-		if e.pools.accepts(endpoint) {
+		if mayReceive() {
 			return nil
 		}
 		e.metrics.requestWithheld()
-		return errNoRequests
+		return errWithheld
 	}
 	req.OnLateAnswer = func(status int, h http.Header) {
 		e.observeNotice(id, endpoint, e.options.Dialect.ParseAnswer(status, h).Notice)
--- a/internal/edge/pools.go
+++ b/internal/edge/pools.go
@@ -100,6 +100,9 @@
 		}
 		pool.service = service
 		pool.Configure(service)
+		for _, endpoint := range list {
+			p.limiter.Statements.Replace(p.clock.Now(), endpoint.Incarnation)
+		}
 		pool.SetEndpoints(list)
 	}
 	for name, pool := range p.byService {
@@ -318,18 +321,16 @@
 	}
 }
 
-// run offers waiting requests to the endpoints at each interval until ctx ends.
-func (p *pools) run(ctx context.Context) {
-	for clock.Sleep(ctx, dispatchInterval) == nil {
-		p.tick()
-	}
-}
-
-func (p *pools) tick() {
+// tick offers waiting requests to the endpoints. It must be called regularly. It returns the endpoints that are no longer suspected of a
+// restart since they have answered for long enough.
+func (p *pools) tick() (trusted []catalog.Incarnation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limiter.Senders.Tick(p.clock.Now())
+	now := p.clock.Now()
+	p.limiter.Senders.Tick(now)
+	trusted = p.limiter.Statements.EndSuspicions(now)
 	p.dispatchAll()
+	return trusted
 }
 
 // recordStart records the first event of a request's answer.
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -139,7 +139,7 @@
 	for _, m := range e.mirrors {
 		e.spawn(m.Run)
 	}
-	e.spawn(e.pools.run)
+	e.spawn(e.runPools)
 	e.spawn(e.aheads.run)
 	e.spawn(e.view.run)
 	e.spawn(e.view.runReports)
--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -68,6 +68,9 @@
 	// BeforeSend, if not nil, is called once a connection is open and before the first byte is sent. If it returns an error, nothing is
 	// sent, and Do returns that error, marked ErrNotSent.
 	BeforeSend func() error
+	// OnIdleClosed, if not nil, is called when an idle connection is found closed by the endpoint although it should have been open for
+	// longer.
+	OnIdleClosed func()
 	// OnLateAnswer, if not nil, is called with the head of a response to this request or an earlier one that arrives where the response
 	// to a later request on the connection is expected.
 	OnLateAnswer func(status int, h http.Header)
@@ -85,6 +88,8 @@
 	Framed bool
 	// ConnectedFor is how long the connection had been open when the head arrived. The process that answers has run for at least as long.
 	ConnectedFor time.Duration
+	// Open reports whether the endpoint has not closed the connection yet, even if not all of the response was read.
+	Open func() bool
 }
 
 // Pool is a client with a pool of connections to endpoints. It is safe for concurrent use.
@@ -182,7 +187,7 @@
 	}
 	c.maxIdle, c.onLate = maxIdleTime(resp.Header), req.OnLateAnswer
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
-		ConnectedFor: time.Since(c.openedAt)}, nil
+		ConnectedFor: time.Since(c.openedAt), Open: func() bool { return netdial.Established(c.Conn) }}, nil
 }
 
 // errNothingWritten marks a failed send of which no byte was written.
@@ -347,10 +352,17 @@
 		if c == nil {
 			break
 		}
-		if !slices.Contains(c.carried, req.ID) && c.openAndUnread() {
+		if slices.Contains(c.carried, req.ID) {
+			_ = c.Close()
+			continue
+		}
+		if c.openAndUnread() {
 			p.count(&p.reused)
 			return c, nil
 		}
+		if req.OnIdleClosed != nil {
+			req.OnIdleClosed()
+		}
 		_ = c.Close()
 	}
 	raw, err := p.dial(ctx, "tcp", addr)
--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -194,6 +194,24 @@
 		Original: "o.Limits = e.pools.limitStatements()", Replacement: "o.Limits = nil",
 		Package: "./internal/edge", Run: "^TestLimitedEndpointStaysInUse$",
 	},
+	{
+		Condition: 7, Mechanism: "edge: an endpoint whose connections end may have restarted",
+		File:     "internal/edge/restart.go",
+		Original: "if pool == nil || pool.service.ColdRate <= 0 {", Replacement: "if pool != nil {",
+		Package: "./platform", Run: "^TestEnginesThatStartAgainUnderTheirIDsAreCold$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: output on an older connection dispels the suspicion of a restart",
+		File:     "internal/core/endpointrate/restart.go",
+		Original: "if connectedAt.Add(continuityMargin) < e.suspectedAt {", Replacement: "if false {",
+		Package: "./internal/core/endpointrate", Run: "^TestSuspicionLastsUntilTheEndpointHasShownThatItIsNotCold$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: an incarnation of which a later one is known is not trusted",
+		File:     "internal/core/endpointrate/restart.go",
+		Original: "return e.Endpoint != endpoint || e.Restart.Raised", Replacement: "return e.Endpoint == endpoint && e.Restart.Raised",
+		Package: "./internal/core/endpointrate", Run: "^TestEarlierIncarnationStaysLimitedOnceALaterOneIsKnown$",
+	},
 	{
 		Condition: 7, Mechanism: "edge: a request is checked again after its wait for an endpoint",
 		File:     "internal/edge/attempt.go",
@@ -328,7 +346,7 @@
 	{
 		Condition: 11, Mechanism: "edge: an endpoint is asked once more when a connection is open",
 		File:     "internal/edge/notices.go",
-		Original: "if e.pools.accepts(endpoint) {", Replacement: "if e.pools.accepts(endpoint) || endpoint.ID != \"\" {",
+		Original: "if mayReceive() {", Replacement: "if mayReceive() || true {",
 		Package: "./platform", Run: "^TestRequestIsNotSentAfterAConnectionWasOpenedTooLate$",
 	},
 	{
