Report an idle connection as closed only if its endpoint has closed it

Cause: an idle connection that cannot be used was reported as closed also if bytes had arrived on it, such as a late or repeated answer. The endpoint was then suspected of a restart and limited to its cold rate.

Change: it is reported only if the connection is no longer established.

Measured: TestOnlyAClosedIdleConnectionIsReported fails on the code before ("bytes after the response") and passes; tests of endpointconn pass in 3 runs.

--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -360,7 +360,7 @@
 			p.count(&p.reused)
 			return c, nil
 		}
-		if req.OnIdleClosed != nil {
+		if req.OnIdleClosed != nil && !netdial.Established(c.Conn) {
 			req.OnIdleClosed()
 		}
 		_ = c.Close()
