Keep idle connections of requests that are withheld for a suspicion

Cause: a request that is withheld once a connection is open closes the connection, also a reused one to an endpoint that is only suspected of a restart. Requests that were on their way when the suspicion was raised closed the older connections whose output would have dispelled it.

Change: such a connection remains idle, unless the endpoint asks for no requests.

Measured: TestConnectionOfAWithheldRequestStaysIdle fails with the connection closed as before (3 connections instead of 2) and passes, with -race 10 times; tests of edge and endpointconn pass.

--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -38,6 +38,10 @@
 			return nil
 		}
 		e.metrics.requestWithheld()
+		if e.pools.accepts(endpoint) {
+			// Output on a connection from before a suspected restart shows that there was none.
+			return errors.Mark(errWithheld, endpointconn.ErrKeepOpen)
+		}
 		return errWithheld
 	}
 	req.OnLateAnswer = func(status int, h http.Header) {
--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -28,6 +28,8 @@
 	ErrBroken = errors.New("connection to the endpoint broke before the answer was complete")
 	// ErrBadAnswer reports received bytes that are not a response to the request. The endpoint may have run the request.
 	ErrBadAnswer = errors.New("endpoint has sent bytes that are not the answer to the request")
+	// ErrKeepOpen marks an error of BeforeSend after which other requests may still use the connection.
+	ErrKeepOpen = errors.New("connection may still be used")
 )
 
 const (
@@ -66,7 +68,7 @@
 	// lost because the endpoint closes an idle connection at that moment.
 	FreshConnection bool
 	// BeforeSend, if not nil, is called once a connection is open and before the first byte is sent. If it returns an error, nothing is
-	// sent, and Do returns that error, marked ErrNotSent.
+	// sent, and Do returns that error, marked ErrNotSent. If the error is marked ErrKeepOpen, a reused connection remains idle.
 	BeforeSend func() error
 	// OnIdleClosed, if not nil, is called when an idle connection is found closed by the endpoint although it should have been open for
 	// longer.
@@ -156,13 +158,17 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", addr), ErrNotSent)
 	}
+	reused := len(c.carried) > 0
 	if req.BeforeSend != nil {
 		if err := req.BeforeSend(); err != nil {
-			_ = c.Close() // nothing else may use it while the endpoint wants no requests
+			if reused && errors.Is(err, ErrKeepOpen) {
+				p.putBack(c)
+			} else {
+				_ = c.Close() // nothing else may use it while the endpoint wants no requests
+			}
 			return nil, errors.Mark(err, ErrNotSent)
 		}
 	}
-	reused := len(c.carried) > 0
 	c.recordCarried(req.ID)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	written, err := c.send(req)
@@ -443,6 +449,19 @@
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
+// putBack returns a connection to the pool that was taken from it and not used.
+func (p *Pool) putBack(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[c.addr]
+	if len(list) >= maxIdlePerEndpoint {
+		_ = c.Close()
+		return
+	}
+	at, _ := slices.BinarySearchFunc(list, c, func(a, b *conn) int { return a.idleSince.Compare(b.idleSince) })
+	p.idle[c.addr] = slices.Insert(list, at, c)
+}
+
 // CloseIdle closes the idle connections to an address, for example because its endpoint is unresponsive.
 func (p *Pool) CloseIdle(addr string) {
 	p.mu.Lock()
--- a/internal/endpointconn/idle_test.go
+++ b/internal/endpointconn/idle_test.go
@@ -3,9 +3,13 @@
 import (
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"dogwoodknot.example/dogwoodknot/internal/netdial"
 )
 
@@ -55,3 +59,48 @@
 		})
 	}
 }
+
+// Guards against the loss of a sound idle connection because a request is withheld that was to be sent on it, and against one that
+// remains to an endpoint that wants no requests.
+func TestConnectionOfAWithheldRequestStaysIdle(t *testing.T) {
+	for name, c := range map[string]struct {
+		err         error
+		connections int64 // in all
+	}{
+		"connection may still be used": {errors.Mark(errors.New("withheld"), ErrKeepOpen), 2},
+		"endpoint wants no requests":   {errors.New("withheld"), 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var arrived atomic.Int64
+			e := newScriptedEndpoint(t, func(_ int64, r *http.Request, _ string, conn net.Conn) bool {
+				for arrived.Add(1); arrived.Load()%2 == 1; {
+					time.Sleep(time.Millisecond) // until another request has arrived on another connection
+				}
+				write(conn, "%s", answerTo(r.Header.Get("Id"), ""))
+				return true
+			})
+			p := newPool(t)
+			atOnce := func(ids ...string) {
+				var requests sync.WaitGroup
+				for _, id := range ids {
+					requests.Go(func() {
+						if _, err := do(t, p, e.addr, request(id)); err != nil {
+							t.Error(err)
+						}
+					})
+				}
+				requests.Wait()
+			}
+			atOnce("a", "b")
+			withheld := request("withheld")
+			withheld.BeforeSend = func() error { return c.err }
+			if _, err := do(t, p, e.addr, withheld); !errors.Is(err, ErrNotSent) {
+				t.Error(err)
+			}
+			atOnce("c", "d")
+			if n := e.connections.Load(); n != c.connections {
+				t.Errorf("%d connections were opened, want %d", n, c.connections)
+			}
+		})
+	}
+}
