Don't dispel a suspicion by a connection from after the first break

Cause: a break after an answer renews a suspicion, and a connection that is older than the renewal dispelled all of it. It may be one to the process that was started after the first break, so that a cold endpoint got requests at any rate if its entry was not read meanwhile.

Change: a connection dispels a suspicion if it is older than the first break, or has been open for a cold period.

Measured: TestConnectionFromBetweenTwoSuspicionsDoesNotDispelTheFirst fails on the code before and passes; tests of endpointrate pass.

--- a/internal/core/endpointrate/register.go
+++ b/internal/core/endpointrate/register.go
@@ -85,6 +85,8 @@
 	Statement
 	statedAt    clock.Instant // when a limit was last named, as far as this instance knows
 	suspectedAt clock.Instant // when the suspicion was last raised here, or arrived
+	// suspectedSince is when the first suspicion was raised here, or arrived, of those that were raised one after the other.
+	suspectedSince clock.Instant
 	// warmAt is when an incarnation that was started after the crash is no longer cold, if an answer has arrived since; 0 without one.
 	warmAt     clock.Instant
 	lastListed clock.Instant
@@ -135,6 +137,9 @@
 		e.statedAt = now
 	}
 	if next.Restart != before.Restart || next.Endpoint != before.Endpoint {
+		if next.Endpoint != before.Endpoint || !before.Restart.Raised {
+			e.suspectedSince = now
+		}
 		e.suspectedAt, e.warmAt = now, 0
 	}
 	return true
--- a/internal/core/endpointrate/restart.go
+++ b/internal/core/endpointrate/restart.go
@@ -31,8 +31,8 @@
 }
 
 // RecordOutput records output of an endpoint on a connection that was opened at connectedAt and is still open. It reports whether that
-// dispels a suspicion: a connection does not outlast the process that it was opened to. Without an older connection the endpoint counts as
-// cold for coldPeriod from its first output on.
+// dispels a suspicion: a connection does not outlast the process that it was opened to, so that this has run since before the first
+// suspicion, or for longer than coldPeriod. Without such a connection the endpoint counts as cold for coldPeriod from its first output on.
 func (r *Register) RecordOutput(now clock.Instant, endpoint catalog.Incarnation, connectedAt clock.Instant, coldPeriod time.Duration) bool {
 	if r.suspected == 0 { // most often
 		return false
@@ -41,7 +41,7 @@
 	if e == nil || e.Endpoint != endpoint || !e.Restart.Raised {
 		return false
 	}
-	if connectedAt.Add(continuityMargin) < e.suspectedAt {
+	if connectedAt.Add(continuityMargin) < e.suspectedSince || connectedAt.Add(coldPeriod) <= now {
 		return now.Sub(e.suspectedAt) >= settlingTime && r.dispel(now, e)
 	}
 	if e.warmAt == 0 {
--- a/internal/core/endpointrate/restart_test.go
+++ b/internal/core/endpointrate/restart_test.go
@@ -114,3 +114,23 @@
 		t.Errorf("after the limit: limited %v, suspected %v", limited, r.MayHaveRestarted(endpoint))
 	}
 }
+
+// Guards against a crash that is forgotten because a later break was none: a connection that is older than the later suspicion may be one
+// to the process that was started after the crash.
+func TestConnectionFromBetweenTwoSuspicionsDoesNotDispelTheFirst(t *testing.T) {
+	const coldPeriod = 10 * time.Second
+	r, crashed := NewRegister(), clock.Instant(time.Hour)
+	at := crashed.Add
+	r.Suspect(crashed, endpoint)
+	connectedAt := at(500 * time.Millisecond)
+	r.RecordOutput(at(time.Second), endpoint, connectedAt, coldPeriod)
+	if !r.Suspect(at(5*time.Second), endpoint) {
+		t.Error("a break after an answer is not new")
+	}
+	if r.RecordOutput(at(5500*time.Millisecond), endpoint, connectedAt, coldPeriod) || !r.MayHaveRestarted(endpoint) {
+		t.Error("output on a connection from after the crash dispels the suspicion of it")
+	}
+	if !r.RecordOutput(connectedAt.Add(coldPeriod), endpoint, connectedAt, coldPeriod) || r.MayHaveRestarted(endpoint) {
+		t.Error("output on a connection that has been open for a cold period does not dispel the suspicion")
+	}
+}
