Remember a break of connections during a suspicion

Cause: a break that was noticed while its endpoint was suspected already left no trace. If another instance dispelled the first suspicion at that moment, by output from before the break, the endpoint counted as sound in the whole region although it had crashed.

Change: such a break raises the suspicion's version, at most each settling time.

Measured: TestBreakDuringASuspicionOutlastsItsEndElsewhere fails on the code before and passes; tests of endpointrate pass.

--- a/internal/core/endpointrate/restart.go
+++ b/internal/core/endpointrate/restart.go
@@ -18,16 +18,19 @@
 )
 
 // Suspect records that a connection to an endpoint has ended without a reason, or that none could be opened: the endpoint may have ended
-// and may start again under its id. It reports whether that is new.
+// and may start again under its id. It reports whether that is new. A later break gets a version of its own also while nothing has arrived
+// since the first one: another instance may have dispelled that.
 func (r *Register) Suspect(now clock.Instant, endpoint catalog.Incarnation) bool {
 	s := Statement{Endpoint: endpoint, Restart: Suspicion{Raised: true, Version: 1}}
+	unanswered := false
 	if e := r.entries[endpoint.ID]; e != nil && e.Endpoint == endpoint {
-		if e.Restart.Raised && e.warmAt == 0 {
+		unanswered = e.Restart.Raised && e.warmAt == 0
+		if unanswered && now.Sub(e.suspectedAt) < settlingTime {
 			return false
 		}
 		s.Restart.Version = e.Restart.Version + 1
 	}
-	return r.Merge(now, s)
+	return r.Merge(now, s) && !unanswered
 }
 
 // RecordOutput records output of an endpoint on a connection that was opened at connectedAt and is still open. It reports whether that
--- a/internal/core/endpointrate/restart_test.go
+++ b/internal/core/endpointrate/restart_test.go
@@ -134,3 +134,29 @@
 		t.Error("output on a connection that has been open for a cold period does not dispel the suspicion")
 	}
 }
+
+// Guards against a crash that counts for nothing since it was noticed during a suspicion that another instance has dispelled at that moment.
+func TestBreakDuringASuspicionOutlastsItsEndElsewhere(t *testing.T) {
+	first, second := NewRegister(), NewRegister()
+	now := clock.Instant(time.Hour)
+	exchange := func(from, to *Register) {
+		for _, s := range from.Statements() {
+			to.Merge(now, s)
+		}
+	}
+	first.Suspect(now, endpoint)
+	exchange(first, second)
+	now = now.Add(200 * time.Millisecond)
+	if !second.RecordOutput(now, endpoint, now.Add(-time.Minute), coldPeriod) {
+		t.Fatal("output on an older connection does not dispel the suspicion")
+	}
+	now = now.Add(10 * time.Millisecond)
+	if first.Suspect(now, endpoint) {
+		t.Error("the endpoint is suspected already")
+	}
+	exchange(second, first)
+	exchange(first, second)
+	if !first.MayHaveRestarted(endpoint) || !second.MayHaveRestarted(endpoint) {
+		t.Error("the break after the output is forgotten")
+	}
+}
