Use connections only for the incarnation that they were opened to

Cause: connections that the process before a restart had left idle were found closed by requests to the new process, once its entry was read. That raised a suspicion against the new process, which counted as cold for longer than it was.

Change: a connection belongs to the incarnation for which it was opened, and is closed when a request to another one finds it.

--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -27,6 +27,7 @@
 // attempt was given up counts too.
 func (e *Edge) send(ctx context.Context, endpoint catalog.Incarnation, addr string, req *endpointconn.Request, mayReceive func() bool) (*endpointconn.Response, AnswerHead, error) {
 	id := req.ID
+	req.Endpoint = endpoint
 	req.BeforeSend = func() error {
 		if e.pools.isClosed() {
 			return errStopping
--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -18,6 +18,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/netdial"
 )
 
@@ -56,12 +57,15 @@
 
 // Request is a request to an endpoint. Header names are in canonical form.
 type Request struct {
-	ID     string // the response repeats it
-	Method string
-	URI    string // path and query, unchanged from the caller's request
-	Host   string
-	Header http.Header
-	Body   []byte
+	// Endpoint is the incarnation that the request is meant for. It is not sent on a connection that was opened for another one, which
+	// may have had the same address.
+	Endpoint catalog.Incarnation
+	ID       string // the response repeats it
+	Method   string
+	URI      string // path and query, unchanged from the caller's request
+	Host     string
+	Header   http.Header
+	Body     []byte
 	// Parts is what follows Body, so that a large body need not be copied into one buffer.
 	Parts [][]byte
 	// FreshConnection asks for a new connection or one that was used within the last half second. It is set for requests that must not be
@@ -115,6 +119,7 @@
 	net.Conn
 	headReader *headReader
 	addr       string
+	endpoint   catalog.Incarnation
 	openedAt   time.Time // with monotonic clock reading
 	reader     *bufio.Reader
 	idleSince  time.Time // when it became idle, with monotonic clock reading
@@ -351,14 +356,14 @@
 }
 
 // get returns an idle or a new connection. A connection that has carried a request of the same id is closed instead: the earlier
-// response could not be told from the one to this request.
+// response could not be told from the one to this request. So is one of another incarnation of the endpoint.
 func (p *Pool) get(ctx context.Context, addr string, req *Request) (*conn, error) {
 	for {
 		c := p.takeIdle(addr, req.FreshConnection)
 		if c == nil {
 			break
 		}
-		if slices.Contains(c.carried, req.ID) {
+		if c.endpoint != req.Endpoint || slices.Contains(c.carried, req.ID) {
 			_ = c.Close()
 			continue
 		}
@@ -377,7 +382,7 @@
 	}
 	p.count(&p.dialled)
 	heads := &headReader{Conn: raw}
-	return &conn{Conn: raw, headReader: heads, addr: addr, openedAt: time.Now(), reader: bufio.NewReaderSize(heads, readBuffer)}, nil
+	return &conn{Conn: raw, headReader: heads, addr: addr, endpoint: req.Endpoint, openedAt: time.Now(), reader: bufio.NewReaderSize(heads, readBuffer)}, nil
 }
 
 func (p *Pool) count(counter *int64) {
--- a/internal/endpointconn/idle_test.go
+++ b/internal/endpointconn/idle_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/netdial"
 )
 
@@ -104,3 +105,34 @@
 		})
 	}
 }
+
+// Guards against an endpoint that counts as restarted again since the connections to its process before are closed, and against requests
+// on connections that were opened for another endpoint at the address.
+func TestConnectionsOfAnEarlierIncarnationAreNotUsed(t *testing.T) {
+	for name, closes := range map[string]bool{"open": false, "closed": true} {
+		t.Run(name, func(t *testing.T) {
+			e := newScriptedEndpoint(t, func(_ int64, r *http.Request, _ string, c net.Conn) bool {
+				write(c, "%s", answerTo(r.Header.Get("Id"), ""))
+				time.Sleep(20 * time.Millisecond) // the connection is idle by then
+				return !closes
+			})
+			p := newPool(t)
+			first, next := request("a"), request("b")
+			first.Endpoint = catalog.Incarnation{ID: "e", StartedAtMillis: 1}
+			next.Endpoint = catalog.Incarnation{ID: "e", StartedAtMillis: 2}
+			next.OnIdleClosed = func() { t.Error("a connection of an earlier incarnation is reported") }
+			if _, err := do(t, p, e.addr, first); err != nil {
+				t.Fatal(err)
+			}
+			if closes {
+				waitUntilReadable(t, p, e.addr)
+			}
+			if _, err := do(t, p, e.addr, next); err != nil {
+				t.Fatal(err)
+			}
+			if n := e.connections.Load(); n != 2 {
+				t.Errorf("%d connections, want 2", n)
+			}
+		})
+	}
+}
