Don't withhold requests to services without a cold rate

Cause: a request that was chosen at any rate is placed anew if its endpoint may have restarted. A service without a cold rate has no rate to choose it at then, so that the request was placed at the same endpoint and withheld again at once, with a connection opened each time, until its deadline. That happens when another instance has read the entry of a restarted endpoint that had named a rate, and when the cold rate is taken out of the configuration during a suspicion.

Change: such a request is withheld only if another incarnation is listed by then.

Measured: TestRequestsToServicesWithoutColdRateAreNotWithheld fails on the code before in both cases and passes.

--- a/internal/edge/restart.go
+++ b/internal/edge/restart.go
@@ -68,7 +68,7 @@
 }
 
 // mayReceive reports whether a request may still be sent to the endpoint that was chosen for it. One that was chosen at any rate may not if
-// the endpoint accepts only a rate since, or has restarted.
+// the endpoint accepts only its cold rate since, or has restarted.
 func (p *pools) mayReceive(service string, chosen placement.Choice) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -83,5 +83,9 @@
 	if listed == nil {
 		return true
 	}
-	return listed.Incarnation == chosen.Incarnation && !p.limiter.Statements.MayHaveRestarted(chosen.Incarnation)
+	if listed.Incarnation != chosen.Incarnation {
+		return false
+	}
+	// Without a cold rate the request would be placed there at any rate again.
+	return pool.service.ColdRate <= 0 || !p.limiter.Statements.MayHaveRestarted(chosen.Incarnation)
 }
