Withhold requests that were chosen at more than the cold rate

Cause: a request that was chosen at a rate counted as within the rate of an endpoint that is suspected after that. The rate may be one that the endpoint had named, far above its cold rate.

Change: it is placed anew if it was chosen at more than the cold rate.

Measured: TestRequestChosenAtANamedRateIsWithheldAfterARestart fails on the code before (named rate above the cold rate) and passes.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -289,8 +289,9 @@
 	Pace                        float64 // pace factor of the engine, 0 if it is not known
 	// KeptFromStreams says that an engine was passed over because the prompt would disturb streams there.
 	KeptFromStreams bool
-	// RateLimited says that the endpoint accepted only a request rate when it was chosen.
+	// RateLimited says that the endpoint accepted only a request rate when it was chosen, and Rate is that rate per second.
 	RateLimited bool
+	Rate        float64
 }
 
 // Reason says why no endpoint was chosen. The values appear in logs and messages.
@@ -395,7 +396,7 @@
 		return best, reason
 	}
 	best.KeptFromStreams = kept
-	_, best.RateLimited = p.rateLimit(now, best.Endpoint)
+	best.Rate, best.RateLimited = p.rateLimit(now, best.Endpoint)
 	if best.Endpoint.pace.At > 0 {
 		best.Pace = best.Endpoint.pace.Value(now)
 	}
--- a/internal/edge/restart.go
+++ b/internal/edge/restart.go
@@ -67,8 +67,8 @@
 	return pool != nil && p.limiter.Statements.RecordOutput(p.clock.Now(), endpoint, connectedAt, pool.service.ColdPeriod)
 }
 
-// mayReceive reports whether a request may still be sent to the endpoint that was chosen for it. One that was chosen at any rate may not if
-// the endpoint accepts only its cold rate since, or has restarted.
+// mayReceive reports whether a request may still be sent to the endpoint that was chosen for it. One that was chosen at a higher
+// rate than the cold rate may not if the endpoint accepts only that since, or has restarted.
 func (p *pools) mayReceive(service string, chosen placement.Choice) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -76,7 +76,7 @@
 		return false
 	}
 	pool := p.byService[service]
-	if pool == nil || chosen.RateLimited {
+	if pool == nil || chosen.RateLimited && chosen.Rate <= pool.service.ColdRate {
 		return true
 	}
 	listed := pool.Endpoint(chosen.ID)
--- a/internal/edge/restart_test.go
+++ b/internal/edge/restart_test.go
@@ -72,3 +72,29 @@
 		})
 	}
 }
+
+// Guards against requests that were chosen at a rate that the endpoint had named and are sent although it may have restarted and accepts
+// only its cold rate.
+func TestRequestChosenAtANamedRateIsWithheldAfterARestart(t *testing.T) {
+	const coldRate = 3.5
+	for name, c := range map[string]struct {
+		named    float64
+		receives bool
+	}{
+		"above the cold rate": {50, false},
+		"below the cold rate": {2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newRestartLab(t, coldRate)
+			l.limiter.Statements.Observe(l.clk.Now(), l.endpoint, 0, c.named, true)
+			choice := l.choose(t)
+			if !choice.RateLimited || !l.mayReceive("s", choice) {
+				t.Fatalf("before the restart: rate limited %v, may receive %v", choice.RateLimited, l.mayReceive("s", choice))
+			}
+			l.suspectRestart("s", l.endpoint)
+			if l.mayReceive("s", choice) != c.receives {
+				t.Errorf("may receive after the restart: %v, want %v", !c.receives, c.receives)
+			}
+		})
+	}
+}
