--- a/internal/core/endpointrate/restart.go
+++ b/internal/core/endpointrate/restart.go
@@ -18,21 +18,24 @@
 )
 
 // Suspect records that a connection to an endpoint has ended without a reason, or that none could be opened: the endpoint may have ended
-// and may start again under its id. It reports whether that is new.
+// and may start again under its id. It reports whether that is new. A later break gets a version of its own also while nothing has arrived
+// since the first one: another instance may have dispelled that.
 func (r *Register) Suspect(now clock.Instant, endpoint catalog.Incarnation) bool {
 	s := Statement{Endpoint: endpoint, Restart: Suspicion{Raised: true, Version: 1}}
+	unanswered := false
 	if e := r.entries[endpoint.ID]; e != nil && e.Endpoint == endpoint {
-		if e.Restart.Raised && e.warmAt == 0 {
+		unanswered = e.Restart.Raised && e.warmAt == 0
+		if unanswered && now.Sub(e.suspectedAt) < settlingTime {
 			return false
 		}
 		s.Restart.Version = e.Restart.Version + 1
 	}
-	return r.Merge(now, s)
+	return r.Merge(now, s) && !unanswered
 }
 
 // RecordOutput records output of an endpoint on a connection that was opened at connectedAt and is still open. It reports whether that
-// dispels a suspicion: a connection does not outlast the process that it was opened to. Without an older connection the endpoint counts as
-// cold for coldPeriod from its first output on.
+// dispels a suspicion: a connection does not outlast the process that it was opened to, so that this has run since before the first
+// suspicion, or for longer than coldPeriod. Without such a connection the endpoint counts as cold for coldPeriod from its first output on.
 func (r *Register) RecordOutput(now clock.Instant, endpoint catalog.Incarnation, connectedAt clock.Instant, coldPeriod time.Duration) bool {
 	if r.suspected == 0 { // most often
 		return false
@@ -41,7 +44,7 @@
 	if e == nil || e.Endpoint != endpoint || !e.Restart.Raised {
 		return false
 	}
-	if connectedAt.Add(continuityMargin) < e.suspectedAt {
+	if connectedAt.Add(continuityMargin) < e.suspectedSince || connectedAt.Add(coldPeriod) <= now {
 		return now.Sub(e.suspectedAt) >= settlingTime && r.dispel(now, e)
 	}
 	if e.warmAt == 0 {
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -27,6 +27,7 @@
 // attempt was given up counts too.
 func (e *Edge) send(ctx context.Context, endpoint catalog.Incarnation, addr string, req *endpointconn.Request, mayReceive func() bool) (*endpointconn.Response, AnswerHead, error) {
 	id := req.ID
+	req.Endpoint = endpoint
 	req.BeforeSend = func() error {
 		if e.pools.isClosed() {
 			return errStopping
@@ -38,6 +39,10 @@
 			return nil
 		}
 		e.metrics.requestWithheld()
+		if e.pools.accepts(endpoint) {
+			// Output on a connection from before a suspected restart shows that there was none.
+			return errors.Mark(errWithheld, endpointconn.ErrKeepOpen)
+		}
 		return errWithheld
 	}
 	req.OnLateAnswer = func(status int, h http.Header) {
--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -18,6 +18,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/netdial"
 )
 
@@ -28,6 +29,8 @@
 	ErrBroken = errors.New("connection to the endpoint broke before the answer was complete")
 	// ErrBadAnswer reports received bytes that are not a response to the request. The endpoint may have run the request.
 	ErrBadAnswer = errors.New("endpoint has sent bytes that are not the answer to the request")
+	// ErrKeepOpen marks an error of BeforeSend after which other requests may still use the connection.
+	ErrKeepOpen = errors.New("connection may still be used")
 )
 
 const (
@@ -54,19 +57,22 @@
 
 // Request is a request to an endpoint. Header names are in canonical form.
 type Request struct {
-	ID     string // the response repeats it
-	Method string
-	URI    string // path and query, unchanged from the caller's request
-	Host   string
-	Header http.Header
-	Body   []byte
+	// Endpoint is the incarnation that the request is meant for. It is not sent on a connection that was opened for another one, which
+	// may have had the same address.
+	Endpoint catalog.Incarnation
+	ID       string // the response repeats it
+	Method   string
+	URI      string // path and query, unchanged from the caller's request
+	Host     string
+	Header   http.Header
+	Body     []byte
 	// Parts is what follows Body, so that a large body need not be copied into one buffer.
 	Parts [][]byte
 	// FreshConnection asks for a new connection or one that was used within the last half second. It is set for requests that must not be
 	// lost because the endpoint closes an idle connection at that moment.
 	FreshConnection bool
 	// BeforeSend, if not nil, is called once a connection is open and before the first byte is sent. If it returns an error, nothing is
-	// sent, and Do returns that error, marked ErrNotSent.
+	// sent, and Do returns that error, marked ErrNotSent. If the error is marked ErrKeepOpen, a reused connection remains idle.
 	BeforeSend func() error
 	// OnIdleClosed, if not nil, is called when an idle connection is found closed by the endpoint although it should have been open for
 	// longer.
@@ -113,6 +119,7 @@
 	net.Conn
 	headReader *headReader
 	addr       string
+	endpoint   catalog.Incarnation
 	openedAt   time.Time // with monotonic clock reading
 	reader     *bufio.Reader
 	idleSince  time.Time // when it became idle, with monotonic clock reading
@@ -156,13 +163,17 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", addr), ErrNotSent)
 	}
+	reused := len(c.carried) > 0
 	if req.BeforeSend != nil {
 		if err := req.BeforeSend(); err != nil {
-			_ = c.Close() // nothing else may use it while the endpoint wants no requests
+			if reused && errors.Is(err, ErrKeepOpen) {
+				p.putBack(c)
+			} else {
+				_ = c.Close() // nothing else may use it while the endpoint wants no requests
+			}
 			return nil, errors.Mark(err, ErrNotSent)
 		}
 	}
-	reused := len(c.carried) > 0
 	c.recordCarried(req.ID)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	written, err := c.send(req)
@@ -345,14 +356,14 @@
 }
 
 // get returns an idle or a new connection. A connection that has carried a request of the same id is closed instead: the earlier
-// response could not be told from the one to this request.
+// response could not be told from the one to this request. So is one of another incarnation of the endpoint.
 func (p *Pool) get(ctx context.Context, addr string, req *Request) (*conn, error) {
 	for {
 		c := p.takeIdle(addr, req.FreshConnection)
 		if c == nil {
 			break
 		}
-		if slices.Contains(c.carried, req.ID) {
+		if c.endpoint != req.Endpoint || slices.Contains(c.carried, req.ID) {
 			_ = c.Close()
 			continue
 		}
@@ -360,7 +371,7 @@
 			p.count(&p.reused)
 			return c, nil
 		}
-		if req.OnIdleClosed != nil {
+		if req.OnIdleClosed != nil && !netdial.Established(c.Conn) {
 			req.OnIdleClosed()
 		}
 		_ = c.Close()
@@ -371,7 +382,7 @@
 	}
 	p.count(&p.dialled)
 	heads := &headReader{Conn: raw}
-	return &conn{Conn: raw, headReader: heads, addr: addr, openedAt: time.Now(), reader: bufio.NewReaderSize(heads, readBuffer)}, nil
+	return &conn{Conn: raw, headReader: heads, addr: addr, endpoint: req.Endpoint, openedAt: time.Now(), reader: bufio.NewReaderSize(heads, readBuffer)}, nil
 }
 
 func (p *Pool) count(counter *int64) {
@@ -443,6 +454,19 @@
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
+// putBack returns a connection to the pool that was taken from it and not used.
+func (p *Pool) putBack(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[c.addr]
+	if len(list) >= maxIdlePerEndpoint {
+		_ = c.Close()
+		return
+	}
+	at, _ := slices.BinarySearchFunc(list, c, func(a, b *conn) int { return a.idleSince.Compare(b.idleSince) })
+	p.idle[c.addr] = slices.Insert(list, at, c)
+}
+
 // CloseIdle closes the idle connections to an address, for example because its endpoint is unresponsive.
 func (p *Pool) CloseIdle(addr string) {
 	p.mu.Lock()
