Order what is read from the store by its era

The store may be restored from a copy some seconds old. Revisions then go back and are given out again. Instances read the store by bare revisions.

A change of the era ends watches like a history that is gone, so that all keys are listed again; answers of a lower era are not used.

--- a/internal/edge/entries_test.go
+++ b/internal/edge/entries_test.go
@@ -22,16 +22,16 @@
 // largeFeed is a store that holds a few large values of another writer beside a good entry and a large configuration.
 type largeFeed struct{ entries []platform.Entry }
 
-func (f largeFeed) ListAll(context.Context, string) ([]platform.Entry, int64, error) {
-	return slices.Clone(f.entries), 1, nil
+func (f largeFeed) ListAll(context.Context, string) ([]platform.Entry, platform.Version, error) {
+	return slices.Clone(f.entries), platform.Version{Revision: 1}, nil
 }
 
-func (f largeFeed) WatchPrefix(context.Context, string, int64, time.Duration) ([]platform.Change, int64, error) {
+func (f largeFeed) WatchPrefix(context.Context, string, platform.Version, time.Duration) ([]platform.Change, platform.Version, error) {
 	var changes []platform.Change
 	for _, e := range f.entries {
 		changes = append(changes, platform.Change{Entry: e})
 	}
-	return changes, 2, nil
+	return changes, platform.Version{Revision: 2}, nil
 }
 
 // Guards against a few large entries of another writer that make the answers to the instances which read the store through this one
@@ -50,7 +50,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	changes, _, err := feed.WatchPrefix(t.Context(), "", 1, 0)
+	changes, _, err := feed.WatchPrefix(t.Context(), "", platform.Version{Revision: 1}, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/evacuation_test.go
+++ b/internal/edge/evacuation_test.go
@@ -64,7 +64,7 @@
 			[]mirror.Update{{Changes: []platform.Change{put("out/a", "", 10)}}, {Changes: []platform.Change{deleted("out/a", 20)}}}, put("1", "5s", 19), 5 * time.Second,
 		},
 		"the end is found in a list": {
-			[]mirror.Update{{Reset: true, AsOf: 12, Changes: []platform.Change{put("out/a", "", 10)}}, {Reset: true, AsOf: 25}}, put("1", "0s", 19), coldPeriod,
+			[]mirror.Update{{Reset: true, AsOf: platform.Version{Revision: 12}, Changes: []platform.Change{put("out/a", "", 10)}}, {Reset: true, AsOf: platform.Version{Revision: 25}}}, put("1", "0s", 19), coldPeriod,
 		},
 		"begin and end are read at once": {
 			[]mirror.Update{{Changes: []platform.Change{put("out/a", "", 10), deleted("out/a", 20)}}}, put("1", "0s", 19), coldPeriod,
@@ -83,7 +83,7 @@
 				t.Fatal(err)
 			}
 			s.configuration.Store(&inForce{Configuration: conf})
-			s.applyEndpoints(mirror.Update{Reset: true, AsOf: 5, Changes: []platform.Change{put("1", "0s", 5)}})
+			s.applyEndpoints(mirror.Update{Reset: true, AsOf: platform.Version{Revision: 5}, Changes: []platform.Change{put("1", "0s", 5)}})
 			for _, u := range tc.operator {
 				s.applyOperator(u)
 			}
--- a/internal/edge/recovery_test.go
+++ b/internal/edge/recovery_test.go
@@ -34,14 +34,14 @@
 // countedFeed counts the reads of the store.
 type countedFeed struct{ reads int }
 
-func (f *countedFeed) ListAll(context.Context, string) ([]platform.Entry, int64, error) {
+func (f *countedFeed) ListAll(context.Context, string) ([]platform.Entry, platform.Version, error) {
 	f.reads++
-	return nil, 1, nil
+	return nil, platform.Version{Revision: 1}, nil
 }
 
-func (f *countedFeed) WatchPrefix(context.Context, string, int64, time.Duration) ([]platform.Change, int64, error) {
+func (f *countedFeed) WatchPrefix(context.Context, string, platform.Version, time.Duration) ([]platform.Change, platform.Version, error) {
 	f.reads++
-	return nil, 1, nil
+	return nil, platform.Version{Revision: 1}, nil
 }
 
 // Guards against instances that all turn to the store after a restart, because the list of all announcements takes longer than 0.3 s from
@@ -57,7 +57,7 @@
 	store := &countedFeed{}
 	feed := &relayedFeed{edge: e, prefix: "p/", direct: store}
 	entries, asOf, err := feed.ListAll(t.Context(), "p/")
-	if err != nil || len(entries) != 1 || asOf != 7 || store.reads != 0 {
+	if err != nil || len(entries) != 1 || asOf.Revision != 7 || store.reads != 0 {
 		t.Errorf("%d entries as of %d, %d reads of the store, %v", len(entries), asOf, store.reads, err)
 	}
 }
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -59,6 +59,7 @@
 	answeredAt      clock.Instant // when the last answer of the source came
 	storeAnsweredAt clock.Instant // last answer of the store itself, or the start
 	peerFirstUntil  clock.Instant // until when another instance is tried before the store
+	era             int64         // highest era of the store in an answer, 0 if none is known
 }
 
 var _ mirror.Feed = (*relayedFeed)(nil)
@@ -197,50 +198,84 @@
 	return err
 }
 
+// admit returns an error if an answer is of an earlier era of the store than one before: the store has been restored since. An answer
+// that names no era is of an instance or a store that knows of none.
+func (f *relayedFeed) admit(asOf *platform.Version) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if asOf.Era == 0 {
+		asOf.Era = f.era
+	}
+	if asOf.Era < f.era {
+		return errors.Mark(errors.Newf("answer is of era %d of the store, which is in era %d", asOf.Era, f.era), platform.ErrUnavailable)
+	}
+	if f.era != 0 && asOf.Era > f.era && f.prefix == InstancePrefix {
+		f.edge.metrics.storeRestored.Inc(1)
+	}
+	f.era = asOf.Era
+	return nil
+}
+
 // ListAll implements platform.Feed.
-func (f *relayedFeed) ListAll(ctx context.Context, prefix string) (entries []platform.Entry, asOf int64, err error) {
+func (f *relayedFeed) ListAll(ctx context.Context, prefix string) (entries []platform.Entry, asOf platform.Version, err error) {
 	err = f.read(ctx, func(name string) error {
 		answer, err := f.call(ctx, name, &wire.EdgeFeedRequest{Prefix: prefix, List: true}, 0)
 		if err != nil {
 			return err
 		}
-		entries, asOf = make([]platform.Entry, 0, len(answer.GetChanges())), answer.GetAsOf()
+		asOf = platform.Version{Era: answer.GetEra(), Revision: answer.GetAsOf()}
+		if err := f.admit(&asOf); err != nil {
+			return err
+		}
+		entries = make([]platform.Entry, 0, len(answer.GetChanges()))
 		for _, c := range answer.GetChanges() {
-			entries = append(entries, decodeChange(c).Entry)
+			entries = append(entries, decodeChange(c, asOf.Era).Entry)
 		}
 		return nil
 	}, func() (err error) {
-		entries, asOf, err = f.direct.ListAll(ctx, prefix)
+		if entries, asOf, err = f.direct.ListAll(ctx, prefix); err != nil {
+			return err
+		}
 		for i := range entries {
 			f.bound(&entries[i])
 		}
-		return err
+		return f.admit(&asOf)
 	})
 	return entries, asOf, err
 }
 
 // WatchPrefix implements platform.Feed.
-func (f *relayedFeed) WatchPrefix(ctx context.Context, prefix string, after int64, wait time.Duration) (changes []platform.Change, asOf int64, err error) {
+func (f *relayedFeed) WatchPrefix(ctx context.Context, prefix string, after platform.Version, wait time.Duration) (changes []platform.Change, asOf platform.Version, err error) {
 	err = f.read(ctx, func(name string) error {
-		answer, err := f.call(ctx, name, &wire.EdgeFeedRequest{Prefix: prefix, After: after, WaitNanos: int64(wait)}, wait)
+		req := &wire.EdgeFeedRequest{Prefix: prefix, After: after.Revision, AfterEra: after.Era, WaitNanos: int64(wait)}
+		answer, err := f.call(ctx, name, req, wait)
 		if err != nil {
 			return err
 		}
 		if answer.GetCompacted() {
 			return platform.ErrCompacted
 		}
-		changes, asOf = make([]platform.Change, 0, len(answer.GetChanges())), answer.GetAsOf()
+		asOf = platform.Version{Era: answer.GetEra(), Revision: answer.GetAsOf()}
+		if err := f.admit(&asOf); err != nil {
+			return err
+		}
+		changes = make([]platform.Change, 0, len(answer.GetChanges()))
 		for _, c := range answer.GetChanges() {
-			changes = append(changes, decodeChange(c))
+			changes = append(changes, decodeChange(c, asOf.Era))
 		}
 		return nil
 	}, func() (err error) {
-		changes, asOf, err = f.direct.WatchPrefix(ctx, prefix, after, wait)
+		if changes, asOf, err = f.direct.WatchPrefix(ctx, prefix, after, wait); err != nil {
+			return err
+		}
 		for i := range changes {
 			f.bound(&changes[i].Entry)
 		}
-		return err
+		return f.admit(&asOf)
 	})
+	if err == nil && asOf.Era != after.Era {
+		return nil, platform.Version{}, platform.ErrCompacted
+	}
 	return changes, asOf, err
 }
 
@@ -269,9 +304,9 @@
 	return answer, nil
 }
 
-func decodeChange(c *wire.EdgeFeedChange) platform.Change {
+func decodeChange(c *wire.EdgeFeedChange, era int64) platform.Change {
 	return platform.Change{
-		Entry:   platform.Entry{Key: c.GetKey(), Value: c.GetValue(), Revision: c.GetRevision()},
+		Entry:   platform.Entry{Key: c.GetKey(), Value: c.GetValue(), Revision: c.GetRevision(), Era: era},
 		Deleted: c.GetDeleted(),
 	}
 }
@@ -294,14 +329,14 @@
 	if req.GetList() {
 		return listAnswer(m, hops)
 	}
-	changes, asOf, err := m.Watch(ctx, req.GetAfter(), time.Duration(req.GetWaitNanos()))
+	changes, asOf, err := m.Watch(ctx, platform.Version{Era: req.GetAfterEra(), Revision: req.GetAfter()}, time.Duration(req.GetWaitNanos()))
 	if errors.Is(err, platform.ErrCompacted) {
 		return &wire.EdgeFeedAnswer{Compacted: true, Hops: hops}, nil
 	}
 	if err != nil {
 		return nil, err
 	}
-	answer := &wire.EdgeFeedAnswer{AsOf: asOf, Hops: hops}
+	answer := &wire.EdgeFeedAnswer{AsOf: asOf.Revision, Era: asOf.Era, Hops: hops}
 	for _, c := range changes {
 		answer.Changes = append(answer.Changes, encodeChange(c))
 	}
@@ -313,7 +348,7 @@
 	if err != nil {
 		return nil, err
 	}
-	answer := &wire.EdgeFeedAnswer{AsOf: asOf, Hops: hops}
+	answer := &wire.EdgeFeedAnswer{AsOf: asOf.Revision, Era: asOf.Era, Hops: hops}
 	for _, entry := range entries {
 		answer.Changes = append(answer.Changes, encodeChange(platform.Change{Entry: entry}))
 	}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -53,22 +53,22 @@
 
 type listedEndpoint struct {
 	catalog.Endpoint
-	revision int64
-	missing  bool // its entry has disappeared, but it is used until graceEnds
+	version platform.Version
+	missing bool // its entry has disappeared, but it is used until graceEnds
 	// elsewhereUntil is until when another endpoint is believed to have its address, because a request was declined as misdirected.
 	elsewhereUntil clock.Instant
 }
 
-// evacuationChange says whether a data centre takes no requests, as of a revision of the store.
+// evacuationChange says whether a data centre takes no requests, as of a version of the store.
 type evacuationChange struct {
 	evacuated bool
-	revision  int64
+	version   platform.Version
 }
 
 // evacuationEnd is when a data centre has begun to take requests again.
 type evacuationEnd struct {
-	at       clock.Instant // when this instance learned of it
-	revision int64         // of the store, or a later one at which it had ended
+	at      clock.Instant    // when this instance learned of it
+	version platform.Version // of the store, or a later one at which it had ended
 }
 
 // misdirectedFor is how long an endpoint that does not answer at its address gives way to others that are listed there.
@@ -121,7 +121,7 @@
 			continue
 		}
 		if dataCentre, ok := s.options.Documents.EvacuatedDataCentre(c.Key); ok {
-			changes[dataCentre] = evacuationChange{!c.Deleted, c.Revision}
+			changes[dataCentre] = evacuationChange{!c.Deleted, c.Version()}
 		}
 	}
 	if len(changes) > 0 || u.Reset {
@@ -143,7 +143,7 @@
 	}
 	for dataCentre, c := range changes {
 		wasEvacuated := s.evacuated[dataCentre]
-		if !c.evacuated && c.revision > s.returned[dataCentre].revision {
+		if !c.evacuated && c.version.Compare(s.returned[dataCentre].version) > 0 {
 			wasEvacuated = true // perhaps between two reads only
 		}
 		if c.evacuated == wasEvacuated {
@@ -156,7 +156,7 @@
 			continue
 		}
 		delete(s.evacuated, dataCentre)
-		s.returned[dataCentre] = evacuationEnd{s.options.Clock.Now(), c.revision}
+		s.returned[dataCentre] = evacuationEnd{s.options.Clock.Now(), c.version}
 		for id, e := range s.endpoints {
 			if e.DataCentre == dataCentre {
 				e.ColdUntil = s.coldUntil(e)
@@ -175,7 +175,7 @@
 func (s *state) coldUntil(e listedEndpoint) clock.Instant {
 	conf := s.configuration.Load()
 	end, ok := s.returned[e.DataCentre]
-	if !ok || e.revision > end.revision || conf == nil {
+	if !ok || e.version.Compare(end.version) > 0 || conf == nil {
 		return e.ColdUntil
 	}
 	service := conf.Service(e.Service)
@@ -225,7 +225,7 @@
 // applyEntry applies an endpoint's entry. It reports whether that changes where requests may go.
 func (s *state) applyEntry(id string, c platform.Change, now clock.Instant) bool {
 	before, known := s.endpoints[id]
-	if known && !before.missing && c.Revision <= before.revision {
+	if known && !before.missing && c.Version().Compare(before.version) <= 0 {
 		return false
 	}
 	next, err := s.options.Documents.DecodeEndpoint(id, c.Value, now)
@@ -239,7 +239,7 @@
 		}
 		return known
 	}
-	listed := listedEndpoint{Endpoint: next, revision: c.Revision}
+	listed := listedEndpoint{Endpoint: next, version: c.Version()}
 	if known && before.Incarnation == next.Incarnation && before.Addr == next.Addr {
 		listed.elsewhereUntil = before.elsewhereUntil
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -38,8 +38,8 @@
 	// Reset means that Changes holds all keys: those that are not among them no longer exist.
 	Reset   bool
 	Changes []platform.Change
-	// AsOf is the revision up to which the update is complete.
-	AsOf int64
+	// AsOf is the version up to which the update is complete.
+	AsOf platform.Version
 	// Outage is set on the first update after failed calls: the time since the last successful call before them. The store may
 	// have been unavailable for all of it.
 	Outage time.Duration
@@ -122,8 +122,8 @@
 	}
 }
 
-// update applies changes that are complete up to the revision asOf.
-func (m *Mirror) update(u Update, asOf int64) {
+// update applies changes that are complete up to the version asOf.
+func (m *Mirror) update(u Update, asOf platform.Version) {
 	now := m.clock.Now()
 	u.AsOf = asOf
 	if m.inOutage {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -18,8 +18,8 @@
 	mu      sync.Mutex
 	lists   []any // []platform.Entry or error
 	watches []any // []platform.Change or error
-	asOf    int64
-	after   []int64 // revisions from which watches were requested
+	asOf    platform.Version
+	after   []platform.Version // revisions from which watches were requested
 }
 
 var _ Feed = (*scriptedFeed)(nil)
@@ -35,35 +35,35 @@
 	return v
 }
 
-func (f *scriptedFeed) ListAll(ctx context.Context, _ string) ([]platform.Entry, int64, error) {
+func (f *scriptedFeed) ListAll(ctx context.Context, _ string) ([]platform.Entry, platform.Version, error) {
 	f.mu.Lock()
 	v := takeFirst(&f.lists)
-	f.asOf += 10
+	f.asOf.Revision += 10
 	asOf := f.asOf
 	f.mu.Unlock()
 	switch v := v.(type) {
 	case error:
-		return nil, 0, v
+		return nil, platform.Version{}, v
 	case []platform.Entry:
 		return v, asOf, nil
 	}
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, platform.Version{}, ctx.Err()
 }
 
-func (f *scriptedFeed) WatchPrefix(ctx context.Context, _ string, after int64, _ time.Duration) ([]platform.Change, int64, error) {
+func (f *scriptedFeed) WatchPrefix(ctx context.Context, _ string, after platform.Version, _ time.Duration) ([]platform.Change, platform.Version, error) {
 	f.mu.Lock()
 	v := takeFirst(&f.watches)
 	f.after = append(f.after, after)
 	f.mu.Unlock()
 	switch v := v.(type) {
 	case error:
-		return nil, 0, v
+		return nil, platform.Version{}, v
 	case []platform.Change:
-		return v, after + 1, nil
+		return v, platform.Version{Era: after.Era, Revision: after.Revision + 1}, nil
 	}
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, platform.Version{}, ctx.Err()
 }
 
 func entry(key string) platform.Entry { return platform.Entry{Key: key} }
@@ -102,7 +102,7 @@
 	if !got[0].Reset || got[1].Reset || got[1].Changes[0].Key != "p/b" || !got[2].Changes[0].Deleted {
 		t.Errorf("updates %+v", got)
 	}
-	if f.after[0] != 10 || f.after[1] != 11 {
+	if f.after[0].Revision != 10 || f.after[1].Revision != 11 {
 		t.Errorf("watches were requested from revisions %v", f.after)
 	}
 }
--- a/internal/mirror/replica.go
+++ b/internal/mirror/replica.go
@@ -29,7 +29,7 @@
 	entries    map[string]platform.Entry
 	changes    []positionedChange // changes after base, in order
 	base       int64              // revision up to which changes were dropped; 0 before the first list
-	asOf       int64              // revision up to which the copy is complete
+	asOf       platform.Version   // version up to which the copy is complete
 	receivedAt clock.Instant      // when the source last answered
 	changed    chan struct{}      // closed at each change
 	maxAge     time.Duration      // age up to which the copy is served
@@ -49,11 +49,16 @@
 	return &replica{equivalent: equivalent, entries: make(map[string]platform.Entry), changed: make(chan struct{}), maxAge: DefaultCadence.maxAge()}
 }
 
-// apply applies an update that is complete up to the revision asOf.
-func (r *replica) apply(u Update, asOf int64, now clock.Instant) {
+// apply applies an update that is complete up to the version asOf. In a new era, the changes of the era before are no longer those from
+// which the present state has come: readers list all keys again.
+func (r *replica) apply(u Update, version platform.Version, now clock.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.receivedAt = now
+	if version.Era != r.asOf.Era {
+		r.entries, r.changes, r.base = make(map[string]platform.Entry, len(u.Changes)), nil, 0
+	}
+	asOf := version.Revision
 	first := r.base == 0
 	before := len(r.changes)
 	if u.Reset {
@@ -67,7 +72,7 @@
 		}
 		for key, e := range r.entries {
 			if !listed[key] {
-				r.record(platform.Change{Entry: platform.Entry{Key: key, Revision: max(asOf, e.Revision)}, Deleted: true}, asOf)
+				r.record(platform.Change{Entry: platform.Entry{Key: key, Revision: max(asOf, e.Revision), Era: version.Era}, Deleted: true}, asOf)
 			}
 		}
 	} else {
@@ -83,7 +88,7 @@
 		r.base = r.changes[drop-1].visibleAt
 		r.changes = append([]positionedChange(nil), r.changes[drop:]...)
 	}
-	r.asOf = asOf
+	r.asOf = version
 	if added || first {
 		close(r.changed)
 		r.changed = make(chan struct{})
@@ -131,11 +136,18 @@
 
 var errStale = errors.Mark(errors.New("copy of the store is not up to date"), platform.ErrUnavailable)
 
-func (r *replica) list(now clock.Instant) ([]platform.Entry, int64, error) {
+// version returns the version up to which the copy is complete.
+func (r *replica) version() platform.Version {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asOf
+}
+
+func (r *replica) list(now clock.Instant) ([]platform.Entry, platform.Version, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.fresh(now) {
-		return nil, 0, errStale
+		return nil, platform.Version{}, errStale
 	}
 	out := make([]platform.Entry, 0, len(r.entries))
 	for _, e := range r.entries {
@@ -144,33 +156,34 @@
 	return out, r.asOf, nil
 }
 
-// changesAfter returns the changes after a revision and the revision up to which they are complete. wait is closed when there are
-// further changes.
-func (r *replica) changesAfter(now clock.Instant, after int64) (changes []platform.Change, asOf int64, wait chan struct{}, err error) {
+// changesAfter returns the changes after a version and the version up to which they are complete. wait is closed when there are
+// further changes. A reader that knows of no eras follows the revisions alone.
+func (r *replica) changesAfter(now clock.Instant, after platform.Version) (changes []platform.Change, asOf platform.Version, wait chan struct{}, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.fresh(now) {
-		return nil, 0, nil, errStale
+	sameEra := after.Era == 0 || r.asOf.Era == 0 || after.Era == r.asOf.Era
+	if !r.fresh(now) || !sameEra && after.Era > r.asOf.Era {
+		return nil, platform.Version{}, nil, errStale
 	}
-	if after < r.base {
-		return nil, 0, nil, platform.ErrCompacted
+	if !sameEra || after.Revision < r.base {
+		return nil, platform.Version{}, nil, platform.ErrCompacted
 	}
 	for _, c := range r.changes {
-		if c.visibleAt > after {
+		if c.visibleAt > after.Revision {
 			changes = append(changes, c.Change)
 		}
 	}
-	return changes, max(after, r.asOf), r.changed, nil
+	return changes, platform.Version{Era: r.asOf.Era, Revision: max(after.Revision, r.asOf.Revision)}, r.changed, nil
 }
 
 // List returns the copy like platform.Feed's ListAll returns the store's keys. While the copy is out of date, it returns an error
 // marked platform.ErrUnavailable.
-func (m *Mirror) List() ([]platform.Entry, int64, error) {
+func (m *Mirror) List() ([]platform.Entry, platform.Version, error) {
 	return m.replica.list(m.clock.Now())
 }
 
 // Watch returns changes of the copy like platform.Feed's WatchPrefix returns those of the store.
-func (m *Mirror) Watch(ctx context.Context, after int64, wait time.Duration) ([]platform.Change, int64, error) {
+func (m *Mirror) Watch(ctx context.Context, after platform.Version, wait time.Duration) ([]platform.Change, platform.Version, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -183,7 +196,7 @@
 		case <-timer.C:
 			return nil, asOf, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, platform.Version{}, ctx.Err()
 		}
 	}
 }
--- a/internal/platform/client_store.go
+++ b/internal/platform/client_store.go
@@ -32,6 +32,7 @@
 	Value    []byte  `json:"value"`
 	Revision int64   `json:"revision"`
 	Lease    LeaseID `json:"lease,omitempty"`
+	Era      int64   `json:"-"` // the protocol has none
 }
 
 // EntriesJSON is the response body of a list call in the store's protocol.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -40,8 +40,12 @@
 	Value    []byte
 	Revision int64 // store revision of the last change; higher is later
 	Lease    LeaseID
+	Era      int64 // of the store when the entry was read, 0 if it is not known
 }
 
+// Version returns the version of the entry's last change.
+func (e Entry) Version() Version { return Version{e.Era, e.Revision} }
+
 // PutOptions are the conditions of a write.
 type PutOptions struct {
 	// IfRevision makes the write succeed only if the key has this revision; 0 means that the key must not exist.
