Follow what is known when the store is restored from a copy

What operators and endpoints wrote since the copy is written again only after a moment. Until then instances took the copy for the newest state.

- An endpoint that had left got requests again until its entry was removed again, and one that had started since the copy got none until it was written again.
One that had begun to drain since got none: its older entry was dropped for its lower revision (but passed on by the mirror).
- An evacuation that had been confirmed ended, and one that had ended began again.
- The copy's announcement of an earlier incarnation took the place of the present one, and an instance that had left was listed again.
- An entry written after the restore was dropped, since its revision was lower than the known one; and the end of an evacuation that began and ended between two reads was not noticed.

Each mirror now keeps what it last passed on of each key. After a restore, what may be older than that is held until the key is written again, for a limited time; which writes are later follows from their revisions (Version.WrittenAfter). A configuration is not held: its versions rise by themselves, and the added route outlasted the restore before as well.

--- a/internal/edge/restored_test.go
+++ b/internal/edge/restored_test.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"dogwoodknot.example/dogwoodknot/internal/catalog"
+	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/fleetview"
 	"dogwoodknot.example/dogwoodknot/internal/core/strength"
+	"dogwoodknot.example/dogwoodknot/internal/mirror"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/platform"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
@@ -19,6 +23,92 @@
 	return platform.Version{Era: era, Revision: revision}
 }
 
+func written(era int64, key, value string, revision int64) platform.Change {
+	return platform.Change{Entry: platform.Entry{Key: key, Value: []byte(value), Revision: revision, Era: era}}
+}
+
+// Guards against entries that are ignored after a restore, since the store has given out lower revisions, or that count as older than an end
+// of an evacuation from before the restore; and against an end that goes unnoticed for the same reason.
+func TestEntriesAfterARestoreAreNotOlder(t *testing.T) {
+	const coldPeriod = 3 * time.Second
+	clk := &clock.Manual{}
+	clk.Advance(time.Hour)
+	s := newState(&Options{Clock: clk, Log: zap.NewNop(), Regions: map[string]string{"a": "north"}, Documents: evacuationDocuments{}})
+	s.onChange = func() {}
+	conf, err := catalog.New(catalog.Declaration{Version: 1, Services: []*catalog.Service{{Name: "m", ColdPeriod: coldPeriod}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.configuration.Store(&inForce{Configuration: conf})
+	cold := func(want time.Duration, when string) {
+		t.Helper()
+		if got := max(s.endpoints["1"].ColdUntil.Sub(clk.Now()), 0); got != want {
+			t.Errorf("%s: the endpoint is cold for %s, want %s", when, got, want)
+		}
+	}
+	ended := func(era, revision int64) platform.Change {
+		return platform.Change{Entry: platform.Entry{Key: "out/a", Revision: revision, Era: era}, Deleted: true}
+	}
+	s.applyEndpoints(mirror.Update{Reset: true, AsOf: version(1, 60), Changes: []platform.Change{written(1, "1", "0s", 60)}})
+	s.applyOperator(mirror.Update{AsOf: version(1, 50), Changes: []platform.Change{written(1, "out/a", "", 40), ended(1, 50)}})
+	clk.Advance(time.Second)
+	restored := mirror.Update{Reset: true, AsOf: version(2, 45), Restored: true, RestoredTo: 45}
+	s.applyOperator(restored)
+	restored.Changes = []platform.Change{written(1, "1", "0s", 60)} // kept
+	s.applyEndpoints(restored)
+	s.applyEndpoints(mirror.Update{AsOf: version(2, 46), RestoredTo: 45, Changes: []platform.Change{written(2, "1", "1s", 46)}})
+	cold(time.Second, "written again after the end of the evacuation")
+	s.applyEndpoints(mirror.Update{AsOf: version(2, 47), RestoredTo: 45, Changes: []platform.Change{written(2, "1", "0s", 44)}})
+	cold(time.Second, "an older entry")
+	s.applyOperator(mirror.Update{AsOf: version(2, 49), Changes: []platform.Change{written(2, "out/a", "", 48), ended(2, 49)}})
+	cold(coldPeriod, "another evacuation begins and ends between two reads")
+}
+
+// Guards against an endpoint that counts as cold for longer because an unchanged entry is read again from the restored store.
+func TestUnchangedEntriesAreNotReadAnew(t *testing.T) {
+	clk := &clock.Manual{}
+	clk.Advance(time.Hour)
+	s := newState(&Options{Clock: clk, Log: zap.NewNop(), Regions: map[string]string{"a": "north"}, Documents: evacuationDocuments{}})
+	s.onChange = func() {}
+	feed := &restoringFeed{lists: []platform.Version{version(1, 20), version(2, 15)}, entry: written(0, "1", "4s", 10).Entry}
+	m := mirror.New(feed, "", clk, zap.NewNop(), func(u mirror.Update) {
+		s.applyEndpoints(u)
+		clk.Advance(time.Second)
+	}, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	feed.end = cancel
+	began := clk.Now()
+	m.Run(ctx)
+	if got := s.endpoints["1"].ColdUntil.Sub(began); got != 4*time.Second || len(feed.lists) > 0 {
+		t.Errorf("the endpoint is cold until %s after the first list, want 4 s; %d lists are left", got, len(feed.lists))
+	}
+}
+
+// restoringFeed lists one entry at one version after the other; each watch reports that there was a restore.
+type restoringFeed struct {
+	lists []platform.Version
+	entry platform.Entry
+	end   func()
+}
+
+func (*restoringFeed) Source() string { return "" }
+
+func (f *restoringFeed) ListAll(ctx context.Context, _ string) ([]platform.Entry, platform.Version, error) {
+	if len(f.lists) == 0 {
+		f.end()
+		return nil, platform.Version{}, ctx.Err()
+	}
+	asOf := f.lists[0]
+	f.lists = f.lists[1:]
+	f.entry.Era = asOf.Era
+	return []platform.Entry{f.entry}, asOf, nil
+}
+
+func (*restoringFeed) WatchPrefix(context.Context, string, platform.Version, time.Duration) ([]platform.Change, platform.Version, error) {
+	return nil, platform.Version{}, platform.ErrCompacted
+}
+
 // eraNetwork answers each call as of an era.
 type eraNetwork struct {
 	Network
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -160,6 +160,7 @@
 	e.feeds[prefix] = feed
 	e.mirrors[prefix] = mirror.New(feed, prefix, e.clock, e.log, apply, same)
 	e.mirrors[prefix].SetCadence(feed.cadence())
+	e.mirrors[prefix].SetRecovery(feed.recovery())
 }
 
 // spawn runs f on a goroutine that Close waits for.
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// outageGrace is how long an endpoint that disappeared from the store during an outage of the store is still used after the
-	// outage: endpoints that are alive are listed again within about two seconds.
+	// outageGrace is how long an endpoint that disappeared from the store during an outage of the store, or when it was restored, is still
+	// used after that: endpoints that are alive are listed again within about two seconds.
 	outageGrace = 2200 * time.Millisecond
 	// minOutage is the shortest outage of the store after which the entries of live endpoints may have expired.
 	minOutage = time.Second
@@ -35,8 +35,10 @@
 	endpoints map[string]listedEndpoint // by id
 	evacuated map[string]bool           // data centres that take no requests
 	returned  map[string]evacuationEnd  // data centres that take requests again
-	graceEnds clock.Instant             // for endpoints that disappeared during an outage
-	invalid   entryErrors               // by id of the endpoint
+	// restoredTo is a revision of the present era of the store, above which entries of endpoints were written in it.
+	restoredTo int64
+	graceEnds  clock.Instant // for endpoints that disappeared during an outage
+	invalid    entryErrors   // by id of the endpoint
 
 	invalidDocuments entryErrors // configurations by source
 
@@ -175,7 +177,7 @@
 func (s *state) coldUntil(e listedEndpoint) clock.Instant {
 	conf := s.configuration.Load()
 	end, ok := s.returned[e.DataCentre]
-	if !ok || e.version.Compare(end.version) > 0 || conf == nil {
+	if !ok || e.version.WrittenAfter(end.version, s.restoredTo) || conf == nil {
 		return e.ColdUntil
 	}
 	service := conf.Service(e.Service)
@@ -189,7 +191,8 @@
 func (s *state) applyEndpoints(u mirror.Update) {
 	now := s.options.Clock.Now()
 	s.mu.Lock()
-	if u.Outage >= minOutage {
+	s.restoredTo = u.RestoredTo
+	if u.Outage >= minOutage || u.Restored {
 		s.graceEnds = now.Add(outageGrace)
 	}
 	present := make(map[string]bool)
--- a/internal/edge/storecalls.go
+++ b/internal/edge/storecalls.go
@@ -42,6 +42,31 @@
 	relayPollInterval = 25 * time.Millisecond
 )
 
+// After a restore of the store, operators and endpoints write again what it has lost.
+const (
+	// oldEvacuationHeld is how long an evacuation of the copy is not followed if its end is known: less than the 4 s within which a new
+	// one must be in force.
+	oldEvacuationHeld = 2 * time.Second
+	// lostEvacuationKept is how long an evacuation that the copy lacks is followed.
+	lostEvacuationKept = 5 * time.Second
+	// oldEndpointHeld is how long an entry of the copy is not used if a later one of the endpoint, or its end, is known. By then the store
+	// has removed the entries that are not renewed, after three intervals of 1.2 s.
+	oldEndpointHeld = 5 * time.Second
+)
+
+// recovery returns what happens to the feed's keys after a restore of the store.
+func (f *relayedFeed) recovery() mirror.Recovery {
+	documents := f.edge.options.Documents
+	switch f.prefix {
+	case InstancePrefix:
+		own := InstancePrefix + f.edge.options.Self.Instance
+		return mirror.Recovery{HoldFor: leaseTerm, KeepFor: leaseTerm, Exempt: func(key string) bool { return key == own }}
+	case documents.Prefixes().Endpoints:
+		return mirror.Recovery{HoldFor: oldEndpointHeld, KeepFor: outageGrace}
+	}
+	return mirror.Recovery{HoldFor: oldEvacuationHeld, KeepFor: lostEvacuationKept, Exempt: documents.IsConfiguration}
+}
+
 // cadence returns how often the store is called for the feed's keys.
 func (f *relayedFeed) cadence() mirror.Cadence {
 	c := mirror.DefaultCadence
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -40,6 +40,12 @@
 	Changes []platform.Change
 	// AsOf is the version up to which the update is complete.
 	AsOf platform.Version
+	// Restored is set on the first update after the store was restored from a copy. Entries with versions of the era before are known
+	// to be at least as new as those of the copy.
+	Restored bool
+	// RestoredTo is a revision that the store had in the present era. Entries of it with a higher one were written in it. 0: in no
+	// earlier era were any entries read.
+	RestoredTo int64
 	// Outage is set on the first update after failed calls: the time since the last successful call before them. The store may
 	// have been unavailable for all of it.
 	Outage time.Duration
@@ -55,15 +61,19 @@
 
 	cadence  Cadence
 	replica  *replica
+	history  *history
 	inOutage bool
 }
 
 // New returns a mirror that calls onUpdate, from one goroutine, for each update. If equivalent is nil, all changes are sent to readers.
 func New(feed Feed, prefix string, c clock.Clock, log *zap.Logger, onUpdate func(Update), equivalent EquivalentFunc) *Mirror {
 	return &Mirror{feed: feed, prefix: prefix, clock: c, log: log.With(zap.String("prefix", prefix)), onUpdate: onUpdate,
-		cadence: DefaultCadence, replica: newReplica(equivalent)}
+		cadence: DefaultCadence, replica: newReplica(equivalent), history: newHistory()}
 }
 
+// SetRecovery sets what happens after the store was restored. It must be called before Run.
+func (m *Mirror) SetRecovery(r Recovery) { m.history.recovery = r }
+
 // Run keeps the copy up to date until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	retry := retryMin
@@ -110,15 +120,24 @@
 		if m.feed.Source() != source || source == "" && m.clock.Now().Sub(listed) > m.cadence.RelistAfter {
 			return nil
 		}
-		changes, next, err := m.feed.WatchPrefix(ctx, m.prefix, asOf, watchWait)
+		changes, next, err := m.feed.WatchPrefix(ctx, m.prefix, asOf, m.history.wait(m.clock.Now(), watchWait))
 		if err != nil {
 			return err
 		}
 		asOf = next
 		m.update(Update{Changes: changes}, asOf)
-		if err := clock.Sleep(ctx, m.cadence.pause(m.feed.Source())); err != nil {
+		if err := clock.Sleep(ctx, m.history.wait(m.clock.Now(), m.cadence.pause(m.feed.Source()))); err != nil {
 			return err
 		}
+		m.releaseHeld()
+	}
+}
+
+// releaseHeld passes on the held changes that are due.
+func (m *Mirror) releaseHeld() {
+	if changes := m.history.release(m.clock.Now()); len(changes) > 0 {
+		m.log.Info("keys of a restored store were not written again", zap.Int("keys", len(changes)))
+		m.onUpdate(Update{Changes: changes, AsOf: m.replica.version(), RestoredTo: m.history.restoredTo})
 	}
 }
 
@@ -129,9 +148,15 @@
 	if m.inOutage {
 		u.Outage = now.Sub(m.replica.lastReceived())
 		m.inOutage = false
+		m.history.postpone(u.Outage)
 		m.log.Info("store regained", zap.Duration("outage", u.Outage))
 	}
 	m.replica.apply(u, asOf, now)
+	before := m.history.era
+	if u = m.history.apply(u, now); u.Restored {
+		m.log.Warn("store was restored from a copy", zap.Int64("era", asOf.Era), zap.Int64("before", before), zap.Int64("revision", asOf.Revision),
+			zap.Int("held", len(m.history.held)), zap.Duration("copy_age", m.history.copyAge(now)))
+	}
 	if u.Reset || len(u.Changes) > 0 || u.Outage > 0 {
 		m.onUpdate(u)
 	}
--- a/internal/mirror/restored_test.go
+++ b/internal/mirror/restored_test.go
@@ -1,6 +1,8 @@
 package mirror
 
 import (
+	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -20,6 +22,10 @@
 	return platform.Change{Entry: platform.Entry{Key: key, Value: []byte(value), Revision: revision, Era: era}}
 }
 
+func deleted(era int64, key string, revision int64) platform.Change {
+	return platform.Change{Entry: platform.Entry{Key: key, Revision: revision, Era: era}, Deleted: true}
+}
+
 // Guards against readers that silently miss the changes of a restored store, since it has passed their revision again or has not reached it
 // yet, and against readers that know of no eras and list again and again.
 func TestReadersListAgainAfterARestore(t *testing.T) {
@@ -57,3 +63,102 @@
 		t.Errorf("the copy is %v as of %v, %v", entries, asOf, err)
 	}
 }
+
+// Guards against a restored store that takes back what is known to be later: an entry, its deletion, or a key that was added since the copy;
+// and against doubts about a copy that do not end.
+func TestRestoredStoreTakesNothingBack(t *testing.T) {
+	const holdFor, keepFor = 5 * time.Second, 3 * time.Second
+	list := func(asOf platform.Version, changes ...platform.Change) Update {
+		return Update{Reset: true, AsOf: asOf, Changes: changes}
+	}
+	watch := func(asOf platform.Version, changes ...platform.Change) Update {
+		return Update{AsOf: asOf, Changes: changes}
+	}
+	for name, tc := range map[string]struct {
+		before  []Update // era 1
+		after   []Update // era 2
+		want    string   // value of p/a; "" if it is gone
+		settled string   // when it is not written again
+	}{
+		"an older entry":                     {[]Update{list(in(1, 25), put(1, "p/a", "new", 20))}, []Update{list(in(2, 12), put(2, "p/a", "old", 10))}, "new", "old"},
+		"an older entry, listed twice":       {[]Update{list(in(1, 25), put(1, "p/a", "new", 20))}, []Update{list(in(2, 12), put(2, "p/a", "old", 10)), list(in(2, 14), put(2, "p/a", "old", 10))}, "new", "old"},
+		"an older entry, then written again": {[]Update{list(in(1, 25), put(1, "p/a", "new", 20))}, []Update{list(in(2, 12), put(2, "p/a", "old", 10)), watch(in(2, 13), put(2, "p/a", "newest", 13))}, "newest", "newest"},
+		"an older entry, then deleted":       {[]Update{list(in(1, 25), put(1, "p/a", "new", 20))}, []Update{list(in(2, 12), put(2, "p/a", "old", 10)), watch(in(2, 13), deleted(2, "p/a", 13))}, "", ""},
+		"an older entry, then gone":          {[]Update{list(in(1, 25), put(1, "p/a", "new", 20))}, []Update{list(in(2, 12), put(2, "p/a", "old", 10)), list(in(2, 14))}, "", ""},
+		"written again before the list":      {[]Update{list(in(1, 25), put(1, "p/a", "new", 20))}, []Update{list(in(2, 30), put(2, "p/a", "newest", 27))}, "newest", "newest"},
+		"deleted since the copy":             {[]Update{list(in(1, 15), put(1, "p/a", "old", 10)), watch(in(1, 25), deleted(1, "p/a", 20))}, []Update{list(in(2, 12), put(2, "p/a", "old", 10))}, "", "old"},
+		"found deleted since the copy":       {[]Update{list(in(1, 15), put(1, "p/a", "old", 10)), list(in(1, 25))}, []Update{list(in(2, 12), put(2, "p/a", "old", 10))}, "", "old"},
+		"deleted again":                      {[]Update{list(in(1, 15), put(1, "p/a", "old", 10)), watch(in(1, 25), deleted(1, "p/a", 20))}, []Update{list(in(2, 12), put(2, "p/a", "old", 10)), watch(in(2, 13), deleted(2, "p/a", 13))}, "", ""},
+		"added since the copy":               {[]Update{list(in(1, 15)), watch(in(1, 25), put(1, "p/a", "new", 20))}, []Update{list(in(2, 12))}, "new", ""},
+		"added, then written again":          {[]Update{list(in(1, 25), put(1, "p/a", "new", 20))}, []Update{list(in(2, 12)), watch(in(2, 13), put(2, "p/a", "new", 13))}, "new", "new"},
+		"added, written again, then gone":    {[]Update{list(in(1, 25), put(1, "p/a", "new", 20))}, []Update{list(in(2, 12)), watch(in(2, 13), put(2, "p/a", "new", 13)), list(in(2, 15))}, "", ""},
+		"unchanged":                          {[]Update{list(in(1, 25), put(1, "p/a", "same", 10))}, []Update{list(in(2, 12), put(2, "p/a", "same", 10))}, "same", "same"},
+		"unchanged, then gone":               {[]Update{list(in(1, 25), put(1, "p/a", "same", 10))}, []Update{list(in(2, 12), put(2, "p/a", "same", 10)), list(in(2, 14))}, "", ""},
+		"not known before":                   {[]Update{list(in(1, 25))}, []Update{list(in(2, 12), put(2, "p/a", "old", 10))}, "old", "old"},
+		"exempt":                             {[]Update{list(in(1, 25), put(1, "p/x", "new", 20))}, []Update{list(in(2, 12), put(2, "p/x", "old", 10))}, "", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clk := &clock.Manual{}
+			clk.Advance(time.Hour)
+			view, changes := map[string]string{}, 0
+			m := New(nil, "p/", clk, zap.NewNop(), func(u Update) {
+				if u.Reset {
+					clear(view)
+				}
+				for _, c := range u.Changes {
+					changes++
+					view[c.Key] = string(c.Value)
+					if c.Deleted {
+						delete(view, c.Key)
+					}
+				}
+			}, nil)
+			m.SetRecovery(Recovery{HoldFor: holdFor, KeepFor: keepFor, Exempt: func(key string) bool { return key == "p/x" }})
+			for _, u := range append(tc.before, tc.after...) {
+				m.update(u, u.AsOf)
+			}
+			if view["p/a"] != tc.want {
+				t.Errorf("after the restore the key is %q, want %q", view["p/a"], tc.want)
+			}
+			if x := view["p/x"]; x != "" && x != "old" {
+				t.Errorf("an exempt key is %q", x)
+			}
+			clk.Advance(max(holdFor, keepFor))
+			m.releaseHeld()
+			if view["p/a"] != tc.settled {
+				t.Errorf("later the key is %q, want %q", view["p/a"], tc.settled)
+			}
+			before, seen := maps.Clone(view), changes
+			clk.Advance(time.Hour)
+			m.releaseHeld()
+			if fmt.Sprint(view) != fmt.Sprint(before) || changes != seen {
+				t.Errorf("an hour later: %v after %v", view, before)
+			}
+		})
+	}
+}
+
+// Guards against a key that is given up because the restored store was away again when its writer would have written it.
+func TestHeldChangesOutlastAnOutage(t *testing.T) {
+	clk := &clock.Manual{}
+	clk.Advance(time.Hour)
+	gone := false
+	m := New(nil, "p/", clk, zap.NewNop(), func(u Update) {
+		gone = gone || len(u.Changes) == 1 && u.Changes[0].Deleted
+	}, nil)
+	m.SetRecovery(Recovery{KeepFor: 2 * time.Second})
+	m.update(Update{Reset: true, Changes: []platform.Change{put(1, "p/a", "1", 20)}}, in(1, 20))
+	m.update(Update{Reset: true}, in(2, 10))
+	clk.Advance(time.Second)
+	m.inOutage = true
+	clk.Advance(4 * time.Second)
+	m.update(Update{Reset: true}, in(2, 11))
+	m.releaseHeld()
+	if gone {
+		t.Error("the key is given up right after the outage")
+	}
+	clk.Advance(2 * time.Second)
+	if m.releaseHeld(); !gone {
+		t.Error("the key is kept for longer")
+	}
+}
