Take a new lease when the store has lost the announcement

A restored store grants lease ids again that it has lost. An instance whose announcement was lost wrote it again under its old lease id, by then perhaps that of another instance: the announcement went when the other instance ended its lease (TestRestoredStoreGrantsTheLeaseToAnother, which failed on the code before with "the announcement has gone with the lease of another instance"). It would also have renewed and revoked that lease.

After a restore the lease counts as the instance's own only if the store still has the key at the revision that was written, since the copy then has the lease too. Nothing is written in that case (TestSurvivingAnnouncementIsNotWrittenAgain, which passed before as well).

--- a/internal/edge/announcer.go
+++ b/internal/edge/announcer.go
@@ -31,16 +31,21 @@
 	value announcement
 
 	lease platform.LeaseID
+	era   int64 // of the store when the lease was granted, or one in which it is known to be this instance's; 0 if it is not known
 	// revision is that of the key, platform.IfAbsent if it does not exist. It must be read if known is false.
 	revision int64
 	known    bool
 }
 
+// errRestored reports that the store has lost the announcement or its lease because it was restored from a copy.
+var errRestored = errors.New("store was restored from a copy without the announcement")
+
 // announce keeps this instance's key in the store until ctx ends, and then removes it.
 func (e *Edge) announce(ctx context.Context, value announcement) {
 	// At the first start of the system there are no keys of earlier incarnations, so that nothing has to be read.
 	a := announcer{edge: e, key: InstancePrefix + e.options.Self.Instance, value: value, known: e.options.FirstStart}
 	for ctx.Err() == nil {
+		a.era = e.fleet.eraOfStore()
 		lease, err := e.options.Store.Grant(ctx, leaseTerm)
 		if err == nil {
 			a.lease = lease
@@ -56,10 +61,12 @@
 		e.log.Info("instance announced", zap.Int64("lease", int64(lease)), zap.Int64("revision", a.revision))
 		err = a.keepLease(ctx)
 		if ctx.Err() != nil {
-			e.revokeLease(lease)
+			if a.ownsLease() {
+				e.revokeLease(lease)
+			}
 			return
 		}
-		a.known = false // the store has removed the key with the lease
+		a.known = false // the store has removed or changed the key
 		e.log.Warn("lease lost", zap.Int64("lease", int64(lease)), zap.Error(err))
 	}
 }
@@ -122,6 +129,17 @@
 	return nil
 }
 
+// ownsLease reports whether the lease is still this instance's. After a restore of the store the same id may be another instance's, unless
+// the key has survived as it was written: then the copy had the lease too.
+func (a *announcer) ownsLease() bool {
+	era := a.edge.fleet.eraOfStore()
+	if a.era != 0 && !a.edge.fleet.survivedRestore(platform.Version{Era: a.era, Revision: a.revision}) {
+		return false
+	}
+	a.era = era
+	return true
+}
+
 // keepLease renews the lease until ctx ends or the store reports that it has expired. It writes the announcement again when the
 // instance begins to leave, and when the key is lost.
 func (a *announcer) keepLease(ctx context.Context) error {
@@ -133,18 +151,24 @@
 	var retry <-chan time.Time // before the next renewal, after a write that may succeed soon
 	for {
 		var err error
+		var update func(context.Context) error
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-left:
-			left = nil
-			err = a.write(ctx)
+			left, update = nil, a.write
 		case <-e.fleet.selfUnlisted:
-			err = a.restore(ctx)
+			update = a.restore
 		case <-retry:
-			retry = nil
-			err = a.restore(ctx)
+			retry, update = nil, a.restore
 		case <-timer.C:
+		}
+		if !a.ownsLease() {
+			return errRestored
+		}
+		if update != nil {
+			err = update(ctx)
+		} else {
 			renewed := e.options.Store.Renew(ctx, a.lease)
 			if renewed != nil && !errors.Is(renewed, platform.ErrLeaseLost) {
 				e.log.Debug("lease could not be renewed; trying again", zap.Error(renewed))
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -98,8 +98,12 @@
 	read     bool                      // the announcements have been read at least once
 	// selfListed says that this instance's own announcement is in the store.
 	selfListed bool
-	invalid    entryErrors // by name
-	onChange   func()      // called without the lock after the set of members has changed
+	// selfVersion is the version of this instance's own announcement in the store, and storeEra the era of the store that showed it, or
+	// that it is not there.
+	selfVersion platform.Version
+	storeEra    int64
+	invalid     entryErrors // by name
+	onChange    func()      // called without the lock after the set of members has changed
 	// older says that an instance of a release that reads no fingerprints is listed. The whole certificate is announced then.
 	older bool
 	// selfUnlisted receives a value when the own announcement has gone from the store, holds something else or must hold more.
@@ -121,6 +125,9 @@
 func (f *fleet) apply(u mirror.Update) {
 	f.mu.Lock()
 	changed := false
+	if u.AsOf.Era != 0 {
+		f.storeEra = u.AsOf.Era
+	}
 	present := make(map[string]bool)
 	for _, c := range u.Changes {
 		name, ok := strings.CutPrefix(c.Key, InstancePrefix)
@@ -207,6 +214,7 @@
 // of an earlier incarnation, or that cannot be read, is not its own.
 func (f *fleet) applyOwnAnnouncement(c platform.Change) bool {
 	var a announcement
+	f.selfVersion = c.Version()
 	return f.setSelfListed(!c.Deleted && json.Unmarshal(c.Value, &a) == nil && a.Incarnation == f.options.Self.Incarnation)
 }
 
@@ -229,6 +237,21 @@
 	}
 }
 
+// survivedRestore reports whether the own announcement that was written at a revision in an era is still there with its lease, as far as
+// the copy of the store shows. A restored store may have lost both, and may grant the lease's id to another instance.
+func (f *fleet) survivedRestore(written platform.Version) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.storeEra == written.Era || f.selfListed && f.selfVersion.Revision == written.Revision
+}
+
+// eraOfStore returns the era of the store in which the announcements were read, 0 if it is not known.
+func (f *fleet) eraOfStore() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.storeEra
+}
+
 // isSelfListed reports whether this instance's own announcement is in the store, as far as its copy of the store shows.
 func (f *fleet) isSelfListed() bool {
 	f.mu.Lock()
