Write crashes again that a restored store has lost

The keeper compares the crashes that it knows with those that it has written. A restored store lacks the newest ones, and the keeper did not write them again: after a restart of all instances a prompt part that crashes endpoints would have been sent again (TestLostCrashesAreWrittenAgain, 0 keys before, 1 now). The keeper now reads the stored crashes again in each new era.

--- a/internal/edge/crashstore.go
+++ b/internal/edge/crashstore.go
@@ -50,6 +50,7 @@
 	// changed are the crashes that may differ from the store, as of version of the register.
 	changed map[catalog.Incarnation]crashguard.Crash
 	version uint64
+	era     int64 // of the store before its crashes were read
 }
 
 // storedCrash is a key of the store.
@@ -79,7 +80,9 @@
 func (s *crashStore) update(ctx context.Context) error {
 	e := s.edge
 	keeper := e.fleet.isCrashKeeper()
-	if keeper != s.keeper || !s.read && e.view.isRoot() {
+	era := e.fleet.eraOfStore()
+	restored := era != s.era && s.era != 0 // some of what was written may be lost
+	if keeper != s.keeper || keeper && restored || !s.read && e.view.isRoot() {
 		s.keeper = false
 		if keeper || !s.read {
 			if err := s.readAll(ctx); err != nil {
@@ -88,6 +91,7 @@
 		}
 		s.read, s.keeper, s.version, s.changed = true, keeper, 0, make(map[catalog.Incarnation]crashguard.Crash)
 	}
+	s.era = era
 	if !s.keeper {
 		s.stored, s.changed = nil, nil // read anew once this instance is the keeper
 		return nil
--- a/internal/edge/restored_test.go
+++ b/internal/edge/restored_test.go
@@ -16,6 +16,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/mirror"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/platform"
+	"dogwoodknot.example/dogwoodknot/internal/platform/memory"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
 
@@ -172,3 +173,26 @@
 		t.Errorf("%d restores are counted, want 1", n)
 	}
 }
+
+// Guards against crashes that are not in the store any more when all instances restart after it was restored from a copy.
+func TestLostCrashesAreWrittenAgain(t *testing.T) {
+	store := memory.NewStore(memory.StoreOptions{})
+	k := newCrashKeeper(t, store, time.Unix(1e9, 0), time.Hour)
+	listed := func(era int64) {
+		k.edge.fleet.onChange = func() {}
+		k.edge.fleet.apply(mirror.Update{AsOf: version(era, 100)})
+	}
+	listed(1)
+	before := store.Snapshot()
+	k.crash(1, 5)
+	k.run(5 * time.Second)
+	if k.keys() != 1 {
+		t.Fatalf("%d keys after a crash", k.keys())
+	}
+	store.Restore(before)
+	listed(2)
+	k.run(time.Second)
+	if k.keys() != 1 {
+		t.Errorf("%d keys after the restore, want 1", k.keys())
+	}
+}
