Check unchanged entries in the test of the history

TestUnchangedEntriesAreNotReadAnew checked through the endpoints that an unchanged entry is not passed on as another write after a restore. TestRestoredStoreTakesNothingBack now checks that where it is decided. The test of the fake store checks the same in fewer lines.

--- a/internal/edge/restored_test.go
+++ b/internal/edge/restored_test.go
@@ -65,51 +65,6 @@
 	cold(coldPeriod, "another evacuation begins and ends between two reads")
 }
 
-// Guards against an endpoint that counts as cold for longer because an unchanged entry is read again from the restored store.
-func TestUnchangedEntriesAreNotReadAnew(t *testing.T) {
-	clk := &clock.Manual{}
-	clk.Advance(time.Hour)
-	s := newState(&Options{Clock: clk, Log: zap.NewNop(), Regions: map[string]string{"a": "north"}, Documents: evacuationDocuments{}})
-	s.onChange = func() {}
-	feed := &restoringFeed{lists: []platform.Version{version(1, 20), version(2, 15)}, entry: written(0, "1", "4s", 10).Entry}
-	m := mirror.New(feed, "", clk, zap.NewNop(), func(u mirror.Update) {
-		s.applyEndpoints(u)
-		clk.Advance(time.Second)
-	}, nil)
-	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-	defer cancel()
-	feed.end = cancel
-	began := clk.Now()
-	m.Run(ctx)
-	if got := s.endpoints["1"].ColdUntil.Sub(began); got != 4*time.Second || len(feed.lists) > 0 {
-		t.Errorf("the endpoint is cold until %s after the first list, want 4 s; %d lists are left", got, len(feed.lists))
-	}
-}
-
-// restoringFeed lists one entry at one version after the other; each watch reports that there was a restore.
-type restoringFeed struct {
-	lists []platform.Version
-	entry platform.Entry
-	end   func()
-}
-
-func (*restoringFeed) Source() string { return "" }
-
-func (f *restoringFeed) ListAll(ctx context.Context, _ string) ([]platform.Entry, platform.Version, error) {
-	if len(f.lists) == 0 {
-		f.end()
-		return nil, platform.Version{}, ctx.Err()
-	}
-	asOf := f.lists[0]
-	f.lists = f.lists[1:]
-	f.entry.Era = asOf.Era
-	return []platform.Entry{f.entry}, asOf, nil
-}
-
-func (*restoringFeed) WatchPrefix(context.Context, string, platform.Version, time.Duration) ([]platform.Change, platform.Version, error) {
-	return nil, platform.Version{}, platform.ErrCompacted
-}
-
 // eraNetwork answers each call as of an era.
 type eraNetwork struct {
 	Network
--- a/internal/mirror/restored_test.go
+++ b/internal/mirror/restored_test.go
@@ -65,7 +65,7 @@
 }
 
 // Guards against a restored store that takes back what is known to be later: an entry, its deletion, or a key that was added since the copy;
-// and against doubts about a copy that do not end.
+// against doubts about a copy that do not end, and against an unchanged entry that is passed on as another write, so that its times begin anew.
 func TestRestoredStoreTakesNothingBack(t *testing.T) {
 	const holdFor, keepFor = 5 * time.Second, 3 * time.Second
 	list := func(asOf platform.Version, changes ...platform.Change) Update {
@@ -100,13 +100,13 @@
 		t.Run(name, func(t *testing.T) {
 			clk := &clock.Manual{}
 			clk.Advance(time.Hour)
-			view, changes := map[string]string{}, 0
+			view, changes, lastEra := map[string]string{}, 0, int64(0)
 			m := New(nil, "p/", clk, zap.NewNop(), func(u Update) {
 				if u.Reset {
 					clear(view)
 				}
 				for _, c := range u.Changes {
-					changes++
+					changes, lastEra = changes+1, c.Era
 					view[c.Key] = string(c.Value)
 					if c.Deleted {
 						delete(view, c.Key)
@@ -123,6 +123,9 @@
 			if x := view["p/x"]; x != "" && x != "old" {
 				t.Errorf("an exempt key is %q", x)
 			}
+			if view["p/a"] == "same" && lastEra != 1 {
+				t.Errorf("an unchanged entry is passed on as a write of era %d", lastEra)
+			}
 			clk.Advance(max(holdFor, keepFor))
 			m.releaseHeld()
 			if view["p/a"] != tc.settled {
