Bring mutations along, and switch off what orders the store's eras

The mutation of the mark after an evacuation quotes the changed line. Four new entries switch off mechanisms of a restored store; each test fails then.

--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -212,6 +212,30 @@
 		Original: "return e.Endpoint != endpoint || e.Restart.Raised", Replacement: "return e.Endpoint == endpoint && e.Restart.Raised",
 		Package: "./internal/core/endpointrate", Run: "^TestEarlierIncarnationStaysLimitedOnceALaterOneIsKnown$",
 	},
+	{
+		Condition: 7, Mechanism: "platform: a watch from an earlier era of the store lists all keys again",
+		File:     "platform/store.go",
+		Original: "if era != after.Era {", Replacement: "if false {",
+		Package: "./platform", Run: "^TestWatchFromBeforeARestoreIsRefused$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: what a restored store shows is not taken for news",
+		File:     "internal/mirror/history.go",
+		Original: "return k.Era != 0 && c.Era > k.Era && !c.Version().WrittenAfter(k.Version(), h.restoredTo)", Replacement: "return false",
+		Package: "./internal/mirror", Run: "^TestRestoredStoreTakesNothingBack$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: the copy of another instance begins anew in a new era of the store",
+		File:     "internal/mirror/replica.go",
+		Original: "if version.Era != r.asOf.Era {", Replacement: "if false {",
+		Package: "./internal/mirror", Run: "^TestRevisionsOfANewEraNameOtherWrites$",
+	},
+	{
+		Condition: 7, Mechanism: "edge: a lease that a restored store has lost is not used",
+		File:     "internal/edge/announcer.go",
+		Original: "if a.era != 0 && !a.edge.fleet.survivedRestore(", Replacement: "if false && !a.edge.fleet.survivedRestore(",
+		Package: "./platform", Run: "^TestRestoredStoreGrantsTheLeaseToAnother$",
+	},
 	{
 		Condition: 7, Mechanism: "edge: a request is checked again after its wait for an endpoint",
 		File:     "internal/edge/attempt.go",
@@ -430,7 +454,7 @@
 	{
 		Condition: 7, Mechanism: "edge: entries from before the end of an evacuation leave an endpoint cold",
 		File:     "internal/edge/state.go",
-		Original: "if !ok || e.revision > end.revision || conf == nil {", Replacement: "if !ok || e.revision > 0 || conf == nil {",
+		Original: "if !ok || e.version.WrittenAfter(end.version, s.restoredTo) || conf == nil {", Replacement: "if !ok || e.version.Revision > 0 || conf == nil {",
 		Package: "./internal/edge", Run: "^TestEntriesFromBeforeTheEndOfAnEvacuation$",
 	},
 	{
