Ask engines that may have restarted when they were started

What callers saw: after resets of connections without any restart, requests were refused or late, since all engines of a region counted as cold for a cold period when no older connection was left to show that they were not.

Cause: a suspicion could only be dispelled by output on an older connection, a cold period, or the entry of another start.

Change: an instance that raises a suspicion against an engine asks it for its report, which names its start. The listed start dispels the suspicion; a later one is told to the other instances as if its entry had been read.

--- a/internal/core/endpointrate/restart.go
+++ b/internal/core/endpointrate/restart.go
@@ -67,6 +67,14 @@
 	return ended
 }
 
+// RecordRunning records which incarnation of an endpoint has answered a call that was made after the last break. It reports whether that
+// dispels a suspicion.
+func (r *Register) RecordRunning(now clock.Instant, running catalog.Incarnation) bool {
+	r.Replace(now, running)
+	e := r.entries[running.ID]
+	return e != nil && e.Endpoint == running && e.Restart.Raised && r.dispel(now, e)
+}
+
 func (r *Register) dispel(now clock.Instant, e *entry) bool {
 	return r.Merge(now, Statement{Endpoint: e.Endpoint, Restart: Suspicion{Version: e.Restart.Version + 1}})
 }
--- a/internal/core/endpointrate/restart_test.go
+++ b/internal/core/endpointrate/restart_test.go
@@ -160,3 +160,35 @@
 		t.Error("the break after the output is forgotten")
 	}
 }
+
+// Guards against a sound engine that stays limited although it has reported its start after the break, and against one that counts as
+// sound although it has reported a later start than its entry.
+func TestReportedStartSettlesASuspicion(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	next := catalog.Incarnation{ID: endpoint.ID, StartedAtMillis: endpoint.StartedAtMillis + 1}
+	for name, c := range map[string]struct {
+		running   catalog.Incarnation
+		suspected bool // the start that is listed
+	}{
+		"the start that is listed": {endpoint, false},
+		"a later start":            {next, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, second := NewRegister(), NewRegister()
+			for _, r := range []*Register{first, second} {
+				r.Suspect(now, endpoint)
+			}
+			if first.RecordRunning(now+1, c.running) == c.suspected {
+				t.Errorf("dispelled: %v", c.suspected)
+			}
+			for _, s := range first.Statements() {
+				second.Merge(now+2, s)
+			}
+			for _, r := range []*Register{first, second} {
+				if r.MayHaveRestarted(endpoint) != c.suspected || r.MayHaveRestarted(next) {
+					t.Errorf("listed start suspected: %v, later one: %v", r.MayHaveRestarted(endpoint), r.MayHaveRestarted(next))
+				}
+			}
+		})
+	}
+}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -180,7 +180,7 @@
 	}
 	resp, head, err := e.send(ctx, chosen.Incarnation, chosen.Addr, &endpointconn.Request{
 		ID: a.id, Method: a.method, URI: a.uri, Host: a.host, Header: header, Parts: a.body, FreshConnection: a.freshConnection,
-		OnIdleClosed: func() { e.suspectRestart(a, chosen.Incarnation, "idle connection closed by the endpoint") },
+		OnIdleClosed: func() { e.suspectRestart(a, chosen.Incarnation, chosen.Addr, "idle connection closed by the endpoint") },
 	}, func() bool { return e.pools.mayReceive(a.service, chosen) })
 	if errors.Is(err, errStopping) {
 		e.pools.release(a.service, endpoint, a.work.ID, resultNone)
@@ -284,7 +284,7 @@
 		e.conns.CloseIdle(chosen.Addr)
 	}
 	if (f.kind == broken || f.kind == notSent) && ctx.Err() == nil {
-		e.suspectRestart(a, chosen.Incarnation, f.reason)
+		e.suspectRestart(a, chosen.Incarnation, chosen.Addr, f.reason)
 	}
 	if f.kind == broken && ctx.Err() == nil {
 		e.examineBroken(a, chosen.Incarnation, chosen.Addr, sentAt, false, f.reason)
@@ -339,7 +339,7 @@
 		if b.ctx.Err() != nil {
 			b.result = resultNone
 		} else {
-			b.edge.suspectRestart(b.attempt, b.incarnation, "answer: "+err.Error())
+			b.edge.suspectRestart(b.attempt, b.incarnation, b.addr, "answer: "+err.Error())
 		}
 	}
 	if err != nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -98,6 +98,9 @@
 	// answer.
 	CacheListPath() string
 	ParseCacheList(body []byte) ([]CachedPart, error)
+	// ReportPath is the path at which an engine reports its state. ParseReport returns when it was started, in Unix milliseconds.
+	ReportPath() string
+	ParseReport(body []byte) (startedAtMillis int64, err error)
 	// StripKey removes the caller's API key.
 	StripKey(h http.Header)
 	FormatRetryAfter(d time.Duration) string
--- a/internal/edge/restart.go
+++ b/internal/edge/restart.go
@@ -2,20 +2,82 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
+	"dogwoodknot.example/dogwoodknot/internal/endpointconn"
 )
 
 // suspectRestart records that a connection to an endpoint has ended or could not be opened. If its service has a cold phase, the endpoint
 // gets no more than the cold rate until its entry, an older connection or time shows that it is not cold.
-func (e *Edge) suspectRestart(a *attempt, endpoint catalog.Incarnation, reason string) {
-	if e.pools.suspectRestart(a.service, endpoint) {
-		e.logSuspicion(endpoint, true, reason, zap.String("request", a.id))
+func (e *Edge) suspectRestart(a *attempt, endpoint catalog.Incarnation, addr, reason string) {
+	if !e.pools.suspectRestart(a.service, endpoint) {
+		return
+	}
+	e.logSuspicion(endpoint, true, reason, zap.String("request", a.id))
+	if e.pools.isEngine(a.service) {
+		e.spawn(func(ctx context.Context) { e.askForStart(ctx, endpoint, addr) })
+	}
+}
+
+const (
+	// reportTimeout bounds the call for an engine's report.
+	reportTimeout = time.Second
+	// maxReport bounds the answer in bytes.
+	maxReport = 64 << 10
+)
+
+// askForStart asks an engine that may have restarted when it was started.
+func (e *Edge) askForStart(ctx context.Context, endpoint catalog.Incarnation, addr string) {
+	started, err := e.readStart(ctx, endpoint, addr)
+	if err != nil {
+		e.log.Info("engine that may have restarted does not say when it was started", zap.String("endpoint", endpoint.ID), zap.Error(err))
+		return
+	}
+	if e.pools.recordStarted(catalog.Incarnation{ID: endpoint.ID, StartedAtMillis: started}) {
+		e.logSuspicion(endpoint, false, "it reports the start that is known of it")
+	}
+}
+
+func (e *Edge) readStart(ctx context.Context, endpoint catalog.Incarnation, addr string) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	resp, _, err := e.send(ctx, endpoint, addr, &endpointconn.Request{
+		Method: http.MethodGet, URI: e.options.Dialect.ReportPath(), Host: addr, Header: http.Header{},
+	}, func() bool { return e.pools.accepts(endpoint) })
+	if err != nil {
+		return 0, err
 	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReport))
+	if err != nil {
+		return 0, err
+	}
+	if resp.Status != http.StatusOK {
+		return 0, errors.Newf("status %d", resp.Status)
+	}
+	return e.options.Dialect.ParseReport(body)
+}
+
+func (p *pools) isEngine(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool := p.byService[service]
+	return pool != nil && pool.service.Engine != nil
+}
+
+// recordStarted records that an endpoint has reported its start, and reports whether that dispels a suspicion.
+func (p *pools) recordStarted(running catalog.Incarnation) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limiter.Statements.RecordRunning(p.clock.Now(), running)
 }
 
 // recordContinuity records output of an endpoint.
