Notice closed idle connections also for requests that need fresh ones

Cause: a request that must not be lost to an idle time-out passes over connections that have been idle for half a second, and did not see that the endpoint had closed them. Such requests reached an engine that had started again at any rate until its entry was read.

Change: idle connections that are passed over are checked, and removed if closed.

Measured: TestClosedIdleConnectionIsReportedToRequestsThatNeedAFreshOne fails without the check and passes; tests of endpointconn pass with -race, twice.

--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -376,6 +376,9 @@
 		}
 		_ = c.Close()
 	}
+	if p.dropIdleClosed(addr, req.Endpoint) && req.OnIdleClosed != nil {
+		req.OnIdleClosed()
+	}
 	raw, err := p.dial(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
@@ -422,6 +425,25 @@
 	return last
 }
 
+// dropIdleClosed removes the most recently used of the idle connections that were left as far as the endpoint has closed them, and reports
+// whether one of them was opened for the given incarnation.
+func (p *Pool) dropIdleClosed(addr string, endpoint catalog.Incarnation) (found bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return false
+	}
+	for len(list) > 0 && !netdial.Established(list[len(list)-1].Conn) {
+		last := list[len(list)-1]
+		found = found || last.endpoint == endpoint
+		_ = last.Close()
+		list = list[:len(list)-1]
+	}
+	p.idle[addr] = list
+	return found
+}
+
 func (p *Pool) closeAll(list []*conn) {
 	for _, c := range list {
 		// No request is in progress on an idle connection, so an error of the close does not matter.
--- a/internal/endpointconn/idle_test.go
+++ b/internal/endpointconn/idle_test.go
@@ -136,3 +136,30 @@
 		})
 	}
 }
+
+// Guards against a restart that goes unnoticed since requests that need a fresh connection pass over the idle one that was closed.
+func TestClosedIdleConnectionIsReportedToRequestsThatNeedAFreshOne(t *testing.T) {
+	for name, closes := range map[string]bool{"open": false, "closed": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := newScriptedEndpoint(t, func(_ int64, r *http.Request, _ string, c net.Conn) bool {
+				write(c, "%s", answerTo(r.Header.Get("Id"), ""))
+				time.Sleep(20 * time.Millisecond) // the connection is idle by then
+				return !closes
+			})
+			p, reported := newPool(t), false
+			if _, err := do(t, p, e.addr, request("a")); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(freshMaxIdle + 50*time.Millisecond)
+			next := request("b")
+			next.FreshConnection, next.OnIdleClosed = true, func() { reported = true }
+			if _, err := do(t, p, e.addr, next); err != nil {
+				t.Fatal(err)
+			}
+			if reported != closes {
+				t.Errorf("reported as closed: %v, want %v", reported, closes)
+			}
+		})
+	}
+}
