--- a/internal/mirror/history.go
+++ b/internal/mirror/history.go
@@ -32,14 +32,15 @@
 	recovery   Recovery
 	keys       map[string]knownKey
 	held       map[string]heldChange
-	era        int64 // of the store, 0 if it is not known
-	restoredTo int64 // revision of the first list in this era, 0 in the first era that is known
+	era        int64         // of the store, 0 if it is not known
+	restoredTo int64         // revision of the first list in this era, 0 in the first era that is known
+	lostAt     clock.Instant // when the oldest change that the copy lacks was learned, 0 if there is none
 	forgotAt   clock.Instant
 }
 
 type knownKey struct {
 	platform.Change               // the last one that was passed on
-	at              clock.Instant // when it was
+	at              clock.Instant // when it was learned
 	shownIn         int64         // last era in which the store has shown the key or its deletion
 }
 
@@ -57,7 +58,7 @@
 func (h *history) apply(u Update, now clock.Instant) Update {
 	if era := u.AsOf.Era; era != 0 && era != h.era {
 		if u.Restored = h.era != 0; u.Restored {
-			h.restoredTo = u.AsOf.Revision
+			h.restoredTo, h.lostAt = u.AsOf.Revision, 0
 			clear(h.held)
 		}
 		h.era = era
@@ -95,17 +96,25 @@
 // passed on again instead of one that is held.
 func (h *history) decide(c platform.Change, inList bool, now clock.Instant) (platform.Change, bool) {
 	k, known := h.keys[c.Key]
-	if !known || h.exempt(c.Key) || !h.doubtful(c, k) {
+	doubtful := known && h.doubtful(c, k)
+	unchanged := known && !k.Deleted && c.Revision == k.Revision && bytes.Equal(c.Value, k.Value)
+	if doubtful && !unchanged {
+		h.recordLoss(k)
+	}
+	if !doubtful || h.exempt(c.Key) {
 		held, wasHeld := h.held[c.Key]
 		if !known || c.Version().Compare(k.Version()) >= 0 {
-			h.record(c, now)
+			learned := now
+			if unchanged {
+				learned = k.at
+			}
+			h.record(c, learned)
 		}
 		// The deletion of an entry that was held changes nothing.
 		return c, !(c.Deleted && known && k.Deleted && wasHeld && !held.Deleted)
 	}
 	k.shownIn = h.era
 	h.keys[c.Key] = k
-	unchanged := !k.Deleted && c.Revision == k.Revision && bytes.Equal(c.Value, k.Value)
 	if !unchanged {
 		h.hold(c, h.recovery.HoldFor, now)
 	}
@@ -119,7 +128,11 @@
 
 // keeps reports whether a key that a list lacks is kept: it was written after the copy, and its writer may write it again.
 func (h *history) keeps(k knownKey, asOf platform.Version, now clock.Instant) bool {
-	if h.exempt(k.Key) || k.shownIn == 0 || k.shownIn >= asOf.Era {
+	if k.shownIn == 0 || k.shownIn >= asOf.Era {
+		return false
+	}
+	h.recordLoss(k)
+	if h.exempt(k.Key) {
 		return false
 	}
 	gone := platform.Entry{Key: k.Key, Revision: max(asOf.Revision, k.Revision), Era: asOf.Era}
@@ -139,9 +152,16 @@
 func (h *history) exempt(key string) bool { return h.recovery.Exempt != nil && h.recovery.Exempt(key) }
 
 // record records a change that is passed on.
-func (h *history) record(c platform.Change, now clock.Instant) {
+func (h *history) record(c platform.Change, learned clock.Instant) {
 	delete(h.held, c.Key)
-	h.keys[c.Key] = knownKey{c, now, c.Era}
+	h.keys[c.Key] = knownKey{c, learned, c.Era}
+}
+
+// recordLoss records that a restored store lacks the change that is known of a key.
+func (h *history) recordLoss(k knownKey) {
+	if h.lostAt == 0 || k.at < h.lostAt {
+		h.lostAt = k.at
+	}
 }
 
 // release returns the held changes that are due.
@@ -174,11 +194,10 @@
 
 // copyAge returns a lower bound of the age of the copy: how long ago the oldest change was learned that it lacks.
 func (h *history) copyAge(now clock.Instant) time.Duration {
-	age := time.Duration(0)
-	for key := range h.held {
-		age = max(age, now.Sub(h.keys[key].at))
+	if h.lostAt == 0 {
+		return 0
 	}
-	return age
+	return now.Sub(h.lostAt)
 }
 
 func (h *history) forgetDeleted(now clock.Instant) {
--- a/internal/mirror/restored_test.go
+++ b/internal/mirror/restored_test.go
@@ -141,7 +141,8 @@
 	}
 }
 
-// Guards against a key that is given up because the restored store was away again when its writer would have written it.
+// Guards against a key that is given up because the restored store was away again when its writer would have written it, and against an age of
+// the copy that counts from the last list.
 func TestHeldChangesOutlastAnOutage(t *testing.T) {
 	clk := &clock.Manual{}
 	clk.Advance(time.Hour)
@@ -151,7 +152,12 @@
 	}, nil)
 	m.SetRecovery(Recovery{KeepFor: 2 * time.Second})
 	m.update(Update{Reset: true, Changes: []platform.Change{put(1, "p/a", "1", 20)}}, in(1, 20))
+	clk.Advance(7 * time.Second)
+	m.update(Update{Reset: true, Changes: []platform.Change{put(1, "p/a", "1", 20)}}, in(1, 30))
 	m.update(Update{Reset: true}, in(2, 10))
+	if age := m.history.copyAge(clk.Now()); age != 7*time.Second {
+		t.Errorf("the copy lacks a key that was learned 7 s ago, its age is said to be %s", age)
+	}
 	clk.Advance(time.Second)
 	m.inOutage = true
 	clk.Advance(4 * time.Second)
