Let no answer from before a break settle a suspicion

Cause: an engine that may have restarted is asked for its start. An answer that was on its way when its connections broke once more ended the suspicion of that break too, although it may be the answer of a process that has ended since.

Change: an answer counts for suspicions from before the call only.

Measured: TestStartReportedBeforeABreakDoesNotSettleIt fails without the comparison and passes.

--- a/internal/core/endpointrate/restart.go
+++ b/internal/core/endpointrate/restart.go
@@ -67,12 +67,12 @@
 	return ended
 }
 
-// RecordRunning records which incarnation of an endpoint has answered a call that was made after the last break. It reports whether that
-// dispels a suspicion.
-func (r *Register) RecordRunning(now clock.Instant, running catalog.Incarnation) bool {
+// RecordRunning records which incarnation of an endpoint has answered a call that was made at askedAt. It reports whether that dispels a
+// suspicion: one that was raised after the call may be due to a later end.
+func (r *Register) RecordRunning(now, askedAt clock.Instant, running catalog.Incarnation) bool {
 	r.Replace(now, running)
 	e := r.entries[running.ID]
-	return e != nil && e.Endpoint == running && e.Restart.Raised && r.dispel(now, e)
+	return e != nil && e.Endpoint == running && e.Restart.Raised && e.suspectedAt <= askedAt && r.dispel(now, e)
 }
 
 func (r *Register) dispel(now clock.Instant, e *entry) bool {
--- a/internal/core/endpointrate/restart_test.go
+++ b/internal/core/endpointrate/restart_test.go
@@ -178,7 +178,7 @@
 			for _, r := range []*Register{first, second} {
 				r.Suspect(now, endpoint)
 			}
-			if first.RecordRunning(now+1, c.running) == c.suspected {
+			if first.RecordRunning(now+1, now, c.running) == c.suspected {
 				t.Errorf("dispelled: %v", c.suspected)
 			}
 			for _, s := range first.Statements() {
@@ -192,3 +192,18 @@
 		})
 	}
 }
+
+// Guards against an answer of the process before a crash that ends the suspicion which the crash has raised while the answer was on its way.
+func TestStartReportedBeforeABreakDoesNotSettleIt(t *testing.T) {
+	r, now := NewRegister(), clock.Instant(time.Hour)
+	r.Suspect(now, endpoint)
+	if later := now.Add(2 * settlingTime); r.Suspect(later, endpoint) {
+		t.Error("a break while nothing has arrived is new")
+	}
+	if r.RecordRunning(now.Add(3*settlingTime), now.Add(settlingTime), endpoint) || !r.MayHaveRestarted(endpoint) {
+		t.Error("an answer to a call from before the last break ends the suspicion")
+	}
+	if !r.RecordRunning(now.Add(4*settlingTime), now.Add(3*settlingTime), endpoint) || r.MayHaveRestarted(endpoint) {
+		t.Error("an answer to a call from after the last break does not end the suspicion")
+	}
+}
--- a/internal/edge/restart.go
+++ b/internal/edge/restart.go
@@ -36,12 +36,13 @@
 
 // askForStart asks an engine that may have restarted when it was started.
 func (e *Edge) askForStart(ctx context.Context, endpoint catalog.Incarnation, addr string) {
+	askedAt := e.clock.Now()
 	started, err := e.readStart(ctx, endpoint, addr)
 	if err != nil {
 		e.log.Info("engine that may have restarted does not say when it was started", zap.String("endpoint", endpoint.ID), zap.Error(err))
 		return
 	}
-	if e.pools.recordStarted(catalog.Incarnation{ID: endpoint.ID, StartedAtMillis: started}) {
+	if e.pools.recordStarted(askedAt, catalog.Incarnation{ID: endpoint.ID, StartedAtMillis: started}) {
 		e.logSuspicion(endpoint, false, "it reports the start that is known of it")
 	}
 }
@@ -74,10 +75,10 @@
 }
 
 // recordStarted records that an endpoint has reported its start, and reports whether that dispels a suspicion.
-func (p *pools) recordStarted(running catalog.Incarnation) bool {
+func (p *pools) recordStarted(askedAt clock.Instant, running catalog.Incarnation) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.limiter.Statements.RecordRunning(p.clock.Now(), running)
+	return p.limiter.Statements.RecordRunning(p.clock.Now(), askedAt, running)
 }
 
 // recordContinuity records output of an endpoint.
