Follow an endpoint that drains before the first list after a restore

Endpoints write again before instances have made their first list of the restored store, under revisions that may be those of the copy. An entry that names a later start than the known one, or the same start as draining, is now followed at once.

--- a/internal/edge/restored_test.go
+++ b/internal/edge/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -65,6 +66,30 @@
 	cold(coldPeriod, "another evacuation begins and ends between two reads")
 }
 
+// startDocuments decodes the start of an endpoint, and a '-' after it for one that drains.
+type startDocuments struct{ bornDocuments }
+
+func (startDocuments) DecodeEndpoint(id string, value []byte, now clock.Instant) (catalog.Endpoint, error) {
+	born, draining := strings.CutSuffix(string(value), "-")
+	e, err := bornDocuments{}.DecodeEndpoint(id, []byte(born), now)
+	e.Draining = draining
+	return e, err
+}
+
+// Guards against an endpoint that gets requests for seconds after a restore although it drains or has started again, since it has said so
+// before the first list, under a revision that may be one of the copy; and against an entry of the copy that says the reverse.
+func TestEntriesThatTellThatTheyAreLater(t *testing.T) {
+	s := newState(&Options{Clock: &clock.Manual{}, Log: zap.NewNop(), Documents: startDocuments{}})
+	for _, tc := range []struct {
+		before, after string
+		want          bool
+	}{{"5", "5-", true}, {"5-", "5", false}, {"5", "5", false}, {"5-", "6", true}, {"6", "5-", false}, {"5", "x", false}, {"x", "5", false}} {
+		if got := s.laterEntry(written(1, "e", tc.before, 9).Entry, written(2, "e", tc.after, 8).Entry); got != tc.want {
+			t.Errorf("%s after %s: %t", tc.after, tc.before, got)
+		}
+	}
+}
+
 // eraNetwork answers each call as of an era.
 type eraNetwork struct {
 	Network
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -278,6 +278,22 @@
 	return equivalent(a, b)
 }
 
+// laterEntry reports whether what an endpoint's entry says shows that it was written after another one: it names a later start, or the same
+// one as draining, which an endpoint does until it ends.
+func (s *state) laterEntry(before, after platform.Entry) bool {
+	id, ok := s.options.Documents.EndpointID(after.Key)
+	if !ok {
+		return false
+	}
+	now := s.options.Clock.Now()
+	a, errA := s.options.Documents.DecodeEndpoint(id, before.Value, now)
+	b, errB := s.options.Documents.DecodeEndpoint(id, after.Value, now)
+	if errA != nil || errB != nil {
+		return false
+	}
+	return b.StartedAtMillis > a.StartedAtMillis || b.StartedAtMillis == a.StartedAtMillis && b.Draining && !a.Draining
+}
+
 // removeEntry removes an endpoint whose entry is gone, and reports whether that changes where requests may go. Right after an
 // outage of the store the endpoint is used for a moment longer.
 func (s *state) removeEntry(id string, now clock.Instant) bool {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -136,7 +136,7 @@
 // releaseHeld passes on the held changes that are due.
 func (m *Mirror) releaseHeld() {
 	if changes := m.history.release(m.clock.Now()); len(changes) > 0 {
-		m.log.Info("keys of a restored store were not written again", zap.Int("keys", len(changes)))
+		m.log.Info("keys of a restored store are no longer held", zap.Int("keys", len(changes)))
 		m.onUpdate(Update{Changes: changes, AsOf: m.replica.version(), RestoredTo: m.history.restoredTo})
 	}
 }
--- a/internal/mirror/restored_test.go
+++ b/internal/mirror/restored_test.go
@@ -92,6 +92,7 @@
 		"added since the copy":               {[]Update{list(in(1, 15)), watch(in(1, 25), put(1, "p/a", "new", 20))}, []Update{list(in(2, 12))}, "new", ""},
 		"added, then written again":          {[]Update{list(in(1, 25), put(1, "p/a", "new", 20))}, []Update{list(in(2, 12)), watch(in(2, 13), put(2, "p/a", "new", 13))}, "new", "new"},
 		"added, written again, then gone":    {[]Update{list(in(1, 25), put(1, "p/a", "new", 20))}, []Update{list(in(2, 12)), watch(in(2, 13), put(2, "p/a", "new", 13)), list(in(2, 15))}, "", ""},
+		"later by what it says":              {[]Update{list(in(1, 25), put(1, "p/a", "new", 20))}, []Update{list(in(2, 12), put(2, "p/a", "last", 10))}, "last", "last"},
 		"unchanged":                          {[]Update{list(in(1, 25), put(1, "p/a", "same", 10))}, []Update{list(in(2, 12), put(2, "p/a", "same", 10))}, "same", "same"},
 		"unchanged, then gone":               {[]Update{list(in(1, 25), put(1, "p/a", "same", 10))}, []Update{list(in(2, 12), put(2, "p/a", "same", 10)), list(in(2, 14))}, "", ""},
 		"not known before":                   {[]Update{list(in(1, 25))}, []Update{list(in(2, 12), put(2, "p/a", "old", 10))}, "old", "old"},
@@ -113,7 +114,8 @@
 					}
 				}
 			}, nil)
-			m.SetRecovery(Recovery{HoldFor: holdFor, KeepFor: keepFor, Exempt: func(key string) bool { return key == "p/x" }})
+			m.SetRecovery(Recovery{HoldFor: holdFor, KeepFor: keepFor,
+				Later: func(_, shown platform.Entry) bool { return string(shown.Value) == "last" }, Exempt: func(key string) bool { return key == "p/x" }})
 			for _, u := range append(tc.before, tc.after...) {
 				m.update(u, u.AsOf)
 			}
