--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -203,7 +203,7 @@
 	{
 		Condition: 7, Mechanism: "edge: output on an older connection dispels the suspicion of a restart",
 		File:     "internal/core/endpointrate/restart.go",
-		Original: "if connectedAt.Add(continuityMargin) < e.suspectedAt {", Replacement: "if false {",
+		Original: "if connectedAt.Add(continuityMargin) < e.suspectedSince || connectedAt.Add(coldPeriod) <= now {", Replacement: "if false {",
 		Package: "./internal/core/endpointrate", Run: "^TestSuspicionLastsUntilTheEndpointHasShownThatItIsNotCold$",
 	},
 	{
