Give up keys after a restore at a revision of the new era

A key that the copy lacks is kept for a while and then deleted. Its deletion had the higher of the revisions of the list and of the entry from before the restore, as of the new era. What was written again at a lower revision counted as older than this deletion: it was passed on, but not known, so that the next restore withheld it for HoldFor as an entry that had gone, or did not keep it. Sound endpoints were not used for five seconds, and an evacuation in the second copy ended for two.

TestKeyThatWasGivenUpIsKnownAgain failed before: the key is "" after the second restore, want 2.

--- a/internal/mirror/history.go
+++ b/internal/mirror/history.go
@@ -85,8 +85,7 @@
 				changes = append(changes, k.Change)
 				continue
 			}
-			gone := platform.Entry{Key: key, Revision: max(u.AsOf.Revision, k.Revision), Era: u.AsOf.Era}
-			h.record(platform.Change{Entry: gone, Deleted: true}, now)
+			h.record(k.deletedBy(u.AsOf), now)
 		}
 	}
 	if now.Sub(h.forgotAt) > forgetInterval {
@@ -139,8 +138,17 @@
 	if h.exempt(k.Key) {
 		return false
 	}
-	gone := platform.Entry{Key: k.Key, Revision: max(asOf.Revision, k.Revision), Era: asOf.Era}
-	return now < h.hold(platform.Change{Entry: gone, Deleted: true}, h.recovery.KeepFor, now)
+	return now < h.hold(k.deletedBy(asOf), h.recovery.KeepFor, now)
+}
+
+// deletedBy returns the deletion of a key that a list of the version asOf lacks. A revision of an earlier era says nothing about the order in
+// the present one.
+func (k knownKey) deletedBy(asOf platform.Version) platform.Change {
+	revision := asOf.Revision
+	if k.Era == asOf.Era || k.Era == 0 || asOf.Era == 0 {
+		revision = max(revision, k.Revision)
+	}
+	return platform.Change{Entry: platform.Entry{Key: k.Key, Revision: revision, Era: asOf.Era}, Deleted: true}
 }
 
 // hold holds a change, and returns when it is due. A change that was held before of the same kind does not defer it.
--- a/internal/mirror/restored_test.go
+++ b/internal/mirror/restored_test.go
@@ -172,3 +172,36 @@
 		t.Error("the key is kept for longer")
 	}
 }
+
+// Guards against a key that is given up after a restore with a revision of the era before: what is written later in the new era would count as
+// older, and be withheld after the next restore.
+func TestKeyThatWasGivenUpIsKnownAgain(t *testing.T) {
+	for name, again := range map[string]bool{"when it is due": false, "by a list": true} {
+		t.Run(name, func(t *testing.T) {
+			clk := &clock.Manual{}
+			clk.Advance(time.Hour)
+			view := map[string]string{}
+			m := New(nil, "p/", clk, zap.NewNop(), func(u Update) {
+				if u.Reset {
+					clear(view)
+				}
+				for _, c := range u.Changes {
+					view[c.Key] = string(c.Value)
+				}
+			}, nil)
+			m.SetRecovery(Recovery{HoldFor: 5 * time.Second, KeepFor: time.Second})
+			m.update(Update{Reset: true, Changes: []platform.Change{put(1, "p/a", "1", 20)}}, in(1, 20))
+			m.update(Update{Reset: true}, in(2, 10))
+			clk.Advance(time.Second)
+			if again {
+				m.update(Update{Reset: true}, in(2, 10))
+			}
+			m.releaseHeld()
+			m.update(Update{Changes: []platform.Change{put(2, "p/a", "2", 11)}}, in(2, 11))
+			m.update(Update{Reset: true, Changes: []platform.Change{put(3, "p/a", "2", 11)}}, in(3, 11))
+			if view["p/a"] != "2" {
+				t.Errorf("the key is %q after the second restore, want 2", view["p/a"])
+			}
+		})
+	}
+}
