Pass on withheld changes that are due after each list

After a restore, withheld changes were passed on only after a successful watch. A store that discards its history early, or connections that fail during each watch, left only lists, which do not pass them on: an entry of the copy that is right, since its writer had no reason to write it again, was withheld for as long as that lasted.

TestHeldChangesAreDueWithoutWatches failed before: 8 s after the restore the key is "new", want old.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -116,6 +116,7 @@
 		changes = append(changes, platform.Change{Entry: e})
 	}
 	m.update(Update{Reset: true, Changes: changes}, asOf)
+	m.releaseHeld()
 	for {
 		if m.feed.Source() != source || source == "" && m.clock.Now().Sub(listed) > m.cadence.RelistAfter {
 			return nil
--- a/internal/mirror/restored_test.go
+++ b/internal/mirror/restored_test.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"testing"
@@ -205,3 +206,53 @@
 		})
 	}
 }
+
+// compactingFeed keeps no history: each watch is refused, and the time passes in which lists are read.
+type compactingFeed struct {
+	clk   *clock.Manual
+	lists []Update // the last one is repeated
+}
+
+func (f *compactingFeed) Source() string { return "" }
+
+func (f *compactingFeed) ListAll(context.Context, string) ([]platform.Entry, platform.Version, error) {
+	u := f.lists[0]
+	if len(f.lists) > 1 {
+		f.lists = f.lists[1:]
+	}
+	var entries []platform.Entry
+	for _, c := range u.Changes {
+		entries = append(entries, c.Entry)
+	}
+	return entries, u.AsOf, nil
+}
+
+func (f *compactingFeed) WatchPrefix(context.Context, string, platform.Version, time.Duration) ([]platform.Change, platform.Version, error) {
+	f.clk.Advance(time.Second)
+	return nil, platform.Version{}, platform.ErrCompacted
+}
+
+// Guards against changes that are withheld without end, because the store refuses all watches and only its lists are read.
+func TestHeldChangesAreDueWithoutWatches(t *testing.T) {
+	clk := &clock.Manual{}
+	clk.Advance(time.Hour)
+	feed := &compactingFeed{clk, []Update{
+		{AsOf: in(1, 25), Changes: []platform.Change{put(1, "p/a", "new", 20)}},
+		{AsOf: in(2, 12), Changes: []platform.Change{put(2, "p/a", "old", 10)}},
+	}}
+	value := ""
+	m := New(feed, "p/", clk, zap.NewNop(), func(u Update) {
+		for _, c := range u.Changes {
+			value = string(c.Value)
+		}
+	}, nil)
+	m.SetRecovery(Recovery{HoldFor: 5 * time.Second})
+	for range 10 {
+		if err := m.follow(t.Context()); !errors.Is(err, platform.ErrCompacted) {
+			t.Fatal(err)
+		}
+	}
+	if value != "old" {
+		t.Errorf("8 s after the restore the key is %q, want old", value)
+	}
+}
