Let readers without eras list again after a restore

Instances of the release before send no era. After a restore, they went on from a revision that the copy had not reached yet, and got none of the changes below it: evacuations and endpoints, until the store passed the revision or their source changed. A revision above that of the copy now shows that they have read another state. A reader continues from revisions of its source, and lists all keys when the source changes, so that this refuses no other reader.

TestReaderWithoutErasListsAgainAfterARestore failed before: no changes as of {2 100}, no error.

--- a/internal/mirror/replica.go
+++ b/internal/mirror/replica.go
@@ -157,7 +157,7 @@
 }
 
 // changesAfter returns the changes after a version and the version up to which they are complete. wait is closed when there are
-// further changes. A reader that knows of no eras follows the revisions alone.
+// further changes. A reader that knows of no eras follows the revisions alone, and lists all keys again if its own is above the copy's.
 func (r *replica) changesAfter(now clock.Instant, after platform.Version) (changes []platform.Change, asOf platform.Version, wait chan struct{}, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -165,7 +165,7 @@
 	if !r.fresh(now) || !sameEra && after.Era > r.asOf.Era {
 		return nil, platform.Version{}, nil, errStale
 	}
-	if !sameEra || after.Revision < r.base {
+	if !sameEra || after.Revision < r.base || after.Era == 0 && r.asOf.Era != 0 && after.Revision > r.asOf.Revision {
 		return nil, platform.Version{}, nil, platform.ErrCompacted
 	}
 	for _, c := range r.changes {
--- a/internal/mirror/restored_test.go
+++ b/internal/mirror/restored_test.go
@@ -53,6 +53,21 @@
 	}
 }
 
+// Guards against readers of the release before, which send no era, that miss the changes of a restored store up to the revision that they had.
+func TestReaderWithoutErasListsAgainAfterARestore(t *testing.T) {
+	clk := &clock.Manual{}
+	clk.Advance(time.Hour)
+	m := New(nil, "p/", clk, zap.NewNop(), func(Update) {}, nil)
+	m.update(Update{Reset: true, Changes: []platform.Change{put(1, "p/a", "1", 90)}}, in(1, 100))
+	m.update(Update{Reset: true, Changes: []platform.Change{put(2, "p/b", "1", 55)}}, in(2, 60))
+	if changes, asOf, err := m.Watch(t.Context(), in(0, 100), time.Millisecond); !errors.Is(err, platform.ErrCompacted) {
+		t.Errorf("a reader from before the restore gets %v as of %v, %v", changes, asOf, err)
+	}
+	if _, asOf, err := m.Watch(t.Context(), in(0, 60), time.Millisecond); err != nil || asOf.Revision != 60 {
+		t.Errorf("a reader that has listed again continues from %v, %v", asOf, err)
+	}
+}
+
 // Guards against a copy that keeps a lost entry, because the store has given out its revision again for another one.
 func TestRevisionsOfANewEraNameOtherWrites(t *testing.T) {
 	clk := &clock.Manual{}
