Follow entries of a restored store that can only be later

The first list after a restore may show an entry that was written anew before it, at a lower revision than the known one. Such entries are now passed on at once.

--- a/internal/edge/restored_test.go
+++ b/internal/edge/restored_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -151,3 +153,37 @@
 		t.Errorf("%d keys after the restore, want 1", k.keys())
 	}
 }
+
+// statedDocuments reads an entry of an endpoint as its start and "draining".
+type statedDocuments struct{ Documents }
+
+func (statedDocuments) EndpointID(key string) (string, bool) { return strings.CutPrefix(key, "e/") }
+
+func (statedDocuments) DecodeEndpoint(id string, value []byte, _ clock.Instant) (catalog.Endpoint, error) {
+	start, draining := strings.CutSuffix(string(value), " draining")
+	millis, err := strconv.ParseInt(start, 10, 64)
+	return catalog.Endpoint{Incarnation: catalog.Incarnation{ID: id, StartedAtMillis: millis}, Draining: draining}, err
+}
+
+// Guards against an earlier incarnation of an endpoint, or one that did not drain yet, that counts as later than the known entry.
+func TestEntriesThatSayThatTheyAreLater(t *testing.T) {
+	s := newState(&Options{Clock: &clock.Manual{}, Log: zap.NewNop(), Documents: statedDocuments{}})
+	for _, tc := range []struct {
+		key, entry, other string
+		want              bool
+	}{
+		{"e/1", "5", "5", false},
+		{"e/1", "5 draining", "5", true},
+		{"e/1", "5", "5 draining", false},
+		{"e/1", "5 draining", "5 draining", false},
+		{"e/1", "6", "5 draining", true},
+		{"e/1", "5 draining", "6", false},
+		{"e/1", "x", "5", false},
+		{"e/1", "6", "x", false},
+		{"p/1", "6", "5", false},
+	} {
+		if got := s.laterEntry(platform.Entry{Key: tc.key, Value: []byte(tc.entry)}, platform.Entry{Key: tc.key, Value: []byte(tc.other)}); got != tc.want {
+			t.Errorf("%s: %q after %q: later is %v", tc.key, tc.entry, tc.other, got)
+		}
+	}
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -278,6 +278,22 @@
 	return equivalent(a, b)
 }
 
+// laterEntry reports whether an endpoint's entry can only have been written after another one: an endpoint that drains ends, and then it may
+// start again.
+func (s *state) laterEntry(entry, other platform.Entry) bool {
+	id, ok := s.options.Documents.EndpointID(entry.Key)
+	if !ok {
+		return false
+	}
+	now := s.options.Clock.Now()
+	e, err := s.options.Documents.DecodeEndpoint(id, entry.Value, now)
+	o, otherErr := s.options.Documents.DecodeEndpoint(id, other.Value, now)
+	if err != nil || otherErr != nil {
+		return false
+	}
+	return e.StartedAtMillis > o.StartedAtMillis || e.StartedAtMillis == o.StartedAtMillis && e.Draining && !o.Draining
+}
+
 // removeEntry removes an endpoint whose entry is gone, and reports whether that changes where requests may go. Right after an
 // outage of the store the endpoint is used for a moment longer.
 func (s *state) removeEntry(id string, now clock.Instant) bool {
--- a/internal/edge/storecalls.go
+++ b/internal/edge/storecalls.go
@@ -62,7 +62,7 @@
 		own := InstancePrefix + f.edge.options.Self.Instance
 		return mirror.Recovery{HoldFor: leaseTerm, KeepFor: leaseTerm, Exempt: func(key string) bool { return key == own }}
 	case documents.Prefixes().Endpoints:
-		return mirror.Recovery{HoldFor: oldEndpointHeld, KeepFor: outageGrace}
+		return mirror.Recovery{HoldFor: oldEndpointHeld, KeepFor: outageGrace, Later: f.edge.state.laterEntry}
 	}
 	return mirror.Recovery{HoldFor: oldEvacuationHeld, KeepFor: lostEvacuationKept, Exempt: documents.IsConfiguration}
 }
--- a/internal/mirror/history.go
+++ b/internal/mirror/history.go
@@ -23,6 +23,8 @@
 	HoldFor time.Duration
 	// KeepFor is how long a key that the copy lacks is kept.
 	KeepFor time.Duration
+	// Later reports whether an entry that is shown can only have been written after the known one, by what the two say. nil: never.
+	Later func(shown, known platform.Entry) bool
 	// Exempt reports whether the changes of a key are always passed on as the store shows them. nil: no key's.
 	Exempt func(key string) bool
 }
@@ -126,7 +128,10 @@
 
 // doubtful reports whether a change may be from before the one that is known.
 func (h *history) doubtful(c platform.Change, k knownKey) bool {
-	return k.Era != 0 && c.Era > k.Era && !c.Version().WrittenAfter(k.Version(), h.restoredTo)
+	if k.Era == 0 || c.Era <= k.Era || c.Version().WrittenAfter(k.Version(), h.restoredTo) {
+		return false
+	}
+	return c.Deleted || k.Deleted || h.recovery.Later == nil || !h.recovery.Later(c.Entry, k.Entry)
 }
 
 // keeps reports whether a key that a list lacks is kept: it was written after the copy, and its writer may write it again.
--- a/internal/mirror/restored_test.go
+++ b/internal/mirror/restored_test.go
@@ -105,6 +105,7 @@
 		"deleted since the copy":             {[]Update{list(in(1, 15), put(1, "p/a", "old", 10)), watch(in(1, 25), deleted(1, "p/a", 20))}, []Update{list(in(2, 12), put(2, "p/a", "old", 10))}, "", "old"},
 		"found deleted since the copy":       {[]Update{list(in(1, 15), put(1, "p/a", "old", 10)), list(in(1, 25))}, []Update{list(in(2, 12), put(2, "p/a", "old", 10))}, "", "old"},
 		"deleted since the copy, then gone":  {[]Update{list(in(1, 15), put(1, "p/a", "old", 10)), watch(in(1, 25), deleted(1, "p/a", 20))}, []Update{list(in(2, 12), put(2, "p/a", "old", 10)), list(in(2, 14))}, "", ""},
+		"an entry that says it is later":     {[]Update{list(in(1, 25), put(1, "p/a", "known", 20))}, []Update{list(in(2, 12), put(2, "p/a", "later", 10))}, "later", "later"},
 		"deleted again":                      {[]Update{list(in(1, 15), put(1, "p/a", "old", 10)), watch(in(1, 25), deleted(1, "p/a", 20))}, []Update{list(in(2, 12), put(2, "p/a", "old", 10)), watch(in(2, 13), deleted(2, "p/a", 13))}, "", ""},
 		"added since the copy":               {[]Update{list(in(1, 15)), watch(in(1, 25), put(1, "p/a", "new", 20))}, []Update{list(in(2, 12))}, "new", ""},
 		"added, then written again":          {[]Update{list(in(1, 25), put(1, "p/a", "new", 20))}, []Update{list(in(2, 12)), watch(in(2, 13), put(2, "p/a", "new", 13))}, "new", "new"},
@@ -130,7 +131,8 @@
 					}
 				}
 			}, nil)
-			m.SetRecovery(Recovery{HoldFor: holdFor, KeepFor: keepFor, Exempt: func(key string) bool { return key == "p/x" }})
+			m.SetRecovery(Recovery{HoldFor: holdFor, KeepFor: keepFor, Exempt: func(key string) bool { return key == "p/x" },
+				Later: func(shown, _ platform.Entry) bool { return string(shown.Value) == "later" }})
 			for _, u := range append(tc.before, tc.after...) {
 				m.update(u, u.AsOf)
 			}
