Take a new lease when the announcement has gone and the era of the lease is unknown

An instance that is announced before it has read the announcements does not know in which era of the store its lease was granted. If the store was restored then, the instance took the lease for its own and wrote its key again with it, while the store had granted the id to another instance: the key ended with that one. A key that is not as it was written, under a lease that has not ended, now shows that the store has lost both.

--- a/internal/edge/announcer.go
+++ b/internal/edge/announcer.go
@@ -115,12 +115,17 @@
 		(len(value.Certificate) > 0 || !a.edge.fleet.announcesCertificate()), nil
 }
 
-// restore writes the key again if it no longer holds the announcement. The copy of the store that reported so may be out of date.
+// restore writes the key again if it no longer holds the announcement. The copy of the store that reported so may be out of date. If the key is
+// not as it was written although its lease has not ended, it returns errRestored: nobody else writes it, and the era of the lease may be unknown.
 func (a *announcer) restore(ctx context.Context) error {
+	written, revision := a.known, a.revision
 	announced, err := a.read(ctx)
 	if err != nil || announced {
 		return err
 	}
+	if written && a.revision != revision {
+		return errRestored
+	}
 	if err := a.write(ctx); err != nil {
 		return err
 	}
@@ -178,7 +183,7 @@
 				err = a.restore(ctx) // the copy of the store may have missed that the key was there
 			}
 		}
-		if errors.Is(err, platform.ErrLeaseLost) {
+		if errors.Is(err, platform.ErrLeaseLost) || errors.Is(err, errRestored) {
 			return err
 		}
 		if outdated = err != nil; outdated && ctx.Err() == nil {
