--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -233,8 +233,8 @@
 	{
 		Condition: 7, Mechanism: "edge: a lease that a restored store has lost is not used",
 		File:     "internal/edge/announcer.go",
-		Original: "if a.era != 0 && !a.edge.fleet.survivedRestore(", Replacement: "if false && !a.edge.fleet.survivedRestore(",
-		Package: "./platform", Run: "^TestRestoredStoreGrantsTheLeaseToAnother$",
+		Original: "if written && a.revision != revision {", Replacement: "if written && a.revision != revision && false {",
+		Package: "./platform", Run: "^TestRestoreRightAfterTheAnnouncement$",
 	},
 	{
 		Condition: 7, Mechanism: "edge: a request is checked again after its wait for an endpoint",
