Take back the suspicion of engines with an only connection

Cause: suspected an engine whenever the only connection to it was opened, so that a restart which nobody noticed is found. Connections are idle for 2 s at most. In a region with a hundred instances or more, nearly each request opens the only connection of its instance to an engine; the suspicion is told to all instances of the region, which hold back until it is dispelled.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -180,8 +180,7 @@
 	}
 	resp, head, err := e.send(ctx, chosen.Incarnation, chosen.Addr, &endpointconn.Request{
 		ID: a.id, Method: a.method, URI: a.uri, Host: a.host, Header: header, Parts: a.body, FreshConnection: a.freshConnection,
-		OnIdleClosed:     func() { e.suspectRestart(a, chosen.Incarnation, chosen.Addr, "idle connection closed by the endpoint") },
-		OnOnlyConnection: func() { e.verifyStart(a, chosen) },
+		OnIdleClosed: func() { e.suspectRestart(a, chosen.Incarnation, chosen.Addr, "idle connection closed by the endpoint") },
 	}, func() bool { return e.pools.mayReceive(a.service, chosen) })
 	if errors.Is(err, errStopping) {
 		e.pools.release(a.service, endpoint, a.work.ID, resultNone)
--- a/internal/edge/restart.go
+++ b/internal/edge/restart.go
@@ -27,13 +27,6 @@
 	}
 }
 
-// verifyStart suspects an engine that no connection has shown to be the one that is listed: a restart would have gone unnoticed.
-func (e *Edge) verifyStart(a *attempt, chosen placement.Choice) {
-	if e.pools.isEngine(a.service) {
-		e.suspectRestart(a, chosen.Incarnation, chosen.Addr, "no other connection to it is open")
-	}
-}
-
 const (
 	// reportTimeout bounds the call for an engine's report.
 	reportTimeout = time.Second
--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -77,8 +77,6 @@
 	// OnIdleClosed, if not nil, is called when an idle connection is found closed by the endpoint although it should have been open for
 	// longer.
 	OnIdleClosed func()
-	// OnOnlyConnection, if not nil, is called when a connection was opened while no other one to Endpoint is open.
-	OnOnlyConnection func()
 	// OnLateAnswer, if not nil, is called with the head of a response to this request or an earlier one that arrives where the response
 	// to a later request on the connection is expected.
 	OnLateAnswer func(status int, h http.Header)
@@ -107,9 +105,6 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
-
-	openMu sync.Mutex
-	open   map[catalog.Incarnation]int // numbers of open connections
 	// dialled and reused count requests on new and on reused connections.
 	dialled, reused int64
 }
@@ -117,7 +112,7 @@
 // NewPool returns a pool that opens connections with dial. answerID returns the id of the request that a response belongs to, or ""
 // if its headers hold none.
 func NewPool(dial func(ctx context.Context, network, addr string) (net.Conn, error), answerID func(http.Header) string) *Pool {
-	return &Pool{dial: dial, answerID: answerID, idle: make(map[string][]*conn), open: make(map[catalog.Incarnation]int)}
+	return &Pool{dial: dial, answerID: answerID, idle: make(map[string][]*conn)}
 }
 
 type conn struct {
@@ -125,8 +120,6 @@
 	headReader *headReader
 	addr       string
 	endpoint   catalog.Incarnation
-	closed     sync.Once
-	onClose    func()
 	openedAt   time.Time // with monotonic clock reading
 	reader     *bufio.Reader
 	idleSince  time.Time // when it became idle, with monotonic clock reading
@@ -135,12 +128,6 @@
 	onLate     func(status int, h http.Header) // of the last request, nil on a new connection
 }
 
-// Close closes the connection.
-func (c *conn) Close() error {
-	c.closed.Do(c.onClose)
-	return c.Conn.Close()
-}
-
 // headReader reads a connection. While it is bounded, it fails with errHeadTooLarge once the allowed bytes have been read.
 type headReader struct {
 	net.Conn
@@ -397,23 +384,8 @@
 		return nil, err
 	}
 	p.count(&p.dialled)
-	if p.countOpen(req.Endpoint, 1) == 1 && req.OnOnlyConnection != nil {
-		req.OnOnlyConnection()
-	}
 	heads := &headReader{Conn: raw}
-	return &conn{Conn: raw, onClose: func() { p.countOpen(req.Endpoint, -1) }, headReader: heads, addr: addr, endpoint: req.Endpoint, openedAt: time.Now(), reader: bufio.NewReaderSize(heads, readBuffer)}, nil
-}
-
-// countOpen adds to the number of open connections to an endpoint and returns it.
-func (p *Pool) countOpen(endpoint catalog.Incarnation, n int) int {
-	p.openMu.Lock()
-	defer p.openMu.Unlock()
-	p.open[endpoint] += n
-	now := p.open[endpoint]
-	if now == 0 {
-		delete(p.open, endpoint)
-	}
-	return now
+	return &conn{Conn: raw, headReader: heads, addr: addr, endpoint: req.Endpoint, openedAt: time.Now(), reader: bufio.NewReaderSize(heads, readBuffer)}, nil
 }
 
 func (p *Pool) count(counter *int64) {
