Log a limit as changed only if it has changed

Cause: a statement that told of a suspicion and of an older limit was logged as a change of the limit, since the statement was compared with what was known before, and not with what is known after.

Change: what is known before and after is compared.

Measured: TestSuspicionOfAnotherInstanceLeavesTheLimit checks what the lines go by; it could not be expressed before. Tests of edge pass.

--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -29,18 +29,12 @@
 // mergeLimits records what other instances know of the request rates that endpoints accept.
 func (e *Edge) mergeLimits(now clock.Instant, statements []endpointrate.Statement) {
 	for _, s := range statements {
-		var suspected, suspect bool
-		before, changed := e.pools.updateLimit(s.Endpoint, func(r *endpointrate.Register) bool {
-			suspected = r.MayHaveRestarted(s.Endpoint)
-			changed := r.Merge(now, s)
-			suspect = r.MayHaveRestarted(s.Endpoint)
-			return changed
-		})
-		if changed && before != (knownLimit{s.Limit, s.Limited}) {
-			e.logLimit(s.Endpoint, before, s.Limit, s.Limited, zap.Uint64("version", s.Version))
+		before, after := e.pools.mergeStatement(now, s)
+		if after.limit != before.limit {
+			e.logLimit(s.Endpoint, before.limit, after.limit.perSecond, after.limit.limited, zap.Uint64("version", s.Version))
 		}
-		if suspect != suspected {
-			e.logSuspicion(s.Endpoint, suspect, "told by another instance")
+		if after.mayHaveRestarted != before.mayHaveRestarted {
+			e.logSuspicion(s.Endpoint, after.mayHaveRestarted, "told by another instance")
 		}
 	}
 }
@@ -71,6 +65,26 @@
 	return before, update(p.limiter.Statements)
 }
 
+// knownRate is what is known of the request rate that an endpoint accepts.
+type knownRate struct {
+	limit            knownLimit
+	mayHaveRestarted bool
+}
+
+// mergeStatement records what another instance knows of an endpoint, and returns what was known before and after.
+func (p *pools) mergeStatement(now clock.Instant, s endpointrate.Statement) (before, after knownRate) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := func() (k knownRate) {
+		k.limit.perSecond, k.limit.limited = p.limiter.Statements.Limit(s.Endpoint)
+		k.mayHaveRestarted = p.limiter.Statements.MayHaveRestarted(s.Endpoint)
+		return k
+	}
+	before = known()
+	p.limiter.Statements.Merge(now, s)
+	return before, known()
+}
+
 // limitStatements returns what this instance knows of the request rates that endpoints accept.
 func (p *pools) limitStatements() []endpointrate.Statement {
 	p.mu.Lock()
--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
+	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointrate"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 )
 
@@ -33,3 +35,14 @@
 		t.Error("other regions are told of no usable engine, while all name a limit and take requests")
 	}
 }
+
+// Guards against a log line that takes a limit for withdrawn since another instance tells of a suspicion and knows of no limit.
+func TestSuspicionOfAnotherInstanceLeavesTheLimit(t *testing.T) {
+	p, now := newPools(&clock.Manual{}, "self"), clock.Instant(time.Hour)
+	endpoint := catalog.Incarnation{ID: "e", StartedAtMillis: 1}
+	p.limiter.Statements.Observe(now, endpoint, now-1, 2, true)
+	before, after := p.mergeStatement(now, endpointrate.Statement{Endpoint: endpoint, Restart: endpointrate.Suspicion{Raised: true, Version: 1}})
+	if want := (knownLimit{2, true}); before.limit != want || after.limit != want || before.mayHaveRestarted || !after.mayHaveRestarted {
+		t.Errorf("before %+v, after %+v", before, after)
+	}
+}
