Add a review case: a caller gets the answer to another request in an error

Claimed: bytes that a faulty endpoint sends after a complete answer are quoted in the error that the next caller on the connection gets, also if it belongs to another organisation (rule MIXED).

--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -48,6 +48,7 @@
 // client sends requests to one machine on a kept connection.
 type client struct {
 	name string
+	key  string // of its organisation
 	m    *machine
 	n    int
 	http *http.Client
@@ -57,7 +58,7 @@
 const deadline = 2500 * time.Millisecond
 
 func newClient(name string, m *machine) *client {
-	return &client{name: name, m: m, http: &http.Client{
+	return &client{name: name, key: apiKey, m: m, http: &http.Client{
 		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 1}, Timeout: deadline + time.Second,
 	}}
 }
@@ -85,7 +86,7 @@
 		return id, outcome{err: err}
 	}
 	req.Host, req.GetBody = host, nil
-	platformtest.SetRequestHeaders(req.Header, id, apiKey)
+	platformtest.SetRequestHeaders(req.Header, id, c.key)
 	platformtest.SetDeadline(req.Header, deadline)
 	resp, err := c.http.Do(req)
 	mu.Lock()
--- a/review/stand2/limit.go
+++ b/review/stand2/limit.go
@@ -44,19 +44,7 @@
 			}
 		}
 	}
-	for _, at := range [][2]string{{"front-cluj-a-1", "cluj-a"}, {"front-cluj-a-2", "cluj-a"}, {"front-brasov-a-1", "brasov-a"}, {"front-pitesti-a-1", "pitesti-a"}} {
-		if _, err := w.addMachine(at[0], at[1]); err != nil {
-			return err
-		}
-	}
-	ready, cancel := context.WithTimeout(ctx, settling)
-	defer cancel()
-	for _, m := range w.machines {
-		if err := m.awaitReady(ready); err != nil {
-			return err
-		}
-	}
-	return nil
+	return w.startMachines(ctx)
 }
 
 // counts are what the callers of a machine have seen.
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -24,7 +24,8 @@
 
 // cases are the cases by name. Each returns whether its rule was broken.
 var cases = map[string]func(ctx context.Context, w *world, trouble bool) (bool, error){
-	"limit": playLimit,
+	"limit":    playLimit,
+	"leftover": playLeftover,
 }
 
 func main() {
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -27,7 +27,7 @@
 	events      int           // of a stream
 	gap         time.Duration // between the events
 	born        int64
-	server      *http.Server
+	end         func() // stops it
 	addr        string
 	// limit is the request rate that the runner names in its answers, nil for none.
 	limit atomic.Pointer[float64]
@@ -45,9 +45,16 @@
 		return nil, err
 	}
 	r.addr = l.Addr().String()
-	r.server = &http.Server{Handler: r}
-	go func() { _ = r.server.Serve(l) }() // it ends with the case
+	server := &http.Server{Handler: r}
+	r.end = func() { _ = server.Close() }
+	go func() { _ = server.Serve(l) }() // it ends with the case
 	w.runners = append(w.runners, r)
+	w.renew(r)
+	return r, nil
+}
+
+// renew lists a runner and renews its entry until the end of the case.
+func (w *world) renew(r *runner) {
 	r.list()
 	w.beats.Go(func() {
 		for {
@@ -59,7 +66,6 @@
 			}
 		}
 	})
-	return r, nil
 }
 
 func (r *runner) list() {
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -83,7 +83,7 @@
 	}
 	w.beats.Wait()
 	for _, r := range w.runners {
-		r.server.Close()
+		r.end()
 	}
 	w.store.Close()
 	_ = os.RemoveAll(w.dir)
@@ -198,6 +198,23 @@
 	m.watched.Wait()
 }
 
+// startMachines starts the four machines of the small deployment and waits until all are ready.
+func (w *world) startMachines(ctx context.Context) error {
+	for _, at := range [][2]string{{"front-cluj-a-1", "cluj-a"}, {"front-cluj-a-2", "cluj-a"}, {"front-brasov-a-1", "brasov-a"}, {"front-pitesti-a-1", "pitesti-a"}} {
+		if _, err := w.addMachine(at[0], at[1]); err != nil {
+			return err
+		}
+	}
+	ready, cancel := context.WithTimeout(ctx, settling)
+	defer cancel()
+	for _, m := range w.machines {
+		if err := m.awaitReady(ready); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // awaitReady waits until the process says that it is ready.
 func (m *machine) awaitReady(ctx context.Context) error {
 	for ctx.Err() == nil {
