Add a review case: a version that takes the engine away from a service

Claimed: after a version of the configuration that declares a model service as a plain one, no instance answers any request any more (rule CONFIG).

--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -59,7 +59,7 @@
 
 func newClient(name string, m *machine) *client {
 	return &client{name: name, key: apiKey, m: m, http: &http.Client{
-		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 1}, Timeout: deadline + time.Second,
+		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 1}, Timeout: deadline + 100*time.Millisecond,
 	}}
 }
 
--- a/review/stand2/limit.go
+++ b/review/stand2/limit.go
@@ -33,7 +33,12 @@
 		{Prefix: "/lookup/", Kind: "idempotent", Service: plainService},
 		{Prefix: "/question/", Kind: "stream", Service: engineService},
 	}}
-	w.store.Put(platformtest.ConfigurationKey, configuration.Encode())
+	return w.startWithEngines(ctx, configuration.Encode())
+}
+
+// startWithEngines starts the small deployment with a configuration.
+func (w *world) startWithEngines(ctx context.Context, configuration []byte) error {
+	w.store.Put(platformtest.ConfigurationKey, configuration)
 	for zone, engines := range map[string]int{"cluj-a": 3, "brasov-a": 2, "pitesti-a": 2} {
 		if _, err := w.addRunner("app-"+zone, plainService, zone, 6, 60*time.Millisecond); err != nil {
 			return err
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(ctx context.Context, w *world, trouble bool) (bool, error){
 	"limit":    playLimit,
 	"leftover": playLeftover,
+	"version":  playVersion,
 }
 
 func main() {
