Add a review case: a key listed twice keeps a withdrawn key in force

Claimed: no instance puts a version in force in which an organisation lists one of its keys twice, so that a key which the version withdraws goes on working (rule CONFIG).

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -24,9 +24,10 @@
 
 // cases are the cases by name. Each returns whether its rule was broken.
 var cases = map[string]func(ctx context.Context, w *world, trouble bool) (bool, error){
-	"limit":    playLimit,
-	"leftover": playLeftover,
-	"version":  playVersion,
+	"limit":     playLimit,
+	"leftover":  playLeftover,
+	"version":   playVersion,
+	"withdrawn": playWithdrawn,
 }
 
 func main() {
