--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 [ -x target/dogwood-edge ] && [ -x target/review-2/stand2 ] || { echo "not built"; exit 2; }
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec target/review-2/stand2 -case leftover -trouble="$trouble" -record review/7/record.txt
+exec target/review-2/stand2 -case limit -trouble="$trouble" -record review/7/record.txt
