Serve endpoints that name a limit of any size

Callers saw closed connections, and instances that ended again and again, as long as an endpoint of their region named a Server-Limit of 2^65 requests/s or more.

Cause: the Pacer converted the limit to a number of senders. Beyond the range of int the result of a conversion is not defined; on x86-64 it is the lowest int, with which rendezvous.Top made a slice of a negative length. The panic came from the handlers of requests, and from the tick of the view and the dispatch of waiting requests, which end the process. Statements of other instances and a cold rate in the configuration took the same path.

--- a/internal/core/endpointrate/pacer.go
+++ b/internal/core/endpointrate/pacer.go
@@ -2,13 +2,18 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/rendezvous"
+	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
 )
 
+// MaxRate is the highest rate, in requests per second, that an endpoint can name. A higher one means the same: it binds nobody.
+const MaxRate = 1e9
+
 const (
 	// handOverTime is how long an instance must have been a sender in the view of the members before it sends. By then the instance
 	// that it takes over from has learned of the change too, also if it reads the store through another one.
@@ -23,6 +28,8 @@
 	minSenders = 2
 	// ratePerSender is the part of a limit, in requests per second, for which one more instance sends.
 	ratePerSender = 4.0
+	// maxSenders bounds the number of senders of an endpoint. No region has as many instances.
+	maxSenders = 1 << 16
 	// maxSenderInfos bounds the cache of chosen senders, to some counts for each endpoint of a large region.
 	maxSenderInfos = 4096
 	// minRate is the rate per second at which an endpoint is asked at least: only answers show that a limit has ended.
@@ -126,8 +133,8 @@
 
 // share returns the number of requests per second that this instance may send; 0 if it is not a sender.
 func (p *Pacer) share(endpoint string, perSecond float64) float64 {
-	perSecond = max(perSecond, minRate)
-	key := senderKey{endpoint, minSenders + int(perSecond/ratePerSender)}
+	perSecond = saturate.Finite(perSecond, minRate, MaxRate)
+	key := senderKey{endpoint, saturate.Int(minSenders+math.Floor(perSecond/ratePerSender), minSenders, maxSenders)}
 	info, known := p.senders[key]
 	if !known {
 		info = p.findSenders(key)
--- a/internal/core/endpointrate/pacer_test.go
+++ b/internal/core/endpointrate/pacer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -173,3 +174,17 @@
 		}
 	}
 }
+
+// Guards against a limit of any size that ends the process: the number of senders of a limit of 1e20 requests/s overflowed.
+func TestLimitsOfAnySizeAreShared(t *testing.T) {
+	for _, limit := range []float64{1e20, 1 << 62, math.MaxInt64, math.MaxFloat64, math.Inf(1), math.NaN(), -1, math.SmallestNonzeroFloat64} {
+		p := settled("a", start, "a", "b", "c")
+		p.MaySend(start, "e", limit)
+		if rate := p.share("e", limit); !(rate >= 0) || rate > MaxRate {
+			t.Errorf("share of a limit of %v requests/s is %v", limit, rate)
+		}
+		if limit >= 1e20 && !p.MaySend(start, "e", limit) {
+			t.Errorf("a limit of %v requests/s, which binds nobody, keeps requests from the endpoint", limit)
+		}
+	}
+}
--- a/internal/core/endpointrate/register.go
+++ b/internal/core/endpointrate/register.go
@@ -26,6 +26,16 @@
 	Restart Suspicion
 }
 
+// Bounded returns the statement with its limit in the range of 0 to MaxRate. ok is false if the limit is no number or the start is none of an
+// endpoint, so that the statement says nothing.
+func (s Statement) Bounded() (bounded Statement, ok bool) {
+	if math.IsNaN(s.Limit) || s.Limit < 0 || !s.Endpoint.Valid() {
+		return Statement{}, false
+	}
+	s.Limit = min(s.Limit, MaxRate)
+	return s, true
+}
+
 // Suspicion says whether an incarnation may have ended, so that another one may be at its address.
 type Suspicion struct {
 	Raised  bool
--- a/internal/core/fleetview/changes.go
+++ b/internal/core/fleetview/changes.go
@@ -104,11 +104,14 @@
 // mergeLimits records the statements of a message.
 func (n *Node) mergeLimits(now clock.Instant, limits []*wire.EdgeEndpointLimit) error {
 	for _, l := range limits {
-		n.limits.Merge(now, endpointrate.Statement{
+		s, ok := endpointrate.Statement{
 			Endpoint: catalog.Incarnation{ID: l.GetId(), StartedAtMillis: l.GetStartedMillis()},
 			Limited:  l.GetLimited(), Limit: l.GetPerSecond(), Version: l.GetVersion(),
 			Restart: endpointrate.Suspicion{Raised: l.GetMayHaveRestarted(), Version: l.GetRestartVersion()},
-		})
+		}.Bounded()
+		if ok {
+			n.limits.Merge(now, s)
+		}
 	}
 	if n.limits.Len() > maxEndpoints {
 		return ErrTooLarge
--- a/internal/core/rendezvous/rendezvous.go
+++ b/internal/core/rendezvous/rendezvous.go
@@ -33,7 +33,7 @@
 	slices.SortFunc(all, func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), strings.Compare(a.name, b.name))
 	})
-	out := make([]string, min(n, len(all)))
+	out := make([]string, max(0, min(n, len(all))))
 	for i := range out {
 		out[i] = all[i].name
 	}
