Bound the numbers of endpoints, callers, instances and settings

A limit of 2^63-1 on bodies made the handler of each chunked body panic; 1e308 tokens in an engine's list of cached parts, or in what a caller names, made sums infinite, and the engine's cost no number; tokens, usage and times of messages were taken as they came; a deadline far ahead wrapped around to one in the past.

Durations, lengths and fields of messages are converted by the package saturate. Instants don't overflow. Settings in seconds are bounded to a year, and a retry window of some nanoseconds doesn't divide by zero.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -17,11 +18,29 @@
 // Instants of different machines must not be compared.
 type Instant int64
 
-// Add returns the instant d after i.
-func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
+// Add returns the instant d after i, or the last or first one that there is if it lies beyond.
+func (i Instant) Add(d time.Duration) Instant {
+	sum := i + Instant(d)
+	switch {
+	case d > 0 && sum < i:
+		return math.MaxInt64
+	case d < 0 && sum > i:
+		return math.MinInt64
+	}
+	return sum
+}
 
-// Sub returns the duration from j to i.
-func (i Instant) Sub(j Instant) time.Duration { return time.Duration(i - j) }
+// Sub returns the duration from j to i, or the longest that there is if it is longer.
+func (i Instant) Sub(j Instant) time.Duration {
+	difference := time.Duration(i - j)
+	switch {
+	case i > j && difference < 0:
+		return math.MaxInt64
+	case i < j && difference > 0:
+		return math.MinInt64
+	}
+	return difference
+}
 
 // Before reports whether i is earlier than j.
 func (i Instant) Before(j Instant) bool { return i < j }
--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
 )
 
 // drainHalfLife is the time after which an observation of the drain rate has half its weight. It spans several long requests;
@@ -72,9 +73,9 @@
 	const longest = time.Hour
 	if d.tokens <= 0 {
 		// Nothing has drained yet. The best estimate is that it takes as long again.
-		return time.Duration(seconds * float64(time.Second)), true
+		return saturate.Seconds(seconds), true
 	}
-	return time.Duration(min(tokens*seconds/d.tokens, longest.Seconds()) * float64(time.Second)), true
+	return saturate.Seconds(min(tokens*seconds/d.tokens, longest.Seconds())), true
 }
 
 // Bounds of Decision.RetryAfter.
--- a/internal/core/fleetquota/fleetquota.go
+++ b/internal/core/fleetquota/fleetquota.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
 )
 
 const (
@@ -273,7 +274,7 @@
 	need := math.Min(cost, t.Burst*usableBurst*l.usableFraction(now, a))
 	if a.level < need {
 		rate := math.Max(t.Rate*l.usableFraction(now, a), t.Rate*0.01)
-		return false, time.Duration((need - a.level) / rate * float64(time.Second))
+		return false, saturate.Seconds((need - a.level) / rate)
 	}
 	a.level -= cost
 	a.usage.Add(now, cost)
--- a/internal/core/fleetview/changes.go
+++ b/internal/core/fleetview/changes.go
@@ -7,6 +7,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/core/endpointnotice"
 	"dogwoodknot.example/dogwoodknot/internal/core/endpointrate"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
+	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
 	"dogwoodknot.example/dogwoodknot/internal/core/strength"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
@@ -142,9 +143,9 @@
 
 // EncodeCrash encodes a crash with its age.
 func EncodeCrash(now clock.Instant, c crashguard.Crash) *wire.EdgeEndpointCrash {
-	out := &wire.EdgeEndpointCrash{Id: c.Endpoint.ID, StartedMillis: c.Endpoint.StartedAtMillis, AgeMillis: uint32(max(0, now.Sub(c.At)).Milliseconds())}
+	out := &wire.EdgeEndpointCrash{Id: c.Endpoint.ID, StartedMillis: c.Endpoint.StartedAtMillis, AgeMillis: saturate.Millis(now.Sub(c.At))}
 	for key, s := range c.Parts {
-		out.Parts = append(out.Parts, &wire.EdgeSuspectPart{Key: key, LeadMillis: uint32(max(0, s.Lead).Milliseconds()),
+		out.Parts = append(out.Parts, &wire.EdgeSuspectPart{Key: key, LeadMillis: saturate.Millis(s.Lead),
 			WasAlive: s.WasAlive, Cleared: s.Cleared, Grouped: s.Grouped, Single: s.Single})
 	}
 	return out
@@ -171,7 +172,7 @@
 
 // roundToUint32 rounds x to the nearest integer and clamps it to [0, 1<<31]. Rounding errors in sums may make x
 // slightly negative.
-func roundToUint32(x float64) uint32 { return uint32(min(max(x+0.5, 0), 1<<31)) }
+func roundToUint32(x float64) uint32 { return saturate.Uint32(min(x+0.5, 1<<31)) }
 
 // applyStatuses applies the changes of a message to a set of statuses.
 func applyStatuses(into map[string]Status, changed []*wire.EdgeStanding, gone []string) {
@@ -199,6 +200,12 @@
 	}
 }
 
+// maxUse bounds the usage that another instance may report, so that sums stay numbers.
+const maxUse = 1e18
+
+// usedBy returns what an organisation has used according to another instance.
+func usedBy(u *wire.EdgeOrganisationUse) float64 { return saturate.Finite(u.GetUsed(), 0, maxUse) }
+
 func encodeUsage(usage map[string]float64) []*wire.EdgeOrganisationUse {
 	out := make([]*wire.EdgeOrganisationUse, 0, len(usage))
 	for organisation, used := range usage {
--- a/internal/core/fleetview/compact.go
+++ b/internal/core/fleetview/compact.go
@@ -1,12 +1,14 @@
 package fleetview
 
 import (
+	"math"
 	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
 
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
+	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
 
@@ -97,14 +99,17 @@
 		if err != nil {
 			return nil, err
 		}
-		out = append(out, &wire.EdgeEndpointWork{Id: id, Running: packed[1], UnreadTokens: packed[2] * prefillUnit, MemoryTokens: packed[3] * memoryUnit})
+		out = append(out, &wire.EdgeEndpointWork{Id: id, Running: packed[1], UnreadTokens: units(packed[2], prefillUnit), MemoryTokens: units(packed[3], memoryUnit)})
 	}
 	return out, nil
 }
 
+// units returns n units of the given size, at most the largest number.
+func units(n, size uint32) uint32 { return min(n, math.MaxUint32/size) * size }
+
 func (t *nameTable) packUses(to []uint64, list []*wire.EdgeOrganisationUse) []uint64 {
 	for _, u := range list {
-		to = append(to, uint64(t.number(u.GetName())), uint64(max(0, u.GetUsed())/usageUnit))
+		to = append(to, uint64(t.number(u.GetName())), saturate.Uint64(u.GetUsed()/usageUnit))
 	}
 	return to
 }
@@ -128,7 +133,7 @@
 func takeWholeUnits(usage map[string]float64) (whole, rest map[string]float64) {
 	whole, rest = make(map[string]float64, len(usage)), make(map[string]float64)
 	for organisation, used := range usage {
-		units := float64(uint64(max(0, used)/usageUnit)) * usageUnit
+		units := float64(saturate.Uint64(used/usageUnit)) * usageUnit
 		if units > 0 {
 			whole[organisation] = units
 		}
--- a/internal/core/fleetview/descendants.go
+++ b/internal/core/fleetview/descendants.go
@@ -35,12 +35,12 @@
 	d := descendantUse{name: u.GetName(), incarnation: u.GetIncarnation(), number: u.GetNumber(), usage: make(map[string]float64),
 		resent: u.GetResent(), countedHere: !u.GetResent() || !keeps}
 	for _, use := range u.GetUses() {
-		if use.GetUsed() <= 0 {
+		if usedBy(use) <= 0 {
 			continue
 		}
-		d.usage[use.GetName()] += use.GetUsed()
+		d.usage[use.GetName()] += usedBy(use)
 		if d.countedHere {
-			n.addUsage(s, now, use.GetName(), use.GetUsed())
+			n.addUsage(s, now, use.GetName(), usedBy(use))
 		}
 	}
 	if keeps && len(d.usage) > 0 {
--- a/internal/core/fleetview/digest.go
+++ b/internal/core/fleetview/digest.go
@@ -8,6 +8,7 @@
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/fleetquota"
+	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
@@ -161,7 +162,7 @@
 			continue
 		}
 		out = append(out, &wire.EdgeRegionState{
-			Region: name, AgeMillis: uint32(now.Sub(r.lastReceived).Milliseconds()), Uses: encodeUsage(remoteUsage(name)), Services: r.services,
+			Region: name, AgeMillis: saturate.Millis(now.Sub(r.lastReceived)), Uses: encodeUsage(remoteUsage(name)), Services: r.services,
 		})
 	}
 	return out
@@ -248,7 +249,7 @@
 	remote := n.remoteRegion(s.id.Region)
 	for _, u := range m.GetUses() {
 		if !first || now.Sub(remote.lastReceived) <= fleetquota.UnresponsiveAfter {
-			remote.add(u.GetName(), u.GetUsed())
+			remote.add(u.GetName(), usedBy(u))
 		}
 	}
 	remote.lastReceived = now
--- a/internal/core/fleetview/paces.go
+++ b/internal/core/fleetview/paces.go
@@ -7,6 +7,7 @@
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
+	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
 
@@ -53,7 +54,7 @@
 		}
 		p[endpoint] = pace
 		changed = append(changed, &wire.EdgeEndpointPace{
-			Id: endpoint, PaceHundredths: roundToUint32(100 * max(1, pace.Factor)), AgeMillis: uint32(max(0, age).Milliseconds()),
+			Id: endpoint, PaceHundredths: roundToUint32(100 * max(1, pace.Factor)), AgeMillis: saturate.Millis(age),
 		})
 	}
 	return changed
--- a/internal/core/fleetview/parent.go
+++ b/internal/core/fleetview/parent.go
@@ -288,8 +288,8 @@
 	}
 	increase := make(map[string]float64, len(r.GetUses()))
 	for _, use := range r.GetUses() {
-		increase[use.GetName()] = use.GetUsed() - before[use.GetName()]
-		before[use.GetName()] = use.GetUsed()
+		increase[use.GetName()] = usedBy(use) - before[use.GetName()]
+		before[use.GetName()] = usedBy(use)
 	}
 	if r.GetRegion() == n.self.Region {
 		for organisation, used := range acknowledged {
--- a/internal/core/fleetview/rates.go
+++ b/internal/core/fleetview/rates.go
@@ -51,7 +51,7 @@
 		}
 		usage := make(map[string]float64, len(s.GetUses()))
 		for _, u := range s.GetUses() {
-			usage[u.GetName()] = u.GetUsed()
+			usage[u.GetName()] = usedBy(u)
 		}
 		unresponsive[s.GetName()] = fleetquota.UnresponsiveInstance{Group: region, Usage: usage, UsageKnown: s.GetKnown()}
 	}
--- a/internal/core/fleetview/source.go
+++ b/internal/core/fleetview/source.go
@@ -67,9 +67,9 @@
 func (s *Source) receiveMeasured(now clock.Instant, m *wire.EdgeMeasuredUse) {
 	s.measuredBefore, s.usageKnown = make(map[string]float64), s.usageKnown || m.GetKnown()
 	for _, u := range m.GetUses() {
-		s.measuredBefore[u.GetName()] = u.GetUsed()
+		s.measuredBefore[u.GetName()] = usedBy(u)
 		if _, has := s.averageUsage[u.GetName()]; !has {
-			s.averageUsage[u.GetName()] = fleetquota.AverageOf(u.GetUsed(), now)
+			s.averageUsage[u.GetName()] = fleetquota.AverageOf(usedBy(u), now)
 		}
 	}
 }
--- a/internal/core/placement/pace.go
+++ b/internal/core/placement/pace.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
 )
 
 const (
@@ -100,7 +101,7 @@
 }
 
 func (r *prefillRate) timeFor(tokens float64) time.Duration {
-	return time.Duration(tokens * r.seconds / r.tokens * float64(time.Second))
+	return saturate.Seconds(tokens * r.seconds / r.tokens)
 }
 
 // tokensIn returns the number of prompt tokens that are processed in the given time.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -18,6 +18,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/core/endpointrate"
 	"dogwoodknot.example/dogwoodknot/internal/core/prefixvalue"
 	"dogwoodknot.example/dogwoodknot/internal/core/routing"
+	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
 )
 
 const (
@@ -62,6 +63,10 @@
 	spreadWidth = 2.0
 )
 
+// MaxTokens bounds the tokens of a prompt, a part or an answer that are believed: sums over all requests stay exact, and no model has as long
+// a context.
+const MaxTokens = 1e8
+
 // Request is what the choice of an endpoint depends on.
 type Request struct {
 	ID           string
@@ -588,7 +593,7 @@
 // fixedTime returns the expected time to an engine's first event beside the prefill: a first event holds several output tokens,
 // and each takes the engine's current time per token, which grows with the prompts that are processed meanwhile.
 func (p *Pool) fixedTime(now clock.Instant, e *Endpoint) time.Duration {
-	return max(e.pace.spell(now).stretch(firstEventFixed), time.Duration(p.service.Engine.EventTokens*float64(e.tokenTime.value(now))))
+	return max(e.pace.spell(now).stretch(firstEventFixed), saturate.Duration(p.service.Engine.EventTokens*float64(e.tokenTime.value(now))))
 }
 
 // PrefillTime returns how long an engine of the pool's mean speed takes to process the given number of prompt tokens, based on measurements.
--- a/internal/core/retrybudget/retrybudget.go
+++ b/internal/core/retrybudget/retrybudget.go
@@ -40,7 +40,7 @@
 func New(limits Limits) *Budget { return &Budget{limits: limits, services: make(map[string]*window)} }
 
 func (b *Budget) slot(now clock.Instant) int64 {
-	return int64(now) / int64(b.limits.Window/slots)
+	return int64(now) / int64(max(1, b.limits.Window/slots))
 }
 
 func (b *Budget) window(service string) *window {
--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -202,9 +202,9 @@
 // nextStep returns the size of the first buffer of a body: the announced size, if it is small, and one byte for its end.
 func (x *exchange) nextStep(total, maxBytes int64) int {
 	if x.r.ContentLength > 0 {
-		return int(min(x.r.ContentLength-total+1, bodyStep))
+		return int(min(x.r.ContentLength-total, bodyStep-1)) + 1
 	}
-	return int(min(firstStep, maxBytes+1))
+	return int(min(firstStep-1, maxBytes)) + 1
 }
 
 // rejectBody rejects a request whose body has not arrived whole, and ends its connection, whose further bytes belong to no request. It
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -18,6 +18,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/core/membudget"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 	"dogwoodknot.example/dogwoodknot/internal/core/routing"
+	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
 	"dogwoodknot.example/dogwoodknot/internal/core/triage"
 )
 
@@ -223,10 +224,10 @@
 		w.Parts = append(w.Parts, placement.PromptPart{Key: placement.PartKey(x.head.Model, part.ID), Tokens: part.Tokens})
 		sum += part.Tokens
 	}
-	w.PromptTokens = max(w.PromptTokens, sum)
+	w.PromptTokens = min(max(w.PromptTokens, sum), placement.MaxTokens)
 	if typical := x.edge.outputs.record(x.route.Name, w.OutputTokens); typical > 0 {
 		left := x.deadline.Sub(x.arrived)
-		w.MaxTokenTime = time.Duration(float64(left) * generationFraction / typical)
+		w.MaxTokenTime = saturate.Duration(float64(left) * generationFraction / typical)
 	}
 	return w
 }
--- a/internal/edge/remote.go
+++ b/internal/edge/remote.go
@@ -13,7 +13,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointnotice"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
+	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
@@ -91,7 +93,7 @@
 		closeStream(stream, cancel)
 		return nil, &failure{
 			kind: failureKind(end.GetFailure()), endpoint: end.GetEndpoint(), reason: instance + ": " + end.GetReason(),
-			retryAfter: time.Duration(end.GetRetryAfterNanos()),
+			retryAfter: min(max(0, time.Duration(end.GetRetryAfterNanos())), maxRemoteRetryAfter),
 		}
 	}
 	head := answer.GetHead()
@@ -105,6 +107,9 @@
 	}, nil
 }
 
+// maxRemoteRetryAfter bounds the Retry-After that another instance names: the longest for which endpoints may ask, and its spread.
+const maxRemoteRetryAfter = 2 * endpointnotice.MaxWait
+
 // codeStopping marks the error of an instance that ends before the attempt would. It has not sent the request to any endpoint.
 const codeStopping = "stopping"
 
@@ -308,8 +313,8 @@
 	a := &attempt{
 		id: string(req.GetId()), service: req.GetService(), organisation: req.GetOrganisation(),
 		method: req.GetMethod(), uri: string(req.GetUri()), host: string(req.GetHost()), header: decodeHeaders(req.GetHeaders()), body: [][]byte{req.GetBody()},
-		work: placement.Request{ID: string(req.GetId()), PromptTokens: req.GetPromptTokens(), OutputTokens: req.GetOutputTokens(),
-			MaxTokenTime: time.Duration(req.GetMaxPaceNanos()), MaxEventGap: time.Duration(max(0, req.GetMaxEventGapNanos()))},
+		work: placement.Request{ID: string(req.GetId()), PromptTokens: tokens(req.GetPromptTokens()), OutputTokens: tokens(req.GetOutputTokens()),
+			MaxTokenTime: time.Duration(max(0, req.GetMaxPaceNanos())), MaxEventGap: time.Duration(max(0, req.GetMaxEventGapNanos()))},
 		urgency: int(req.GetUrgency()), hasUrgency: req.GetHasUrgency(), freshConnection: req.GetOnce(), lastEventID: string(req.GetLastEvent()),
 		deadline: now.Add(time.Duration(req.GetLeftNanos())), placeBy: now.Add(time.Duration(req.GetMaxWaitNanos())),
 		waitUntil: now.Add(time.Duration(req.GetMaxWaitNanos())),
@@ -323,11 +328,14 @@
 	if head, err := e.options.Dialect.ParseRequest(a.header); err == nil {
 		a.sharedParts = sharedParts(head.PartIDs)
 	}
-	tokens := req.GetPartTokens()
+	partTokens := req.GetPartTokens()
 	for i, key := range req.GetPartKeys() {
-		if i < len(tokens) {
-			a.work.Parts = append(a.work.Parts, placement.PromptPart{Key: key, Tokens: tokens[i]})
+		if i < len(partTokens) {
+			a.work.Parts = append(a.work.Parts, placement.PromptPart{Key: key, Tokens: tokens(partTokens[i])})
 		}
 	}
 	return a
 }
+
+// tokens returns a number of tokens of another instance's message within the range that is believed.
+func tokens(n float64) float64 { return saturate.Finite(n, 0, placement.MaxTokens) }
--- a/internal/edge/returns.go
+++ b/internal/edge/returns.go
@@ -9,6 +9,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/core/fairshare"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 	"dogwoodknot.example/dogwoodknot/internal/core/returns"
+	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
 )
 
 // returnMetrics count promises to rejected callers, and what became of them.
@@ -28,7 +29,7 @@
 	if e.PromisedAt == 0 {
 		return 0
 	}
-	return uint32(max(1, e.PromisedAt.Sub(now).Milliseconds()))
+	return max(1, saturate.Millis(e.PromisedAt.Sub(now)))
 }
 
 // recogniseReturn sets when the caller has first sent the request, and returns what is known of it.
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -12,6 +12,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/core/crashguard"
 	"dogwoodknot.example/dogwoodknot/internal/core/fleetview"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
+	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
 
@@ -147,7 +148,7 @@
 			}
 		})
 		sum := pool.worstLoad(now)
-		load := &wire.EdgeServiceLoad{Name: name, Usable: uint32(sum.Usable), WaitMillis: uint32(sum.Wait.Milliseconds())}
+		load := &wire.EdgeServiceLoad{Name: name, Usable: uint32(sum.Usable), WaitMillis: saturate.Millis(sum.Wait)}
 		pool.setFlowLoad(now, load)
 		o.Services = append(o.Services, load)
 	})
@@ -165,7 +166,7 @@
 		parts := &wire.EdgeEndpointParts{Id: u.endpoint, Origin: origin}
 		for _, p := range u.parts {
 			parts.Keys = append(parts.Keys, p.Key)
-			parts.Tokens = append(parts.Tokens, uint32(p.Tokens))
+			parts.Tokens = append(parts.Tokens, saturate.Uint32(p.Tokens))
 		}
 		to.PromptParts = append(to.PromptParts, parts)
 	}
@@ -175,7 +176,7 @@
 	for _, r := range rejected {
 		if r.Expires > now {
 			to.Rejections = append(to.Rejections, &wire.EdgeRefusal{
-				Key: r.Key, AgeMillis: uint32(now.Sub(r.FirstArrived).Milliseconds()), ValidMillis: uint32(r.Expires.Sub(now).Milliseconds()),
+				Key: r.Key, AgeMillis: saturate.Millis(now.Sub(r.FirstArrived)), ValidMillis: saturate.Millis(r.Expires.Sub(now)),
 				Origin: origin, PromisedMillis: promisedMillis(now, r),
 			})
 		}
@@ -271,7 +272,7 @@
 		var parts []placement.PromptPart
 		for i, key := range u.GetKeys() {
 			if i < len(u.GetTokens()) {
-				parts = append(parts, placement.PromptPart{Key: key, Tokens: float64(u.GetTokens()[i])})
+				parts = append(parts, placement.PromptPart{Key: key, Tokens: min(float64(u.GetTokens()[i]), placement.MaxTokens)})
 			}
 		}
 		for _, pool := range p.byService {
--- a/internal/edgedaemon/settings.go
+++ b/internal/edgedaemon/settings.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dogwoodknot.example/dogwoodknot/internal/core/retrybudget"
+	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
 	"dogwoodknot.example/dogwoodknot/internal/edge"
 	"dogwoodknot.example/dogwoodknot/internal/netdial"
 )
@@ -88,4 +89,8 @@
 	}
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// seconds returns a setting in seconds, at most maxSeconds.
+func seconds(s float64) time.Duration { return saturate.Seconds(min(s, maxSeconds)) }
+
+// maxSeconds bounds the settings that are times: a year.
+const maxSeconds = 365 * 24 * 3600
--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -19,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dogwoodknot.example/dogwoodknot/internal/catalog"
+	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
 	"dogwoodknot.example/dogwoodknot/internal/netdial"
 )
 
@@ -336,7 +337,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(text); err == nil && seconds >= 0 {
-			return time.Duration(float64(seconds) * idleTimeoutFraction * float64(time.Second))
+			return saturate.Seconds(float64(seconds) * idleTimeoutFraction)
 		}
 	}
 	return defaultMaxIdle
