Keep serving a service that gains or loses its engine

Callers saw no answer on any route, not even at the time-out, from a version on that declared a model service without engine; all instances stayed ready.

Cause: the pool of a service kept the prefix caches of its endpoints when the declaration lost its engine. The next request that was placed computed the time to a first event, which reads the engine, and panicked while the lock of all pools was held. The reverse, a plain service that becomes one with engines, left its endpoints without caches; a new size of the memory was not followed either.

Change: Configure makes each endpoint have a cache of the declared size, or none.

Result: on TestServiceGainsAndLosesItsEngine panics in fixedTime, and TestServicesChangeWhileRequestsRun hangs after the same panic until it is ended. Both pass now; TestCacheFollowsTheDeclaredMemory guards the size.

--- a/internal/core/placement/cache.go
+++ b/internal/core/placement/cache.go
@@ -96,11 +96,22 @@
 		}
 		c.index.set(p.Key, c.endpoint, availableAt)
 	}
-	for c.tokens > c.capacity && c.parts.Len() > len(parts) {
+	c.evict(len(parts))
+}
+
+// evict removes the oldest parts that do not fit, but not the last keep ones.
+func (c *prefixCache) evict(keep int) {
+	for c.tokens > c.capacity && c.parts.Len() > keep {
 		c.parts.RemoveOldest()
 	}
 }
 
+// resize sets the size of the cache in tokens.
+func (c *prefixCache) resize(capacity float64) {
+	c.capacity = capacity
+	c.evict(0)
+}
+
 // clear removes all parts.
 func (c *prefixCache) clear() { c.parts.Purge() }
 
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -183,8 +183,34 @@
 		partIndex: make(partIndex)}
 }
 
-// Configure replaces the declaration of the service.
-func (p *Pool) Configure(service *catalog.Service) { p.service = service }
+// Configure replaces the declaration of the service, which may become one with engines or a plain one. Requests in progress go on.
+func (p *Pool) Configure(service *catalog.Service) {
+	p.service = service
+	for _, e := range p.endpoints {
+		p.configureCache(e)
+	}
+}
+
+// configureCache makes the endpoint have a prefix cache of the declared size if it is an engine, and none otherwise.
+func (p *Pool) configureCache(e *Endpoint) {
+	engine := p.service.Engine
+	switch {
+	case engine == nil:
+		e.dropCache()
+	case e.cache == nil:
+		e.cache = newPrefixCache(e, p.partIndex, engine.KVCacheTokens)
+	default:
+		e.cache.resize(engine.KVCacheTokens)
+	}
+}
+
+// dropCache removes the prefix cache of an endpoint that has gone or is no engine. A first event of one of its requests may still arrive.
+func (e *Endpoint) dropCache() {
+	if e.cache != nil {
+		e.cache.clear()
+		e.cache = nil
+	}
+}
 
 // SetEndpoints replaces the endpoints that may be used. The state of an endpoint is kept as long as its incarnation is the same.
 func (p *Pool) SetEndpoints(list []catalog.Endpoint) {
@@ -198,9 +224,8 @@
 		next[described.ID] = e
 	}
 	for id, e := range p.endpoints {
-		if next[id] != e && e.cache != nil {
-			e.cache.clear()
-			e.cache = nil // a first event of one of its last requests may still arrive
+		if next[id] != e {
+			e.dropCache()
 		}
 	}
 	p.endpoints = next
@@ -219,9 +244,7 @@
 
 func (p *Pool) newEndpoint(described catalog.Endpoint) *Endpoint {
 	e := &Endpoint{Endpoint: described, ownRequests: make(map[string]*placedRequest)}
-	if p.service.Engine != nil {
-		e.cache = newPrefixCache(e, p.partIndex, p.service.Engine.KVCacheTokens)
-	}
+	p.configureCache(e)
 	return e
 }
 
@@ -591,8 +614,11 @@
 }
 
 // fixedTime returns the expected time to an engine's first event beside the prefill: a first event holds several output tokens,
-// and each takes the engine's current time per token, which grows with the prompts that are processed meanwhile.
+// and each takes the engine's current time per token, which grows with the prompts that are processed meanwhile. It is 0 for a plain endpoint.
 func (p *Pool) fixedTime(now clock.Instant, e *Endpoint) time.Duration {
+	if p.service.Engine == nil {
+		return 0
+	}
 	return max(e.pace.spell(now).stretch(firstEventFixed), saturate.Duration(p.service.Engine.EventTokens*float64(e.tokenTime.value(now))))
 }
 
@@ -628,24 +654,30 @@
 	return !limited || p.limiter.Senders.MaySend(now, e.ID, perSecond)
 }
 
+// expect returns what is expected of the request at the chosen endpoint.
+func (p *Pool) expect(now clock.Instant, c Choice, req Request) *placedRequest {
+	e := c.Endpoint
+	placed := &placedRequest{request: req, sentAt: now}
+	if e.cache == nil {
+		return placed
+	}
+	placed.prefill, placed.gapLimit = c.PrefillTokens, req.MaxEventGap
+	placed.memory = placed.prefill + req.OutputTokens
+	load := e.load()
+	placed.backlog = load.PendingPrefill + placed.prefill
+	placed.unknownBacklog, placed.paceFactor = p.unknownBacklog(now, e, load.Requests), e.pace.Value(now)
+	placed.fixedTime = p.fixedTime(now, e)
+	placed.firstEventDue = now.Add(placed.fixedTime + p.enginePrefillTime(now, e, placed.backlog+placed.unknownBacklog))
+	return placed
+}
+
 // RecordSent records that the request is sent to the chosen endpoint.
 func (p *Pool) RecordSent(now clock.Instant, c Choice, req Request) {
 	e := c.Endpoint
+	placed := p.expect(now, c, req)
 	if _, limited := p.rateLimit(now, e); limited {
 		p.limiter.Senders.RecordSent(now, e.ID)
 	}
-	placed := &placedRequest{request: req, sentAt: now}
-	if e.cache != nil {
-		placed.prefill, placed.gapLimit = c.PrefillTokens, req.MaxEventGap
-		placed.memory = placed.prefill + req.OutputTokens
-		load := e.load()
-		placed.backlog = load.PendingPrefill + placed.prefill
-		placed.unknownBacklog, placed.paceFactor = p.unknownBacklog(now, e, load.Requests), e.pace.Value(now)
-		placed.fixedTime = p.fixedTime(now, e)
-		placed.firstEventDue = now.Add(placed.fixedTime + p.enginePrefillTime(now, e, placed.backlog+placed.unknownBacklog))
-		e.cache.use(req.Parts, placed.firstEventDue)
-		e.notStarted = append(e.notStarted, placed)
-	}
 	if e.ownRequests[req.ID] == nil {
 		p.inFlight++
 	}
@@ -659,6 +691,8 @@
 	e.ownPrefill += placed.prefill
 	e.ownMemory += placed.memory
 	if e.cache != nil {
+		e.notStarted = append(e.notStarted, placed)
+		e.cache.use(req.Parts, placed.firstEventDue)
 		e.share.used = e.share.used.Plus(Load{Requests: 1, PendingPrefill: placed.prefill, Memory: placed.memory})
 		p.placedTokens.AddAmount(now, placed.prefill+requestCost)
 		p.placed.Add(now)
