Contain panics, and hold no lock after one

Cause: a panic in one service's placement stopped all services, since pools.place and other functions unlocked without a defer, and net/http or the handler of another instance's call recovered it. The tick of the view, the dispatch of waiting requests and updates of the store ended the process. A request that was chosen for an endpoint stayed counted there.

Change: locks that cover decisions (pools, the node of the fleet's view, rates) are released by defer. A panic in the choice of an endpoint concerns its request only: what was counted is taken back, the request tries other regions or gets a 503, which is true, at once. A panic elsewhere in a request is answered by a 502, and its place at an endpoint is released. A panic in a periodic step or in an update of the store ends that step. Each is logged with its stack and counted (panics).

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -153,14 +153,19 @@
 		return nil, &failure{kind: notPlaced, reason: string(reason), retryAfter: e.retryAfter(a.service)}
 	}
 	endpoint := chosen.Endpoint
+	handedOver := false // to the body of the answer, whose Close ends the request at the endpoint
+	result := resultNone
+	defer func() {
+		if !handedOver {
+			e.pools.release(a.service, endpoint, a.work.ID, result)
+		}
+	}()
 	left := a.deadline.Sub(e.clock.Now())
 	if left <= 0 {
-		e.pools.release(a.service, endpoint, a.work.ID, resultNone)
 		return nil, &failure{kind: notPlaced, reason: "deadline", retryAfter: e.retryAfter(a.service)}
 	}
 	// The wait for an endpoint may have lasted longer than others needed to learn of a crash.
 	if v := e.guard.admit(e.clock.Now(), a.sharedParts); v.Blocked {
-		e.pools.release(a.service, endpoint, a.work.ID, resultNone)
 		e.metrics.rejectedForPart()
 		return nil, blockedFailure(v)
 	}
@@ -183,15 +188,17 @@
 		OnIdleClosed: func() { e.suspectRestart(a, chosen.Incarnation, chosen.Addr, "idle connection closed by the endpoint") },
 	}, func() bool { return e.pools.mayReceive(a.service, chosen) })
 	if errors.Is(err, errStopping) {
-		e.pools.release(a.service, endpoint, a.work.ID, resultNone)
 		return nil, stoppingFailure()
 	}
 	if errors.Is(err, errWithheld) {
+		handedOver = true
 		e.pools.release(a.service, endpoint, a.work.ID, resultNone)
 		return e.attemptLocal(ctx, a) // at another endpoint, if there is one
 	}
 	if err != nil {
-		return nil, e.sendFailure(ctx, a, chosen, sentAt, err)
+		var f *failure
+		f, result = e.sendFailure(ctx, a, chosen, sentAt, err)
+		return nil, f
 	}
 	a.sent.connectedFor = resp.ConnectedFor
 	e.observeLimit(a.id, chosen.Incarnation, resp.Status, head, sentAt)
@@ -209,7 +216,7 @@
 	body := &endpointBody{ReadCloser: resp.Body, ctx: ctx, edge: e, attempt: a, endpoint: endpoint, incarnation: chosen.Incarnation, addr: chosen.Addr, sentAt: sentAt,
 		connectedAt: e.clock.Now().Add(-resp.ConnectedFor), open: resp.Open,
 		succeeds: resp.Status < http.StatusMultipleChoices && head.Signed, framed: resp.Framed, result: healthResultOf(resp.Status, head)}
-	r.body = body
+	r.body, handedOver = body, true
 	if kind, reason := classifyAnswer(resp.Status, resp.Header, head); kind != "" {
 		discardBody(body)
 		f := &failure{kind: kind, endpoint: chosen.ID, reason: reason, notice: head.Notice}
@@ -260,8 +267,8 @@
 	return resultSucceeded
 }
 
-// sendFailure ends an attempt that failed before an answer began, and classifies the error.
-func (e *Edge) sendFailure(ctx context.Context, a *attempt, chosen placement.Choice, sentAt clock.Instant, err error) *failure {
+// sendFailure classifies the error of an attempt that failed before an answer began, and returns what it shows about the endpoint.
+func (e *Edge) sendFailure(ctx context.Context, a *attempt, chosen placement.Choice, sentAt clock.Instant, err error) (*failure, healthResult) {
 	f := &failure{kind: broken, endpoint: chosen.ID, reason: err.Error()}
 	v := resultFailed
 	switch {
@@ -289,8 +296,7 @@
 	if f.kind == broken && ctx.Err() == nil {
 		e.examineBroken(a, chosen.Incarnation, chosen.Addr, sentAt, false, f.reason)
 	}
-	e.pools.release(a.service, chosen.Endpoint, a.work.ID, v)
-	return f
+	return f, v
 }
 
 // maxDiscarded bounds how much is read of an answer that is not used, so that its connection can be reused.
@@ -397,11 +403,12 @@
 		return nil
 	}
 	b.closed = true
+	defer func() {
+		b.edge.pools.release(b.attempt.service, b.endpoint, b.attempt.work.ID, b.result)
+		if b.begun {
+			b.edge.pools.recordHeld(b.attempt, b.edge.clock.Now().Sub(b.sentAt))
+		}
+	}()
 	b.recordEnd(errGivenUp)
-	err := b.ReadCloser.Close()
-	b.edge.pools.release(b.attempt.service, b.endpoint, b.attempt.work.ID, b.result)
-	if b.begun {
-		b.edge.pools.recordHeld(b.attempt, b.edge.clock.Now().Sub(b.sentAt))
-	}
-	return err
+	return b.ReadCloser.Close()
 }
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -110,6 +110,13 @@
 		e.metrics.inFlight(-1)
 		x.recordOutcome()
 	}()
+	defer func() {
+		if cause := recover(); cause == http.ErrAbortHandler {
+			panic(cause)
+		} else if cause != nil {
+			x.answerPanic(cause)
+		}
+	}()
 	if e.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -382,7 +389,7 @@
 	case d.Action == triage.ServeLocally:
 		x.attempt.waitUntil = min(x.attempt.placeBy, now.Add(reconsiderInterval))
 		r, f := e.attemptLocal(ctx, &x.attempt)
-		if f != nil && f.kind == notPlaced && !f.final && f.reason != string(placement.NoEndpoint) && f.reason != string(placement.AllWithheld) && e.clock.Now() < x.attempt.placeBy {
+		if f != nil && mayWaitHere(f) && e.clock.Now() < x.attempt.placeBy {
 			f.waiting = true
 			return r, f
 		}
@@ -393,6 +400,18 @@
 	return nil, &failure{kind: notPlaced, reason: "expected wait is too long", retryAfter: d.RetryAfter, final: true}
 }
 
+// mayWaitHere reports whether an endpoint of this region may still become available to a request that got none.
+func mayWaitHere(f *failure) bool {
+	if f.kind != notPlaced || f.final {
+		return false
+	}
+	switch placement.Reason(f.reason) {
+	case placement.NoEndpoint, placement.AllWithheld, placementFailed:
+		return false
+	}
+	return true
+}
+
 // unavailableReason says why no region can serve the request.
 func (x *exchange) unavailableReason() string {
 	switch sum := x.edge.pools.loadFor(&x.attempt); {
--- a/internal/edge/pools.go
+++ b/internal/edge/pools.go
@@ -38,6 +38,8 @@
 // pools holds the endpoints of this region by service, and the requests that wait for them. It is safe for concurrent use.
 type pools struct {
 	clock clock.Clock
+	// reportPanic is told of a panic in the choice of an endpoint.
+	reportPanic func(place string, cause any)
 
 	mu        sync.Mutex
 	conf      *catalog.Configuration // nil before the first
@@ -77,7 +79,7 @@
 const instanceStopping placement.Reason = "instance-stopping"
 
 func newPools(c clock.Clock, self string) *pools {
-	return &pools{clock: c, byService: make(map[string]*servicePool), newParts: numberedLog[endpointParts]{maxEntries: maxNewParts},
+	return &pools{clock: c, reportPanic: func(string, any) {}, byService: make(map[string]*servicePool), newParts: numberedLog[endpointParts]{maxEntries: maxNewParts},
 		limiter: endpointrate.NewLimiter(self), notices: endpointnotice.NewRegister()}
 }
 
@@ -106,9 +108,14 @@
 		pool.SetEndpoints(list)
 	}
 	for name, pool := range p.byService {
-		if _, used := endpoints[name]; !used {
-			pool.SetEndpoints(nil)
+		if _, used := endpoints[name]; used {
+			continue
+		}
+		if service := conf.Service(name); service != nil {
+			pool.service = service
+			pool.Configure(service)
 		}
+		pool.SetEndpoints(nil)
 	}
 	p.dispatchAll()
 }
@@ -135,34 +142,14 @@
 // place waits for an endpoint until a.waitUntil or until ctx ends. The request counts as in progress at the returned endpoint
 // until release is called. If there is no endpoint, it returns the reason.
 func (p *pools) place(ctx context.Context, a *attempt) (placement.Choice, placement.Reason) {
-	p.mu.Lock()
-	if p.closed {
-		p.mu.Unlock()
-		return placement.Choice{}, instanceStopping
-	}
-	pool := p.byService[a.service]
-	if pool == nil {
-		p.mu.Unlock()
-		return placement.Choice{}, placement.NoEndpoint
-	}
 	req := &waiter{attempt: a, placed: make(chan placement.Choice, 1)}
-	if a.queuedSince == 0 {
-		a.queuedSince = p.clock.Now()
-	}
-	reason := p.placeNow(pool, req)
-	if reason == "" {
-		p.mu.Unlock()
+	pool, wait, reason := p.placeOrEnqueue(req)
+	switch {
+	case reason == "":
 		return <-req.placed, ""
-	}
-	wait := a.waitUntil.Sub(p.clock.Now())
-	if !reason.Transient() || wait <= 0 {
-		p.mu.Unlock()
+	case wait <= 0:
 		return placement.Choice{}, reason
 	}
-	pool.enqueue(req)
-	pool.shares.RecordContention(p.clock.Now())
-	p.mu.Unlock()
-
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
@@ -174,6 +161,37 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	return p.endWait(ctx, pool, req, reason)
+}
+
+// placeOrEnqueue places the request, or lets it wait for as long as it returns, which is 0 or less if it cannot wait. reason is why it is
+// not placed.
+func (p *pools) placeOrEnqueue(req *waiter) (pool *servicePool, wait time.Duration, reason placement.Reason) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, 0, instanceStopping
+	}
+	if pool = p.byService[req.service]; pool == nil {
+		return nil, 0, placement.NoEndpoint
+	}
+	now := p.clock.Now()
+	if req.queuedSince == 0 {
+		req.queuedSince = now
+	}
+	if reason = p.placeNow(pool, req); reason == "" {
+		return pool, 0, ""
+	}
+	if wait = req.waitUntil.Sub(now); !reason.Transient() || wait <= 0 {
+		return pool, 0, reason
+	}
+	pool.enqueue(req)
+	pool.shares.RecordContention(now)
+	return pool, wait, reason
+}
+
+// endWait ends the wait of a request whose time is over or whose context has ended. It may have been placed meanwhile.
+func (p *pools) endWait(ctx context.Context, pool *servicePool, req *waiter, reason placement.Reason) (placement.Choice, placement.Reason) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	select {
@@ -184,7 +202,7 @@
 		if ctx.Err() == nil {
 			return c, ""
 		}
-		pool.RecordEnd(p.clock.Now(), c.Endpoint, a.work.ID)
+		pool.RecordEnd(p.clock.Now(), c.Endpoint, req.work.ID)
 	default:
 		pool.remove(req)
 	}
@@ -202,14 +220,24 @@
 	return p.tryPlace(pool, req)
 }
 
-func (p *pools) tryPlace(pool *servicePool, req *waiter) placement.Reason {
+// tryPlace chooses an endpoint for a request. A panic concerns this request only, which counts nowhere then and gets no endpoint here.
+func (p *pools) tryPlace(pool *servicePool, req *waiter) (reason placement.Reason) {
 	now := p.clock.Now()
+	var choice placement.Choice
+	defer func() {
+		if cause := recover(); cause != nil {
+			p.reportPanic("placement of request "+req.id, cause)
+			if choice.Endpoint != nil {
+				pool.RecordEnd(now, choice.Endpoint, req.work.ID)
+			}
+			reason = placementFailed
+		}
+	}()
 	constraint := placement.Constraint{Excluded: func(id string) bool { return req.excluded[id] }, Queued: len(pool.waiting) > 0, Waited: now.Sub(req.queuedSince)}
 	if pool.service.Engine != nil {
 		constraint.MaxWait = maxEngineWait
 	}
-	choice, reason := pool.Choose(now, &req.work, constraint)
-	if reason != "" {
+	if choice, reason = pool.Choose(now, &req.work, constraint); reason != "" {
 		return reason
 	}
 	pool.RecordSent(now, choice, req.work)
@@ -301,10 +329,11 @@
 		}
 		reason := p.tryPlace(pool, w)
 		held.record(now, w, reason)
-		if reason == placement.AllWithheld {
+		ends := reason == placement.AllWithheld || reason == placementFailed
+		if ends {
 			pool.waiting[i].reject(reason) // it goes to another region or is rejected now
 		}
-		if reason == "" || reason == placement.AllWithheld {
+		if reason == "" || ends {
 			pool.waiting = slices.Delete(pool.waiting, i, i+1)
 			continue
 		}
--- a/internal/edge/reporting.go
+++ b/internal/edge/reporting.go
@@ -103,10 +103,10 @@
 	}
 	defer stream.Close()
 	compact := v.edge.fleet.regionShape().heads
-	v.mu.Lock()
-	v.node.SetCompact(compact)
-	err = v.node.SetParent(began, parent)
-	v.mu.Unlock()
+	err = v.withNode(func(n *fleetview.Node) error {
+		n.SetCompact(compact)
+		return n.SetParent(began, parent)
+	})
 	if err != nil {
 		return err
 	}
@@ -116,13 +116,12 @@
 		v.parentLostAt = v.edge.clock.Now()
 		v.node.ClearParent(v.parentLostAt)
 	}()
-	v.edge.goroutines.Go(func() { cancel(v.receiveDigests(stream)) })
+	v.edge.goroutines.Go(func() {
+		cancel(v.edge.containError("digests of the parent", func() error { return v.receiveDigests(stream) }))
+	})
 	v.edge.goroutines.Go(func() { v.watchParent(ctx, parent, cancel) })
 	for {
-		v.mu.Lock()
-		report := v.node.NextReport(v.edge.clock.Now())
-		v.mu.Unlock()
-		if err := stream.Send(report); err != nil {
+		if err := stream.Send(v.nextReport()); err != nil {
 			return err
 		}
 		every := v.interval()
@@ -136,6 +135,19 @@
 	}
 }
 
+// withNode calls f with the node, which nothing else uses meanwhile.
+func (v *view) withNode(f func(*fleetview.Node) error) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return f(v.node)
+}
+
+func (v *view) nextReport() *wire.EdgeReport {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.node.NextReport(v.edge.clock.Now())
+}
+
 // watchParent ends the use of a parent once another instance should be the parent and answers.
 func (v *view) watchParent(ctx context.Context, used string, end context.CancelCauseFunc) {
 	for clock.Sleep(ctx, parentCheckInterval) == nil {
@@ -171,10 +183,13 @@
 		if err := stream.Recv(&d); err != nil {
 			return err
 		}
-		v.mu.Lock()
-		events, err := v.node.ReceiveDigest(v.edge.clock.Now(), &d)
-		parent := v.node.Parent()
-		v.mu.Unlock()
+		var events fleetview.Events
+		var parent string
+		err := v.withNode(func(n *fleetview.Node) (err error) {
+			parent = n.Parent()
+			events, err = n.ReceiveDigest(v.edge.clock.Now(), &d)
+			return err
+		})
 		if err != nil {
 			return err
 		}
@@ -201,15 +216,17 @@
 		return peer.NewError(codeNotYet, "incarnation is not known")
 	}
 	defer v.edge.closeAtEnd(stream)()
-	v.mu.Lock()
-	source, err := v.node.AddChild(from)
-	v.mu.Unlock()
+	var source *fleetview.Source
+	err := v.withNode(func(n *fleetview.Node) (err error) {
+		source, err = n.AddChild(from)
+		return err
+	})
 	if err != nil {
 		return peer.NewError(codeNotYet, err.Error())
 	}
 	ctx, cancel := context.WithCancel(v.edge.ctx)
 	var sending sync.WaitGroup
-	sending.Go(func() { v.sendDigests(ctx, source, stream) })
+	sending.Go(func() { v.edge.contain("digests to a child", func() { v.sendDigests(ctx, source, stream) }) })
 	defer sending.Wait()
 	defer cancel()
 	defer func() {
@@ -222,10 +239,11 @@
 		if err := stream.Recv(&r); err != nil {
 			return withoutEOF(err)
 		}
-		v.mu.Lock()
-		err := v.node.ReceiveReport(v.edge.clock.Now(), source, &r)
-		root := v.node.IsRoot()
-		v.mu.Unlock()
+		root := false
+		err := v.withNode(func(n *fleetview.Node) error {
+			root = n.IsRoot()
+			return n.ReceiveReport(v.edge.clock.Now(), source, &r)
+		})
 		if err != nil {
 			return err
 		}
@@ -251,9 +269,8 @@
 		case <-ctx.Done():
 			return
 		}
-		v.mu.Lock()
-		d := v.node.DigestFor(source)
-		v.mu.Unlock()
+		var d *wire.EdgeDigest
+		_ = v.withNode(func(n *fleetview.Node) error { d = n.DigestFor(source); return nil })
 		if d == nil {
 			continue
 		}
@@ -371,10 +388,11 @@
 		if err := stream.Recv(&s); err != nil {
 			return withoutEOF(err)
 		}
-		v.mu.Lock()
-		root := v.node.RegionRoot()
-		err := v.node.ReceiveSummary(v.edge.clock.Now(), source, &s)
-		v.mu.Unlock()
+		root := ""
+		err := v.withNode(func(n *fleetview.Node) error {
+			root = n.RegionRoot()
+			return n.ReceiveSummary(v.edge.clock.Now(), source, &s)
+		})
 		if err != nil {
 			return err
 		}
--- a/internal/edge/restart.go
+++ b/internal/edge/restart.go
@@ -91,9 +91,11 @@
 // runPools offers waiting requests to the endpoints at each interval until ctx ends.
 func (e *Edge) runPools(ctx context.Context) {
 	for clock.Sleep(ctx, dispatchInterval) == nil {
-		for _, endpoint := range e.pools.tick() {
-			e.logSuspicion(endpoint, false, "it has answered for a cold period")
-		}
+		e.contain("dispatch", func() {
+			for _, endpoint := range e.pools.tick() {
+				e.logSuspicion(endpoint, false, "it has answered for a cold period")
+			}
+		})
 	}
 }
 
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -102,6 +102,7 @@
 	e.fleet = newFleet(&e.options)
 	e.fleet.onChange = e.membersChanged
 	e.pools = newPools(o.Clock, o.Self.Instance)
+	e.pools.reportPanic = e.reportPanic
 	e.conns = endpointconn.NewPool(o.Dial, o.Dialect.AnswerRequestID)
 	e.crashes = newCrashChecks(&e.options, e.metrics)
 	e.strongest = namedInstances{log: o.Log, metrics: e.metrics, last: make(map[string]string)}
@@ -158,7 +159,8 @@
 	now := e.clock.Now()
 	feed := &relayedFeed{edge: e, prefix: prefix, direct: e.options.Feed, startedAt: now, storeAnsweredAt: now}
 	e.feeds[prefix] = feed
-	e.mirrors[prefix] = mirror.New(feed, prefix, e.clock, e.log, apply, same)
+	contained := func(u mirror.Update) { e.contain("keys "+prefix, func() { apply(u) }) }
+	e.mirrors[prefix] = mirror.New(feed, prefix, e.clock, e.log, contained, same)
 	e.mirrors[prefix].SetCadence(feed.cadence())
 	e.mirrors[prefix].SetRecovery(feed.recovery())
 }
@@ -218,9 +220,7 @@
 	if conf == nil {
 		return
 	}
-	e.quotaMu.Lock()
-	e.quota.SetLimits(e.clock.Now(), conf.terms())
-	e.quotaMu.Unlock()
+	e.withQuota(func(q *fleetquota.Limiter) { q.SetLimits(e.clock.Now(), conf.terms()) })
 	e.pools.set(conf.Configuration, e.state.usable(e.options.Self.Region))
 }
 
@@ -247,30 +247,41 @@
 	e.updateSenders()
 	e.view.forget()
 	sizes := e.fleet.sizes()
+	e.withQuota(func(q *fleetquota.Limiter) {
+		q.SetPeerGroups(e.clock.Now(), fleetview.LedgerPeers(sizes, e.unresponsive))
+	})
+}
+
+// withQuota calls f with the rates of organisations, which nothing else uses meanwhile.
+func (e *Edge) withQuota(f func(*fleetquota.Limiter)) {
 	e.quotaMu.Lock()
-	e.quota.SetPeerGroups(e.clock.Now(), fleetview.LedgerPeers(sizes, e.unresponsive))
-	e.quotaMu.Unlock()
+	defer e.quotaMu.Unlock()
+	f(e.quota)
 }
 
 // maintain removes what is gone and updates gauges at each interval until ctx ends.
 func (e *Edge) maintain(ctx context.Context) {
 	for clock.Sleep(ctx, maintenanceInterval) == nil {
-		e.fleet.removeUnresponsive()
-		e.connectPartners(ctx)
-		e.conns.CloseUnused(e.mayKeepConnections())
-		dialled, reused := e.conns.Counts()
-		e.metrics.connections(dialled, reused)
-		e.memory.UpdateGauges()
-		e.metrics.viewAge.Update(e.view.age(e.clock.Now()).Seconds())
-		e.metrics.sharing(e.pools.sharing())
-		e.view.recordRole()
-		e.pruneLimits()
-		e.pruneCrashes()
-		e.pruneNotices()
-		e.measureUtilisation()
+		e.contain("maintenance", func() { e.maintainOnce(ctx) })
 	}
 }
 
+func (e *Edge) maintainOnce(ctx context.Context) {
+	e.fleet.removeUnresponsive()
+	e.connectPartners(ctx)
+	e.conns.CloseUnused(e.mayKeepConnections())
+	dialled, reused := e.conns.Counts()
+	e.metrics.connections(dialled, reused)
+	e.memory.UpdateGauges()
+	e.metrics.viewAge.Update(e.view.age(e.clock.Now()).Seconds())
+	e.metrics.sharing(e.pools.sharing())
+	e.view.recordRole()
+	e.pruneLimits()
+	e.pruneCrashes()
+	e.pruneNotices()
+	e.measureUtilisation()
+}
+
 // admitRate charges the cost to the organisation's rate. If the rate does not cover it, it returns false and the Retry-After.
 func (e *Edge) admitRate(organisation string, cost float64) (bool, time.Duration) {
 	e.quotaMu.Lock()
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -10,6 +10,9 @@
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/crashguard"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointnotice"
+	"dogwoodknot.example/dogwoodknot/internal/core/endpointrate"
+	"dogwoodknot.example/dogwoodknot/internal/core/fleetquota"
 	"dogwoodknot.example/dogwoodknot/internal/core/fleetview"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
@@ -65,7 +68,7 @@
 // arrives. So the instances below a head receive the state of the root together with those that report to the root itself.
 func (v *view) run(ctx context.Context) {
 	for v.awaitTick(ctx) {
-		v.tick()
+		v.edge.contain("digest", v.tick)
 	}
 }
 
@@ -93,7 +96,15 @@
 func (v *view) tick() {
 	own := v.ownState()
 	now, compact := v.edge.clock.Now(), v.edge.fleet.regionShape().heads
+	if v.prepareDigest(now, compact, own) {
+		v.apply()
+	}
+}
+
+// prepareDigest prepares the next digest for the children, and reports whether this instance is the root of its region.
+func (v *view) prepareDigest(now clock.Instant, compact bool, own fleetview.OwnState) (root bool) {
 	v.mu.Lock()
+	defer v.mu.Unlock()
 	v.node.SetCompact(compact)
 	v.node.SetOwnState(now, own)
 	if err := v.node.Tick(now); err != nil {
@@ -101,11 +112,7 @@
 	}
 	close(v.ticked)
 	v.ticked = make(chan struct{})
-	root := v.node.IsRoot()
-	v.mu.Unlock()
-	if root {
-		v.apply()
-	}
+	return v.node.IsRoot()
 }
 
 // isRoot reports whether this instance is the root of its region.
@@ -133,9 +140,9 @@
 		ConfigVersion: e.state.version(), Load: make(map[string]placement.Load), Usage: make(map[string]float64),
 		Paces: make(map[string]placement.Pace),
 	}
-	e.quotaMu.Lock()
-	e.quota.ForEachAdmitted(func(organisation string, total float64) { o.Usage[organisation] = total })
-	e.quotaMu.Unlock()
+	e.withQuota(func(q *fleetquota.Limiter) {
+		q.ForEachAdmitted(func(organisation string, total float64) { o.Usage[organisation] = total })
+	})
 	now := e.clock.Now()
 	o.Limits = e.pools.limitStatements()
 	o.Crashes, v.reportedCrashes = e.guard.changes(v.reportedCrashes)
@@ -197,36 +204,58 @@
 func (v *view) apply() {
 	e := v.edge
 	now := e.clock.Now()
-	v.mu.Lock()
-	statuses, peerLoad := v.node.Statuses(now), v.node.PeerLoad(now)
-	rates, services := fleetview.RateInputs{Usage: v.node.PeerUsage(), Unresponsive: v.node.Unresponsive(now)}, v.node.RemoteServices()
-	ownServices := v.node.RegionServices(now)
-	newest, version := v.node.NewestConfig()
-	limits, notices, paces := v.node.Limits(), v.node.Notices(now), v.node.Paces()
-	var crashes []crashguard.Crash
-	crashes, v.appliedCrashes = v.node.Crashes(v.appliedCrashes)
-	number := v.node.RootStateNumber()
-	v.mu.Unlock()
-	e.mergeLimits(now, limits)
-	e.mergeNotices(now, notices)
-	e.guard.merge(now, crashes)
-	v.appliedAsOf.Store(int64(rates.Usage[e.options.Self.Region].ReceivedAt))
-	e.fleet.recordStatuses(statuses)
-	e.fleet.recordServices(services, func(region string) clock.Instant { return rates.Usage[region].ReceivedAt })
+	s := v.received(now)
+	receivedAt := func(region string) clock.Instant { return s.rates.Usage[region].ReceivedAt }
+	e.mergeLimits(now, s.limits)
+	e.mergeNotices(now, s.notices)
+	e.guard.merge(now, s.crashes)
+	v.appliedAsOf.Store(int64(receivedAt(e.options.Self.Region)))
+	e.fleet.recordStatuses(s.statuses)
+	e.fleet.recordServices(s.services, receivedAt)
 	instances, position, share := e.fleet.servingInRegion(e.utilisation.current())
-	e.pools.mergePaces(paces)
-	e.pools.setPeerLoad(now, peerLoad, instances, placement.Exchange{Number: number, Position: position, Interval: v.interval(), CallerShare: share})
+	e.pools.mergePaces(s.paces)
+	e.pools.setPeerLoad(now, s.peerLoad, instances, placement.Exchange{Number: s.number, Position: position, Interval: v.interval(), CallerShare: share})
 	sizes := e.fleet.sizes()
-	v.updateFlows(now, ownServices, services, func(region string) clock.Instant { return rates.Usage[region].ReceivedAt }, sizes)
-	e.quotaMu.Lock()
-	if silent, changed := rates.UpdateLedger(now, e.quota, e.fleet.regionOf, sizes); changed {
-		e.unresponsive = silent
-		e.log.Info("parts of the rates are kept for silent instances", zap.Strings("peers", fleetview.SortedNames(silent)))
+	v.updateFlows(now, s.ownServices, s.services, receivedAt, sizes)
+	e.withQuota(func(q *fleetquota.Limiter) {
+		if silent, changed := s.rates.UpdateLedger(now, q, e.fleet.regionOf, sizes); changed {
+			e.unresponsive = silent
+			e.log.Info("parts of the rates are kept for silent instances", zap.Strings("peers", fleetview.SortedNames(silent)))
+		}
+	})
+	if s.version > e.state.version() {
+		e.fetchDocument(s.newest)
 	}
-	e.quotaMu.Unlock()
-	if version > e.state.version() {
-		e.fetchDocument(newest)
+}
+
+// receivedState is what the node knows of the other instances.
+type receivedState struct {
+	statuses    map[string]fleetview.ReceivedStatus
+	peerLoad    map[string]placement.Load
+	rates       fleetview.RateInputs
+	services    map[string][]*wire.EdgeServiceLoad // of other regions
+	ownServices []*wire.EdgeServiceLoad
+	newest      string // instance with the newest configuration
+	version     int64  // of that configuration
+	limits      []endpointrate.Statement
+	notices     []endpointnotice.Advice
+	paces       map[string]placement.Pace
+	crashes     []crashguard.Crash
+	number      uint64
+}
+
+func (v *view) received(now clock.Instant) receivedState {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := receivedState{
+		statuses: v.node.Statuses(now), peerLoad: v.node.PeerLoad(now),
+		rates:    fleetview.RateInputs{Usage: v.node.PeerUsage(), Unresponsive: v.node.Unresponsive(now)},
+		services: v.node.RemoteServices(), ownServices: v.node.RegionServices(now),
+		limits: v.node.Limits(), notices: v.node.Notices(now), paces: v.node.Paces(), number: v.node.RootStateNumber(),
 	}
+	s.newest, s.version = v.node.NewestConfig()
+	s.crashes, v.appliedCrashes = v.node.Crashes(v.appliedCrashes)
+	return s
 }
 
 // age returns the age of the view of the region's other instances that decisions are based on, negative if nothing was received
