Put a version in force but for its mistakes

Callers with a key that a version had withdrawn were served for good, on all instances, if the version listed another key twice.

Cause: a key that an organisation lists twice was taken for one that two organisations hold, and any mistake in any entry of a configuration, or a number that its type cannot hold, made the whole version invalid. The one before stayed in force, with its keys, routes and limits.

Change: a key may be listed repeatedly. Entries are decoded one by one, and a mistake concerns the smallest part that has no meaning: a key, a target, an engine, an entry. A route that cannot be used still takes its requests and rejects them at once, since a route with a shorter prefix may be public or lead to other regions. If no declared route can be used, the routes in force remain while keys and rates change. What is left out is logged with its position and counted (configuration_findings).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -63,6 +63,9 @@
 	Sticky           bool     // requests share prompt prefixes
 	Resumable        bool     // a stream may continue at another endpoint
 	HomeRegions      []string // regions that may serve it; empty: all
+	// Unusable says that the declaration has no service for the requests of the route. They are rejected, and not served by a route with a
+	// shorter prefix.
+	Unusable bool
 }
 
 // Retryable reports whether a request may be sent to another endpoint even if the first one may have run it.
@@ -76,6 +79,9 @@
 	if len(r.Targets) == 1 {
 		return r.Targets[0].Service
 	}
+	if len(r.Targets) == 0 {
+		return ""
+	}
 	total := 0.0
 	for _, t := range r.Targets {
 		total += t.Weight
@@ -154,12 +160,15 @@
 
 // Configuration is one checked version of the operator's declarations.
 type Configuration struct {
-	Version       int64
-	Limits        Limits
+	Version int64
+	Limits  Limits
+	// Findings are the mistakes of the declaration with their positions. What each concerns is left out or has a default.
+	Findings      []error
 	routes        map[string][]*Route // by host, longest prefix first
 	services      map[string]*Service
 	organisations map[string]*Organisation
 	keys          map[[sha256.Size]byte]*Organisation
+	routeless     bool // routes are declared, and none of them can be used
 }
 
 // Declaration is the content of a configuration before it is checked.
@@ -169,99 +178,140 @@
 	Services      []*Service
 	Organisations []*Organisation
 	Limits        Limits
+	Findings      []error // of the decoder, which has left out what they concern
 }
 
-// New checks a declaration and returns its configuration. The error lists all mistakes with their positions; the
-// configuration is nil if there is one.
+// New checks a declaration and returns its configuration. A mistake concerns as little of it as possible, so that the rest of the version
+// comes into force: a key that was withdrawn, or a route that has gone, has nothing to do with a mistake elsewhere. It fails if the version is
+// none.
 func New(d Declaration) (*Configuration, error) {
+	if d.Version < 0 {
+		return nil, errors.Newf("version %d is negative", d.Version)
+	}
 	c := &Configuration{
 		Version:       d.Version,
 		Limits:        d.Limits,
+		Findings:      d.Findings,
 		routes:        make(map[string][]*Route),
 		services:      make(map[string]*Service),
 		organisations: make(map[string]*Organisation),
 		keys:          make(map[[sha256.Size]byte]*Organisation),
 	}
-	var findings []error
-	report := func(err error) {
-		if err != nil {
-			findings = append(findings, err)
-		}
-	}
 	for i, s := range d.Services {
-		report(errors.Wrapf(c.addService(s), "services[%d] %q", i, s.Name))
+		c.report(c.addService(s), "services[%d] %q", i, s.Name)
 	}
+	usable := 0
 	for i, r := range d.Routes {
-		report(errors.Wrapf(c.addRoute(r), "routes[%d] %q", i, r.Name))
+		c.report(c.addRoute(r), "routes[%d] %q", i, r.Name)
+		if !r.Unusable {
+			usable++
+		}
 	}
 	for i, o := range d.Organisations {
-		report(errors.Wrapf(c.addOrganisation(o), "organisations[%d] %q", i, o.Name))
-	}
-	if len(findings) > 0 {
-		return nil, errors.Join(findings...)
+		c.report(c.addOrganisation(o), "organisations[%d] %q", i, o.Name)
 	}
+	c.routeless = usable == 0 && len(d.Routes) > 0
 	for _, routes := range c.routes {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	return c, nil
 }
 
-func (c *Configuration) addService(s *Service) error {
+// Following returns the configuration that comes into force after the one before, which may be nil. If none of the routes that it declares
+// can be used, routes and services of the one before remain in force; keys and rates do not.
+func (c *Configuration) Following(before *Configuration) *Configuration {
+	if !c.routeless || before == nil {
+		return c
+	}
+	next := *c
+	next.routes, next.services = before.routes, before.services
+	next.Findings = append(slices.Clone(c.Findings), errors.New("no declared route can be used; those in force before remain"))
+	return &next
+}
+
+// report adds the findings of one entry.
+func (c *Configuration) report(findings []error, position string, args ...any) {
+	for _, err := range findings {
+		c.Findings = append(c.Findings, errors.Wrapf(err, position, args...))
+	}
+}
+
+// addService adds a service. One without a valid engine is a plain one.
+func (c *Configuration) addService(s *Service) (findings []error) {
 	if s.Name == "" {
-		return errors.New("name is empty")
+		return []error{errors.New("name is empty; the service is left out")}
 	}
 	if c.services[s.Name] != nil {
-		return errors.New("name is used twice")
+		return []error{errors.New("name is used twice; the first service counts")}
 	}
 	if !isFiniteNonNegative(s.ColdRate) {
-		return errors.Newf("cold rate %v is not a number of 0 or more", s.ColdRate)
+		findings = append(findings, errors.Newf("cold rate %v is not a number of 0 or more; there is no cold rate", s.ColdRate))
+		s.ColdRate = 0
 	}
-	if s.Engine != nil && (s.Engine.Slots <= 0 || s.Engine.KVCacheTokens <= 0) {
-		return errors.New("an engine needs slots and memory above 0")
+	if s.Engine != nil && !(s.Engine.Slots > 0 && s.Engine.KVCacheTokens > 0) {
+		findings = append(findings, errors.New("an engine needs slots and memory above 0; it counts as a plain service"))
+		s.Engine = nil
 	}
 	c.services[s.Name] = s
-	return nil
+	return findings
 }
 
-func (c *Configuration) addRoute(r *Route) error {
-	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
-		return errors.Newf("prefix %q does not begin and end with a slash", r.Prefix)
+// addRoute adds a route with the targets that are declared. It becomes unusable if none is.
+func (c *Configuration) addRoute(r *Route) (findings []error) {
+	if !strings.HasPrefix(r.Prefix, "/") {
+		r.Unusable = true
+		return []error{errors.Newf("prefix %q does not begin with a slash; the route is left out", r.Prefix)}
 	}
-	if len(r.Targets) == 0 {
-		return errors.New("no service is named")
+	if !strings.HasSuffix(r.Prefix, "/") {
+		findings = append(findings, errors.Newf("prefix %q does not end with a slash; one is added", r.Prefix))
+		r.Prefix += "/"
 	}
+	declared := make([]Target, 0, len(r.Targets))
 	for _, t := range r.Targets {
 		if c.services[t.Service] == nil {
-			return errors.Newf("service %q is not declared", t.Service)
+			findings = append(findings, errors.Newf("service %q is not declared; it gets no requests", t.Service))
+			continue
 		}
 		if !isFiniteNonNegative(t.Weight) {
-			return errors.Newf("weight %v of service %q is not a number of 0 or more", t.Weight, t.Service)
+			findings = append(findings, errors.Newf("weight %v of service %q is not a number of 0 or more; it is taken for 0", t.Weight, t.Service))
+			t.Weight = 0
 		}
+		declared = append(declared, t)
+	}
+	if r.Targets = declared; len(declared) == 0 && !r.Unusable {
+		findings = append(findings, errors.New("no service is left; requests are rejected"))
+		r.Unusable = true
 	}
 	host := canonicalHost(r.Host)
 	c.routes[host] = append(c.routes[host], r)
-	return nil
+	return findings
 }
 
-func (c *Configuration) addOrganisation(o *Organisation) error {
+// addOrganisation adds an organisation with its keys. A key may be listed repeatedly, but not by two organisations.
+func (c *Configuration) addOrganisation(o *Organisation) (findings []error) {
 	if o.Name == "" {
-		return errors.New("name is empty")
+		return []error{errors.New("name is empty; the organisation is left out")}
 	}
 	if c.organisations[o.Name] != nil {
-		return errors.New("name is used twice")
+		return []error{errors.New("name is used twice; the first organisation counts")}
 	}
 	if !isFiniteNonNegative(o.Rate) || !isFiniteNonNegative(o.Burst) || !isFiniteNonNegative(o.DefaultTokens) {
-		return errors.New("rate, burst and plain tokens must be numbers of 0 or more")
+		return []error{errors.New("rate, burst and plain tokens must be numbers of 0 or more; the organisation is left out")}
 	}
 	c.organisations[o.Name] = o
-	for _, key := range o.Keys {
+	for i, key := range o.Keys {
+		if key == "" {
+			findings = append(findings, errors.Newf("keys[%d] is empty; it is left out", i))
+			continue
+		}
 		digest := sha256.Sum256([]byte(key))
-		if other := c.keys[digest]; other != nil {
-			return errors.Newf("a key is held by organisation %q too", other.Name)
+		if other := c.keys[digest]; other != nil && other != o {
+			findings = append(findings, errors.Newf("keys[%d] is held by organisation %q too, which keeps it", i, other.Name))
+			continue
 		}
 		c.keys[digest] = o
 	}
-	return nil
+	return findings
 }
 
 // isFiniteNonNegative reports whether x is a number of 0 or more.
@@ -282,7 +332,7 @@
 func (c *Configuration) CountHomeRoutes(host, region string) int {
 	n := 0
 	for _, r := range c.routes[canonicalHost(host)] {
-		if len(r.HomeRegions) > 0 && slices.Contains(r.HomeRegions, region) {
+		if !r.Unusable && len(r.HomeRegions) > 0 && slices.Contains(r.HomeRegions, region) {
 			n++
 		}
 	}
--- a/internal/edge/entries.go
+++ b/internal/edge/entries.go
@@ -24,10 +24,7 @@
 		delete(e, key)
 		return "", false
 	}
-	text = err.Error()
-	if len(text) > maxLoggedError {
-		text = strings.ToValidUTF8(text[:maxLoggedError], "")
-	}
+	text = boundedError(err)
 	if e[key] == text {
 		return text, false
 	}
@@ -35,6 +32,15 @@
 	return text, true
 }
 
+// boundedError returns the beginning of an error's text.
+func boundedError(err error) string {
+	text := err.Error()
+	if len(text) > maxLoggedError {
+		text = strings.ToValidUTF8(text[:maxLoggedError], "")
+	}
+	return text
+}
+
 // retain forgets the keys that no longer exist.
 func (e entryErrors) retain(present map[string]bool) {
 	maps.DeleteFunc(e, func(key, _ string) bool { return !present[key] })
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -143,6 +143,9 @@
 	if x.route == nil {
 		return x.reject(http.StatusNotFound, "no route matches the host and path", 0)
 	}
+	if x.route.Unusable {
+		return x.reject(http.StatusServiceUnavailable, "the route's entry in the configuration cannot be used; the request has not run", noEndpointRetryAfter)
+	}
 	if !x.route.Public {
 		if x.org = x.conf.OrganisationByKey(x.head.Key); x.org == nil {
 			return x.reject(http.StatusUnauthorized, "key is not known", 0)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -54,6 +54,7 @@
 	storeReads     tally.Counter // lists of keys at a start that were read from the store itself
 	relayReads     tally.Counter // those that were read through another instance
 	storeRestored  tally.Counter // new eras of the store
+	findings       tally.Gauge   // mistakes of the configuration in force
 	panics         tally.Counter // panics that ended a request or a step of the process
 	named          tally.Gauge
 	// utilisationLevel and pressure are this instance's level and the share of its most used resource.
@@ -80,7 +81,7 @@
 		withoutShare: scope.Gauge("choices_without_share"), longPrompts: scope.Gauge("long_prompt_engine_share"),
 		slow: scope.Gauge("slow_engines"), kept: scope.Counter("requests_kept_from_streams"),
 		returns: newReturnMetrics(scope), aboveShare: scope.Counter("requests_above_share"), organisations: scope.Gauge("organisations_with_shares"),
-		storeRestored: scope.Counter("store_restored"), panics: scope.Counter("panics"), untrusted: scope.Counter("sessions_not_trusted_yet"),
+		storeRestored: scope.Counter("store_restored"), panics: scope.Counter("panics"), findings: scope.Gauge("configuration_findings"), untrusted: scope.Counter("sessions_not_trusted_yet"),
 		storeReads: scope.Counter("start_reads_of_store"), relayReads: scope.Counter("start_reads_through_instance"),
 		named: scope.Gauge("directory_named_instances"), utilisationLevel: scope.Gauge("utilisation_level"), pressure: scope.Gauge("utilisation"),
 		byStatus: make(map[int]statusMetrics),
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -220,6 +220,7 @@
 	if conf == nil {
 		return
 	}
+	e.metrics.findings.Update(float64(len(conf.Findings)))
 	e.withQuota(func(q *fleetquota.Limiter) { q.SetLimits(e.clock.Now(), conf.terms()) })
 	e.pools.set(conf.Configuration, e.state.usable(e.options.Self.Region))
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"github.com/cockroachdb/errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -102,18 +103,32 @@
 	if err != nil {
 		return
 	}
-	s.mu.Lock()
-	if next.Version <= s.version() {
-		s.mu.Unlock()
+	next, before, replaced := s.replaceConfiguration(next, document)
+	if !replaced {
 		return
 	}
-	before := s.version()
-	s.configuration.Store(&inForce{Configuration: next, document: document, since: s.options.Clock.Now()})
-	s.mu.Unlock()
+	if len(next.Findings) > 0 {
+		s.log.Error("configuration has entries that cannot be used; the others are in force", zap.Int64("version", next.Version),
+			zap.Int("findings", len(next.Findings)), zap.String("error", boundedError(errors.Join(next.Findings...))))
+	}
 	s.log.Info("configuration in force", zap.Int64("version", next.Version), zap.Int64("before", before), zap.String("source", source))
 	s.onChange()
 }
 
+// replaceConfiguration replaces the configuration in force if the next one is newer. It returns what is in force then and the version before.
+func (s *state) replaceConfiguration(next *catalog.Configuration, document []byte) (after *catalog.Configuration, before int64, replaced bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if before = s.version(); next.Version <= before {
+		return next, before, false
+	}
+	if c := s.configuration.Load(); c != nil {
+		next = next.Following(c.Configuration)
+	}
+	s.configuration.Store(&inForce{Configuration: next, document: document, since: s.options.Clock.Now()})
+	return next, before, true
+}
+
 // applyOperator applies changes of the operators' keys.
 func (s *state) applyOperator(u mirror.Update) {
 	changes := make(map[string]evacuationChange)
--- a/internal/mutation/edge_entries.go
+++ b/internal/mutation/edge_entries.go
@@ -113,7 +113,7 @@
 	{
 		Condition: 13, Mechanism: "edge: only a higher version is accepted",
 		File:     "internal/edge/state.go",
-		Original: "if next.Version <= s.version() {", Replacement: "if next.Version < 0 {",
+		Original: "if before = s.version(); next.Version <= before {", Replacement: "if before = s.version(); next.Version < 0 {",
 		Package: "./platform", Run: "^TestOperatorsChanges$",
 	},
 	{
