Take no part of an answer for the whole after a reset during an upload

Callers that sent a large body got a part of an answer without length as a complete 200, if the endpoint answered at once and reset the connection while the body was still being written.

Cause: the kernel tells of a reset once, to the first call on the socket. Where the goroutine that writes the body got the error, the one that reads the answer got an end of file, which ends an answer without length or chunks.

Change: at the end of file of such an answer the write is ended by a deadline. If it had failed before, the answer is broken: the caller gets a 502, a broken connection or a retry, as after any other reset. An answer whose endpoint has ended it in order, also before it has read the request, still counts as whole. Through another instance the end of an answer is a message of its own, which is sent only after a whole one.

--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -189,7 +190,9 @@
 		_ = c.Close()
 		return nil, err
 	}
-	body := &body{ReadCloser: resp.Body, pool: p, conn: c, stopCancel: stop, written: written, reusable: reusable(resp)}
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	body := &body{ReadCloser: resp.Body, pool: p, conn: c, stopCancel: stop, written: written, reusable: reusable(resp),
+		endsWithConn: !framed && resp.Body != http.NoBody}
 	if req.OnTrailer != nil {
 		body.onEnd = func() {
 			if len(resp.Trailer) > 0 {
@@ -198,7 +201,7 @@
 		}
 	}
 	c.maxIdle, c.onLate = maxIdleTime(resp.Header), req.OnLateAnswer
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Framed: framed,
 		ConnectedFor: time.Since(c.openedAt), Open: func() bool { return netdial.Established(c.Conn) }}, nil
 }
 
@@ -529,14 +532,21 @@
 	stopCancel func() bool
 	written    chan error
 	reusable   bool
-	onEnd      func() // nil if nothing is to be done
-	complete   bool
-	once       sync.Once
+	// endsWithConn says that the response has neither a length nor chunks: its end is that of the connection.
+	endsWithConn bool
+	onEnd        func() // nil if nothing is to be done
+	complete     bool
+	once         sync.Once
 }
 
+var errResetWhileWriting = errors.New("connection was reset while the request was being written")
+
 // Read reads the response's body. Every error but io.EOF is marked ErrBroken.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.endsWithConn && !b.complete && b.writeFailed() {
+		err = errResetWhileWriting
+	}
 	if err == io.EOF {
 		if !b.complete && b.onEnd != nil {
 			b.onEnd()
@@ -565,6 +575,18 @@
 	return nil
 }
 
+// writeFailed ends the write of the request's body and reports whether it had failed. The kernel tells of a reset once: if the goroutine that
+// writes has been told, a read returns the end of the file.
+func (b *body) writeFailed() bool {
+	if b.written == nil {
+		return false
+	}
+	_ = b.conn.SetWriteDeadline(time.Unix(1, 0)) // a connection that has ended ends the write by itself
+	err := <-b.written
+	b.written <- err // for fullyWritten
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // fullyWritten reports whether the request's body has been written completely.
 func (b *body) fullyWritten() bool {
 	if b.written == nil {
