Reject answers with a status that HTTP does not define

Callers got a status of 600 or 999 of a faulty endpoint as it was. A status of 000 was taken for that of an interim answer: its body was read as the next head, and passed on as the answer.

Cause: all statuses below 200 counted as interim, and none was too high. A status of another instance's message was not checked either; below 100 it ends the caller's request in a panic.

Change: an answer has a status from 200 to 599 in HTTP/1, after interim ones from 100 to 199 except 101, which nobody has asked for. Everything else are bytes that are no answer, after which the connection is closed. Interim answers no longer count as answers to other requests: a third one made the answer be lost. The client of the other daemon and both ways between instances check the status, too.

--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -86,6 +86,9 @@
 // readAnswer reads a complete response. net/http returns an error if the body ends before its declared length or last chunk.
 // A body with neither cannot be distinguished from a truncated one, so it is an error.
 func (d *Dispatcher) readAnswer(resp *http.Response) (*operations.Answer, error) {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > operations.MaxStatus {
+		return nil, errors.Newf("the endpoint's answer has status %d", resp.StatusCode)
+	}
 	if resp.ContentLength < 0 && !chunked(resp) && mayHaveBody(resp) {
 		return nil, errors.New("the endpoint's answer has no length")
 	}
--- a/internal/edge/remote.go
+++ b/internal/edge/remote.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -101,12 +102,20 @@
 		closeStream(stream, cancel)
 		return nil, &failure{kind: badAnswer, reason: "instance " + instance + " has sent an answer without a head"}
 	}
+	status := int(head.GetStatus())
+	if status < http.StatusOK || status > maxStatus {
+		closeStream(stream, cancel)
+		return nil, &failure{kind: badAnswer, endpoint: head.GetEndpoint(), reason: "instance " + instance + " has sent an answer with status " + strconv.Itoa(status)}
+	}
 	return &reply{
-		status: int(head.GetStatus()), header: decodeHeaders(head.GetHeaders()), endpoint: head.GetEndpoint(), instance: instance,
+		status: status, header: decodeHeaders(head.GetHeaders()), endpoint: head.GetEndpoint(), instance: instance,
 		body: &remoteBody{stream: stream, cancel: cancel},
 	}, nil
 }
 
+// maxStatus is the highest status of an answer.
+const maxStatus = 599
+
 // maxRemoteRetryAfter bounds the Retry-After that another instance names: the longest for which endpoints may ask, and its spread.
 const maxRemoteRetryAfter = 2 * endpointnotice.MaxWait
 
--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -276,12 +276,9 @@
 func (p *Pool) readAnswer(c *conn, req *Request, reused bool) (*http.Response, error) {
 	c.headReader.remaining = maxHeadBytes
 	for range maxUnrelatedAnswers + 1 {
-		resp, err := c.readHead(req.Method)
+		resp, err := c.readFinalHead(req.Method)
 		if err != nil {
-			return nil, readError(err)
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue // 1xx: the final response follows
+			return nil, err
 		}
 		if reused && holdsHead(resp) {
 			break
@@ -303,6 +300,28 @@
 	return nil, errors.Mark(errors.New("answers belong to other requests"), ErrBadAnswer)
 }
 
+// Statuses of HTTP/1.1 (RFC 9110, section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// readFinalHead reads the head of a response and skips interim ones (1xx). A head with a status that HTTP does not define is that of no
+// response: its body cannot be told from the next head. A switch of protocols was not asked for.
+func (c *conn) readFinalHead(method string) (*http.Response, error) {
+	for {
+		resp, err := c.readHead(method)
+		switch {
+		case err != nil:
+			return nil, readError(err)
+		case resp.ProtoMajor != 1 || resp.StatusCode < minStatus || resp.StatusCode > maxStatus || resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errors.Mark(errors.Newf("status %d of HTTP/%d is not one of a response", resp.StatusCode, resp.ProtoMajor), ErrBadAnswer)
+		case resp.StatusCode >= http.StatusOK:
+			return resp, nil
+		}
+	}
+}
+
 // holdsHead reports whether the status line or a header holds the beginning of another response: the part of an earlier response that
 // was written before it would give this one its status or headers.
 func holdsHead(resp *http.Response) bool {
--- a/internal/endpointconn/reset_test.go
+++ b/internal/endpointconn/reset_test.go
@@ -105,3 +105,27 @@
 		})
 	}
 }
+
+// Guards against a status that HTTP does not define: 000 was taken for an interim response, and its body for the next head.
+func TestOddStatuses(t *testing.T) {
+	const inner = "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 5\r\n\r\nwhole"
+	for _, line := range []string{"HTTP/1.1 000 None", "HTTP/1.1 001 None", "HTTP/1.1 099 None", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 More", "HTTP/1.1 999 More",
+		"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 +20 OK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.1 2x0 OK"} {
+		e := newScriptedEndpoint(t, func(_ int64, _ *http.Request, _ string, c net.Conn) bool {
+			write(c, "%s\r\nId: r\r\nContent-Length: %d\r\n\r\n%s", line, len(inner), inner)
+			return false
+		})
+		if body, err := do(t, newPool(t), e.addr, request("r")); !errors.Is(err, ErrBadAnswer) {
+			t.Errorf("%s: body %q, error %v", line, body, err)
+		}
+	}
+	for _, interim := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 199 X\r\n\r\n"} {
+		e := newScriptedEndpoint(t, func(_ int64, _ *http.Request, _ string, c net.Conn) bool {
+			write(c, "%s%s", interim, inner)
+			return false
+		})
+		if body, err := do(t, newPool(t), e.addr, request("r")); err != nil || body != "whole" {
+			t.Errorf("after %q: body %q, error %v", interim, body, err)
+		}
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -207,6 +207,9 @@
 	var a *operations.Answer
 	sink := answerSink{
 		head: func(h *wire.ForwardAnswerHead) error {
+			if h.Status < http.StatusOK || h.Status > operations.MaxStatus {
+				return errors.Newf("answer through another instance has status %d", h.Status)
+			}
 			a = &operations.Answer{Status: int(h.Status), Header: http.Header{}}
 			for _, kv := range h.Headers {
 				a.Header.Add(kv.Name, string(kv.Value))
--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -22,6 +22,9 @@
 	Unknown Execution = "unknown"
 )
 
+// MaxStatus is the highest status that HTTP defines for an answer.
+const MaxStatus = 599
+
 // Answer is a complete answer of a plain service.
 type Answer struct {
 	Status int
