Contain a panic in one service's pool

Cause: the update of the pools, the dispatch of waiting requests and the report of this instance's load go over all services. A panic in one of them ended the whole step, so that the other services kept an old declaration, or the instance looked silent to the others.

Change: each service is a step of its own, which is logged and counted.

Result: the tests of internal/edge pass, with those that inject panics.

--- a/internal/edge/pools.go
+++ b/internal/edge/pools.go
@@ -88,38 +88,43 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.conf = conf
-	for name, list := range endpoints {
-		service := conf.Service(name)
-		if service == nil {
-			delete(endpoints, name)
-			continue
-		}
-		pool := p.byService[name]
-		if pool == nil {
-			pool = &servicePool{Pool: placement.NewPool(service, p.limiter), placementRates: make(map[rank]*placement.Rate), promises: make(map[int]*returns.Schedule)}
+	for name := range endpoints {
+		if service := conf.Service(name); service != nil && p.byService[name] == nil {
+			pool := &servicePool{Pool: placement.NewPool(service, p.limiter), placementRates: make(map[rank]*placement.Rate), promises: make(map[int]*returns.Schedule)}
 			pool.SetNotices(p.notices)
 			p.byService[name] = pool
 		}
-		pool.service = service
-		pool.Configure(service)
-		for _, endpoint := range list {
-			p.limiter.Statements.Replace(p.clock.Now(), endpoint.Incarnation)
-		}
-		pool.SetEndpoints(list)
 	}
 	for name, pool := range p.byService {
-		if _, used := endpoints[name]; used {
-			continue
-		}
-		if service := conf.Service(name); service != nil {
-			pool.service = service
-			pool.Configure(service)
-		}
-		pool.SetEndpoints(nil)
+		p.contain(name, func() { p.setService(pool, conf.Service(name), endpoints[name]) })
 	}
 	p.dispatchAll()
 }
 
+// setService replaces the declaration of a service, nil if it has none any more, and its usable endpoints.
+func (p *pools) setService(pool *servicePool, service *catalog.Service, list []catalog.Endpoint) {
+	if service == nil {
+		list = nil
+	} else {
+		pool.service = service
+		pool.Configure(service)
+	}
+	for _, endpoint := range list {
+		p.limiter.Statements.Replace(p.clock.Now(), endpoint.Incarnation)
+	}
+	pool.SetEndpoints(list)
+}
+
+// contain calls f for a service. A panic ends this call and leaves the other services alone.
+func (p *pools) contain(service string, f func()) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			p.reportPanic("service "+service, cause)
+		}
+	}()
+	f()
+}
+
 // close rejects the requests that wait for an endpoint and all later ones. What is in progress goes on.
 func (p *pools) close() {
 	p.mu.Lock()
@@ -343,10 +348,12 @@
 
 func (p *pools) dispatchAll() {
 	now := p.clock.Now()
-	for _, pool := range p.byService {
-		pool.markLate(now)
-		pool.updateShares(now)
-		p.dispatch(pool)
+	for name, pool := range p.byService {
+		p.contain(name, func() {
+			pool.markLate(now)
+			pool.updateShares(now)
+			p.dispatch(pool)
+		})
 	}
 }
 
@@ -558,7 +565,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, pool := range p.byService {
-		f(name, pool)
+		p.contain(name, func() { f(name, pool) })
 	}
 }
 
