Accept the keys of an organisation that is declared twice

Cause: the second of two entries with the same name was left out with its keys, which the operator had listed for that organisation.

Change: its keys belong to the first entry, whose terms count. Three conversions of the other daemon saturate: slots of a rate, and two numbers in messages.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -292,14 +292,19 @@
 	if o.Name == "" {
 		return []error{errors.New("name is empty; the organisation is left out")}
 	}
-	if c.organisations[o.Name] != nil {
-		return []error{errors.New("name is used twice; the first organisation counts")}
+	if known := c.organisations[o.Name]; known != nil {
+		findings = append(findings, errors.New("name is used twice; the first organisation counts, with the keys of both"))
+		return append(findings, c.addKeys(known, o.Keys)...)
 	}
 	if !isFiniteNonNegative(o.Rate) || !isFiniteNonNegative(o.Burst) || !isFiniteNonNegative(o.DefaultTokens) {
 		return []error{errors.New("rate, burst and plain tokens must be numbers of 0 or more; the organisation is left out")}
 	}
 	c.organisations[o.Name] = o
-	for i, key := range o.Keys {
+	return c.addKeys(o, o.Keys)
+}
+
+func (c *Configuration) addKeys(o *Organisation, keys []string) (findings []error) {
+	for i, key := range keys {
 		if key == "" {
 			findings = append(findings, errors.Newf("keys[%d] is empty; it is left out", i))
 			continue
--- a/internal/core/ratelimit/entitlement.go
+++ b/internal/core/ratelimit/entitlement.go
@@ -17,6 +17,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
 )
 
 // ratePerSlot is the regional rate (tokens/s) per slot: an organisation is spread over one more slot of a region for each such
@@ -100,7 +102,7 @@
 
 // slotCount returns the number of slots over which a regional rate is spread.
 func slotCount(rate float64, slots int) int {
-	return max(1, min(slots, int(math.Ceil(rate/ratePerSlot))))
+	return saturate.Int(math.Ceil(rate/ratePerSlot), 1, max(1, slots))
 }
 
 // rankedSlots returns the first k slot indexes of a region in the order of rendezvous hashing for the organisation.
--- a/internal/daemon/regions.go
+++ b/internal/daemon/regions.go
@@ -10,6 +10,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/membership"
 	"dogwoodknot.example/dogwoodknot/internal/core/routing"
+	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
 	"dogwoodknot.example/dogwoodknot/internal/dispatch"
 	"dogwoodknot.example/dogwoodknot/internal/gateway"
 	"dogwoodknot.example/dogwoodknot/internal/members"
@@ -72,7 +73,7 @@
 	summary := &wire.LoadSummary{}
 	for _, l := range loads {
 		summary.Pools = append(summary.Pools, &wire.PoolLoad{
-			Name: l.Name, Service: l.Service, WaitMillis: uint32(l.Wait.Milliseconds()), Free: uint32(l.FreeSlots),
+			Name: l.Name, Service: l.Service, WaitMillis: saturate.Millis(l.Wait), Free: uint32(l.FreeSlots),
 		})
 	}
 	slices.SortFunc(summary.Pools, func(a, b *wire.PoolLoad) int { return strings.Compare(a.Name, b.Name) })
--- a/internal/dispatch/peerload.go
+++ b/internal/dispatch/peerload.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dogwoodknot.example/dogwoodknot/internal/clock"
+	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
@@ -144,7 +145,7 @@
 }
 
 func (e *endpoint) wireLoad() *wire.EndpointWork {
-	return &wire.EndpointWork{Name: e.config.Name, Requests: uint32(e.state.inFlight), PendingTokens: uint32(max(e.state.prefill, 0))}
+	return &wire.EndpointWork{Name: e.config.Name, Requests: uint32(e.state.inFlight), PendingTokens: saturate.Uint32(e.state.prefill)}
 }
 
 func (d *Dispatcher) sendLoad(name string, m *wire.SentWork) {
