Quote nothing that an endpoint has sent in errors

Callers got bytes of other callers' answers in a 502: what a faulty endpoint had sent behind an answer was quoted as a line that is no head.

Cause: the text of net/http's error, which quotes what it cannot parse, was the reason of the failure, and the reason was the text for the caller, directly or through another instance. The log had it too.

Change: errors of endpointconn quote nothing of what was received. After an attempt that has reached an endpoint or may have, callers get a text from a fixed list and the request's id, which leads to the line in the log.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -24,7 +24,8 @@
 
 // errorBody is the body of the errors that the gateway itself answers with.
 type errorBody struct {
-	Error string `json:"error"`
+	Error   string `json:"error"`
+	Request string `json:"request,omitempty"` // id of the request, by which the log lines are found
 }
 
 // reject answers with an error of the gateway itself. It always returns false, which its callers return in turn to end the
@@ -39,7 +40,7 @@
 		h.Set("Retry-After", x.edge.options.Dialect.FormatRetryAfter(retryAfter))
 	}
 	h.Set("Content-Type", "application/json")
-	body, err := json.Marshal(errorBody{Error: reason})
+	body, err := json.Marshal(errorBody{Error: reason, Request: x.head.ID})
 	if err != nil {
 		body = nil // the status alone tells the caller enough
 	}
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -535,14 +535,14 @@
 	if !x.mayHaveRun {
 		x.refund()
 		retryAfter := x.promiseRetry(f, x.retryAfter(f))
-		x.reject(http.StatusServiceUnavailable, f.reason, retryAfter)
+		x.reject(http.StatusServiceUnavailable, f.callerText(), retryAfter)
 		return
 	}
 	if ctx.Err() != nil {
-		x.reject(http.StatusGatewayTimeout, "timeout: "+f.reason, 0)
+		x.reject(http.StatusGatewayTimeout, timeoutText, 0)
 		return
 	}
-	x.reject(http.StatusBadGateway, f.reason, 0)
+	x.reject(http.StatusBadGateway, f.callerText(), 0)
 }
 
 // minRetryAfter is the shortest Retry-After of a rejected request: requests in progress need some steps of the engine to end.
--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -343,7 +343,23 @@
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) || errors.As(err, &netErr) {
 		return errors.Mark(errors.Wrap(err, "read answer"), ErrBroken)
 	}
-	return errors.Mark(errors.Wrap(err, "read answer"), ErrBadAnswer)
+	return errors.Mark(errors.Wrap(withoutBytes(err), "read answer"), ErrBadAnswer)
+}
+
+var (
+	errMalformed = errors.New("bytes are not those of a response")
+	// keptErrors hold nothing of what was received.
+	keptErrors = []error{io.EOF, io.ErrUnexpectedEOF, net.ErrClosed, errHeadTooLarge, errResetWhileWriting, context.Canceled, context.DeadlineExceeded}
+)
+
+// withoutBytes returns an error that quotes nothing of what was received, as those of net/http do: it may be a part of the answer to another
+// request.
+func withoutBytes(err error) error {
+	var netErr net.Error
+	if errors.As(err, &netErr) || errors.IsAny(err, keptErrors...) {
+		return err
+	}
+	return errMalformed
 }
 
 // reusable reports whether the connection can be used for another request after this response.
@@ -574,7 +590,7 @@
 		return n, io.EOF
 	}
 	if err != nil {
-		err = errors.Mark(err, ErrBroken)
+		err = errors.Mark(withoutBytes(err), ErrBroken)
 	}
 	return n, err
 }
