Report mistakes at their positions in the document

Cause: entries that could not be decoded were missing from the declaration, so that findings about later ones named the position before. An entry that cannot be used hid a usable one with the same prefix behind it.

Change: such entries are nil in the declaration. Of routes with prefixes of one length, those that can be used go first. There is one highest status.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -68,6 +68,14 @@
 	Unusable bool
 }
 
+// rank orders routes with prefixes of the same length: those that can be used go first.
+func (r *Route) rank() int {
+	if r.Unusable {
+		return 1
+	}
+	return 0
+}
+
 // Retryable reports whether a request may be sent to another endpoint even if the first one may have run it.
 func (r *Route) Retryable() bool {
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
@@ -164,14 +172,15 @@
 	Limits  Limits
 	// Findings are the mistakes of the declaration with their positions. What each concerns is left out or has a default.
 	Findings      []error
-	routes        map[string][]*Route // by host, longest prefix first
+	routes        map[string][]*Route // by host, longest prefix first, then those that can be used
 	services      map[string]*Service
 	organisations map[string]*Organisation
 	keys          map[[sha256.Size]byte]*Organisation
 	routeless     bool // routes are declared, and none of them can be used
 }
 
-// Declaration is the content of a configuration before it is checked.
+// Declaration is the content of a configuration before it is checked. Entries that the decoder has left out are nil, so that positions in
+// findings are those in the document.
 type Declaration struct {
 	Version       int64
 	Routes        []*Route
@@ -198,21 +207,30 @@
 		keys:          make(map[[sha256.Size]byte]*Organisation),
 	}
 	for i, s := range d.Services {
-		c.report(c.addService(s), "services[%d] %q", i, s.Name)
+		if s != nil {
+			c.report(c.addService(s), "services[%d] %q", i, s.Name)
+		}
 	}
 	usable := 0
 	for i, r := range d.Routes {
+		if r == nil {
+			continue
+		}
 		c.report(c.addRoute(r), "routes[%d] %q", i, r.Name)
 		if !r.Unusable {
 			usable++
 		}
 	}
 	for i, o := range d.Organisations {
-		c.report(c.addOrganisation(o), "organisations[%d] %q", i, o.Name)
+		if o != nil {
+			c.report(c.addOrganisation(o), "organisations[%d] %q", i, o.Name)
+		}
 	}
 	c.routeless = usable == 0 && len(d.Routes) > 0
 	for _, routes := range c.routes {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+		slices.SortStableFunc(routes, func(a, b *Route) int {
+			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(a.rank(), b.rank()))
+		})
 	}
 	return c, nil
 }
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -89,16 +89,17 @@
 	d := sample()
 	d.Services = append(d.Services, &Service{Name: "a", ColdRate: 9}, &Service{Name: ""}, &Service{Name: "cold", ColdRate: -1, Engine: &Engine{Slots: 0, KVCacheTokens: 5}})
 	d.Routes[1].Targets[0].Service = "absent"
+	d.Services = append(d.Services, nil)
 	public := []Target{{Service: "a", Weight: 1}}
 	d.Routes = append(d.Routes, &Route{Name: "relative", Host: "h.example", Prefix: "x/", Targets: public},
 		&Route{Name: "bare", Host: "h.example", Prefix: "/bare", Targets: public},
-		&Route{Name: "gone", Host: "h.example", Prefix: "/x/gone/", Targets: []Target{{Service: "absent", Weight: 1}}},
+		nil, &Route{Name: "gone", Host: "h.example", Prefix: "/weight/", Unusable: true}, &Route{Name: "gone", Host: "h.example", Prefix: "/x/gone/", Targets: []Target{{Service: "absent", Weight: 1}}},
 		&Route{Name: "weight", Host: "h.example", Prefix: "/weight/", Targets: []Target{{Service: "a", Weight: -3}, {Service: "b", Weight: 1}}})
 	d.Organisations = append(d.Organisations, &Organisation{Name: "p", Keys: []string{"", "k", "l", "l"}}, &Organisation{Name: "o", Keys: []string{"m"}},
 		&Organisation{Name: "negative", Keys: []string{"n"}, Rate: -1}, &Organisation{Keys: []string{"nameless"}})
 	c := build(t, d)
 	wanted := []string{`services[2] "a"`, `services[3] ""`, `services[4] "cold"`, `services[4] "cold"`, `routes[1] "long"`, `routes[2] "relative"`, `routes[3] "bare"`,
-		`routes[4] "gone"`, `routes[4] "gone"`, `routes[5] "weight"`, `organisations[1] "p"`, `organisations[1] "p"`, `organisations[2] "o"`,
+		`routes[6] "gone"`, `routes[6] "gone"`, `routes[7] "weight"`, `organisations[1] "p"`, `organisations[1] "p"`, `organisations[2] "o"`,
 		`organisations[3] "negative"`, `organisations[4] ""`}
 	if len(c.Findings) != len(wanted) {
 		t.Errorf("%d findings, want %d: %v", len(c.Findings), len(wanted), c.Findings)
--- a/internal/edge/remote.go
+++ b/internal/edge/remote.go
@@ -17,6 +17,7 @@
 	"dogwoodknot.example/dogwoodknot/internal/core/endpointnotice"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
 	"dogwoodknot.example/dogwoodknot/internal/core/saturate"
+	"dogwoodknot.example/dogwoodknot/internal/endpointconn"
 	"dogwoodknot.example/dogwoodknot/internal/peer"
 	"dogwoodknot.example/dogwoodknot/internal/wire"
 )
@@ -103,7 +104,7 @@
 		return nil, &failure{kind: badAnswer, reason: "instance " + instance + " has sent an answer without a head"}
 	}
 	status := int(head.GetStatus())
-	if status < http.StatusOK || status > maxStatus {
+	if status < http.StatusOK || status > endpointconn.MaxStatus {
 		closeStream(stream, cancel)
 		return nil, &failure{kind: badAnswer, endpoint: head.GetEndpoint(), reason: "instance " + instance + " has sent an answer with status " + strconv.Itoa(status)}
 	}
@@ -113,9 +114,6 @@
 	}, nil
 }
 
-// maxStatus is the highest status of an answer.
-const maxStatus = 599
-
 // maxRemoteRetryAfter bounds the Retry-After that another instance names: the longest for which endpoints may ask, and its spread.
 const maxRemoteRetryAfter = 2 * endpointnotice.MaxWait
 
--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -300,10 +300,10 @@
 	return nil, errors.Mark(errors.New("answers belong to other requests"), ErrBadAnswer)
 }
 
-// Statuses of HTTP/1.1 (RFC 9110, section 15).
+// minStatus and MaxStatus are the lowest and the highest status that HTTP defines (RFC 9110, section 15).
 const (
 	minStatus = 100
-	maxStatus = 599
+	MaxStatus = 599
 )
 
 // readFinalHead reads the head of a response and skips interim ones (1xx). A head with a status that HTTP does not define is that of no
@@ -314,7 +314,7 @@
 		switch {
 		case err != nil:
 			return nil, readError(err)
-		case resp.ProtoMajor != 1 || resp.StatusCode < minStatus || resp.StatusCode > maxStatus || resp.StatusCode == http.StatusSwitchingProtocols:
+		case resp.ProtoMajor != 1 || resp.StatusCode < minStatus || resp.StatusCode > MaxStatus || resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errors.Mark(errors.Newf("status %d of HTTP/%d is not one of a response", resp.StatusCode, resp.ProtoMajor), ErrBadAnswer)
 		case resp.StatusCode >= http.StatusOK:
 			return resp, nil
