Release the locks of state, members and memory by defer

Cause: a panic in an update of the store no longer ends the process, but the functions that apply it unlocked without a defer, and so did the account of memory and three uses of the fleet's view.

Change: each locks in a function of its own, with a defer. The view's node is used through withNode only.

--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -123,8 +123,15 @@
 
 // apply applies changes of the instances' keys in the store.
 func (f *fleet) apply(u mirror.Update) {
+	if f.setAnnouncements(u) {
+		f.onChange()
+	}
+}
+
+// setAnnouncements applies the changes and reports whether the set of members has changed.
+func (f *fleet) setAnnouncements(u mirror.Update) (changed bool) {
 	f.mu.Lock()
-	changed := false
+	defer f.mu.Unlock()
 	if u.AsOf.Era != 0 {
 		f.storeEra = u.AsOf.Era
 	}
@@ -160,10 +167,7 @@
 		f.choosePartners()
 		f.findOlder()
 	}
-	f.mu.Unlock()
-	if changed {
-		f.onChange()
-	}
+	return changed
 }
 
 // findOlder records whether an instance is listed that reads no fingerprints of certificates.
@@ -273,9 +277,15 @@
 
 // removeUnresponsive removes the members that are neither listed nor responsive.
 func (f *fleet) removeUnresponsive() {
+	if f.dropUnresponsive() {
+		f.onChange()
+	}
+}
+
+func (f *fleet) dropUnresponsive() (changed bool) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	now := f.options.Clock.Now()
-	changed := false
 	for name, m := range f.members {
 		if !m.listed && now.Sub(m.lastReceived) > unresponsiveAfter {
 			delete(f.members, name)
@@ -286,10 +296,7 @@
 	if changed {
 		f.choosePartners()
 	}
-	f.mu.Unlock()
-	if changed {
-		f.onChange()
-	}
+	return changed
 }
 
 // peers returns the addresses of the other instances by name, and the fingerprints of their certificates.
--- a/internal/edge/memory.go
+++ b/internal/edge/memory.go
@@ -68,28 +68,13 @@
 func (m *Memory) TryGrow(h *membudget.Holder, n int64) bool { return m.grow(h, n, 0) }
 
 func (m *Memory) grow(h *membudget.Holder, n int64, wait time.Duration) bool {
-	m.mu.Lock()
-	if m.account.Fits(h, n) { // the usual case needs no clock
-		m.account.Force(h, n)
-		m.mu.Unlock()
+	if m.growIfFits(h, n) { // the usual case needs no clock
 		return true
 	}
-	m.mu.Unlock()
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
-		m.mu.Lock()
-		outcome, chosen := m.account.Grow(m.clock.Now(), h, n)
-		for _, c := range chosen {
-			if abort, ok := c.Owner.(func()); ok {
-				abort()
-			}
-		}
-		if outcome == membudget.Wait && m.room == nil {
-			m.room = make(chan struct{})
-		}
-		room := m.room
-		m.mu.Unlock()
+		outcome, room := m.growOrAbort(h, n)
 		if outcome != membudget.Wait {
 			return outcome == membudget.Granted
 		}
@@ -104,6 +89,33 @@
 	}
 }
 
+func (m *Memory) growIfFits(h *membudget.Holder, n int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.account.Fits(h, n) {
+		return false
+	}
+	m.account.Force(h, n)
+	return true
+}
+
+// growOrAbort asks for n more bytes and aborts the holders that are chosen to make room. If that is to be waited for, room is closed when
+// there is some.
+func (m *Memory) growOrAbort(h *membudget.Holder, n int64) (outcome membudget.Outcome, room <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	outcome, chosen := m.account.Grow(m.clock.Now(), h, n)
+	for _, c := range chosen {
+		if abort, ok := c.Owner.(func()); ok {
+			abort()
+		}
+	}
+	if outcome == membudget.Wait && m.room == nil {
+		m.room = make(chan struct{})
+	}
+	return outcome, m.room
+}
+
 // Force adds n bytes that are held in any case.
 func (m *Memory) Force(h *membudget.Holder, n int64) {
 	m.mu.Lock()
--- a/internal/edge/panics_test.go
+++ b/internal/edge/panics_test.go
@@ -11,8 +11,11 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"dogwoodknot.example/dogwoodknot/internal/catalog"
 	"dogwoodknot.example/dogwoodknot/internal/clock"
 	"dogwoodknot.example/dogwoodknot/internal/core/placement"
+	"dogwoodknot.example/dogwoodknot/internal/mirror"
+	"dogwoodknot.example/dogwoodknot/internal/platform"
 )
 
 // Guards against a panic in the choice of an endpoint that leaves the lock of all services held, or counts the request at an endpoint.
@@ -78,3 +81,36 @@
 		t.Errorf("error is %v", err)
 	}
 }
+
+// panickingDocuments panics at the entry "odd".
+type panickingDocuments struct{ bornDocuments }
+
+func (d panickingDocuments) DecodeEndpoint(id string, value []byte, now clock.Instant) (catalog.Endpoint, error) {
+	if id == "odd" {
+		panic(id)
+	}
+	return d.bornDocuments.DecodeEndpoint(id, value, now)
+}
+
+// Guards against a panic in an update of the store that leaves the state or the members locked.
+func TestPanicInAnUpdateHoldsNoLock(t *testing.T) {
+	e := &Edge{log: zap.NewNop(), metrics: newMetrics(tally.NoopScope)}
+	s := newState(&Options{Clock: &clock.Manual{}, Log: zap.NewNop(), Regions: map[string]string{"a": "north"}, Documents: panickingDocuments{}})
+	s.onChange = func() {}
+	for _, id := range []string{"odd", "good"} {
+		update := mirror.Update{Changes: []platform.Change{{Entry: platform.Entry{Key: id, Value: []byte("1"), Revision: 1}}}}
+		e.contain("update", func() { s.applyEndpoints(update) })
+	}
+	if list := s.usable("north")["m"]; len(list) != 1 || list[0].ID != "good" {
+		t.Errorf("usable endpoints are %v", list)
+	}
+	f := newFleet(&Options{Clock: &clock.Manual{}, Log: zap.NewNop()})
+	f.members = nil // an announcement that is read now panics
+	value := []byte(`{"incarnation":"1","region":"north","caller_addr":"10.0.0.1:1","peer_addr":"10.0.0.1:2"}`)
+	e.contain("update", func() {
+		f.apply(mirror.Update{Changes: []platform.Change{{Entry: platform.Entry{Key: InstancePrefix + "other", Value: value}}}})
+	})
+	if n := f.size(); n != 1 {
+		t.Errorf("%d instances", n)
+	}
+}
--- a/internal/edge/reporting.go
+++ b/internal/edge/reporting.go
@@ -103,7 +103,7 @@
 	}
 	defer stream.Close()
 	compact := v.edge.fleet.regionShape().heads
-	err = v.withNode(func(n *fleetview.Node) error {
+	err = withNode(v, func(n *fleetview.Node) error {
 		n.SetCompact(compact)
 		return n.SetParent(began, parent)
 	})
@@ -121,7 +121,8 @@
 	})
 	v.edge.goroutines.Go(func() { v.watchParent(ctx, parent, cancel) })
 	for {
-		if err := stream.Send(v.nextReport()); err != nil {
+		report := withNode(v, func(n *fleetview.Node) *wire.EdgeReport { return n.NextReport(v.edge.clock.Now()) })
+		if err := stream.Send(report); err != nil {
 			return err
 		}
 		every := v.interval()
@@ -135,19 +136,13 @@
 	}
 }
 
-// withNode calls f with the node, which nothing else uses meanwhile.
-func (v *view) withNode(f func(*fleetview.Node) error) error {
+// withNode calls f with the node, which nothing else uses meanwhile, and returns its result.
+func withNode[T any](v *view, f func(*fleetview.Node) T) T {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return f(v.node)
 }
 
-func (v *view) nextReport() *wire.EdgeReport {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.node.NextReport(v.edge.clock.Now())
-}
-
 // watchParent ends the use of a parent once another instance should be the parent and answers.
 func (v *view) watchParent(ctx context.Context, used string, end context.CancelCauseFunc) {
 	for clock.Sleep(ctx, parentCheckInterval) == nil {
@@ -185,7 +180,7 @@
 		}
 		var events fleetview.Events
 		var parent string
-		err := v.withNode(func(n *fleetview.Node) (err error) {
+		err := withNode(v, func(n *fleetview.Node) (err error) {
 			parent = n.Parent()
 			events, err = n.ReceiveDigest(v.edge.clock.Now(), &d)
 			return err
@@ -217,7 +212,7 @@
 	}
 	defer v.edge.closeAtEnd(stream)()
 	var source *fleetview.Source
-	err := v.withNode(func(n *fleetview.Node) (err error) {
+	err := withNode(v, func(n *fleetview.Node) (err error) {
 		source, err = n.AddChild(from)
 		return err
 	})
@@ -240,7 +235,7 @@
 			return withoutEOF(err)
 		}
 		root := false
-		err := v.withNode(func(n *fleetview.Node) error {
+		err := withNode(v, func(n *fleetview.Node) error {
 			root = n.IsRoot()
 			return n.ReceiveReport(v.edge.clock.Now(), source, &r)
 		})
@@ -269,8 +264,7 @@
 		case <-ctx.Done():
 			return
 		}
-		var d *wire.EdgeDigest
-		_ = v.withNode(func(n *fleetview.Node) error { d = n.DigestFor(source); return nil })
+		d := withNode(v, func(n *fleetview.Node) *wire.EdgeDigest { return n.DigestFor(source) })
 		if d == nil {
 			continue
 		}
@@ -343,9 +337,7 @@
 		return err
 	}
 	defer stream.Close()
-	v.mu.Lock()
-	link := v.node.OpenSummaries(began, region)
-	v.mu.Unlock()
+	link := withNode(v, func(n *fleetview.Node) *fleetview.SummaryStream { return n.OpenSummaries(began, region) })
 	v.edge.goroutines.Go(func() {
 		for {
 			if err := stream.Recv(&wire.EdgeDigest{}); err != nil {
@@ -358,9 +350,7 @@
 		}
 	})
 	for v.actsAsRoot() {
-		v.mu.Lock()
-		summary := v.node.NextSummary(v.edge.clock.Now(), link)
-		v.mu.Unlock()
+		summary := withNode(v, func(n *fleetview.Node) *wire.EdgeSummary { return n.NextSummary(v.edge.clock.Now(), link) })
 		if err := stream.Send(summary); err != nil {
 			return err
 		}
@@ -380,16 +370,14 @@
 		return peer.NewError(codeNotYet, "incarnation is not known")
 	}
 	defer v.edge.closeAtEnd(stream)()
-	v.mu.Lock()
-	source := v.node.AddRemoteRoot(from)
-	v.mu.Unlock()
+	source := withNode(v, func(n *fleetview.Node) *fleetview.Source { return n.AddRemoteRoot(from) })
 	for {
 		var s wire.EdgeSummary
 		if err := stream.Recv(&s); err != nil {
 			return withoutEOF(err)
 		}
 		root := ""
-		err := v.withNode(func(n *fleetview.Node) error {
+		err := withNode(v, func(n *fleetview.Node) error {
 			root = n.RegionRoot()
 			return n.ReceiveSummary(v.edge.clock.Now(), source, &s)
 		})
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -149,8 +149,14 @@
 // evacuate sets which data centres take no requests. With a reset, those that changes does not name take requests again. The whole
 // evacuation of one that takes requests again may lie between two reads.
 func (s *state) evacuate(changes map[string]evacuationChange, u mirror.Update) {
+	if s.setEvacuated(changes, u) {
+		s.onChange()
+	}
+}
+
+func (s *state) setEvacuated(changes map[string]evacuationChange, u mirror.Update) (changed bool) {
 	s.mu.Lock()
-	changed := false
+	defer s.mu.Unlock()
 	if u.Reset {
 		for dataCentre := range s.evacuated {
 			if _, named := changes[dataCentre]; !named {
@@ -181,10 +187,7 @@
 			}
 		}
 	}
-	s.mu.Unlock()
-	if changed {
-		s.onChange()
-	}
+	return changed
 }
 
 // coldUntil returns until when an endpoint is cold. One whose entry is older than the return of its data centre counts as cold from then on:
@@ -204,14 +207,21 @@
 
 // applyEndpoints applies changes of the endpoints' keys.
 func (s *state) applyEndpoints(u mirror.Update) {
+	if s.setEndpoints(u) {
+		s.onChange()
+	}
+}
+
+func (s *state) setEndpoints(u mirror.Update) (changed bool) {
 	now := s.options.Clock.Now()
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.restoredTo = u.RestoredTo
 	if u.Outage >= minOutage || u.Restored {
 		s.graceEnds = now.Add(outageGrace)
 	}
 	present := make(map[string]bool)
-	changed := u.Reset && !s.endpointsRead.Load()
+	changed = u.Reset && !s.endpointsRead.Load()
 	for _, c := range u.Changes {
 		id, ok := s.options.Documents.EndpointID(c.Key)
 		if !ok {
@@ -234,10 +244,7 @@
 		}
 	}
 	s.endpointsRead.Store(true)
-	s.mu.Unlock()
-	if changed {
-		s.onChange()
-	}
+	return changed
 }
 
 // applyEntry applies an endpoint's entry. It reports whether that changes where requests may go.
@@ -335,18 +342,21 @@
 
 // endGrace removes the endpoints that were not listed again after an outage.
 func (s *state) endGrace() {
+	if s.forgetMissing() {
+		s.onChange()
+	}
+}
+
+func (s *state) forgetMissing() (changed bool) {
 	s.mu.Lock()
-	changed := false
+	defer s.mu.Unlock()
 	for id, e := range s.endpoints {
 		if e.missing {
 			s.forgetEndpoint(id)
 			changed = true
 		}
 	}
-	s.mu.Unlock()
-	if changed {
-		s.onChange()
-	}
+	return changed
 }
 
 // usable returns the endpoints of the region that may receive requests, by service.
