Send the streams with a gap limit in the compact form of loads

Cause: the compact form, which regions with heads use, has four numbers for each load and left out how many streams with a gap limit are at an engine. Instances there kept long prompts only from engines with streams of their own.

Change: the counts go in a list of their own, which is empty while there are none.

--- a/internal/core/fleetview/compact.go
+++ b/internal/core/fleetview/compact.go
@@ -81,16 +81,23 @@
 	}
 }
 
-func (t *nameTable) packLoads(list []*wire.EdgeEndpointWork) []uint32 {
-	out := make([]uint32, 0, 4*len(list))
-	for _, w := range list {
-		out = append(out, t.number(w.GetId()), w.GetRunning(), w.GetUnreadTokens()/prefillUnit, w.GetMemoryTokens()/memoryUnit)
+// packLoads packs loads, and the streams with a gap limit at each of them unless there are none.
+func (t *nameTable) packLoads(list []*wire.EdgeEndpointWork) (packed, gaps []uint32) {
+	packed = make([]uint32, 0, 4*len(list))
+	for i, w := range list {
+		packed = append(packed, t.number(w.GetId()), w.GetRunning(), w.GetUnreadTokens()/prefillUnit, w.GetMemoryTokens()/memoryUnit)
+		if w.GetGapLimited() > 0 && gaps == nil {
+			gaps = make([]uint32, i, len(list))
+		}
+		if gaps != nil {
+			gaps = append(gaps, w.GetGapLimited())
+		}
 	}
-	return out
+	return packed, gaps
 }
 
-func (r receivedNames) unpackLoads(packed []uint32) ([]*wire.EdgeEndpointWork, error) {
-	if len(packed)%4 != 0 {
+func (r receivedNames) unpackLoads(packed, gaps []uint32) ([]*wire.EdgeEndpointWork, error) {
+	if len(packed)%4 != 0 || len(gaps) > 0 && len(gaps) != len(packed)/4 {
 		return nil, ErrBadNumber
 	}
 	out := make([]*wire.EdgeEndpointWork, 0, len(packed)/4)
@@ -101,6 +108,9 @@
 		}
 		out = append(out, &wire.EdgeEndpointWork{Id: id, Running: packed[1], UnreadTokens: units(packed[2], prefillUnit), MemoryTokens: units(packed[3], memoryUnit)})
 	}
+	for i, n := range gaps {
+		out[i].GapLimited = n
+	}
 	return out, nil
 }
 
@@ -227,6 +237,7 @@
 	GetComplete() bool
 	GetNames() []string
 	GetLoads() []uint32
+	GetLoadGaps() []uint32
 	GetPartLists() []uint32
 	GetPartKeys() []uint64
 	GetPartTokens() []uint32
@@ -241,7 +252,7 @@
 	if err := r.add(m.GetNames()); err != nil {
 		return nil, nil, err
 	}
-	loads, err := r.unpackLoads(m.GetLoads())
+	loads, err := r.unpackLoads(m.GetLoads(), m.GetLoadGaps())
 	if err != nil {
 		return nil, nil, err
 	}
@@ -252,7 +263,8 @@
 // packReport puts a report into the compact form.
 func (t *nameTable) packReport(r *wire.EdgeReport) {
 	before := len(t.names)
-	r.Loads, r.Endpoints = t.packLoads(r.GetEndpoints()), nil
+	r.Loads, r.LoadGaps = t.packLoads(r.GetEndpoints())
+	r.Endpoints = nil
 	r.Used, r.Uses = t.packUses(nil, r.GetUses()), nil
 	parts := t.packParts(r.GetParts())
 	r.PartLists, r.PartKeys, r.PartTokens, r.PartOrigins, r.Parts = parts.lists, parts.keys, parts.tokens, parts.origins, nil
@@ -281,7 +293,8 @@
 
 // packState puts a state into the compact form, without the names.
 func (t *nameTable) packState(s *wire.EdgeFleetState) {
-	s.Loads, s.Endpoints = t.packLoads(s.GetEndpoints()), nil
+	s.Loads, s.LoadGaps = t.packLoads(s.GetEndpoints())
+	s.Endpoints = nil
 	parts := t.packParts(s.GetParts())
 	s.PartLists, s.PartKeys, s.PartTokens, s.PartOrigins, s.Parts = parts.lists, parts.keys, parts.tokens, parts.origins, nil
 	for _, region := range s.GetRegions() {
