Find the store soon after a cut

An instance behind a cut sent cold engines too many requests after it, since it learned of an evacuation a second late.

Cause: the first packet of a connection to the store was lost in the cut. The kernel repeats it after a second, at which the attempt timed out, and the next one waited up to 0.5 s more.

The pause after a failed call counts from its beginning.

TestPausesAfterSlowFailuresAreShort fails without the change.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -17,7 +17,7 @@
 	// watchWait is the longest wait of one watch. It also bounds how long a watch on an unresponsive connection goes unnoticed. It
 	// is a third of the time within which changes must be in force.
 	watchWait = 1200 * time.Millisecond
-	// retryMin and retryMax bound the wait after a failed call.
+	// retryMin is the shortest wait after a failed call, and retryMax the longest time between the beginnings of two calls that fail at once.
 	retryMin = 100 * time.Millisecond
 	retryMax = 500 * time.Millisecond
 )
@@ -78,6 +78,7 @@
 func (m *Mirror) Run(ctx context.Context) {
 	retry := retryMin
 	for ctx.Err() == nil {
+		began := m.clock.Now()
 		err := m.follow(ctx)
 		if ctx.Err() != nil {
 			return
@@ -95,7 +96,8 @@
 			m.inOutage = true
 			m.log.Warn("store lost", zap.Error(err))
 		}
-		if clock.Sleep(ctx, retry) != nil {
+		// A call that has waited in vain for an answer has kept the interval already.
+		if clock.Sleep(ctx, max(retryMin, retry-m.clock.Now().Sub(began))) != nil {
 			return
 		}
 		retry = min(2*retry, retryMax)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -127,3 +127,38 @@
 		t.Errorf("after the outage: %+v", got[1])
 	}
 }
+
+// slowFeed fails each call after a while, as calls to a store that cannot be reached do.
+type slowFeed struct {
+	scriptedFeed
+	took   time.Duration
+	pauses chan time.Duration // between the end of a call and the next one
+	ended  time.Time
+}
+
+func (f *slowFeed) ListAll(context.Context, string) ([]platform.Entry, platform.Version, error) {
+	if !f.ended.IsZero() {
+		f.pauses <- time.Since(f.ended)
+	}
+	time.Sleep(f.took)
+	f.ended = time.Now()
+	return nil, platform.Version{}, errors.New("not reachable")
+}
+
+// Guards against a copy of the store that is brought up to date late after a cut, since a call that has waited in vain is followed by a long
+// pause.
+func TestPausesAfterSlowFailuresAreShort(t *testing.T) {
+	const pauses, longest = 5, 300 * time.Millisecond
+	f := &slowFeed{took: 600 * time.Millisecond, pauses: make(chan time.Duration, pauses+1)}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var running sync.WaitGroup
+	running.Go(func() { New(f, "p/", clock.Boot{}, zap.NewNop(), func(Update) {}, nil).Run(ctx) })
+	for n := range pauses {
+		if pause := <-f.pauses; pause > longest {
+			t.Errorf("pause %d lasts %s", n, pause)
+		}
+	}
+	cancel()
+	running.Wait()
+}
