--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -9,6 +9,8 @@
 // scenarios return whether the rule held.
 var scenarios = map[string]func(w *world, trouble bool) (held bool, err error){
 	"cold-again": coldAgain,
+	"idle":       idleRestart,
+	"restarted":  restartedInstance,
 	"wait":       longWait,
 }
 
--- a/review/stand3/world.go
+++ b/review/stand3/world.go
@@ -27,13 +27,14 @@
 var wordsJSON []byte
 
 var words struct {
-	Headers        map[string]string `json:"headers"`
-	ConfigKey      string            `json:"config_key"`
-	EndpointPrefix string            `json:"endpoint_prefix"`
-	ReportPath     string            `json:"report_path"`
-	CacheListPath  string            `json:"cache_list_path"`
-	Config         map[string]any    `json:"config"`
-	Entry          map[string]any    `json:"entry"`
+	Headers          map[string]string `json:"headers"`
+	ConfigKey        string            `json:"config_key"`
+	EvacuationPrefix string            `json:"evacuation_prefix"`
+	EndpointPrefix   string            `json:"endpoint_prefix"`
+	ReportPath       string            `json:"report_path"`
+	CacheListPath    string            `json:"cache_list_path"`
+	Config           map[string]any    `json:"config"`
+	Entry            map[string]any    `json:"entry"`
 }
 
 const (
@@ -202,28 +203,78 @@
 	addr                    string
 	answer                  http.HandlerFunc // for requests of callers, after the checks that all endpoints make
 
+	// quiet says that a change is written with the next heartbeat only.
+	quiet bool
+
 	mu        sync.Mutex
+	server    *http.Server
+	down      bool
 	sequence  int
 	state     string
 	coldUntil time.Time
 	running   int
 }
 
+// serve listens at the endpoint's address.
+func (e *endpoint) serve() error {
+	listener, err := net.Listen("tcp", e.addr)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: e, IdleTimeout: 10 * time.Second}
+	e.mu.Lock()
+	e.server, e.down = server, false
+	e.mu.Unlock()
+	go func() { _ = server.Serve(listener) }() // ends with the listener
+	return nil
+}
+
+// restart ends the endpoint with all its connections and starts it again under its id after a time. It is cold then.
+func (e *endpoint) restart(after, coldFor time.Duration) error {
+	e.mu.Lock()
+	e.down = true
+	server := e.server
+	e.mu.Unlock()
+	if err := server.Close(); err != nil {
+		return err
+	}
+	time.Sleep(after)
+	e.mu.Lock()
+	e.born, e.coldUntil, e.sequence = time.Now().UnixMilli(), time.Now().Add(coldFor), 0
+	e.mu.Unlock()
+	if err := e.serve(); err != nil {
+		return err
+	}
+	e.write()
+	return nil
+}
+
+// becomeCold makes the endpoint cold while it runs.
+func (e *endpoint) becomeCold(d time.Duration) {
+	e.mu.Lock()
+	e.coldUntil = time.Now().Add(d)
+	e.mu.Unlock()
+	if !e.quiet {
+		e.write()
+	}
+}
+
 // startEndpoint starts an endpoint and registers it.
 func (w *world) startEndpoint(id, service, dataCentre string, slots int, answer func(e *endpoint) http.HandlerFunc) (*endpoint, error) {
 	addr, err := ports.FreeAddr()
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
 	e := &endpoint{world: w, id: id, service: service, dataCentre: dataCentre, slots: slots, born: time.Now().UnixMilli(), addr: addr, state: "ready"}
 	e.answer = answer(e)
-	server := &http.Server{Handler: e, IdleTimeout: 10 * time.Second}
-	go func() { _ = server.Serve(listener) }() // ends with the listener
-	w.ends = append(w.ends, func() { _ = server.Close() })
+	if err := e.serve(); err != nil {
+		return nil, err
+	}
+	w.ends = append(w.ends, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		_ = e.server.Close()
+	})
 	e.write()
 	stop := make(chan struct{})
 	w.ends = append(w.ends, func() { close(stop) })
@@ -247,6 +298,9 @@
 func (e *endpoint) write() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.down {
+		return
+	}
 	e.sequence++
 	entry := make(map[string]any, len(words.Entry))
 	for name, value := range words.Entry {
@@ -279,14 +333,14 @@
 	h := words.Headers
 	w.Header().Set("Keep-Alive", "timeout=10")
 	e.mu.Lock()
-	cold := e.coldLeft()
+	cold, born := e.coldLeft(), e.born
 	load := fmt.Sprintf("%d,0,%d", e.running, e.slots)
 	e.mu.Unlock()
 	switch {
 	case r.URL.Path == words.CacheListPath:
 		platformtest.WriteEmptyCacheList(w)
 	case r.URL.Path == words.ReportPath:
-		_, _ = w.Write(encode(map[string]any{"stage": "both", "born": e.born, "busy": false, "sequence": 1})) // the caller may have left
+		_, _ = w.Write(encode(map[string]any{"stage": "both", "born": born, "busy": false, "sequence": 1})) // the caller may have left
 	case r.URL.Path == "/health":
 		w.Header().Set(h["instance"], e.id)
 		w.Header().Set(h["load"], load)
